--- a/src/main/java/gorseridge/Balancer.java
+++ b/src/main/java/brackenbridge/Balancer.java
@@ -1,10 +1,10 @@
-package gorseridge;
+package brackenbridge;
 
-import gorseridge.State.Attempt;
-import gorseridge.State.Bucket;
-import gorseridge.State.Call;
-import gorseridge.State.Kind;
-import gorseridge.State.Server;
+import brackenbridge.State.Attempt;
+import brackenbridge.State.Bucket;
+import brackenbridge.State.Call;
+import brackenbridge.State.Kind;
+import brackenbridge.State.Server;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/main/java/gorseridge/BalancerApi.java
+++ b/src/main/java/brackenbridge/BalancerApi.java
@@ -1,4 +1,4 @@
-package gorseridge;
+package brackenbridge;
 
 import java.util.List;
 
--- a/src/main/java/gorseridge/State.java
+++ b/src/main/java/brackenbridge/State.java
@@ -1,8 +1,8 @@
-package gorseridge;
+package brackenbridge;
 
-import gorseridge.BalancerApi.Endpoint;
-import gorseridge.BalancerApi.Request;
-import gorseridge.BalancerApi.RequestClass;
+import brackenbridge.BalancerApi.Endpoint;
+import brackenbridge.BalancerApi.Request;
+import brackenbridge.BalancerApi.RequestClass;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 
--- a/src/main/java/gorseridge/wire/SettingsParser.java
+++ b/src/main/java/brackenbridge/wire/SettingsParser.java
@@ -1,10 +1,10 @@
-package gorseridge.wire;
+package brackenbridge.wire;
 
-import gorseridge.BalancerApi.DedupScope;
-import gorseridge.BalancerApi.Effect;
-import gorseridge.BalancerApi.RequestClass;
-import gorseridge.BalancerApi.Settings;
-import gorseridge.BalancerApi.Tenant;
+import brackenbridge.BalancerApi.DedupScope;
+import brackenbridge.BalancerApi.Effect;
+import brackenbridge.BalancerApi.RequestClass;
+import brackenbridge.BalancerApi.Settings;
+import brackenbridge.BalancerApi.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/gorseridge/wire/WireException.java
+++ b/src/main/java/brackenbridge/wire/WireException.java
@@ -1,4 +1,4 @@
-package gorseridge.wire;
+package brackenbridge.wire;
 
 /** What is wrong with the input, with the line it is in and the field where there is one. */
 final class WireException extends RuntimeException {
--- a/src/main/java/gorseridge/wire/WireHost.java
+++ b/src/main/java/brackenbridge/wire/WireHost.java
@@ -1,12 +1,12 @@
-package gorseridge.wire;
+package brackenbridge.wire;
 
-import gorseridge.Balancer;
-import gorseridge.BalancerApi.Endpoint;
-import gorseridge.BalancerApi.EndpointState;
-import gorseridge.BalancerApi.ListKind;
-import gorseridge.BalancerApi.Outcome;
-import gorseridge.BalancerApi.Report;
-import gorseridge.BalancerApi.Request;
+import brackenbridge.Balancer;
+import brackenbridge.BalancerApi.Endpoint;
+import brackenbridge.BalancerApi.EndpointState;
+import brackenbridge.BalancerApi.ListKind;
+import brackenbridge.BalancerApi.Outcome;
+import brackenbridge.BalancerApi.Report;
+import brackenbridge.BalancerApi.Request;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
@@ -39,14 +39,14 @@
     /** Runs the subcommand {@code wirehost} on standard input and output. */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: gorseridge wirehost");
+            System.err.println("usage: brackenbridge wirehost");
             System.exit(2);
         }
         try {
             new WireHost(new FileInputStream(FileDescriptor.in),
                     new FileOutputStream(FileDescriptor.out)).run();
         } catch (WireException e) {
-            System.err.println("gorseridge: " + e.getMessage());
+            System.err.println("brackenbridge: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/gorseridge/wire/WireReader.java
+++ b/src/main/java/brackenbridge/wire/WireReader.java
@@ -1,4 +1,4 @@
-package gorseridge.wire;
+package brackenbridge.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/gorseridge/wire/WireWriter.java
+++ b/src/main/java/brackenbridge/wire/WireWriter.java
@@ -1,6 +1,6 @@
-package gorseridge.wire;
+package brackenbridge.wire;
 
-import gorseridge.BalancerApi.Actions;
+import brackenbridge.BalancerApi.Actions;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
--- a/src/test/java/gorseridge/DesignTest.java
+++ b/src/test/java/brackenbridge/DesignTest.java
@@ -1,18 +1,18 @@
-package gorseridge;
+package brackenbridge;
 
-import static gorseridge.Script.MS;
-import static gorseridge.Script.SECOND;
-import static gorseridge.Script.safe;
-import static gorseridge.Script.settings;
-import static gorseridge.Script.unsafe;
+import static brackenbridge.Script.MS;
+import static brackenbridge.Script.SECOND;
+import static brackenbridge.Script.safe;
+import static brackenbridge.Script.settings;
+import static brackenbridge.Script.unsafe;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gorseridge.BalancerApi.ListKind;
-import gorseridge.BalancerApi.Outcome;
-import gorseridge.BalancerApi.Tenant;
+import brackenbridge.BalancerApi.ListKind;
+import brackenbridge.BalancerApi.Outcome;
+import brackenbridge.BalancerApi.Tenant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
--- a/src/test/java/gorseridge/LimitsTest.java
+++ b/src/test/java/brackenbridge/LimitsTest.java
@@ -1,4 +1,4 @@
-package gorseridge;
+package brackenbridge;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/gorseridge/Script.java
+++ b/src/test/java/brackenbridge/Script.java
@@ -1,16 +1,16 @@
-package gorseridge;
-
-import gorseridge.BalancerApi.Actions;
-import gorseridge.BalancerApi.DedupScope;
-import gorseridge.BalancerApi.Effect;
-import gorseridge.BalancerApi.Endpoint;
-import gorseridge.BalancerApi.EndpointState;
-import gorseridge.BalancerApi.ListKind;
-import gorseridge.BalancerApi.Outcome;
-import gorseridge.BalancerApi.Request;
-import gorseridge.BalancerApi.RequestClass;
-import gorseridge.BalancerApi.Settings;
-import gorseridge.BalancerApi.Tenant;
+package brackenbridge;
+
+import brackenbridge.BalancerApi.Actions;
+import brackenbridge.BalancerApi.DedupScope;
+import brackenbridge.BalancerApi.Effect;
+import brackenbridge.BalancerApi.Endpoint;
+import brackenbridge.BalancerApi.EndpointState;
+import brackenbridge.BalancerApi.ListKind;
+import brackenbridge.BalancerApi.Outcome;
+import brackenbridge.BalancerApi.Request;
+import brackenbridge.BalancerApi.RequestClass;
+import brackenbridge.BalancerApi.Settings;
+import brackenbridge.BalancerApi.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/gorseridge/wire/WireHostTest.java
+++ b/src/test/java/brackenbridge/wire/WireHostTest.java
@@ -1,4 +1,4 @@
-package gorseridge.wire;
+package brackenbridge.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
