--- a/src/main/java/brackenbridge/BalancerApi.java
+++ b/src/main/java/brackenbridge/BalancerApi.java
@@ -56,6 +56,26 @@
     record Tenant(String name, double share, double quotaPerSecond) {
     }
 
+    /**
+     * What the settings say of connections and reports; the module decides nothing by it, the node obeys it.
+     *
+     * @param connectTimeout a connection not made by then has failed
+     * @param drainGrace time in which sends to a draining or gone endpoint must end
+     * @param reportsInAnswers any answer may hold a load report
+     * @param reportFields the names of a report's values; empty where there are no reports
+     */
+    record Network(long connectTimeout, long drainGrace, boolean reportsInAnswers, List<String> reportFields) {
+        /** The figures of a deployment that tells none. */
+        public static final Network UNTOLD = new Network(1_000_000, 0, false, List.of());
+
+        /** Limits that no connection or send could keep are rejected. */
+        public Network {
+            Settings.require(connectTimeout > 0, "connectTimeout", connectTimeout);
+            Settings.require(drainGrace >= 0, "drainGrace", drainGrace);
+            reportFields = List.copyOf(reportFields);
+        }
+    }
+
     /**
      * What an instance is given at its start.
      *
@@ -78,11 +98,13 @@
      * @param idleClose idle connections are closed after this time
      * @param coldFrom a starting endpoint has at least this part of its capacity
      * @param warmAfter and all of it after this time
+     * @param network what the node round the module must keep to
      */
     record Settings(long seed, int me, int peers, int tier, String zone, List<RequestClass> classes,
             List<Tenant> tenants, double overShareWorth, boolean askDiscovery, long mustAskWithin,
             int maxAttempts, int maxOpen, long maxRetryAfter, boolean mayCancel, boolean mayProbe,
-            boolean secondCopies, long idleClose, double coldFrom, long warmAfter) {
+            boolean secondCopies, long idleClose, double coldFrom, long warmAfter,
+            Network network) {
         /** Settings that contradict themselves are rejected. */
         public Settings {
             require(!classes.isEmpty(), "no classes", classes);
--- /dev/null
+++ b/src/main/java/brackenbridge/cli/Main.java
@@ -0,0 +1,118 @@
+package brackenbridge.cli;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.config.Config;
+import brackenbridge.log.Log;
+import brackenbridge.net.Node;
+import brackenbridge.wire.WireHost;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+/** The command line. */
+public final class Main {
+    private static final int USAGE = 2;
+
+    private Main() {
+    }
+
+    @Parameters(commandDescription = "Serve as a node")
+    private static final class Serve {
+        @Parameter(names = "--config", description = "The configuration file; by default $PROXY_CONFIG")
+        private String config = System.getenv("PROXY_CONFIG");
+    }
+
+    @Parameters(commandDescription = "Check a configuration file and say what it holds")
+    private static final class Check {
+        @Parameter(names = "--config", description = "The configuration file; by default $PROXY_CONFIG")
+        private String config = System.getenv("PROXY_CONFIG");
+    }
+
+    @Parameters(commandDescription = "Speak the simulator's wire on standard input and output")
+    private static final class Wire {
+    }
+
+    @Parameters(commandDescription = "Print the version")
+    private static final class Version {
+    }
+
+    /** Runs one of the commands. */
+    public static void main(String[] args) throws IOException {
+        // The adapter starts without the command line's parser: it is started often, for short runs.
+        if (args.length == 1 && args[0].equals("wirehost")) {
+            System.exit(WireHost.serve());
+        }
+        Serve serve = new Serve();
+        Check check = new Check();
+        JCommander line = JCommander.newBuilder().programName("brackenbridge").addCommand("serve", serve)
+                .addCommand("wirehost", new Wire()).addCommand("check-config", check)
+                .addCommand("version", new Version()).build();
+        try {
+            line.parse(args);
+        } catch (ParameterException e) {
+            fail(e.getMessage());
+        }
+        if (line.getParsedCommand() == null) {
+            line.usage();
+            System.exit(USAGE);
+        }
+        switch (line.getParsedCommand()) {
+            case "serve" -> serve(config(serve.config));
+            case "check-config" -> {
+                Config c = config(check.config);
+                System.out.println(c.name() + ": tier " + c.settings().tier() + ", " + c.settings().classes().size()
+                        + " classes, " + c.known().targets().size() + " targets known, " + c.sockets() + " sockets");
+            }
+            case "version" -> {
+                String version = Main.class.getPackage().getImplementationVersion();
+                System.out.println("brackenbridge " + (version == null ? "(not packaged)" : version));
+            }
+            default -> System.exit(WireHost.serve());
+        }
+    }
+
+    private static Config config(String file) {
+        if (file == null) {
+            fail("no configuration: give --config FILE or set PROXY_CONFIG");
+        }
+        try {
+            return Config.read(Path.of(file));
+        } catch (IllegalArgumentException e) {
+            fail("bad configuration: " + e.getMessage());
+            throw e;
+        }
+    }
+
+    private static void fail(String why) {
+        System.err.println("brackenbridge: " + why);
+        System.exit(USAGE);
+    }
+
+    private static void serve(Config config) {
+        Clock clock = Clock.system();
+        Log log = new Log(clock, System.err);
+        Node node = new Node(config, clock, log);
+        // SIGTERM runs the hooks and would exit with 143; a stop that ends well ends with 0.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                node.stop().get(1, TimeUnit.MINUTES);
+                log.flush(System.err);
+                Runtime.getRuntime().halt(0);
+            } catch (InterruptedException | java.util.concurrent.ExecutionException
+                    | java.util.concurrent.TimeoutException e) {
+                System.err.println("brackenbridge: stop failed: " + e);
+                Runtime.getRuntime().halt(1);
+            }
+        }, "stop"));
+        try {
+            node.start();
+        } catch (RuntimeException e) {
+            System.err.println("brackenbridge: can't listen on " + config.listen() + ": " + e.getMessage());
+            Runtime.getRuntime().halt(USAGE);
+        }
+    }
+}
--- a/src/main/java/brackenbridge/wire/SettingsParser.java
+++ b/src/main/java/brackenbridge/config/SettingsParser.java
@@ -1,37 +1,31 @@
-package brackenbridge.wire;
+package brackenbridge.config;
 
 import brackenbridge.BalancerApi.DedupScope;
 import brackenbridge.BalancerApi.Effect;
+import brackenbridge.BalancerApi.Network;
 import brackenbridge.BalancerApi.RequestClass;
 import brackenbridge.BalancerApi.Settings;
 import brackenbridge.BalancerApi.Tenant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
-/** Turns the path=value pairs of an instance's first message into settings; unknown keys are ignored. */
-final class SettingsParser {
-    private final WireReader reader;
-    private final Map<String, String> pairs = new HashMap<>();
+/**
+ * Turns the path=value pairs of an instance's first message into settings; unknown keys are ignored. The one
+ * mapping for the simulator's wire and for the node's configuration alike. What can't be read is an
+ * IllegalArgumentException that names the key.
+ */
+public final class SettingsParser {
+    private final Map<String, String> pairs;
 
-    SettingsParser(WireReader reader) {
-        this.reader = reader;
+    /** Reads these pairs; a value of {@code -} is as good as absent. */
+    public SettingsParser(Map<String, String> pairs) {
+        this.pairs = pairs;
     }
 
-    Settings parse(long seed) {
-        while (reader.more()) {
-            String pair = reader.text("setup");
-            int eq = pair.indexOf('=');
-            if (eq < 0) {
-                if (pair.isEmpty() || pair.equals("-")) {
-                    continue;
-                }
-                throw reader.error("setup", "not a pair: '" + pair + "'");
-            }
-            pairs.put(pair.substring(0, eq), pair.substring(eq + 1));
-        }
+    /** The settings, with this seed for all random draws. */
+    public Settings parse(long seed) {
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0, n = (int) number("classes.count", null); i < n; i++) {
             String at = "classes." + i + ".";
@@ -56,14 +50,21 @@
                 (int) number("policyLimits.openCap", "20000"), retryAfter,
                 flag("policyLimits.mayCancel", "false"), flag("policyLimits.mayProbe", "false"),
                 flag("policyLimits.secondCopies", "false"), number("policyLimits.idleClose", "15000000"),
-                decimal("rules.coldFrom", "1"), number("rules.warmAfter", "0"));
+                decimal("rules.coldFrom", "1"), number("rules.warmAfter", "0"), network());
+    }
+
+    private Network network() {
+        String how = value("report.how", "none");
+        String columns = how.equals("none") ? "" : value("report.columns", "");
+        return new Network(number("policyLimits.connectTimeout", "1000000"), number("rules.drainGrace", "0"),
+                how.equals("answers"), columns.isEmpty() ? List.of() : List.of(columns.split(",")));
     }
 
     private String value(String key, String absent) {
         String v = pairs.get(key);
         if (v == null || v.equals("-")) {
             if (absent == null) {
-                throw reader.error("setup", "no " + key);
+                throw new IllegalArgumentException("no " + key);
             }
             return absent;
         }
@@ -75,7 +76,7 @@
         try {
             return Long.parseLong(v);
         } catch (NumberFormatException e) {
-            throw reader.error("setup", key + " is not a whole number: '" + v + "'");
+            throw new IllegalArgumentException(key + " is not a whole number: '" + v + "'");
         }
     }
 
@@ -84,7 +85,7 @@
         try {
             return Double.parseDouble(v);
         } catch (NumberFormatException e) {
-            throw reader.error("setup", key + " is not a number: '" + v + "'");
+            throw new IllegalArgumentException(key + " is not a number: '" + v + "'");
         }
     }
 
@@ -93,7 +94,7 @@
         return switch (v) {
             case "true", "1" -> true;
             case "false", "0" -> false;
-            default -> throw reader.error("setup", key + " is neither true nor false: '" + v + "'");
+            default -> throw new IllegalArgumentException(key + " is neither true nor false: '" + v + "'");
         };
     }
 
@@ -104,6 +105,6 @@
                 return e;
             }
         }
-        throw reader.error("setup", key + " is unknown: '" + v + "'");
+        throw new IllegalArgumentException(key + " is unknown: '" + v + "'");
     }
 }
--- /dev/null
+++ b/src/main/java/brackenbridge/core/Event.java
@@ -0,0 +1,65 @@
+package brackenbridge.core;
+
+import brackenbridge.BalancerApi.Report;
+
+/** What happens to the node: all that the reducer ever learns. */
+public sealed interface Event {
+    /** The node starts, with the target group as it last held it. */
+    record Started(TargetGroup known) implements Event {
+    }
+
+    /** A listener has taken a flow, under a number of the node's own. */
+    record FlowOpened(long flow, Flow request) implements Event {
+    }
+
+    /** The flow's client has gone away. */
+    record FlowGone(long flow) implements Event {
+    }
+
+    /** The forward's last byte has been written: from now on it may run. */
+    record ForwardWritten(long flow, int forward) implements Event {
+    }
+
+    /** What a server's answer means. */
+    enum Reply {
+        /** Served. */
+        SERVED,
+        /** An error; it may have run. */
+        ERROR,
+        /** Turned away unseen. */
+        TURNED_AWAY
+    }
+
+    /** The server has answered the forward; the report is null if none came. */
+    record ForwardAnswered(long flow, int forward, Reply reply, Object message, Report report)
+            implements Event {
+    }
+
+    /** The forward's connection could not be had, or it broke. */
+    record ForwardBroken(long flow, int forward) implements Event {
+    }
+
+    /** A list or a change has come on a call to discovery. */
+    record TargetsTold(long call, TargetGroup group) implements Event {
+    }
+
+    /** Discovery has said on a watch that nothing has changed. */
+    record DiscoveryBeat(long call) implements Event {
+    }
+
+    /** A call to discovery has ended or failed. */
+    record DiscoveryEnded(long call) implements Event {
+    }
+
+    /** A probe was answered, or failed if not passed and not answered; the report is null if none came. */
+    record ProbeEnded(long probe, boolean answered, boolean passed, Report report) implements Event {
+    }
+
+    /** A timer is due. */
+    record TimerFired(TimerKey key) implements Event {
+    }
+
+    /** The node is told to stop. */
+    record StopAsked() implements Event {
+    }
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/core/Flow.java
@@ -0,0 +1,13 @@
+package brackenbridge.core;
+
+/**
+ * A request as a listener hands it in, whatever its protocol.
+ *
+ * @param className its class
+ * @param tenant its tenant; null if none
+ * @param timeLeftMs how long its client still waits; negative if it did not say
+ * @param repeat its client says that it tried before
+ * @param message what to forward; nothing in the core looks into it
+ */
+public record Flow(String className, String tenant, double timeLeftMs, boolean repeat, Object message) {
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/core/HostIds.java
@@ -0,0 +1,39 @@
+package brackenbridge.core;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Maps a host's name to the number by which the module knows it: a hash of the name alone, so that every
+ * node, and the same node after a restart, has the same number for it.
+ */
+final class HostIds {
+    private final Map<String, Long> ids = new HashMap<>();
+    private final Map<Long, String> hosts = new HashMap<>();
+
+    long of(String host) {
+        Long known = ids.get(host);
+        if (known != null) {
+            return known;
+        }
+        // Guards against two names with one hash: the later name is hashed again until it is alone.
+        String salted = host;
+        while (hosts.containsKey(hash(salted))) {
+            salted += '#';
+        }
+        long id = hash(salted);
+        ids.put(host, id);
+        hosts.put(id, host);
+        return id;
+    }
+
+    /** FNV-1a over the name's bytes, cut to 53 bits. */
+    private static long hash(String name) {
+        long h = 0xcbf29ce484222325L;
+        for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
+            h = (h ^ (b & 0xff)) * 0x100000001b3L;
+        }
+        return h >>> 11;
+    }
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/core/Reducer.java
@@ -0,0 +1,559 @@
+package brackenbridge.core;
+
+import brackenbridge.Balancer;
+import brackenbridge.BalancerApi.Actions;
+import brackenbridge.BalancerApi.Endpoint;
+import brackenbridge.BalancerApi.EndpointState;
+import brackenbridge.BalancerApi.ListKind;
+import brackenbridge.BalancerApi.Outcome;
+import brackenbridge.BalancerApi.Report;
+import brackenbridge.BalancerApi.Request;
+import brackenbridge.BalancerApi.RequestClass;
+import brackenbridge.BalancerApi.Settings;
+import brackenbridge.counters.Counters;
+import brackenbridge.counters.Counters.Kind;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Owns all state of a node: an event goes in, the effects it calls for come out. It tells the module of each
+ * event, turns the module's actions into effects, and keeps the promises that are the node's own: one final
+ * answer a flow, one outcome a forward, nothing sent after a drain's grace. It chooses nothing itself.
+ */
+public final class Reducer {
+    /** A flow ends this long before its client gives up, so that the answer is still in time on the way. */
+    static final double MARGIN_MS = 5;
+    /** Discovery says something every 2 s; after more than two beats without a word a call has failed. */
+    static final double SILENCE_MS = 5000;
+    /** Longest time that a probe may take. */
+    static final double PROBE_MS = 1000;
+    /** A stopping node accepts connections for so long: the front needs a moment to notice. */
+    static final double ACCEPT_MS = 500;
+    /** A stopping node is gone this long after the longest deadline, well before it is killed. */
+    static final double STOP_SLACK_MS = 250;
+
+    private static final class OpenFlow {
+        final long id;
+        final Object message;
+        final double deadline;
+        int attempts;
+        Out out;
+        boolean ended;
+        boolean timedOut;
+        boolean mayHaveRun;
+
+        OpenFlow(long id, Object message, double deadline) {
+            this.id = id;
+            this.message = message;
+            this.deadline = deadline;
+        }
+    }
+
+    /** The one forward that a flow has out. */
+    private static final class Out {
+        final int number;
+        final String host;
+        final double since;
+        boolean written;
+
+        Out(int number, String host, double since) {
+            this.number = number;
+            this.host = host;
+            this.since = since;
+        }
+    }
+
+    private record Owed(long flow, int attempt, Outcome outcome) {
+    }
+
+    private record PendingProbe(long endpoint, double since) {
+    }
+
+    private final Settings settings;
+    private final Counters counters;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Balancer balancer;
+    private final HostIds ids = new HostIds();
+    private final Map<Long, Target> targets = new HashMap<>();
+    private final Map<String, Double> noSendAfter = new HashMap<>();
+    private final Map<Long, OpenFlow> flows = new HashMap<>();
+    private final Map<Long, PendingProbe> probes = new HashMap<>();
+    private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+    private final Set<Long> fetches = new HashSet<>();
+    private final Map<Long, Double> lastWord = new HashMap<>();
+    private List<Effect> effects = new ArrayList<>();
+    private double now;
+    private int unanswered;
+    private long seq = -1;
+    private long calls;
+    private long watch = -1;
+    private boolean watchTold;
+    private long probeCount;
+    private boolean stopping;
+    private boolean closed;
+    private boolean exiting;
+
+    /** Starts a node; the module draws its random numbers from the settings' seed. */
+    public Reducer(Settings settings, Counters counters) {
+        this.settings = settings;
+        this.counters = counters;
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+        this.balancer = new Balancer(settings, new Acts());
+    }
+
+    /** Takes an event in; the effects are to be run in order. */
+    public List<Effect> reduce(double nowMs, Event event) {
+        now = nowMs;
+        effects = new ArrayList<>();
+        try {
+            apply(event);
+            settle();
+        } catch (RuntimeException e) {
+            // Guards the node against a fault in a decision: each flow's own deadline still answers it.
+            owed.clear();
+            effects.add(new Effect.Fault(e));
+        }
+        if (closed && unanswered == 0 && !exiting) {
+            exiting = true;
+            effects.add(new Effect.Exit(false));
+        }
+        return effects;
+    }
+
+    /** Whether a flow could be served: some server is known to run, and the node is not stopping. */
+    public boolean ready() {
+        return !stopping && targets.values().stream().anyMatch(t -> t.state() == EndpointState.UP);
+    }
+
+    private void apply(Event event) {
+        if (event instanceof Event.Started e) {
+            seq = e.known().seq();
+            list(ListKind.SAVED, e.known().targets());
+        } else if (event instanceof Event.FlowOpened e) {
+            open(e.flow(), e.request());
+        } else if (event instanceof Event.FlowGone e) {
+            gone(e.flow());
+        } else if (event instanceof Event.ForwardWritten e) {
+            OpenFlow f = withOut(e.flow(), e.forward());
+            if (f != null) {
+                f.out.written = true;
+                counters.count(Kind.FORWARDS_WRITTEN);
+            }
+        } else if (event instanceof Event.ForwardAnswered e) {
+            answered(e);
+        } else if (event instanceof Event.ForwardBroken e) {
+            OpenFlow f = withOut(e.flow(), e.forward());
+            if (f != null) {
+                outcome(f, f.out.written ? Outcome.RESET : Outcome.CONNECT_FAILED, f.ended, null);
+            }
+        } else if (event instanceof Event.TimerFired e) {
+            fired(e.key());
+        } else if (event instanceof Event.ProbeEnded e) {
+            probed(e.probe(), e.passed() ? Outcome.OK : e.answered() ? Outcome.ERROR : Outcome.CONNECT_FAILED,
+                    e.report());
+        } else if (event instanceof Event.StopAsked) {
+            stop();
+        } else {
+            discovery(event);
+        }
+    }
+
+    // ---- Flows ----
+
+    private void open(long id, Flow request) {
+        counters.count(Kind.FLOWS_IN);
+        if (request.repeat()) {
+            counters.count(Kind.FLOWS_REPEATED);
+        }
+        double waits = request.timeLeftMs() >= 0 ? request.timeLeftMs()
+                : ModuleTime.ms(classes.get(request.className()).deadline());
+        double left = Math.max(0, waits - MARGIN_MS);
+        OpenFlow f = new OpenFlow(id, request.message(), now + left);
+        flows.put(id, f);
+        unanswered++;
+        effects.add(new Effect.SetTimer(f.deadline, new TimerKey.Deadline(id)));
+        balancer.onRequest(ModuleTime.micros(now), new Request(id, request.className(), request.tenant(), -1,
+                ModuleTime.micros(left), -1, request.repeat()));
+    }
+
+    private void gone(long id) {
+        OpenFlow f = flows.get(id);
+        if (f == null || f.ended) {
+            return;
+        }
+        counters.count(Kind.FLOWS_GONE);
+        end(f);
+        balancer.onGone(ModuleTime.micros(now), id);
+        if (f.out != null && settings.mayCancel()) {
+            cancelOut(f, Outcome.CANCELLED);
+        }
+    }
+
+    private void answered(Event.ForwardAnswered e) {
+        OpenFlow f = withOut(e.flow(), e.forward());
+        if (f == null) {
+            return;
+        }
+        Outcome outcome = switch (e.reply()) {
+            case SERVED -> Outcome.OK;
+            case ERROR -> Outcome.ERROR;
+            case TURNED_AWAY -> Outcome.FULL;
+        };
+        if (outcome == Outcome.OK && !f.ended) {
+            counters.count(Kind.ANSWERED_SERVED);
+            effects.add(new Effect.Respond(f.id, e.message()));
+            end(f);
+        }
+        outcome(f, outcome, f.ended, e.report());
+    }
+
+    /** The flow if this is the forward it has out; an event of any other forward comes too late. */
+    private OpenFlow withOut(long id, int forward) {
+        OpenFlow f = flows.get(id);
+        return f != null && f.out != null && f.out.number == forward ? f : null;
+    }
+
+    private void end(OpenFlow f) {
+        f.ended = true;
+        unanswered--;
+        if (f.out == null) {
+            flows.remove(f.id);
+        }
+    }
+
+    /** The forward that is out has ended: the module hears of it, this once. */
+    private void outcome(OpenFlow f, Outcome outcome, boolean ended, Report report) {
+        Out o = f.out;
+        f.out = null;
+        f.mayHaveRun |= !outcome.neverRan;
+        f.timedOut = outcome == Outcome.TIMEOUT;
+        if (f.ended) {
+            flows.remove(f.id);
+        }
+        counters.count(kind(outcome));
+        balancer.onOutcome(ModuleTime.micros(now), f.id, o.number, ended, outcome,
+                ModuleTime.micros(now - o.since), report);
+    }
+
+    private static Kind kind(Outcome outcome) {
+        return switch (outcome) {
+            case OK -> Kind.FORWARDS_SERVED;
+            case ERROR -> Kind.FORWARDS_FAILED;
+            case FULL -> Kind.FORWARDS_TURNED_AWAY;
+            case TIMEOUT -> Kind.FORWARDS_TIMED_OUT;
+            case CONNECT_FAILED -> Kind.FORWARDS_UNCONNECTED;
+            case RESET -> Kind.FORWARDS_RESET;
+            case CANCELLED -> Kind.FORWARDS_CANCELLED;
+            case MOOT -> Kind.FORWARDS_MOOT;
+        };
+    }
+
+    /** Calls off the forward that is out; one that was never written whole has never run. */
+    private void cancelOut(OpenFlow f, Outcome ifWritten) {
+        effects.add(new Effect.CancelForward(f.id, f.out.number));
+        outcome(f, f.out.written ? ifWritten : Outcome.MOOT, f.ended, null);
+    }
+
+    /** Forwards that could not be begun get their outcome once the module has finished its own event. */
+    private void settle() {
+        while (!owed.isEmpty()) {
+            Owed o = owed.poll();
+            OpenFlow f = flows.get(o.flow());
+            counters.count(kind(o.outcome()));
+            balancer.onOutcome(ModuleTime.micros(now), o.flow(), o.attempt(), f == null || f.ended, o.outcome(),
+                    0, null);
+        }
+    }
+
+    private void fixedResponse(OpenFlow f, Effect.Fixed kind, double retryAfterMs) {
+        counters.count(kind == Effect.Fixed.REFUSED ? Kind.ANSWERED_REFUSED : Kind.ANSWERED_FAILED);
+        effects.add(new Effect.FixedResponse(f.id, kind, retryAfterMs));
+        end(f);
+    }
+
+    private void fired(TimerKey key) {
+        if (key instanceof TimerKey.Module k) {
+            balancer.onTimer(ModuleTime.micros(now), k.token());
+        } else if (key instanceof TimerKey.Deadline k) {
+            deadline(k.flow());
+        } else if (key instanceof TimerKey.ForwardLimit k) {
+            OpenFlow f = withOut(k.flow(), k.forward());
+            if (f != null) {
+                cancelOut(f, Outcome.TIMEOUT);
+            }
+        } else if (key instanceof TimerKey.DrainCutoff k) {
+            cutOff(k.host());
+        } else if (key instanceof TimerKey.Silence k) {
+            silence(k.call());
+        } else if (key instanceof TimerKey.ProbeLimit k) {
+            if (probes.containsKey(k.probe())) {
+                effects.add(new Effect.EndProbe(k.probe()));
+                probed(k.probe(), Outcome.TIMEOUT, null);
+            }
+        } else if (key instanceof TimerKey.StopAccepting) {
+            closed = true;
+            effects.add(new Effect.StopAccepting());
+        } else if (key instanceof TimerKey.StopLimit) {
+            effects.add(new Effect.Exit(true));
+        }
+    }
+
+    /** The client is about to give up: the forward has timed out, and an answer goes out whatever happens. */
+    private void deadline(long id) {
+        OpenFlow f = flows.get(id);
+        if (f == null) {
+            return;
+        }
+        if (f.out != null) {
+            cancelOut(f, Outcome.TIMEOUT);
+            settle();
+        }
+        if (!f.ended) {
+            // Guards against a flow that the module still holds: the client must not be left without an answer.
+            counters.count(Kind.ANSWERED_AT_DEADLINE);
+            fixedResponse(f, f.mayHaveRun ? Effect.Fixed.TIMED_OUT : Effect.Fixed.REFUSED, 0);
+            balancer.onGone(ModuleTime.micros(now), id);
+        }
+    }
+
+    // ---- Discovery ----
+
+    private void discovery(Event event) {
+        if (event instanceof Event.TargetsTold e) {
+            if (e.call() == watch || fetches.contains(e.call())) {
+                lastWord.put(e.call(), now);
+                told(e.call(), e.group());
+            }
+        } else if (event instanceof Event.DiscoveryBeat e) {
+            lastWord.computeIfPresent(e.call(), (call, at) -> now);
+        } else if (event instanceof Event.DiscoveryEnded e) {
+            failed(e.call());
+        }
+    }
+
+    private void told(long call, TargetGroup group) {
+        boolean first = call != watch || !watchTold;
+        if (call == watch) {
+            watchTold = true;
+        } else {
+            fetches.remove(call);
+            lastWord.remove(call);
+        }
+        // Guards against word that was overtaken by a newer list: an old version must not bring servers back.
+        boolean stale = group.seq() < seq || group.seq() == seq && !first;
+        if (!stale) {
+            seq = group.seq();
+            counters.count(Kind.TARGET_LISTS);
+            list(group.whole() ? ListKind.FULL : ListKind.CHANGES, group.targets());
+        } else if (first) {
+            list(ListKind.CHANGES, List.of());
+        }
+    }
+
+    private void failed(long call) {
+        boolean known = call == watch || fetches.contains(call);
+        if (call == watch) {
+            watch = -1;
+        }
+        fetches.remove(call);
+        lastWord.remove(call);
+        if (known) {
+            counters.count(Kind.DISCOVERY_FAILED);
+            list(ListKind.FAILED, List.of());
+        }
+    }
+
+    private void silence(long call) {
+        Double last = lastWord.get(call);
+        if (last == null) {
+            return;
+        }
+        if (now - last >= SILENCE_MS) {
+            effects.add(new Effect.EndDiscovery(call));
+            failed(call);
+        } else {
+            effects.add(new Effect.SetTimer(last + SILENCE_MS, new TimerKey.Silence(call)));
+        }
+    }
+
+    private long call() {
+        long call = calls++;
+        counters.count(Kind.DISCOVERY_CALLS);
+        lastWord.put(call, now);
+        effects.add(new Effect.SetTimer(now + SILENCE_MS, new TimerKey.Silence(call)));
+        return call;
+    }
+
+    private void list(ListKind kind, List<Target> told) {
+        if (kind == ListKind.FULL || kind == ListKind.SAVED) {
+            Set<String> named = new HashSet<>();
+            told.forEach(t -> named.add(t.host()));
+            for (Target t : List.copyOf(targets.values())) {
+                if (!named.contains(t.host()) && t.state() != EndpointState.REMOVED) {
+                    keep(new Target(t.host(), t.dial(), t.zone(), t.cell(), t.weight(), t.bornMs(),
+                            EndpointState.REMOVED));
+                }
+            }
+        }
+        List<Endpoint> entries = new ArrayList<>();
+        for (Target t : told) {
+            keep(t);
+            entries.add(new Endpoint(ids.of(t.host()), t.cell(), t.zone(), t.weight(),
+                    ModuleTime.micros(t.bornMs()), t.state()));
+        }
+        balancer.onList(ModuleTime.micros(now), kind, entries);
+    }
+
+    private void keep(Target t) {
+        Target before = targets.put(ids.of(t.host()), t);
+        if (before != null && (!before.dial().equals(t.dial()) || t.state() == EndpointState.REMOVED)) {
+            effects.add(new Effect.CloseIdle(before.dial()));
+        }
+        if (t.state() == EndpointState.UP) {
+            noSendAfter.remove(t.host());
+        } else if (!noSendAfter.containsKey(t.host())) {
+            // Half of the grace: the word was under way before it came, and a send takes a moment to leave.
+            double cutoff = now + ModuleTime.ms(settings.network().drainGrace()) / 2;
+            noSendAfter.put(t.host(), cutoff);
+            effects.add(new Effect.SetTimer(cutoff, new TimerKey.DrainCutoff(t.host())));
+        }
+    }
+
+    /** Forwards that still wait for a connection to a draining host must not begin after the grace. */
+    private void cutOff(String host) {
+        Double cutoff = noSendAfter.get(host);
+        if (cutoff == null || now < cutoff) {
+            return;
+        }
+        for (OpenFlow f : List.copyOf(flows.values())) {
+            if (f.out != null && f.out.host.equals(host) && !f.out.written) {
+                effects.add(new Effect.CancelForward(f.id, f.out.number));
+                outcome(f, Outcome.CONNECT_FAILED, f.ended, null);
+            }
+        }
+    }
+
+    // ---- Probes and stopping ----
+
+    private void probed(long probe, Outcome outcome, Report report) {
+        PendingProbe p = probes.remove(probe);
+        if (p != null) {
+            balancer.onProbed(ModuleTime.micros(now), p.endpoint(), outcome, ModuleTime.micros(now - p.since()),
+                    report);
+        }
+    }
+
+    private void stop() {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        double longest = 0;
+        for (RequestClass c : settings.classes()) {
+            longest = Math.max(longest, ModuleTime.ms(c.deadline()));
+        }
+        effects.add(new Effect.SayClose());
+        effects.add(new Effect.SetTimer(now + ACCEPT_MS, new TimerKey.StopAccepting()));
+        effects.add(new Effect.SetTimer(now + Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS,
+                new TimerKey.StopLimit()));
+    }
+
+    /** What the module does, as effects. */
+    private final class Acts implements Actions {
+        @Override
+        public void send(long request, long endpoint, long timeout) {
+            OpenFlow f = flows.get(request);
+            if (f == null) {
+                return;
+            }
+            int number = f.attempts++;
+            Target t = targets.get(endpoint);
+            Double cutoff = t == null ? null : noSendAfter.get(t.host());
+            if (f.ended || f.out != null || number >= settings.maxAttempts() || t == null || now >= f.deadline
+                    || cutoff != null && now >= cutoff) {
+                owed.add(new Owed(request, number, Outcome.MOOT));
+                return;
+            }
+            f.out = new Out(number, t.host(), now);
+            counters.count(Kind.FORWARDS_SENT);
+            double giveUp = Math.min(f.deadline, timeout > 0 ? now + ModuleTime.ms(timeout) : f.deadline);
+            effects.add(new Effect.Forward(f.id, number, t.host(), t.dial(), giveUp, f.message));
+            if (giveUp < f.deadline) {
+                effects.add(new Effect.SetTimer(giveUp, new TimerKey.ForwardLimit(f.id, number)));
+            }
+        }
+
+        @Override
+        public void refuse(long request, long retryAfter) {
+            OpenFlow f = flows.get(request);
+            if (f != null && !f.ended) {
+                fixedResponse(f, Effect.Fixed.REFUSED, ModuleTime.ms(retryAfter));
+            }
+        }
+
+        @Override
+        public void fail(long request) {
+            OpenFlow f = flows.get(request);
+            if (f != null && !f.ended) {
+                fixedResponse(f, f.timedOut ? Effect.Fixed.TIMED_OUT : Effect.Fixed.FAILED, 0);
+            }
+        }
+
+        @Override
+        public void cancel(long request, int attempt) {
+            OpenFlow f = withOut(request, attempt);
+            if (f != null && settings.mayCancel()) {
+                effects.add(new Effect.CancelForward(f.id, attempt));
+                owed.add(new Owed(request, attempt, f.out.written ? Outcome.CANCELLED : Outcome.MOOT));
+                f.out = null;
+                if (f.ended) {
+                    flows.remove(f.id);
+                }
+            }
+        }
+
+        @Override
+        public void timer(long at, String token) {
+            effects.add(new Effect.SetTimer(ModuleTime.ms(at), new TimerKey.Module(token)));
+        }
+
+        @Override
+        public void probe(long endpoint) {
+            Target t = targets.get(endpoint);
+            if (t == null || !settings.mayProbe()) {
+                return;
+            }
+            long probe = probeCount++;
+            counters.count(Kind.PROBES);
+            probes.put(probe, new PendingProbe(endpoint, now));
+            effects.add(new Effect.Probe(probe, t.dial()));
+            effects.add(new Effect.SetTimer(now + PROBE_MS, new TimerKey.ProbeLimit(probe)));
+        }
+
+        @Override
+        public void watch(boolean on) {
+            if (watch >= 0) {
+                effects.add(new Effect.EndDiscovery(watch));
+                lastWord.remove(watch);
+                watch = -1;
+            }
+            if (on) {
+                watch = call();
+                watchTold = false;
+                effects.add(new Effect.Watch(watch, seq));
+            }
+        }
+
+        @Override
+        public void fetch() {
+            long call = call();
+            fetches.add(call);
+            effects.add(new Effect.Fetch(call));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/core/TimerKey.java
@@ -0,0 +1,36 @@
+package brackenbridge.core;
+
+/** What a timer was set for. A timer is never unset: one that has lost its purpose does nothing. */
+public sealed interface TimerKey {
+    /** The module's own. */
+    record Module(String token) implements TimerKey {
+    }
+
+    /** A flow's client gives up. */
+    record Deadline(long flow) implements TimerKey {
+    }
+
+    /** A forward is given up before its flow's deadline. */
+    record ForwardLimit(long flow, int forward) implements TimerKey {
+    }
+
+    /** No forward may begin at this host any more. */
+    record DrainCutoff(String host) implements TimerKey {
+    }
+
+    /** A call to discovery may have fallen silent. */
+    record Silence(long call) implements TimerKey {
+    }
+
+    /** A probe has taken too long. */
+    record ProbeLimit(long probe) implements TimerKey {
+    }
+
+    /** A stopping node accepts no more connections. */
+    record StopAccepting() implements TimerKey {
+    }
+
+    /** A stopping node must have ended. */
+    record StopLimit() implements TimerKey {
+    }
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/counters/Counters.java
@@ -0,0 +1,96 @@
+package brackenbridge.counters;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/** What the node took in, sent and answered, counted by kind. Only the event loop's thread touches them. */
+public final class Counters {
+
+    /** The kinds that are counted. */
+    public enum Kind {
+        /** Flows taken in. */
+        FLOWS_IN,
+        /** Flows that their client marked as a repeat. */
+        FLOWS_REPEATED,
+        /** Flows whose client went away. */
+        FLOWS_GONE,
+        /** Requests that were malformed, too large or not for this node. */
+        BAD_REQUESTS,
+        /** Forwards begun. */
+        FORWARDS_SENT,
+        /** Forwards whose last byte was written. */
+        FORWARDS_WRITTEN,
+        /** Forwards that a server answered with 200. */
+        FORWARDS_SERVED,
+        /** Forwards answered with an error. */
+        FORWARDS_FAILED,
+        /** Forwards turned away unseen. */
+        FORWARDS_TURNED_AWAY,
+        /** Forwards for which no connection could be had. */
+        FORWARDS_UNCONNECTED,
+        /** Forwards whose connection broke after the last byte. */
+        FORWARDS_RESET,
+        /** Forwards given up because their time had passed. */
+        FORWARDS_TIMED_OUT,
+        /** Forwards called off. */
+        FORWARDS_CANCELLED,
+        /** Forwards that were never begun. */
+        FORWARDS_MOOT,
+        /** Flows answered with a server's body. */
+        ANSWERED_SERVED,
+        /** Flows answered with a refusal. */
+        ANSWERED_REFUSED,
+        /** Flows answered with a failure. */
+        ANSWERED_FAILED,
+        /** Flows that the node had to end at their deadline. */
+        ANSWERED_AT_DEADLINE,
+        /** Calls to discovery. */
+        DISCOVERY_CALLS,
+        /** Calls to discovery that failed or fell silent. */
+        DISCOVERY_FAILED,
+        /** Target lists taken in. */
+        TARGET_LISTS,
+        /** Probes sent. */
+        PROBES,
+        /** Client connections accepted. */
+        CLIENTS_ACCEPTED,
+        /** Connections to servers opened. */
+        CONNECTIONS_OPENED,
+        /** Idle connections shed at the limit on sockets. */
+        CONNECTIONS_SHED
+    }
+
+    private final EnumMap<Kind, Long> counts = new EnumMap<>(Kind.class);
+
+    /** Counts one. */
+    public void count(Kind kind) {
+        counts.merge(kind, 1L, Long::sum);
+    }
+
+    /** The count so far. */
+    public long of(Kind kind) {
+        return counts.getOrDefault(kind, 0L);
+    }
+
+    /** One line a kind, in the order of their declaration, those at zero included. */
+    public String text() {
+        StringBuilder text = new StringBuilder();
+        for (Kind kind : Kind.values()) {
+            text.append(name(kind)).append(' ').append(of(kind)).append('\n');
+        }
+        return text.toString();
+    }
+
+    /** All that are above zero, on one line. */
+    public String line() {
+        StringBuilder line = new StringBuilder();
+        for (Map.Entry<Kind, Long> e : counts.entrySet()) {
+            line.append(line.isEmpty() ? "" : " ").append(name(e.getKey())).append('=').append(e.getValue());
+        }
+        return line.toString();
+    }
+
+    private static String name(Kind kind) {
+        return kind.name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/http/RequestDecoder.java
@@ -0,0 +1,63 @@
+package brackenbridge.http;
+
+/** Decodes requests. */
+public final class RequestDecoder extends MessageDecoder {
+    private String method;
+    private String target;
+    private boolean http11;
+    private int blankLines;
+
+    /** Ready for the first request. */
+    public RequestDecoder() {
+        super(null);
+    }
+
+    @Override
+    boolean startLine(String text) throws HttpException {
+        if (text.isEmpty() && ++blankLines <= 4) {
+            return false;
+        }
+        String[] parts = text.split(" ", -1);
+        if (parts.length != 3 || !token(parts[0]) || !parts[1].startsWith("/")
+                || !parts[2].matches("HTTP/[0-9]\\.[0-9]")) {
+            throw new HttpException(400, "not a request line");
+        }
+        if (!parts[2].startsWith("HTTP/1.")) {
+            throw new HttpException(505, "not HTTP/1");
+        }
+        method = parts[0];
+        target = parts[1];
+        http11 = !parts[2].equals("HTTP/1.0");
+        return true;
+    }
+
+    @Override
+    Framing head(Headers fields) throws HttpException {
+        if (fields.count("Host") > 1) {
+            throw new HttpException(400, "more than one host");
+        }
+        Framing framing = named(fields);
+        if (framing == Framing.CHUNKED && !http11) {
+            throw new HttpException(400, "chunks in HTTP/1.0");
+        }
+        return framing == null ? Framing.NONE : framing;
+    }
+
+    @Override
+    int tooLongStart() {
+        return 414;
+    }
+
+    /** Whether the client waits for a word before it sends the body. */
+    public boolean expectsContinue() {
+        return awaitsBody() && http11 && headers().lists("Expect", "100-continue");
+    }
+
+    /** The request that is whole; the decoder is ready for the next. */
+    public HttpRequest take() {
+        Headers fields = headers();
+        blankLines = 0;
+        boolean keepAlive = http11 ? !fields.lists("Connection", "close") : fields.lists("Connection", "keep-alive");
+        return new HttpRequest(method, target, keepAlive, fields, takeBody());
+    }
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/net/DiscoveryClient.java
@@ -0,0 +1,175 @@
+package brackenbridge.net;
+
+import brackenbridge.core.Event;
+import brackenbridge.core.TargetGroup;
+import brackenbridge.discovery.TargetGroupParser;
+import brackenbridge.http.HttpEncoder;
+import brackenbridge.http.HttpException;
+import brackenbridge.http.ResponseDecoder;
+import brackenbridge.log.Log;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Makes the calls to discovery that the reducer asks for, each on a connection of its own. */
+final class DiscoveryClient {
+    private static final int LINE_LIMIT = 1 << 20;
+    private static final String LIST = "/registry/instances";
+
+    private final Bootstrap bootstrap;
+    private final String dial;
+    private final Events events;
+    private final Log log;
+    private final Map<Long, Call> calls = new HashMap<>();
+
+    DiscoveryClient(Bootstrap bootstrap, String dial, Events events, Log log) {
+        this.bootstrap = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000);
+        this.dial = dial;
+        this.events = events;
+        this.log = log;
+    }
+
+    void watch(long call, long afterSeq) {
+        begin(new Call(call, true), LIST + "?watch=1&after=" + afterSeq);
+    }
+
+    void fetch(long call) {
+        begin(new Call(call, false), LIST);
+    }
+
+    void end(long call) {
+        Call c = calls.remove(call);
+        if (c != null && c.channel != null) {
+            c.channel.close();
+        }
+    }
+
+    private void begin(Call c, String target) {
+        calls.put(c.id, c);
+        InetSocketAddress address = Addresses.of(dial);
+        if (address == null) {
+            c.over("no address: " + dial);
+            return;
+        }
+        ChannelFuture opened = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(c);
+            }
+        }).connect(address);
+        c.channel = opened.channel();
+        opened.addListener(f -> {
+            if (f.isSuccess()) {
+                c.channel.writeAndFlush(HttpEncoder.get(c.channel.alloc(), target, dial));
+            } else {
+                c.over("no connection");
+            }
+        });
+    }
+
+    /** One call. */
+    private final class Call extends ChannelInboundHandlerAdapter {
+        final long id;
+        final boolean watch;
+        final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        final ResponseDecoder decoder = new ResponseDecoder(this::body);
+        Channel channel;
+
+        Call(long id, boolean watch) {
+            this.id = id;
+            this.watch = watch;
+        }
+
+        private void body(ByteBuf from, int length) throws HttpException {
+            for (int i = 0; i < length; i++) {
+                byte b = from.readByte();
+                if (watch && b == '\n' && decoder.status() == 200) {
+                    line();
+                } else if (line.size() < LINE_LIMIT) {
+                    line.write(b);
+                } else {
+                    over("line too long");
+                }
+            }
+        }
+
+        private void line() {
+            String text = line.toString(StandardCharsets.UTF_8).strip();
+            line.reset();
+            if (calls.get(id) != this) {
+                return;
+            }
+            if (text.isEmpty()) {
+                events.raise(new Event.DiscoveryBeat(id));
+                return;
+            }
+            try {
+                TargetGroup group = TargetGroupParser.parse(text);
+                events.raise(new Event.TargetsTold(id, group));
+            } catch (IllegalArgumentException e) {
+                over(e.getMessage());
+            }
+        }
+
+        /** The call ends, once. */
+        private void over(String why) {
+            if (calls.remove(id, this)) {
+                log.warn("discovery call " + id + " ended: " + why);
+                events.raise(new Event.DiscoveryEnded(id));
+            }
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        private void whole() {
+            if (decoder.status() != 200) {
+                over("status " + decoder.status());
+            } else if (!watch && line.size() > 0) {
+                line();
+                calls.remove(id, this);
+                channel.close();
+            } else {
+                over("the answer ended");
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            ByteBuf in = (ByteBuf) msg;
+            try {
+                if (decoder.decode(in)) {
+                    whole();
+                }
+            } catch (HttpException e) {
+                over(e.getMessage());
+            } finally {
+                in.release();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (decoder.ended()) {
+                whole();
+            } else {
+                over("connection ended");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            over(String.valueOf(cause.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/net/Listener.java
@@ -0,0 +1,383 @@
+package brackenbridge.net;
+
+import brackenbridge.BalancerApi.Effect;
+import brackenbridge.BalancerApi.RequestClass;
+import brackenbridge.BalancerApi.Settings;
+import brackenbridge.clock.Clock;
+import brackenbridge.core.Effect.Fixed;
+import brackenbridge.core.Event;
+import brackenbridge.core.Flow;
+import brackenbridge.counters.Counters;
+import brackenbridge.counters.Counters.Kind;
+import brackenbridge.http.Headers;
+import brackenbridge.http.HttpEncoder;
+import brackenbridge.http.HttpException;
+import brackenbridge.http.HttpRequest;
+import brackenbridge.http.HttpResponse;
+import brackenbridge.http.RequestDecoder;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.socket.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+/** The HTTP listener: makes flows of what clients send, and writes the answers. */
+final class Listener {
+    private static final String READY = "/health/ready";
+    private static final String LIVE = "/health/live";
+    /** No class can be named so: "health" is what the first part of these paths means to every party. */
+    private static final String COUNTERS = "/health/counters";
+    /** A request must be whole this long after its first byte. */
+    private static final double SLOW_MS = 10_000;
+    /** A connection without a request is kept for so long. */
+    private static final double IDLE_MS = 120_000;
+    /** A client must take its answer within so long. */
+    private static final double STALLED_MS = 30_000;
+    /** After a last answer, what the client still sends is read and dropped for so long. */
+    private static final double LINGER_MS = 1000;
+    /** Bytes that may wait behind a request that is being served. */
+    private static final int AHEAD = 32 * 1024;
+
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Clock clock;
+    private final Events events;
+    private final Sockets sockets;
+    private final Counters counters;
+    private final BooleanSupplier ready;
+    private final Runnable makeRoom;
+    private final Set<Client> clients = new LinkedHashSet<>();
+    private final Map<Long, Client> flows = new HashMap<>();
+    private Channel server;
+    private long flowCount;
+    private boolean sayClose;
+
+    Listener(Settings settings, Clock clock, Events events, Sockets sockets, Counters counters,
+            BooleanSupplier ready, Runnable makeRoom) {
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+        this.clock = clock;
+        this.events = events;
+        this.sockets = sockets;
+        this.counters = counters;
+        this.ready = ready;
+        this.makeRoom = makeRoom;
+    }
+
+    ChannelInitializer<Channel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new Client(ch));
+            }
+        };
+    }
+
+    void opened(Channel listening) {
+        server = listening;
+    }
+
+    // ---- Effects ----
+
+    void respond(long flow, HttpResponse response) {
+        Client c = flows.remove(flow);
+        if (c != null) {
+            Headers fields = new Headers();
+            String type = response.headers().get("Content-Type");
+            if (type != null) {
+                fields.add("Content-Type", type);
+            }
+            String coding = response.headers().get("Content-Encoding");
+            if (coding != null) {
+                fields.add("Content-Encoding", coding);
+            }
+            c.answer(200, fields, response.body());
+        }
+    }
+
+    void fixedResponse(long flow, Fixed kind, double retryAfterMs) {
+        Client c = flows.remove(flow);
+        if (c == null) {
+            return;
+        }
+        Headers fields = new Headers();
+        if (retryAfterMs > 0) {
+            fields.add("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterMs / 1000));
+        }
+        switch (kind) {
+            case REFUSED -> c.answer(503, fields, text("refused\n"));
+            case FAILED -> c.answer(502, fields, text("failed\n"));
+            default -> c.answer(504, fields, text("no answer in time\n"));
+        }
+    }
+
+    private static byte[] text(String s) {
+        return s.getBytes(StandardCharsets.UTF_8);
+    }
+
+    void sayClose() {
+        sayClose = true;
+    }
+
+    void stopAccepting() {
+        if (server != null) {
+            server.close();
+        }
+        for (Client c : List.copyOf(clients)) {
+            if (c.isIdle()) {
+                c.channel.close();
+            }
+        }
+    }
+
+    /** Whether no client is owed anything. */
+    boolean quiet() {
+        return clients.stream().allMatch(c -> c.isIdle() || c.closing && !c.writing);
+    }
+
+    /** Ends what takes too long. */
+    void sweep() {
+        double now = clock.nowMs();
+        for (Client c : List.copyOf(clients)) {
+            c.sweep(now);
+        }
+        if (server != null && sockets.clientFits()) {
+            server.config().setAutoRead(true);
+        }
+    }
+
+    /** Closes one idle client connection, the longest idle first. */
+    boolean shed() {
+        Client oldest = null;
+        for (Client c : clients) {
+            if (c.isIdle() && (oldest == null || c.since < oldest.since)) {
+                oldest = c;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        counters.count(Kind.CONNECTIONS_SHED);
+        oldest.channel.close();
+        return true;
+    }
+
+    /** A client's connection: one request at a time, in order. */
+    private final class Client extends ChannelInboundHandlerAdapter {
+        final Channel channel;
+        final RequestDecoder decoder = new RequestDecoder();
+        ByteBuf pending;
+        /** When it became what it is now: idle, reading, writing or closing. */
+        double since;
+        long flow = -1;
+        boolean writing;
+        boolean closing;
+        boolean keepAlive;
+        boolean toldToGoOn;
+
+        Client(Channel channel) {
+            this.channel = channel;
+            this.since = clock.nowMs();
+        }
+
+        boolean isIdle() {
+            return flow < 0 && !writing && !closing && !decoder.begun() && (pending == null || !pending.isReadable());
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            counters.count(Kind.CLIENTS_ACCEPTED);
+            sockets.client(1);
+            clients.add(this);
+            if (!sockets.clientFits()) {
+                makeRoom.run();
+                // With nothing idle to shed, further clients wait in the backlog until some connection ends.
+                if (!sockets.clientFits() && server != null) {
+                    server.config().setAutoRead(false);
+                }
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (clients.remove(this)) {
+                sockets.client(-1);
+            }
+            if (server != null && server.isOpen() && sockets.clientFits()) {
+                server.config().setAutoRead(true);
+            }
+            if (pending != null) {
+                pending.release();
+                pending = null;
+            }
+            closing = true;
+            if (flow >= 0) {
+                flows.remove(flow);
+                events.raise(new Event.FlowGone(flow));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            ByteBuf in = (ByteBuf) msg;
+            if (closing) {
+                in.release();
+                return;
+            }
+            if (pending == null) {
+                pending = in;
+            } else {
+                pending.discardReadBytes().writeBytes(in);
+                in.release();
+            }
+            read();
+            // Guards memory against a client that sends ahead without reading its answers.
+            if (pending != null && pending.readableBytes() > AHEAD) {
+                channel.config().setAutoRead(false);
+            }
+        }
+
+        /** Takes the next request out of the bytes that have come, if none is being served. */
+        private void read() {
+            while (flow < 0 && !writing && !closing && pending != null) {
+                boolean fresh = !decoder.begun();
+                try {
+                    if (decoder.decode(pending)) {
+                        toldToGoOn = false;
+                        take(decoder.take());
+                    } else {
+                        if (fresh) {
+                            since = clock.nowMs();
+                        }
+                        if (!toldToGoOn && decoder.expectsContinue()) {
+                            toldToGoOn = true;
+                            channel.writeAndFlush(HttpEncoder.goOn(channel.alloc()));
+                        }
+                        break;
+                    }
+                } catch (HttpException e) {
+                    bad(e.status(), e.getMessage());
+                }
+            }
+            if (pending != null && !pending.isReadable()) {
+                pending.release();
+                pending = null;
+            }
+        }
+
+        /** Says what is wrong and ends the connection: where the next request begins can't be known. */
+        private void bad(int status, String why) {
+            counters.count(Kind.BAD_REQUESTS);
+            keepAlive = false;
+            answer(status, new Headers(), text(why + "\n"));
+        }
+
+        private void take(HttpRequest r) {
+            keepAlive = r.keepAlive();
+            int query = r.target().indexOf('?');
+            String path = query < 0 ? r.target() : r.target().substring(0, query);
+            if (path.equals(READY) || path.equals(LIVE) || path.equals(COUNTERS)) {
+                local(r, path);
+                return;
+            }
+            String named = r.headers().get("X-Service-Class");
+            RequestClass c = classes.get(r.firstPart());
+            if (c == null || named != null && !named.equals(c.name())) {
+                reject(404, "no such class");
+                return;
+            }
+            String method = c.effect() == Effect.SAFE ? "GET" : "POST";
+            if (!r.method().equals(method)) {
+                wrongMethod(method);
+                return;
+            }
+            String expects = r.headers().get("Expect");
+            if (expects != null && !expects.equalsIgnoreCase("100-continue")) {
+                reject(417, "unknown expectation");
+                return;
+            }
+            String left = r.headers().get(HttpEncoder.TIME_LEFT);
+            if (r.headers().get("X-Correlation-Id") == null || left != null && !left.matches("[0-9]{1,9}")) {
+                reject(400, left == null ? "no X-Correlation-Id" : "X-Time-Left-Ms or X-Correlation-Id amiss");
+                return;
+            }
+            flow = flowCount++;
+            since = clock.nowMs();
+            flows.put(flow, this);
+            events.raise(new Event.FlowOpened(flow, new Flow(c.name(), r.headers().get("X-Account"),
+                    left == null ? -1 : Integer.parseInt(left), "1".equals(r.headers().get("X-Repeat")), r)));
+        }
+
+        private void local(HttpRequest r, String path) {
+            if (!r.method().equals("GET")) {
+                wrongMethod("GET");
+            } else if (path.equals(READY)) {
+                boolean up = ready.getAsBoolean();
+                answer(up ? 200 : 503, new Headers(), text(up ? "ready\n" : "not ready\n"));
+            } else {
+                answer(200, new Headers(), text(path.equals(LIVE) ? "live\n" : counters.text()));
+            }
+        }
+
+        private void wrongMethod(String right) {
+            counters.count(Kind.BAD_REQUESTS);
+            answer(405, new Headers().add("Allow", right), text("only " + right + "\n"));
+        }
+
+        private void reject(int status, String why) {
+            counters.count(Kind.BAD_REQUESTS);
+            answer(status, new Headers(), text(why + "\n"));
+        }
+
+        void answer(int status, Headers fields, byte[] body) {
+            flow = -1;
+            writing = true;
+            since = clock.nowMs();
+            boolean close = !keepAlive || sayClose;
+            channel.writeAndFlush(HttpEncoder.answer(channel.alloc(), status, fields, body, close))
+                    .addListener((ChannelFutureListener) f -> written(f.isSuccess(), close));
+        }
+
+        private void written(boolean success, boolean close) {
+            writing = false;
+            since = clock.nowMs();
+            if (!success) {
+                channel.close();
+            } else if (close) {
+                // Guards the answer: closing over unread bytes would reset the connection before it is read.
+                closing = true;
+                if (pending != null) {
+                    pending.release();
+                    pending = null;
+                }
+                channel.config().setAutoRead(true);
+                ((SocketChannel) channel).shutdownOutput();
+            } else {
+                channel.config().setAutoRead(true);
+                channel.eventLoop().execute(this::read);
+            }
+        }
+
+        void sweep(double now) {
+            double age = now - since;
+            if (closing ? age > LINGER_MS : writing ? age > STALLED_MS : isIdle() && age > IDLE_MS) {
+                channel.close();
+            } else if (flow < 0 && !writing && !closing && decoder.begun() && age > SLOW_MS) {
+                bad(408, "request too slow");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/net/Node.java
@@ -0,0 +1,186 @@
+package brackenbridge.net;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.config.Config;
+import brackenbridge.core.Effect;
+import brackenbridge.core.Event;
+import brackenbridge.core.Reducer;
+import brackenbridge.counters.Counters;
+import brackenbridge.http.HttpResponse;
+import brackenbridge.log.Log;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** A running node: hands events to the reducer and runs the effects, all on one event loop. */
+public final class Node implements Events {
+    private static final long SWEEP_MS = 500;
+    private static final long LAST_ANSWERS_MS = 20;
+
+    private final Config config;
+    private final Clock clock;
+    private final Log log;
+    private final Counters counters = new Counters();
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final PooledByteBufAllocator buffers;
+    private final Reducer reducer;
+    private final Listener listener;
+    private final Forwards forwards;
+    private final DiscoveryClient discovery;
+    private final Probes probes;
+    private final ArrayDeque<Event> inbox = new ArrayDeque<>();
+    private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private boolean reducing;
+    private Channel server;
+
+    /** Makes a node ready to start. */
+    public Node(Config config, Clock clock, Log log) {
+        this.config = config;
+        this.clock = clock;
+        this.log = log;
+        reducer = new Reducer(config.settings(), counters);
+        buffers = new PooledByteBufAllocator(false, 1, 0, 8192, 7, 64, 32, false);
+        Sockets sockets = new Sockets(config.sockets());
+        Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000);
+        listener = new Listener(config.settings(), clock, this, sockets, counters, reducer::ready, this::makeRoom);
+        forwards = new Forwards(bootstrap, config.settings(), clock, this, sockets, counters, this::makeRoom);
+        discovery = new DiscoveryClient(bootstrap, config.discovery(), this, log);
+        probes = new Probes(bootstrap, config.settings(), this);
+    }
+
+    /** Starts to serve; fails if the address can't be listened on. */
+    public void start() {
+        loop.submit(() -> raise(new Event.Started(config.known()))).syncUninterruptibly();
+        InetSocketAddress address = Addresses.of(config.listen());
+        if (address == null) {
+            throw new IllegalArgumentException("listen: not a literal address: " + config.listen());
+        }
+        server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(listener.initializer()).bind(address).syncUninterruptibly().channel();
+        loop.submit(() -> listener.opened(server)).syncUninterruptibly();
+        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        log.info("node " + config.name() + " listens on " + server.localAddress() + ", tier "
+                + config.settings().tier());
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    /** Begins to stop; the future that is returned completes when all is answered. */
+    public CompletableFuture<Void> stop() {
+        loop.execute(() -> raise(new Event.StopAsked()));
+        return ended;
+    }
+
+    @Override
+    public void raise(Event event) {
+        inbox.add(event);
+        if (reducing) {
+            return;
+        }
+        // An effect may raise an event at once, such as a write that fails: it waits until this one is done.
+        reducing = true;
+        try {
+            while (!inbox.isEmpty()) {
+                for (Effect effect : reducer.reduce(clock.nowMs(), inbox.poll())) {
+                    run(effect);
+                }
+            }
+        } finally {
+            reducing = false;
+        }
+    }
+
+    private void run(Effect effect) {
+        try {
+            if (effect instanceof Effect.SetTimer e) {
+                timer(e);
+            } else if (effect instanceof Effect.Forward e) {
+                forwards.begin(e);
+            } else if (effect instanceof Effect.Respond e) {
+                listener.respond(e.flow(), (HttpResponse) e.message());
+            } else if (effect instanceof Effect.FixedResponse e) {
+                listener.fixedResponse(e.flow(), e.kind(), e.retryAfterMs());
+            } else if (effect instanceof Effect.CancelForward e) {
+                forwards.cancel(e.flow(), e.forward());
+            } else if (effect instanceof Effect.Watch e) {
+                discovery.watch(e.call(), e.afterSeq());
+            } else if (effect instanceof Effect.Fetch e) {
+                discovery.fetch(e.call());
+            } else if (effect instanceof Effect.EndDiscovery e) {
+                discovery.end(e.call());
+            } else if (effect instanceof Effect.Probe e) {
+                probes.begin(e.probe(), e.dial());
+            } else if (effect instanceof Effect.EndProbe e) {
+                probes.end(e.probe());
+            } else if (effect instanceof Effect.CloseIdle e) {
+                forwards.closeIdle(e.dial());
+            } else if (effect instanceof Effect.SayClose) {
+                log.info("stopping");
+                listener.sayClose();
+            } else if (effect instanceof Effect.StopAccepting) {
+                listener.stopAccepting();
+            } else if (effect instanceof Effect.Fault e) {
+                log.error("fault in a decision", e.cause());
+            } else if (effect instanceof Effect.Exit e) {
+                exit(e.atOnce());
+            }
+        } catch (RuntimeException e) {
+            log.error("effect " + effect.getClass().getSimpleName() + " failed", e);
+        }
+    }
+
+    private void timer(Effect.SetTimer e) {
+        double wait = e.atMs() - clock.nowMs();
+        loop.schedule(() -> {
+            if (clock.nowMs() < e.atMs()) {
+                timer(e);
+            } else {
+                raise(new Event.TimerFired(e.key()));
+            }
+        }, (long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    private void sweep() {
+        try {
+            listener.sweep();
+            forwards.sweep();
+        } catch (RuntimeException e) {
+            log.error("sweep failed", e);
+        }
+    }
+
+    /** At the limit on sockets: what is idle goes first, connections to servers before clients. */
+    private void makeRoom() {
+        if (!forwards.shed()) {
+            listener.shed();
+        }
+    }
+
+    private void exit(boolean atOnce) {
+        if (!atOnce && !listener.quiet()) {
+            loop.schedule(() -> exit(false), LAST_ANSWERS_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        log.info("stopped: " + counters.line());
+        ended.complete(null);
+    }
+}
--- /dev/null
+++ b/src/main/java/brackenbridge/net/Sockets.java
@@ -0,0 +1,35 @@
+package brackenbridge.net;
+
+import java.io.File;
+
+/** Counts the sockets that the node holds, against its limit on file descriptors. */
+final class Sockets {
+    /** Descriptors kept back for discovery, probes and what the runtime opens by itself. */
+    private static final int RESERVE = 24;
+    private final int forClients;
+    private final int forAll;
+    private int clients;
+    private int servers;
+
+    Sockets(int limit) {
+        String[] held = new File("/proc/self/fd").list();
+        forAll = Math.max(16, limit - RESERVE - (held == null ? 32 : held.length));
+        forClients = forAll * 3 / 4;
+    }
+
+    boolean clientFits() {
+        return clients < forClients && clients + servers < forAll;
+    }
+
+    boolean serverFits() {
+        return clients + servers < forAll;
+    }
+
+    void client(int change) {
+        clients += change;
+    }
+
+    void server(int change) {
+        servers += change;
+    }
+}
--- a/src/main/java/brackenbridge/wire/WireHost.java
+++ b/src/main/java/brackenbridge/wire/WireHost.java
@@ -7,6 +7,8 @@
 import brackenbridge.BalancerApi.Outcome;
 import brackenbridge.BalancerApi.Report;
 import brackenbridge.BalancerApi.Request;
+import brackenbridge.BalancerApi.Settings;
+import brackenbridge.config.SettingsParser;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
@@ -36,18 +38,15 @@
         writer = new WireWriter(out);
     }
 
-    /** Runs the subcommand {@code wirehost} on standard input and output. */
-    public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: brackenbridge wirehost");
-            System.exit(2);
-        }
+    /** Serves the simulator on standard input and output; the process's exit code. */
+    public static int serve() throws IOException {
         try {
             new WireHost(new FileInputStream(FileDescriptor.in),
                     new FileOutputStream(FileDescriptor.out)).run();
+            return 0;
         } catch (WireException e) {
             System.err.println("brackenbridge: " + e.getMessage());
-            System.exit(1);
+            return 1;
         }
     }
 
@@ -156,10 +155,28 @@
             throw reader.error(null, "no CONTEXT before this event");
         }
         long seed = reader.number("prng");
-        var settings = new SettingsParser(reader).parse(seed);
+        Settings settings = settings(seed);
         guarded(() -> instances.put(instance, new Balancer(settings, writer.of(instance))));
     }
 
+    private Settings settings(long seed) {
+        Map<String, String> pairs = new HashMap<>();
+        while (reader.more()) {
+            String pair = reader.text("setup");
+            int eq = pair.indexOf('=');
+            if (eq >= 0) {
+                pairs.put(pair.substring(0, eq), pair.substring(eq + 1));
+            } else if (!pair.isEmpty() && !pair.equals("-")) {
+                throw reader.error("setup", "not a pair: '" + pair + "'");
+            }
+        }
+        try {
+            return new SettingsParser(pairs).parse(seed);
+        } catch (IllegalArgumentException e) {
+            throw reader.error("setup", e.getMessage());
+        }
+    }
+
     private void census() throws IOException {
         int id = listId();
         long count = reader.number("rowsIn");
--- a/src/test/java/brackenbridge/RulesTest.java
+++ b/src/test/java/brackenbridge/RulesTest.java
@@ -9,6 +9,7 @@
 import brackenbridge.BalancerApi.Endpoint;
 import brackenbridge.BalancerApi.EndpointState;
 import brackenbridge.BalancerApi.ListKind;
+import brackenbridge.BalancerApi.Network;
 import brackenbridge.BalancerApi.Outcome;
 import brackenbridge.BalancerApi.Report;
 import brackenbridge.BalancerApi.Request;
@@ -162,7 +163,7 @@
         j.now = 5_000_000_000L;
         Settings s = new Settings(seed, r.nextInt(3), 3, r.nextInt(2), "z0", CLASSES, List.of(), 0.1,
                 r.nextBoolean(), 10_000_000, 4, 500, 1_000_000, true, r.nextBoolean(), true, 10_000_000, 0.2,
-                20_000_000);
+                20_000_000, Network.UNTOLD);
         Balancer b = new Balancer(s, j);
         change(r, j, b, ListKind.SAVED, 12);
         long next = 1;
--- a/src/test/java/brackenbridge/Script.java
+++ b/src/test/java/brackenbridge/Script.java
@@ -6,6 +6,7 @@
 import brackenbridge.BalancerApi.Endpoint;
 import brackenbridge.BalancerApi.EndpointState;
 import brackenbridge.BalancerApi.ListKind;
+import brackenbridge.BalancerApi.Network;
 import brackenbridge.BalancerApi.Outcome;
 import brackenbridge.BalancerApi.Request;
 import brackenbridge.BalancerApi.RequestClass;
@@ -56,7 +57,7 @@
 
     static Settings settings(int peers, boolean ask, List<Tenant> tenants, RequestClass... classes) {
         return new Settings(7, 0, peers, 0, "here", List.of(classes), tenants, 0.1, ask, 10 * SECOND, 4,
-                20000, 2 * SECOND, true, false, true, 15 * SECOND, 0.2, 20 * SECOND);
+                20000, 2 * SECOND, true, false, true, 15 * SECOND, 0.2, 20 * SECOND, Network.UNTOLD);
     }
 
     static Settings settings(RequestClass... classes) {
