Count the module's opening second from the first request

Ruled out: discovery (the saved list was in force), connections (no failed connect), full servers (none). To blame: Balancer.admissible, 'now - startedAt < SECOND': the wide floor held for the second after the list came. On sockets a node stands ready for seconds before clients come, so the narrow floor of 2 met a rate of 0.

--- a/src/main/java/brackenbridge/Balancer.java
+++ b/src/main/java/brackenbridge/Balancer.java
@@ -93,7 +93,8 @@
     private long lastTick;
     private long expiryTimer = Long.MAX_VALUE;
     private boolean started;
-    private long startedAt;
+    /** When the first request came; a node may stand ready for long before. */
+    private long firstAt = Long.MIN_VALUE;
     private boolean watching;
     private boolean asked;
     private int askFailures;
@@ -275,6 +276,8 @@
         Call c = new Call(r, kind, now, tau, left);
         calls.put(c.id, c);
         open++;
+        // Guards the first clients: they may come seconds after the start, while no rate is known yet.
+        firstAt = firstAt == Long.MIN_VALUE ? now : firstAt;
         c.level = level(now, c, r);
         meanTau = meanTau == 0 ? tau : meanTau + 0.02 * (tau - meanTau);
         if (open > admissible(now, c)) {
@@ -293,7 +296,7 @@
     private double admissible(long now, Call c) {
         double part = 0.75 * (levels == 1 ? 1 : 1 - 0.4 * c.level / (levels - 1));
         // A small floor: many callers that each keep a few calls too many open jam a slowed fleet.
-        double floor = now - startedAt < SECOND ? LEAST_REACH : LEAST_OPEN;
+        double floor = now - firstAt < SECOND ? LEAST_REACH : LEAST_OPEN;
         return Math.min(settings.maxOpen(), floor
                 + part * meanTau * F * ratePerSecond / SECOND * Math.max(1, ROOM / congestion));
     }
@@ -750,7 +753,6 @@
             return;
         }
         started = true;
-        startedAt = now;
         lastTick = now;
         askAt = now + (long) (random.nextDouble() * Math.min(4 * SECOND, settings.mustAskWithin() / 2));
         out.timer(now + (long) (random.nextDouble() * TICK), "tick");
--- /dev/null
+++ b/src/test/java/brackenbridge/core/Play.java
@@ -0,0 +1,89 @@
+package brackenbridge.core;
+
+import brackenbridge.BalancerApi.DedupScope;
+import brackenbridge.BalancerApi.EndpointState;
+import brackenbridge.BalancerApi.Effect;
+import brackenbridge.BalancerApi.Network;
+import brackenbridge.BalancerApi.RequestClass;
+import brackenbridge.BalancerApi.Settings;
+import brackenbridge.clock.Clock;
+import brackenbridge.counters.Counters;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/** Plays events at a reducer, keeps the effects and fires its timers by a clock that stands still. */
+final class Play {
+    static final RequestClass VIEW =
+            new RequestClass("view", 4_000_000, 8_000_000, Effect.SAFE, DedupScope.ALL, 0, false, 2, 0.25);
+    static final RequestClass FILE =
+            new RequestClass("file", 3_000_000, 6_000_000, Effect.UNSAFE, DedupScope.ALL, 0, false, 10, 0.25);
+
+    final Clock.Settable clock = new Clock.Settable(1_796_000_000_000.0);
+    final Counters counters = new Counters();
+    final Reducer reducer;
+    final List<brackenbridge.core.Effect> effects = new ArrayList<>();
+    private final PriorityQueue<brackenbridge.core.Effect.SetTimer> timers =
+            new PriorityQueue<>(Comparator.comparingDouble(brackenbridge.core.Effect.SetTimer::atMs));
+    private long flows;
+
+    Play(int servers) {
+        reducer = new Reducer(new Settings(7, 0, 1, 0, "room", List.of(VIEW, FILE), List.of(), 0.1, true, 10_000_000,
+                5, 40000, 0, true, true, false, 30_000_000, 0.3, 8_500_000,
+                new Network(120_000, 500_000, false, List.of("depth"))), counters);
+        List<Target> targets = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            targets.add(target("s-" + i, EndpointState.UP));
+        }
+        tell(new Event.Started(new TargetGroup(41, true, targets)));
+    }
+
+    static Target target(String host, EndpointState state) {
+        return new Target(host, "127.0.0.1:" + (9000 + Math.abs(host.hashCode() % 1000)), "room", -1, 1, 0, state);
+    }
+
+    Play tell(Event event) {
+        for (brackenbridge.core.Effect e : reducer.reduce(clock.nowMs(), event)) {
+            if (e instanceof brackenbridge.core.Effect.SetTimer t) {
+                timers.add(t);
+            } else {
+                effects.add(e);
+            }
+        }
+        return this;
+    }
+
+    /** Opens a flow and gives its number back. */
+    long open(RequestClass c, double leftMs) {
+        tell(new Event.FlowOpened(flows, new Flow(c.name(), null, leftMs, false, "message " + flows)));
+        return flows++;
+    }
+
+    /** Lets time pass, firing the timers that fall due. */
+    Play pass(double ms) {
+        double until = clock.nowMs() + ms;
+        while (!timers.isEmpty() && timers.peek().atMs() <= until) {
+            brackenbridge.core.Effect.SetTimer t = timers.poll();
+            clock.pass(Math.max(0, t.atMs() - clock.nowMs()));
+            tell(new Event.TimerFired(t.key()));
+        }
+        clock.pass(until - clock.nowMs());
+        return this;
+    }
+
+    <E extends brackenbridge.core.Effect> List<E> of(Class<E> kind) {
+        return effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    /** The flow's forwards so far. */
+    List<brackenbridge.core.Effect.Forward> forwards(long flow) {
+        return of(brackenbridge.core.Effect.Forward.class).stream().filter(f -> f.flow() == flow).toList();
+    }
+
+    /** The fixed responses that the flow got. */
+    List<brackenbridge.core.Effect.Fixed> fixed(long flow) {
+        return of(brackenbridge.core.Effect.FixedResponse.class).stream().filter(f -> f.flow() == flow)
+                .map(brackenbridge.core.Effect.FixedResponse::kind).toList();
+    }
+}
