--- /dev/null
+++ b/src/test/java/brackenbridge/config/ConfigTest.java
@@ -0,0 +1,54 @@
+package brackenbridge.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import brackenbridge.testing.Bytes;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** The configuration's mapping, and what becomes of one that is not one. */
+public class ConfigTest {
+    /** A whole configuration, also for the tests of the node. */
+    public static final String TEXT = "{\"name\":\"n3\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\","
+            + "\"seed\":\"fc1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+            + "\"known\":{\"seq\":41,\"whole\":true,\"hosts\":[]},\"settings\":{\"classes\":["
+            + "{\"name\":\"view\",\"aim\":4000000,\"giveUp\":8000000,\"effect\":\"safe\",\"worth\":2.0},"
+            + "{\"name\":\"file\",\"aim\":3000000,\"giveUp\":6000000,\"effect\":\"unsafe\",\"worth\":10.0}],"
+            + "\"me\":0,\"replicasOfMe\":1,\"tier\":1,\"zone\":\"room\",\"discovery\":\"on_request\","
+            + "\"policyLimits\":{\"maxAttempts\":5,\"connectTimeout\":120000,\"mayCancel\":true,"
+            + "\"idleClose\":30000000},"
+            + "\"report\":{\"how\":\"probe\",\"columns\":[\"depth\",\"tps\"]},\"rules\":{\"drainGrace\":500000}}}";
+
+    @Test
+    void nestedJsonIsTheWiresSettings() {
+        Config c = Config.parse(TEXT);
+        assertEquals("n3", c.name());
+        assertEquals(List.of("view", "file"), c.settings().classes().stream().map(k -> k.name()).toList());
+        assertEquals(8_000_000, c.settings().classes().get(0).deadline());
+        assertEquals(1, c.settings().tier());
+        assertEquals(List.of("depth", "tps"), c.settings().network().reportFields());
+        assertEquals(0xfc1f30d27a5be964L, c.settings().seed());
+        assertEquals(41, c.known().seq());
+    }
+
+    @Property(seed = "31", tries = 1000)
+    void garbageIsReadOrToldOnOneLine(@ForAll long seed) {
+        try {
+            assertFalse(Config.parse(Bytes.garbage(TEXT, seed)).settings().classes().isEmpty());
+        } catch (IllegalArgumentException e) {
+            assertFalse(e.getMessage().isEmpty() || e.getMessage().contains("\n"));
+        }
+    }
+
+    @Test
+    void whatIsMissingIsNamed() {
+        assertEquals("no object known", assertThrows(IllegalArgumentException.class,
+                () -> Config.parse(TEXT.replace("\"known\"", "\"old\""))).getMessage());
+        assertEquals("no me", assertThrows(IllegalArgumentException.class,
+                () -> Config.parse(TEXT.replace("\"me\"", "\"you\""))).getMessage());
+    }
+}
--- a/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/src/test/java/brackenbridge/core/ReducerTest.java
@@ -1,13 +1,23 @@
 package brackenbridge.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brackenbridge.BalancerApi.EndpointState;
+import brackenbridge.core.Effect.Fixed;
+import brackenbridge.core.Event.Reply;
+import brackenbridge.counters.Counters.Kind;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Event in, effects out. */
 class ReducerTest {
 
+    private static Event answer(long flow, int forward, Reply reply) {
+        return new Event.ForwardAnswered(flow, forward, reply, "body", null);
+    }
+
     @Test
     void clientsThatComeLongAfterTheStartAreNotRefused() {
         Play p = new Play(4).pass(3000);
@@ -16,4 +26,141 @@
             p.pass(20);
         }
     }
+
+    @Test
+    void serversAnswerGoesOutOnceAndUnchanged() {
+        Play p = new Play(4);
+        long f = p.open(Play.FILE, 5000);
+        assertEquals("message 0", p.forwards(f).get(0).message());
+        p.tell(new Event.ForwardWritten(f, 0)).tell(answer(f, 0, Reply.SERVED)).tell(answer(f, 0, Reply.SERVED));
+        assertEquals(List.of(new Effect.Respond(f, "body")), p.of(Effect.Respond.class));
+        assertEquals(List.of(), p.pass(9000).fixed(f));
+    }
+
+    @Test
+    void unsafeFlowGoesOutAgainOnlyIfItsLastByteWasNeverWritten() {
+        Play p = new Play(4);
+        long broken = p.open(Play.FILE, 5000);
+        p.tell(new Event.ForwardBroken(broken, 0));
+        assertEquals(2, p.forwards(broken).size());
+        p.tell(new Event.ForwardWritten(broken, 1)).tell(new Event.ForwardBroken(broken, 1));
+        assertEquals(2, p.forwards(broken).size());
+        assertEquals(List.of(Fixed.FAILED), p.fixed(broken));
+        long away = p.open(Play.FILE, 5000);
+        p.tell(new Event.ForwardWritten(away, 0)).tell(answer(away, 0, Reply.TURNED_AWAY));
+        assertEquals(2, p.forwards(away).size());
+    }
+
+    @Test
+    void deadlineEndsTheForwardAndAnswersBeforeTheClientGivesUp() {
+        Play p = new Play(4);
+        long f = p.open(Play.FILE, 5000);
+        p.tell(new Event.ForwardWritten(f, 0)).pass(4999);
+        assertEquals(List.of(new Effect.CancelForward(f, 0)), p.of(Effect.CancelForward.class));
+        assertEquals(List.of(Fixed.TIMED_OUT), p.fixed(f));
+        assertEquals(1, p.counters.of(Kind.FORWARDS_TIMED_OUT));
+        p.tell(answer(f, 0, Reply.SERVED));
+        assertEquals(0, p.of(Effect.Respond.class).size());
+    }
+
+    @Test
+    void flowWithoutTimeLeftHasItsClasssDeadline() {
+        Play p = new Play(4);
+        long f = p.open(Play.FILE, -1);
+        p.tell(new Event.ForwardWritten(f, 0)).pass(5900);
+        assertEquals(List.of(), p.fixed(f));
+        assertEquals(List.of(Fixed.TIMED_OUT), p.pass(100).fixed(f));
+    }
+
+    @Test
+    void flowThatNoServerCouldTakeIsRefusedInTime() {
+        Play p = new Play(0);
+        long f = p.open(Play.FILE, 1000);
+        assertFalse(p.reducer.ready());
+        assertEquals(List.of(Fixed.REFUSED), p.pass(999).fixed(f));
+    }
+
+    @Test
+    void goneClientsForwardIsCalledOffAndNothingIsOwed() {
+        Play p = new Play(4);
+        long f = p.open(Play.VIEW, 5000);
+        p.tell(new Event.FlowGone(f)).tell(new Event.FlowGone(f)).pass(9000);
+        assertEquals(List.of(new Effect.CancelForward(f, 0)), p.of(Effect.CancelForward.class));
+        assertEquals(List.of(), p.fixed(f));
+        assertEquals(1, p.counters.of(Kind.FLOWS_GONE));
+        assertEquals(1, p.counters.of(Kind.FORWARDS_MOOT));
+    }
+
+    @Test
+    void silentWatchFailsAndIsAskedForAgain() {
+        Play p = new Play(4).pass(4100);
+        Effect.Watch w = p.of(Effect.Watch.class).get(0);
+        assertEquals(41, w.afterSeq());
+        for (int i = 0; i < 5; i++) {
+            p.tell(new Event.DiscoveryBeat(w.call())).pass(2000);
+        }
+        assertEquals(0, p.of(Effect.EndDiscovery.class).size());
+        p.pass(5000);
+        assertEquals(List.of(new Effect.EndDiscovery(w.call())), p.of(Effect.EndDiscovery.class));
+        assertEquals(2, p.of(Effect.Watch.class).size());
+        p.tell(new Event.DiscoveryEnded(w.call())).pass(3000);
+        assertEquals(2, p.of(Effect.Watch.class).size());
+    }
+
+    @Test
+    void staleListBringsNoServerBack() {
+        Play p = new Play(1).pass(4100);
+        long call = p.of(Effect.Watch.class).get(0).call();
+        p.tell(new Event.TargetsTold(call, new TargetGroup(50, false,
+                List.of(Play.target("s-0", EndpointState.DRAINING)))));
+        assertFalse(p.reducer.ready());
+        p.tell(new Event.TargetsTold(call, new TargetGroup(49, true, List.of(Play.target("s-0", EndpointState.UP)))));
+        assertFalse(p.reducer.ready());
+        p.tell(new Event.TargetsTold(call, new TargetGroup(51, false,
+                List.of(Play.target("s-0", EndpointState.UP)))));
+        assertTrue(p.reducer.ready());
+    }
+
+    @Test
+    void forwardWithoutAConnectionIsCutOffAtADrain() {
+        Play p = new Play(1).pass(4100);
+        long f = p.open(Play.FILE, 5000);
+        p.tell(new Event.TargetsTold(p.of(Effect.Watch.class).get(0).call(), new TargetGroup(50, false,
+                List.of(Play.target("s-0", EndpointState.REMOVED))))).pass(490);
+        assertEquals(List.of(new Effect.CancelForward(f, 0)), p.of(Effect.CancelForward.class));
+        assertEquals(1, p.forwards(f).size());
+    }
+
+    @Test
+    void newDialIsUsedFromThenOn() {
+        Play p = new Play(1).pass(4100);
+        Target moved = new Target("s-0", "127.0.0.9:9", "room", -1, 1, 0, EndpointState.UP);
+        p.tell(new Event.TargetsTold(p.of(Effect.Watch.class).get(0).call(), new TargetGroup(50, false, List.of(moved))));
+        assertEquals("127.0.0.9:9", p.forwards(p.open(Play.FILE, 5000)).get(0).dial());
+        assertEquals(1, p.of(Effect.CloseIdle.class).size());
+    }
+
+    @Test
+    void stoppingNodeAcceptsForAMomentAndEndsWhenAllIsAnswered() {
+        Play p = new Play(4);
+        long f = p.open(Play.FILE, 5000);
+        p.tell(new Event.ForwardWritten(f, 0)).tell(new Event.StopAsked()).pass(450);
+        assertFalse(p.reducer.ready());
+        assertEquals(0, p.of(Effect.StopAccepting.class).size());
+        p.pass(100);
+        assertEquals(1, p.of(Effect.StopAccepting.class).size());
+        assertEquals(0, p.of(Effect.Exit.class).size());
+        p.tell(answer(f, 0, Reply.SERVED));
+        assertEquals(List.of(new Effect.Exit(false)), p.of(Effect.Exit.class));
+    }
+
+    @Test
+    void hostsNumberIsItsNamesAlone() {
+        HostIds one = new HostIds();
+        HostIds other = new HostIds();
+        long a = one.of("s-a");
+        other.of("s-b");
+        assertEquals(a, other.of("s-a"));
+        assertEquals(one.of("s-b"), other.of("s-b"));
+    }
 }
--- /dev/null
+++ b/src/test/java/brackenbridge/http/DecoderTest.java
@@ -0,0 +1,113 @@
+package brackenbridge.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.testing.Bytes;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class DecoderTest {
+    private static final String POST = "POST /file/x?y=1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: 9b\r\n"
+            + "Content-Length: 5\r\n\r\nhello";
+    private static final String CHUNKED = "POST /file HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "3;a=b\r\nhel\r\n2\r\nlo\r\n0\r\nTrailer: t\r\n\r\n";
+    private static final String GET = "GET /view HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+    private static final String ANSWERS = "HTTP/1.1 100 Continue\r\n\r\n"
+            + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+            + "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+
+    private static List<HttpRequest> requests(List<byte[]> pieces) throws HttpException {
+        RequestDecoder d = new RequestDecoder();
+        List<HttpRequest> whole = new ArrayList<>();
+        ByteBuf in = Unpooled.buffer();
+        for (byte[] piece : pieces) {
+            in.writeBytes(piece);
+            while (d.decode(in)) {
+                whole.add(d.take());
+            }
+        }
+        return whole;
+    }
+
+    private static int status(String text) {
+        return assertThrows(HttpException.class, () -> requests(Bytes.cuts(text, 1)), text).status();
+    }
+
+    @Property(seed = "11", tries = 300)
+    void requestsCutAnywhereAreTheSame(@ForAll long seed) throws HttpException {
+        List<HttpRequest> r = requests(Bytes.cuts(POST + CHUNKED + GET + POST, seed));
+        assertEquals(List.of("/file/x?y=1", "/file", "/view", "/file/x?y=1"),
+                r.stream().map(HttpRequest::target).toList());
+        assertEquals(List.of("hello", "hello", "", "hello"),
+                r.stream().map(q -> new String(q.body(), StandardCharsets.UTF_8)).toList());
+        assertTrue(r.get(2).keepAlive());
+    }
+
+    @Property(seed = "12", tries = 300)
+    void answersCutAnywhereAreTheSame(@ForAll long seed) throws HttpException {
+        ResponseDecoder d = new ResponseDecoder();
+        List<String> whole = new ArrayList<>();
+        ByteBuf in = Unpooled.buffer();
+        for (byte[] piece : Bytes.cuts(ANSWERS, seed)) {
+            in.writeBytes(piece);
+            while (d.decode(in)) {
+                HttpResponse r = d.take();
+                whole.add(r.status() + new String(r.body(), StandardCharsets.UTF_8));
+            }
+        }
+        assertEquals(List.of("200hello", "503hello"), whole);
+        assertFalse(d.ended());
+    }
+
+    @Property(seed = "13", tries = 1000)
+    void garbageIsRefusedOrReadAndNeverTakenForMore(@ForAll long seed) {
+        String text = Bytes.garbage(POST + CHUNKED + GET, seed);
+        try {
+            int bodies = requests(Bytes.cuts(text, seed)).stream().mapToInt(r -> r.body().length).sum();
+            assertTrue(bodies < text.length());
+        } catch (HttpException e) {
+            assertTrue(Set.of(400, 413, 414, 431, 505).contains(e.status()), text);
+        }
+    }
+
+    @Test
+    void badFramingHasItsStatus() {
+        String head = "POST /file HTTP/1.1\r\n";
+        assertEquals(400, status(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        assertEquals(400, status(head + "Content-Length: 5\r\nContent-Length: 5\r\n\r\n"));
+        assertEquals(400, status(head + "Content-Length: 5, 5\r\n\r\n"));
+        assertEquals(400, status(head + "Content-Length: +5\r\n\r\n"));
+        assertEquals(400, status(head + "Transfer-Encoding: gzip, chunked\r\n\r\n"));
+        assertEquals(400, status(head + "Transfer-Encoding : chunked\r\n\r\n"));
+        assertEquals(400, status(head + "A: b\r\n folded\r\n\r\n"));
+        assertEquals(400, status(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n"));
+        assertEquals(400, status("\u0016\u0003\u0001 bare junk\r\n"));
+        assertEquals(400, status("GET /view HTTP/1.1\nHost: a\n\n"));
+        assertEquals(413, status(head + "Content-Length: 65537\r\n\r\n"));
+        assertEquals(413, status(head + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" + "x".repeat(65537)));
+        assertEquals(414, status("GET /" + "x".repeat(9000)));
+        assertEquals(431, status(head + "A: " + "x".repeat(17000)));
+        assertEquals(431, status(head + "A: b\r\n".repeat(101)));
+        assertEquals(505, status("GET /view HTTP/2.0\r\n"));
+    }
+
+    @Test
+    void answerWithoutFramingEndsWithItsConnection() throws HttpException {
+        ResponseDecoder d = new ResponseDecoder();
+        assertFalse(d.decode(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\n\r\nhel", StandardCharsets.US_ASCII)));
+        assertTrue(d.ended());
+        HttpResponse r = d.take();
+        assertEquals(3, r.body().length);
+        assertFalse(r.keepAlive());
+    }
+}
--- /dev/null
+++ b/src/test/java/brackenbridge/testing/Bytes.java
@@ -0,0 +1,40 @@
+package brackenbridge.testing;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** The one helper of the parser tests: cuts valid messages anywhere, and makes garbage that looks like them. */
+public final class Bytes {
+    private Bytes() {
+    }
+
+    /** The text in pieces, cut at random. */
+    public static List<byte[]> cuts(String text, long seed) {
+        Random random = new Random(seed);
+        byte[] all = text.getBytes(StandardCharsets.ISO_8859_1);
+        List<byte[]> pieces = new ArrayList<>();
+        for (int from = 0; from < all.length;) {
+            int to = Math.min(all.length, from + 1 + random.nextInt(random.nextBoolean() ? 3 : 60));
+            pieces.add(java.util.Arrays.copyOfRange(all, from, to));
+            from = to;
+        }
+        return pieces;
+    }
+
+    /** The text with a few of its bytes changed, taken out or doubled. */
+    public static String garbage(String text, long seed) {
+        Random random = new Random(seed);
+        StringBuilder s = new StringBuilder(text);
+        for (int i = 1 + random.nextInt(6); i > 0 && s.length() > 1; i--) {
+            int at = random.nextInt(s.length());
+            switch (random.nextInt(3)) {
+                case 0 -> s.setCharAt(at, (char) random.nextInt(256));
+                case 1 -> s.deleteCharAt(at);
+                default -> s.insert(at, s.charAt(random.nextInt(s.length())));
+            }
+        }
+        return s.toString();
+    }
+}
