--- a/src/main/java/brackenbridge/BalancerApi.java
+++ b/src/main/java/brackenbridge/BalancerApi.java
@@ -91,7 +91,7 @@
      * @param mustAskWithin without a subscription, ask at least this often
      * @param maxAttempts attempts allowed for one request
      * @param maxOpen open requests allowed at once
-     * @param maxRetryAfter the longest retry-after that clients heed; 0 if none is passed on
+     * @param maxRetryAfter the longest retry-after that clients heed; 0 if not told
      * @param mayCancel attempts may be cancelled
      * @param mayProbe endpoints may be probed
      * @param secondCopies two attempts of one request may be out at once
--- a/src/main/java/brackenbridge/config/SettingsParser.java
+++ b/src/main/java/brackenbridge/config/SettingsParser.java
@@ -41,8 +41,9 @@
             tenants.add(new Tenant(value(at + "name", null), decimal(at + "share", "0"),
                     decimal(at + "quotaPerS", "0")));
         }
-        long retryAfter = flag("policyLimits.retryAfter", "false")
-                ? number("policyLimits.maxRetryAfter", "0") : 0;
+        // policyLimits.retryAfter only says whether the simulator's clients are told; on sockets any refusal may
+        // carry advice. Guards against a module that gives none, whatever the site's clients would heed.
+        long retryAfter = number("policyLimits.maxRetryAfter", "0");
         return new Settings(seed, (int) number("me", null), (int) number("replicasOfMe", null),
                 (int) number("tier", "0"), value("zone", "-"), classes, tenants,
                 decimal("overShareWorth", "1"), value("discovery", "pushed").equals("on_request"),
--- a/src/test/java/brackenbridge/config/ConfigTest.java
+++ b/src/test/java/brackenbridge/config/ConfigTest.java
@@ -20,7 +20,7 @@
             + "{\"name\":\"file\",\"aim\":3000000,\"giveUp\":6000000,\"effect\":\"unsafe\",\"worth\":10.0}],"
             + "\"me\":0,\"replicasOfMe\":1,\"tier\":1,\"zone\":\"room\",\"discovery\":\"on_request\","
             + "\"policyLimits\":{\"maxAttempts\":5,\"connectTimeout\":120000,\"mayCancel\":true,"
-            + "\"idleClose\":30000000},"
+            + "\"retryAfter\":false,\"maxRetryAfter\":3000000,\"idleClose\":30000000},"
             + "\"report\":{\"how\":\"probe\",\"columns\":[\"depth\",\"tps\"]},\"rules\":{\"drainGrace\":500000}}}";
 
     @Test
@@ -32,6 +32,7 @@
         assertEquals(1, c.settings().tier());
         assertEquals(List.of("depth", "tps"), c.settings().network().reportFields());
         assertEquals(0xfc1f30d27a5be964L, c.settings().seed());
+        assertEquals(3_000_000, c.settings().maxRetryAfter(), "advice is free on sockets");
         assertEquals(41, c.known().seq());
     }
 
