--- a/src/main/java/brackenbridge/http/RequestDecoder.java
+++ b/src/main/java/brackenbridge/http/RequestDecoder.java
@@ -57,7 +57,7 @@
     public HttpRequest take() {
         Headers fields = headers();
         blankLines = 0;
-        boolean keepAlive = http11 ? !fields.lists("Connection", "close") : fields.lists("Connection", "keep-alive");
+        boolean keepAlive = http11 && !fields.lists("Connection", "close");
         return new HttpRequest(method, target, keepAlive, fields, takeBody());
     }
 }
--- a/src/main/java/brackenbridge/net/DiscoveryClient.java
+++ b/src/main/java/brackenbridge/net/DiscoveryClient.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
@@ -61,12 +60,7 @@
             c.over("no address: " + dial);
             return;
         }
-        ChannelFuture opened = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(c);
-            }
-        }).connect(address);
+        ChannelFuture opened = bootstrap.clone().handler(c).connect(address);
         c.channel = opened.channel();
         opened.addListener(f -> {
             if (f.isSuccess()) {
--- a/src/main/java/brackenbridge/net/Forwards.java
+++ b/src/main/java/brackenbridge/net/Forwards.java
@@ -18,7 +18,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -90,12 +89,7 @@
             return;
         }
         Connection c = new Connection(r.forward.dial());
-        ChannelFuture opened = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(c);
-            }
-        }).connect(address);
+        ChannelFuture opened = bootstrap.clone().handler(c).connect(address);
         c.channel = opened.channel();
         sockets.server(1);
         c.channel.closeFuture().addListener(f -> sockets.server(-1));
--- a/src/main/java/brackenbridge/net/Probes.java
+++ b/src/main/java/brackenbridge/net/Probes.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -40,12 +39,7 @@
             events.raise(new Event.ProbeEnded(probe, false, false, null));
             return;
         }
-        ChannelFuture opened = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(new Exchange(probe));
-            }
-        }).connect(address);
+        ChannelFuture opened = bootstrap.clone().handler(new Exchange(probe)).connect(address);
         running.put(probe, opened.channel());
         opened.addListener(f -> {
             if (f.isSuccess()) {
--- a/src/test/java/brackenbridge/http/DecoderTest.java
+++ b/src/test/java/brackenbridge/http/DecoderTest.java
@@ -50,7 +50,7 @@
                 r.stream().map(HttpRequest::target).toList());
         assertEquals(List.of("hello", "hello", "", "hello"),
                 r.stream().map(q -> new String(q.body(), StandardCharsets.UTF_8)).toList());
-        assertTrue(r.get(2).keepAlive());
+        assertEquals(List.of(true, true, false, true), r.stream().map(HttpRequest::keepAlive).toList());
     }
 
     @Property(seed = "12", tries = 300)
