--- /dev/null
+++ b/src/test/java/brackenbridge/http/LoadReportTest.java
@@ -0,0 +1,29 @@
+package brackenbridge.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.BalancerApi.Report;
+import brackenbridge.testing.Bytes;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class LoadReportTest {
+    @Test
+    void onlyTheFieldsThatCameAreTold() {
+        Report r = LoadReport.parse("queue=2, qps=7.5,unheard_of=3,util=NaN");
+        assertEquals(2, r.queued());
+        assertEquals(7.5, r.perSecond());
+        assertTrue(Double.isNaN(r.inHand()) && Double.isNaN(r.utilization()));
+        assertNull(LoadReport.parse(null));
+        assertNull(LoadReport.parse("queue=,qps"));
+    }
+
+    @Property(seed = "41", tries = 500)
+    void garbageNeverBecomesANegativeOrEndlessFigure(@ForAll long seed) {
+        Report r = LoadReport.parse(Bytes.garbage("queue=2,qps=7.5", seed));
+        assertTrue(r == null || !(r.queued() < 0 || r.perSecond() < 0 || Double.isInfinite(r.queued())));
+    }
+}
--- a/src/test/java/brackenbridge/net/NodeTest.java
+++ b/src/test/java/brackenbridge/net/NodeTest.java
@@ -141,6 +141,21 @@
         assertNull(server.requests.poll());
     }
 
+    @Test
+    void connectionThatTheServerHasEndedIsNotUsedAgain() throws Exception {
+        server.answers.add(OK);
+        send(file("a"));
+        assertTrue(answer().endsWith("done"));
+        server.connections.take().close();
+        send("GET /health/live HTTP/1.1\r\n\r\n");
+        assertTrue(answer().endsWith("live\n"));
+        server.answers.add(OK);
+        server.answers.add(OK);
+        send(file("b"));
+        assertTrue(answer().endsWith("done"));
+        assertEquals(1, server.connections.size());
+    }
+
     @Test
     void answerThatIsNotHttpFailsItsForwardOnly() throws Exception {
         server.answers.add("nonsense\r\n\r\n");
