SIGHUP re-reads the configuration and follows discovery instead of ending the node

The JVM takes SIGHUP for SIGTERM (Main.serve installs a shutdown hook and no handler of SIGHUP), so the stop path ran. Ruled out: a kill for memory (38 of 144 MB) and a fault (exit code 0, no error line).

Now Hangup has the file read whole again, the reducer takes Reconfigured and asks a moved discovery at once; a bad file is one log line. Several signals are taken in turn.

--- a/src/main/java/brackenbridge/BalancerApi.java
+++ b/src/main/java/brackenbridge/BalancerApi.java
@@ -128,6 +128,13 @@
             tenants = List.copyOf(tenants);
         }
 
+        /** The same settings with another seed. */
+        public Settings withSeed(long other) {
+            return new Settings(other, me, peers, tier, zone, classes, tenants, overShareWorth, askDiscovery,
+                    mustAskWithin, maxAttempts, maxOpen, maxRetryAfter, mayCancel, mayProbe, secondCopies, idleClose,
+                    coldFrom, warmAfter, network);
+        }
+
         private static void require(boolean holds, String what, Object value) {
             if (!holds) {
                 throw new IllegalArgumentException(what + ": " + value);
--- /dev/null
+++ b/src/main/java/brackenbridge/cli/Hangup.java
@@ -0,0 +1,35 @@
+package brackenbridge.cli;
+
+import java.lang.reflect.Proxy;
+
+/** The signal SIGHUP. The platform's own class for it is reached by name, since it is no part of the API. */
+final class Hangup {
+    private Hangup() {
+    }
+
+    /**
+     * Runs this at each SIGHUP from now on, on a thread of its own. Guards against the default, which ends the
+     * process. False if the platform has no such signal.
+     */
+    static boolean handle(Runnable work) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object handling = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> switch (method.getName()) {
+                        case "handle" -> {
+                            work.run();
+                            yield null;
+                        }
+                        case "hashCode" -> System.identityHashCode(proxy);
+                        case "equals" -> proxy == args[0];
+                        default -> "SIGHUP";
+                    });
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), handling);
+            return true;
+        } catch (ReflectiveOperationException e) {
+            return false;
+        }
+    }
+}
--- a/src/main/java/brackenbridge/cli/Main.java
+++ b/src/main/java/brackenbridge/cli/Main.java
@@ -61,7 +61,7 @@
             System.exit(USAGE);
         }
         switch (line.getParsedCommand()) {
-            case "serve" -> serve(config(serve.config));
+            case "serve" -> serve(config(serve.config), Path.of(serve.config));
             case "check-config" -> {
                 Config c = config(check.config);
                 System.out.println(c.name() + ": tier " + c.settings().tier() + ", " + c.settings().classes().size()
@@ -92,10 +92,13 @@
         System.exit(USAGE);
     }
 
-    private static void serve(Config config) {
+    private static void serve(Config config, Path file) {
         Clock clock = Clock.system();
         Log log = new Log(clock, System.err);
         Node node = new Node(config, clock, log);
+        if (!Hangup.handle(() -> node.reconfigure(() -> Config.read(file)))) {
+            log.info("no SIGHUP on this platform: the configuration is read at the start only");
+        }
         // SIGTERM runs the hooks and would exit with 143; a stop that ends well ends with 0.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
--- a/src/main/java/brackenbridge/core/Event.java
+++ b/src/main/java/brackenbridge/core/Event.java
@@ -59,6 +59,15 @@
     record TimerFired(TimerKey key) implements Event {
     }
 
+    /**
+     * The configuration was read anew.
+     *
+     * @param known the target group that it holds, perhaps old
+     * @param discoveryMoved whether it names another address for discovery
+     */
+    record Reconfigured(TargetGroup known, boolean discoveryMoved) implements Event {
+    }
+
     /** The node is told to stop. */
     record StopAsked() implements Event {
     }
--- a/src/main/java/brackenbridge/core/Reducer.java
+++ b/src/main/java/brackenbridge/core/Reducer.java
@@ -93,6 +93,8 @@
     private long calls;
     private long watch = -1;
     private boolean watchTold;
+    /** Discovery has another address, and no list has come from there yet. */
+    private boolean moved;
     private long probeCount;
     private boolean stopping;
     private boolean closed;
@@ -156,6 +158,8 @@
         } else if (event instanceof Event.ProbeEnded e) {
             probed(e.probe(), e.passed() ? Outcome.OK : e.answered() ? Outcome.ERROR : Outcome.CONNECT_FAILED,
                     e.report());
+        } else if (event instanceof Event.Reconfigured e) {
+            reconfigured(e);
         } else if (event instanceof Event.StopAsked) {
             stop();
         } else {
@@ -345,8 +349,10 @@
             lastWord.remove(call);
         }
         // Guards against word that was overtaken by a newer list: an old version must not bring servers back.
-        boolean stale = group.seq() < seq || group.seq() == seq && !first;
+        // The versions of a discovery that has moved say nothing beside the old one's.
+        boolean stale = (group.seq() < seq || group.seq() == seq && !first) && !(moved && group.whole());
         if (!stale) {
+            moved = false;
             seq = group.seq();
             counters.count(Kind.TARGET_LISTS);
             list(group.whole() ? ListKind.FULL : ListKind.CHANGES, group.targets());
@@ -389,6 +395,46 @@
         return call;
     }
 
+    /** Another configuration: a newer list in it is taken over, and a moved discovery is asked at once. */
+    private void reconfigured(Event.Reconfigured e) {
+        counters.count(Kind.RECONFIGURED);
+        if (e.known().seq() > seq) {
+            seq = e.known().seq();
+            list(ListKind.SAVED, e.known().targets());
+        }
+        if (e.discoveryMoved()) {
+            // Guards the list against the gap that the module's pause after a failed call would leave: what the
+            // new address has to tell counts as told soon, so the node asks there without being asked to.
+            moved = true;
+            watch(true);
+            for (long old : List.copyOf(fetches)) {
+                effects.add(new Effect.EndDiscovery(old));
+                fetches.remove(old);
+                lastWord.remove(old);
+                fetch();
+            }
+        }
+    }
+
+    private void watch(boolean on) {
+        if (watch >= 0) {
+            effects.add(new Effect.EndDiscovery(watch));
+            lastWord.remove(watch);
+            watch = -1;
+        }
+        if (on) {
+            watch = call();
+            watchTold = false;
+            effects.add(new Effect.Watch(watch, seq));
+        }
+    }
+
+    private void fetch() {
+        long call = call();
+        fetches.add(call);
+        effects.add(new Effect.Fetch(call));
+    }
+
     private void list(ListKind kind, List<Target> told) {
         if (kind == ListKind.FULL || kind == ListKind.SAVED) {
             Set<String> named = new HashSet<>();
@@ -537,23 +583,12 @@
 
         @Override
         public void watch(boolean on) {
-            if (watch >= 0) {
-                effects.add(new Effect.EndDiscovery(watch));
-                lastWord.remove(watch);
-                watch = -1;
-            }
-            if (on) {
-                watch = call();
-                watchTold = false;
-                effects.add(new Effect.Watch(watch, seq));
-            }
+            Reducer.this.watch(on);
         }
 
         @Override
         public void fetch() {
-            long call = call();
-            fetches.add(call);
-            effects.add(new Effect.Fetch(call));
+            Reducer.this.fetch();
         }
     }
 }
--- a/src/main/java/brackenbridge/counters/Counters.java
+++ b/src/main/java/brackenbridge/counters/Counters.java
@@ -48,6 +48,10 @@
         DISCOVERY_CALLS,
         /** Calls to discovery that failed or fell silent. */
         DISCOVERY_FAILED,
+        /** Configurations taken over while running. */
+        RECONFIGURED,
+        /** Configurations that could not be read or used, so that the old one stays. */
+        RECONFIGURE_FAILED,
         /** Target lists taken in. */
         TARGET_LISTS,
         /** Probes sent. */
--- a/src/main/java/brackenbridge/net/DiscoveryClient.java
+++ b/src/main/java/brackenbridge/net/DiscoveryClient.java
@@ -26,7 +26,7 @@
     private static final String LIST = "/registry/instances";
 
     private final Bootstrap bootstrap;
-    private final String dial;
+    private String dial;
     private final Events events;
     private final Log log;
     private final Map<Long, Call> calls = new HashMap<>();
@@ -38,6 +38,11 @@
         this.log = log;
     }
 
+    /** All further calls go to this address. */
+    void moved(String to) {
+        dial = to;
+    }
+
     void watch(long call, long afterSeq) {
         begin(new Call(call, true), LIST + "?watch=1&after=" + afterSeq);
     }
--- a/src/main/java/brackenbridge/net/Node.java
+++ b/src/main/java/brackenbridge/net/Node.java
@@ -22,13 +22,14 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /** A running node: hands events to the reducer and runs the effects, all on one event loop. */
 public final class Node implements Events {
     private static final long SWEEP_MS = 100;
     private static final long LAST_ANSWERS_MS = 20;
 
-    private final Config config;
+    private Config config;
     private final Clock clock;
     private final Log log;
     private final Counters counters = new Counters();
@@ -36,6 +37,7 @@
     private final EventLoop loop = group.next();
     private final PooledByteBufAllocator buffers;
     private final Reducer reducer;
+    private final Sockets sockets;
     private final Listener listener;
     private final Forwards forwards;
     private final DiscoveryClient discovery;
@@ -52,7 +54,7 @@
         this.log = log;
         reducer = new Reducer(config.settings(), counters);
         buffers = new PooledByteBufAllocator(false, 1, 0, 8192, 7, 64, 32, false);
-        Sockets sockets = new Sockets(config.sockets());
+        sockets = new Sockets(config.sockets());
         Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000);
@@ -84,6 +86,34 @@
         return (InetSocketAddress) server.localAddress();
     }
 
+    /** Reads the configuration anew and goes by it; one that can't be used changes nothing. From any thread. */
+    public synchronized void reconfigure(Supplier<Config> reading) {
+        // In turn: of two configurations, the one that was read last must be the one that stays.
+        Config read;
+        try {
+            read = reading.get();
+        } catch (IllegalArgumentException e) {
+            loop.execute(() -> {
+                counters.count(Counters.Kind.RECONFIGURE_FAILED);
+                log.warn("the old configuration stays: " + e.getMessage());
+            });
+            return;
+        }
+        loop.execute(() -> takeOver(read));
+    }
+
+    private void takeOver(Config read) {
+        boolean moved = !read.discovery().equals(config.discovery());
+        boolean fixed = !read.listen().equals(config.listen()) || !read.name().equals(config.name())
+                || !read.settings().withSeed(config.settings().seed()).equals(config.settings());
+        discovery.moved(read.discovery());
+        sockets.limit(read.sockets());
+        config = read;
+        log.info("reconfigured, discovery at " + read.discovery()
+                + (fixed ? "; name, listen and settings change at the next start only" : ""));
+        raise(new Event.Reconfigured(read.known(), moved));
+    }
+
     /** Begins to stop; the future that is returned completes when all is answered. */
     public CompletableFuture<Void> stop() {
         loop.execute(() -> raise(new Event.StopAsked()));
--- a/src/main/java/brackenbridge/net/Sockets.java
+++ b/src/main/java/brackenbridge/net/Sockets.java
@@ -6,14 +6,21 @@
 final class Sockets {
     /** Descriptors kept back for discovery, probes and what the runtime opens by itself. */
     private static final int RESERVE = 24;
-    private final int forClients;
-    private final int forAll;
+    private final int held;
+    private int forClients;
+    private int forAll;
     private int clients;
     private int servers;
 
     Sockets(int limit) {
-        String[] held = new File("/proc/self/fd").list();
-        forAll = Math.max(16, limit - RESERVE - (held == null ? 32 : held.length));
+        String[] open = new File("/proc/self/fd").list();
+        held = open == null ? 32 : open.length;
+        limit(limit);
+    }
+
+    /** Goes by another limit from now on. */
+    void limit(int limit) {
+        forAll = Math.max(16, limit - RESERVE - held);
         forClients = forAll * 3 / 4;
     }
 
--- a/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/src/test/java/brackenbridge/core/ReducerTest.java
@@ -142,6 +142,35 @@
         assertEquals(1, p.of(Effect.CloseIdle.class).size());
     }
 
+    @Test
+    void movedDiscoveryIsAskedAtOnceAndItsWholeListHolds() {
+        Play p = new Play(1).pass(4100);
+        long old = p.of(Effect.Watch.class).get(0).call();
+        TargetGroup known = new TargetGroup(40, true, List.of(Play.target("s-old", EndpointState.UP)));
+        p.tell(new Event.Reconfigured(known, true));
+        assertEquals(List.of(new Effect.EndDiscovery(old)), p.of(Effect.EndDiscovery.class));
+        Effect.Watch w = p.of(Effect.Watch.class).get(1);
+        assertEquals(41, w.afterSeq());
+        p.tell(new Event.DiscoveryEnded(old));
+        p.tell(new Event.TargetsTold(old, new TargetGroup(99, true, List.of())));
+        assertTrue(p.reducer.ready());
+        p.tell(new Event.TargetsTold(w.call(), new TargetGroup(7, true,
+                List.of(Play.target("s-new", EndpointState.UP)))));
+        assertEquals("s-new", p.forwards(p.open(Play.FILE, 5000)).get(0).host());
+        p.pass(1000).tell(new Event.DiscoveryBeat(w.call())).pass(4500);
+        assertEquals(2, p.of(Effect.Watch.class).size(), "the module's own pause brings no further call");
+    }
+
+    @Test
+    void reconfiguredNodeTakesANewerListAndKeepsItsWatch() {
+        Play p = new Play(1).pass(4100);
+        p.tell(new Event.Reconfigured(new TargetGroup(42, true, List.of(Play.target("s-new", EndpointState.UP))),
+                false));
+        assertEquals("s-new", p.forwards(p.open(Play.FILE, 5000)).get(0).host());
+        assertEquals(0, p.of(Effect.EndDiscovery.class).size());
+        assertEquals(1, p.counters.of(Kind.RECONFIGURED));
+    }
+
     @Test
     void stoppingNodeAcceptsForAMomentAndEndsWhenAllIsAnswered() {
         Play p = new Play(4);
--- a/src/test/java/brackenbridge/net/NodeTest.java
+++ b/src/test/java/brackenbridge/net/NodeTest.java
@@ -220,6 +220,21 @@
         assertTrue(back != null && back.startsWith("HTTP/1.1 200 "), back);
     }
 
+    @Test
+    void reconfiguredNodeFollowsDiscoveryAndABadFileChangesNothing() throws Exception {
+        try (FakeServer moved = new FakeServer()) {
+            node.reconfigure(() -> Config.parse("{"));
+            node.reconfigure(() -> Config.parse(ConfigTest.TEXT.replace("127.0.0.1:1\"", moved.dial() + "\"")));
+            assertTrue(moved.next().startsWith("GET /registry/instances?watch=1&after=41 "));
+            send("GET /health/counters HTTP/1.1\r\n\r\n");
+            String counted = answer();
+            assertTrue(counted.contains("reconfigured 1\nreconfigure_failed 1\n"), counted);
+        }
+        server.answers.add(OK);
+        send(file("a"));
+        assertTrue(answer().endsWith("done"));
+    }
+
     @Test
     void stoppingNodeAnswersWhatItHasAndSaysClose() throws Exception {
         send(file("a"));
