Bad clients end at their first error; a server's 4xx is final and harms no server

At fault: Listener.reject/wrongMethod kept the connection; Listener.SLOW_MS 10 s and IDLE_MS 120 s; Forwards.reply took 4xx for an error of the server; Forwards kept connections by dial alone and reused one in the very event that brought its answer; ResponseDecoder.head took a 200 without framing as whole at the connection's end, and 1xx without end. Reads were up to 64 kB, sixteen at a time.

Now: any 4xx closes; 2.5 s for a first request, 3 s idle; a lingering connection drains 256 kB at most; 4 MB for all unfinished requests together; an id that is open gets 409; connections are kept by host and address, rest 5 ms, and are chosen after all that has come was read; an answer must be whole 1 s after its first byte.

--- a/src/main/java/brackenbridge/core/Effect.java
+++ b/src/main/java/brackenbridge/core/Effect.java
@@ -22,7 +22,9 @@
         /** A failure, with no promise about its effect. */
         FAILED,
         /** A failure because no answer came in time. */
-        TIMED_OUT
+        TIMED_OUT,
+        /** A server says that the request itself is at fault. */
+        REJECTED
     }
 
     /** Answer a flow with a fixed response; retryAfterMs 0 gives no guidance. */
@@ -53,8 +55,8 @@
     record EndProbe(long probe) implements Effect {
     }
 
-    /** Close the connections to this address that carry nothing. */
-    record CloseIdle(String dial) implements Effect {
+    /** Close the connections to this host at this address that carry nothing. */
+    record CloseIdle(String host, String dial) implements Effect {
     }
 
     /** Say to each client with its next answer that its connection ends. */
--- a/src/main/java/brackenbridge/core/Event.java
+++ b/src/main/java/brackenbridge/core/Event.java
@@ -27,7 +27,9 @@
         /** An error; it may have run. */
         ERROR,
         /** Turned away unseen. */
-        TURNED_AWAY
+        TURNED_AWAY,
+        /** The request itself is at fault, whichever server it goes to. */
+        REJECTED
     }
 
     /** The server has answered the forward; the report is null if none came. */
--- a/src/main/java/brackenbridge/core/Reducer.java
+++ b/src/main/java/brackenbridge/core/Reducer.java
@@ -10,6 +10,7 @@
 import brackenbridge.BalancerApi.Request;
 import brackenbridge.BalancerApi.RequestClass;
 import brackenbridge.BalancerApi.Settings;
+import brackenbridge.core.Event.Reply;
 import brackenbridge.counters.Counters;
 import brackenbridge.counters.Counters.Kind;
 import java.util.ArrayDeque;
@@ -203,10 +204,20 @@
         if (f == null) {
             return;
         }
+        if (e.reply() == Reply.REJECTED) {
+            // Guards the servers' standing against clients that ask for nonsense: the answer is the request's own
+            // fault, so it is final, is not tried elsewhere and counts against no server.
+            if (!f.ended) {
+                fixedResponse(f, Effect.Fixed.REJECTED, 0);
+            }
+            counters.count(Kind.FORWARDS_REJECTED);
+            conclude(f, Outcome.CANCELLED, true, e.report());
+            return;
+        }
         Outcome outcome = switch (e.reply()) {
             case SERVED -> Outcome.OK;
             case ERROR -> Outcome.ERROR;
-            case TURNED_AWAY -> Outcome.FULL;
+            default -> Outcome.FULL;
         };
         if (outcome == Outcome.OK && !f.ended) {
             counters.count(Kind.ANSWERED_SERVED);
@@ -232,6 +243,11 @@
 
     /** The forward that is out has ended: the module hears of it, this once. */
     private void outcome(OpenFlow f, Outcome outcome, boolean ended, Report report) {
+        counters.count(kind(outcome));
+        conclude(f, outcome, ended, report);
+    }
+
+    private void conclude(OpenFlow f, Outcome outcome, boolean ended, Report report) {
         Out o = f.out;
         f.out = null;
         f.mayHaveRun |= !outcome.neverRan;
@@ -239,7 +255,6 @@
         if (f.ended) {
             flows.remove(f.id);
         }
-        counters.count(kind(outcome));
         balancer.onOutcome(ModuleTime.micros(now), f.id, o.number, ended, outcome,
                 ModuleTime.micros(now - o.since), report);
     }
@@ -275,7 +290,8 @@
     }
 
     private void fixedResponse(OpenFlow f, Effect.Fixed kind, double retryAfterMs) {
-        counters.count(kind == Effect.Fixed.REFUSED ? Kind.ANSWERED_REFUSED : Kind.ANSWERED_FAILED);
+        counters.count(kind == Effect.Fixed.REFUSED ? Kind.ANSWERED_REFUSED
+                : kind == Effect.Fixed.REJECTED ? Kind.ANSWERED_REJECTED : Kind.ANSWERED_FAILED);
         effects.add(new Effect.FixedResponse(f.id, kind, retryAfterMs));
         end(f);
     }
@@ -458,7 +474,7 @@
     private void keep(Target t) {
         Target before = targets.put(ids.of(t.host()), t);
         if (before != null && (!before.dial().equals(t.dial()) || t.state() == EndpointState.REMOVED)) {
-            effects.add(new Effect.CloseIdle(before.dial()));
+            effects.add(new Effect.CloseIdle(before.host(), before.dial()));
         }
         if (t.state() == EndpointState.UP) {
             noSendAfter.remove(t.host());
--- a/src/main/java/brackenbridge/counters/Counters.java
+++ b/src/main/java/brackenbridge/counters/Counters.java
@@ -24,6 +24,10 @@
         FORWARDS_SERVED,
         /** Forwards answered with an error. */
         FORWARDS_FAILED,
+        /** Forwards answered with word that the request itself is at fault. */
+        FORWARDS_REJECTED,
+        /** Answers of servers that could not be read, or that stopped half way. */
+        ANSWERS_SPOILT,
         /** Forwards turned away unseen. */
         FORWARDS_TURNED_AWAY,
         /** Forwards for which no connection could be had. */
@@ -42,6 +46,8 @@
         ANSWERED_REFUSED,
         /** Flows answered with a failure. */
         ANSWERED_FAILED,
+        /** Flows answered with a server's word that the request itself is at fault. */
+        ANSWERED_REJECTED,
         /** Flows that the node had to end at their deadline. */
         ANSWERED_AT_DEADLINE,
         /** Calls to discovery. */
@@ -61,7 +67,9 @@
         /** Connections to servers opened. */
         CONNECTIONS_OPENED,
         /** Idle connections shed at the limit on sockets. */
-        CONNECTIONS_SHED
+        CONNECTIONS_SHED,
+        /** Client connections closed because all together held too much of unfinished requests. */
+        CLIENTS_SHED_FOR_MEMORY
     }
 
     private final EnumMap<Kind, Long> counts = new EnumMap<>(Kind.class);
--- a/src/main/java/brackenbridge/http/MessageDecoder.java
+++ b/src/main/java/brackenbridge/http/MessageDecoder.java
@@ -32,6 +32,8 @@
     private Step step = Step.START;
     private boolean carriageReturn;
     private int headBytes;
+    /** Bytes of the fields that are kept. */
+    private int headHeld;
     private long left;
     private Headers headers = new Headers();
 
@@ -158,6 +160,7 @@
             throw new HttpException(400, "not a field name");
         }
         headers.add(name, text.substring(colon + 1).strip());
+        headHeld += text.length();
     }
 
     static boolean token(String s) {
@@ -176,6 +179,7 @@
         Framing framing = head(headers);
         if (framing == null) {
             headers = new Headers();
+            headHeld = 0;
             step = Step.START;
             return;
         }
@@ -249,6 +253,11 @@
         return step != Step.START || line.length() > 0 || carriageReturn;
     }
 
+    /** Bytes of the message that is not whole yet. */
+    public int held() {
+        return line.length() + headHeld + body.size();
+    }
+
     /** Whether the head is whole and the body is not. */
     public boolean awaitsBody() {
         return step.compareTo(Step.FIELDS) > 0 && step != Step.DONE;
@@ -264,6 +273,7 @@
         body = new ByteArrayOutputStream(0);
         headers = new Headers();
         headBytes = 0;
+        headHeld = 0;
         step = Step.START;
         return whole;
     }
--- a/src/main/java/brackenbridge/http/ResponseDecoder.java
+++ b/src/main/java/brackenbridge/http/ResponseDecoder.java
@@ -2,18 +2,24 @@
 
 /** Decodes answers to requests that may have a body in their answer (none is HEAD or CONNECT). */
 public final class ResponseDecoder extends MessageDecoder {
+    /** Interim answers (1xx) that may come in front of one answer. */
+    private static final int INTERIM_LIMIT = 16;
+    private final boolean toEnd;
     private int status;
+    private int interim;
     private boolean http11;
     private boolean framed;
 
-    /** Keeps each body whole, up to the limit. */
+    /** Keeps each body whole, up to the limit; a success must name its framing. */
     public ResponseDecoder() {
         super(null);
+        toEnd = false;
     }
 
-    /** Hands bodies on as they come, without a limit. */
+    /** Hands bodies on as they come, without a limit; one without framing ends with its connection. */
     public ResponseDecoder(Sink sink) {
         super(sink);
+        toEnd = true;
     }
 
     @Override
@@ -32,15 +38,31 @@
             throw new HttpException(502, "switch of protocols unasked");
         }
         if (status < 200) {
+            // Guards against a server that never comes to its answer.
+            if (++interim > INTERIM_LIMIT) {
+                throw new HttpException(502, "interim answers without end");
+            }
             return null;
         }
+        interim = 0;
         framed = true;
         if (status == 204 || status == 304) {
             return Framing.NONE;
         }
         Framing framing = named(fields);
         framed = framing != null;
-        return framed ? framing : Framing.TO_END;
+        if (framed) {
+            return framing;
+        }
+        if (toEnd) {
+            return Framing.TO_END;
+        }
+        // Guards clients against a body cut short: without framing nobody can tell that it is. Of any other
+        // status the head alone says all that counts.
+        if (status == 200) {
+            throw new HttpException(502, "success without framing");
+        }
+        return Framing.NONE;
     }
 
     @Override
--- a/src/main/java/brackenbridge/net/Forwards.java
+++ b/src/main/java/brackenbridge/net/Forwards.java
@@ -12,6 +12,7 @@
 import brackenbridge.http.HttpResponse;
 import brackenbridge.http.LoadReport;
 import brackenbridge.http.ResponseDecoder;
+import brackenbridge.log.Log;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -19,16 +20,28 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Sends forwards to servers, each alone on a connection, and keeps connections for the next. */
 final class Forwards {
+    /**
+     * A connection rests for so long after an answer. Guards the next forward against what a server may still
+     * send behind its answer: it would be read as the answer to the next.
+     */
+    private static final long REST_MS = 5;
+    /** An answer must be whole this long after its first byte. */
+    private static final double ANSWER_MS = 1000;
+
     private final Bootstrap bootstrap;
+    private final EventLoop loop;
+    private final Log log;
     private final Settings settings;
     private final Clock clock;
     private final Events events;
@@ -36,9 +49,16 @@
     private final Counters counters;
     private final Runnable makeRoom;
     private final double idleMs;
-    private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
+    private final Map<Peer, ArrayDeque<Connection>> idle = new HashMap<>();
     private final Map<Long, Running> running = new HashMap<>();
 
+    /**
+     * Whom a connection leads to. Guards a new host against the connections of one that had its address before,
+     * and theirs against word that the old host has left.
+     */
+    private record Peer(String host, String dial) {
+    }
+
     /** A forward from its effect to its end. */
     private static final class Running {
         final Effect.Forward forward;
@@ -48,10 +68,16 @@
         Running(Effect.Forward forward) {
             this.forward = forward;
         }
+
+        Peer peer() {
+            return new Peer(forward.host(), forward.dial());
+        }
     }
 
-    Forwards(Bootstrap bootstrap, Settings settings, Clock clock, Events events, Sockets sockets,
-            Counters counters, Runnable makeRoom) {
+    Forwards(Bootstrap bootstrap, EventLoop loop, Settings settings, Clock clock, Events events, Sockets sockets,
+            Counters counters, Log log, Runnable makeRoom) {
+        this.loop = loop;
+        this.log = log;
         this.settings = settings;
         this.clock = clock;
         this.events = events;
@@ -60,15 +86,24 @@
         this.makeRoom = makeRoom;
         this.bootstrap = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 (int) Math.max(1, settings.network().connectTimeout() / 1000));
-        // Guards against the server's own idle close: what is written to a connection from then on is lost.
-        double limit = settings.idleClose() / 1000.0;
-        idleMs = Math.max(limit / 2, limit - 3000);
+        // Guards against the server's own idle close, which may come early: what is written from then on is lost.
+        idleMs = settings.idleClose() / 2000.0;
     }
 
     void begin(Effect.Forward forward) {
         Running r = new Running(forward);
         running.put(forward.flow(), r);
-        ArrayDeque<Connection> kept = idle.get(forward.dial());
+        // Not before all that has come by now is read: among it may be the end of the very connection that this
+        // forward would take, or bytes that make it worthless.
+        loop.execute(() -> {
+            if (running.get(forward.flow()) == r) {
+                dispatch(r);
+            }
+        });
+    }
+
+    private void dispatch(Running r) {
+        ArrayDeque<Connection> kept = idle.get(r.peer());
         while (kept != null && !kept.isEmpty()) {
             Connection c = kept.pollLast();
             if (c.channel.isActive()) {
@@ -88,7 +123,7 @@
             broken(r);
             return;
         }
-        Connection c = new Connection(r.forward.dial());
+        Connection c = new Connection(r.peer());
         ChannelFuture opened = bootstrap.clone().handler(c).connect(address);
         c.channel = opened.channel();
         sockets.server(1);
@@ -128,16 +163,22 @@
         }
     }
 
-    void closeIdle(String dial) {
-        ArrayDeque<Connection> kept = idle.remove(dial);
+    void closeIdle(String host, String dial) {
+        ArrayDeque<Connection> kept = idle.remove(new Peer(host, dial));
         if (kept != null) {
             kept.forEach(c -> c.channel.close());
         }
     }
 
-    /** Closes connections that have been idle for long. */
+    /** Closes connections that have been idle for long, and those whose answer has stopped half way. */
     void sweep() {
         double now = clock.nowMs();
+        for (Running r : List.copyOf(running.values())) {
+            Connection c = r.connection;
+            if (c != null && c.answerSince > 0 && now - c.answerSince > ANSWER_MS) {
+                c.spoilt("not whole in time");
+            }
+        }
         List<Connection> old = new ArrayList<>();
         idle.values().forEach(kept -> kept.stream().filter(c -> now - c.idleSince >= idleMs).forEach(old::add));
         old.forEach(c -> c.channel.close());
@@ -159,15 +200,16 @@
 
     /** A connection to a server. */
     private final class Connection extends ChannelInboundHandlerAdapter {
-        final String dial;
+        final Peer peer;
         final ResponseDecoder decoder = new ResponseDecoder();
         Channel channel;
         Running running;
         double idleSince;
-        boolean failed;
+        /** When the first byte of the answer came; 0 before it. */
+        double answerSince;
 
-        Connection(String dial) {
-            this.dial = dial;
+        Connection(Peer peer) {
+            this.peer = peer;
         }
 
         void send(Running r) {
@@ -192,23 +234,33 @@
         void keep() {
             if (channel.isActive()) {
                 idleSince = clock.nowMs();
-                idle.computeIfAbsent(dial, d -> new ArrayDeque<>()).addLast(this);
+                idle.computeIfAbsent(peer, p -> new ArrayDeque<>()).addLast(this);
             }
         }
 
+        /** Nothing that comes here can be trusted any more: a forward that is out has failed and may have run. */
+        void spoilt(String why) {
+            counters.count(Counters.Kind.ANSWERS_SPOILT);
+            log.warn("answer of " + peer.host() + " spoilt: " + why);
+            channel.close();
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object msg) {
             ByteBuf in = (ByteBuf) msg;
             try {
-                if (running == null) {
+                if (running == null || !running.written) {
                     // Bytes that nobody asked for: what follows on this connection can't be trusted.
                     channel.close();
                 } else if (decoder.decode(in)) {
                     answered(in.isReadable());
+                } else if (!decoder.begun()) {
+                    answerSince = 0;
+                } else if (answerSince == 0) {
+                    answerSince = clock.nowMs();
                 }
             } catch (HttpException e) {
-                failed = true;
-                channel.close();
+                spoilt(e.getMessage());
             } finally {
                 in.release();
             }
@@ -218,9 +270,10 @@
             Running r = running;
             HttpResponse response = decoder.take();
             running = null;
+            answerSince = 0;
             Forwards.this.running.remove(r.forward.flow(), r);
-            if (response.keepAlive() && r.written && !more) {
-                keep();
+            if (response.keepAlive() && !more) {
+                loop.schedule(this::keep, REST_MS, TimeUnit.MILLISECONDS);
             } else {
                 channel.close();
             }
@@ -232,12 +285,17 @@
         private Reply reply(HttpResponse response) {
             boolean away = (response.status() == 503 || response.status() == 504)
                     && "1".equals(response.headers().get("X-Unprocessed"));
-            return response.status() == 200 ? Reply.SERVED : away ? Reply.TURNED_AWAY : Reply.ERROR;
+            if (response.status() == 200) {
+                return Reply.SERVED;
+            }
+            boolean rejected = response.status() >= 400 && response.status() < 500 && response.status() != 408
+                    && response.status() != 429;
+            return away ? Reply.TURNED_AWAY : rejected ? Reply.REJECTED : Reply.ERROR;
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            ArrayDeque<Connection> kept = idle.get(dial);
+            ArrayDeque<Connection> kept = idle.get(peer);
             if (kept != null) {
                 kept.remove(this);
             }
@@ -245,17 +303,12 @@
             if (r == null) {
                 return;
             }
-            if (!failed && decoder.ended()) {
-                answered(false);
-            } else {
-                running = null;
-                broken(r);
-            }
+            running = null;
+            broken(r);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            failed = true;
             ctx.close();
         }
     }
--- a/src/main/java/brackenbridge/net/Listener.java
+++ b/src/main/java/brackenbridge/net/Listener.java
@@ -24,6 +24,7 @@
 import io.netty.channel.socket.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -37,18 +38,22 @@
     private static final String LIVE = "/health/live";
     /** No class can be named so: "health" is what the first part of these paths means to every party. */
     private static final String COUNTERS = "/health/counters";
-    /** A request must be whole this long after its first byte. */
-    private static final double SLOW_MS = 10_000;
+    /** A request must be whole this long after its first byte, the first one after its connection came. */
+    private static final double SLOW_MS = 2500;
     /** A connection without a request is kept for so long. */
-    private static final double IDLE_MS = 120_000;
+    private static final double IDLE_MS = 3000;
     /** A client must take its answer within so long. */
-    private static final double STALLED_MS = 30_000;
+    private static final double STALLED_MS = 5000;
     /** After a last answer, what the client still sends is read and dropped for so long. */
     private static final double LINGER_MS = 1000;
+    /** And so many bytes of it at most: to read all that a client could send would cost the others. */
+    private static final int LINGER_BYTES = 256 * 1024;
     /** Guards clients that have just come: their request may be on the way already. */
-    private static final double YOUNG_MS = 250;
+    private static final double YOUNG_MS = 100;
     /** Bytes that may wait behind a request that is being served. */
-    private static final int AHEAD = 32 * 1024;
+    private static final int AHEAD = 16 * 1024;
+    /** Bytes that all clients together may have here in requests that are not whole or not begun. */
+    private static final int HELD_LIMIT = 4 * 1024 * 1024;
 
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Clock clock;
@@ -59,6 +64,9 @@
     private final Runnable makeRoom;
     private final Set<Client> clients = new LinkedHashSet<>();
     private final Map<Long, Client> flows = new HashMap<>();
+    /** The ids of the requests that are open. */
+    private final Set<String> open = new HashSet<>();
+    private int held;
     private Channel server;
     private long flowCount;
     private boolean sayClose;
@@ -117,6 +125,7 @@
         switch (kind) {
             case REFUSED -> c.answer(503, fields, text("refused\n"));
             case FAILED -> c.answer(502, fields, text("failed\n"));
+            case REJECTED -> c.reject(400, "the server rejects this request");
             default -> c.answer(504, fields, text("no answer in time\n"));
         }
     }
@@ -161,12 +170,18 @@
         }
     }
 
-    /** Closes one idle client connection, the longest idle first. */
+    /** Closes one idle client connection: one that never asked before the others, then the longest idle. */
     boolean shed() {
+        return shed(false) || shed(true);
+    }
+
+    /** Closes one idle client connection that has asked before, or that never has; the longest idle. */
+    boolean shed(boolean asked) {
         double now = clock.nowMs();
         Client oldest = null;
         for (Client c : clients) {
-            if (c.isIdle() && now - c.since > YOUNG_MS && (oldest == null || c.since < oldest.since)) {
+            if (c.isIdle() && c.asked == asked && now - c.since > YOUNG_MS
+                    && (oldest == null || c.since < oldest.since)) {
                 oldest = c;
             }
         }
@@ -180,6 +195,21 @@
         return true;
     }
 
+    /** Guards memory against many clients that each stay within their own limit: the largest goes first. */
+    private void boundHeld() {
+        while (held > HELD_LIMIT) {
+            Client largest = null;
+            for (Client c : clients) {
+                if (largest == null || c.holds > largest.holds) {
+                    largest = c;
+                }
+            }
+            counters.count(Kind.CLIENTS_SHED_FOR_MEMORY);
+            largest.hold(0);
+            largest.channel.close();
+        }
+    }
+
     /** A client's connection: one request at a time, in order. */
     private final class Client extends ChannelInboundHandlerAdapter {
         final Channel channel;
@@ -192,6 +222,13 @@
         boolean closing;
         boolean keepAlive;
         boolean toldToGoOn;
+        /** A whole request has come on it. */
+        boolean asked;
+        /** The id of the request that is open. */
+        String id;
+        /** Its part of what all hold. */
+        int holds;
+        int drained;
 
         Client(Channel channel) {
             this.channel = channel;
@@ -224,11 +261,10 @@
             if (server != null && server.isOpen() && sockets.clientFits()) {
                 server.config().setAutoRead(true);
             }
-            if (pending != null) {
-                pending.release();
-                pending = null;
-            }
+            dropPending();
             closing = true;
+            hold(0);
+            open.remove(id);
             if (flow >= 0) {
                 flows.remove(flow);
                 events.raise(new Event.FlowGone(flow));
@@ -244,6 +280,10 @@
         public void channelRead(ChannelHandlerContext ctx, Object msg) {
             ByteBuf in = (ByteBuf) msg;
             if (closing) {
+                drained += in.readableBytes();
+                if (drained > LINGER_BYTES) {
+                    channel.config().setAutoRead(false);
+                }
                 in.release();
                 return;
             }
@@ -254,6 +294,7 @@
                 in.release();
             }
             read();
+            boundHeld();
             // Guards memory against a client that sends ahead without reading its answers.
             if (pending != null && pending.readableBytes() > AHEAD) {
                 channel.config().setAutoRead(false);
@@ -269,7 +310,7 @@
                         toldToGoOn = false;
                         take(decoder.take());
                     } else {
-                        if (fresh) {
+                        if (fresh && asked) {
                             since = clock.nowMs();
                         }
                         if (!toldToGoOn && decoder.expectsContinue()) {
@@ -283,11 +324,23 @@
                 }
             }
             if (pending != null && !pending.isReadable()) {
+                dropPending();
+            }
+            hold(closing ? 0 : decoder.held() + (pending == null ? 0 : pending.readableBytes()));
+        }
+
+        private void dropPending() {
+            if (pending != null) {
                 pending.release();
                 pending = null;
             }
         }
 
+        private void hold(int bytes) {
+            held += bytes - holds;
+            holds = bytes;
+        }
+
         /** Says what is wrong and ends the connection: where the next request begins can't be known. */
         private void bad(int status, String why) {
             counters.count(Kind.BAD_REQUESTS);
@@ -296,6 +349,7 @@
         }
 
         private void take(HttpRequest r) {
+            asked = true;
             keepAlive = r.keepAlive();
             int query = r.target().indexOf('?');
             String path = query < 0 ? r.target() : r.target().substring(0, query);
@@ -320,10 +374,18 @@
                 return;
             }
             String left = r.headers().get(HttpEncoder.TIME_LEFT);
-            if (r.headers().get("X-Correlation-Id") == null || left != null && !left.matches("[0-9]{1,9}")) {
-                reject(400, left == null ? "no X-Correlation-Id" : "X-Time-Left-Ms or X-Correlation-Id amiss");
+            String correlation = r.headers().get("X-Correlation-Id");
+            if (correlation == null || r.headers().count("X-Correlation-Id") > 1
+                    || left != null && !left.matches("[0-9]{1,9}")) {
+                reject(400, correlation == null ? "no X-Correlation-Id" : "X-Time-Left-Ms or X-Correlation-Id amiss");
                 return;
             }
+            // Guards the client whose request is open: the same id twice at the servers would be a second copy.
+            if (!open.add(correlation)) {
+                reject(409, "a request with this X-Correlation-Id is open");
+                return;
+            }
+            id = correlation;
             flow = flowCount++;
             since = clock.nowMs();
             flows.put(flow, this);
@@ -344,16 +406,19 @@
 
         private void wrongMethod(String right) {
             counters.count(Kind.BAD_REQUESTS);
+            keepAlive = false;
             answer(405, new Headers().add("Allow", right), text("only " + right + "\n"));
         }
 
+        /** Guards usual clients as well: one that asks for nonsense at full speed must connect for each try. */
         private void reject(int status, String why) {
-            counters.count(Kind.BAD_REQUESTS);
-            answer(status, new Headers(), text(why + "\n"));
+            bad(status, why);
         }
 
         void answer(int status, Headers fields, byte[] body) {
             flow = -1;
+            open.remove(id);
+            id = null;
             writing = true;
             since = clock.nowMs();
             boolean close = !keepAlive || sayClose;
@@ -369,10 +434,8 @@
             } else if (close) {
                 // Guards the answer: closing over unread bytes would reset the connection before it is read.
                 closing = true;
-                if (pending != null) {
-                    pending.release();
-                    pending = null;
-                }
+                dropPending();
+                hold(0);
                 channel.config().setAutoRead(true);
                 ((SocketChannel) channel).shutdownOutput();
             } else {
@@ -383,7 +446,8 @@
 
         void sweep(double now) {
             double age = now - since;
-            if (closing ? age > LINGER_MS : writing ? age > STALLED_MS : isIdle() && age > IDLE_MS) {
+            double limit = asked ? IDLE_MS : SLOW_MS;
+            if (closing ? age > LINGER_MS : writing ? age > STALLED_MS : isIdle() && age > limit) {
                 channel.close();
             } else if (flow < 0 && !writing && !closing && decoder.begun() && age > SLOW_MS) {
                 bad(408, "request too slow");
--- a/src/main/java/brackenbridge/net/Node.java
+++ b/src/main/java/brackenbridge/net/Node.java
@@ -11,10 +11,12 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -57,9 +59,11 @@
         sockets = new Sockets(config.sockets());
         Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, received())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000);
         listener = new Listener(config.settings(), clock, this, sockets, counters, reducer::ready, this::makeRoom);
-        forwards = new Forwards(bootstrap, config.settings(), clock, this, sockets, counters, this::makeRoom);
+        forwards = new Forwards(bootstrap, loop, config.settings(), clock, this, sockets, counters, log,
+                this::makeRoom);
         discovery = new DiscoveryClient(bootstrap, config.discovery(), this, log);
         probes = new Probes(bootstrap, config.settings(), this);
     }
@@ -74,6 +78,7 @@
         server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, received())
                 .childHandler(listener.initializer()).bind(address).syncUninterruptibly().channel();
         loop.submit(() -> listener.opened(server)).syncUninterruptibly();
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -81,6 +86,14 @@
                 + config.settings().tier());
     }
 
+    /**
+     * How much is read from one connection before the next has its turn. Guards memory and usual clients against
+     * those that send at full speed.
+     */
+    private static RecvByteBufAllocator received() {
+        return new AdaptiveRecvByteBufAllocator(512, 2048, 8192).maxMessagesPerRead(4);
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
@@ -167,7 +180,7 @@
             } else if (effect instanceof Effect.EndProbe e) {
                 probes.end(e.probe());
             } else if (effect instanceof Effect.CloseIdle e) {
-                forwards.closeIdle(e.dial());
+                forwards.closeIdle(e.host(), e.dial());
             } else if (effect instanceof Effect.SayClose) {
                 log.info("stopping");
                 listener.sayClose();
@@ -203,10 +216,10 @@
         }
     }
 
-    /** At the limit on sockets: what is idle goes first, connections to servers before clients. */
+    /** At the limit on sockets what is idle goes: clients that never asked, servers' connections, other clients. */
     private void makeRoom() {
-        if (!forwards.shed()) {
-            listener.shed();
+        if (!listener.shed(false) && !forwards.shed()) {
+            listener.shed(true);
         }
     }
 
--- a/src/main/java/brackenbridge/net/Sockets.java
+++ b/src/main/java/brackenbridge/net/Sockets.java
@@ -21,7 +21,8 @@
     /** Goes by another limit from now on. */
     void limit(int limit) {
         forAll = Math.max(16, limit - RESERVE - held);
-        forClients = forAll * 3 / 4;
+        // Usual clients need a third of all descriptors, and their requests as many towards the servers.
+        forClients = forAll * 11 / 20;
     }
 
     boolean clientFits() {
