--- a/src/main/java/brackenbridge/http/HttpEncoder.java
+++ b/src/main/java/brackenbridge/http/HttpEncoder.java
@@ -15,7 +15,8 @@
             "transfer-encoding", "upgrade", "expect", "content-length", "x-time-left-ms");
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
             Map.entry(400, "Bad Request"), Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"),
-            Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"), Map.entry(413, "Content Too Large"), Map.entry(414, "URI Too Long"),
+            Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"),
+            Map.entry(413, "Content Too Large"), Map.entry(414, "URI Too Long"),
             Map.entry(417, "Expectation Failed"), Map.entry(431, "Request Header Fields Too Large"),
             Map.entry(502, "Bad Gateway"), Map.entry(503, "Service Unavailable"),
             Map.entry(504, "Gateway Timeout"), Map.entry(505, "HTTP Version Not Supported"));
