Forget hosts that are gone, keep the count of struck servers true, answer all before SIGKILL

The reducer's StopLimit was the longest deadline and 250 ms (8.25 s here), while the platform may kill after 3.7 s. From reading with a probe by test: HostIds, Reducer.targets and noSendAfter kept every host ever named; Balancer.onList dropped a removed server without taking it out of 'ejected', so that after a few such no failing server was taken out any more (DesignTest fails without the line); a deadline's timer stayed as long as the client's word, up to 11 days.

Examined: a start's own time. 750 ms of CPU to the listener, 115 ms in JCommander, about 60 ms in Netty's look-up of the flight recorder (class load log).

A node without peers now serves its connections for 2.1 s after SIGTERM, and all that is open is answered before the kill. Idle clients are kept 20 s again while there is room: descriptors allow it.

--- a/src/main/java/brackenbridge/Balancer.java
+++ b/src/main/java/brackenbridge/Balancer.java
@@ -172,7 +172,15 @@
             s.is = e;
         }
         arrange(now);
-        servers.values().removeIf(s -> s.is.state() == EndpointState.REMOVED && s.inFlight == 0);
+        List<Server> gone = servers.values().stream()
+                .filter(s -> s.is.state() == EndpointState.REMOVED && s.inFlight == 0).toList();
+        for (Server s : gone) {
+            // Guards the count of those taken out: one that left while out would stay in it for good, and
+            // after a few such no failing server would ever be taken out again.
+            comeBack(s);
+            idle.remove(s);
+            servers.remove(s.id);
+        }
     }
 
     /** Own zone first; in each zone the callers' arcs are spread evenly over the servers. */
--- a/src/main/java/brackenbridge/cli/Main.java
+++ b/src/main/java/brackenbridge/cli/Main.java
@@ -42,10 +42,15 @@
 
     /** Runs one of the commands. */
     public static void main(String[] args) throws IOException {
-        // The adapter starts without the command line's parser: it is started often, for short runs.
+        // Both programs of the deployment start without the command line's parser, which takes a fifth of a node's
+        // way to its listener: clients wait for a node that restarts.
         if (args.length == 1 && args[0].equals("wirehost")) {
             System.exit(WireHost.serve());
         }
+        if (args.length == 1 && args[0].equals("serve")) {
+            serve(System.getenv("PROXY_CONFIG"));
+            return;
+        }
         Serve serve = new Serve();
         Check check = new Check();
         JCommander line = JCommander.newBuilder().programName("brackenbridge").addCommand("serve", serve)
@@ -61,7 +66,7 @@
             System.exit(USAGE);
         }
         switch (line.getParsedCommand()) {
-            case "serve" -> serve(config(serve.config), Path.of(serve.config));
+            case "serve" -> serve(serve.config);
             case "check-config" -> {
                 Config c = config(check.config);
                 System.out.println(c.name() + ": tier " + c.settings().tier() + ", " + c.settings().classes().size()
@@ -92,11 +97,14 @@
         System.exit(USAGE);
     }
 
-    private static void serve(Config config, Path file) {
+    private static void serve(String file) {
+        Config config = config(file);
+        // Netty's flight recorder events are not used here; to look for them costs a start more than the listener.
+        System.setProperty("io.netty.jfr.enabled", "false");
         Clock clock = Clock.system();
         Log log = new Log(clock, System.err);
         Node node = new Node(config, clock, log);
-        if (!Hangup.handle(() -> node.reconfigure(() -> Config.read(file)))) {
+        if (!Hangup.handle(() -> node.reconfigure(() -> Config.read(Path.of(file))))) {
             log.info("no SIGHUP on this platform: the configuration is read at the start only");
         }
         // SIGTERM runs the hooks and would exit with 143; a stop that ends well ends with 0.
--- a/src/main/java/brackenbridge/core/Effect.java
+++ b/src/main/java/brackenbridge/core/Effect.java
@@ -35,6 +35,10 @@
     record SetTimer(double atMs, TimerKey key) implements Effect {
     }
 
+    /** This timer need not fire any more; it may all the same. */
+    record UnsetTimer(TimerKey key) implements Effect {
+    }
+
     /** Ask discovery for all changes after this version, as they come. */
     record Watch(long call, long afterSeq) implements Effect {
     }
@@ -63,10 +67,14 @@
     record SayClose() implements Effect {
     }
 
-    /** Accept nothing more, and close the client connections that carry nothing. */
+    /** Accept no more connections. */
     record StopAccepting() implements Effect {
     }
 
+    /** Close the client connections that carry nothing. */
+    record CloseIdleClients() implements Effect {
+    }
+
     /** Tell the operators of a fault in the program. */
     record Fault(RuntimeException cause) implements Effect {
     }
--- a/src/main/java/brackenbridge/core/HostIds.java
+++ b/src/main/java/brackenbridge/core/HostIds.java
@@ -28,6 +28,11 @@
         return id;
     }
 
+    /** Lets a name go, once nobody knows it by its number. */
+    void forget(String host) {
+        hosts.remove(ids.remove(host));
+    }
+
     /** FNV-1a over the name's bytes, cut to 53 bits. */
     private static long hash(String name) {
         long h = 0xcbf29ce484222325L;
--- a/src/main/java/brackenbridge/core/Reducer.java
+++ b/src/main/java/brackenbridge/core/Reducer.java
@@ -35,8 +35,16 @@
     static final double PROBE_MS = 1000;
     /** A stopping node accepts connections for so long: the front needs a moment to notice. */
     static final double ACCEPT_MS = 500;
-    /** A stopping node is gone this long after the longest deadline, well before it is killed. */
-    static final double STOP_SLACK_MS = 250;
+    /** A stopping node that has no peer to take over serves the connections that it has for so long. */
+    static final double LONE_MS = 2100;
+    /** And then lets its last requests finish for so long. */
+    static final double LONE_LAST_MS = 900;
+    /** The platform waits no longer than this for a stopping node, however long the deadlines are. */
+    static final double LONGEST_MS = 3000;
+    /** A stopping node answers all that is open this long after the longest deadline, before it is killed. */
+    static final double STOP_SLACK_MS = 400;
+    /** And its last answers have so long to leave. */
+    static final double LAST_MS = 150;
 
     private static final class OpenFlow {
         final long id;
@@ -237,7 +245,14 @@
         f.ended = true;
         unanswered--;
         if (f.out == null) {
-            flows.remove(f.id);
+            forget(f);
+        }
+    }
+
+    /** Guards memory: a client may name any time it likes, and its timer must not outlive its flow. */
+    private void forget(OpenFlow f) {
+        if (flows.remove(f.id, f)) {
+            effects.add(new Effect.UnsetTimer(new TimerKey.Deadline(f.id)));
         }
     }
 
@@ -253,7 +268,7 @@
         f.mayHaveRun |= !outcome.neverRan;
         f.timedOut = outcome == Outcome.TIMEOUT;
         if (f.ended) {
-            flows.remove(f.id);
+            forget(f);
         }
         balancer.onOutcome(ModuleTime.micros(now), f.id, o.number, ended, outcome,
                 ModuleTime.micros(now - o.since), report);
@@ -316,9 +331,14 @@
                 probed(k.probe(), Outcome.TIMEOUT, null);
             }
         } else if (key instanceof TimerKey.StopAccepting) {
-            closed = true;
             effects.add(new Effect.StopAccepting());
+        } else if (key instanceof TimerKey.StopServing) {
+            closed = true;
+            effects.add(new Effect.SayClose());
+            effects.add(new Effect.CloseIdleClients());
         } else if (key instanceof TimerKey.StopLimit) {
+            answerAll();
+        } else if (key instanceof TimerKey.StopNow) {
             effects.add(new Effect.Exit(true));
         }
     }
@@ -469,6 +489,33 @@
                     ModuleTime.micros(t.bornMs()), t.state()));
         }
         balancer.onList(ModuleTime.micros(now), kind, entries);
+        forgetRemoved();
+    }
+
+    /**
+     * Guards memory: over a long day servers come and go under ever new names. One that is gone is forgotten as
+     * soon as no forward is out to it; the module lets go of it by the same rule and at the same moment.
+     */
+    private void forgetRemoved() {
+        Set<String> inUse = new HashSet<>();
+        for (OpenFlow f : flows.values()) {
+            if (f.out != null) {
+                inUse.add(f.out.host);
+            }
+        }
+        for (Target t : List.copyOf(targets.values())) {
+            if (t.state() == EndpointState.REMOVED && !inUse.contains(t.host())) {
+                targets.remove(ids.of(t.host()));
+                ids.forget(t.host());
+                noSendAfter.remove(t.host());
+                effects.add(new Effect.CloseIdle(t.host(), t.dial()));
+            }
+        }
+    }
+
+    /** How many hosts are known, those that are gone but still in use included. */
+    int hosts() {
+        return targets.size();
     }
 
     private void keep(Target t) {
@@ -519,10 +566,28 @@
         for (RequestClass c : settings.classes()) {
             longest = Math.max(longest, ModuleTime.ms(c.deadline()));
         }
-        effects.add(new Effect.SayClose());
+        longest = Math.min(longest, LONGEST_MS);
+        double serves = ACCEPT_MS;
+        if (settings.peers() == 1) {
+            // Guards the clients of a node without peers: sent away, they would find nobody until it is back.
+            serves = Math.max(ACCEPT_MS, longest * LONE_MS / LONGEST_MS);
+        } else {
+            effects.add(new Effect.SayClose());
+        }
+        // A node without peers is missed until it is back, and it comes back only once it has ended.
+        double limit = now + (settings.peers() == 1 ? serves + LONE_LAST_MS
+                : Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS);
         effects.add(new Effect.SetTimer(now + ACCEPT_MS, new TimerKey.StopAccepting()));
-        effects.add(new Effect.SetTimer(now + Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS,
-                new TimerKey.StopLimit()));
+        effects.add(new Effect.SetTimer(now + serves, new TimerKey.StopServing()));
+        effects.add(new Effect.SetTimer(limit, new TimerKey.StopLimit()));
+        effects.add(new Effect.SetTimer(limit + LAST_MS, new TimerKey.StopNow()));
+    }
+
+    /** Time is up before some deadlines: what is open is answered now, since the process will not live longer. */
+    private void answerAll() {
+        for (long id : List.copyOf(flows.keySet())) {
+            deadline(id);
+        }
     }
 
     /** What the module does, as effects. */
@@ -574,7 +639,7 @@
                 owed.add(new Owed(request, attempt, f.out.written ? Outcome.CANCELLED : Outcome.MOOT));
                 f.out = null;
                 if (f.ended) {
-                    flows.remove(f.id);
+                    forget(f);
                 }
             }
         }
--- a/src/main/java/brackenbridge/core/TimerKey.java
+++ b/src/main/java/brackenbridge/core/TimerKey.java
@@ -1,6 +1,6 @@
 package brackenbridge.core;
 
-/** What a timer was set for. A timer is never unset: one that has lost its purpose does nothing. */
+/** What a timer was set for. One that has lost its purpose does nothing; only deadlines are ever unset. */
 public sealed interface TimerKey {
     /** The module's own. */
     record Module(String token) implements TimerKey {
@@ -30,7 +30,15 @@
     record StopAccepting() implements TimerKey {
     }
 
-    /** A stopping node must have ended. */
+    /** A stopping node takes no more flows. */
+    record StopServing() implements TimerKey {
+    }
+
+    /** A stopping node must have answered everything. */
     record StopLimit() implements TimerKey {
     }
+
+    /** A stopping node must have ended. */
+    record StopNow() implements TimerKey {
+    }
 }
--- a/src/main/java/brackenbridge/net/Listener.java
+++ b/src/main/java/brackenbridge/net/Listener.java
@@ -40,8 +40,10 @@
     private static final String COUNTERS = "/health/counters";
     /** A request must be whole this long after its first byte, the first one after its connection came. */
     private static final double SLOW_MS = 2500;
-    /** A connection without a request is kept for so long. */
-    private static final double IDLE_MS = 3000;
+    /** A connection without a request is kept for so long while there is room. */
+    private static final double IDLE_MS = 20_000;
+    /** And for so long once clients hold half of what they may. */
+    private static final double CROWDED_IDLE_MS = 3000;
     /** A client must take its answer within so long. */
     private static final double STALLED_MS = 5000;
     /** After a last answer, what the client still sends is read and dropped for so long. */
@@ -142,6 +144,9 @@
         if (server != null) {
             server.close();
         }
+    }
+
+    void closeIdle() {
         for (Client c : List.copyOf(clients)) {
             if (c.isIdle()) {
                 c.channel.close();
@@ -446,7 +451,7 @@
 
         void sweep(double now) {
             double age = now - since;
-            double limit = asked ? IDLE_MS : SLOW_MS;
+            double limit = !asked ? SLOW_MS : sockets.crowded() ? CROWDED_IDLE_MS : IDLE_MS;
             if (closing ? age > LINGER_MS : writing ? age > STALLED_MS : isIdle() && age > limit) {
                 channel.close();
             } else if (flow < 0 && !writing && !closing && decoder.begun() && age > SLOW_MS) {
--- a/src/main/java/brackenbridge/net/Node.java
+++ b/src/main/java/brackenbridge/net/Node.java
@@ -5,6 +5,7 @@
 import brackenbridge.core.Effect;
 import brackenbridge.core.Event;
 import brackenbridge.core.Reducer;
+import brackenbridge.core.TimerKey;
 import brackenbridge.counters.Counters;
 import brackenbridge.http.HttpResponse;
 import brackenbridge.log.Log;
@@ -22,7 +23,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -46,6 +50,8 @@
     private final Probes probes;
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    /** The timers that may be unset. */
+    private final Map<TimerKey, ScheduledFuture<?>> deadlines = new HashMap<>();
     private boolean reducing;
     private Channel server;
 
@@ -129,7 +135,10 @@
 
     /** Begins to stop; the future that is returned completes when all is answered. */
     public CompletableFuture<Void> stop() {
-        loop.execute(() -> raise(new Event.StopAsked()));
+        loop.execute(() -> {
+            log.info("stopping");
+            raise(new Event.StopAsked());
+        });
         return ended;
     }
 
@@ -161,6 +170,11 @@
         try {
             if (effect instanceof Effect.SetTimer e) {
                 timer(e);
+            } else if (effect instanceof Effect.UnsetTimer e) {
+                ScheduledFuture<?> set = deadlines.remove(e.key());
+                if (set != null) {
+                    set.cancel(false);
+                }
             } else if (effect instanceof Effect.Forward e) {
                 forwards.begin(e);
             } else if (effect instanceof Effect.Respond e) {
@@ -182,10 +196,11 @@
             } else if (effect instanceof Effect.CloseIdle e) {
                 forwards.closeIdle(e.host(), e.dial());
             } else if (effect instanceof Effect.SayClose) {
-                log.info("stopping");
                 listener.sayClose();
             } else if (effect instanceof Effect.StopAccepting) {
                 listener.stopAccepting();
+            } else if (effect instanceof Effect.CloseIdleClients) {
+                listener.closeIdle();
             } else if (effect instanceof Effect.Fault e) {
                 log.error("fault in a decision", e.cause());
             } else if (effect instanceof Effect.Exit e) {
@@ -198,13 +213,17 @@
 
     private void timer(Effect.SetTimer e) {
         double wait = e.atMs() - clock.nowMs();
-        loop.schedule(() -> {
+        ScheduledFuture<?> set = loop.schedule(() -> {
             if (clock.nowMs() < e.atMs()) {
                 timer(e);
             } else {
+                deadlines.remove(e.key());
                 raise(new Event.TimerFired(e.key()));
             }
         }, (long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
+        if (e.key() instanceof TimerKey.Deadline) {
+            deadlines.put(e.key(), set);
+        }
     }
 
     private void sweep() {
--- a/src/main/java/brackenbridge/net/Sockets.java
+++ b/src/main/java/brackenbridge/net/Sockets.java
@@ -29,6 +29,11 @@
         return clients < forClients && clients + servers < forAll;
     }
 
+    /** Whether clients hold half of what they may hold. */
+    boolean crowded() {
+        return clients > forClients / 2;
+    }
+
     boolean serverFits() {
         return clients + servers < forAll;
     }
--- a/src/test/java/brackenbridge/DesignTest.java
+++ b/src/test/java/brackenbridge/DesignTest.java
@@ -10,6 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brackenbridge.BalancerApi.EndpointState;
 import brackenbridge.BalancerApi.ListKind;
 import brackenbridge.BalancerApi.Outcome;
 import brackenbridge.BalancerApi.Tenant;
@@ -175,6 +176,27 @@
         assertTrue(bad >= 3 && bad < 12, "calls that met it: " + bad);
     }
 
+    @Test
+    void serversThatLeaveWhileTheyAreOutDoNotCountAsOutForEver() {
+        Script s = new Script(Script.settings(Script.unsafe("file", 1))).servers(4);
+        long id = 1;
+        for (int round = 0; round < 6; round++) {
+            s.ask(id, "file");
+            long sick = s.target(id);
+            s.answer(id++, 0, Outcome.TIMEOUT, 1000);
+            s.list(ListKind.CHANGES, Script.at(sick, "here", 0, EndpointState.REMOVED),
+                    Script.up(100 + round, 1)).pass(2 * Script.SECOND);
+        }
+        s.ask(id, "file");
+        long sick = s.target(id);
+        s.answer(id++, 0, Outcome.TIMEOUT, 1000);
+        for (int i = 0; i < 6; i++) {
+            s.ask(id, "file");
+            assertNotEquals(sick, s.target(id), "a server that has just failed is still taken out");
+            s.answer(id++, 0, Outcome.OK, 1000);
+        }
+    }
+
     @Test
     void dearClassWithAShortAimFindsAsMuchOfAAsTheRest() {
         // nav-lund rough-1: with each class's own tau in A, the dearest class was refused first for its short aim.
--- a/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/src/test/java/brackenbridge/core/ReducerTest.java
@@ -189,18 +189,71 @@
 
     @Test
     void stoppingNodeAcceptsForAMomentAndEndsWhenAllIsAnswered() {
-        Play p = new Play(4);
+        Play p = new Play(4, 2);
         long f = p.open(Play.FILE, 5000);
         p.tell(new Event.ForwardWritten(f, 0)).tell(new Event.StopAsked()).pass(450);
         assertFalse(p.reducer.ready());
+        assertEquals(1, p.of(Effect.SayClose.class).size());
         assertEquals(0, p.of(Effect.StopAccepting.class).size());
         p.pass(100);
         assertEquals(1, p.of(Effect.StopAccepting.class).size());
+        assertEquals(1, p.of(Effect.CloseIdleClients.class).size());
         assertEquals(0, p.of(Effect.Exit.class).size());
         p.tell(answer(f, 0, Reply.SERVED));
         assertEquals(List.of(new Effect.Exit(false)), p.of(Effect.Exit.class));
     }
 
+    @Test
+    void stoppingNodeWithoutPeersServesTheConnectionsItHas() {
+        Play p = new Play(4).tell(new Event.StopAsked()).pass(2000);
+        assertEquals(1, p.of(Effect.StopAccepting.class).size());
+        assertEquals(0, p.of(Effect.SayClose.class).size());
+        long f = p.open(Play.FILE, 5000);
+        p.tell(new Event.ForwardWritten(f, 0)).tell(answer(f, 0, Reply.SERVED));
+        assertEquals(1, p.of(Effect.Respond.class).size());
+        p.pass(200);
+        assertEquals(List.of(new Effect.Exit(false)), p.of(Effect.Exit.class));
+    }
+
+    @Test
+    void stoppingNodeAnswersWhatIsOpenBeforeItIsKilled() {
+        Play p = new Play(4);
+        long ran = p.open(Play.FILE, 6000);
+        long waits = p.open(Play.FILE, 6000);
+        p.tell(new Event.ForwardWritten(ran, 0)).tell(new Event.StopAsked()).pass(3500);
+        assertEquals(List.of(Fixed.TIMED_OUT), p.fixed(ran));
+        assertEquals(List.of(Fixed.REFUSED), p.fixed(waits));
+        assertEquals(new Effect.Exit(false), p.of(Effect.Exit.class).get(0));
+    }
+
+    @Test
+    void hostsThatAreGoneAndIdleAreForgotten() {
+        Play p = new Play(2).pass(4100);
+        long call = p.of(Effect.Watch.class).get(0).call();
+        long f = p.open(Play.FILE, 5000);
+        p.tell(new Event.ForwardWritten(f, 0));
+        for (int i = 0; i < 100; i++) {
+            p.tell(new Event.TargetsTold(call, new TargetGroup(50 + 2 * i, false,
+                    List.of(Play.target("n-" + i, EndpointState.UP)))));
+            p.tell(new Event.TargetsTold(call, new TargetGroup(51 + 2 * i, false, List.of(
+                    Play.target("n-" + i, EndpointState.REMOVED),
+                    Play.target(p.forwards(f).get(0).host(), EndpointState.REMOVED)))));
+            assertEquals(2, p.reducer.hosts(), "the one that is up and the one that has a forward out");
+        }
+        p.tell(answer(f, 0, Reply.SERVED));
+        assertEquals(1, p.of(Effect.Respond.class).size());
+        p.tell(new Event.TargetsTold(call, new TargetGroup(900, false, List.of())));
+        assertEquals(1, p.reducer.hosts());
+    }
+
+    @Test
+    void timerOfAFlowThatHasEndedIsUnset() {
+        Play p = new Play(1);
+        long f = p.open(Play.FILE, 999_999_999);
+        p.tell(new Event.ForwardWritten(f, 0)).tell(answer(f, 0, Reply.SERVED));
+        assertEquals(List.of(new Effect.UnsetTimer(new TimerKey.Deadline(f))), p.of(Effect.UnsetTimer.class));
+    }
+
     @Test
     void hostsNumberIsItsNamesAlone() {
         HostIds one = new HostIds();
