--- a/src/main/java/brackenbridge/cli/Main.java
+++ b/src/main/java/brackenbridge/cli/Main.java
@@ -111,7 +111,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.stop().get(1, TimeUnit.MINUTES);
-                log.flush(System.err);
+                log.flush();
                 Runtime.getRuntime().halt(0);
             } catch (InterruptedException | java.util.concurrent.ExecutionException
                     | java.util.concurrent.TimeoutException e) {
--- a/src/main/java/brackenbridge/core/Reducer.java
+++ b/src/main/java/brackenbridge/core/Reducer.java
@@ -29,8 +29,8 @@
 public final class Reducer {
     /** A flow ends this long before its client gives up, so that the answer is still in time on the way. */
     static final double MARGIN_MS = 5;
-    /** Discovery says something every 2 s; after more than two beats without a word a call has failed. */
-    static final double SILENCE_MS = 5000;
+    /** Discovery says something every 2 s: a call without a word for so long has failed. */
+    static final double SILENCE_MS = 3000;
     /** Longest time that a probe may take. */
     static final double PROBE_MS = 1000;
     /** A stopping node accepts connections for so long: the front needs a moment to notice. */
--- a/src/main/java/brackenbridge/log/Log.java
+++ b/src/main/java/brackenbridge/log/Log.java
@@ -2,9 +2,9 @@
 
 import brackenbridge.clock.Clock;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A small logger: one line an entry, so many lines a second at most. What is over is counted and told in the
@@ -16,6 +16,8 @@
 
     private final Clock clock;
     private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(256);
+    /** Entries that are not yet on the stream, the one that is being written included. */
+    private final AtomicInteger unwritten = new AtomicInteger();
     private double second;
     private int written;
     private int dropped;
@@ -32,6 +34,7 @@
         try {
             while (true) {
                 out.println(lines.take());
+                unwritten.decrementAndGet();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -59,17 +62,26 @@
         if (now - second >= 1000) {
             second = now;
             written = 0;
-            if (dropped > 0 && lines.offer(line(now, "warn", dropped + " log lines dropped"))) {
+            if (dropped > 0 && offer(line(now, "warn", dropped + " log lines dropped"))) {
                 dropped = 0;
             }
         }
-        if (written >= LINES_A_SECOND || !lines.offer(line(now, level, text))) {
+        if (written >= LINES_A_SECOND || !offer(line(now, level, text))) {
             dropped++;
             return;
         }
         written++;
     }
 
+    private boolean offer(String line) {
+        unwritten.incrementAndGet();
+        if (lines.offer(line)) {
+            return true;
+        }
+        unwritten.decrementAndGet();
+        return false;
+    }
+
     private static String line(double now, String level, String text) {
         String clean = text.replaceAll("\\p{Cntrl}", " ");
         return String.format(Locale.ROOT, "%.3f %s %s", now / 1000, level,
@@ -77,12 +89,9 @@
     }
 
     /** Waits, for a moment at most, until all entries so far are written; for the end of the process. */
-    public void flush(PrintStream out) {
-        String line;
-        while ((line = lines.poll()) != null) {
-            out.write(line.getBytes(StandardCharsets.UTF_8), 0, line.getBytes(StandardCharsets.UTF_8).length);
-            out.println();
+    public void flush() throws InterruptedException {
+        for (int i = 0; i < 100 && unwritten.get() > 0; i++) {
+            Thread.sleep(2);
         }
-        out.flush();
     }
 }
