--- a/src/main/java/brackenbridge/Balancer.java
+++ b/src/main/java/brackenbridge/Balancer.java
@@ -45,6 +45,8 @@
     private static final int LEAST_OPEN = 2;
     /** Part of a server's late answers that are errors, from which it is taken out. */
     private static final double MOSTLY = 0.6;
+    /** Part of a class's outcomes that are errors, up to which each error is the server's own. */
+    private static final double SELDOM = 0.2;
     private static final double GOLDEN = 0.6180339887498949;
 
     private final Settings settings;
@@ -107,7 +109,7 @@
         this.random = new SplittableRandom(settings.seed());
         TreeSet<Double> worths = new TreeSet<>(Comparator.reverseOrder());
         for (RequestClass c : settings.classes()) {
-            kinds.put(c.name(), new Kind(c));
+            kinds.put(c.name(), new Kind(c, kinds.size()));
             worths.add(c.worth());
             if (!settings.tenants().isEmpty()) {
                 worths.add(c.worth() * settings.overShareWorth());
@@ -163,7 +165,7 @@
             }
         }
         for (Endpoint e : entries) {
-            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e, levels));
+            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e, levels, kinds.size()));
             if (e.startedAt() > s.is.startedAt()) {
                 s.pace = 1;
                 s.latest = 0;
@@ -380,23 +382,29 @@
     private Server bind(long now, Call c) {
         if (c.key >= 0) {
             Server s = sameCall.get(c.key);
-            if (s != null && s.inRotation && allowed(now, c, s) && !c.tried(s)) {
+            if (s != null && s.inRotation && suits(now, c, s) && !c.tried(s)) {
                 return s;
             }
         }
         Server first = null;
+        List<Server> passedOver = new ArrayList<>();
         for (int i = 0; i < 4 && !rotation.isEmpty(); i++) {
             Server s = rotation.poll();
-            virtualTime = Math.max(virtualTime, s.pass);
-            s.pass += stride(now, s);
-            rotation.add(s);
-            if (allowed(now, c, s)) {
-                if (!c.tried(s)) {
-                    return s;
-                }
-                first = first == null ? s : first;
+            if (!c.tried(s) && suits(now, c, s)) {
+                first = s;
+                break;
             }
+            first = first == null && allowed(now, c, s) ? s : first;
+            passedOver.add(s);
+        }
+        if (first != null) {
+            virtualTime = Math.max(virtualTime, first.pass);
+            first.pass += stride(now, first);
+            passedOver.remove(first);
+            rotation.add(first);
         }
+        // Those keep their turn: guards a server's other calls against the few that it may not get.
+        rotation.addAll(passedOver);
         if (first == null && c.mayHaveRun && allowed(now, c, c.ranAt) && usable(c.ranAt)) {
             return c.ranAt;
         }
@@ -410,7 +418,7 @@
             if (!s.inRotation || s.inFlight > 0) {
                 continue;
             }
-            if (allowed(now, c, s) && !c.tried(s)) {
+            if (suits(now, c, s) && !c.tried(s)) {
                 return s;
             }
             s.isIdle = true;
@@ -438,6 +446,11 @@
         };
     }
 
+    /** Allowed, and not a server that fails calls of this class while it serves others. */
+    private boolean suits(long now, Call c, Server s) {
+        return now >= s.avoidedUntil[c.kind.index] && allowed(now, c, s);
+    }
+
     private static boolean usable(Server s) {
         return s.is.state() == EndpointState.UP && !s.out;
     }
@@ -543,7 +556,7 @@
         }
         int looked = 0;
         for (Call c : waiting) {
-            if (c.held && allowed(now, c, s)) {
+            if (c.held && suits(now, c, s)) {
                 if (c.bound != null) {
                     c.bound.queues[c.level].remove(c);
                     c.bound.queued--;
@@ -658,7 +671,15 @@
     }
 
     private void learn(long now, Call c, Server s, Outcome outcome, long latency) {
-        s.errors += NEWEST * ((outcome == Outcome.ERROR ? 1 : 0) - s.errors);
+        boolean failed = outcome == Outcome.ERROR || outcome == Outcome.RESET;
+        s.errors += NEWEST * ((failed ? 1 : 0) - s.errors);
+        c.kind.errors += NEWEST / 10 * ((outcome == Outcome.ERROR ? 1 : 0) - c.kind.errors);
+        if (outcome == Outcome.ERROR && ++s.fails[c.kind.index] > (c.kind.errors < SELDOM ? 0 : 1)) {
+            // Guards a class that only some servers fail and that may not be repeated: the others still earn.
+            // Where the whole fleet fails it, as in an overload, one error says nothing of the server.
+            long avoid = 2 * SECOND << Math.min(s.fails[c.kind.index] - 1, 2);
+            s.avoidedUntil[c.kind.index] = now + avoid / 2 + (long) (random.nextDouble() * avoid);
+        }
         if (outcome == Outcome.OK) {
             Kind k = c.kind;
             k.spread += 0.02 * (Math.abs(latency - k.mean) - k.spread);
@@ -668,6 +689,7 @@
             answered++;
             k.answers++;
             s.strikes = 0;
+            s.fails[k.index] = 0;
             if (s.out) {
                 comeBack(s);
                 if (s.inReach) {
@@ -677,12 +699,12 @@
         } else if (outcome == Outcome.FULL) {
             // Guards a jammed server against the calls of all who find it full, and these against each other.
             pause(now, s, SECOND / 10);
-        } else if (outcome == Outcome.ERROR && s.errors > MOSTLY) {
-            // Guards against a server that fails at once: it is free at once and draws ever more calls.
+        } else if (failed && s.errors > MOSTLY) {
+            // Guards against a server that fails at once: it is free at once and draws ever more calls. A
+            // connection that breaks is no more than an error: the process may well be up.
             s.errors = 0;
             strike(now, s);
-        } else if (outcome == Outcome.TIMEOUT || outcome == Outcome.CONNECT_FAILED
-                || outcome == Outcome.RESET) {
+        } else if (outcome == Outcome.TIMEOUT || outcome == Outcome.CONNECT_FAILED) {
             strike(now, s);
         }
     }
--- a/src/main/java/brackenbridge/State.java
+++ b/src/main/java/brackenbridge/State.java
@@ -14,6 +14,8 @@
     /** A class of request and what was seen of it. */
     static final class Kind {
         final RequestClass is;
+        /** Its place among the classes. */
+        final int index;
         int level;
         int overShareLevel;
         /** Mean response time of its answers, 0 before the first. */
@@ -23,9 +25,12 @@
         /** The least that the mean was of late. */
         double base;
         int answers;
+        /** The part of errors among the outcomes at all servers of late. */
+        double errors;
 
-        Kind(RequestClass is) {
+        Kind(RequestClass is, int index) {
             this.is = is;
+            this.index = index;
         }
     }
 
@@ -135,11 +140,16 @@
         int strikes;
         /** The part of errors among its outcomes, the newest weighted most. */
         double errors;
+        /** Errors of each class since its last answer here, and until when the class goes elsewhere for them. */
+        final int[] fails;
+        final long[] avoidedUntil;
         /** Taken out by its failures, until backAt. */
         boolean out;
         long backAt;
 
-        Server(Endpoint is, int levels) {
+        Server(Endpoint is, int levels, int classes) {
+            this.fails = new int[classes];
+            this.avoidedUntil = new long[classes];
             this.id = is.id();
             this.is = is;
             this.place = scramble(id) * 0x1p-53;
--- a/src/main/java/brackenbridge/counters/Counters.java
+++ b/src/main/java/brackenbridge/counters/Counters.java
@@ -66,6 +66,8 @@
         CLIENTS_ACCEPTED,
         /** Connections to servers opened. */
         CONNECTIONS_OPENED,
+        /** Kept connections that proved dead when they were used. */
+        CONNECTIONS_STALE,
         /** Idle connections shed at the limit on sockets. */
         CONNECTIONS_SHED,
         /** Client connections closed because all together held too much of unfinished requests. */
--- a/src/main/java/brackenbridge/net/Forwards.java
+++ b/src/main/java/brackenbridge/net/Forwards.java
@@ -39,6 +39,9 @@
     /** An answer must be whole this long after its first byte. */
     private static final double ANSWER_MS = 1000;
 
+    /** A forward that its connection's end meets so soon has met a connection that was dead already. */
+    private static final double AT_ONCE_MS = 50;
+
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final Log log;
@@ -49,6 +52,8 @@
     private final Counters counters;
     private final Runnable makeRoom;
     private final double idleMs;
+    /** Kept connections are believed alive when they have been idle for less than this. */
+    private double trustMs;
     private final Map<Peer, ArrayDeque<Connection>> idle = new HashMap<>();
     private final Map<Long, Running> running = new HashMap<>();
 
@@ -88,6 +93,7 @@
                 (int) Math.max(1, settings.network().connectTimeout() / 1000));
         // Guards against the server's own idle close, which may come early: what is written from then on is lost.
         idleMs = settings.idleClose() / 2000.0;
+        trustMs = idleMs;
     }
 
     void begin(Effect.Forward forward) {
@@ -106,10 +112,11 @@
         ArrayDeque<Connection> kept = idle.get(r.peer());
         while (kept != null && !kept.isEmpty()) {
             Connection c = kept.pollLast();
-            if (c.channel.isActive()) {
+            if (c.channel.isActive() && clock.nowMs() - c.idleSince < trustMs) {
                 c.send(r);
                 return;
             }
+            c.channel.close();
         }
         connect(r);
     }
@@ -173,6 +180,7 @@
     /** Closes connections that have been idle for long, and those whose answer has stopped half way. */
     void sweep() {
         double now = clock.nowMs();
+        trustMs = Math.min(idleMs, trustMs * 1.01 + 0.1);
         for (Running r : List.copyOf(running.values())) {
             Connection c = r.connection;
             if (c != null && c.answerSince > 0 && now - c.answerSince > ANSWER_MS) {
@@ -205,6 +213,7 @@
         Channel channel;
         Running running;
         double idleSince;
+        double sentAt;
         /** When the first byte of the answer came; 0 before it. */
         double answerSince;
 
@@ -215,6 +224,7 @@
         void send(Running r) {
             running = r;
             r.connection = this;
+            sentAt = clock.nowMs();
             ByteBuf bytes = HttpEncoder.forward(channel.alloc(), (HttpRequest) r.forward.message(),
                     r.forward.giveUpMs() - clock.nowMs());
             // The promise of the last byte, not its place in a queue, tells whether the request may run.
@@ -314,6 +324,12 @@
                 return;
             }
             running = null;
+            if (idleSince > 0 && answerSince == 0 && clock.nowMs() - sentAt < AT_ONCE_MS) {
+                // Guards requests that may not be repeated: servers and what lies between end idle connections
+                // sooner than they say, or say nothing. From now on only fresher ones are used, for a while.
+                counters.count(Counters.Kind.CONNECTIONS_STALE);
+                trustMs = Math.min(trustMs, (sentAt - idleSince) / 4);
+            }
             broken(r);
         }
 
--- a/src/test/java/brackenbridge/net/NodeTest.java
+++ b/src/test/java/brackenbridge/net/NodeTest.java
@@ -175,6 +175,27 @@
         assertEquals(1, server.connections.size());
     }
 
+    @Test
+    void afterOneStaleConnectionOthersAreNotTrustedForAWhile() throws Exception {
+        server.answers.add(OK);
+        send(file("a"));
+        assertTrue(answer().endsWith("done"));
+        assertNotNull(server.next());
+        settle();
+        clock.pass(400);
+        server.answers.add(FakeServer.HANG_UP);
+        send(file("b"));
+        assertTrue(answer().startsWith("HTTP/1.1 502 "));
+        for (int i = 0; i < 2; i++) {
+            server.answers.add(OK);
+            send(file("c"));
+            assertTrue(answer().endsWith("done"));
+            settle();
+            clock.pass(400);
+        }
+        assertEquals(3, server.connections.size(), "one that was stale, and a new one for each that came after");
+    }
+
     @Test
     void answerThatIsNotHttpFailsItsForwardOnly() throws Exception {
         server.answers.add("nonsense\r\n\r\n");
