--- a/src/main/java/brackenbridge/Balancer.java
+++ b/src/main/java/brackenbridge/Balancer.java
@@ -387,24 +387,18 @@
             }
         }
         Server first = null;
-        List<Server> passedOver = new ArrayList<>();
         for (int i = 0; i < 4 && !rotation.isEmpty(); i++) {
             Server s = rotation.poll();
-            if (!c.tried(s) && suits(now, c, s)) {
-                first = s;
-                break;
+            virtualTime = Math.max(virtualTime, s.pass);
+            s.pass += stride(now, s);
+            rotation.add(s);
+            if (allowed(now, c, s)) {
+                if (!c.tried(s) && suits(now, c, s)) {
+                    return s;
+                }
+                first = first == null ? s : first;
             }
-            first = first == null && allowed(now, c, s) ? s : first;
-            passedOver.add(s);
-        }
-        if (first != null) {
-            virtualTime = Math.max(virtualTime, first.pass);
-            first.pass += stride(now, first);
-            passedOver.remove(first);
-            rotation.add(first);
         }
-        // Those keep their turn: guards a server's other calls against the few that it may not get.
-        rotation.addAll(passedOver);
         if (first == null && c.mayHaveRun && allowed(now, c, c.ranAt) && usable(c.ranAt)) {
             return c.ranAt;
         }
