Two broken connections running are a strike, and strikes are forgotten only after several answers

Ruled out: memory (40.2 to 40.6 MB at all quarters on all nodes), descriptors (81 to 85), connects (0 failed).

--- a/src/main/java/brackenbridge/Balancer.java
+++ b/src/main/java/brackenbridge/Balancer.java
@@ -47,6 +47,10 @@
     private static final double MOSTLY = 0.6;
     /** Part of a class's outcomes that are errors, up to which each error is the server's own. */
     private static final double SELDOM = 0.2;
+    /** The same for connections that broke: more than one of late. */
+    private static final double OFTEN = 0.4;
+    /** Part of errors below which a server's strikes are forgotten. */
+    private static final double FORGIVEN = 0.1;
     private static final double GOLDEN = 0.6180339887498949;
 
     private final Settings settings;
@@ -169,6 +173,8 @@
             if (e.startedAt() > s.is.startedAt()) {
                 s.pace = 1;
                 s.latest = 0;
+                s.errors = 0;
+                s.strikes = 0;
                 comeBack(s);
             }
             s.is = e;
@@ -682,7 +688,8 @@
             s.pace += NEWEST * (latency / k.mean - s.pace);
             answered++;
             k.answers++;
-            s.strikes = 0;
+            // Guards against a server that fails some calls and serves others: it is out longer each time.
+            s.strikes = s.errors < FORGIVEN ? 0 : s.strikes;
             s.fails[k.index] = 0;
             if (s.out) {
                 comeBack(s);
@@ -693,10 +700,10 @@
         } else if (outcome == Outcome.FULL) {
             // Guards a jammed server against the calls of all who find it full, and these against each other.
             pause(now, s, SECOND / 10);
-        } else if (failed && s.errors > MOSTLY) {
+        } else if (failed && s.errors > (outcome == Outcome.RESET ? OFTEN : MOSTLY)) {
             // Guards against a server that fails at once: it is free at once and draws ever more calls. A
-            // connection that breaks is no more than an error: the process may well be up.
-            s.errors = 0;
+            // connection that breaks may be the network's fault, two in a row are the server's.
+            s.errors = NEWEST;
             strike(now, s);
         } else if (outcome == Outcome.TIMEOUT || outcome == Outcome.CONNECT_FAILED) {
             strike(now, s);
@@ -721,7 +728,6 @@
     }
 
     private void comeBack(Server s) {
-        s.strikes = 0;
         if (s.out) {
             s.out = false;
             ejected--;
--- a/src/test/java/brackenbridge/DesignTest.java
+++ b/src/test/java/brackenbridge/DesignTest.java
@@ -193,6 +193,28 @@
         assertTrue(others > 15, "the other class's calls there: " + others);
     }
 
+    @Test
+    void serverThatLosesHalfOfItsAnswersIsOutForLongerEachTime() {
+        Script s = new Script(settings(unsafe("file", 1))).servers(5);
+        int lost = 0;
+        int there = 0;
+        for (int i = 0; i < 1000; i++) {
+            s.ask(i, "file").pass(20 * MS);
+            boolean sick = s.target(i) == 3 && ++there % 2 == 0;
+            lost += sick ? 1 : 0;
+            s.answer(i, 0, sick ? Outcome.RESET : Outcome.OK, 20 * MS);
+        }
+        assertTrue(lost < 12, "lost of " + there + ": " + lost);
+    }
+
+    @Test
+    void oneBrokenConnectionTakesNoServerOut() {
+        Script s = new Script(settings(unsafe("file", 1))).servers(1);
+        s.ask(1, "file").answer(1, 0, Outcome.RESET, 20 * MS);
+        s.ask(2, "file");
+        assertEquals(1, s.target(2));
+    }
+
     @Test
     void serversThatLeaveWhileTheyAreOutDoNotCountAsOutForEver() {
         Script s = new Script(Script.settings(Script.unsafe("file", 1))).servers(4);
