--- a/src/main/java/brackenbridge/Balancer.java
+++ b/src/main/java/brackenbridge/Balancer.java
@@ -677,7 +677,7 @@
         if (outcome == Outcome.ERROR && ++s.fails[c.kind.index] > (c.kind.errors < SELDOM ? 0 : 1)) {
             // Guards a class that only some servers fail and that may not be repeated: the others still earn.
             // Where the whole fleet fails it, as in an overload, one error says nothing of the server.
-            long avoid = 2 * SECOND << Math.min(s.fails[c.kind.index] - 1, 2);
+            long avoid = SECOND << Math.min(s.fails[c.kind.index] - 1, 3);
             s.avoidedUntil[c.kind.index] = now + avoid / 2 + (long) (random.nextDouble() * avoid);
         }
         if (outcome == Outcome.OK) {
--- a/src/main/java/brackenbridge/net/Forwards.java
+++ b/src/main/java/brackenbridge/net/Forwards.java
@@ -249,9 +249,8 @@
         }
 
         /**
-         * Nothing that comes here can be trusted any more: the forward that is out has failed and may have run. It
-         * counts as an error of the server, not as a broken connection. Guards against taking a server that is up
-         * out of turns for each answer that gets spoilt.
+         * Nothing that comes here can be trusted any more: the forward that is out has failed and may have run. For
+         * the module it is as good as a broken connection, which says less of a server than its word of an error.
          */
         void spoilt(String why) {
             Running r = running;
@@ -259,9 +258,8 @@
             counters.count(Counters.Kind.ANSWERS_SPOILT);
             log.warn("answer of " + peer.host() + " spoilt: " + why);
             channel.close();
-            if (r != null && Forwards.this.running.remove(r.forward.flow(), r)) {
-                events.raise(new Event.ForwardAnswered(r.forward.flow(), r.forward.forward(), Reply.ERROR, null,
-                        null));
+            if (r != null) {
+                broken(r);
             }
         }
 
