A node without peers serves its connections for 3.1 s after SIGTERM instead of 2.1 s

Examined: clients use only connections that they have (new ones cease after 0.4 s), so each idle one that is open counts; they are kept 60 s now while there is room. At fault: Reducer.LONE_MS, LONE_LAST_MS; Listener.IDLE_MS.

--- a/src/main/java/brackenbridge/core/Reducer.java
+++ b/src/main/java/brackenbridge/core/Reducer.java
@@ -36,9 +36,9 @@
     /** A stopping node accepts connections for so long: the front needs a moment to notice. */
     static final double ACCEPT_MS = 500;
     /** A stopping node that has no peer to take over serves the connections that it has for so long. */
-    static final double LONE_MS = 2100;
+    static final double LONE_MS = 3100;
     /** And then lets its last requests finish for so long. */
-    static final double LONE_LAST_MS = 900;
+    static final double LONE_LAST_MS = 300;
     /** The platform waits no longer than this for a stopping node, however long the deadlines are. */
     static final double LONGEST_MS = 3000;
     /** A stopping node answers all that is open this long after the longest deadline, before it is killed. */
@@ -574,7 +574,7 @@
         } else {
             effects.add(new Effect.SayClose());
         }
-        // A node without peers is missed until it is back, and it comes back only once it has ended.
+        // What comes late in that time has little left of it: better some of it fails than all finds nobody.
         double limit = now + (settings.peers() == 1 ? serves + LONE_LAST_MS
                 : Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS);
         effects.add(new Effect.SetTimer(now + ACCEPT_MS, new TimerKey.StopAccepting()));
--- a/src/main/java/brackenbridge/net/Listener.java
+++ b/src/main/java/brackenbridge/net/Listener.java
@@ -41,7 +41,7 @@
     /** A request must be whole this long after its first byte, the first one after its connection came. */
     private static final double SLOW_MS = 2500;
     /** A connection without a request is kept for so long while there is room. */
-    private static final double IDLE_MS = 20_000;
+    private static final double IDLE_MS = 60_000;
     /** And for so long once clients hold half of what they may. */
     private static final double CROWDED_IDLE_MS = 3000;
     /** A client must take its answer within so long. */
--- a/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/src/test/java/brackenbridge/core/ReducerTest.java
@@ -205,7 +205,7 @@
 
     @Test
     void stoppingNodeWithoutPeersServesTheConnectionsItHas() {
-        Play p = new Play(4).tell(new Event.StopAsked()).pass(2000);
+        Play p = new Play(4).tell(new Event.StopAsked()).pass(3000);
         assertEquals(1, p.of(Effect.StopAccepting.class).size());
         assertEquals(0, p.of(Effect.SayClose.class).size());
         long f = p.open(Play.FILE, 5000);
