Answers up to 2 MB pass to clients; an answer must go on, not be whole, within 1 s

Now: ANSWER_LIMIT 2 MiB, 16 MiB for all unfinished answers together, 3 GB refused at its head; long answers are written to the client in pieces of 64 KiB. Requests keep 64 KiB.

--- a/src/main/java/brackenbridge/http/HttpEncoder.java
+++ b/src/main/java/brackenbridge/http/HttpEncoder.java
@@ -53,15 +53,24 @@
 
     /** An answer to a client. */
     public static ByteBuf answer(ByteBufAllocator alloc, int status, Headers fields, byte[] body, boolean close) {
+        return bytes(alloc, head(status, fields, body.length, close), body);
+    }
+
+    /** The head alone of an answer whose body follows in pieces. */
+    public static ByteBuf answerHead(ByteBufAllocator alloc, int status, Headers fields, int length, boolean close) {
+        return bytes(alloc, head(status, fields, length, close), new byte[0]);
+    }
+
+    private static String head(int status, Headers fields, int length, boolean close) {
         StringBuilder head = new StringBuilder(128);
         head.append("HTTP/1.1 ").append(status).append(' ').append(REASONS.getOrDefault(status, "Status"))
                 .append("\r\n");
         fields.each((name, value) -> field(head, name, value));
-        field(head, "Content-Length", Integer.toString(body.length));
+        field(head, "Content-Length", Integer.toString(length));
         if (close) {
             field(head, "Connection", "close");
         }
-        return bytes(alloc, head.append("\r\n").toString(), body);
+        return head.append("\r\n").toString();
     }
 
     private static void field(StringBuilder head, String name, String value) {
--- a/src/main/java/brackenbridge/http/MessageDecoder.java
+++ b/src/main/java/brackenbridge/http/MessageDecoder.java
@@ -9,8 +9,10 @@
  * are smuggled.
  */
 abstract class MessageDecoder {
-    /** Longest body that a message may have. */
+    /** Longest body that a request may have. */
     public static final int BODY_LIMIT = 64 * 1024;
+    /** Longest body of an answer: servers send several hundred kilobytes, whatever the protocol's page says. */
+    public static final int ANSWER_LIMIT = 2 * 1024 * 1024;
     static final int START_LIMIT = 8 * 1024;
     static final int HEAD_LIMIT = 16 * 1024;
     static final int FIELD_LIMIT = 100;
@@ -28,6 +30,7 @@
 
     private final StringBuilder line = new StringBuilder();
     private final Sink sink;
+    private final int bodyLimit;
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private Step step = Step.START;
     private boolean carriageReturn;
@@ -37,8 +40,9 @@
     private long left;
     private Headers headers = new Headers();
 
-    MessageDecoder(Sink sink) {
+    MessageDecoder(Sink sink, int bodyLimit) {
         this.sink = sink;
+        this.bodyLimit = bodyLimit;
     }
 
     /** Reads the start line; false if the line is to be passed over. */
@@ -79,12 +83,12 @@
             sink.take(in, n);
             return;
         }
-        if (body.size() + n > BODY_LIMIT) {
-            throw new HttpException(413, "body over " + BODY_LIMIT + " bytes");
+        if (body.size() + n > bodyLimit) {
+            throw new HttpException(413, "body over " + bodyLimit + " bytes");
         }
         if (body.size() == 0 && step == Step.FIXED) {
             // Guards memory against many large bodies at once: a buffer that doubles could hold twice as much.
-            body = new ByteArrayOutputStream((int) left);
+            body = new ByteArrayOutputStream((int) Math.min(left, BODY_LIMIT));
         }
         byte[] piece = new byte[n];
         in.readBytes(piece);
@@ -224,8 +228,8 @@
             throw new HttpException(400, "not a length");
         }
         long length = Long.parseLong(text);
-        if (length > BODY_LIMIT && sink == null) {
-            throw new HttpException(413, "body over " + BODY_LIMIT + " bytes");
+        if (length > bodyLimit && sink == null) {
+            throw new HttpException(413, "body over " + bodyLimit + " bytes");
         }
         return length;
     }
--- a/src/main/java/brackenbridge/http/RequestDecoder.java
+++ b/src/main/java/brackenbridge/http/RequestDecoder.java
@@ -9,7 +9,7 @@
 
     /** Ready for the first request. */
     public RequestDecoder() {
-        super(null);
+        super(null, BODY_LIMIT);
     }
 
     @Override
--- a/src/main/java/brackenbridge/http/ResponseDecoder.java
+++ b/src/main/java/brackenbridge/http/ResponseDecoder.java
@@ -12,13 +12,13 @@
 
     /** Keeps each body whole, up to the limit; a success must name its framing. */
     public ResponseDecoder() {
-        super(null);
+        super(null, ANSWER_LIMIT);
         toEnd = false;
     }
 
     /** Hands bodies on as they come, without a limit; one without framing ends with its connection. */
     public ResponseDecoder(Sink sink) {
-        super(sink);
+        super(sink, ANSWER_LIMIT);
         toEnd = true;
     }
 
--- a/src/main/java/brackenbridge/net/Forwards.java
+++ b/src/main/java/brackenbridge/net/Forwards.java
@@ -36,8 +36,10 @@
      * send behind its answer: it would be read as the answer to the next.
      */
     private static final long REST_MS = 5;
-    /** An answer must be whole this long after its first byte. */
+    /** An answer that has begun must go on within so long. */
     private static final double ANSWER_MS = 1000;
+    /** Bytes that all answers together may hold that are not whole yet. */
+    private static final int HELD_LIMIT = 16 * 1024 * 1024;
 
     /** A forward that its connection's end meets so soon has met a connection that was dead already. */
     private static final double AT_ONCE_MS = 50;
@@ -54,6 +56,7 @@
     private final double idleMs;
     /** Kept connections are believed alive when they have been idle for less than this. */
     private double trustMs;
+    private int held;
     private final Map<Peer, ArrayDeque<Connection>> idle = new HashMap<>();
     private final Map<Long, Running> running = new HashMap<>();
 
@@ -184,7 +187,7 @@
         for (Running r : List.copyOf(running.values())) {
             Connection c = r.connection;
             if (c != null && c.answerSince > 0 && now - c.answerSince > ANSWER_MS) {
-                c.spoilt("not whole in time");
+                c.spoilt("stopped half way");
             }
         }
         List<Connection> old = new ArrayList<>();
@@ -214,8 +217,10 @@
         Running running;
         double idleSince;
         double sentAt;
-        /** When the first byte of the answer came; 0 before it. */
+        /** When the latest bytes of the answer came; 0 before them. */
         double answerSince;
+        /** Its part of what all answers hold. */
+        int holds;
 
         Connection(Peer peer) {
             this.peer = peer;
@@ -253,6 +258,7 @@
          * the module it is as good as a broken connection, which says less of a server than its word of an error.
          */
         void spoilt(String why) {
+            hold(0);
             Running r = running;
             running = null;
             counters.count(Counters.Kind.ANSWERS_SPOILT);
@@ -272,10 +278,13 @@
                     channel.close();
                 } else if (decoder.decode(in)) {
                     answered(in.isReadable());
-                } else if (!decoder.begun()) {
-                    answerSince = 0;
-                } else if (answerSince == 0) {
-                    answerSince = clock.nowMs();
+                } else {
+                    answerSince = decoder.begun() ? clock.nowMs() : 0;
+                    hold(decoder.held());
+                    if (held > HELD_LIMIT) {
+                        // Guards memory against many long answers at once.
+                        spoilt("too much is held of answers");
+                    }
                 }
             } catch (HttpException e) {
                 spoilt(e.getMessage());
@@ -289,6 +298,7 @@
             HttpResponse response = decoder.take();
             running = null;
             answerSince = 0;
+            hold(0);
             Forwards.this.running.remove(r.forward.flow(), r);
             if (response.keepAlive() && !more) {
                 loop.schedule(this::keep, REST_MS, TimeUnit.MILLISECONDS);
@@ -300,6 +310,11 @@
                     reports ? LoadReport.parse(response.headers().get("X-Backend-Load")) : null));
         }
 
+        private void hold(int bytes) {
+            held += bytes - holds;
+            holds = bytes;
+        }
+
         private Reply reply(HttpResponse response) {
             boolean away = (response.status() == 503 || response.status() == 504)
                     && "1".equals(response.headers().get("X-Unprocessed"));
@@ -313,6 +328,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            hold(0);
             ArrayDeque<Connection> kept = idle.get(peer);
             if (kept != null) {
                 kept.remove(this);
--- a/src/main/java/brackenbridge/net/Listener.java
+++ b/src/main/java/brackenbridge/net/Listener.java
@@ -16,6 +16,7 @@
 import brackenbridge.http.HttpResponse;
 import brackenbridge.http.RequestDecoder;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -52,6 +53,8 @@
     private static final int LINGER_BYTES = 256 * 1024;
     /** Guards clients that have just come: their request may be on the way already. */
     private static final double YOUNG_MS = 100;
+    /** Long answers are written in pieces of so many bytes. */
+    private static final int PIECE = 64 * 1024;
     /** Bytes that may wait behind a request that is being served. */
     private static final int AHEAD = 16 * 1024;
     /** Bytes that all clients together may have here in requests that are not whole or not begun. */
@@ -427,8 +430,27 @@
             writing = true;
             since = clock.nowMs();
             boolean close = !keepAlive || sayClose;
-            channel.writeAndFlush(HttpEncoder.answer(channel.alloc(), status, fields, body, close))
-                    .addListener((ChannelFutureListener) f -> written(f.isSuccess(), close));
+            if (body.length <= PIECE) {
+                channel.writeAndFlush(HttpEncoder.answer(channel.alloc(), status, fields, body, close))
+                        .addListener((ChannelFutureListener) f -> written(f.isSuccess(), close));
+            } else {
+                channel.write(HttpEncoder.answerHead(channel.alloc(), status, fields, body.length, close));
+                writePiece(body, 0, close);
+            }
+        }
+
+        /** Guards memory against slow readers of long answers: a piece is copied once the one before it has left. */
+        private void writePiece(byte[] body, int from, boolean close) {
+            since = clock.nowMs();
+            int to = Math.min(body.length, from + PIECE);
+            channel.writeAndFlush(Unpooled.wrappedBuffer(body, from, to - from))
+                    .addListener((ChannelFutureListener) f -> {
+                        if (f.isSuccess() && to < body.length) {
+                            writePiece(body, to, close);
+                        } else {
+                            written(f.isSuccess(), close);
+                        }
+                    });
         }
 
         private void written(boolean success, boolean close) {
--- a/src/test/java/brackenbridge/net/NodeTest.java
+++ b/src/test/java/brackenbridge/net/NodeTest.java
@@ -325,6 +325,17 @@
         assertTrue(answer().endsWith("mine"));
     }
 
+    @Test
+    void longAnswerPassesWholeAndAnEndlessOneFailsAtOnce() throws Exception {
+        String body = "0123456789".repeat(40_000);
+        server.answers.add("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + body);
+        send(file("a"));
+        assertTrue(answer().endsWith("\r\n\r\n" + body));
+        server.answers.add("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + body);
+        send(file("b"));
+        assertTrue(answer().startsWith("HTTP/1.1 502 "));
+    }
+
     @Test
     void answerThatStopsHalfWayFailsSoon() throws Exception {
         send(file("a"));
