--- a/src/test/java/brackenbridge/net/NodeTest.java
+++ b/src/test/java/brackenbridge/net/NodeTest.java
@@ -313,6 +313,29 @@
         });
     }
 
+    @Test
+    void manyUnfinishedRequestsTogetherAreBounded() throws Exception {
+        Socket[] many = new Socket[90];
+        byte[] half = request("POST", "/file", "Content-Length: 65000\r\n", "x".repeat(60_000))
+                .getBytes(StandardCharsets.ISO_8859_1);
+        for (int i = 0; i < many.length; i++) {
+            many[i] = connect();
+            many[i].getOutputStream().write(half);
+        }
+        String counted = "";
+        for (int i = 0; i < 10_000 && !counted.matches("(?s).*clients_shed_for_memory [1-9].*"); i++) {
+            send("GET /health/counters HTTP/1.1\r\n\r\n");
+            counted = answer();
+        }
+        assertTrue(counted.matches("(?s).*clients_shed_for_memory [1-9].*"), counted);
+        server.answers.add(OK);
+        send(file("a"));
+        assertTrue(answer().endsWith("done"));
+        for (Socket s : many) {
+            s.close();
+        }
+    }
+
     @Test
     void bytesBehindAnAnswerAreNeverTheNextAnswer() throws Exception {
         server.answers.add(OK);
