Split the program into the modules core and node; nothing behaves differently

Moves only: core holds the decisions, the reducer, clock and counters; node all that touches sockets and files.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	PROXY_CONFIG="$(CONFIG)" sh -c "$$(sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
 
 check-config: build
-	java -jar target/brackenbridge.jar check-config --config "$(CONFIG)"
+	java -jar node/target/brackenbridge.jar check-config --config "$(CONFIG)"
 
 clean:
 	mvn -q -B clean
