The laboratory's model and simulation: servers, troubles, rules, compared policies, experiments

Need: nothing here could measure a change beyond ten servers or hold the decisions against others. The reducer takes any maker of decisions; a running node always has the module's.

--- a/core/src/main/java/brackenbridge/core/HostIds.java
+++ b/core/src/main/java/brackenbridge/core/HostIds.java
@@ -8,10 +8,18 @@
  * Maps a host's name to the number by which the module knows it: a hash of the name alone, so that every
  * node, and the same node after a restart, has the same number for it.
  */
-final class HostIds {
+public final class HostIds {
     private final Map<String, Long> ids = new HashMap<>();
     private final Map<Long, String> hosts = new HashMap<>();
 
+    HostIds() {
+    }
+
+    /** The number of a name that shares its hash with no other. */
+    public static long numberOf(String host) {
+        return hash(host);
+    }
+
     long of(String host) {
         Long known = ids.get(host);
         if (known != null) {
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -1,6 +1,7 @@
 package brackenbridge.core;
 
 import brackenbridge.Balancer;
+import brackenbridge.BalancerApi;
 import brackenbridge.BalancerApi.Actions;
 import brackenbridge.BalancerApi.Endpoint;
 import brackenbridge.BalancerApi.EndpointState;
@@ -20,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiFunction;
 
 /**
  * Owns all state of a node: an event goes in, the effects it calls for come out. It tells the module of each
@@ -86,7 +88,7 @@
     private final Settings settings;
     private final Counters counters;
     private final Map<String, RequestClass> classes = new HashMap<>();
-    private final Balancer balancer;
+    private final BalancerApi balancer;
     private final HostIds ids = new HostIds();
     private final Map<Long, Target> targets = new HashMap<>();
     private final Map<String, Double> noSendAfter = new HashMap<>();
@@ -111,10 +113,18 @@
 
     /** Starts a node; the module draws its random numbers from the settings' seed. */
     public Reducer(Settings settings, Counters counters) {
+        this(settings, counters, Balancer::new);
+    }
+
+    /**
+     * Starts a node whose decisions another maker makes, so that a laboratory can hold others against the module's
+     * under the same promises; a running node always has the module's.
+     */
+    public Reducer(Settings settings, Counters counters, BiFunction<Settings, Actions, BalancerApi> decisions) {
         this.settings = settings;
         this.counters = counters;
         settings.classes().forEach(c -> classes.put(c.name(), c));
-        this.balancer = new Balancer(settings, new Acts());
+        this.balancer = decisions.apply(settings, new Acts());
     }
 
     /** Takes an event in; the effects are to be run in order. */
--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The laboratory's command line. */
+package brackenbridge.lab.cli;
--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/world/Experiment.java
@@ -0,0 +1,85 @@
+package brackenbridge.lab.world;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * An experiment: a world, and what is varied and compared in it.
+ *
+ * @param name its name
+ * @param about one line on what it shows
+ * @param world the world
+ * @param policies what decides; {@code module} is the project's own
+ * @param sizes servers of the first tier, each a size of its own; empty for the world's own
+ * @param serversPerNode servers of the first tier for each of its nodes, where sizes vary
+ * @param loads parts of capacity; empty for the world's own
+ * @param seeds the seeds
+ * @param jars node jars that live runs compare; empty for the one that was built
+ */
+public record Experiment(String name, String about, World world, List<String> policies, List<Integer> sizes,
+        double serversPerNode, List<Double> loads, List<Long> seeds, List<String> jars) {
+
+    /**
+     * One run of it.
+     *
+     * @param number its place among all runs
+     * @param policy what decides
+     * @param servers servers of the first tier
+     * @param load the part of capacity, or the rate a second if that is told
+     * @param seed its seed
+     * @param world the world that it runs in
+     */
+    public record Run(int number, String policy, int servers, double load, long seed, World world) {
+    }
+
+    /** Keeps its own copies. */
+    public Experiment {
+        policies = List.copyOf(policies);
+        sizes = List.copyOf(sizes);
+        loads = List.copyOf(loads);
+        seeds = List.copyOf(seeds);
+        jars = List.copyOf(jars);
+    }
+
+    /** All runs, in the order in which their results are written. */
+    public List<Run> runs() {
+        List<Run> runs = new ArrayList<>();
+        List<Integer> allSizes = sizes.isEmpty() ? List.of(0) : sizes;
+        List<Double> allLoads = loads.isEmpty() ? List.of(0.0) : loads;
+        for (int size : allSizes) {
+            World sized = size == 0 ? world : sized(size);
+            for (double load : allLoads) {
+                World loaded = load == 0 ? sized : sized.at(sized.load().at(load));
+                double told = loaded.load().perSecond() > 0 ? loaded.load().perSecond() : loaded.load().ofCapacity();
+                for (String policy : policies) {
+                    for (long seed : seeds) {
+                        runs.add(new Run(runs.size(), policy, loaded.tiers().get(0).servers(), told, seed, loaded));
+                    }
+                }
+            }
+        }
+        return runs;
+    }
+
+    /** The world with so many servers in its first tier, the others and all nodes in proportion. */
+    private World sized(int servers) {
+        List<World.TierSpec> tiers = new ArrayList<>();
+        int before = world.tiers().get(0).servers();
+        for (World.TierSpec t : world.tiers()) {
+            int scaled = Math.max(1, (int) Math.round((double) t.servers() * servers / before));
+            int nodes = t.nodes() == 0 ? 0 : Math.max(1, (int) Math.round(scaled / serversPerNode));
+            tiers.add(t.sized(scaled, nodes));
+        }
+        return world.sized(tiers);
+    }
+
+    /** The same with one seed. */
+    public Experiment withSeed(long seed) {
+        return new Experiment(name, about, world, policies, sizes, serversPerNode, loads, List.of(seed), jars);
+    }
+
+    /** The same with other policies. */
+    public Experiment withPolicies(List<String> others) {
+        return new Experiment(name, about, world, others, sizes, serversPerNode, loads, seeds, jars);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/world/package-info.java
@@ -0,0 +1,2 @@
+/** What an experiment's file says: servers, nodes, classes, load, troubles, and what is compared. */
+package brackenbridge.lab.world;
--- /dev/null
+++ b/lab/src/test/java/brackenbridge/lab/sim/SimulationTest.java
@@ -0,0 +1,168 @@
+package brackenbridge.lab.sim;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.lab.experiment.Results;
+import brackenbridge.lab.experiment.SimRunner;
+import brackenbridge.lab.policy.Policies;
+import brackenbridge.lab.rules.Ledger;
+import brackenbridge.lab.stats.Scoreboard.End;
+import brackenbridge.lab.world.Experiment;
+import brackenbridge.lab.world.ExperimentFile;
+import brackenbridge.lab.world.FileFault;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SimulationTest {
+    private static final String WORLD = """
+            name = "small"
+            length = "12s"
+            [[class]]
+            name = "view"
+            aim = "1s"
+            deadline = "3s"
+            [[class]]
+            name = "sign"
+            aim = "1s"
+            deadline = "3s"
+            unsafe = true
+            worth = 5
+            [[tier]]
+            name = "front"
+            servers = 6
+            nodes = 2
+            cores = 2
+            slots = 12
+            room = 4
+            cold_from = 0.4
+            cold = "3s"
+            fall = "2s"
+            work_mean = "20ms"
+            calls_most = 2
+            calls_least = 1
+            [[tier]]
+            name = "core"
+            servers = 3
+            cores = 4
+            work_mean = "10ms"
+            [load]
+            of_capacity = 0.4
+            """;
+
+    private static Experiment experiment(String more) throws FileFault {
+        return ExperimentFile.parse("test.toml", WORLD + more, Path.of("."), Policies.names());
+    }
+
+    private static Simulation.Result play(String more, String policy) throws FileFault {
+        Experiment.Run run = experiment(more).runs().get(0);
+        return new Simulation(run.world(), run.seed(), Policies.of(policy)).run();
+    }
+
+    private static String trouble(String kind, String more) {
+        return "[[trouble]]\nkind = \"" + kind + "\"\nat = \"3s\"\nfor = \"5s\"\n" + more + "\n";
+    }
+
+    private static void rulesHold(Simulation.Result r) {
+        assertEquals(0, r.ledger().broken(), () -> r.ledger().breaches().get(0).text());
+        assertTrue(r.ledger().checked() > 2000, "requests checked: " + r.ledger().checked());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"module", "random", "round_robin", "least_of_two", "least_connections", "peak_ewma",
+        "prequal", "oracle"})
+    void calmDaysServeNearlyAllUnderEveryPolicy(String policy) throws FileFault {
+        Simulation.Result r = play("", policy);
+        rulesHold(r);
+        assertTrue(r.board().servedPart() > 0.97, policy + " served " + r.board().servedPart());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"slow", "hang", "neighbour", "drain", "leave", "crash", "replace", "cut_off", "reset",
+        "stale", "spoilt", "discovery_late", "discovery_silent", "discovery_moved", "discovery_overloaded",
+        "node_killed", "node_restarted", "burst"})
+    void theRulesHoldInEachTrouble(String kind) throws FileFault {
+        Simulation.Result r = play(trouble(kind, ""), "module");
+        rulesHold(r);
+        assertTrue(r.board().servedPart() > 0.6, kind + " served " + r.board().servedPart());
+    }
+
+    @Test
+    void aFailingClassIsLostWhereItFailsAndNotElsewhere() throws FileFault {
+        Simulation.Result none = play("", "random");
+        Simulation.Result r = play(trouble("class_fails", "class = \"sign\"\ncount = 3"), "random");
+        rulesHold(r);
+        assertTrue(r.board().count(End.FAILED) > none.board().count(End.FAILED) + 20, "failed "
+                + r.board().count(End.FAILED));
+    }
+
+    @Test
+    void aWorldWithoutServersRefusesAllAtOnce() throws FileFault {
+        Simulation.Result r = play(trouble("leave", "count = 6").replace("3s", "0s"), "module");
+        assertEquals(0, r.ledger().broken(), () -> r.ledger().breaches().get(0).text());
+        Experiment none = ExperimentFile.parse("none.toml", WORLD.replace("servers = 6", "servers = 0")
+                .replace("of_capacity = 0.4", "per_second = 50"), Path.of("."), Policies.names());
+        Experiment.Run run = none.runs().get(0);
+        Simulation.Result empty = new Simulation(run.world(), 1, Policies.of("module")).run();
+        assertEquals(0, empty.ledger().broken(), () -> empty.ledger().breaches().get(0).text());
+        assertEquals(0, empty.board().count(End.IN_AIM));
+        assertEquals(0, empty.board().count(End.UNANSWERED));
+        assertTrue(empty.board().count(End.REFUSED) > 300);
+    }
+
+    @Test
+    void whatArrivesIsTheSameWhateverDecides() throws FileFault {
+        assertEquals(play("", "module").board().first(), play("", "random").board().first());
+    }
+
+    @Test
+    void resultsAreEqualByteForByteWhateverTheThreads(@TempDir Path folder) throws FileFault, IOException {
+        Experiment e = experiment(trouble("crash", "") + trouble("node_killed", "")
+                + "[compare]\npolicies = [\"module\", \"peak_ewma\"]\nseeds = [1, 2]\nloads = [0.3, 1.2]\n");
+        SimRunner.play(e, folder.resolve("one"), 1, false);
+        SimRunner.play(e, folder.resolve("many"), 5, false);
+        for (String file : List.of(Results.LINES, "latency.hlog")) {
+            assertArrayEquals(Files.readAllBytes(folder.resolve("one").resolve(file)),
+                    Files.readAllBytes(folder.resolve("many").resolve(file)), file);
+        }
+        assertEquals(8, Results.read(folder.resolve("one")).size());
+        // What was cut off in the middle of a line is readable up to there.
+        String whole = Files.readString(folder.resolve("one").resolve(Results.LINES));
+        Files.writeString(folder.resolve("one").resolve(Results.LINES), whole.substring(0, whole.length() - 100));
+        assertEquals(7, Results.read(folder.resolve("one")).size());
+    }
+
+    @Test
+    void aBrokenRuleIsTold() {
+        Ledger ledger = new Ledger(50, 500);
+        Ledger.Entry e = ledger.taken(0, "r1", "sign", "n", true, 1000);
+        Ledger.Attempt a = e.arrived(1, "s1", 0, true);
+        a.ended(5, "error");
+        e.arrived(6, "s2", 1, true);
+        e.answered(7, Ledger.Answer.REFUSED);
+        e.answered(8, Ledger.Answer.SERVED);
+        assertEquals(2, ledger.broken(Ledger.Rule.DUPLICATE), "sent again, and refused");
+        assertEquals(1, ledger.broken(Ledger.Rule.LOST), "a second answer");
+        assertEquals(0, ledger.broken(Ledger.Rule.TWO_AT_ONCE));
+        Ledger.Entry f = ledger.taken(0, "r2", "sign", "n", true, 1000);
+        f.arrived(1, "s1", 0, true).turnedAway(2);
+        f.arrived(3, "s2", 1, true);
+        f.arrived(4, "s3", 2, true);
+        assertEquals(1, ledger.broken(Ledger.Rule.TWO_AT_ONCE));
+        ledger.told(10, "n", "s9", false);
+        ledger.sent(400, "n", "s9", f);
+        assertEquals(0, ledger.broken(Ledger.Rule.DRAIN));
+        ledger.sent(511, "n", "s9", f);
+        assertEquals(1, ledger.broken(Ledger.Rule.DRAIN));
+        f.close(2000);
+        assertEquals(2, ledger.broken(Ledger.Rule.LOST));
+        assertTrue(ledger.breaches().get(0).text().contains("s1: error"), ledger.breaches().get(0).text());
+    }
+}
--- a/node/src/main/java/brackenbridge/cli/Main.java
+++ b/node/src/main/java/brackenbridge/cli/Main.java
@@ -11,6 +11,8 @@
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.ServiceLoader;
 import java.util.concurrent.TimeUnit;
 
 /** The command line. */
@@ -51,6 +53,10 @@
             serve(System.getenv("PROXY_CONFIG"));
             return;
         }
+        Extension extension = args.length == 0 ? null : extension(args[0]);
+        if (extension != null) {
+            System.exit(extension.run(Arrays.copyOfRange(args, 1, args.length)));
+        }
         Serve serve = new Serve();
         Check check = new Check();
         JCommander line = JCommander.newBuilder().programName("brackenbridge").addCommand("serve", serve)
@@ -80,6 +86,15 @@
         }
     }
 
+    private static Extension extension(String name) {
+        for (Extension e : ServiceLoader.load(Extension.class)) {
+            if (e.name().equals(name)) {
+                return e;
+            }
+        }
+        return null;
+    }
+
     private static Config config(String file) {
         if (file == null) {
             fail("no configuration: give --config FILE or set PROXY_CONFIG");
