--- a/lab/src/test/java/brackenbridge/lab/model/ServerModelTest.java
+++ b/lab/src/test/java/brackenbridge/lab/model/ServerModelTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brackenbridge.lab.model.ServerModel.Verdict;
 import brackenbridge.lab.random.Streams;
 import brackenbridge.lab.sim.EventQueue;
 import java.util.ArrayList;
