--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run; CONFIG names the configuration for 'make run'.
 CONFIG ?= $(PROXY_CONFIG)
 
-.PHONY: build test lint run check-config clean
+.PHONY: build test lint run check-config demo bench clean
 
 build:
 	mvn -q -B -DskipTests package
@@ -18,5 +18,13 @@
 check-config: build
 	java -jar node/target/brackenbridge.jar check-config --config "$(CONFIG)"
 
+# The node at work on loopback: builds what is needed, then shows two tiers with a hang and a drain in them.
+demo: build
+	bin/brackenbridge lab demo
+
+# The hot paths of decisions and decoders, by JMH.
+bench: build
+	bin/brackenbridge lab bench
+
 clean:
 	mvn -q -B clean
--- a/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
@@ -1,8 +1,11 @@
 package brackenbridge.lab.cli;
 
 import brackenbridge.cli.Extension;
+import brackenbridge.lab.experiment.Results;
 import brackenbridge.lab.experiment.SimRunner;
 import brackenbridge.lab.experiment.Theory;
+import brackenbridge.lab.live.LiveRunner;
+import brackenbridge.lab.live.LoadRunner;
 import brackenbridge.lab.policy.Policies;
 import brackenbridge.lab.random.Distribution;
 import brackenbridge.lab.report.Compare;
@@ -16,9 +19,14 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 
@@ -43,6 +51,62 @@
         private String policy;
     }
 
+    @Parameters(commandDescription = "Show the node at work: two tiers, 2 nodes, 10 servers on loopback")
+    private static final class Demo {
+        @Parameter(names = "--seconds", description = "How long requests arrive")
+        private int seconds = 20;
+        @Parameter(names = "--out", description = "The folder of results")
+        private String out = "target/demo";
+        @Parameter(names = "--seed", description = "The seed")
+        private long seed = 1;
+    }
+
+    @Parameters(commandDescription = "Play an experiment on real sockets with real nodes, the module alone deciding")
+    private static final class Live {
+        @Parameter(description = "EXPERIMENT.toml", required = true)
+        private String file;
+        @Parameter(names = "--out", description = "The folder of results", required = true)
+        private String out;
+        @Parameter(names = "--seed", description = "This seed alone, instead of the file's")
+        private Long seed;
+    }
+
+    @Parameters(commandDescription = "Run only the stand-ins of a world, with a configuration for a node")
+    private static final class Servers {
+        @Parameter(description = "WORLD.toml", required = true)
+        private String file;
+        @Parameter(names = "--out", description = "The folder of the nodes' configurations")
+        private String out = "target/servers";
+        @Parameter(names = "--seconds", description = "How long; until interrupted by default")
+        private double seconds = Double.POSITIVE_INFINITY;
+        @Parameter(names = "--seed", description = "The seed")
+        private long seed = 1;
+    }
+
+    @Parameters(commandDescription = "Send load to an address of loopback")
+    private static final class Load {
+        @Parameter(names = "--target", description = "HOST:PORT", required = true)
+        private String target;
+        @Parameter(names = "--rate", description = "First tries a second", required = true)
+        private double rate;
+        @Parameter(names = "--seconds", description = "How long requests arrive", required = true)
+        private double seconds;
+        @Parameter(names = "--warmup", description = "Seconds before these, at a rising rate, that no figure counts")
+        private double warmup = 3;
+        @Parameter(names = "--out", description = "The folder of results", required = true)
+        private String out;
+        @Parameter(names = "--like", description = "An experiment's file, for classes, tenants, habits and shape")
+        private String like;
+        @Parameter(names = "--class", description = "The class of all requests, where no file names any")
+        private String className = "call";
+        @Parameter(names = "--connections", description = "The most connections at once")
+        private int connections = 4000;
+        @Parameter(names = "--any-body", description = "The servers are not the laboratory's: take any body")
+        private boolean anyBody;
+        @Parameter(names = "--seed", description = "The seed")
+        private long seed = 1;
+    }
+
     @Parameters(commandDescription = "Write a folder's report.html")
     private static final class Report {
         @Parameter(description = "DIR", required = true)
@@ -71,11 +135,17 @@
     @Override
     public int run(String[] args) {
         Sim sim = new Sim();
+        Demo demo = new Demo();
+        Live live = new Live();
+        Servers servers = new Servers();
+        Load load = new Load();
         Report report = new Report();
         Comparison comparison = new Comparison();
         Check check = new Check();
-        JCommander line = JCommander.newBuilder().programName("brackenbridge lab").addCommand("sim", sim)
-                .addCommand("report", report).addCommand("compare", comparison).addCommand("theory", check).build();
+        JCommander line = JCommander.newBuilder().programName("brackenbridge lab").addCommand("demo", demo)
+                .addCommand("sim", sim).addCommand("live", live).addCommand("servers", servers)
+                .addCommand("load", load).addCommand("report", report).addCommand("compare", comparison)
+                .addCommand("theory", check).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -87,7 +157,11 @@
         }
         try {
             return switch (line.getParsedCommand()) {
+                case "demo" -> demo(demo);
                 case "sim" -> sim(sim);
+                case "live" -> live(live);
+                case "servers" -> servers(servers);
+                case "load" -> load(load);
                 case "report" -> {
                     System.out.println("wrote " + HtmlReport.write(Path.of(report.folder)));
                     yield 0;
@@ -109,7 +183,118 @@
             return usage(e.getMessage());
         } catch (IOException | UncheckedIOException e) {
             return usage(String.valueOf(e.getMessage()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return BROKEN;
+        }
+    }
+
+    private static int demo(Demo o) throws FileFault, IOException, InterruptedException {
+        String text;
+        try (InputStream in = LabCommand.class.getResourceAsStream("/brackenbridge/lab/demo.toml")) {
+            text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+        if (o.seconds < 3) {
+            return usage("--seconds: a demo takes 3 at least");
+        }
+        Experiment e = ExperimentFile.parse("demo.toml", text, Path.of("."), Policies.names());
+        // A shorter or longer demo has its troubles at the same places.
+        String fitted = text.replace("length = \"20s\"", "length = \"" + o.seconds + "s\"");
+        for (int at : new int[] {5, 6, 8, 9}) {
+            fitted = fitted.replace("= \"" + at + "s\"", String.format(Locale.ROOT, "= \"%.2fs\"",
+                    at * o.seconds / e.world().seconds()));
+        }
+        e = ExperimentFile.parse("demo.toml", fitted, Path.of("."), Policies.names());
+        return live(e.withSeed(o.seed), fitted, Path.of(o.out));
+    }
+
+    private static int live(Live o) throws FileFault, IOException, InterruptedException {
+        Path file = Path.of(o.file);
+        Experiment e = ExperimentFile.read(file, Policies.names());
+        return live(o.seed == null ? e : e.withSeed(o.seed), Files.readString(file), Path.of(o.out));
+    }
+
+    private static int live(Experiment all, String toml, Path out) throws IOException, InterruptedException {
+        Deployment deployment = Deployment.read();
+        List<String> jars = all.jars().isEmpty() ? List.of("") : all.jars();
+        // Real nodes decide by the module alone; what may differ is the jar.
+        Experiment e = all.withPolicies(all.jars().isEmpty() ? List.of(Policies.MODULE) : all.jars());
+        long broken = 0;
+        List<Ledger.Breach> breaches = new ArrayList<>();
+        try (Results results = new Results(out)) {
+            results.keep("experiment.toml", toml);
+            for (Experiment.Run run : e.runs()) {
+                String jar = jars.contains(run.policy()) ? run.policy() : "";
+                LiveRunner.Outcome r = LiveRunner.play(e, run, deployment.home(), jar.isEmpty() ? deployment.run()
+                        : deployment.runWith(jar), out.resolve("run-" + run.number()), results);
+                broken += r.ledger().broken();
+                breaches.addAll(r.ledger().breaches());
+                overrun(r);
+            }
+        }
+        System.out.print(Tables.outcomes(out));
+        System.out.print(Tables.ends(out));
+        System.out.println("report: " + HtmlReport.write(out));
+        return rules(broken, breaches);
+    }
+
+    private static void overrun(LiveRunner.Outcome r) {
+        if (r.overrun()) {
+            System.out.printf(Locale.ROOT, "MARKED: more was due than the load tool could send: %d of %d first tries "
+                    + "went out over 10 ms late%n", r.late(), r.sent());
+        }
+    }
+
+    private static int servers(Servers o) throws FileFault, IOException, InterruptedException {
+        Experiment e = ExperimentFile.read(Path.of(o.file), Policies.names());
+        Deployment deployment = Deployment.read();
+        try (brackenbridge.lab.live.Servers s = new brackenbridge.lab.live.Servers(e.world(), o.seed,
+                Path.of(o.out))) {
+            System.out.println("servers: " + String.join(" ", s.dials()));
+            for (int i = 0; i < s.configs().size(); i++) {
+                System.out.println("node at " + s.addresses().get(i).getHostString() + ":"
+                        + s.addresses().get(i).getPort() + ": PROXY_CONFIG=" + s.configs().get(i).toAbsolutePath()
+                        + " sh -c '" + deployment.run() + "'");
+            }
+            System.out.println("running; interrupt to end");
+            if (Double.isInfinite(o.seconds)) {
+                Thread.currentThread().join();
+            }
+            Thread.sleep((long) (o.seconds * 1000));
+        }
+        return 0;
+    }
+
+    private static int load(Load o) throws FileFault, IOException, InterruptedException {
+        int colon = o.target.lastIndexOf(':');
+        InetAddress host = colon < 1 ? null : literal(o.target.substring(0, colon));
+        if (host == null || !host.isLoopbackAddress() || !o.target.substring(colon + 1).matches("[0-9]{1,5}")) {
+            return usage("--target: '" + o.target + "' is not an address and port of loopback");
+        }
+        if (!(o.rate > 0 && o.rate <= 1e6 && o.seconds > 0 && o.seconds <= 86_400 && o.warmup >= 0 && o.warmup <= 600)) {
+            return usage("--rate must be within 0 to 1000000, --seconds within 0 to 86400, --warmup within 0 to 600");
         }
+        String world = o.like != null ? Files.readString(Path.of(o.like))
+                : "name = \"load\"\nlength = 1000\n[[class]]\nname = \"" + o.className + "\"\naim = \"1s\"\ndeadline = \"4s\"\n[[tier]]\nservers = 1\n"
+                + "work_mean = 1\n[load]\nper_second = 1\n";
+        Experiment e = ExperimentFile.parse(o.like == null ? "load" : o.like, world, Path.of("."), Policies.names())
+                .withSeed(o.seed).withLoad(o.rate, o.seconds, o.warmup);
+        Path out = Path.of(o.out);
+        LiveRunner.Outcome r;
+        try (Results results = new Results(out)) {
+            r = LoadRunner.play(e, e.runs().get(0), new InetSocketAddress(host,
+                    Integer.parseInt(o.target.substring(colon + 1))), o.connections, !o.anyBody, results);
+        }
+        System.out.print(Tables.outcomes(out));
+        System.out.print(Tables.ends(out));
+        overrun(r);
+        System.out.println("report: " + HtmlReport.write(out));
+        return rules(r.ledger().broken(), r.ledger().breaches());
+    }
+
+    /** An address that is written as one; names are not looked up. */
+    private static InetAddress literal(String text) throws IOException {
+        return text.matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]") ? InetAddress.getByName(text) : null;
     }
 
     private static int theory(Check o) {
--- a/lab/src/main/java/brackenbridge/lab/cli/Tables.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/Tables.java
@@ -33,6 +33,35 @@
         return s.toString();
     }
 
+    /** What became of first tries, by class, over all runs. */
+    static String ends(Path folder) throws IOException {
+        Map<String, long[]> counts = new LinkedHashMap<>();
+        List<String> names = new ArrayList<>();
+        for (JsonObject line : Results.read(folder)) {
+            for (JsonObject.Member m : line.get("figures").asObject().get("classes").asObject()) {
+                JsonObject ends = m.getValue().asObject().get("ends").asObject();
+                if (names.isEmpty()) {
+                    names.addAll(ends.names());
+                }
+                long[] of = counts.computeIfAbsent(m.getName(), k -> new long[names.size()]);
+                for (int i = 0; i < of.length; i++) {
+                    of[i] += ends.getLong(names.get(i), 0);
+                }
+            }
+        }
+        StringBuilder s = new StringBuilder(String.format(Locale.ROOT, "%n%-18s", "class"));
+        names.forEach(n -> s.append(String.format(Locale.ROOT, "%12s", n)));
+        s.append('\n');
+        counts.forEach((name, of) -> {
+            s.append(String.format(Locale.ROOT, "%-18s", name));
+            for (long n : of) {
+                s.append(String.format(Locale.ROOT, "%12d", n));
+            }
+            s.append('\n');
+        });
+        return s.append('\n').toString();
+    }
+
     private static double mean(List<JsonObject> runs, String name) {
         return runs.stream().mapToDouble(r -> r.getDouble(name, 0)).average().orElse(0);
     }
--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/live/Registry.java
@@ -0,0 +1,65 @@
+package brackenbridge.lab.live;
+
+import brackenbridge.lab.rules.Ledger;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+/** The requests that are under way or were of late, by their ids; servers find here what they are sent. */
+final class Registry {
+    /** An id is forgotten so long after its deadline. */
+    private static final double KEPT_MS = 5000;
+
+    /** A request and its last attempt. */
+    static final class Known {
+        final Ledger.Entry entry;
+        final double deadlineMs;
+        Ledger.Attempt last;
+        int attempts;
+
+        Known(Ledger.Entry entry, double deadlineMs) {
+            this.entry = entry;
+            this.deadlineMs = deadlineMs;
+        }
+    }
+
+    private record Old(String id, double untilMs) {
+    }
+
+    private final Map<String, Known> known = new HashMap<>();
+    private final ArrayDeque<Old> old = new ArrayDeque<>();
+    private Function<String, Known> unknown;
+
+    Known add(String id, Ledger.Entry entry, double nowMs, double deadlineMs) {
+        while (!old.isEmpty() && old.peek().untilMs() < nowMs) {
+            known.remove(old.poll().id());
+        }
+        Known k = new Known(entry, deadlineMs);
+        known.put(id, k);
+        old.add(new Old(id, deadlineMs + KEPT_MS));
+        return k;
+    }
+
+    /** Ids that nobody has added are taken as they come: clients of another process send them. */
+    void open(Function<String, Known> unknown) {
+        this.unknown = unknown;
+    }
+
+    Known of(String id) {
+        if (id == null) {
+            return null;
+        }
+        Known k = known.get(id);
+        return k == null && unknown != null ? unknown.apply(id) : k;
+    }
+
+    /** All that one node has taken and not answered: it has died. */
+    void nodeDied(String node, double nowMs) {
+        for (Known k : known.values()) {
+            if (k.entry.node().equals(node) && !k.entry.isAnswered()) {
+                k.entry.nodeDied(nowMs);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInDiscovery.java
@@ -0,0 +1,222 @@
+package brackenbridge.lab.live;
+
+import brackenbridge.BalancerApi.EndpointState;
+import brackenbridge.core.Target;
+import brackenbridge.core.TargetGroup;
+import brackenbridge.http.Headers;
+import brackenbridge.http.HttpRequest;
+import brackenbridge.lab.rules.Ledger;
+import brackenbridge.lab.trouble.Stage;
+import brackenbridge.lab.world.ServiceList;
+import brackenbridge.lab.world.World;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/**
+ * Discovery of one tier on real sockets: the whole list, and watches that last. Each node has an address of its own
+ * here, so that what it was told, and when, is known.
+ */
+final class StandInDiscovery implements Stage.Discovery {
+    private static final double BEAT_MS = 2000;
+    private static final double MOVED_MS = 1500;
+    /** A call that would wait longer than this in the queue fails. */
+    private static final double LONGEST_WAIT_MS = 1000;
+
+    private final class Call extends Wire.Serving {
+        private final String node;
+        private boolean watching;
+        private boolean over;
+        private long told;
+
+        Call(String node) {
+            this.node = node;
+        }
+
+        @Override
+        void request(HttpRequest r) {
+            if (down) {
+                reset();
+                return;
+            }
+            if (!r.firstPart().equals("registry")) {
+                answer(404, new Headers(), new byte[0]);
+                return;
+            }
+            if (!r.target().contains("watch=1")) {
+                fetch();
+                return;
+            }
+            int after = r.target().indexOf("after=");
+            long version = after < 0 ? -1 : Long.parseLong(r.target().substring(after + 6).replaceAll("[^-0-9].*", ""));
+            write(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    StandardCharsets.ISO_8859_1), false);
+            watching = true;
+            watches.add(this);
+            TargetGroup since = list.since(version);
+            told = list.seq();
+            line(since);
+            beat();
+        }
+
+        private void fetch() {
+            double now = scheduler.nowMs();
+            double starts = Math.max(now, busyUntilMs);
+            busyUntilMs = starts + callMs;
+            if (busyUntilMs - now > LONGEST_WAIT_MS) {
+                scheduler.at(now + LONGEST_WAIT_MS, () -> answer(503, new Headers(), new byte[0]));
+                return;
+            }
+            scheduler.at(busyUntilMs, () -> {
+                if (down) {
+                    reset();
+                    return;
+                }
+                TargetGroup whole = list.whole();
+                answer(200, new Headers(), SettingsJson.group(whole).toString().getBytes(StandardCharsets.UTF_8));
+                tell(whole);
+            });
+        }
+
+        private void tell(TargetGroup g) {
+            for (Target t : g.targets()) {
+                ledger.told(scheduler.nowMs(), node, t.host(), t.state() == EndpointState.UP);
+            }
+        }
+
+        private void line(TargetGroup g) {
+            chunk(SettingsJson.group(g) + "\n");
+            tell(g);
+        }
+
+        private void chunk(String text) {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            write(Unpooled.copiedBuffer(Unpooled.copiedBuffer(Integer.toHexString(bytes.length) + "\r\n",
+                    StandardCharsets.ISO_8859_1), Unpooled.wrappedBuffer(bytes), Unpooled.copiedBuffer("\r\n",
+                    StandardCharsets.ISO_8859_1)), false);
+        }
+
+        private void beat() {
+            scheduler.at(scheduler.nowMs() + BEAT_MS, () -> {
+                if (!over) {
+                    chunk("\n");
+                    beat();
+                }
+            });
+        }
+
+        void changed() {
+            if (!over && told < list.seq()) {
+                TargetGroup since = list.since(told);
+                told = list.seq();
+                line(since);
+            }
+        }
+
+        @Override
+        void ended() {
+            over = true;
+            if (watching) {
+                watches.remove(this);
+            }
+        }
+    }
+
+    private final EventLoop loop;
+    private final LoopScheduler scheduler;
+    private final World.DiscoverySpec spec;
+    private final Ledger ledger;
+    private final ServiceList list = new ServiceList();
+    private final Map<String, Channel> listening = new LinkedHashMap<>();
+    private final List<Call> watches = new ArrayList<>();
+    private final BiConsumer<String, String> nodeMoves;
+    private double extraMs;
+    private double callMs;
+    private double busyUntilMs;
+    private boolean down;
+
+    /**
+     * An empty list.
+     *
+     * @param nodeMoves tells a node, by its name, that discovery has this address for it from now on
+     */
+    StandInDiscovery(EventLoop loop, LoopScheduler scheduler, World.DiscoverySpec spec, Ledger ledger,
+            BiConsumer<String, String> nodeMoves) {
+        this.loop = loop;
+        this.scheduler = scheduler;
+        this.spec = spec;
+        this.ledger = ledger;
+        this.nodeMoves = nodeMoves;
+    }
+
+    ServiceList list() {
+        return list;
+    }
+
+    /** The address at which this node finds it. */
+    String addressFor(String node) {
+        return Wire.dial(listening.computeIfAbsent(node, n -> listen(n)));
+    }
+
+    private Channel listen(String node) {
+        return Wire.listen(loop, new InetSocketAddress("127.0.0.1", 0), () -> new Call(node));
+    }
+
+    /** A server has changed; it is listed so after the notice. */
+    void changed(Target t, boolean silent) {
+        double wait = (silent ? spec.silentNoticeMs() : spec.noticeMs()) + extraMs;
+        scheduler.at(scheduler.nowMs() + wait, () -> {
+            list.change(t);
+            List.copyOf(watches).forEach(Call::changed);
+        });
+    }
+
+    @Override
+    public void late(double ms) {
+        extraMs = ms;
+    }
+
+    @Override
+    public void silent(boolean on) {
+        down = on;
+        if (on) {
+            List.copyOf(watches).forEach(Wire.Serving::reset);
+        }
+    }
+
+    @Override
+    public void overloaded(double msForEach) {
+        callMs = msForEach;
+    }
+
+    @Override
+    public void moved() {
+        Map<String, Channel> old = new LinkedHashMap<>(listening);
+        List<Call> open = List.copyOf(watches);
+        listening.clear();
+        for (String node : old.keySet()) {
+            Wire.listenLater(loop, new InetSocketAddress("127.0.0.1", 0), () -> new Call(node)).addListener(f -> {
+                if (f.isSuccess()) {
+                    Channel moved = ((ChannelFuture) f).channel();
+                    listening.put(node, moved);
+                    nodeMoves.accept(node, Wire.dial(moved));
+                }
+            });
+        }
+        old.values().forEach(Channel::close);
+        scheduler.at(scheduler.nowMs() + MOVED_MS, () -> open.forEach(c -> c.channel.close()));
+    }
+
+    void close() {
+        listening.values().forEach(Channel::close);
+        List.copyOf(watches).forEach(c -> c.channel.close());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInServer.java
@@ -0,0 +1,332 @@
+package brackenbridge.lab.live;
+
+import brackenbridge.BalancerApi.EndpointState;
+import brackenbridge.BalancerApi.Report;
+import brackenbridge.core.Target;
+import brackenbridge.http.Headers;
+import brackenbridge.http.HttpRequest;
+import brackenbridge.lab.model.ServerModel;
+import brackenbridge.lab.model.ServerModel.Verdict;
+import brackenbridge.lab.rules.Ledger;
+import brackenbridge.lab.trouble.Stage;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
+
+/** A server of the platform on a real socket, round the model. It lives on one event loop. */
+final class StandInServer implements Stage.Server {
+    /** Word of a closed connection may come so much after that of the next attempt. */
+    private static final double CROSSING_MS = 50;
+    private static final Pattern TIME = Pattern.compile("[0-9]{1,9}");
+
+    /** Work and calls of a request that comes. */
+    interface Behaviour {
+        /** The parts of its work, as told in the request or drawn. */
+        double[] parts(HttpRequest r);
+
+        /** Makes a call to the next tier. */
+        void call(StandInServer from, HttpRequest r, double deadlineMs, int number,
+                Consumer<Boolean> done);
+    }
+
+    private final class Connection extends Wire.Serving {
+        private ServerModel.Job job;
+        private Ledger.Attempt attempt;
+        private double idleSinceMs;
+        private int uses;
+        private boolean taken;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            super.channelActive(ctx);
+            connections.add(this);
+            idleSinceMs = scheduler.nowMs();
+            channel.config().setAutoRead(false);
+            model.connect(ok -> {
+                taken = ok;
+                if (!ok) {
+                    reset();
+                } else if (!cutOff) {
+                    channel.config().setAutoRead(true);
+                }
+            });
+            idleClose();
+        }
+
+        private void idleClose() {
+            double after = model.profile().connections().idleCloseMs();
+            if (after <= 0) {
+                return;
+            }
+            double at = idleSinceMs;
+            scheduler.at(at + after, () -> {
+                if (!channel.isActive()) {
+                    return;
+                }
+                if (job == null && idleSinceMs == at) {
+                    channel.close();
+                } else {
+                    if (idleSinceMs == at) {
+                        idleSinceMs = scheduler.nowMs();
+                    }
+                    idleClose();
+                }
+            });
+        }
+
+        @Override
+        void request(HttpRequest r) {
+            double now = scheduler.nowMs();
+            if (uses++ > 0 && now - idleSinceMs > staleMs) {
+                reset();
+                return;
+            }
+            if (r.target().equals("/health/live") || r.target().equals("/stats")) {
+                probe();
+                return;
+            }
+            String id = r.headers().get("X-Correlation-Id");
+            Registry.Known known = registry.of(id);
+            if (known == null) {
+                // Guards the rules: a request that no client sent, or an id that was made up on the way.
+                answer(id == null ? 404 : 400, new Headers(), new byte[0]);
+                return;
+            }
+            ledger.sent(now, known.entry.node(), host, known.entry);
+            begin(r, id, known, now);
+        }
+
+        private void begin(HttpRequest r, String id, Registry.Known known, double now) {
+            boolean crossing = known.entry.out() > 0;
+            Ledger.Attempt before = known.last;
+            attempt = known.entry.arrived(now, host, known.attempts++, !crossing);
+            known.last = attempt;
+            if (crossing) {
+                scheduler.at(now + CROSSING_MS, () -> {
+                    if (before != null && !before.isOver()) {
+                        known.entry.twoAtOnce(scheduler.nowMs(), host);
+                    }
+                });
+            }
+            String left = r.headers().get("X-Time-Left-Ms");
+            double deadline = left == null || !TIME.matcher(left).matches() ? known.deadlineMs
+                    : now + Long.parseLong(left);
+            Ledger.Attempt mine = attempt;
+            ServerModel.Job[] begun = new ServerModel.Job[1];
+            boolean[] over = {false};
+            begun[0] = model.begin(r.firstPart(), behaviour.parts(r), deadline,
+                    (number, done) -> behaviour.call(StandInServer.this, r, deadline, number, done), v -> {
+                        over[0] = true;
+                        replied(v, id, mine);
+                    });
+            job = over[0] ? null : begun[0];
+        }
+
+        private void replied(Verdict v, String id, Ledger.Attempt of) {
+            job = null;
+            double now = scheduler.nowMs();
+            idleSinceMs = now;
+            if (v == Verdict.TURNED_AWAY) {
+                of.turnedAway(now);
+            } else {
+                of.ended(now, v.name().toLowerCase(Locale.ROOT));
+            }
+            if (cutOff || !channel.isActive()) {
+                return;
+            }
+            Headers fields = new Headers();
+            Report report = reports ? model.report() : null;
+            if (report != null) {
+                fields.add("X-Backend-Load", text(report));
+            }
+            switch (v) {
+                case SERVED -> answer(200, fields, body(id, host));
+                case ERROR -> answer(500, fields, new byte[0]);
+                case TURNED_AWAY -> answer(503, fields.add("X-Unprocessed", "1"), new byte[0]);
+                case SPOILT -> write(Unpooled.copiedBuffer("HTTP/1.1 2x0 \u0001noise\r\nContent-Length: -7\r\n\r\n?",
+                        StandardCharsets.ISO_8859_1), false);
+                default -> reset();
+            }
+        }
+
+        private void probe() {
+            model.probe(passed -> {
+                Report report = passed ? model.report() : null;
+                Headers fields = new Headers();
+                byte[] body = new byte[0];
+                if (report != null) {
+                    body = text(report).getBytes(StandardCharsets.ISO_8859_1);
+                    fields.add("X-Backend-Load", text(report));
+                }
+                if (channel.isActive() && !cutOff) {
+                    answer(passed ? 200 : 503, fields, body);
+                }
+            });
+        }
+
+        @Override
+        void ended() {
+            connections.remove(this);
+            if (taken) {
+                model.disconnect();
+            }
+            if (job != null) {
+                attempt.givenUp(scheduler.nowMs());
+                model.cancel(job);
+            }
+        }
+    }
+
+    final int tier;
+    final int index;
+    private final EventLoop loop;
+    private final LoopScheduler scheduler;
+    private final Ledger ledger;
+    private final Registry registry;
+    private final Behaviour behaviour;
+    private final StandInDiscovery discovery;
+    private final boolean reports;
+    private final ServerModel model;
+    private final Set<Connection> connections = new LinkedHashSet<>();
+    private final String dial;
+    private Channel listening;
+    private String host;
+    private double bornMs;
+    private int names;
+    private boolean struck;
+    private boolean cutOff;
+    private double staleMs = Double.POSITIVE_INFINITY;
+    /** What ends and starts with it: the node of its own. */
+    Runnable onDie = () -> { };
+    Runnable onStart = () -> { };
+
+    StandInServer(int tier, int index, EventLoop loop, LoopScheduler scheduler, ServerModel model, Ledger ledger,
+            Registry registry, Behaviour behaviour, StandInDiscovery discovery, boolean reports) {
+        this.tier = tier;
+        this.index = index;
+        this.loop = loop;
+        this.scheduler = scheduler;
+        this.model = model;
+        this.ledger = ledger;
+        this.registry = registry;
+        this.behaviour = behaviour;
+        this.discovery = discovery;
+        this.reports = reports;
+        this.host = "s-" + tier + "-" + index;
+        listening = Wire.listen(loop, new InetSocketAddress("127.0.0.1", 0), Connection::new);
+        dial = Wire.dial(listening);
+        model.onPushedOver(() -> {
+            ledger.pushedOver(scheduler.nowMs(), host);
+            die();
+            list(EndpointState.REMOVED, true);
+        });
+    }
+
+    /** The answer of a server to a request: its own, and told apart from every other. */
+    static byte[] body(String id, String host) {
+        return ("served " + id + " by " + host + "\n").getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    static String text(Report r) {
+        return String.format(Locale.ROOT, "inflight=%.0f,queue=%.0f,util=%.3f,latency_ms=%.2f,qps=%.2f,eps=%.3f",
+                r.inHand(), r.queued(), r.utilization(), r.meanMillis(), r.perSecond(), r.errorsPerSecond());
+    }
+
+    Target target(EndpointState state) {
+        return new Target(host, dial, "room", -1, 1, bornMs, state);
+    }
+
+    String host() {
+        return host;
+    }
+
+    void close() {
+        if (listening != null) {
+            listening.close();
+        }
+        List.copyOf(connections).forEach(c -> c.channel.close());
+    }
+
+    @Override
+    public ServerModel model() {
+        return model;
+    }
+
+    @Override
+    public boolean struck() {
+        return struck;
+    }
+
+    @Override
+    public void strike(boolean on) {
+        struck = on;
+    }
+
+    /** The kernel still takes connections; what comes on them is not read until the machine is back. */
+    @Override
+    public void cutOff(boolean on) {
+        cutOff = on;
+        connections.forEach(c -> c.channel.config().setAutoRead(!on));
+        if (!on) {
+            List.copyOf(connections).forEach(Wire.Serving::reset);
+        }
+    }
+
+    @Override
+    public void stale(double afterMs) {
+        staleMs = afterMs;
+    }
+
+    @Override
+    public void die() {
+        model.die();
+        if (listening != null) {
+            listening.close();
+            listening = null;
+        }
+        List.copyOf(connections).forEach(Wire.Serving::reset);
+        onDie.run();
+    }
+
+    @Override
+    public void start(boolean renamed) {
+        if (renamed) {
+            host = "s-" + tier + "-" + index + "-r" + ++names;
+        }
+        int colon = dial.lastIndexOf(':');
+        InetSocketAddress at = new InetSocketAddress(dial.substring(0, colon),
+                Integer.parseInt(dial.substring(colon + 1)));
+        listening = null;
+        model.start();
+        bornMs = scheduler.nowMs();
+        bind(at, 0);
+        list(EndpointState.UP, false);
+        onStart.run();
+    }
+
+    /** The old process's sockets may take a moment to go. */
+    private void bind(InetSocketAddress at, int tries) {
+        Wire.listenLater(loop, at, Connection::new).addListener(f -> {
+            if (f.isSuccess()) {
+                listening = ((ChannelFuture) f).channel();
+            } else if (tries < 50) {
+                scheduler.at(scheduler.nowMs() + 20, () -> bind(at, tries + 1));
+            }
+        });
+    }
+
+    @Override
+    public void list(EndpointState state, boolean silent) {
+        discovery.changed(target(state), silent);
+    }
+}
--- a/lab/src/main/java/brackenbridge/lab/load/Arrivals.java
+++ b/lab/src/main/java/brackenbridge/lab/load/Arrivals.java
@@ -19,11 +19,18 @@
     private final double most;
     private final UniformRandomProvider random;
     private final ContinuousSampler gap;
+    private final double riseMs;
     private double at;
     private int traced;
 
     /** The arrivals of a world, drawn from this stream. */
     public Arrivals(World world, UniformRandomProvider random) {
+        this(world, random, 0);
+    }
+
+    /** The same, rising from little to the full rate at first, while real programs warm up. */
+    public Arrivals(World world, UniformRandomProvider random, double riseMs) {
+        this.riseMs = riseMs;
         this.load = world.load();
         this.random = random;
         this.ratePerMs = world.ratePerSecond() / 1000;
@@ -65,6 +72,9 @@
             case BURSTS -> ms % load.periodMs() < load.burstMs() ? 1 : load.low();
             default -> 1;
         };
+        if (ms < riseMs) {
+            rate *= 0.1 + 0.9 * ms / riseMs;
+        }
         for (Trouble t : bursts) {
             if (ms >= t.atMs() && ms < t.endMs()) {
                 rate *= t.amount();
--- a/lab/src/main/java/brackenbridge/lab/report/HtmlReport.java
+++ b/lab/src/main/java/brackenbridge/lab/report/HtmlReport.java
@@ -20,13 +20,14 @@
 /** One self-contained page for a folder of results. */
 public final class HtmlReport {
     private static final String STYLE = """
-            body{font:15px/1.5 system-ui,sans-serif;max-width:1080px;margin:2em auto;padding:0 1em;color:#222}
+            body{font:15px/1.5 system-ui,sans-serif;max-width:1320px;margin:2em auto;padding:0 1em;color:#222}
             h1{margin-bottom:.1em}h2{margin-top:2em;border-bottom:1px solid #ccc}
             table{border-collapse:collapse;margin:1em 0;font-variant-numeric:tabular-nums}
             th,td{padding:.25em .7em;text-align:right;border-bottom:1px solid #e4e4e4;white-space:nowrap}
             th:first-child,td:first-child{text-align:left}tr.best td{font-weight:600}
             .bad{color:#b00020;font-weight:600}pre{background:#f5f5f5;padding:.8em;overflow-x:auto}
             .wide{overflow-x:auto}svg{max-width:100%;height:auto}
+            .plots{display:grid;grid-template-columns:repeat(auto-fill,minmax(620px,1fr));gap:1em}
             """;
 
     private final List<Group> groups;
@@ -152,6 +153,7 @@
         Map<String, List<Group>> places = new LinkedHashMap<>();
         groups.forEach(g -> places.computeIfAbsent(g.place(), k -> new ArrayList<>()).add(g));
         page.append("<h2>Over time</h2>");
+        page.append("<div class=\"plots\">");
         int shown = 0;
         for (List<Group> at : places.values()) {
             // A page with every size and load would be too long to read: the first and the last tell the story.
@@ -168,6 +170,7 @@
             series("Spread of load over servers" + where, "standard deviation / mean", at, g -> g.seconds("load_cv"),
                     false);
         }
+        page.append("</div>");
     }
 
     private interface Series {
@@ -208,7 +211,7 @@
                 return;
             }
             page.append("<h2>Over ").append(name).append(by.size() == 1 ? "" : ", " + fixedName + " " + at)
-                    .append("</h2>");
+                    .append("</h2><div class=\"plots\">");
             for (String[] f : new String[][] {{"served", "Worth served", "part"},
                 {"latency_ms.p50", "Median latency", "ms"}, {"latency_ms.p99", "99th percentile of latency", "ms"}}) {
                 Map<String, Line> plotted = new LinkedHashMap<>();
@@ -217,6 +220,7 @@
                         points.values().stream().mapToDouble(g -> g.interval(f[0]).mean()).toArray())));
                 page.append(Plots.lines(f[1] + " over " + name, name, f[2], plotted, log, f[2].equals("ms")));
             }
+            page.append("</div>");
         });
     }
 
--- a/lab/src/main/java/brackenbridge/lab/report/Plots.java
+++ b/lab/src/main/java/brackenbridge/lab/report/Plots.java
@@ -36,7 +36,8 @@
     }
 
     /** A plot of lines by name; SVG text, to stand inside a page. */
-    static String lines(String title, String x, String y, Map<String, Line> lines, boolean logX, boolean logY) {
+    static String lines(String title, String x, String y, Map<String, Line> lines, boolean logX, boolean mayLogY) {
+        boolean logY = mayLogY && spansDecades(lines);
         XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle(x).yAxisTitle(y)
                 .build();
         chart.getStyler().setLegendPosition(Styler.LegendPosition.OutsideE);
@@ -73,6 +74,21 @@
         }
     }
 
+    /** A logarithm of less than two decades has too few marks to be read. */
+    private static boolean spansDecades(Map<String, Line> lines) {
+        double least = Double.POSITIVE_INFINITY;
+        double most = 0;
+        for (Line l : lines.values()) {
+            for (double y : l.y()) {
+                if (y > 0) {
+                    least = Math.min(least, y);
+                    most = Math.max(most, y);
+                }
+            }
+        }
+        return most > 100 * least;
+    }
+
     /** What a logarithm can't show is left out. */
     private static Map<String, Line> shown(Map<String, Line> lines, boolean logX, boolean logY) {
         Map<String, Line> shown = new LinkedHashMap<>();
--- a/lab/src/main/java/brackenbridge/lab/rules/Ledger.java
+++ b/lab/src/main/java/brackenbridge/lab/rules/Ledger.java
@@ -76,6 +76,7 @@
     /** One request, from its arrival at a node until nothing of it is left. */
     public final class Entry {
         private final String id;
+        private final String node;
         private final boolean unsafe;
         private final double deadlineMs;
         private final List<String> history = new ArrayList<>();
@@ -84,8 +85,9 @@
         private boolean answered;
         private boolean gone;
 
-        private Entry(String id, boolean unsafe, double deadlineMs) {
+        private Entry(String id, String node, boolean unsafe, double deadlineMs) {
             this.id = id;
+            this.node = node;
             this.unsafe = unsafe;
             this.deadlineMs = deadlineMs;
         }
@@ -162,6 +164,21 @@
             }
         }
 
+        /** The node that has taken it. */
+        public String node() {
+            return node;
+        }
+
+        /** Attempts that are out. */
+        public int out() {
+            return out;
+        }
+
+        /** An earlier attempt was still out when this one arrived, on a connection that the node had not closed. */
+        public void twoAtOnce(double atMs, String host) {
+            broken(Rule.TWO_AT_ONCE, atMs, "a second attempt at " + host + " while one was out", this);
+        }
+
         /** Whether it was answered. */
         public boolean isAnswered() {
             return answered;
@@ -203,6 +220,11 @@
             }
         }
 
+        /** Whether it has ended for the node. */
+        public boolean isOver() {
+            return over;
+        }
+
         /** It has ended in any other way. */
         public void ended(double atMs, String how) {
             over(atMs, how);
@@ -236,7 +258,7 @@
     /** A node has taken a request. */
     public Entry taken(double atMs, String id, String className, String node, boolean unsafe, double deadlineMs) {
         checked++;
-        Entry e = new Entry(id, unsafe, deadlineMs);
+        Entry e = new Entry(id, node, unsafe, deadlineMs);
         e.note(atMs, "request " + id + " (" + className + (unsafe ? ", unsafe" : ", safe") + ") taken by " + node
                 + String.format(Locale.ROOT, ", deadline %.3f ms", deadlineMs));
         return e;
--- a/lab/src/main/java/brackenbridge/lab/sim/SimDiscovery.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimDiscovery.java
@@ -1,18 +1,17 @@
 package brackenbridge.lab.sim;
 
-import brackenbridge.BalancerApi.EndpointState;
 import brackenbridge.core.Event;
 import brackenbridge.core.Target;
 import brackenbridge.core.TargetGroup;
+import brackenbridge.lab.trouble.Stage;
+import brackenbridge.lab.world.ServiceList;
 import brackenbridge.lab.world.World;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** Discovery of one tier: lists what has changed some time after it has, and tells nodes by watches and fetches. */
-final class SimDiscovery {
+final class SimDiscovery implements Stage.Discovery {
     private static final double BEAT_MS = 2000;
     /** An address that is given up closes its watches after this time. */
     private static final double MOVED_MS = 1500;
@@ -35,16 +34,16 @@
     private final EventQueue queue;
     private final World.DiscoverySpec spec;
     private final UniformRandomProvider random;
-    private final Map<String, Target> listed = new LinkedHashMap<>();
-    private final Map<String, Long> changedAt = new LinkedHashMap<>();
+    private final ServiceList list = new ServiceList();
     private final List<Watch> watches = new ArrayList<>();
-    private long seq = 1;
+    private final Runnable tellMoved;
     private double extraMs;
     private boolean down;
     private double callMs;
     private double busyUntilMs;
 
-    SimDiscovery(EventQueue queue, World.DiscoverySpec spec, UniformRandomProvider random) {
+    SimDiscovery(EventQueue queue, World.DiscoverySpec spec, UniformRandomProvider random, Runnable tellMoved) {
+        this.tellMoved = tellMoved;
         this.queue = queue;
         this.spec = spec;
         this.random = random;
@@ -52,23 +51,19 @@
 
     /** The list as the first nodes know it. */
     TargetGroup whole() {
-        return new TargetGroup(seq, true, listed.values().stream()
-                .filter(t -> t.state() != EndpointState.REMOVED).toList());
+        return list.whole();
     }
 
     /** Lists a server at once, before the run begins. */
     void begin(Target t) {
-        listed.put(t.host(), t);
-        changedAt.put(t.host(), seq);
+        list.begin(t);
     }
 
     /** A server has changed; it is listed so after the notice. */
     void changed(Target t, boolean silent) {
         double wait = (silent ? spec.silentNoticeMs() : spec.noticeMs()) + extraMs;
         queue.at(queue.nowMs() + wait, () -> {
-            seq++;
-            listed.put(t.host(), t);
-            changedAt.put(t.host(), seq);
+            list.change(t);
             if (!down) {
                 for (Watch w : List.copyOf(watches)) {
                     tell(w);
@@ -84,17 +79,12 @@
     private void tell(Watch w) {
         double at = queue.nowMs() + spread();
         queue.at(at, () -> {
-            if (w.over || down || w.told >= seq || w.life != w.node.life()) {
+            if (w.over || down || w.told >= list.seq() || w.life != w.node.life()) {
                 return;
             }
-            List<Target> changes = new ArrayList<>();
-            for (Map.Entry<String, Long> e : changedAt.entrySet()) {
-                if (e.getValue() > w.told) {
-                    changes.add(listed.get(e.getKey()));
-                }
-            }
-            w.told = seq;
-            w.node.told(w.call, new TargetGroup(seq, false, changes));
+            TargetGroup changes = list.since(w.told);
+            w.told = list.seq();
+            w.node.told(w.call, changes);
         });
     }
 
@@ -107,15 +97,8 @@
         watches.add(w);
         queue.at(queue.nowMs() + spread(), () -> {
             if (!w.over && !down && w.life == node.life()) {
-                boolean whole = after < 0;
-                w.told = seq;
-                List<Target> changes = new ArrayList<>();
-                for (Map.Entry<String, Long> e : changedAt.entrySet()) {
-                    if (whole ? listed.get(e.getKey()).state() != EndpointState.REMOVED : e.getValue() > after) {
-                        changes.add(listed.get(e.getKey()));
-                    }
-                }
-                node.told(call, new TargetGroup(seq, whole, changes));
+                w.told = list.seq();
+                node.told(call, list.since(after));
             }
         });
         beat(w);
@@ -170,15 +153,18 @@
         }
     }
 
-    void late(double ms) {
+    @Override
+    public void late(double ms) {
         extraMs = ms;
     }
 
-    void overloaded(double msForEach) {
+    @Override
+    public void overloaded(double msForEach) {
         callMs = msForEach;
     }
 
-    void silent(boolean on) {
+    @Override
+    public void silent(boolean on) {
         down = on;
         if (on) {
             for (Watch w : List.copyOf(watches)) {
@@ -188,9 +174,11 @@
     }
 
     /** Another address: watches at the old one end some time later. */
-    void moved() {
+    @Override
+    public void moved() {
         for (Watch w : List.copyOf(watches)) {
             queue.at(queue.nowMs() + MOVED_MS, () -> end(w));
         }
+        tellMoved.run();
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -17,6 +17,7 @@
 import brackenbridge.lab.model.ServerModel.Verdict;
 import brackenbridge.lab.rules.Ledger;
 import brackenbridge.lab.rules.Ledger.Answer;
+import brackenbridge.lab.trouble.Stage;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -28,7 +29,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** A node in simulated time: the real reducer, with connections to simulated servers instead of sockets. */
-final class SimNode {
+final class SimNode implements Stage.Instance {
     /** A connection from this node to a server. */
     static final class Connection {
         final SimNode node;
@@ -113,8 +114,10 @@
     }
 
     /** Starts it, with what discovery lists now. */
-    void start() {
+    @Override
+    public void start() {
         life++;
+        world.nodeStarts(this);
         up = true;
         accepts = true;
         serves = true;
@@ -126,7 +129,9 @@
     }
 
     /** Ends it at once, as if it were killed. */
-    void kill() {
+    @Override
+    public void kill() {
+        world.nodeStops(this, false);
         up = false;
         accepts = false;
         serves = false;
@@ -153,7 +158,9 @@
     }
 
     /** Tells it to stop; the work runs once it has ended. */
-    void stop(Runnable ended) {
+    @Override
+    public void stop(Runnable ended) {
+        world.nodeStops(this, true);
         onExit = ended;
         raise(new Event.StopAsked());
     }
@@ -167,7 +174,8 @@
         return life;
     }
 
-    boolean up() {
+    @Override
+    public boolean up() {
         return up;
     }
 
--- a/lab/src/main/java/brackenbridge/lab/sim/Simulation.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/Simulation.java
@@ -7,7 +7,9 @@
 import brackenbridge.core.HostIds;
 import brackenbridge.core.Target;
 import brackenbridge.lab.load.Arrivals;
+import brackenbridge.lab.load.Habits;
 import brackenbridge.lab.load.Mix;
+import brackenbridge.lab.model.Scheduler;
 import brackenbridge.lab.model.ServerModel;
 import brackenbridge.lab.model.ServerProfile;
 import brackenbridge.lab.random.Streams;
@@ -16,6 +18,8 @@
 import brackenbridge.lab.sim.SimRequest.Plan;
 import brackenbridge.lab.stats.Scoreboard;
 import brackenbridge.lab.stats.Scoreboard.End;
+import brackenbridge.lab.trouble.Stage;
+import brackenbridge.lab.trouble.Troubles;
 import brackenbridge.lab.world.World;
 import brackenbridge.lab.world.World.TierSpec;
 import java.util.ArrayList;
@@ -31,17 +35,16 @@
  * One run in simulated time. Random numbers come from streams that are taken in a fixed order, so that what arrives,
  * and the work that it brings, is the same whatever decides.
  */
-public final class Simulation {
+public final class Simulation implements Stage {
     /** Simulated time begins here, in milliseconds: well after 0, which would mean long ago to servers' births. */
     private static final double START_MS = 1_000_000;
     /** How much past its deadline an answer still counts. */
     private static final double SLACK_MS = 58;
     /** After the last arrival a run goes on for the longest deadline and this. */
     private static final double END_MS = 2000;
-    /** The front notices so long after it that a node is gone. */
+    /** The front notices so long after it that a node is gone, or that it says that it stops. */
     private static final double FRONT_NOTICES_MS = 2000;
-    /** A retry-after is spread so much, so that clients do not come back at once. */
-    private static final double RETRY_SPREAD = 0.1;
+    private static final double STOP_NOTICED_MS = 300;
 
     /** Makes what decides, for a run; it may look at the truth, which only the oracle does. */
     public interface PolicyMaker {
@@ -83,6 +86,7 @@
     private final UniformRandomProvider planRandom;
     private final Arrivals arrivals;
     private final Mix mix;
+    private final Habits habits;
     private final List<ContinuousSampler> work = new ArrayList<>();
     private long requests;
     private long replacements;
@@ -98,6 +102,7 @@
         mix = new Mix(spec, streams.take());
         planRandom = streams.take();
         clientRandom = streams.take();
+        habits = new Habits(spec.clients(), clientRandom);
         frontRandom = streams.take();
         callRandom = streams.take();
         for (TierSpec t : spec.tiers()) {
@@ -123,7 +128,8 @@
     private void servers(int tier, Streams streams) {
         TierSpec t = spec.tiers().get(tier);
         UniformRandomProvider speeds = streams.take();
-        SimDiscovery discovery = new SimDiscovery(queue, spec.discovery(), streams.take());
+        SimDiscovery discovery = new SimDiscovery(queue, spec.discovery(), streams.take(),
+                () -> nodes.get(tier).stream().filter(SimNode::up).forEach(SimNode::discoveryMoved));
         discoveries.add(discovery);
         // Speeds lie evenly between the bounds, so that each seed has the same sum; who has which is drawn.
         List<Double> spread = new ArrayList<>();
@@ -138,7 +144,7 @@
         for (int i = 0; i < t.servers(); i++) {
             ServerProfile p = t.profile().withSpeed(t.profile().speed() * spread.get(i));
             ServerModel model = new ServerModel(p, queue, streams.take());
-            SimServer s = new SimServer(tier, i, "s-" + tier + "-" + i, "10." + tier + "." + i / 250 + "."
+            SimServer s = new SimServer(this, tier, i, "s-" + tier + "-" + i, "10." + tier + "." + i / 250 + "."
                     + (i % 250 + 1) + ":9000", model);
             model.onPushedOver(() -> pushedOver(s));
             of.add(s);
@@ -163,7 +169,13 @@
         return spec;
     }
 
-    SimDiscovery discovery(int tier) {
+    @Override
+    public Scheduler scheduler() {
+        return queue;
+    }
+
+    @Override
+    public SimDiscovery discovery(int tier) {
         return discoveries.get(tier);
     }
 
@@ -171,11 +183,13 @@
         return byDial.get(dial);
     }
 
-    List<SimServer> tier(int tier) {
+    @Override
+    public List<SimServer> servers(int tier) {
         return tiers.get(tier);
     }
 
-    List<SimNode> nodes() {
+    @Override
+    public List<SimNode> nodes() {
         return nodes.get(0);
     }
 
@@ -267,9 +281,10 @@
             this.part = mix.part(tenant, dueMs - START_MS);
             this.spec = Simulation.this.spec.classes().get(classIndex);
             this.plan = plan(0, spec.name());
-            this.heeds = clientRandom.nextDouble() < Simulation.this.spec.clients().heed();
-            if (clientRandom.nextDouble() < Simulation.this.spec.clients().impatient()) {
-                queue.at(dueMs + clientRandom.nextDouble() * spec.deadlineMs(), this::leaves);
+            this.heeds = habits.heeds();
+            double leaves = habits.leavesAfter(spec.deadlineMs());
+            if (Double.isFinite(leaves)) {
+                queue.at(dueMs + leaves, this::leaves);
             }
         }
 
@@ -319,19 +334,12 @@
                 end(now <= dueMs + spec.aimMs() ? End.IN_AIM : now <= deadline() ? End.LATE : End.UNANSWERED);
                 return;
             }
-            boolean mayRepeat = !spec.unsafe() || answer == Answer.REFUSED || answer == null && !taken;
-            End last = answer == Answer.REFUSED ? End.REFUSED
-                    : now > deadline() ? End.UNANSWERED : End.FAILED;
-            World.ClientSpec habits = Simulation.this.spec.clients();
-            double wait = habits.backoffMs() * (1 << Math.min(10, tries - 1))
-                    * (0.5 + clientRandom.nextDouble());
-            if (heeds && retryAfterMs > 0) {
-                wait = Math.max(wait, retryAfterMs * (1 + RETRY_SPREAD * clientRandom.nextDouble()));
-            }
-            if (!mayRepeat || tries > habits.retries() || now + wait >= deadline()) {
-                end(last);
+            Habits.Next next = habits.afterFailure(answer, taken, spec.unsafe(), tries, heeds, retryAfterMs, now,
+                    deadline());
+            if (next.end() != null) {
+                end(next.end());
             } else {
-                queue.at(now + wait, this::go);
+                queue.at(now + next.waitMs(), this::go);
             }
         }
 
@@ -398,12 +406,12 @@
         }
     }
 
-    void nodeDown(SimNode n, double noticedEarlierMs) {
-        downSince.put(n, queue.nowMs() - noticedEarlierMs);
+    /** The front will notice that a node stops, sooner if the node says so. */
+    void nodeStops(SimNode n, boolean saysSo) {
+        downSince.putIfAbsent(n, queue.nowMs() - (saysSo ? FRONT_NOTICES_MS - STOP_NOTICED_MS : 0));
     }
 
-    void nodeUp(SimNode n) {
-        n.start();
+    void nodeStarts(SimNode n) {
         downSince.remove(n);
     }
 
@@ -412,7 +420,7 @@
     /** Plays it to its end. */
     public Result run() {
         nodes.forEach(of -> of.forEach(SimNode::start));
-        new SimTroubles(this).schedule(START_MS);
+        new Troubles(this).schedule(spec.troubles(), START_MS);
         arrive();
         for (int i = 1; i <= Math.ceil(spec.seconds()); i++) {
             queue.at(START_MS + i * 1000.0, this::sample);
--- a/lab/src/main/java/brackenbridge/lab/world/Experiment.java
+++ b/lab/src/main/java/brackenbridge/lab/world/Experiment.java
@@ -82,4 +82,13 @@
     public Experiment withPolicies(List<String> others) {
         return new Experiment(name, about, world, others, sizes, serversPerNode, loads, seeds, jars);
     }
+
+    /** The same load at this rate, for this time after a warm-up, whatever the file says of them. */
+    public Experiment withLoad(double perSecond, double seconds, double warmup) {
+        World.LoadSpec l = world.load();
+        World.LoadSpec told = new World.LoadSpec(0, perSecond, l.shape(), l.low(), l.periodMs(), l.burstMs(),
+                l.traceMs());
+        return new Experiment(name, about, world.at(told).lasting(warmup, seconds), policies, List.of(), serversPerNode,
+                List.of(), seeds, jars);
+    }
 }
--- a/lab/src/main/java/brackenbridge/lab/world/World.java
+++ b/lab/src/main/java/brackenbridge/lab/world/World.java
@@ -207,9 +207,9 @@
         return new World(seconds, warmupS, others, classes, tenants, load, clients, net, discovery, troubles, limits);
     }
 
-    /** The same world for another time. */
-    public World lasting(double otherSeconds) {
-        return new World(otherSeconds, Math.min(warmupS, otherSeconds / 4), tiers, classes, tenants, load, clients,
+    /** The same world for another time, after a warm-up. */
+    public World lasting(double otherWarmupS, double otherSeconds) {
+        return new World(otherWarmupS + otherSeconds, otherWarmupS, tiers, classes, tenants, load, clients,
                 net, discovery, troubles, limits);
     }
 
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -143,7 +143,7 @@
     }
 
     /** Ends at once, as if the process were killed. */
-    void kill() {
+    public void kill() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
