--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Micro-benchmarks of the hot paths, by JMH. */
+package brackenbridge.lab.bench;
--- a/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
@@ -4,6 +4,8 @@
 import brackenbridge.lab.experiment.Results;
 import brackenbridge.lab.experiment.SimRunner;
 import brackenbridge.lab.experiment.Theory;
+import brackenbridge.lab.live.Bare;
+import brackenbridge.lab.live.Capacity;
 import brackenbridge.lab.live.LiveRunner;
 import brackenbridge.lab.live.LoadRunner;
 import brackenbridge.lab.policy.Policies;
@@ -29,6 +31,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
 
 /** {@code lab}: the laboratory's commands. */
 public final class LabCommand implements Extension {
@@ -36,6 +45,7 @@
     static final int BROKEN = 1;
     /** A command line or a file that can't be used. */
     static final int USAGE = 2;
+    private static final Pattern ADDRESS = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:.]+]):([0-9]{1,5})");
 
     @Parameters(commandDescription = "Play an experiment in simulated time")
     private static final class Sim {
@@ -107,6 +117,38 @@
         private long seed = 1;
     }
 
+    @Parameters(commandDescription = "Find the highest rate: straight, through a bare relay, and through a node")
+    private static final class CapacityOptions {
+        @Parameter(names = "--out", description = "The folder of what is left over")
+        private String out = "target/capacity";
+        @Parameter(names = "--rounds", description = "How often each is measured, by turns")
+        private int rounds = 3;
+        @Parameter(names = "--seconds", description = "How long each rate is tried")
+        private double seconds = 3;
+    }
+
+    @Parameters(commandDescription = "Benchmark the hot paths of decisions and decoders (JMH)")
+    private static final class BenchOptions {
+        @Parameter(description = "PATTERN of the benchmarks' names")
+        private String include = "brackenbridge";
+        @Parameter(names = "--quick", description = "One short iteration of each")
+        private boolean quick;
+        @Parameter(names = "--stacks", description = "Say where the time goes")
+        private boolean stacks;
+    }
+
+    @Parameters(commandDescription = "Answer every request at once")
+    private static final class EchoOptions {
+        @Parameter(names = "--addresses", description = "At so many addresses")
+        private int addresses = 1;
+    }
+
+    @Parameters(commandDescription = "Pass bytes on, and nothing else")
+    private static final class RelayOptions {
+        @Parameter(names = "--to", description = "HOST:PORT", required = true)
+        private String to;
+    }
+
     @Parameters(commandDescription = "Write a folder's report.html")
     private static final class Report {
         @Parameter(description = "DIR", required = true)
@@ -139,13 +181,18 @@
         Live live = new Live();
         Servers servers = new Servers();
         Load load = new Load();
+        CapacityOptions capacity = new CapacityOptions();
+        BenchOptions bench = new BenchOptions();
+        EchoOptions echo = new EchoOptions();
+        RelayOptions relay = new RelayOptions();
         Report report = new Report();
         Comparison comparison = new Comparison();
         Check check = new Check();
         JCommander line = JCommander.newBuilder().programName("brackenbridge lab").addCommand("demo", demo)
                 .addCommand("sim", sim).addCommand("live", live).addCommand("servers", servers)
                 .addCommand("load", load).addCommand("report", report).addCommand("compare", comparison)
-                .addCommand("theory", check).build();
+                .addCommand("theory", check).addCommand("capacity", capacity).addCommand("bench", bench)
+                .addCommand("echo", echo).addCommand("relay", relay).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -175,6 +222,13 @@
                     yield 0;
                 }
                 case "theory" -> theory(check);
+                case "capacity" -> capacity(capacity);
+                case "bench" -> bench(bench);
+                case "echo" -> stand(Bare.echo(echo.addresses));
+                case "relay" -> {
+                    InetSocketAddress to = target("--to", relay.to);
+                    yield stand(List.of(Bare.relay(to)));
+                }
                 default -> USAGE;
             };
         } catch (ParameterException e) {
@@ -266,24 +320,20 @@
     }
 
     private static int load(Load o) throws FileFault, IOException, InterruptedException {
-        int colon = o.target.lastIndexOf(':');
-        InetAddress host = colon < 1 ? null : literal(o.target.substring(0, colon));
-        if (host == null || !host.isLoopbackAddress() || !o.target.substring(colon + 1).matches("[0-9]{1,5}")) {
-            return usage("--target: '" + o.target + "' is not an address and port of loopback");
+        InetSocketAddress at = target("--target", o.target);
+        if (!(o.rate > 0 && o.rate <= 1e6)) {
+            return usage("--rate: " + o.rate + " is not within 0 to 1000000");
         }
-        if (!(o.rate > 0 && o.rate <= 1e6 && o.seconds > 0 && o.seconds <= 86_400 && o.warmup >= 0 && o.warmup <= 600)) {
-            return usage("--rate must be within 0 to 1000000, --seconds within 0 to 86400, --warmup within 0 to 600");
+        if (!(o.seconds > 0 && o.seconds <= 86_400 && o.warmup >= 0 && o.warmup <= 600)) {
+            return usage("--seconds must be above 0 and at most 86400, --warmup within 0 to 600");
         }
-        String world = o.like != null ? Files.readString(Path.of(o.like))
-                : "name = \"load\"\nlength = 1000\n[[class]]\nname = \"" + o.className + "\"\naim = \"1s\"\ndeadline = \"4s\"\n[[tier]]\nservers = 1\n"
-                + "work_mean = 1\n[load]\nper_second = 1\n";
+        String world = o.like != null ? Files.readString(Path.of(o.like)) : plainLoad(o.className);
         Experiment e = ExperimentFile.parse(o.like == null ? "load" : o.like, world, Path.of("."), Policies.names())
                 .withSeed(o.seed).withLoad(o.rate, o.seconds, o.warmup);
         Path out = Path.of(o.out);
         LiveRunner.Outcome r;
         try (Results results = new Results(out)) {
-            r = LoadRunner.play(e, e.runs().get(0), new InetSocketAddress(host,
-                    Integer.parseInt(o.target.substring(colon + 1))), o.connections, !o.anyBody, results);
+            r = LoadRunner.play(e, e.runs().get(0), at, o.connections, !o.anyBody, results);
         }
         System.out.print(Tables.outcomes(out));
         System.out.print(Tables.ends(out));
@@ -292,9 +342,58 @@
         return rules(r.ledger().broken(), r.ledger().breaches());
     }
 
-    /** An address that is written as one; names are not looked up. */
-    private static InetAddress literal(String text) throws IOException {
-        return text.matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]") ? InetAddress.getByName(text) : null;
+    /** An experiment for the load tool alone: one class, and nothing said of servers. */
+    private static String plainLoad(String className) {
+        return "name = \"load\"\nlength = 1000\n[[class]]\nname = \"" + className + "\"\naim = \"1s\"\n"
+                + "deadline = \"4s\"\n[[tier]]\nservers = 1\nwork_mean = 1\n[load]\nper_second = 1\n";
+    }
+
+    private static int capacity(CapacityOptions o) throws FileFault, IOException, InterruptedException {
+        Deployment deployment = Deployment.read();
+        Experiment e = ExperimentFile.parse("capacity", plainLoad("call") + "[clients]\nkeep_alive = 1.0\n",
+                Path.of("."), Policies.names());
+        Map<String, List<Double>> best;
+        try (Capacity c = new Capacity(deployment.home(), Path.of(o.out), e, o.seconds)) {
+            best = c.measure(deployment.run(), o.rounds, System.out::println);
+        }
+        best.forEach((name, rates) -> System.out.printf(Locale.ROOT, "%-20s %s, median %.0f a second%n", name,
+                rates.stream().map(r -> String.format(Locale.ROOT, "%.0f", r)).toList(),
+                rates.stream().sorted().toList().get(rates.size() / 2)));
+        return 0;
+    }
+
+    private static int bench(BenchOptions o) throws IOException {
+        OptionsBuilder options = new OptionsBuilder();
+        options.include(o.include).forks(1).warmupIterations(o.quick ? 1 : 3).measurementIterations(o.quick ? 1 : 5)
+                .warmupTime(TimeValue.seconds(1)).measurementTime(TimeValue.seconds(o.quick ? 1 : 2))
+                .addProfiler("gc");
+        if (o.stacks) {
+            options.addProfiler("stack", "lines=3;top=12");
+        }
+        try {
+            new Runner(options.build()).run();
+            return 0;
+        } catch (RunnerException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private static int stand(List<String> dials) throws InterruptedException {
+        System.out.println(String.join(" ", dials));
+        Thread.currentThread().join();
+        return 0;
+    }
+
+    /** An address of loopback that is written as one; names are not looked up. */
+    private static InetSocketAddress target(String option, String text) throws IOException {
+        Matcher m = ADDRESS.matcher(text);
+        if (m.matches() && Integer.parseInt(m.group(2)) <= 65_535) {
+            InetAddress host = InetAddress.getByName(m.group(1));
+            if (host.isLoopbackAddress()) {
+                return new InetSocketAddress(host, Integer.parseInt(m.group(2)));
+            }
+        }
+        throw new ParameterException(option + ": '" + text + "' is not an address and port of loopback");
     }
 
     private static int theory(Check o) {
