--- a/lab/src/main/java/brackenbridge/lab/experiment/Results.java
+++ b/lab/src/main/java/brackenbridge/lab/experiment/Results.java
@@ -55,7 +55,7 @@
             rules.add(rule.name().toLowerCase(Locale.ROOT), ledger.broken(rule));
         }
         return Json.object().add("experiment", experiment.name()).add("run", run.number()).add("mode", mode)
-                .add("policy", run.policy()).add("servers", run.servers()).add("nodes", run.world().nodes(0))
+                .add("policy", run.label()).add("servers", run.servers()).add("nodes", run.world().nodes(0))
                 .add("load", Scoreboard.round(run.load())).add("seed", run.seed())
                 .add("figures", board.json()).add("rules", rules).add("checked", ledger.checked());
     }
--- a/lab/src/main/java/brackenbridge/lab/live/LoadClient.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LoadClient.java
@@ -154,6 +154,8 @@
         boolean over;
         boolean crossed;
         boolean kept;
+        boolean written;
+        boolean waits;
         Gate gate;
         String id;
         Ledger.Entry entry;
@@ -200,6 +202,7 @@
             if (c != null) {
                 c.send(this);
             } else if (connections >= mostConnections) {
+                waits = true;
                 waiting.add(this);
             } else {
                 connect();
@@ -231,6 +234,7 @@
         void written(Connection on) {
             double now = clock.nowMs();
             connection = on;
+            written = true;
             if (tries == 1 && !crossed && dueMs - startMs >= world.warmupS() * 1000) {
                 due++;
                 long lateUs = Math.max(0, Math.round((now - dueMs) * 1000));
@@ -359,6 +363,11 @@
 
         void end(End how) {
             over = true;
+            if (!written && dueMs - startMs >= world.warmupS() * 1000 && gate != null) {
+                // It waited for a connection until its time was over: the tool never sent it.
+                due++;
+                late += connection == null && tries == 1 && waits ? 1 : 0;
+            }
             openFirst--;
             board.ended(classIndex, tenant, dueMs - startMs, clock.nowMs() - dueMs, part, how, tries);
             finishIfDone();
@@ -452,11 +461,17 @@
 
     /** A place has become free for one that waits. */
     private void next() {
-        while (!waiting.isEmpty() && connections < mostConnections) {
-            Attempted a = waiting.poll();
-            if (!a.over) {
-                a.connect();
-            }
+        while (!waiting.isEmpty() && waiting.peek().over) {
+            waiting.poll();
+        }
+        Attempted a = waiting.peek();
+        if (a == null) {
+            return;
+        }
+        ArrayDeque<Connection> kept = idle.get(a.gate);
+        if (connections < mostConnections || kept != null && !kept.isEmpty()) {
+            waiting.poll();
+            a.begin(true);
         }
     }
 
--- a/lab/src/main/java/brackenbridge/lab/report/HtmlReport.java
+++ b/lab/src/main/java/brackenbridge/lab/report/HtmlReport.java
@@ -295,7 +295,7 @@
                 .append("\n\n# one run alone, with the same figures\n");
         Set<String> each = new LinkedHashSet<>();
         lines.forEach(l -> each.add("bin/brackenbridge lab " + mode + " experiment.toml --out one"
-                + (mode.equals("sim") ? " --policy " + l.getString("policy", "") : "") + " --seed "
+                + (mode.equals("sim") ? " --policy " + l.getString("policy", "").split("/")[0] : "") + " --seed "
                 + l.getLong("seed", 0)));
         each.stream().limit(40).forEach(c -> page.append(escape(c)).append('\n'));
         page.append("</pre>");
--- a/lab/src/main/java/brackenbridge/lab/world/ExperimentFile.java
+++ b/lab/src/main/java/brackenbridge/lab/world/ExperimentFile.java
@@ -18,7 +18,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseError;
@@ -77,9 +79,11 @@
         }
         List<ClassSpec> classes = classes(root);
         List<TierSpec> tiers = tiers(root, classes);
+        LimitSpec limits = limits(root.section("limits"), LimitSpec.USUAL);
+        Map<String, LimitSpec> variants = variants(root, limits);
         World world = new World(seconds, warmup, tiers, classes, tenants(root), load(root, folder),
                 clients(root.section("clients")), net(root.section("net")), discovery(root.section("discovery")),
-                troubles(root, tiers, classes), limits(root.section("limits")));
+                troubles(root, tiers, classes), limits);
         Section compare = root.section("compare");
         List<String> chosen = compare.list("policies", String.class, "a text");
         for (String p : chosen) {
@@ -108,7 +112,7 @@
         compare.end();
         root.end();
         return new Experiment(name, about, world, chosen.isEmpty() ? List.of("module") : chosen, sizes, perNode, loads,
-                seeds.isEmpty() ? List.of(1L) : seeds, jars);
+                seeds.isEmpty() ? List.of(1L) : seeds, jars, variants);
     }
 
     private List<ClassSpec> classes(Section root) throws FileFault {
@@ -278,13 +282,16 @@
         return d;
     }
 
-    private static LimitSpec limits(Section s) throws FileFault {
+    /** Limits, those that are not given taken from others. */
+    private static LimitSpec limits(Section s, LimitSpec others) throws FileFault {
         List<String> fields = s.list("report_fields", String.class, "a text");
-        LimitSpec l = new LimitSpec(s.whole("max_attempts", 5, 1, 100), s.whole("max_open", 40_000, 1, 10_000_000),
-                s.time("max_retry_after", 3000), s.flag("cancel", true), s.flag("probes", true),
-                s.time("connect_timeout", 120), s.time("drain_grace", 500), s.time("idle_close", 30_000),
-                s.flag("reports_in_answers", false),
-                fields.isEmpty() ? List.of("concurrent", "depth", "load_share", "mean_ms") : fields);
+        LimitSpec l = new LimitSpec(s.whole("max_attempts", others.maxAttempts(), 1, 100),
+                s.whole("max_open", others.maxOpen(), 1, 10_000_000),
+                s.time("max_retry_after", others.maxRetryAfterMs()), s.flag("cancel", others.mayCancel()),
+                s.flag("probes", others.mayProbe()), s.time("connect_timeout", others.connectTimeoutMs()),
+                s.time("drain_grace", others.drainGraceMs()), s.time("idle_close", others.idleCloseMs()),
+                s.flag("reports_in_answers", others.reportsInAnswers()),
+                fields.isEmpty() ? others.reportFields() : fields);
         if (l.connectTimeoutMs() <= 0) {
             throw s.fault("connect_timeout", "must be above 0");
         }
@@ -292,6 +299,18 @@
         return l;
     }
 
+    /** The same world under other limits, each under a name of its own. */
+    private static Map<String, LimitSpec> variants(Section root, LimitSpec limits) throws FileFault {
+        Map<String, LimitSpec> variants = new LinkedHashMap<>();
+        for (Section s : root.sections("variant")) {
+            String name = s.text("name", null);
+            if (variants.put(name, limits(s, limits)) != null) {
+                throw s.fault("name", "variant '" + name + "' is given twice");
+            }
+        }
+        return variants;
+    }
+
     private List<Trouble> troubles(Section root, List<TierSpec> tiers, List<ClassSpec> classes) throws FileFault {
         List<Trouble> troubles = new ArrayList<>();
         for (Section s : root.sections("trouble")) {
--- a/lab/src/main/java/brackenbridge/lab/world/World.java
+++ b/lab/src/main/java/brackenbridge/lab/world/World.java
@@ -166,6 +166,9 @@
     public record LimitSpec(int maxAttempts, int maxOpen, double maxRetryAfterMs, boolean mayCancel, boolean mayProbe,
             double connectTimeoutMs, double drainGraceMs, double idleCloseMs, boolean reportsInAnswers,
             List<String> reportFields) {
+        /** Those of a file that gives none. */
+        static final LimitSpec USUAL = new LimitSpec(5, 40_000, 3000, true, true, 120, 500, 30_000, false,
+                List.of("concurrent", "depth", "load_share", "mean_ms"));
     }
 
     /** Keeps its own copies. */
@@ -207,6 +210,11 @@
         return new World(seconds, warmupS, others, classes, tenants, load, clients, net, discovery, troubles, limits);
     }
 
+    /** The same world under other limits. */
+    public World under(LimitSpec others) {
+        return new World(seconds, warmupS, tiers, classes, tenants, load, clients, net, discovery, troubles, others);
+    }
+
     /** The same world for another time, after a warm-up. */
     public World lasting(double otherWarmupS, double otherSeconds) {
         return new World(otherWarmupS + otherSeconds, otherWarmupS, tiers, classes, tenants, load, clients,
