--- a/node/src/main/java/brackenbridge/http/Headers.java
+++ b/node/src/main/java/brackenbridge/http/Headers.java
@@ -28,7 +28,13 @@
 
     /** How many fields have this name. */
     public int count(String name) {
-        return (int) names.stream().filter(name::equalsIgnoreCase).count();
+        int count = 0;
+        for (String n : names) {
+            if (n.equalsIgnoreCase(name)) {
+                count++;
+            }
+        }
+        return count;
     }
 
     /** Whether a field of this name lists this word. */
--- a/node/src/main/java/brackenbridge/http/MessageDecoder.java
+++ b/node/src/main/java/brackenbridge/http/MessageDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
+import java.util.regex.Pattern;
 
 /**
  * Decodes one HTTP/1.1 message after another, from bytes cut anywhere. It takes no byte beyond a message's
@@ -16,6 +17,8 @@
     static final int START_LIMIT = 8 * 1024;
     static final int HEAD_LIMIT = 16 * 1024;
     static final int FIELD_LIMIT = 100;
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+    private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]{1,7}");
 
     private enum Step { START, FIELDS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_END, DONE }
 
@@ -224,7 +227,7 @@
 
     private long contentLength(Headers fields) throws HttpException {
         String text = fields.get("Content-Length");
-        if (!text.matches("[0-9]{1,18}")) {
+        if (!LENGTH.matcher(text).matches()) {
             throw new HttpException(400, "not a length");
         }
         long length = Long.parseLong(text);
@@ -237,7 +240,7 @@
     private static long chunkSize(String text) throws HttpException {
         int semicolon = text.indexOf(';');
         String digits = (semicolon < 0 ? text : text.substring(0, semicolon)).stripTrailing();
-        if (!digits.matches("[0-9a-fA-F]{1,7}")) {
+        if (!CHUNK_SIZE.matcher(digits).matches()) {
             throw new HttpException(400, "not a chunk size");
         }
         return Long.parseLong(digits, 16);
--- a/node/src/main/java/brackenbridge/http/RequestDecoder.java
+++ b/node/src/main/java/brackenbridge/http/RequestDecoder.java
@@ -1,7 +1,10 @@
 package brackenbridge.http;
 
+import java.util.regex.Pattern;
+
 /** Decodes requests. */
 public final class RequestDecoder extends MessageDecoder {
+    private static final Pattern VERSION = Pattern.compile("HTTP/[0-9]\\.[0-9]");
     private String method;
     private String target;
     private boolean http11;
@@ -19,7 +22,7 @@
         }
         String[] parts = text.split(" ", -1);
         if (parts.length != 3 || !token(parts[0]) || !parts[1].startsWith("/")
-                || !parts[2].matches("HTTP/[0-9]\\.[0-9]")) {
+                || !VERSION.matcher(parts[2]).matches()) {
             throw new HttpException(400, "not a request line");
         }
         if (!parts[2].startsWith("HTTP/1.")) {
--- a/node/src/main/java/brackenbridge/http/ResponseDecoder.java
+++ b/node/src/main/java/brackenbridge/http/ResponseDecoder.java
@@ -1,9 +1,12 @@
 package brackenbridge.http;
 
+import java.util.regex.Pattern;
+
 /** Decodes answers to requests that may have a body in their answer (none is HEAD or CONNECT). */
 public final class ResponseDecoder extends MessageDecoder {
     /** Interim answers (1xx) that may come in front of one answer. */
     private static final int INTERIM_LIMIT = 16;
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9][0-9]( .*)?");
     private final boolean toEnd;
     private int status;
     private int interim;
@@ -24,7 +27,7 @@
 
     @Override
     boolean startLine(String text) throws HttpException {
-        if (!text.matches("HTTP/1\\.[0-9] [1-5][0-9][0-9]( .*)?")) {
+        if (!STATUS_LINE.matcher(text).matches()) {
             throw new HttpException(502, "not a status line");
         }
         status = Integer.parseInt(text.substring(9, 12));
