--- a/lab/src/main/java/brackenbridge/lab/experiment/SimRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/experiment/SimRunner.java
@@ -75,6 +75,10 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException e) {
+            if (e.getCause() instanceof OutOfMemoryError) {
+                throw new IOException("out of memory: raise it by BRACKENBRIDGE_JAVA_OPTS=-Xmx..., or play fewer runs "
+                        + "at once by --threads", e);
+            }
             throw new IllegalStateException(e.getCause());
         } finally {
             pool.shutdownNow();
--- a/lab/src/main/java/brackenbridge/lab/live/Registry.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Registry.java
@@ -16,7 +16,6 @@
         final Ledger.Entry entry;
         final double deadlineMs;
         Ledger.Attempt last;
-        int attempts;
 
         Known(Ledger.Entry entry, double deadlineMs) {
             this.entry = entry;
--- a/lab/src/main/java/brackenbridge/lab/live/StandInServer.java
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInServer.java
@@ -27,6 +27,10 @@
 final class StandInServer implements Stage.Server {
     /** Word of a closed connection may come so much after that of the next attempt. */
     private static final double CROSSING_MS = 50;
+    /** Noise, a head without end, a length that does not fit, an answer that is too large to hold. */
+    private static final String[] SPOILT = {"HTTP/1.1 2x0 \u0001noise\r\nContent-Length: -7\r\n\r\n?",
+        "HTTP/1.1 200 OK\r\nX-Pad: " + "a".repeat(40_000), "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nendless"};
     private static final Pattern TIME = Pattern.compile("[0-9]{1,9}");
 
     /** Work and calls of a request that comes. */
@@ -109,7 +113,7 @@
         private void begin(HttpRequest r, String id, Registry.Known known, double now) {
             boolean crossing = known.entry.out() > 0;
             Ledger.Attempt before = known.last;
-            attempt = known.entry.arrived(now, host, known.attempts++, !crossing);
+            attempt = known.entry.arrived(now, host, !crossing);
             known.last = attempt;
             if (crossing) {
                 scheduler.at(now + CROSSING_MS, () -> {
@@ -139,7 +143,7 @@
             if (v == Verdict.TURNED_AWAY) {
                 of.turnedAway(now);
             } else {
-                of.ended(now, v.name().toLowerCase(Locale.ROOT));
+                of.ended(now, v.name());
             }
             if (cutOff || !channel.isActive()) {
                 return;
@@ -153,7 +157,7 @@
                 case SERVED -> answer(200, fields, body(id, host));
                 case ERROR -> answer(500, fields, new byte[0]);
                 case TURNED_AWAY -> answer(503, fields.add("X-Unprocessed", "1"), new byte[0]);
-                case SPOILT -> write(Unpooled.copiedBuffer("HTTP/1.1 2x0 \u0001noise\r\nContent-Length: -7\r\n\r\n?",
+                case SPOILT -> write(Unpooled.copiedBuffer(SPOILT[spoilt++ % SPOILT.length],
                         StandardCharsets.ISO_8859_1), false);
                 default -> reset();
             }
@@ -203,6 +207,7 @@
     private String host;
     private double bornMs;
     private int names;
+    private int spoilt;
     private boolean struck;
     private boolean cutOff;
     private double staleMs = Double.POSITIVE_INFINITY;
--- a/lab/src/main/java/brackenbridge/lab/model/ServerModel.java
+++ b/lab/src/main/java/brackenbridge/lab/model/ServerModel.java
@@ -4,11 +4,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
@@ -66,6 +64,8 @@
         private final double arrivedMs;
         private final boolean system;
         private final int loadBefore;
+        /** The life of the process that has it; a later one knows nothing of it. */
+        private final long ofLife;
         private Stage stage = Stage.WAITING;
         private int part;
         private double tag;
@@ -81,12 +81,13 @@
             this.system = system;
             this.reply = reply;
             this.arrivedMs = scheduler.nowMs();
+            this.ofLife = life;
             this.loadBefore = Math.min(LOADS - 1, load());
         }
 
         /** Whether it has ended. */
         public boolean ended() {
-            return stage == Stage.ENDED;
+            return stage == Stage.ENDED || ofLife != life;
         }
 
         /** Its class. */
@@ -101,8 +102,8 @@
     private final ArrayDeque<Job> room = new ArrayDeque<>();
     private final PriorityQueue<Job> running = new PriorityQueue<>((a, b) -> a.tag != b.tag
             ? Double.compare(a.tag, b.tag) : Long.compare(a.order, b.order));
-    private final Set<Job> inSlots = new LinkedHashSet<>();
     private final Map<String, Double> failing = new HashMap<>();
+    private int inSlots;
     private int runners;
     private int connections;
     private int probesOut;
@@ -168,12 +169,12 @@
             done = new double[] {parts[0] * WORK_OF_AN_ERROR};
         }
         Job job = new Job(className, done, deadlineMs, calls, verdict, false, reply);
-        if (dead || draining || inSlots.size() >= profile.slots() && room.size() >= profile.room()) {
+        if (dead || draining || inSlots >= profile.slots() && room.size() >= profile.room()) {
             job.stage = Stage.ENDED;
             reply.accept(Verdict.TURNED_AWAY);
             return job;
         }
-        if (inSlots.size() < profile.slots()) {
+        if (inSlots < profile.slots()) {
             start(job);
         } else {
             room.add(job);
@@ -199,7 +200,7 @@
 
     /** The client has gone away or given this request up. */
     public void cancel(Job job) {
-        if (job.stage == Stage.ENDED || profile.cancel() == ServerProfile.Cancel.NONE) {
+        if (job.stage == Stage.ENDED || job.ofLife != life || profile.cancel() == ServerProfile.Cancel.NONE) {
             return;
         }
         if (job.stage == Stage.WAITING) {
@@ -212,14 +213,14 @@
                 runners--;
             }
             job.stage = Stage.ENDED;
-            inSlots.remove(job);
+            inSlots--;
             refill();
         }
         retime();
     }
 
     private void start(Job job) {
-        inSlots.add(job);
+        inSlots++;
         run(job);
     }
 
@@ -268,7 +269,7 @@
 
     private void end(Job job, Verdict verdict) {
         job.stage = Stage.ENDED;
-        inSlots.remove(job);
+        inSlots--;
         double took = scheduler.nowMs() - job.arrivedMs;
         int at = job.loadBefore;
         meanMs[at] = meanMs[at] == 0 ? took : meanMs[at] + NEWEST * (took - meanMs[at]);
@@ -282,7 +283,7 @@
     }
 
     private void refill() {
-        while (!room.isEmpty() && inSlots.size() < profile.slots()) {
+        while (!room.isEmpty() && inSlots < profile.slots()) {
             Job next = room.poll();
             if (profile.dropsExpired() && next.deadlineMs <= scheduler.nowMs()) {
                 next.stage = Stage.ENDED;
@@ -295,7 +296,7 @@
     }
 
     private void choke() {
-        int load = inSlots.size() + room.size();
+        int load = inSlots + room.size();
         if (!choked && load >= profile.choke().at()) {
             advance();
             choked = true;
@@ -318,7 +319,7 @@
     }
 
     private double speedNow() {
-        double crowding = 1 + profile.crowd().loss() * Math.max(0, inSlots.size() - profile.crowd().above());
+        double crowding = 1 + profile.crowd().loss() * Math.max(0, inSlots - profile.crowd().above());
         return profile.speed() * slow * (1 - stolen) * warmth() / crowding * (choked ? profile.choke().part() : 1);
     }
 
@@ -440,15 +441,9 @@
     /** The process dies: all that it had is gone, and nobody hears of it from here. */
     public void die() {
         advance();
-        for (Job job : inSlots) {
-            job.stage = Stage.ENDED;
-        }
-        for (Job job : room) {
-            job.stage = Stage.ENDED;
-        }
         dead = true;
         life++;
-        inSlots.clear();
+        inSlots = 0;
         room.clear();
         running.clear();
         runners = 0;
@@ -601,7 +596,7 @@
         advance();
         double span = Math.max(1, now - Math.max(takenMs, now - 60_000));
         takenBefore = takenNow;
-        takenNow = new double[] {inSlots.size() + room.size(), room.size(),
+        takenNow = new double[] {inSlots + room.size(), room.size(),
                 Math.min(1, (busyMs - countsAtTaking[0]) / span), meanAt(load()),
                 (served - countsAtTaking[1]) / span * 1000,
                 (errors - countsAtTaking[2]) / span * 1000};
@@ -614,12 +609,12 @@
 
     /** Requests in hand or waiting. */
     public int load() {
-        return inSlots.size() + room.size();
+        return inSlots + room.size();
     }
 
     /** Whether it would take a request now and work on it. */
     public boolean well() {
-        return !dead && !draining && !hung && (inSlots.size() < profile.slots() || room.size() < profile.room());
+        return !dead && !draining && !hung && (inSlots < profile.slots() || room.size() < profile.room());
     }
 
     /** Whether its process lives. */
--- a/lab/src/main/java/brackenbridge/lab/rules/Ledger.java
+++ b/lab/src/main/java/brackenbridge/lab/rules/Ledger.java
@@ -73,13 +73,20 @@
         }
     }
 
+    /** A moment of a request's history; put into words only when a rule was broken. */
+    private record Note(double atMs, String what, String more, String rest) {
+        String text() {
+            return String.format(Locale.ROOT, "%12.3f ms  %s%s%s", atMs, what, more, rest);
+        }
+    }
+
     /** One request, from its arrival at a node until nothing of it is left. */
     public final class Entry {
         private final String id;
         private final String node;
         private final boolean unsafe;
         private final double deadlineMs;
-        private final List<String> history = new ArrayList<>();
+        private final List<Note> history = new ArrayList<>(6);
         private int out;
         private boolean mayHaveRun;
         private boolean answered;
@@ -93,8 +100,12 @@
         }
 
         private void note(double atMs, String what) {
+            note(atMs, what, "", "");
+        }
+
+        private void note(double atMs, String what, String more, String rest) {
             if (history.size() < LONGEST) {
-                history.add(String.format(Locale.ROOT, "%12.3f ms  %s", atMs, what));
+                history.add(new Note(atMs, what, more, rest));
             }
         }
 
@@ -103,8 +114,8 @@
          *
          * @param open whether the node still holds the connection open: one that it has closed is no second copy
          */
-        public Attempt arrived(double atMs, String host, int attempt, boolean open) {
-            note(atMs, "attempt " + attempt + " arrives at " + host + (open ? "" : ", on a connection given up"));
+        public Attempt arrived(double atMs, String host, boolean open) {
+            note(atMs, "an attempt arrives at ", host, open ? "" : ", on a connection given up");
             if (out > 0 && open) {
                 broken(Rule.TWO_AT_ONCE, atMs, "a second attempt arrives at " + host + " while one is out", this);
             }
@@ -124,7 +135,7 @@
 
         /** The client has its answer. */
         public void answered(double atMs, Answer how) {
-            note(atMs, "answered: " + how.name().toLowerCase(Locale.ROOT));
+            note(atMs, "answered: ", how.name(), "");
             if (answered) {
                 broken(Rule.LOST, atMs, "a second answer", this);
             }
@@ -186,7 +197,7 @@
 
         /** All that is known of it. */
         public List<String> history() {
-            return List.copyOf(history);
+            return history.stream().map(Note::text).toList();
         }
     }
 
@@ -204,7 +215,7 @@
         }
 
         private boolean over(double atMs, String how) {
-            entry.note(atMs, host + ": " + how);
+            entry.note(atMs, host, ": ", how);
             if (over) {
                 return false;
             }
@@ -259,8 +270,8 @@
     public Entry taken(double atMs, String id, String className, String node, boolean unsafe, double deadlineMs) {
         checked++;
         Entry e = new Entry(id, node, unsafe, deadlineMs);
-        e.note(atMs, "request " + id + " (" + className + (unsafe ? ", unsafe" : ", safe") + ") taken by " + node
-                + String.format(Locale.ROOT, ", deadline %.3f ms", deadlineMs));
+        e.note(atMs, className, unsafe ? ", unsafe, taken by " : ", safe, taken by ", node);
+        e.note(deadlineMs, "is its deadline");
         return e;
     }
 
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -429,7 +429,7 @@
             return;
         }
         SimRequest request = out.request;
-        Ledger.Attempt attempt = request.entry.arrived(queue.nowMs(), server.host, out.number, !out.over);
+        Ledger.Attempt attempt = request.entry.arrived(queue.nowMs(), server.host, !out.over);
         out.attempt = attempt;
         out.job = server.model.begin(request.plan.className(), request.plan.parts(), request.deadlineMs,
                 (number, done) -> world.call(server, request, number, done),
@@ -444,7 +444,7 @@
         if (verdict == Verdict.TURNED_AWAY) {
             out.attempt.turnedAway(now);
         } else {
-            out.attempt.ended(now, verdict.name().toLowerCase(java.util.Locale.ROOT));
+            out.attempt.ended(now, verdict.name());
         }
         if (c.server.cutOff || out.over) {
             return;
--- a/lab/src/main/java/brackenbridge/lab/sim/Simulation.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/Simulation.java
@@ -352,6 +352,9 @@
     /** The front's choice: any node that it believes to be ready. */
     private SimNode pick() {
         List<SimNode> first = nodes.get(0);
+        if (downSince.isEmpty()) {
+            return first.get(frontRandom.nextInt(first.size()));
+        }
         List<SimNode> open = new ArrayList<>(first.size());
         double now = queue.nowMs();
         for (SimNode n : first) {
--- a/lab/src/test/java/brackenbridge/lab/sim/SimulationTest.java
+++ b/lab/src/test/java/brackenbridge/lab/sim/SimulationTest.java
@@ -143,18 +143,18 @@
     void aBrokenRuleIsTold() {
         Ledger ledger = new Ledger(50, 500);
         Ledger.Entry e = ledger.taken(0, "r1", "sign", "n", true, 1000);
-        Ledger.Attempt a = e.arrived(1, "s1", 0, true);
+        Ledger.Attempt a = e.arrived(1, "s1", true);
         a.ended(5, "error");
-        e.arrived(6, "s2", 1, true);
+        e.arrived(6, "s2", true);
         e.answered(7, Ledger.Answer.REFUSED);
         e.answered(8, Ledger.Answer.SERVED);
         assertEquals(2, ledger.broken(Ledger.Rule.DUPLICATE), "sent again, and refused");
         assertEquals(1, ledger.broken(Ledger.Rule.LOST), "a second answer");
         assertEquals(0, ledger.broken(Ledger.Rule.TWO_AT_ONCE));
         Ledger.Entry f = ledger.taken(0, "r2", "sign", "n", true, 1000);
-        f.arrived(1, "s1", 0, true).turnedAway(2);
-        f.arrived(3, "s2", 1, true);
-        f.arrived(4, "s3", 2, true);
+        f.arrived(1, "s1", true).turnedAway(2);
+        f.arrived(3, "s2", true);
+        f.arrived(4, "s3", true);
         assertEquals(1, ledger.broken(Ledger.Rule.TWO_AT_ONCE));
         ledger.told(10, "n", "s9", false);
         ledger.sent(400, "n", "s9", f);
