Older, less urgent calls yield to the nearest end above them; low levels find little room

Change: EQ 4 holds the counts against the nearest end among the heads; the least level finds a fifth of A. f, A and the estimators are the design's open figures. Each has a test that fails without it.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -310,7 +310,7 @@
      * their best they could answer more: guards a surge at one caller against a rate that lags behind it.
      */
     private double admissible(long now, Call c) {
-        double part = 0.75 * (levels == 1 ? 1 : 1 - 0.4 * c.level / (levels - 1));
+        double part = 0.75 * (levels == 1 ? 1 : 1 - 0.8 * c.level / (levels - 1));
         // A small floor: many callers that each keep a few calls too many open jam a slowed fleet.
         double floor = now - firstAt < SECOND ? LEAST_REACH : LEAST_OPEN;
         return Math.min(settings.maxOpen(), floor
@@ -519,13 +519,16 @@
         // EQ 4: from the top, as far down as the queued calls can be done in time.
         Call oldest = null;
         double ahead = 0;
+        double tau = Double.POSITIVE_INFINITY;
         for (int j = 0; j < levels; j++) {
             Call head = s.queues[j].peek();
             ahead += s.queues[j].size() * s.latest;
             if (head == null) {
                 continue;
             }
-            if (j > 0 && oldest != null && ahead >= head.tau * F) {
+            // The nearest end among those that wait above decides how much may go first.
+            tau = Math.min(tau, head.tau - (now - head.arrival));
+            if (j > 0 && oldest != null && ahead >= tau * F) {
                 break;
             }
             if (oldest == null || head.arrival < oldest.arrival) {
--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -87,6 +87,34 @@
         assertEquals(3, s.of("send").get(2).request());
     }
 
+    @Test
+    void nearestEndAboveHoldsOlderCallsBack() {
+        Script s = new Script(settings(safe("low", 1), unsafe("high", 9))).servers(1);
+        s.ask(1, "low").pass(100 * MS).answer(1, 0, Outcome.OK, 100 * MS);
+        s.ask(2, "low").ask(3, "low").pass(MS).ask(4, "high", null, -1, 250 * MS).pass(100 * MS);
+        // Two of 100 ms are well within the low call's second, but not within the 150 ms that the high one has left.
+        s.answer(2, 0, Outcome.OK, 100 * MS);
+        assertEquals(4, s.of("send").get(2).request());
+    }
+
+    private static int roomFor(String name) {
+        Script s = new Script(settings(safe("low", 1), unsafe("high", 9))).servers(4);
+        for (int i = 0; i < 200; i++) {
+            s.ask(i, "high").pass(10 * MS).answer(i, 0, Outcome.OK, 10 * MS);
+        }
+        for (int i = 200; i < 500; i++) {
+            s.ask(i, name);
+        }
+        return 300 - s.of("refuse").size();
+    }
+
+    @Test
+    void leastUrgentCallsFindALittleOfATaken() {
+        int low = roomFor("low");
+        int high = roomFor("high");
+        assertTrue(low > 0 && low * 2 < high, low + " low calls open, " + high + " high ones");
+    }
+
     @Test
     void lateCallsAreDroppedAsRefusalsWithARetryAfter() {
         Script s = new Script(settings(safe("low", 1), unsafe("high", 9))).servers(1);
