--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -98,7 +98,7 @@
     }
 
     private static int roomFor(String name) {
-        Script s = new Script(settings(safe("low", 1), unsafe("high", 9))).servers(4);
+        Script s = new Script(settings(unsafe("low", 1), unsafe("high", 9))).servers(4);
         for (int i = 0; i < 200; i++) {
             s.ask(i, "high").pass(10 * MS).answer(i, 0, Outcome.OK, 10 * MS);
         }
