Second address with figures, drain and return, on a life cycle of the reducer's own

Answers count once their last byte has left.

A test that let connections to servers rest by luck of timing now waits for it.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -774,6 +774,11 @@
         }
     }
 
+    @Override
+    public int avoided() {
+        return ejected;
+    }
+
     @Override
     public void onProbed(long now, long endpoint, Outcome outcome, long latency, Report report) {
         // No probe is sent.
--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -288,6 +288,11 @@
     /** A timer set before has fallen due. */
     void onTimer(long now, String token);
 
+    /** How many listed endpoints the instance avoids now; for the operators' figures. */
+    default int avoided() {
+        return 0;
+    }
+
     /** A probe has ended; the report is null if none came. */
     void onProbed(long now, long endpoint, Outcome outcome, long latency, Report report);
 }
--- a/core/src/main/java/brackenbridge/core/Effect.java
+++ b/core/src/main/java/brackenbridge/core/Effect.java
@@ -63,8 +63,8 @@
     record CloseIdle(String host, String dial) implements Effect {
     }
 
-    /** Say to each client with its next answer that its connection ends. */
-    record SayClose() implements Effect {
+    /** Say to each client with its next answer that its connection ends, or no longer. */
+    record SayClose(boolean on) implements Effect {
     }
 
     /** Accept no more connections. */
@@ -75,6 +75,14 @@
     record CloseIdleClients() implements Effect {
     }
 
+    /** From now on, close each client connection that carries nothing for a moment; or no longer. */
+    record KeepNoClients(boolean on) implements Effect {
+    }
+
+    /** Close the client connections whose request is not whole yet. */
+    record EndUnfinished() implements Effect {
+    }
+
     /** Tell the operators of a fault in the program. */
     record Fault(RuntimeException cause) implements Effect {
     }
--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -12,6 +12,10 @@
     record FlowOpened(long flow, Flow request) implements Event {
     }
 
+    /** The last byte of the flow's answer has left; it has not if the connection ended before. */
+    record AnswerLeft(long flow, boolean whole) implements Event {
+    }
+
     /** The flow's client has gone away. */
     record FlowGone(long flow) implements Event {
     }
@@ -70,6 +74,10 @@
     record Reconfigured(TargetGroup known, boolean discoveryMoved) implements Event {
     }
 
+    /** The node is to be emptied, or is to work again after that. */
+    record DrainAsked(boolean on) implements Event {
+    }
+
     /** The node is told to stop. */
     record StopAsked() implements Event {
     }
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -14,6 +14,7 @@
 import brackenbridge.core.Event.Reply;
 import brackenbridge.counters.Counters;
 import brackenbridge.counters.Counters.Kind;
+import brackenbridge.counters.Figures;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -50,6 +51,7 @@
 
     private static final class OpenFlow {
         final long id;
+        final String className;
         final Object message;
         final double deadline;
         int attempts;
@@ -58,8 +60,9 @@
         boolean timedOut;
         boolean mayHaveRun;
 
-        OpenFlow(long id, Object message, double deadline) {
+        OpenFlow(long id, String className, Object message, double deadline) {
             this.id = id;
+            this.className = className;
             this.message = message;
             this.deadline = deadline;
         }
@@ -82,6 +85,10 @@
     private record Owed(long flow, int attempt, Outcome outcome) {
     }
 
+    /** A flow whose answer is on its way out, and what it will count as. */
+    private record Leaving(String className, Kind kind) {
+    }
+
     private record PendingProbe(long endpoint, double since) {
     }
 
@@ -93,6 +100,7 @@
     private final Map<Long, Target> targets = new HashMap<>();
     private final Map<String, Double> noSendAfter = new HashMap<>();
     private final Map<Long, OpenFlow> flows = new HashMap<>();
+    private final Map<Long, Leaving> leaving = new HashMap<>();
     private final Map<Long, PendingProbe> probes = new HashMap<>();
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
     private final Set<Long> fetches = new HashSet<>();
@@ -107,7 +115,7 @@
     /** Discovery has another address, and no list has come from there yet. */
     private boolean moved;
     private long probeCount;
-    private boolean stopping;
+    private final LifeCycle life = new LifeCycle();
     private boolean closed;
     private boolean exiting;
 
@@ -146,19 +154,41 @@
         return effects;
     }
 
-    /** Whether a flow could be served: some server is known to run, and the node is not stopping. */
+    /** Whether a flow could be served: some server is known to run, and the node neither drains nor stops. */
     public boolean ready() {
-        return !stopping && targets.values().stream().anyMatch(t -> t.state() == EndpointState.UP);
+        return life.phase() == LifeCycle.Phase.SERVING
+                && targets.values().stream().anyMatch(t -> t.state() == EndpointState.UP);
+    }
+
+    /** Whether the node has begun to stop. */
+    public boolean stopping() {
+        return life.phase() == LifeCycle.Phase.STOPPING;
+    }
+
+    /** The operators' figures by now. */
+    public String figures() {
+        int listed = 0;
+        for (Target t : targets.values()) {
+            listed += t.state() == EndpointState.REMOVED ? 0 : 1;
+        }
+        return Figures.lines(counters, classes.keySet(),
+                new Figures.Gauges(unanswered + leaving.size(), listed, balancer.avoided()));
     }
 
     private void apply(Event event) {
         if (event instanceof Event.Started e) {
+            life.started();
             seq = e.known().seq();
             list(ListKind.SAVED, e.known().targets());
         } else if (event instanceof Event.FlowOpened e) {
             open(e.flow(), e.request());
         } else if (event instanceof Event.FlowGone e) {
             gone(e.flow());
+        } else if (event instanceof Event.AnswerLeft e) {
+            Leaving l = leaving.remove(e.flow());
+            if (l != null) {
+                counters.count(e.whole() ? l.kind() : Kind.FLOWS_GONE, l.className());
+            }
         } else if (event instanceof Event.ForwardWritten e) {
             OpenFlow f = withOut(e.flow(), e.forward());
             if (f != null) {
@@ -179,6 +209,8 @@
                     e.report());
         } else if (event instanceof Event.Reconfigured e) {
             reconfigured(e);
+        } else if (event instanceof Event.DrainAsked e) {
+            drain(e.on());
         } else if (event instanceof Event.StopAsked) {
             stop();
         } else {
@@ -189,16 +221,22 @@
     // ---- Flows ----
 
     private void open(long id, Flow request) {
-        counters.count(Kind.FLOWS_IN);
+        counters.count(Kind.FLOWS_IN, request.className());
         if (request.repeat()) {
             counters.count(Kind.FLOWS_REPEATED);
         }
         double waits = request.timeLeftMs() >= 0 ? request.timeLeftMs()
                 : ModuleTime.ms(classes.get(request.className()).deadline());
         double left = Math.max(0, waits - MARGIN_MS);
-        OpenFlow f = new OpenFlow(id, request.message(), now + left);
+        OpenFlow f = new OpenFlow(id, request.className(), request.message(), now + left);
         flows.put(id, f);
         unanswered++;
+        if (life.turnsAway()) {
+            // Guards the operators' word that the node is empty: what comes after the front has gone elsewhere has
+            // never run and is not begun here any more.
+            fixedResponse(f, Effect.Fixed.REFUSED, 0);
+            return;
+        }
         effects.add(new Effect.SetTimer(f.deadline, new TimerKey.Deadline(id)));
         balancer.onRequest(ModuleTime.micros(now), new Request(id, request.className(), request.tenant(), -1,
                 ModuleTime.micros(left), -1, request.repeat()));
@@ -209,7 +247,7 @@
         if (f == null || f.ended) {
             return;
         }
-        counters.count(Kind.FLOWS_GONE);
+        counters.count(Kind.FLOWS_GONE, f.className);
         end(f);
         balancer.onGone(ModuleTime.micros(now), id);
         if (f.out != null && settings.mayCancel()) {
@@ -238,7 +276,7 @@
             default -> Outcome.FULL;
         };
         if (outcome == Outcome.OK && !f.ended) {
-            counters.count(Kind.ANSWERED_SERVED);
+            leaving.put(f.id, new Leaving(f.className, Kind.ANSWERED_SERVED));
             effects.add(new Effect.Respond(f.id, e.message()));
             end(f);
         }
@@ -315,8 +353,8 @@
     }
 
     private void fixedResponse(OpenFlow f, Effect.Fixed kind, double retryAfterMs) {
-        counters.count(kind == Effect.Fixed.REFUSED ? Kind.ANSWERED_REFUSED
-                : kind == Effect.Fixed.REJECTED ? Kind.ANSWERED_REJECTED : Kind.ANSWERED_FAILED);
+        leaving.put(f.id, new Leaving(f.className, kind == Effect.Fixed.REFUSED ? Kind.ANSWERED_REFUSED
+                : kind == Effect.Fixed.REJECTED ? Kind.ANSWERED_REJECTED : Kind.ANSWERED_FAILED));
         effects.add(new Effect.FixedResponse(f.id, kind, retryAfterMs));
         end(f);
     }
@@ -340,11 +378,13 @@
                 effects.add(new Effect.EndProbe(k.probe()));
                 probed(k.probe(), Outcome.TIMEOUT, null);
             }
+        } else if (key instanceof TimerKey.DrainStep k) {
+            drainStep(k);
         } else if (key instanceof TimerKey.StopAccepting) {
             effects.add(new Effect.StopAccepting());
         } else if (key instanceof TimerKey.StopServing) {
             closed = true;
-            effects.add(new Effect.SayClose());
+            effects.add(new Effect.SayClose(true));
             effects.add(new Effect.CloseIdleClients());
         } else if (key instanceof TimerKey.StopLimit) {
             answerAll();
@@ -567,11 +607,36 @@
         }
     }
 
+    private void drain(boolean on) {
+        if (!(on ? life.drain() : life.comeBack())) {
+            return;
+        }
+        counters.count(on ? Kind.DRAINS : Kind.RETURNS);
+        effects.add(new Effect.SayClose(on));
+        if (on) {
+            for (LifeCycle.Step step : LifeCycle.Step.values()) {
+                effects.add(new Effect.SetTimer(now + step.afterMs, new TimerKey.DrainStep(life.drains(), step)));
+            }
+        } else {
+            effects.add(new Effect.KeepNoClients(false));
+        }
+    }
+
+    private void drainStep(TimerKey.DrainStep due) {
+        if (!life.isCurrent(due.drain())) {
+            return;
+        }
+        switch (due.step()) {
+            case END_IDLE -> effects.add(new Effect.KeepNoClients(true));
+            case TURN_AWAY -> life.turnAway();
+            default -> effects.add(new Effect.EndUnfinished());
+        }
+    }
+
     private void stop() {
-        if (stopping) {
+        if (!life.stop()) {
             return;
         }
-        stopping = true;
         double longest = 0;
         for (RequestClass c : settings.classes()) {
             longest = Math.max(longest, ModuleTime.ms(c.deadline()));
@@ -582,7 +647,7 @@
             // Guards the clients of a node without peers: sent away, they would find nobody until it is back.
             serves = Math.max(ACCEPT_MS, longest * LONE_MS / LONGEST_MS);
         } else {
-            effects.add(new Effect.SayClose());
+            effects.add(new Effect.SayClose(true));
         }
         // What comes late in that time has little left of it: better some of it fails than all finds nobody.
         double limit = now + (settings.peers() == 1 ? serves + LONE_LAST_MS
--- a/core/src/main/java/brackenbridge/core/TimerKey.java
+++ b/core/src/main/java/brackenbridge/core/TimerKey.java
@@ -26,6 +26,10 @@
     record ProbeLimit(long probe) implements TimerKey {
     }
 
+    /** A drain reaches its next step. */
+    record DrainStep(long drain, LifeCycle.Step step) implements TimerKey {
+    }
+
     /** A stopping node accepts no more connections. */
     record StopAccepting() implements TimerKey {
     }
--- a/core/src/main/java/brackenbridge/counters/Counters.java
+++ b/core/src/main/java/brackenbridge/counters/Counters.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 /** What the node took in, sent and answered, counted by kind. Only the event loop's thread touches them. */
 public final class Counters {
@@ -12,7 +13,7 @@
         FLOWS_IN,
         /** Flows that their client marked as a repeat. */
         FLOWS_REPEATED,
-        /** Flows whose client went away. */
+        /** Flows whose client went away, before its answer or while it was written. */
         FLOWS_GONE,
         /** Requests that were malformed, too large or not for this node. */
         BAD_REQUESTS,
@@ -40,15 +41,15 @@
         FORWARDS_CANCELLED,
         /** Forwards that were never begun. */
         FORWARDS_MOOT,
-        /** Flows answered with a server's body. */
+        /** Flows answered with a server's body, to its last byte. */
         ANSWERED_SERVED,
-        /** Flows answered with a refusal. */
+        /** Flows answered with a refusal, to its last byte. */
         ANSWERED_REFUSED,
-        /** Flows answered with a failure. */
+        /** Flows answered with a failure, to its last byte. */
         ANSWERED_FAILED,
         /** Flows answered with a server's word that the request itself is at fault. */
         ANSWERED_REJECTED,
-        /** Flows that the node had to end at their deadline. */
+        /** Flows that the node had to end at their deadline; these count as refused or failed too. */
         ANSWERED_AT_DEADLINE,
         /** Calls to discovery. */
         DISCOVERY_CALLS,
@@ -58,6 +59,10 @@
         RECONFIGURED,
         /** Configurations that could not be read or used, so that the old one stays. */
         RECONFIGURE_FAILED,
+        /** Drains begun by call. */
+        DRAINS,
+        /** Returns to work after a drain. */
+        RETURNS,
         /** Target lists taken in. */
         TARGET_LISTS,
         /** Probes sent. */
@@ -75,12 +80,30 @@
     }
 
     private final EnumMap<Kind, Long> counts = new EnumMap<>(Kind.class);
+    private final Map<String, EnumMap<Kind, Long>> byClass = new TreeMap<>();
 
     /** Counts one. */
     public void count(Kind kind) {
         counts.merge(kind, 1L, Long::sum);
     }
 
+    /** Counts one of a class of request. The class keeps its counts when it is dropped from the settings. */
+    public void count(Kind kind, String className) {
+        count(kind);
+        byClass.computeIfAbsent(className, n -> new EnumMap<>(Kind.class)).merge(kind, 1L, Long::sum);
+    }
+
+    /** The count so far of one class. */
+    public long of(Kind kind, String className) {
+        Map<Kind, Long> counted = byClass.get(className);
+        return counted == null ? 0 : counted.getOrDefault(kind, 0L);
+    }
+
+    /** The classes of which something was counted. */
+    public Iterable<String> classes() {
+        return byClass.keySet();
+    }
+
     /** The count so far. */
     public long of(Kind kind) {
         return counts.getOrDefault(kind, 0L);
--- /dev/null
+++ b/core/src/main/java/brackenbridge/counters/Figures.java
@@ -0,0 +1,39 @@
+package brackenbridge.counters;
+
+import brackenbridge.counters.Counters.Kind;
+import java.util.Collection;
+import java.util.TreeSet;
+
+/** Words the counters as the figures that the operators' staff fetch, one a line: {@code proxy.NAME:VALUE|c}. */
+public final class Figures {
+    /** What the figures tell beside the counters. */
+    public record Gauges(int active, int poolSize, int poolEjected) {
+    }
+
+    private Figures() {
+    }
+
+    /** The figures by now; a class that has asked for nothing yet is told with zeros. */
+    public static String lines(Counters counters, Collection<String> classes, Gauges gauges) {
+        TreeSet<String> named = new TreeSet<>(classes);
+        counters.classes().forEach(named::add);
+        StringBuilder text = new StringBuilder(512);
+        for (String c : named) {
+            line(text, "ok." + c, counters.of(Kind.ANSWERED_SERVED, c), 'c');
+            line(text, "shed." + c, counters.of(Kind.ANSWERED_REFUSED, c), 'c');
+            line(text, "errors." + c, counters.of(Kind.ANSWERED_FAILED, c) + counters.of(Kind.ANSWERED_REJECTED, c),
+                    'c');
+        }
+        line(text, "tries", counters.of(Kind.FORWARDS_WRITTEN), 'c');
+        line(text, "active", gauges.active(), 'g');
+        line(text, "pool_size", gauges.poolSize(), 'g');
+        line(text, "pool_ejected", gauges.poolEjected(), 'g');
+        line(text, "config_applied", counters.of(Kind.RECONFIGURED), 'c');
+        line(text, "config_rejected", counters.of(Kind.RECONFIGURE_FAILED), 'c');
+        return text.toString();
+    }
+
+    private static void line(StringBuilder text, String name, long value, char type) {
+        text.append("proxy.").append(name).append(':').append(value).append('|').append(type).append('\n');
+    }
+}
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -282,8 +282,10 @@
         } else if (effect instanceof Effect.Forward e) {
             forward(e);
         } else if (effect instanceof Effect.Respond e) {
+            raise(new Event.AnswerLeft(e.flow(), true));
             answer(e.flow(), Answer.SERVED, 0);
         } else if (effect instanceof Effect.FixedResponse e) {
+            raise(new Event.AnswerLeft(e.flow(), true));
             answer(e.flow(), e.kind() == Effect.Fixed.REFUSED ? Answer.REFUSED : Answer.FAILED, e.retryAfterMs());
         } else if (effect instanceof Effect.CancelForward e) {
             cancel(e.flow(), e.forward());
--- a/node/src/main/java/brackenbridge/cli/Main.java
+++ b/node/src/main/java/brackenbridge/cli/Main.java
@@ -3,6 +3,7 @@
 import brackenbridge.clock.Clock;
 import brackenbridge.config.Config;
 import brackenbridge.log.Log;
+import brackenbridge.mgmt.ManagementCall;
 import brackenbridge.net.Node;
 import brackenbridge.wire.WireHost;
 import com.beust.jcommander.JCommander;
@@ -38,6 +39,14 @@
     private static final class Wire {
     }
 
+    @Parameters(commandDescription = "Make a management call to a running node: PING, INFO, LAMEDUCK or REJOIN")
+    private static final class Manage {
+        @Parameter(names = "--at", description = "Its second address; by default $PROXY_MGMT")
+        private String at = System.getenv("PROXY_MGMT");
+        @Parameter(description = "CALL", required = true)
+        private String call;
+    }
+
     @Parameters(commandDescription = "Print the version")
     private static final class Version {
     }
@@ -59,8 +68,10 @@
         }
         Serve serve = new Serve();
         Check check = new Check();
+        Manage manage = new Manage();
         JCommander line = JCommander.newBuilder().programName("brackenbridge").addCommand("serve", serve)
-                .addCommand("wirehost", new Wire()).addCommand("check-config", check)
+                .addCommand("wirehost", new Wire())
+                .addCommand("check-config", check).addCommand("manage", manage)
                 .addCommand("version", new Version()).build();
         try {
             line.parse(args);
@@ -78,6 +89,7 @@
                 System.out.println(c.name() + ": tier " + c.settings().tier() + ", " + c.settings().classes().size()
                         + " classes, " + c.known().targets().size() + " targets known, " + c.sockets() + " sockets");
             }
+            case "manage" -> manage(manage);
             case "version" -> {
                 String version = Main.class.getPackage().getImplementationVersion();
                 System.out.println("brackenbridge " + (version == null ? "(not packaged)" : version));
@@ -86,6 +98,22 @@
         }
     }
 
+    private static void manage(Manage m) {
+        if (m.at == null) {
+            fail("no address: give --at ADDRESS:PORT or set PROXY_MGMT");
+        }
+        try {
+            String answer = ManagementCall.make(m.at, m.call);
+            System.out.print(answer);
+            System.exit(answer.startsWith("+OK") ? 0 : 1);
+        } catch (IllegalArgumentException e) {
+            fail(e.getMessage());
+        } catch (IOException e) {
+            System.err.println("brackenbridge: no answer from " + m.at + ": " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
     private static Extension extension(String name) {
         for (Extension e : ServiceLoader.load(Extension.class)) {
             if (e.name().equals(name)) {
@@ -100,7 +128,7 @@
             fail("no configuration: give --config FILE or set PROXY_CONFIG");
         }
         try {
-            return Config.read(Path.of(file));
+            return Config.read(Path.of(file)).withManagement(System.getenv("PROXY_MGMT"));
         } catch (IllegalArgumentException e) {
             fail("bad configuration: " + e.getMessage());
             throw e;
--- a/node/src/main/java/brackenbridge/config/Config.java
+++ b/node/src/main/java/brackenbridge/config/Config.java
@@ -22,11 +22,12 @@
  * @param name its name
  * @param listen where clients connect, as {@code address:port}
  * @param discovery where discovery is
+ * @param management where staff call the node, as {@code address:port}; null if nowhere
  * @param sockets the most file descriptors that it may hold
  * @param settings what the module and the node go by
  * @param known the target group as it last held it
  */
-public record Config(String name, String listen, String discovery, int sockets, Settings settings,
+public record Config(String name, String listen, String discovery, String management, int sockets, Settings settings,
         TargetGroup known) {
 
     /** Reads the configuration file; what can't be used is an IllegalArgumentException of one plain line. */
@@ -55,7 +56,8 @@
                 throw new IllegalArgumentException("limits.sockets: " + sockets);
             }
             return new Config(json.getString("name", "node"), address(json, "listen"), address(json, "discovery"),
-                    sockets, new SettingsParser(pairs).parse(seed), TargetGroupParser.group(object(json, "known")));
+                    json.get("mgmt") == null ? null : address(json, "mgmt"), sockets,
+                    new SettingsParser(pairs).parse(seed), TargetGroupParser.group(object(json, "known")));
         } catch (RuntimeException e) {
             throw new IllegalArgumentException(String.valueOf(e.getMessage()).replaceAll("\\s+", " "), e);
         } catch (StackOverflowError e) {
@@ -63,6 +65,11 @@
         }
     }
 
+    /** The same with staff's calls at this address; a null changes nothing. */
+    public Config withManagement(String at) {
+        return at == null ? this : new Config(name, listen, discovery, checked("mgmt", at), sockets, settings, known);
+    }
+
     private static JsonObject object(JsonObject json, String name) {
         JsonValue v = json.get(name);
         if (v == null || !v.isObject()) {
@@ -72,7 +79,10 @@
     }
 
     private static String address(JsonObject json, String name) {
-        String v = json.getString(name, "");
+        return checked(name, json.getString(name, ""));
+    }
+
+    private static String checked(String name, String v) {
         if (!v.matches("[^\\s:]+:[0-9]{1,5}") || Integer.parseInt(v.substring(v.indexOf(':') + 1)) > 65535) {
             throw new IllegalArgumentException(name + " is not an address and port: '" + v + "'");
         }
--- /dev/null
+++ b/node/src/main/java/brackenbridge/mgmt/Staff.java
@@ -0,0 +1,15 @@
+package brackenbridge.mgmt;
+
+import java.util.concurrent.CompletableFuture;
+
+/** What staff may ask of a running node; called on the management listener's own thread. */
+public interface Staff {
+    /** Whether this process accepts clients; as published last. */
+    boolean takesClients();
+
+    /** The figures, one a line; as published last. */
+    String figures();
+
+    /** Empties the node, or lets it work again; completes once the node has taken it, with whether it goes by it. */
+    CompletableFuture<Boolean> drain(boolean on);
+}
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -75,6 +75,7 @@
     private Channel server;
     private long flowCount;
     private boolean sayClose;
+    private boolean keepNone;
 
     Listener(Settings settings, Clock clock, Events events, Sockets sockets, Counters counters,
             BooleanSupplier ready, Runnable makeRoom) {
@@ -115,12 +116,15 @@
                 fields.add("Content-Encoding", coding);
             }
             c.answer(200, fields, response.body());
+        } else {
+            events.raise(new Event.AnswerLeft(flow, false));
         }
     }
 
     void fixedResponse(long flow, Fixed kind, double retryAfterMs) {
         Client c = flows.remove(flow);
         if (c == null) {
+            events.raise(new Event.AnswerLeft(flow, false));
             return;
         }
         Headers fields = new Headers();
@@ -139,8 +143,22 @@
         return s.getBytes(StandardCharsets.UTF_8);
     }
 
-    void sayClose() {
-        sayClose = true;
+    void sayClose(boolean on) {
+        sayClose = on;
+    }
+
+    /** Whether connections that carry nothing are ended, those of the moment and later ones. */
+    void keepNone(boolean on) {
+        keepNone = on;
+    }
+
+    /** Ends the connections whose request has begun and is not whole. */
+    void endUnfinished() {
+        for (Client c : List.copyOf(clients)) {
+            if (c.isReading()) {
+                c.bad(408, "request too slow for a node that drains");
+            }
+        }
     }
 
     void stopAccepting() {
@@ -226,6 +244,8 @@
         /** When it became what it is now: idle, reading, writing or closing. */
         double since;
         long flow = -1;
+        /** The flow whose answer is being written. */
+        long answered = -1;
         boolean writing;
         boolean closing;
         boolean keepAlive;
@@ -247,6 +267,10 @@
             return flow < 0 && !writing && !closing && !decoder.begun() && (pending == null || !pending.isReadable());
         }
 
+        boolean isReading() {
+            return flow < 0 && !writing && !closing && decoder.begun();
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             counters.count(Kind.CLIENTS_ACCEPTED);
@@ -277,6 +301,7 @@
                 flows.remove(flow);
                 events.raise(new Event.FlowGone(flow));
             }
+            left(false);
         }
 
         @Override
@@ -424,6 +449,7 @@
         }
 
         void answer(int status, Headers fields, byte[] body) {
+            answered = flow;
             flow = -1;
             open.remove(id);
             id = null;
@@ -453,7 +479,17 @@
                     });
         }
 
+        /** The answer of a flow has left, or never will. */
+        private void left(boolean whole) {
+            if (answered >= 0) {
+                long flowLeft = answered;
+                answered = -1;
+                events.raise(new Event.AnswerLeft(flowLeft, whole));
+            }
+        }
+
         private void written(boolean success, boolean close) {
+            left(success);
             writing = false;
             since = clock.nowMs();
             if (!success) {
@@ -473,10 +509,10 @@
 
         void sweep(double now) {
             double age = now - since;
-            double limit = !asked ? SLOW_MS : sockets.crowded() ? CROWDED_IDLE_MS : IDLE_MS;
+            double limit = keepNone ? YOUNG_MS : !asked ? SLOW_MS : sockets.crowded() ? CROWDED_IDLE_MS : IDLE_MS;
             if (closing ? age > LINGER_MS : writing ? age > STALLED_MS : isIdle() && age > limit) {
                 channel.close();
-            } else if (flow < 0 && !writing && !closing && decoder.begun() && age > SLOW_MS) {
+            } else if (isReading() && age > SLOW_MS) {
                 bad(408, "request too slow");
             }
         }
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -9,6 +9,8 @@
 import brackenbridge.counters.Counters;
 import brackenbridge.http.HttpResponse;
 import brackenbridge.log.Log;
+import brackenbridge.mgmt.ManagementListener;
+import brackenbridge.mgmt.Staff;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
@@ -31,7 +33,7 @@
 import java.util.function.Supplier;
 
 /** A running node: hands events to the reducer and runs the effects, all on one event loop. */
-public final class Node implements Events {
+public final class Node implements Events, Staff {
     private static final long SWEEP_MS = 100;
     private static final long LAST_ANSWERS_MS = 20;
 
@@ -53,6 +55,10 @@
     /** The timers that may be unset. */
     private final Map<TimerKey, ScheduledFuture<?>> deadlines = new HashMap<>();
     private boolean reducing;
+    /** What the management listener tells: published by the event loop, read by the other. */
+    private volatile String figures = "";
+    private volatile boolean takesClients;
+    private final ManagementListener management;
     private Channel server;
 
     /** Makes a node ready to start. */
@@ -62,7 +68,8 @@
         this.log = log;
         reducer = new Reducer(config.settings(), counters);
         buffers = new PooledByteBufAllocator(false, 1, 0, 8192, 7, 64, 32, false);
-        sockets = new Sockets(config.sockets());
+        management = config.management() == null ? null : new ManagementListener(this, log);
+        sockets = new Sockets(config.sockets() - (management == null ? 0 : ManagementListener.DESCRIPTORS));
         Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, received())
@@ -86,7 +93,13 @@
                 .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, received())
                 .childHandler(listener.initializer()).bind(address).syncUninterruptibly().channel();
-        loop.submit(() -> listener.opened(server)).syncUninterruptibly();
+        loop.submit(() -> {
+            listener.opened(server);
+            publish();
+        }).syncUninterruptibly();
+        if (management != null) {
+            management.listen(Addresses.of(config.management()));
+        }
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         log.info("node " + config.name() + " listens on " + server.localAddress() + ", tier "
                 + config.settings().tier());
@@ -100,6 +113,11 @@
         return new AdaptiveRecvByteBufAllocator(512, 2048, 8192).maxMessagesPerRead(4);
     }
 
+    /** Where staff call it; null if nowhere. */
+    public InetSocketAddress managementAddress() {
+        return management == null ? null : management.address();
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
@@ -126,7 +144,7 @@
         boolean fixed = !read.listen().equals(config.listen()) || !read.name().equals(config.name())
                 || !read.settings().withSeed(config.settings().seed()).equals(config.settings());
         discovery.moved(read.discovery());
-        sockets.limit(read.sockets());
+        sockets.limit(read.sockets() - (management == null ? 0 : ManagementListener.DESCRIPTORS));
         config = read;
         log.info("reconfigured, discovery at " + read.discovery()
                 + (fixed ? "; name, listen and settings change at the next start only" : ""));
@@ -144,6 +162,9 @@
 
     /** Ends at once, as if the process were killed. */
     public void kill() {
+        if (management != null) {
+            management.close();
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
@@ -195,12 +216,16 @@
                 probes.end(e.probe());
             } else if (effect instanceof Effect.CloseIdle e) {
                 forwards.closeIdle(e.host(), e.dial());
-            } else if (effect instanceof Effect.SayClose) {
-                listener.sayClose();
+            } else if (effect instanceof Effect.SayClose e) {
+                listener.sayClose(e.on());
             } else if (effect instanceof Effect.StopAccepting) {
                 listener.stopAccepting();
             } else if (effect instanceof Effect.CloseIdleClients) {
                 listener.closeIdle();
+            } else if (effect instanceof Effect.KeepNoClients e) {
+                listener.keepNone(e.on());
+            } else if (effect instanceof Effect.EndUnfinished) {
+                listener.endUnfinished();
             } else if (effect instanceof Effect.Fault e) {
                 log.error("fault in a decision", e.cause());
             } else if (effect instanceof Effect.Exit e) {
@@ -226,8 +251,36 @@
         }
     }
 
+    private void publish() {
+        figures = reducer.figures();
+        takesClients = server.isOpen() && !reducer.stopping();
+    }
+
+    @Override
+    public boolean takesClients() {
+        return takesClients;
+    }
+
+    @Override
+    public String figures() {
+        return figures;
+    }
+
+    @Override
+    public CompletableFuture<Boolean> drain(boolean on) {
+        CompletableFuture<Boolean> taken = new CompletableFuture<>();
+        loop.execute(() -> {
+            log.info(on ? "told to drain" : "told to work again");
+            raise(new Event.DrainAsked(on));
+            publish();
+            taken.complete(!reducer.stopping());
+        });
+        return taken;
+    }
+
     private void sweep() {
         try {
+            publish();
             listener.sweep();
             forwards.sweep();
         } catch (RuntimeException e) {
--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -260,10 +260,14 @@
         assertTrue(back != null && back.startsWith("HTTP/1.1 200 "), back);
     }
 
-    /** Two rounds of question and answer, so that all that had come to the node before them is taken in. */
+    /**
+     * Rounds of question and answer, so that all that had come to the node before them is taken in; and for so long
+     * that a connection to a server has rested.
+     */
     private void settle() throws IOException {
+        long start = System.nanoTime();
         try (Socket s = connect()) {
-            for (int i = 0; i < 2; i++) {
+            for (int i = 0; i < 2 || System.nanoTime() - start < 8_000_000; i++) {
                 s.getOutputStream().write("GET /health/live HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                 assertTrue(FakeServer.message(s.getInputStream()).startsWith("HTTP/1.1 200 "));
             }
@@ -394,6 +398,40 @@
         assertTrue(answer().endsWith("done"));
     }
 
+    @Test
+    void drainedNodeEmptiesItselfAndComesBack() throws Exception {
+        node.kill();
+        node = node(1024, 2);
+        client = connect();
+        Socket idle = connect();
+        send(file("a"));
+        assertNotNull(server.next());
+        Socket late = connect();
+        assertTrue(node.drain(true).get(10, TimeUnit.SECONDS));
+        assertTrue(node.takesClients(), "the listening socket stays open");
+        assertEquals(-1, idle.getInputStream().read(), "idle connections end");
+        server.answers.add(OK);
+        String back = answer();
+        assertTrue(back.endsWith("done") && back.contains("Connection: close\r\n"), back);
+        assertEquals(-1, client.getInputStream().read());
+        assertEquals(-1, late.getInputStream().read());
+        expect(503, "GET /health/ready HTTP/1.1\r\n\r\n");
+        assertTrue(node.drain(false).get(10, TimeUnit.SECONDS));
+        expect(200, "GET /health/ready HTTP/1.1\r\n\r\n");
+        server.answers.add(OK);
+        expect(200, file("b"));
+        send(file("c"));
+        server.answers.add(OK);
+        assertTrue(answer().endsWith("done"), "connections are kept again");
+        String told = "";
+        for (int i = 0; i < 500 && !told.contains("proxy.ok.file:3|c\n"); i++) {
+            settle();
+            told = node.figures();
+        }
+        assertTrue(told.contains("proxy.ok.file:3|c\nproxy.shed.file:0|c\n") && told.contains("proxy.tries:3|c\n")
+                && told.contains("proxy.active:0|g\nproxy.pool_size:1|g\n"), told);
+    }
+
     @Test
     void stoppingNodeAnswersWhatItHasAndSaysClose() throws Exception {
         node.kill();
