A process takes another's place: shared port, emptied queue, and word over a Unix socket

The door takes its channel off the selector, empties the accept queue and only then closes; a test with four threads of connects loses none over two replacements.

--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -8,6 +8,14 @@
     record Started(TargetGroup known) implements Event {
     }
 
+    /** Another process of this node hands over what it knows of the target group. */
+    record Inherited(TargetGroup list) implements Event {
+    }
+
+    /** Another process of this node serves clients as well and is to take this one's place, or does so no more. */
+    record SuccessorServes(boolean on) implements Event {
+    }
+
     /** A listener has taken a flow, under a number of the node's own. */
     record FlowOpened(long flow, Flow request) implements Event {
     }
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -46,6 +46,10 @@
     static final double LONGEST_MS = 3000;
     /** A stopping node answers all that is open this long after the longest deadline, before it is killed. */
     static final double STOP_SLACK_MS = 400;
+    /** A process with a successor lets its clients be told with an answer for so long, then ends idle connections. */
+    static final double SUCCEEDED_IDLE_MS = 1000;
+    /** And may exit from then on, once nothing is open. */
+    static final double SUCCEEDED_MS = 1500;
     /** And its last answers have so long to leave. */
     static final double LAST_MS = 150;
 
@@ -116,6 +120,7 @@
     private boolean moved;
     private long probeCount;
     private final LifeCycle life = new LifeCycle();
+    private boolean succeeded;
     private boolean closed;
     private boolean exiting;
 
@@ -180,6 +185,10 @@
             life.started();
             seq = e.known().seq();
             list(ListKind.SAVED, e.known().targets());
+        } else if (event instanceof Event.Inherited e) {
+            inherited(e.list());
+        } else if (event instanceof Event.SuccessorServes e) {
+            succeeded = e.on();
         } else if (event instanceof Event.FlowOpened e) {
             open(e.flow(), e.request());
         } else if (event instanceof Event.FlowGone e) {
@@ -380,6 +389,8 @@
             }
         } else if (key instanceof TimerKey.DrainStep k) {
             drainStep(k);
+        } else if (key instanceof TimerKey.EndIdle) {
+            effects.add(new Effect.KeepNoClients(true));
         } else if (key instanceof TimerKey.StopAccepting) {
             effects.add(new Effect.StopAccepting());
         } else if (key instanceof TimerKey.StopServing) {
@@ -481,6 +492,28 @@
         return call;
     }
 
+    /** The target group as the process before this one holds it: what it was told binds this one too. */
+    private void inherited(TargetGroup list) {
+        if (list.seq() >= seq) {
+            seq = list.seq();
+            list(ListKind.SAVED, list.targets());
+            for (Target t : list.targets()) {
+                if (t.state() != EndpointState.UP) {
+                    // Its grace began when the other process was told, no later than now.
+                    noSendAfter.put(t.host(), now);
+                }
+            }
+        }
+        // What changes from now on is told to both; the module's own first question may be seconds away.
+        watch(true);
+    }
+
+    /** What is known of the target group, for a process that takes this one's place. */
+    public TargetGroup targetGroup() {
+        return new TargetGroup(seq, true,
+                targets.values().stream().filter(t -> t.state() != EndpointState.REMOVED).toList());
+    }
+
     /** Another configuration: a newer list in it is taken over, and a moved discovery is asked at once. */
     private void reconfigured(Event.Reconfigured e) {
         counters.count(Kind.RECONFIGURED);
@@ -642,6 +675,10 @@
             longest = Math.max(longest, ModuleTime.ms(c.deadline()));
         }
         longest = Math.min(longest, LONGEST_MS);
+        if (succeeded) {
+            stopSucceeded(now + Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS);
+            return;
+        }
         double serves = ACCEPT_MS;
         if (settings.peers() == 1) {
             // Guards the clients of a node without peers: sent away, they would find nobody until it is back.
@@ -658,6 +695,16 @@
         effects.add(new Effect.SetTimer(limit + LAST_MS, new TimerKey.StopNow()));
     }
 
+    /** Another process serves: no new connection is for this one, and the old ones end as gently as they can. */
+    private void stopSucceeded(double limit) {
+        effects.add(new Effect.StopAccepting());
+        effects.add(new Effect.SayClose(true));
+        effects.add(new Effect.SetTimer(now + SUCCEEDED_IDLE_MS, new TimerKey.EndIdle()));
+        effects.add(new Effect.SetTimer(now + SUCCEEDED_MS, new TimerKey.StopServing()));
+        effects.add(new Effect.SetTimer(limit, new TimerKey.StopLimit()));
+        effects.add(new Effect.SetTimer(limit + LAST_MS, new TimerKey.StopNow()));
+    }
+
     /** Time is up before some deadlines: what is open is answered now, since the process will not live longer. */
     private void answerAll() {
         for (long id : List.copyOf(flows.keySet())) {
--- a/core/src/main/java/brackenbridge/core/TimerKey.java
+++ b/core/src/main/java/brackenbridge/core/TimerKey.java
@@ -30,6 +30,10 @@
     record DrainStep(long drain, LifeCycle.Step step) implements TimerKey {
     }
 
+    /** A stopping process with a successor ends idle connections from now on. */
+    record EndIdle() implements TimerKey {
+    }
+
     /** A stopping node accepts no more connections. */
     record StopAccepting() implements TimerKey {
     }
--- a/node/src/main/java/brackenbridge/cli/Main.java
+++ b/node/src/main/java/brackenbridge/cli/Main.java
@@ -2,6 +2,7 @@
 
 import brackenbridge.clock.Clock;
 import brackenbridge.config.Config;
+import brackenbridge.handover.Handover;
 import brackenbridge.log.Log;
 import brackenbridge.mgmt.ManagementCall;
 import brackenbridge.net.Node;
@@ -146,7 +147,9 @@
         System.setProperty("io.netty.jfr.enabled", "false");
         Clock clock = Clock.system();
         Log log = new Log(clock, System.err);
-        Node node = new Node(config, clock, log);
+        String directory = System.getenv("TMPDIR");
+        Node node = new Node(config, clock, log,
+                directory == null ? null : Handover.path(directory, config.name(), config.listen()));
         if (!Hangup.handle(() -> node.reconfigure(() -> Config.read(Path.of(file))))) {
             log.info("no SIGHUP on this platform: the configuration is read at the start only");
         }
--- a/node/src/main/java/brackenbridge/discovery/TargetGroupParser.java
+++ b/node/src/main/java/brackenbridge/discovery/TargetGroupParser.java
@@ -4,6 +4,7 @@
 import brackenbridge.core.Target;
 import brackenbridge.core.TargetGroup;
 import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.util.ArrayList;
@@ -35,6 +36,22 @@
         return new TargetGroup((long) required(json, "seq").asDouble(), json.getBoolean("whole", false), targets);
     }
 
+    /** Words a list as discovery would. */
+    public static JsonObject json(TargetGroup group) {
+        JsonArray hosts = new JsonArray();
+        for (Target t : group.targets()) {
+            String health = switch (t.state()) {
+                case UP -> "active";
+                case DRAINING -> "leaving";
+                case REMOVED -> "left";
+            };
+            hosts.add(Json.object().add("host", t.host()).add("dial", t.dial()).add("site", t.zone())
+                    .add("block", t.cell()).add("share", t.weight()).add("born_ms", t.bornMs())
+                    .add("health", health));
+        }
+        return Json.object().add("seq", group.seq()).add("whole", group.whole()).add("hosts", hosts);
+    }
+
     private static Target target(JsonObject o) {
         String host = required(o, "host").asString();
         String dial = required(o, "dial").asString();
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -72,7 +72,7 @@
     /** The ids of the requests that are open. */
     private final Set<String> open = new HashSet<>();
     private int held;
-    private Channel server;
+    private Door door;
     private long flowCount;
     private boolean sayClose;
     private boolean keepNone;
@@ -97,8 +97,8 @@
         };
     }
 
-    void opened(Channel listening) {
-        server = listening;
+    void opened(Door opened) {
+        door = opened;
     }
 
     // ---- Effects ----
@@ -162,8 +162,8 @@
     }
 
     void stopAccepting() {
-        if (server != null) {
-            server.close();
+        if (door != null) {
+            door.close();
         }
     }
 
@@ -186,8 +186,8 @@
         for (Client c : List.copyOf(clients)) {
             c.sweep(now);
         }
-        if (server != null && sockets.clientFits()) {
-            server.config().setAutoRead(true);
+        if (door != null && sockets.clientFits()) {
+            door.admit(true);
         } else {
             // At the limit others wait in the backlog: all that has been idle for a moment makes room.
             while (shed()) {
@@ -279,8 +279,8 @@
             if (!sockets.clientFits()) {
                 makeRoom.run();
                 // With nothing idle to shed, further clients wait in the backlog until some connection ends.
-                if (!sockets.clientFits() && server != null) {
-                    server.config().setAutoRead(false);
+                if (!sockets.clientFits() && door != null) {
+                    door.admit(false);
                 }
             }
         }
@@ -290,8 +290,8 @@
             if (clients.remove(this)) {
                 sockets.client(-1);
             }
-            if (server != null && server.isOpen() && sockets.clientFits()) {
-                server.config().setAutoRead(true);
+            if (door != null && sockets.clientFits()) {
+                door.admit(true);
             }
             dropPending();
             closing = true;
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -7,6 +7,8 @@
 import brackenbridge.core.Reducer;
 import brackenbridge.core.TimerKey;
 import brackenbridge.counters.Counters;
+import brackenbridge.handover.Handover;
+import brackenbridge.handover.Offer;
 import brackenbridge.http.HttpResponse;
 import brackenbridge.log.Log;
 import brackenbridge.mgmt.ManagementListener;
@@ -15,15 +17,14 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
@@ -33,7 +34,7 @@
 import java.util.function.Supplier;
 
 /** A running node: hands events to the reducer and runs the effects, all on one event loop. */
-public final class Node implements Events, Staff {
+public final class Node implements Events, Staff, Handover.Process {
     private static final long SWEEP_MS = 100;
     private static final long LAST_ANSWERS_MS = 20;
 
@@ -58,16 +59,24 @@
     /** What the management listener tells: published by the event loop, read by the other. */
     private volatile String figures = "";
     private volatile boolean takesClients;
+    private boolean serves;
     private final ManagementListener management;
-    private Channel server;
+    private final Handover handover;
+    private Door door;
 
-    /** Makes a node ready to start. */
+    /** Makes a node ready to start that no other process can replace while it serves. */
     public Node(Config config, Clock clock, Log log) {
+        this(config, clock, log, null);
+    }
+
+    /** Makes a node ready to start; at this path it meets the process it replaces, and the one that replaces it. */
+    public Node(Config config, Clock clock, Log log, Path meeting) {
         this.config = config;
         this.clock = clock;
         this.log = log;
         reducer = new Reducer(config.settings(), counters);
         buffers = new PooledByteBufAllocator(false, 1, 0, 8192, 7, 64, 32, false);
+        handover = meeting == null ? null : new Handover(loop, meeting, this, log);
         management = config.management() == null ? null : new ManagementListener(this, log);
         sockets = new Sockets(config.sockets() - (management == null ? 0 : ManagementListener.DESCRIPTORS));
         Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
@@ -83,28 +92,75 @@
 
     /** Starts to serve; fails if the address can't be listened on. */
     public void start() {
-        loop.submit(() -> raise(new Event.Started(config.known()))).syncUninterruptibly();
+        Offer offer = inherit();
+        loop.submit(() -> {
+            raise(new Event.Started(config.known()));
+            if (offer != null) {
+                sockets.share(true);
+                raise(new Event.Inherited(offer.list()));
+            }
+        }).syncUninterruptibly();
         InetSocketAddress address = Addresses.of(config.listen());
         if (address == null) {
             throw new IllegalArgumentException("listen: not a literal address: " + config.listen());
         }
-        server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+        door = new Door(new ServerBootstrap().group(group).option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, received())
-                .childHandler(listener.initializer()).bind(address).syncUninterruptibly().channel();
+                .childHandler(listener.initializer()), address);
         loop.submit(() -> {
-            listener.opened(server);
-            publish();
+            listener.opened(door);
+            if (handover == null) {
+                serves();
+            } else {
+                handover.ready(this::serves);
+            }
         }).syncUninterruptibly();
         if (management != null) {
             management.listen(Addresses.of(config.management()));
         }
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        log.info("node " + config.name() + " listens on " + server.localAddress() + ", tier "
+        log.info("node " + config.name() + " listens on " + door.address() + ", tier "
                 + config.settings().tier());
     }
 
+    /** What the process that serves here already hands over; null if there is none. */
+    private Offer inherit() {
+        if (handover == null) {
+            return null;
+        }
+        CompletableFuture<Offer> answered = new CompletableFuture<>();
+        loop.execute(() -> handover.ask().thenAccept(answered::complete));
+        Offer offer = answered.join();
+        if (offer != null) {
+            log.info("takes the place of another process; its list has version " + offer.list().seq());
+        }
+        return offer;
+    }
+
+    private void serves() {
+        serves = true;
+        publish();
+    }
+
+    @Override
+    public Offer offer() {
+        sockets.share(true);
+        return new Offer(config.sockets() / 2, reducer.targetGroup());
+    }
+
+    @Override
+    public void successorServes(boolean on) {
+        sockets.share(on);
+        raise(new Event.SuccessorServes(on));
+    }
+
+    @Override
+    public void predecessorEnded() {
+        log.info("the predecessor has ended");
+        sockets.share(false);
+    }
+
     /**
      * How much is read from one connection before the next has its turn. Guards memory and usual clients against
      * those that send at full speed.
@@ -120,7 +176,7 @@
 
     /** Where it listens. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) server.localAddress();
+        return door.address();
     }
 
     /** Reads the configuration anew and goes by it; one that can't be used changes nothing. From any thread. */
@@ -253,7 +309,7 @@
 
     private void publish() {
         figures = reducer.figures();
-        takesClients = server.isOpen() && !reducer.stopping();
+        takesClients = serves && door.isOpen() && !reducer.stopping();
     }
 
     @Override
@@ -300,6 +356,9 @@
             loop.schedule(() -> exit(false), LAST_ANSWERS_MS, TimeUnit.MILLISECONDS);
             return;
         }
+        if (handover != null) {
+            handover.close();
+        }
         log.info("stopped: " + counters.line());
         ended.complete(null);
     }
--- a/node/src/main/java/brackenbridge/net/Sockets.java
+++ b/node/src/main/java/brackenbridge/net/Sockets.java
@@ -7,6 +7,8 @@
     /** Descriptors kept back for discovery, probes and what the runtime opens by itself. */
     private static final int RESERVE = 24;
     private final int held;
+    private int limit;
+    private boolean shared;
     private int forClients;
     private int forAll;
     private int clients;
@@ -19,8 +21,19 @@
     }
 
     /** Goes by another limit from now on. */
-    void limit(int limit) {
-        forAll = Math.max(16, limit - RESERVE - held);
+    void limit(int to) {
+        limit = to;
+        divide();
+    }
+
+    /** Two processes of this node live for a while: each has half. */
+    void share(boolean on) {
+        shared = on;
+        divide();
+    }
+
+    private void divide() {
+        forAll = Math.max(16, (shared ? limit / 2 : limit) - RESERVE - held);
         // Usual clients need a third of all descriptors, and their requests as many towards the servers.
         forClients = forAll * 11 / 20;
     }
--- /dev/null
+++ b/node/src/test/java/brackenbridge/net/ReplacementTest.java
@@ -0,0 +1,194 @@
+package brackenbridge.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.config.Config;
+import brackenbridge.config.ConfigTest;
+import brackenbridge.log.Log;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.Socket;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One process's place taken by another, under connects from all sides; and whatever may lie where they meet. */
+class ReplacementTest {
+    private static final String LIVE = "GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n";
+    @TempDir
+    private Path directory;
+    private Path meeting;
+    private FakeServer server;
+    private int port;
+    private final List<Node> nodes = new ArrayList<>();
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new FakeServer();
+        meeting = brackenbridge.handover.Handover.path(directory.toString(), "n3", "127.0.0.1:0");
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        server.close();
+        nodes.forEach(Node::kill);
+    }
+
+    /** A node that knows version 41 of the list, or none. */
+    private Node node(boolean knows) {
+        String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
+        Config config = Config.parse(ConfigTest.TEXT.replace("127.0.0.1:0", "127.0.0.1:" + port)
+                .replace("\"seq\":41", knows ? "\"seq\":41" : "\"seq\":3")
+                .replace("\"hosts\":[]", knows ? "\"hosts\":[" + host + "]" : "\"hosts\":[]"));
+        Clock clock = Clock.system();
+        Node n = new Node(config, clock, new Log(clock, new PrintStream(OutputStream.nullOutputStream())), meeting);
+        nodes.add(n);
+        n.start();
+        port = n.address().getPort();
+        return n;
+    }
+
+    private String ask(String request) throws IOException {
+        try (Socket s = new Socket("127.0.0.1", port)) {
+            s.setSoTimeout(10_000);
+            s.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return String.valueOf(FakeServer.message(s.getInputStream()));
+        }
+    }
+
+    private static void await(java.util.function.BooleanSupplier what) throws InterruptedException {
+        for (int i = 0; i < 5000 && !what.getAsBoolean(); i++) {
+            TimeUnit.MILLISECONDS.sleep(2);
+        }
+        assertTrue(what.getAsBoolean());
+    }
+
+    @Test
+    void twoReplacementsUnderAStormOfConnectsLoseNoConnection() throws Exception {
+        Node old = node(true);
+        AtomicInteger answered = new AtomicInteger();
+        List<Exception> failed = java.util.Collections.synchronizedList(new ArrayList<>());
+        Thread[] storm = new Thread[4];
+        for (int i = 0; i < storm.length; i++) {
+            storm[i] = new Thread(() -> {
+                while (!Thread.currentThread().isInterrupted()) {
+                    try {
+                        assertTrue(ask(LIVE).startsWith("HTTP/1.1 200 "));
+                        answered.incrementAndGet();
+                    } catch (IOException | AssertionError e) {
+                        failed.add(new Exception(e));
+                        return;
+                    }
+                }
+            });
+            storm[i].start();
+        }
+        for (int i = 0; i < 2; i++) {
+            Node next = node(false);
+            await(next::takesClients);
+            int before = answered.get();
+            old.stop().get(10, TimeUnit.SECONDS);
+            old.kill();
+            await(() -> answered.get() > before + 100);
+            old = next;
+        }
+        for (Thread t : storm) {
+            t.interrupt();
+            t.join();
+        }
+        assertEquals(List.of(), failed);
+        server.answers.add("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        String back = ask("GET /view HTTP/1.1\r\nX-Correlation-Id: 1\r\n\r\n");
+        assertTrue(back.endsWith("done"), "the list came along: " + back);
+    }
+
+    @Test
+    void requestThatTheOldProcessHasIsAnsweredAndItsConnectionEnds() throws Exception {
+        Node old = node(true);
+        try (Socket client = new Socket("127.0.0.1", port); Socket idle = new Socket("127.0.0.1", port)) {
+            client.setSoTimeout(10_000);
+            client.getOutputStream().write("GET /view HTTP/1.1\r\nX-Correlation-Id: 1\r\n\r\n".getBytes(
+                    StandardCharsets.US_ASCII));
+            server.next();
+            await(node(false)::takesClients);
+            var ended = old.stop();
+            assertEquals(-1, idle.getInputStream().read(), "idle connections end after a while");
+            assertFalse(ended.isDone());
+            server.answers.add("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+            String back = FakeServer.message(client.getInputStream());
+            assertTrue(back.contains("Connection: close\r\n") && back.endsWith("done"), back);
+            ended.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    void whateverLiesAtThePathANodeStartsAndCanBeReplaced() throws Exception {
+        Files.writeString(meeting, "garbage");
+        await(node(true)::takesClients);
+        await(node(false)::takesClients);
+        assertTrue(ask(LIVE).startsWith("HTTP/1.1 200 "));
+        nodes.forEach(Node::kill);
+        Files.deleteIfExists(meeting);
+        ServerSocketChannel.open(StandardProtocolFamily.UNIX).bind(UnixDomainSocketAddress.of(meeting)).close();
+        await(node(true)::takesClients);
+        assertTrue(Files.exists(meeting), "a killed process's file makes way");
+    }
+
+    @Test
+    void predecessorThatTalksNonsenseOrNotAtAllIsPassedOver() throws Exception {
+        for (String word : List.of("brackenbridge-handover 1 {\"sockets\":\n", "HTTP/1.1 400\n", "")) {
+            nodes.forEach(Node::kill);
+            Files.deleteIfExists(meeting);
+            try (ServerSocketChannel other = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+                other.bind(UnixDomainSocketAddress.of(meeting));
+                Thread talk = new Thread(() -> {
+                    try {
+                        SocketChannel c = other.accept();
+                        c.write(ByteBuffer.wrap(word.getBytes(StandardCharsets.US_ASCII)));
+                    } catch (IOException e) {
+                        return;
+                    }
+                });
+                talk.start();
+                await(node(true)::takesClients);
+                talk.join();
+            }
+        }
+    }
+
+    @Test
+    void successorThatDiesLeavesTheOldProcessAsItWas() throws Exception {
+        Node old = node(true);
+        for (String more : List.of("", "ready\n")) {
+            try (SocketChannel dying = SocketChannel.open(UnixDomainSocketAddress.of(meeting))) {
+                dying.write(ByteBuffer.wrap(("brackenbridge-handover 1 successor\n" + more)
+                        .getBytes(StandardCharsets.US_ASCII)));
+                ByteBuffer offer = ByteBuffer.allocate(4096);
+                while (!new String(offer.array(), StandardCharsets.US_ASCII).contains(more.isEmpty() ? "\n" : "go\n")) {
+                    assertTrue(dying.read(offer) > 0);
+                }
+            }
+            await(() -> Files.exists(meeting));
+        }
+        assertTrue(old.takesClients());
+        await(node(false)::takesClients);
+        assertTrue(ask(LIVE).startsWith("HTTP/1.1 200 "));
+    }
+}
