Settings change at SIGHUP, checked whole against the running file; open flows keep their rules

Ruled out by a probe of the files: no type or key differs between a good file and the first one, so the running file can be the pattern for those that come.

The module lays its queues anew by the new levels and keeps what it knows of servers and of classes of the same name; standing by class moved from arrays to a map.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -5,6 +5,7 @@
 import brackenbridge.State.Call;
 import brackenbridge.State.Kind;
 import brackenbridge.State.Server;
+import brackenbridge.State.Standing;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -53,15 +54,15 @@
     private static final double FORGIVEN = 0.1;
     private static final double GOLDEN = 0.6180339887498949;
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions out;
     private final SplittableRandom random;
     private final Map<String, Kind> kinds = new HashMap<>();
     private final Map<String, Bucket> guarantees = new HashMap<>();
     private final Map<String, Bucket> shares = new HashMap<>();
     private final Bucket common = new Bucket();
-    private final int levels;
-    private final boolean anySafe;
+    private int levels;
+    private boolean anySafe;
     private final Map<Long, Server> servers = new LinkedHashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
     private final PriorityQueue<Server> rotation = new PriorityQueue<>(
@@ -108,12 +109,30 @@
 
     /** Starts an instance. */
     public Balancer(Settings settings, Actions actions) {
-        this.settings = settings;
         this.out = actions;
         this.random = new SplittableRandom(settings.seed());
+        goBy(settings);
+    }
+
+    @Override
+    public void onSettings(long now, Settings next) {
+        goBy(next);
+        // Calls keep their class's rules; they are only ranked among the new levels.
+        calls.values().forEach(c -> c.level = Math.min(c.level, levels - 1));
+        servers.values().forEach(s -> s.relay(levels, kinds.values()));
+        arrange(now);
+    }
+
+    /** What was learned of a class stays with its name. */
+    private void goBy(Settings next) {
+        settings = next;
+        Map<String, Kind> before = new HashMap<>(kinds);
+        kinds.clear();
+        guarantees.clear();
+        shares.clear();
         TreeSet<Double> worths = new TreeSet<>(Comparator.reverseOrder());
         for (RequestClass c : settings.classes()) {
-            kinds.put(c.name(), new Kind(c, kinds.size()));
+            kinds.put(c.name(), Kind.of(c, before.get(c.name())));
             worths.add(c.worth());
             if (!settings.tenants().isEmpty()) {
                 worths.add(c.worth() * settings.overShareWorth());
@@ -169,7 +188,7 @@
             }
         }
         for (Endpoint e : entries) {
-            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e, levels, kinds.size()));
+            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e, levels));
             if (e.startedAt() > s.is.startedAt()) {
                 s.pace = 1;
                 s.latest = 0;
@@ -289,7 +308,7 @@
         long left = Math.max(0, r.timeLeft());
         // An answer past the aim is worth little or nothing: the aim bounds tau.
         long tau = Math.min(left, kind.is.aim());
-        Call c = new Call(r, kind, now, tau, left);
+        Call c = new Call(r, kind, settings.maxAttempts(), now, tau, left);
         calls.put(c.id, c);
         open++;
         // Guards the first clients: they may come seconds after the start, while no rate is known yet.
@@ -448,7 +467,7 @@
 
     /** Allowed, and not a server that fails calls of this class while it serves others. */
     private boolean suits(long now, Call c, Server s) {
-        return now >= s.avoidedUntil[c.kind.index] && allowed(now, c, s);
+        return now >= s.standing(c.kind).avoidedUntil && allowed(now, c, s);
     }
 
     private static boolean usable(Server s) {
@@ -677,11 +696,12 @@
         boolean failed = outcome == Outcome.ERROR || outcome == Outcome.RESET;
         s.errors += NEWEST * ((failed ? 1 : 0) - s.errors);
         c.kind.errors += NEWEST / 10 * ((outcome == Outcome.ERROR ? 1 : 0) - c.kind.errors);
-        if (outcome == Outcome.ERROR && ++s.fails[c.kind.index] > (c.kind.errors < SELDOM ? 0 : 1)) {
+        Standing standing = s.standing(c.kind);
+        if (outcome == Outcome.ERROR && ++standing.fails > (c.kind.errors < SELDOM ? 0 : 1)) {
             // Guards a class that only some servers fail and that may not be repeated: the others still earn.
             // Where the whole fleet fails it, as in an overload, one error says nothing of the server.
-            long avoid = SECOND << Math.min(s.fails[c.kind.index] - 1, 3);
-            s.avoidedUntil[c.kind.index] = now + avoid / 2 + (long) (random.nextDouble() * avoid);
+            long avoid = SECOND << Math.min(standing.fails - 1, 3);
+            standing.avoidedUntil = now + avoid / 2 + (long) (random.nextDouble() * avoid);
         }
         if (outcome == Outcome.OK) {
             Kind k = c.kind;
@@ -693,7 +713,7 @@
             k.answers++;
             // Guards against a server that fails some calls and serves others: it is out longer each time.
             s.strikes = s.errors < FORGIVEN ? 0 : s.strikes;
-            s.fails[k.index] = 0;
+            standing.fails = 0;
             if (s.out) {
                 comeBack(s);
                 if (s.inReach) {
@@ -754,7 +774,7 @@
 
     /** Another attempt where the effect allows it, the time suffices and the budget is not spent. */
     private void tryAgain(long now, Call c, Outcome outcome) {
-        boolean may = c.attempts.size() < settings.maxAttempts() && now < c.arrival + c.tau
+        boolean may = c.attempts.size() < c.maxAttempts && now < c.arrival + c.tau
                 && outcome != Outcome.MOOT && outcome != Outcome.CANCELLED;
         may &= retryBudget >= 1 && (!c.mayHaveRun || c.kind.is.effect() != Effect.UNSAFE);
         if (may) {
--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -263,6 +263,11 @@
 
     // ---- Events: what an instance is told, each with the time at which it is told ----
 
+    /** Other settings hold for requests that come from now on; those that are open keep the rules they came under. */
+    default void onSettings(long now, Settings settings) {
+        throw new UnsupportedOperationException("settings that change while it runs");
+    }
+
     /** A list of endpoints, or word that discovery failed. The first event of all is a list. */
     void onList(long now, ListKind kind, List<Endpoint> entries);
 
--- a/core/src/main/java/brackenbridge/State.java
+++ b/core/src/main/java/brackenbridge/State.java
@@ -5,6 +5,9 @@
 import brackenbridge.BalancerApi.RequestClass;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 
 /** What an instance of {@link Balancer} keeps in mind: plain data, no decisions. */
 final class State {
@@ -14,8 +17,6 @@
     /** A class of request and what was seen of it. */
     static final class Kind {
         final RequestClass is;
-        /** Its place among the classes. */
-        final int index;
         int level;
         int overShareLevel;
         /** Mean response time of its answers, 0 before the first. */
@@ -28,10 +29,33 @@
         /** The part of errors among the outcomes at all servers of late. */
         double errors;
 
-        Kind(RequestClass is, int index) {
+        private Kind(RequestClass is) {
             this.is = is;
-            this.index = index;
         }
+
+        /** The class by these rules; what was seen of it under others stays, and the old kind if they are equal. */
+        static Kind of(RequestClass is, Kind before) {
+            if (before != null && before.is.equals(is)) {
+                return before;
+            }
+            Kind kind = new Kind(is);
+            if (before != null) {
+                kind.mean = before.mean;
+                kind.spread = before.spread;
+                kind.base = before.base;
+                kind.answers = before.answers;
+                kind.errors = before.errors;
+            }
+            return kind;
+        }
+    }
+
+    /** What a server did to a class of late. */
+    static final class Standing {
+        /** Errors since its last answer. */
+        int fails;
+        /** Until when the class goes elsewhere for them. */
+        long avoidedUntil;
     }
 
     /** A token bucket. */
@@ -95,9 +119,12 @@
         long ranSince;
         Server ranAt;
         int outNow;
+        /** As many attempts as were allowed when it came. */
+        final int maxAttempts;
         final ArrayList<Attempt> attempts = new ArrayList<>(1);
 
-        Call(Request r, Kind kind, long now, long tau, long left) {
+        Call(Request r, Kind kind, int maxAttempts, long now, long tau, long left) {
+            this.maxAttempts = maxAttempts;
             this.id = r.id();
             this.kind = kind;
             this.key = r.key();
@@ -123,7 +150,7 @@
         final double place;
         Endpoint is;
         /** The calls bound to it, by level. */
-        final ArrayDeque<Call>[] queues;
+        ArrayDeque<Call>[] queues;
         int queued;
         int inFlight;
         /** Among the endpoints that this instance uses. */
@@ -140,22 +167,32 @@
         int strikes;
         /** The part of errors among its outcomes, the newest weighted most. */
         double errors;
-        /** Errors of each class since its last answer here, and until when the class goes elsewhere for them. */
-        final int[] fails;
-        final long[] avoidedUntil;
+        private final Map<Kind, Standing> standings = new HashMap<>();
         /** Taken out by its failures, until backAt. */
         boolean out;
         long backAt;
 
-        Server(Endpoint is, int levels, int classes) {
-            this.fails = new int[classes];
-            this.avoidedUntil = new long[classes];
+        Server(Endpoint is, int levels) {
             this.id = is.id();
             this.is = is;
             this.place = scramble(id) * 0x1p-53;
             this.queues = queues(levels);
         }
 
+        Standing standing(Kind kind) {
+            return standings.computeIfAbsent(kind, k -> new Standing());
+        }
+
+        /** Lays its queues anew by the levels that its calls have now, and forgets classes that are no more. */
+        void relay(int levels, Collection<Kind> kinds) {
+            ArrayDeque<Call>[] before = queues;
+            queues = queues(levels);
+            for (ArrayDeque<Call> q : before) {
+                q.forEach(c -> queues[c.level].add(c));
+            }
+            standings.keySet().retainAll(kinds);
+        }
+
         @SuppressWarnings({"unchecked", "rawtypes"})
         private static ArrayDeque<Call>[] queues(int levels) {
             ArrayDeque<Call>[] made = new ArrayDeque[levels];
--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -1,6 +1,7 @@
 package brackenbridge.core;
 
 import brackenbridge.BalancerApi.Report;
+import brackenbridge.BalancerApi.Settings;
 
 /** What happens to the node: all that the reducer ever learns. */
 public sealed interface Event {
@@ -76,10 +77,11 @@
     /**
      * The configuration was read anew.
      *
+     * @param settings what flows go by that open from now on
      * @param known the target group that it holds, perhaps old
      * @param discoveryMoved whether it names another address for discovery
      */
-    record Reconfigured(TargetGroup known, boolean discoveryMoved) implements Event {
+    record Reconfigured(Settings settings, TargetGroup known, boolean discoveryMoved) implements Event {
     }
 
     /** The node is to be emptied, or is to work again after that. */
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -56,6 +56,8 @@
     private static final class OpenFlow {
         final long id;
         final String className;
+        /** As many forwards as were allowed when it opened. */
+        final int maxAttempts;
         final Object message;
         final double deadline;
         int attempts;
@@ -64,9 +66,10 @@
         boolean timedOut;
         boolean mayHaveRun;
 
-        OpenFlow(long id, String className, Object message, double deadline) {
+        OpenFlow(long id, String className, int maxAttempts, Object message, double deadline) {
             this.id = id;
             this.className = className;
+            this.maxAttempts = maxAttempts;
             this.message = message;
             this.deadline = deadline;
         }
@@ -96,7 +99,7 @@
     private record PendingProbe(long endpoint, double since) {
     }
 
-    private final Settings settings;
+    private Settings settings;
     private final Counters counters;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final BalancerApi balancer;
@@ -237,7 +240,7 @@
         double waits = request.timeLeftMs() >= 0 ? request.timeLeftMs()
                 : ModuleTime.ms(classes.get(request.className()).deadline());
         double left = Math.max(0, waits - MARGIN_MS);
-        OpenFlow f = new OpenFlow(id, request.className(), request.message(), now + left);
+        OpenFlow f = new OpenFlow(id, request.className(), settings.maxAttempts(), request.message(), now + left);
         flows.put(id, f);
         unanswered++;
         if (life.turnsAway()) {
@@ -517,6 +520,12 @@
     /** Another configuration: a newer list in it is taken over, and a moved discovery is asked at once. */
     private void reconfigured(Event.Reconfigured e) {
         counters.count(Kind.RECONFIGURED);
+        if (!e.settings().withSeed(settings.seed()).equals(settings)) {
+            settings = e.settings();
+            classes.clear();
+            settings.classes().forEach(c -> classes.put(c.name(), c));
+            balancer.onSettings(ModuleTime.micros(now), settings);
+        }
         if (e.known().seq() > seq) {
             seq = e.known().seq();
             list(ListKind.SAVED, e.known().targets());
@@ -723,7 +732,7 @@
             int number = f.attempts++;
             Target t = targets.get(endpoint);
             Double cutoff = t == null ? null : noSendAfter.get(t.host());
-            if (f.ended || f.out != null || number >= settings.maxAttempts() || t == null || now >= f.deadline
+            if (f.ended || f.out != null || number >= f.maxAttempts || t == null || now >= f.deadline
                     || cutoff != null && now >= cutoff) {
                 owed.add(new Owed(request, number, Outcome.MOOT));
                 return;
--- a/core/src/main/java/brackenbridge/counters/Counters.java
+++ b/core/src/main/java/brackenbridge/counters/Counters.java
@@ -93,6 +93,14 @@
         byClass.computeIfAbsent(className, n -> new EnumMap<>(Kind.class)).merge(kind, 1L, Long::sum);
     }
 
+    /** Counts a request of a class that is served no more; of one that never was, nothing is kept. */
+    public void countDropped(String className) {
+        if (byClass.containsKey(className)) {
+            count(Kind.FLOWS_IN, className);
+            count(Kind.ANSWERED_REJECTED, className);
+        }
+    }
+
     /** The count so far of one class. */
     public long of(Kind kind, String className) {
         Map<Kind, Long> counted = byClass.get(className);
--- a/core/src/test/java/brackenbridge/core/Play.java
+++ b/core/src/test/java/brackenbridge/core/Play.java
@@ -22,6 +22,7 @@
 
     final Clock.Settable clock = new Clock.Settable(1_796_000_000_000.0);
     final Counters counters = new Counters();
+    final Settings settings;
     final Reducer reducer;
     final List<brackenbridge.core.Effect> effects = new ArrayList<>();
     private final PriorityQueue<brackenbridge.core.Effect.SetTimer> timers =
@@ -33,10 +34,8 @@
     }
 
     Play(int servers, int peers) {
-        reducer = new Reducer(new Settings(7, 0, peers, 0, "room", List.of(VIEW, FILE), List.of(), 0.1, true,
-                10_000_000,
-                5, 40000, 0, true, true, false, 30_000_000, 0.3, 8_500_000,
-                new Network(120_000, 500_000, false, List.of("depth"))), counters);
+        settings = settings(peers, 5, VIEW, FILE);
+        reducer = new Reducer(settings, counters);
         List<Target> targets = new ArrayList<>();
         for (int i = 0; i < servers; i++) {
             targets.add(target("s-" + i, EndpointState.UP));
@@ -44,6 +43,12 @@
         tell(new Event.Started(new TargetGroup(41, true, targets)));
     }
 
+    static Settings settings(int peers, int attempts, RequestClass... classes) {
+        return new Settings(7, 0, peers, 0, "room", List.of(classes), List.of(), 0.1, true, 10_000_000, attempts, 40000,
+                0, true, true, false, 30_000_000, 0.3, 8_500_000,
+                new Network(120_000, 500_000, false, List.of("depth")));
+    }
+
     static Target target(String host, EndpointState state) {
         return new Target(host, "127.0.0.1:" + (9000 + Math.abs(host.hashCode() % 1000)), "room", -1, 1, 0, state);
     }
--- a/core/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/core/src/test/java/brackenbridge/core/ReducerTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brackenbridge.BalancerApi;
 import brackenbridge.BalancerApi.EndpointState;
+import brackenbridge.BalancerApi.RequestClass;
 import brackenbridge.core.Effect.Fixed;
 import brackenbridge.core.Event.Reply;
 import brackenbridge.counters.Counters.Kind;
@@ -148,7 +150,7 @@
         Play p = new Play(1).pass(4100);
         long old = p.of(Effect.Watch.class).get(0).call();
         TargetGroup known = new TargetGroup(40, true, List.of(Play.target("s-old", EndpointState.UP)));
-        p.tell(new Event.Reconfigured(known, true));
+        p.tell(new Event.Reconfigured(p.settings, known, true));
         assertEquals(List.of(new Effect.EndDiscovery(old)), p.of(Effect.EndDiscovery.class));
         Effect.Watch w = p.of(Effect.Watch.class).get(1);
         assertEquals(41, w.afterSeq());
@@ -165,7 +167,8 @@
     @Test
     void reconfiguredNodeTakesANewerListAndKeepsItsWatch() {
         Play p = new Play(1).pass(4100);
-        p.tell(new Event.Reconfigured(new TargetGroup(42, true, List.of(Play.target("s-new", EndpointState.UP))),
+        p.tell(new Event.Reconfigured(p.settings,
+                new TargetGroup(42, true, List.of(Play.target("s-new", EndpointState.UP))),
                 false));
         assertEquals("s-new", p.forwards(p.open(Play.FILE, 5000)).get(0).host());
         assertEquals(0, p.of(Effect.EndDiscovery.class).size());
@@ -263,4 +266,49 @@
         assertEquals(a, other.of("s-a"));
         assertEquals(one.of("s-b"), other.of("s-b"));
     }
+
+    @Test
+    void openFlowsKeepTheRulesTheyBeganUnder() {
+        Play p = new Play(8, 2);
+        long old = p.open(Play.VIEW, 5000);
+        RequestClass strict = new RequestClass("view", 1_000_000, 2_000_000, BalancerApi.Effect.UNSAFE,
+                BalancerApi.DedupScope.ALL, 0, false, 20, 0.25);
+        RequestClass other = new RequestClass("other", 1_000_000, 3_000_000, BalancerApi.Effect.SAFE,
+                BalancerApi.DedupScope.ALL, 0, false, 5, 0.25);
+        p.tell(new Event.Reconfigured(Play.settings(2, 2, strict, other), new TargetGroup(41, true, List.of()), false));
+        for (int i = 0; i < 4; i++) {
+            p.tell(new Event.ForwardWritten(old, i)).tell(new Event.ForwardBroken(old, i));
+        }
+        assertEquals(5, p.forwards(old).size(), "safe, with five attempts");
+        long now = p.open(strict, -1);
+        p.tell(new Event.ForwardWritten(now, 0)).tell(new Event.ForwardBroken(now, 0));
+        assertEquals(List.of(Fixed.FAILED), p.fixed(now), "unsafe by the new rules");
+        long added = p.open(other, -1);
+        for (int i = 0; i < 2; i++) {
+            p.tell(new Event.ForwardWritten(added, i)).tell(new Event.ForwardBroken(added, i));
+        }
+        assertEquals(2, p.forwards(added).size(), "attempts have got fewer");
+        assertFalse(p.reducer.figures().contains("proxy.ok.file:"), "a class that never asked is gone");
+    }
+
+    @Test
+    void callsThatWaitAreServedAcrossNewLevels() {
+        Play p = new Play(1, 1);
+        java.util.ArrayList<Long> flows = new java.util.ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            flows.add(p.open(i % 2 == 0 ? Play.VIEW : Play.FILE, 5000));
+        }
+        int before = p.of(Effect.Forward.class).size();
+        assertTrue(before < 12, "some wait");
+        p.tell(new Event.Reconfigured(Play.settings(1, 5, Play.FILE), new TargetGroup(41, true, List.of()), false));
+        for (int i = 0; i < 12; i++) {
+            for (Effect.Forward f : p.of(Effect.Forward.class)) {
+                p.tell(new Event.ForwardWritten(f.flow(), f.forward()));
+                p.tell(answer(f.flow(), f.forward(), Reply.SERVED));
+            }
+        }
+        assertEquals(12, p.of(Effect.Respond.class).size() + p.of(Effect.FixedResponse.class).size());
+        assertTrue(p.of(Effect.Respond.class).size() > before, "those that waited too");
+        assertEquals(0, p.of(Effect.Fault.class).size());
+    }
 }
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -85,6 +85,7 @@
     private final String name;
     private final BiFunction<Settings, Actions, BalancerApi> decisions;
     private final Counters counters = new Counters();
+    private Settings settings;
     private final Map<Long, SimRequest> flows = new LinkedHashMap<>();
     private final Map<Long, Out> outs = new HashMap<>();
     private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
@@ -122,7 +123,8 @@
         accepts = true;
         serves = true;
         ledger.forget(name);
-        reducer = new Reducer(world.spec().settings(tier, index, world.nodeSeed(tier, index, life)), counters,
+        settings = world.spec().settings(tier, index, world.nodeSeed(tier, index, life));
+        reducer = new Reducer(settings, counters,
                 decisions);
         TargetGroup known = world.discovery(tier).whole();
         raise(new Event.Started(known));
@@ -167,7 +169,7 @@
 
     /** A new configuration names another address for discovery. */
     void discoveryMoved() {
-        raise(new Event.Reconfigured(world.discovery(tier).whole(), true));
+        raise(new Event.Reconfigured(settings, world.discovery(tier).whole(), true));
     }
 
     int life() {
--- a/node/src/main/java/brackenbridge/config/Config.java
+++ b/node/src/main/java/brackenbridge/config/Config.java
@@ -26,9 +26,10 @@
  * @param sockets the most file descriptors that it may hold
  * @param settings what the module and the node go by
  * @param known the target group as it last held it
+ * @param shape its keys and the types of their values
  */
 public record Config(String name, String listen, String discovery, String management, int sockets, Settings settings,
-        TargetGroup known) {
+        TargetGroup known, Shape shape) {
 
     /** Reads the configuration file; what can't be used is an IllegalArgumentException of one plain line. */
     public static Config read(Path file) {
@@ -57,7 +58,8 @@
             }
             return new Config(json.getString("name", "node"), address(json, "listen"), address(json, "discovery"),
                     json.get("mgmt") == null ? null : address(json, "mgmt"), sockets,
-                    new SettingsParser(pairs).parse(seed), TargetGroupParser.group(object(json, "known")));
+                    new SettingsParser(pairs).parse(seed), TargetGroupParser.group(object(json, "known")),
+                    Shape.of(json));
         } catch (RuntimeException e) {
             throw new IllegalArgumentException(String.valueOf(e.getMessage()).replaceAll("\\s+", " "), e);
         } catch (StackOverflowError e) {
@@ -67,7 +69,8 @@
 
     /** The same with staff's calls at this address; a null changes nothing. */
     public Config withManagement(String at) {
-        return at == null ? this : new Config(name, listen, discovery, checked("mgmt", at), sockets, settings, known);
+        return at == null ? this : new Config(name, listen, discovery, checked("mgmt", at), sockets, settings, known,
+                shape);
     }
 
     private static JsonObject object(JsonObject json, String name) {
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -44,16 +44,16 @@
     /** A forward that its connection's end meets so soon has met a connection that was dead already. */
     private static final double AT_ONCE_MS = 50;
 
-    private final Bootstrap bootstrap;
+    private Bootstrap bootstrap;
     private final EventLoop loop;
     private final Log log;
-    private final Settings settings;
+    private Settings settings;
     private final Clock clock;
     private final Events events;
     private final Sockets sockets;
     private final Counters counters;
     private final Runnable makeRoom;
-    private final double idleMs;
+    private double idleMs;
     /** Kept connections are believed alive when they have been idle for less than this. */
     private double trustMs;
     private int held;
@@ -86,13 +86,19 @@
             Counters counters, Log log, Runnable makeRoom) {
         this.loop = loop;
         this.log = log;
-        this.settings = settings;
         this.clock = clock;
         this.events = events;
         this.sockets = sockets;
         this.counters = counters;
         this.makeRoom = makeRoom;
-        this.bootstrap = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+        this.bootstrap = bootstrap;
+        goBy(settings);
+    }
+
+    /** Forwards that begin from now on go by these settings. */
+    void goBy(Settings now) {
+        settings = now;
+        bootstrap = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 (int) Math.max(1, settings.network().connectTimeout() / 1000));
         // Guards against the server's own idle close, which may come early: what is written from then on is lost.
         idleMs = settings.idleClose() / 2000.0;
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -79,7 +79,7 @@
 
     Listener(Settings settings, Clock clock, Events events, Sockets sockets, Counters counters,
             BooleanSupplier ready, Runnable makeRoom) {
-        settings.classes().forEach(c -> classes.put(c.name(), c));
+        goBy(settings);
         this.clock = clock;
         this.events = events;
         this.sockets = sockets;
@@ -97,6 +97,12 @@
         };
     }
 
+    /** Requests that are whole from now on go by these settings. */
+    void goBy(Settings settings) {
+        classes.clear();
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+    }
+
     void opened(Door opened) {
         door = opened;
     }
@@ -393,6 +399,9 @@
             String named = r.headers().get("X-Service-Class");
             RequestClass c = classes.get(r.firstPart());
             if (c == null || named != null && !named.equals(c.name())) {
+                if (c == null) {
+                    counters.countDropped(r.firstPart());
+                }
                 reject(404, "no such class");
                 return;
             }
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -186,25 +186,37 @@
         try {
             read = reading.get();
         } catch (IllegalArgumentException e) {
-            loop.execute(() -> {
-                counters.count(Counters.Kind.RECONFIGURE_FAILED);
-                log.warn("the old configuration stays: " + e.getMessage());
-            });
+            loop.execute(() -> turnDown(e));
             return;
         }
         loop.execute(() -> takeOver(read));
     }
 
+    private void turnDown(IllegalArgumentException e) {
+        counters.count(Counters.Kind.RECONFIGURE_FAILED);
+        log.warn("the old configuration stays: " + e.getMessage());
+        publish();
+    }
+
     private void takeOver(Config read) {
+        try {
+            config.shape().requireOf(read.shape());
+        } catch (IllegalArgumentException e) {
+            turnDown(e);
+            return;
+        }
         boolean moved = !read.discovery().equals(config.discovery());
-        boolean fixed = !read.listen().equals(config.listen()) || !read.name().equals(config.name())
-                || !read.settings().withSeed(config.settings().seed()).equals(config.settings());
+        boolean fixed = !read.listen().equals(config.listen()) || !read.name().equals(config.name());
         discovery.moved(read.discovery());
+        listener.goBy(read.settings());
+        forwards.goBy(read.settings());
         sockets.limit(read.sockets() - (management == null ? 0 : ManagementListener.DESCRIPTORS));
         config = read;
-        log.info("reconfigured, discovery at " + read.discovery()
-                + (fixed ? "; name, listen and settings change at the next start only" : ""));
-        raise(new Event.Reconfigured(read.known(), moved));
+        log.info("reconfigured, " + read.settings().classes().size() + " classes, " + read.settings().maxAttempts()
+                + " attempts, discovery at " + read.discovery()
+                + (fixed ? "; name and listen address change at the next start only" : ""));
+        raise(new Event.Reconfigured(read.settings(), read.known(), moved));
+        publish();
     }
 
     /** Begins to stop; the future that is returned completes when all is answered. */
--- a/node/src/test/java/brackenbridge/config/ConfigTest.java
+++ b/node/src/test/java/brackenbridge/config/ConfigTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import brackenbridge.testing.Bytes;
@@ -45,6 +48,48 @@
         }
     }
 
+    private static String turnedDown(String text) {
+        try {
+            Config.parse(TEXT).shape().requireOf(Config.parse(text).shape());
+            return null;
+        } catch (IllegalArgumentException e) {
+            return e.getMessage();
+        }
+    }
+
+    @Test
+    void everyPrefixOfAFileIsTurnedDown() {
+        for (int i = 0; i < TEXT.length(); i++) {
+            assertNotNull(turnedDown(TEXT.substring(0, i)), "the first " + i);
+        }
+    }
+
+    @Test
+    void everyKeyThatIsLostIsMissed() {
+        java.util.regex.Matcher key = java.util.regex.Pattern.compile("\"([A-Za-z_]+)\":").matcher(TEXT);
+        int keys = 0;
+        while (key.find()) {
+            String without = TEXT.substring(0, key.start(1)) + "x" + TEXT.substring(key.start(1));
+            assertNotNull(turnedDown(without), key.group(1));
+            keys++;
+        }
+        assertEquals(41, keys);
+    }
+
+    @Test
+    void valuesThatCanNotHoldAreTurnedDown() {
+        for (String[] change : new String[][] {{"8000000", "0"}, {"8000000", "-5"}, {"8000000", "\"8000000\""},
+            {"8000000", "null"}, {"8000000", "NaN"}, {"\"maxAttempts\":5", "\"maxAttempts\":0"},
+            {"\"maxAttempts\":5", "\"maxAttempts\":-1"}, {"\"maxAttempts\":5", "\"maxAttempts\":\"5\""},
+            {"\"maxAttempts\":5", "\"maxAttempts\":2.5"}, {"\"name\":\"file\"", "\"name\":\"view\""},
+            {"\"unsafe\"", "\"sometimes\""}, {"\"aim\":4000000", "\"aim\":false"}, {"2.0", "-2.0"}}) {
+            String text = TEXT.replace(change[0], change[1]);
+            assertNotEquals(TEXT, text);
+            assertNotNull(turnedDown(text), change[1] + " for " + change[0]);
+        }
+        assertNull(turnedDown(TEXT.replace("\"view\"", "\"seen\"").replace("8000000", "9000000")));
+    }
+
     @Test
     void whatIsMissingIsNamed() {
         assertEquals("no object known", assertThrows(IllegalArgumentException.class,
--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -398,6 +398,36 @@
         assertTrue(answer().endsWith("done"));
     }
 
+    @Test
+    void newSettingsHoldForNewRequestsOnly() throws Exception {
+        String other = ConfigTest.TEXT.replace("\"name\":\"file\"", "\"name\":\"sign\"");
+        node.reconfigure(() -> Config.parse(other.replace("\"giveUp\":6000000", "\"giveUp\":0")));
+        node.reconfigure(() -> Config.parse(other.replace("\"maxRetryAfter\":3000000,", "")));
+        settle();
+        assertTrue(node.figures().contains("proxy.config_applied:0|c\nproxy.config_rejected:2|c\n"), node.figures());
+        server.answers.add(OK);
+        expect(200, file("still here"));
+        send(file("a"));
+        Socket open = client;
+        assertNotNull(server.next());
+        assertNotNull(server.next());
+        node.reconfigure(() -> Config.parse(other));
+        settle();
+        expect(404, file("gone").replace("Id: 9b", "Id: 9c"));
+        client = open;
+        server.answers.add(OK);
+        assertTrue(answer().endsWith("done"), "the open request ends as it began");
+        server.answers.add(OK);
+        expect(200, file("new").replace("/file", "/sign"));
+        String told = node.figures();
+        for (int i = 0; i < 500 && !told.contains("proxy.errors.file:1|c\n"); i++) {
+            settle();
+            told = node.figures();
+        }
+        assertTrue(told.contains("proxy.ok.file:2|c\n") && told.contains("proxy.errors.file:1|c\n")
+                && told.contains("proxy.ok.sign:1|c\n") && told.contains("proxy.config_applied:1|c\n"), told);
+    }
+
     @Test
     void drainedNodeEmptiesItselfAndComesBack() throws Exception {
         node.kill();
