Bodies above 64 KiB stream through, both ways, with demand flowing back

Ruled out: memory (56 of 144 MB) and cores (0.48 in the worst second). A long answer is final for the reducer with its head and first part; a long request opens its flow with the first 64 KiB and its time begins with the last byte.

--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -21,8 +21,26 @@
     record FlowOpened(long flow, Flow request) implements Event {
     }
 
-    /** The last byte of the flow's answer has left; it has not if the connection ended before. */
-    record AnswerLeft(long flow, boolean whole) implements Event {
+    /** The last byte of a flow has come that was opened before it. */
+    record FlowWhole(long flow) implements Event {
+    }
+
+    /** Part of the flow's body has gone to a server and is kept nowhere: it can't be sent again. */
+    record FlowSpent(long flow) implements Event {
+    }
+
+    /** How the writing of an answer ended. */
+    enum Left {
+        /** The last byte has left. */
+        WHOLE,
+        /** Its server could not finish it, so it was cut. */
+        CUT,
+        /** Its client went away. */
+        ABANDONED
+    }
+
+    /** The flow's answer is written, or never will be. */
+    record AnswerLeft(long flow, Left how) implements Event {
     }
 
     /** The flow's client has gone away. */
--- a/core/src/main/java/brackenbridge/core/Flow.java
+++ b/core/src/main/java/brackenbridge/core/Flow.java
@@ -5,9 +5,11 @@
  *
  * @param className its class
  * @param tenant its tenant; null if none
- * @param timeLeftMs how long its client still waits; negative if it did not say
+ * @param timeLeftMs how long its client still waits, from its last byte on; negative if it did not say
  * @param repeat its client says that it tried before
+ * @param whole whether its last byte has come; if not, {@link Event.FlowWhole} says when it has
  * @param message what to forward; nothing in the core looks into it
  */
-public record Flow(String className, String tenant, double timeLeftMs, boolean repeat, Object message) {
+public record Flow(String className, String tenant, double timeLeftMs, boolean repeat, boolean whole,
+        Object message) {
 }
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -59,27 +59,37 @@
         /** As many forwards as were allowed when it opened. */
         final int maxAttempts;
         final Object message;
-        final double deadline;
+        /** How long its client waits, from its last byte on. */
+        final double left;
+        /** Infinite until its last byte has come. */
+        double deadline;
+        /** It can't be sent again. */
+        boolean spent;
         int attempts;
         Out out;
         boolean ended;
         boolean timedOut;
         boolean mayHaveRun;
 
-        OpenFlow(long id, String className, int maxAttempts, Object message, double deadline) {
+        OpenFlow(long id, String className, int maxAttempts, Object message, double left, double deadline) {
             this.id = id;
             this.className = className;
             this.maxAttempts = maxAttempts;
             this.message = message;
+            this.left = left;
             this.deadline = deadline;
         }
+
+        boolean isWhole() {
+            return deadline < Double.POSITIVE_INFINITY;
+        }
     }
 
     /** The one forward that a flow has out. */
     private static final class Out {
         final int number;
         final String host;
-        final double since;
+        double since;
         boolean written;
 
         Out(int number, String host, double since) {
@@ -199,12 +209,25 @@
         } else if (event instanceof Event.AnswerLeft e) {
             Leaving l = leaving.remove(e.flow());
             if (l != null) {
-                counters.count(e.whole() ? l.kind() : Kind.FLOWS_GONE, l.className());
+                counters.count(switch (e.how()) {
+                    case WHOLE -> l.kind();
+                    case CUT -> Kind.ANSWERED_FAILED;
+                    case ABANDONED -> Kind.FLOWS_GONE;
+                }, l.className());
+            }
+        } else if (event instanceof Event.FlowWhole e) {
+            whole(e.flow());
+        } else if (event instanceof Event.FlowSpent e) {
+            OpenFlow f = flows.get(e.flow());
+            if (f != null) {
+                f.spent = true;
             }
         } else if (event instanceof Event.ForwardWritten e) {
             OpenFlow f = withOut(e.flow(), e.forward());
             if (f != null) {
                 f.out.written = true;
+                // A server begins with the last byte: what came before is the client's time, not the server's.
+                f.out.since = f.spent ? now : f.out.since;
                 counters.count(Kind.FORWARDS_WRITTEN);
             }
         } else if (event instanceof Event.ForwardAnswered e) {
@@ -240,7 +263,8 @@
         double waits = request.timeLeftMs() >= 0 ? request.timeLeftMs()
                 : ModuleTime.ms(classes.get(request.className()).deadline());
         double left = Math.max(0, waits - MARGIN_MS);
-        OpenFlow f = new OpenFlow(id, request.className(), settings.maxAttempts(), request.message(), now + left);
+        OpenFlow f = new OpenFlow(id, request.className(), settings.maxAttempts(), request.message(), left,
+                request.whole() ? now + left : Double.POSITIVE_INFINITY);
         flows.put(id, f);
         unanswered++;
         if (life.turnsAway()) {
@@ -249,11 +273,20 @@
             fixedResponse(f, Effect.Fixed.REFUSED, 0);
             return;
         }
-        effects.add(new Effect.SetTimer(f.deadline, new TimerKey.Deadline(id)));
+        effects.add(new Effect.SetTimer(now + left, new TimerKey.Deadline(id)));
         balancer.onRequest(ModuleTime.micros(now), new Request(id, request.className(), request.tenant(), -1,
                 ModuleTime.micros(left), -1, request.repeat()));
     }
 
+    /** From now on the client waits. */
+    private void whole(long id) {
+        OpenFlow f = flows.get(id);
+        if (f != null && !f.isWhole()) {
+            f.deadline = now + f.left;
+            effects.add(new Effect.SetTimer(f.deadline, new TimerKey.Deadline(id)));
+        }
+    }
+
     private void gone(long id) {
         OpenFlow f = flows.get(id);
         if (f == null || f.ended) {
@@ -322,11 +355,17 @@
         conclude(f, outcome, ended, report);
     }
 
-    private void conclude(OpenFlow f, Outcome outcome, boolean ended, Report report) {
+    private void conclude(OpenFlow f, Outcome outcome, boolean endedBefore, Report report) {
         Out o = f.out;
         f.out = null;
         f.mayHaveRun |= !outcome.neverRan;
         f.timedOut = outcome == Outcome.TIMEOUT;
+        if (f.spent && !f.ended) {
+            // Nobody has its body any more, so the module has nothing to decide: the flow ends at once and truly.
+            fixedResponse(f, f.timedOut ? Effect.Fixed.TIMED_OUT
+                    : f.mayHaveRun ? Effect.Fixed.FAILED : Effect.Fixed.REFUSED, 0);
+        }
+        boolean ended = endedBefore || f.ended;
         if (f.ended) {
             forget(f);
         }
@@ -410,9 +449,14 @@
     /** The client is about to give up: the forward has timed out, and an answer goes out whatever happens. */
     private void deadline(long id) {
         OpenFlow f = flows.get(id);
-        if (f == null) {
+        // A flow whose body is still on its way to a server has all its time before it.
+        if (f == null || (f.isWhole() ? now < f.deadline : f.out != null)) {
             return;
         }
+        answerNow(f);
+    }
+
+    private void answerNow(OpenFlow f) {
         if (f.out != null) {
             cancelOut(f, Outcome.TIMEOUT);
             settle();
@@ -421,7 +465,7 @@
             // Guards against a flow that the module still holds: the client must not be left without an answer.
             counters.count(Kind.ANSWERED_AT_DEADLINE);
             fixedResponse(f, f.mayHaveRun ? Effect.Fixed.TIMED_OUT : Effect.Fixed.REFUSED, 0);
-            balancer.onGone(ModuleTime.micros(now), id);
+            balancer.onGone(ModuleTime.micros(now), f.id);
         }
     }
 
@@ -716,9 +760,7 @@
 
     /** Time is up before some deadlines: what is open is answered now, since the process will not live longer. */
     private void answerAll() {
-        for (long id : List.copyOf(flows.keySet())) {
-            deadline(id);
-        }
+        List.copyOf(flows.values()).forEach(this::answerNow);
     }
 
     /** What the module does, as effects. */
@@ -739,9 +781,10 @@
             }
             f.out = new Out(number, t.host(), now);
             counters.count(Kind.FORWARDS_SENT);
-            double giveUp = Math.min(f.deadline, timeout > 0 ? now + ModuleTime.ms(timeout) : f.deadline);
+            double last = f.isWhole() ? f.deadline : now + f.left;
+            double giveUp = Math.min(last, timeout > 0 && f.isWhole() ? now + ModuleTime.ms(timeout) : last);
             effects.add(new Effect.Forward(f.id, number, t.host(), t.dial(), giveUp, f.message));
-            if (giveUp < f.deadline) {
+            if (giveUp < last) {
                 effects.add(new Effect.SetTimer(giveUp, new TimerKey.ForwardLimit(f.id, number)));
             }
         }
--- a/core/src/main/java/brackenbridge/counters/Counters.java
+++ b/core/src/main/java/brackenbridge/counters/Counters.java
@@ -29,6 +29,12 @@
         FORWARDS_REJECTED,
         /** Answers of servers that could not be read, or that stopped half way. */
         ANSWERS_SPOILT,
+        /** Long answers that went on piece by piece. */
+        ANSWERS_STREAMED,
+        /** Of these, how many their server did not finish. */
+        ANSWERS_CUT,
+        /** Requests whose long body went on piece by piece. */
+        REQUESTS_STREAMED,
         /** Forwards turned away unseen. */
         FORWARDS_TURNED_AWAY,
         /** Forwards for which no connection could be had. */
--- a/core/src/test/java/brackenbridge/core/LifeCycleTest.java
+++ b/core/src/test/java/brackenbridge/core/LifeCycleTest.java
@@ -74,7 +74,7 @@
                 case 3 -> p.tell(new Event.ForwardAnswered(f, r.nextInt(2), Reply.values()[r.nextInt(4)], "b", null));
                 case 4 -> p.tell(new Event.ForwardBroken(f, r.nextInt(2)));
                 case 5 -> p.tell(new Event.FlowGone(f));
-                case 6 -> p.tell(new Event.AnswerLeft(f, r.nextInt(4) > 0));
+                case 6 -> p.tell(new Event.AnswerLeft(f, Event.Left.values()[r.nextInt(3)]));
                 case 7 -> p.tell(r.nextInt(5) > 0 ? RETURN : DRAIN);
                 default -> p.pass(r.nextInt(60));
             }
--- a/core/src/test/java/brackenbridge/core/Play.java
+++ b/core/src/test/java/brackenbridge/core/Play.java
@@ -66,7 +66,7 @@
 
     /** Opens a flow and gives its number back. */
     long open(RequestClass c, double leftMs) {
-        tell(new Event.FlowOpened(flows, new Flow(c.name(), null, leftMs, false, "message " + flows)));
+        tell(new Event.FlowOpened(flows, new Flow(c.name(), null, leftMs, false, true, "message " + flows)));
         return flows++;
     }
 
--- a/lab/src/main/java/brackenbridge/lab/bench/ReducerBench.java
+++ b/lab/src/main/java/brackenbridge/lab/bench/ReducerBench.java
@@ -95,7 +95,7 @@
     }
 
     private void open() {
-        tell(new Event.FlowOpened(flows, new Flow((flows & 3) == 0 ? "file" : "view", null, 5000, false, "")));
+        tell(new Event.FlowOpened(flows, new Flow((flows & 3) == 0 ? "file" : "view", null, 5000, false, true, "")));
         flows++;
     }
 
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -218,7 +218,7 @@
                 request.unsafe, request.deadlineMs);
         request.flow = flow;
         flows.put(flow, request);
-        raise(new Event.FlowOpened(flow, new Flow(request.plan.className(), tenant, timeLeftMs, repeat, request)));
+        raise(new Event.FlowOpened(flow, new Flow(request.plan.className(), tenant, timeLeftMs, repeat, true, request)));
         return true;
     }
 
@@ -284,10 +284,10 @@
         } else if (effect instanceof Effect.Forward e) {
             forward(e);
         } else if (effect instanceof Effect.Respond e) {
-            raise(new Event.AnswerLeft(e.flow(), true));
+            raise(new Event.AnswerLeft(e.flow(), Event.Left.WHOLE));
             answer(e.flow(), Answer.SERVED, 0);
         } else if (effect instanceof Effect.FixedResponse e) {
-            raise(new Event.AnswerLeft(e.flow(), true));
+            raise(new Event.AnswerLeft(e.flow(), Event.Left.WHOLE));
             answer(e.flow(), e.kind() == Effect.Fixed.REFUSED ? Answer.REFUSED : Answer.FAILED, e.retryAfterMs());
         } else if (effect instanceof Effect.CancelForward e) {
             cancel(e.flow(), e.forward());
--- a/node/src/main/java/brackenbridge/http/Headers.java
+++ b/node/src/main/java/brackenbridge/http/Headers.java
@@ -26,6 +26,17 @@
         return null;
     }
 
+    /** The same fields but for those of this name. */
+    public Headers without(String name) {
+        Headers others = new Headers();
+        each((n, v) -> {
+            if (!n.equalsIgnoreCase(name)) {
+                others.add(n, v);
+            }
+        });
+        return others;
+    }
+
     /** How many fields have this name. */
     public int count(String name) {
         int count = 0;
--- a/node/src/main/java/brackenbridge/http/HttpEncoder.java
+++ b/node/src/main/java/brackenbridge/http/HttpEncoder.java
@@ -11,6 +11,10 @@
 public final class HttpEncoder {
     /** The client's remaining patience, in whole milliseconds. */
     public static final String TIME_LEFT = "X-Time-Left-Ms";
+    /** In place of a length: the body comes in chunks. */
+    public static final long CHUNKED = -1;
+    /** In place of a length: nothing is said; there is no body, or it ends with the connection. */
+    public static final long NO_BODY = -2;
     private static final Set<String> ONE_HOP = Set.of("connection", "keep-alive", "proxy-connection", "te", "trailer",
             "transfer-encoding", "upgrade", "expect", "content-length", "x-time-left-ms");
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
@@ -31,6 +35,16 @@
 
     /** The request to a server: as it came, but for what concerns one connection only. */
     public static ByteBuf forward(ByteBufAllocator alloc, HttpRequest r, double timeLeftMs) {
+        boolean says = r.body().length > 0 || r.headers().get("Content-Length") != null || !r.method().equals("GET");
+        return bytes(alloc, forwardHead(r, timeLeftMs, says ? r.body().length : NO_BODY), r.body());
+    }
+
+    /** The head of a request to a server whose body follows in pieces. */
+    public static ByteBuf forwardHead(ByteBufAllocator alloc, HttpRequest r, double timeLeftMs, long length) {
+        return bytes(alloc, forwardHead(r, timeLeftMs, length), new byte[0]);
+    }
+
+    private static String forwardHead(HttpRequest r, double timeLeftMs, long length) {
         StringBuilder head = new StringBuilder(256);
         head.append(r.method()).append(' ').append(r.target()).append(" HTTP/1.1\r\n");
         r.headers().each((name, value) -> {
@@ -40,10 +54,31 @@
             }
         });
         field(head, TIME_LEFT, Long.toString((long) Math.max(1, Math.floor(timeLeftMs))));
-        if (r.body().length > 0 || r.headers().get("Content-Length") != null || !r.method().equals("GET")) {
-            field(head, "Content-Length", Integer.toString(r.body().length));
+        framing(head, length);
+        return head.append("\r\n").toString();
+    }
+
+    private static void framing(StringBuilder head, long length) {
+        if (length >= 0) {
+            field(head, "Content-Length", Long.toString(length));
+        } else if (length == CHUNKED) {
+            field(head, "Transfer-Encoding", "chunked");
         }
-        return bytes(alloc, head.append("\r\n").toString(), r.body());
+    }
+
+    /** The line in front of a chunk. */
+    public static ByteBuf chunkHead(ByteBufAllocator alloc, int length) {
+        return bytes(alloc, Integer.toHexString(length) + "\r\n", new byte[0]);
+    }
+
+    /** The end of a chunk. */
+    public static ByteBuf chunkEnd(ByteBufAllocator alloc) {
+        return bytes(alloc, "\r\n", new byte[0]);
+    }
+
+    /** The end of a body in chunks. */
+    public static ByteBuf lastChunk(ByteBufAllocator alloc) {
+        return bytes(alloc, "0\r\n\r\n", new byte[0]);
     }
 
     /** A request without a body. */
@@ -57,16 +92,16 @@
     }
 
     /** The head alone of an answer whose body follows in pieces. */
-    public static ByteBuf answerHead(ByteBufAllocator alloc, int status, Headers fields, int length, boolean close) {
+    public static ByteBuf answerHead(ByteBufAllocator alloc, int status, Headers fields, long length, boolean close) {
         return bytes(alloc, head(status, fields, length, close), new byte[0]);
     }
 
-    private static String head(int status, Headers fields, int length, boolean close) {
+    private static String head(int status, Headers fields, long length, boolean close) {
         StringBuilder head = new StringBuilder(128);
         head.append("HTTP/1.1 ").append(status).append(' ').append(REASONS.getOrDefault(status, "Status"))
                 .append("\r\n");
         fields.each((name, value) -> field(head, name, value));
-        field(head, "Content-Length", Integer.toString(length));
+        framing(head, length);
         if (close) {
             field(head, "Connection", "close");
         }
--- a/node/src/main/java/brackenbridge/http/HttpRequest.java
+++ b/node/src/main/java/brackenbridge/http/HttpRequest.java
@@ -1,15 +1,16 @@
 package brackenbridge.http;
 
 /**
- * A whole request.
+ * A request, whole or with the first part of its body.
  *
  * @param method its method
  * @param target path and query, as they came
+ * @param http11 whether its client speaks HTTP/1.1
  * @param keepAlive whether its connection may carry another
  * @param headers its header fields
  * @param body its body, without framing
  */
-public record HttpRequest(String method, String target, boolean keepAlive, Headers headers, byte[] body) {
+public record HttpRequest(String method, String target, boolean http11, boolean keepAlive, Headers headers, byte[] body) {
 
     /** The first part of the path. */
     public String firstPart() {
--- a/node/src/main/java/brackenbridge/http/HttpResponse.java
+++ b/node/src/main/java/brackenbridge/http/HttpResponse.java
@@ -1,7 +1,7 @@
 package brackenbridge.http;
 
 /**
- * A whole answer.
+ * An answer, whole or with the first part of its body.
  *
  * @param status its status
  * @param keepAlive whether its connection may carry another
--- a/node/src/main/java/brackenbridge/http/MessageDecoder.java
+++ b/node/src/main/java/brackenbridge/http/MessageDecoder.java
@@ -10,15 +10,15 @@
  * are smuggled.
  */
 abstract class MessageDecoder {
-    /** Longest body that a request may have. */
-    public static final int BODY_LIMIT = 64 * 1024;
-    /** Longest body of an answer: servers send several hundred kilobytes, whatever the protocol's page says. */
-    public static final int ANSWER_LIMIT = 2 * 1024 * 1024;
+    /** Longest body that is kept whole; one that is longer is taken piece by piece. */
+    public static final int WHOLE_LIMIT = 64 * 1024;
+    /** Longest body at all. */
+    public static final long BODY_LIMIT = 32L * 1024 * 1024;
     static final int START_LIMIT = 8 * 1024;
     static final int HEAD_LIMIT = 16 * 1024;
     static final int FIELD_LIMIT = 100;
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
-    private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]{1,7}");
+    private static final Pattern CHUNK_SIZE = Pattern.compile("0{0,16}[0-9a-fA-F]{1,7}");
 
     private enum Step { START, FIELDS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_END, DONE }
 
@@ -32,8 +32,10 @@
     }
 
     private final StringBuilder line = new StringBuilder();
-    private final Sink sink;
-    private final int bodyLimit;
+    private final Sink ownSink;
+    private Sink sink;
+    private final long bodyLimit;
+    private long bodyBytes;
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private Step step = Step.START;
     private boolean carriageReturn;
@@ -43,7 +45,8 @@
     private long left;
     private Headers headers = new Headers();
 
-    MessageDecoder(Sink sink, int bodyLimit) {
+    MessageDecoder(Sink sink, long bodyLimit) {
+        this.ownSink = sink;
         this.sink = sink;
         this.bodyLimit = bodyLimit;
     }
@@ -57,7 +60,10 @@
     /** The status that tells a sender of a start line this long. */
     abstract int tooLongStart();
 
-    /** Takes bytes in until a message is whole (true) or the buffer is empty (false). */
+    /**
+     * Takes bytes in until a message is whole (true), or the buffer is empty or no more of the body can be kept
+     * (false).
+     */
     public boolean decode(ByteBuf in) throws HttpException {
         while (step != Step.DONE && in.isReadable()) {
             switch (step) {
@@ -70,6 +76,12 @@
                 }
                 default -> {
                     int n = (int) Math.min(in.readableBytes(), left);
+                    if (sink == null) {
+                        n = Math.min(n, WHOLE_LIMIT - body.size());
+                        if (n == 0) {
+                            return false;
+                        }
+                    }
                     body(in, n);
                     left -= n;
                     if (left == 0) {
@@ -82,16 +94,17 @@
     }
 
     private void body(ByteBuf in, int n) throws HttpException {
+        bodyBytes += n;
+        if (bodyBytes > bodyLimit) {
+            throw new HttpException(413, "body over " + bodyLimit + " bytes");
+        }
         if (sink != null) {
             sink.take(in, n);
             return;
         }
-        if (body.size() + n > bodyLimit) {
-            throw new HttpException(413, "body over " + bodyLimit + " bytes");
-        }
         if (body.size() == 0 && step == Step.FIXED) {
             // Guards memory against many large bodies at once: a buffer that doubles could hold twice as much.
-            body = new ByteArrayOutputStream((int) Math.min(left, BODY_LIMIT));
+            body = new ByteArrayOutputStream((int) Math.min(left, WHOLE_LIMIT));
         }
         byte[] piece = new byte[n];
         in.readBytes(piece);
@@ -231,7 +244,7 @@
             throw new HttpException(400, "not a length");
         }
         long length = Long.parseLong(text);
-        if (length > bodyLimit && sink == null) {
+        if (length > bodyLimit) {
             throw new HttpException(413, "body over " + bodyLimit + " bytes");
         }
         return length;
@@ -270,6 +283,29 @@
         return step.compareTo(Step.FIELDS) > 0 && step != Step.DONE;
     }
 
+    /** Whether the body can't be kept whole: the rest of it has to be taken by {@link #stream}. */
+    public boolean isLong() {
+        return sink == null && awaitsBody() && body.size() >= WHOLE_LIMIT;
+    }
+
+    /** Whether the head says that the body is longer than what is kept. */
+    public boolean saysLong() {
+        return sink == null && step == Step.FIXED && left + body.size() > WHOLE_LIMIT;
+    }
+
+    /** Gives out what is kept of the body; what comes from now on, to the message's end, goes to this sink. */
+    public byte[] stream(Sink to) {
+        byte[] kept = body.toByteArray();
+        body = new ByteArrayOutputStream(0);
+        sink = to;
+        return kept;
+    }
+
+    /** The body's length as the head says it, or -1. */
+    public long length() throws HttpException {
+        return headers.count("Content-Length") == 1 ? contentLength(headers) : -1;
+    }
+
     Headers headers() {
         return headers;
     }
@@ -281,6 +317,8 @@
         headers = new Headers();
         headBytes = 0;
         headHeld = 0;
+        bodyBytes = 0;
+        sink = ownSink;
         step = Step.START;
         return whole;
     }
--- a/node/src/main/java/brackenbridge/http/ResponseDecoder.java
+++ b/node/src/main/java/brackenbridge/http/ResponseDecoder.java
@@ -15,13 +15,13 @@
 
     /** Keeps each body whole, up to the limit; a success must name its framing. */
     public ResponseDecoder() {
-        super(null, ANSWER_LIMIT);
+        super(null, BODY_LIMIT);
         toEnd = false;
     }
 
     /** Hands bodies on as they come, without a limit; one without framing ends with its connection. */
     public ResponseDecoder(Sink sink) {
-        super(sink, ANSWER_LIMIT);
+        super(sink, Long.MAX_VALUE);
         toEnd = true;
     }
 
@@ -57,11 +57,11 @@
         if (framed) {
             return framing;
         }
-        if (toEnd) {
+        // Guards clients against a body cut short: without framing nobody can tell that it is, unless the server says
+        // that the connection's end is the body's. Of any other status the head alone says all that counts.
+        if (toEnd || status == 200 && (!http11 || fields.lists("Connection", "close"))) {
             return Framing.TO_END;
         }
-        // Guards clients against a body cut short: without framing nobody can tell that it is. Of any other
-        // status the head alone says all that counts.
         if (status == 200) {
             throw new HttpException(502, "success without framing");
         }
@@ -80,9 +80,15 @@
 
     /** The answer that is whole; the decoder is ready for the next. */
     public HttpResponse take() {
+        HttpResponse head = part(null);
+        return new HttpResponse(status, head.keepAlive(), head.headers(), takeBody());
+    }
+
+    /** The answer whose head is whole, with this part of its body. */
+    public HttpResponse part(byte[] part) {
         Headers fields = headers();
         boolean keepAlive = framed
                 && (http11 ? !fields.lists("Connection", "close") : fields.lists("Connection", "keep-alive"));
-        return new HttpResponse(status, keepAlive, fields, takeBody());
+        return new HttpResponse(status, keepAlive, fields, part);
     }
 }
--- /dev/null
+++ b/node/src/main/java/brackenbridge/net/Download.java
@@ -0,0 +1,13 @@
+package brackenbridge.net;
+
+import brackenbridge.http.HttpResponse;
+
+/**
+ * An answer with a long body, as a message for a flow's client.
+ *
+ * @param head the answer's head
+ * @param length the body's length, or -1 if only its end will tell
+ * @param body the body from its first byte
+ */
+record Download(HttpResponse head, long length, Body body) {
+}
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -1,5 +1,6 @@
 package brackenbridge.net;
 
+import brackenbridge.BalancerApi.Report;
 import brackenbridge.BalancerApi.Settings;
 import brackenbridge.clock.Clock;
 import brackenbridge.core.Effect;
@@ -15,6 +16,7 @@
 import brackenbridge.log.Log;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -25,8 +27,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Sends forwards to servers, each alone on a connection, and keeps connections for the next. */
@@ -38,6 +42,10 @@
     private static final long REST_MS = 5;
     /** An answer that has begun must go on within so long. */
     private static final double ANSWER_MS = 1000;
+    /** A long body must go on within so long, whichever way it goes. */
+    private static final double STREAM_MS = 10_000;
+    /** A long answer goes on to its client when its first part has come, or so long after its head. */
+    private static final double FIRST_PART_MS = 200;
     /** Bytes that all answers together may hold that are not whole yet. */
     private static final int HELD_LIMIT = 16 * 1024 * 1024;
 
@@ -59,6 +67,8 @@
     private int held;
     private final Map<Peer, ArrayDeque<Connection>> idle = new HashMap<>();
     private final Map<Long, Running> running = new HashMap<>();
+    /** Connections whose answer is long and on its way to a client. */
+    private final Set<Connection> streaming = new HashSet<>();
 
     /**
      * Whom a connection leads to. Guards a new host against the connections of one that had its address before,
@@ -174,6 +184,7 @@
             running.remove(flow);
             if (r.connection != null) {
                 r.connection.running = null;
+                r.connection.endUpload();
                 r.connection.channel.close();
             }
         }
@@ -192,10 +203,13 @@
         trustMs = Math.min(idleMs, trustMs * 1.01 + 0.1);
         for (Running r : List.copyOf(running.values())) {
             Connection c = r.connection;
-            if (c != null && c.answerSince > 0 && now - c.answerSince > ANSWER_MS) {
-                c.spoilt("stopped half way");
+            if (c != null) {
+                c.sweep(now);
             }
         }
+        for (Connection c : List.copyOf(streaming)) {
+            c.sweepStream(now);
+        }
         List<Connection> old = new ArrayList<>();
         idle.values().forEach(kept -> kept.stream().filter(c -> now - c.idleSince >= idleMs).forEach(old::add));
         old.forEach(c -> c.channel.close());
@@ -216,13 +230,17 @@
     }
 
     /** A connection to a server. */
-    private final class Connection extends ChannelInboundHandlerAdapter {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Body.Giver {
         final Peer peer;
         final ResponseDecoder decoder = new ResponseDecoder();
         Channel channel;
         Running running;
         double idleSince;
         double sentAt;
+        /** The long body that goes out on it. */
+        Upload upload;
+        /** The long answer that comes in on it. */
+        Body answer;
         /** When the latest bytes of the answer came; 0 before them. */
         double answerSince;
         /** Its part of what all answers hold. */
@@ -236,20 +254,195 @@
             running = r;
             r.connection = this;
             sentAt = clock.nowMs();
+            if (r.forward.message() instanceof Upload u) {
+                sendLong(r, u);
+                return;
+            }
             ByteBuf bytes = HttpEncoder.forward(channel.alloc(), (HttpRequest) r.forward.message(),
                     r.forward.giveUpMs() - clock.nowMs());
             // The promise of the last byte, not its place in a queue, tells whether the request may run.
-            channel.writeAndFlush(bytes).addListener(f -> {
-                if (running != r) {
-                    return;
+            channel.writeAndFlush(bytes).addListener(f -> written(r, f.isSuccess()));
+        }
+
+        private void written(Running r, boolean success) {
+            if (running != r) {
+                return;
+            }
+            if (success) {
+                r.written = true;
+                events.raise(new Event.ForwardWritten(r.forward.flow(), r.forward.forward()));
+            } else {
+                channel.close();
+            }
+        }
+
+        /** The head and the part that is kept; once they have left, the rest as it comes. */
+        private void sendLong(Running r, Upload u) {
+            boolean chunked = u.length() < 0;
+            upload = u;
+            channel.write(HttpEncoder.forwardHead(channel.alloc(), u.head(), r.forward.giveUpMs() - clock.nowMs(),
+                    chunked ? HttpEncoder.CHUNKED : u.length()));
+            writePiece(Unpooled.wrappedBuffer(u.head().body()), chunked);
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+                if (running == r && f.isSuccess()) {
+                    u.rest().to(new ToServer(r, chunked));
+                } else if (running == r) {
+                    channel.close();
+                }
+            });
+        }
+
+        private void writePiece(ByteBuf piece, boolean chunked) {
+            if (chunked && piece.isReadable()) {
+                channel.write(HttpEncoder.chunkHead(channel.alloc(), piece.readableBytes()));
+                channel.write(piece);
+                channel.write(HttpEncoder.chunkEnd(channel.alloc()));
+            } else {
+                channel.write(piece);
+            }
+        }
+
+        /** Sends the rest of a long body. */
+        private final class ToServer implements Body.Taker {
+            private final Running r;
+            private final boolean chunked;
+            private boolean spent;
+
+            ToServer(Running r, boolean chunked) {
+                this.r = r;
+                this.chunked = chunked;
+            }
+
+            @Override
+            public void piece(ByteBuf piece) {
+                if (!spent) {
+                    spent = true;
+                    events.raise(new Event.FlowSpent(r.forward.flow()));
+                }
+                writePiece(piece, chunked);
+            }
+
+            @Override
+            public void flush() {
+                sentAt = clock.nowMs();
+                channel.flush();
+                if (!channel.isWritable()) {
+                    upload.rest().want(false);
                 }
-                if (f.isSuccess()) {
-                    r.written = true;
-                    events.raise(new Event.ForwardWritten(r.forward.flow(), r.forward.forward()));
+            }
+
+            @Override
+            public void ended(boolean whole) {
+                if (whole) {
+                    sentAt = clock.nowMs();
+                    channel.writeAndFlush(chunked ? HttpEncoder.lastChunk(channel.alloc()) : Unpooled.EMPTY_BUFFER)
+                            .addListener(f -> written(r, f.isSuccess()));
                 } else {
                     channel.close();
                 }
-            });
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (upload != null && running != null && channel.isWritable()) {
+                sentAt = clock.nowMs();
+                upload.rest().want(true);
+            }
+        }
+
+        /** Nothing more of a long body goes out on it. */
+        private void endUpload() {
+            if (upload != null) {
+                Upload u = upload;
+                upload = null;
+                if (u.rest().isTaken()) {
+                    u.rest().refuse();
+                }
+            }
+        }
+
+        void sweep(double now) {
+            if (answerSince > 0 && decoder.saysLong() && decoder.status() == 200 && now - answerSince > FIRST_PART_MS) {
+                startStream();
+            } else if (answerSince > 0 && now - answerSince > ANSWER_MS) {
+                spoilt("stopped half way");
+            } else if (upload != null && !running.written && !channel.isWritable() && now - sentAt > STREAM_MS) {
+                spoilt("takes no more of a long body");
+            }
+        }
+
+        void sweepStream(double now) {
+            if (!answer.isTaken() && now - answerSince > ANSWER_MS) {
+                channel.close();
+            } else if (channel.config().isAutoRead() && now - answerSince > STREAM_MS) {
+                counters.count(Counters.Kind.ANSWERS_CUT);
+                channel.close();
+            }
+        }
+
+        // ---- A long answer ----
+
+        /** Its head and framing are good: it goes on to the client, piece by piece. */
+        private void startStream() {
+            Running r = running;
+            running = null;
+            endUpload();
+            hold(0);
+            Forwards.this.running.remove(r.forward.flow(), r);
+            answerSince = clock.nowMs();
+            answer = new Body(this);
+            streaming.add(this);
+            counters.count(Counters.Kind.ANSWERS_STREAMED);
+            answer.piece(Unpooled.wrappedBuffer(decoder.stream((from, n) -> answer.piece(from.readRetainedSlice(n)))));
+            HttpResponse head = decoder.part(null);
+            events.raise(new Event.ForwardAnswered(r.forward.flow(), r.forward.forward(), Reply.SERVED,
+                    new Download(head, length(), answer), report(head)));
+        }
+
+        private long length() {
+            try {
+                return decoder.length();
+            } catch (HttpException e) {
+                return HttpEncoder.CHUNKED;
+            }
+        }
+
+        @Override
+        public void read(boolean on) {
+            answerSince = clock.nowMs();
+            channel.config().setAutoRead(on);
+        }
+
+        @Override
+        public void refused() {
+            channel.close();
+        }
+
+        private void readStream(ByteBuf in) {
+            try {
+                answerSince = clock.nowMs();
+                if (decoder.decode(in)) {
+                    endStream(true);
+                    HttpResponse response = decoder.take();
+                    answerSince = 0;
+                    keepOrClose(response, in.isReadable());
+                } else {
+                    answer.flush();
+                }
+            } catch (HttpException e) {
+                counters.count(Counters.Kind.ANSWERS_CUT);
+                log.warn("long answer of " + peer.host() + " cut: " + e.getMessage());
+                channel.close();
+            }
+        }
+
+        private void endStream(boolean whole) {
+            streaming.remove(this);
+            channel.config().setAutoRead(true);
+            Body b = answer;
+            answer = null;
+            b.end(whole);
         }
 
         void keep() {
@@ -267,6 +460,7 @@
             hold(0);
             Running r = running;
             running = null;
+            endUpload();
             counters.count(Counters.Kind.ANSWERS_SPOILT);
             log.warn("answer of " + peer.host() + " spoilt: " + why);
             channel.close();
@@ -279,11 +473,21 @@
         public void channelRead(ChannelHandlerContext ctx, Object msg) {
             ByteBuf in = (ByteBuf) msg;
             try {
-                if (running == null || !running.written) {
+                if (answer != null) {
+                    readStream(in);
+                } else if (running == null || !running.written && upload == null) {
                     // Bytes that nobody asked for: what follows on this connection can't be trusted.
                     channel.close();
                 } else if (decoder.decode(in)) {
                     answered(in.isReadable());
+                } else if (decoder.isLong()) {
+                    if (decoder.status() == 200) {
+                        startStream();
+                        readStream(in);
+                    } else {
+                        // What an error has to say at such length is of no use to anybody.
+                        answered(true);
+                    }
                 } else {
                     answerSince = decoder.begun() ? clock.nowMs() : 0;
                     hold(decoder.held());
@@ -304,16 +508,27 @@
             HttpResponse response = decoder.take();
             running = null;
             answerSince = 0;
+            // An answer that came before the request had gone out whole: what is left of it would be the next one's.
+            boolean early = !r.written;
+            endUpload();
             hold(0);
             Forwards.this.running.remove(r.forward.flow(), r);
+            keepOrClose(response, more || early);
+            events.raise(new Event.ForwardAnswered(r.forward.flow(), r.forward.forward(), reply(response), response,
+                    report(response)));
+        }
+
+        private void keepOrClose(HttpResponse response, boolean more) {
             if (response.keepAlive() && !more) {
                 loop.schedule(this::keep, REST_MS, TimeUnit.MILLISECONDS);
             } else {
                 channel.close();
             }
-            boolean reports = settings.network().reportsInAnswers();
-            events.raise(new Event.ForwardAnswered(r.forward.flow(), r.forward.forward(), reply(response), response,
-                    reports ? LoadReport.parse(response.headers().get("X-Backend-Load")) : null));
+        }
+
+        private Report report(HttpResponse response) {
+            return settings.network().reportsInAnswers()
+                    ? LoadReport.parse(response.headers().get("X-Backend-Load")) : null;
         }
 
         private void hold(int bytes) {
@@ -339,11 +554,23 @@
             if (kept != null) {
                 kept.remove(this);
             }
+            if (answer != null) {
+                boolean whole = decoder.ended();
+                if (!whole) {
+                    counters.count(Counters.Kind.ANSWERS_CUT);
+                }
+                endStream(whole);
+            }
             Running r = running;
             if (r == null) {
                 return;
             }
+            if (decoder.ended()) {
+                answered(true);
+                return;
+            }
             running = null;
+            endUpload();
             if (idleSince > 0 && answerSince == 0 && clock.nowMs() - sentAt < AT_ONCE_MS) {
                 // Guards requests that may not be repeated: servers and what lies between end idle connections
                 // sooner than they say, or say nothing. From now on only fresher ones are used, for a while.
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -6,6 +6,7 @@
 import brackenbridge.clock.Clock;
 import brackenbridge.core.Effect.Fixed;
 import brackenbridge.core.Event;
+import brackenbridge.core.Event.Left;
 import brackenbridge.core.Flow;
 import brackenbridge.counters.Counters;
 import brackenbridge.counters.Counters.Kind;
@@ -22,6 +23,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -39,8 +41,15 @@
     private static final String LIVE = "/health/live";
     /** No class can be named so: "health" is what the first part of these paths means to every party. */
     private static final String COUNTERS = "/health/counters";
-    /** A request must be whole this long after its first byte, the first one after its connection came. */
+    /**
+     * A head must be whole this long after its first byte, the first one after its connection came; and a body may be
+     * behind its least pace for so long.
+     */
     private static final double SLOW_MS = 2500;
+    /** The least pace of a request's body, in bytes a millisecond. */
+    private static final double LEAST_PACE = 32;
+    /** A client must take some of a long answer within so long. */
+    private static final double STALLED_STREAM_MS = 20_000;
     /** A connection without a request is kept for so long while there is room. */
     private static final double IDLE_MS = 60_000;
     /** And for so long once clients hold half of what they may. */
@@ -53,12 +62,10 @@
     private static final int LINGER_BYTES = 256 * 1024;
     /** Guards clients that have just come: their request may be on the way already. */
     private static final double YOUNG_MS = 100;
-    /** Long answers are written in pieces of so many bytes. */
-    private static final int PIECE = 64 * 1024;
     /** Bytes that may wait behind a request that is being served. */
     private static final int AHEAD = 16 * 1024;
     /** Bytes that all clients together may have here in requests that are not whole or not begun. */
-    private static final int HELD_LIMIT = 4 * 1024 * 1024;
+    private static final int HELD_LIMIT = 8 * 1024 * 1024;
 
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Clock clock;
@@ -109,28 +116,39 @@
 
     // ---- Effects ----
 
-    void respond(long flow, HttpResponse response) {
+    /** Answers a flow with what a server made for it: a whole answer, or a long one on its way. */
+    void respond(long flow, Object message) {
         Client c = flows.remove(flow);
-        if (c != null) {
-            Headers fields = new Headers();
-            String type = response.headers().get("Content-Type");
-            if (type != null) {
-                fields.add("Content-Type", type);
+        if (message instanceof Download d) {
+            if (c != null) {
+                c.answerLong(d, passedOn(d.head()));
+            } else {
+                d.body().refuse();
             }
-            String coding = response.headers().get("Content-Encoding");
-            if (coding != null) {
-                fields.add("Content-Encoding", coding);
+        } else if (c != null) {
+            HttpResponse response = (HttpResponse) message;
+            c.answer(200, passedOn(response), response.body());
+        }
+        if (c == null) {
+            events.raise(new Event.AnswerLeft(flow, Left.ABANDONED));
+        }
+    }
+
+    private static Headers passedOn(HttpResponse response) {
+        Headers fields = new Headers();
+        for (String name : List.of("Content-Type", "Content-Encoding")) {
+            String value = response.headers().get(name);
+            if (value != null) {
+                fields.add(name, value);
             }
-            c.answer(200, fields, response.body());
-        } else {
-            events.raise(new Event.AnswerLeft(flow, false));
         }
+        return fields;
     }
 
     void fixedResponse(long flow, Fixed kind, double retryAfterMs) {
         Client c = flows.remove(flow);
         if (c == null) {
-            events.raise(new Event.AnswerLeft(flow, false));
+            events.raise(new Event.AnswerLeft(flow, Left.ABANDONED));
             return;
         }
         Headers fields = new Headers();
@@ -243,7 +261,7 @@
     }
 
     /** A client's connection: one request at a time, in order. */
-    private final class Client extends ChannelInboundHandlerAdapter {
+    private final class Client extends ChannelInboundHandlerAdapter implements Body.Giver {
         final Channel channel;
         final RequestDecoder decoder = new RequestDecoder();
         ByteBuf pending;
@@ -256,6 +274,15 @@
         boolean closing;
         boolean keepAlive;
         boolean toldToGoOn;
+        /** How far a body is behind its least pace. */
+        double behindMs;
+        double sweptAt;
+        int arrived;
+        /** The rest of a long request, until its last byte has come. */
+        Body upload;
+        /** The long answer that is being written. */
+        Body download;
+        boolean http11;
         /** A whole request has come on it. */
         boolean asked;
         /** The id of the request that is open. */
@@ -263,10 +290,13 @@
         /** Its part of what all hold. */
         int holds;
         int drained;
+        /** Bytes of a long request that are kept so that it can be sent again. */
+        int kept;
 
         Client(Channel channel) {
             this.channel = channel;
             this.since = clock.nowMs();
+            this.sweptAt = since;
         }
 
         boolean isIdle() {
@@ -307,7 +337,12 @@
                 flows.remove(flow);
                 events.raise(new Event.FlowGone(flow));
             }
-            left(false);
+            endUpload(false);
+            if (download != null) {
+                download.refuse();
+                download = null;
+            }
+            left(Left.ABANDONED);
         }
 
         @Override
@@ -318,6 +353,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object msg) {
             ByteBuf in = (ByteBuf) msg;
+            arrived += in.readableBytes();
             if (closing) {
                 drained += in.readableBytes();
                 if (drained > LINGER_BYTES) {
@@ -332,6 +368,9 @@
                 pending.discardReadBytes().writeBytes(in);
                 in.release();
             }
+            if (upload != null) {
+                readLong();
+            }
             read();
             boundHeld();
             // Guards memory against a client that sends ahead without reading its answers.
@@ -347,10 +386,14 @@
                 try {
                     if (decoder.decode(pending)) {
                         toldToGoOn = false;
-                        take(decoder.take());
+                        take(decoder.take(), true);
+                    } else if (decoder.isLong()) {
+                        toldToGoOn = false;
+                        takeLong();
                     } else {
-                        if (fresh && asked) {
-                            since = clock.nowMs();
+                        if (fresh) {
+                            since = asked ? clock.nowMs() : since;
+                            behindMs = 0;
                         }
                         if (!toldToGoOn && decoder.expectsContinue()) {
                             toldToGoOn = true;
@@ -365,7 +408,73 @@
             if (pending != null && !pending.isReadable()) {
                 dropPending();
             }
-            hold(closing ? 0 : decoder.held() + (pending == null ? 0 : pending.readableBytes()));
+            hold(closing ? 0 : decoder.held() + (pending == null ? 0 : pending.readableBytes()) + kept);
+        }
+
+        // ---- A long request ----
+
+        /** The first part has come: the flow opens, and what follows waits until a server takes it. */
+        private void takeLong() throws HttpException {
+            long length = decoder.length();
+            HttpRequest head = decoder.part(decoder.stream((from, n) -> upload.piece(from.readRetainedSlice(n))));
+            upload = new Body(this);
+            take(new Upload(head, length, upload), head, false);
+            if (flow < 0) {
+                upload = null;
+            } else {
+                kept = head.body().length;
+                counters.count(Kind.REQUESTS_STREAMED);
+                readLong();
+            }
+        }
+
+        private void readLong() {
+            try {
+                if (pending == null) {
+                    return;
+                }
+                if (decoder.decode(pending)) {
+                    decoder.take();
+                    endUpload(true);
+                    channel.config().setAutoRead(true);
+                    events.raise(new Event.FlowWhole(flow));
+                } else {
+                    upload.flush();
+                }
+            } catch (HttpException e) {
+                failLong(e.status(), e.getMessage());
+            }
+        }
+
+        /** The request itself is at fault, in the middle of its body: its flow ends as if its client had left. */
+        private void failLong(int status, String why) {
+            long gone = flow;
+            Body rest = upload;
+            upload = null;
+            flow = -1;
+            flows.remove(gone);
+            events.raise(new Event.FlowGone(gone));
+            rest.end(false);
+            bad(status, why);
+        }
+
+        private void endUpload(boolean whole) {
+            if (upload != null) {
+                Body b = upload;
+                upload = null;
+                b.end(whole);
+            }
+        }
+
+        @Override
+        public void read(boolean on) {
+            channel.config().setAutoRead(on);
+        }
+
+        @Override
+        public void refused() {
+            // The flow has its answer, or will have it at once; what still comes of the body is dropped.
+            channel.config().setAutoRead(true);
         }
 
         private void dropPending() {
@@ -387,8 +496,14 @@
             answer(status, new Headers(), text(why + "\n"));
         }
 
-        private void take(HttpRequest r) {
+        private void take(HttpRequest r, boolean whole) {
+            take(r, r, whole);
+        }
+
+        /** Opens a flow for this request, with a message that is the request itself or the part of it that has come. */
+        private void take(Object message, HttpRequest r, boolean whole) {
             asked = true;
+            http11 = r.http11();
             keepAlive = r.keepAlive();
             int query = r.target().indexOf('?');
             String path = query < 0 ? r.target() : r.target().substring(0, query);
@@ -432,7 +547,8 @@
             since = clock.nowMs();
             flows.put(flow, this);
             events.raise(new Event.FlowOpened(flow, new Flow(c.name(), r.headers().get("X-Account"),
-                    left == null ? -1 : Integer.parseInt(left), "1".equals(r.headers().get("X-Repeat")), r)));
+                    left == null ? -1 : Integer.parseInt(left), "1".equals(r.headers().get("X-Repeat")),
+                    whole, message)));
         }
 
         private void local(HttpRequest r, String path) {
@@ -458,50 +574,110 @@
         }
 
         void answer(int status, Headers fields, byte[] body) {
+            boolean close = beginAnswer();
+            channel.writeAndFlush(HttpEncoder.answer(channel.alloc(), status, fields, body, close))
+                    .addListener((ChannelFutureListener) f -> written(f.isSuccess() ? Left.WHOLE : Left.ABANDONED, close));
+        }
+
+        /** The flow has its answer; whether the connection ends behind it. */
+        private boolean beginAnswer() {
+            if (upload != null) {
+                // Its request is not whole and never will be: where the next one begins can't be known.
+                keepAlive = false;
+                Body rest = upload;
+                upload = null;
+                rest.refuse();
+            }
+            kept = 0;
             answered = flow;
             flow = -1;
             open.remove(id);
             id = null;
             writing = true;
             since = clock.nowMs();
-            boolean close = !keepAlive || sayClose;
-            if (body.length <= PIECE) {
-                channel.writeAndFlush(HttpEncoder.answer(channel.alloc(), status, fields, body, close))
-                        .addListener((ChannelFutureListener) f -> written(f.isSuccess(), close));
-            } else {
-                channel.write(HttpEncoder.answerHead(channel.alloc(), status, fields, body.length, close));
-                writePiece(body, 0, close);
+            return !keepAlive || sayClose;
+        }
+
+        void answerLong(Download d, Headers fields) {
+            boolean chunked = d.length() < 0 && http11;
+            keepAlive &= d.length() >= 0 || chunked;
+            boolean close = beginAnswer();
+            download = d.body();
+            channel.write(HttpEncoder.answerHead(channel.alloc(), 200, fields,
+                    chunked ? HttpEncoder.CHUNKED : d.length() >= 0 ? d.length() : HttpEncoder.NO_BODY, close));
+            d.body().to(new ToClient(chunked, d.length() < 0, close));
+        }
+
+        /** Writes a long answer as its client takes it. */
+        private final class ToClient implements Body.Taker {
+            private final boolean chunked;
+            private final boolean close;
+            private final boolean keepsNoLength;
+
+            ToClient(boolean chunked, boolean keepsNoLength, boolean close) {
+                this.chunked = chunked;
+                this.keepsNoLength = keepsNoLength;
+                this.close = close;
+            }
+
+            @Override
+            public void piece(ByteBuf piece) {
+                if (chunked && piece.isReadable()) {
+                    channel.write(HttpEncoder.chunkHead(channel.alloc(), piece.readableBytes()));
+                    channel.write(piece);
+                    channel.write(HttpEncoder.chunkEnd(channel.alloc()));
+                } else {
+                    channel.write(piece);
+                }
+            }
+
+            @Override
+            public void flush() {
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> since = clock.nowMs());
+                if (!channel.isWritable()) {
+                    download.want(false);
+                }
+            }
+
+            @Override
+            public void ended(boolean whole) {
+                download = null;
+                if (whole) {
+                    channel.writeAndFlush(chunked ? HttpEncoder.lastChunk(channel.alloc()) : Unpooled.EMPTY_BUFFER)
+                            .addListener(f -> written(f.isSuccess() ? Left.WHOLE : Left.ABANDONED, close));
+                } else {
+                    // Short of its length or without its last chunk; where its end is the connection's, only a reset
+                    // tells the client.
+                    if (!chunked && keepsNoLength) {
+                        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                    }
+                    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> written(Left.CUT, true));
+                }
             }
         }
 
-        /** Guards memory against slow readers of long answers: a piece is copied once the one before it has left. */
-        private void writePiece(byte[] body, int from, boolean close) {
-            since = clock.nowMs();
-            int to = Math.min(body.length, from + PIECE);
-            channel.writeAndFlush(Unpooled.wrappedBuffer(body, from, to - from))
-                    .addListener((ChannelFutureListener) f -> {
-                        if (f.isSuccess() && to < body.length) {
-                            writePiece(body, to, close);
-                        } else {
-                            written(f.isSuccess(), close);
-                        }
-                    });
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (download != null && channel.isWritable()) {
+                since = clock.nowMs();
+                download.want(true);
+            }
         }
 
         /** The answer of a flow has left, or never will. */
-        private void left(boolean whole) {
+        private void left(Left how) {
             if (answered >= 0) {
                 long flowLeft = answered;
                 answered = -1;
-                events.raise(new Event.AnswerLeft(flowLeft, whole));
+                events.raise(new Event.AnswerLeft(flowLeft, how));
             }
         }
 
-        private void written(boolean success, boolean close) {
-            left(success);
+        private void written(Left how, boolean close) {
+            left(how);
             writing = false;
             since = clock.nowMs();
-            if (!success) {
+            if (how != Left.WHOLE) {
                 channel.close();
             } else if (close) {
                 // Guards the answer: closing over unread bytes would reset the connection before it is read.
@@ -519,11 +695,21 @@
         void sweep(double now) {
             double age = now - since;
             double limit = keepNone ? YOUNG_MS : !asked ? SLOW_MS : sockets.crowded() ? CROWDED_IDLE_MS : IDLE_MS;
-            if (closing ? age > LINGER_MS : writing ? age > STALLED_MS : isIdle() && age > limit) {
+            double stalled = download != null ? STALLED_STREAM_MS : STALLED_MS;
+            if (closing ? age > LINGER_MS : writing ? age > stalled : isIdle() && age > limit) {
                 channel.close();
-            } else if (isReading() && age > SLOW_MS) {
+            } else if (isReading() && !decoder.awaitsBody() && age > SLOW_MS) {
                 bad(408, "request too slow");
+            } else if (decoder.awaitsBody() && channel.config().isAutoRead() && (isReading() || upload != null)) {
+                behindMs = Math.max(-SLOW_MS, behindMs + now - sweptAt - arrived / LEAST_PACE);
+                if (behindMs > SLOW_MS && upload != null) {
+                    failLong(408, "body too slow");
+                } else if (behindMs > SLOW_MS) {
+                    bad(408, "body too slow");
+                }
             }
+            arrived = 0;
+            sweptAt = now;
         }
     }
 }
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -9,7 +9,6 @@
 import brackenbridge.counters.Counters;
 import brackenbridge.handover.Handover;
 import brackenbridge.handover.Offer;
-import brackenbridge.http.HttpResponse;
 import brackenbridge.log.Log;
 import brackenbridge.mgmt.ManagementListener;
 import brackenbridge.mgmt.Staff;
@@ -267,7 +266,7 @@
             } else if (effect instanceof Effect.Forward e) {
                 forwards.begin(e);
             } else if (effect instanceof Effect.Respond e) {
-                listener.respond(e.flow(), (HttpResponse) e.message());
+                listener.respond(e.flow(), e.message());
             } else if (effect instanceof Effect.FixedResponse e) {
                 listener.fixedResponse(e.flow(), e.kind(), e.retryAfterMs());
             } else if (effect instanceof Effect.CancelForward e) {
