Tests of long bodies; a reset or a limit is never the end that an answer says it has

Seen in a test: an answer without a length that was cut at 32 MB went on to the client as whole, since the connection's end is its end. Ruled out: the count itself (the decoder's test passes). Now only an end that the server made counts as one; a reset and the node's own cut end the client's connection short.

--- a/core/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/core/src/test/java/brackenbridge/core/ReducerTest.java
@@ -311,4 +311,49 @@
         assertTrue(p.of(Effect.Respond.class).size() > before, "those that waited too");
         assertEquals(0, p.of(Effect.Fault.class).size());
     }
+
+    /** A flow whose body is still coming. */
+    private static long openLong(Play p) {
+        p.tell(new Event.FlowOpened(900, new Flow("file", null, 1000, false, false, "part")));
+        return 900;
+    }
+
+    @Test
+    void longRequestIsSentAgainOnlyWhileNothingOfItIsSpent() {
+        Play p = new Play(4);
+        long f = openLong(p);
+        p.tell(new Event.ForwardBroken(f, 0));
+        assertEquals(2, p.forwards(f).size());
+        p.tell(new Event.FlowSpent(f)).tell(new Event.ForwardBroken(f, 1));
+        assertEquals(2, p.forwards(f).size());
+        assertEquals(List.of(Fixed.REFUSED), p.fixed(f), "its last byte was never written");
+    }
+
+    @Test
+    void longRequestThatMayHaveRunFails() {
+        Play p = new Play(4);
+        long f = openLong(p);
+        p.tell(new Event.FlowSpent(f)).tell(new Event.FlowWhole(f)).tell(new Event.ForwardWritten(f, 0));
+        p.tell(new Event.ForwardBroken(f, 0));
+        assertEquals(List.of(Fixed.FAILED), p.fixed(f));
+    }
+
+    @Test
+    void timeOfALongRequestBeginsWithItsLastByte() {
+        Play p = new Play(4);
+        long f = openLong(p);
+        p.tell(new Event.FlowSpent(f)).pass(7000);
+        assertEquals(List.of(), p.fixed(f));
+        p.tell(new Event.FlowWhole(f)).tell(new Event.ForwardWritten(f, 0)).pass(990);
+        assertEquals(List.of(), p.fixed(f));
+        assertEquals(List.of(Fixed.TIMED_OUT), p.pass(10).fixed(f));
+    }
+
+    @Test
+    void stopAnswersALongRequestThatIsNotWhole() {
+        Play p = new Play(4);
+        long f = openLong(p);
+        p.tell(new Event.FlowSpent(f)).tell(new Event.StopAsked()).pass(5000);
+        assertEquals(List.of(Fixed.REFUSED), p.fixed(f));
+    }
 }
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -218,7 +218,8 @@
                 request.unsafe, request.deadlineMs);
         request.flow = flow;
         flows.put(flow, request);
-        raise(new Event.FlowOpened(flow, new Flow(request.plan.className(), tenant, timeLeftMs, repeat, true, request)));
+        raise(new Event.FlowOpened(flow,
+                new Flow(request.plan.className(), tenant, timeLeftMs, repeat, true, request)));
         return true;
     }
 
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -241,6 +241,7 @@
         Upload upload;
         /** The long answer that comes in on it. */
         Body answer;
+        boolean broken;
         /** When the latest bytes of the answer came; 0 before them. */
         double answerSince;
         /** Its part of what all answers hold. */
@@ -374,10 +375,9 @@
 
         void sweepStream(double now) {
             if (!answer.isTaken() && now - answerSince > ANSWER_MS) {
-                channel.close();
+                cut("nobody takes it");
             } else if (channel.config().isAutoRead() && now - answerSince > STREAM_MS) {
-                counters.count(Counters.Kind.ANSWERS_CUT);
-                channel.close();
+                cut("stopped half way");
             }
         }
 
@@ -431,12 +431,18 @@
                     answer.flush();
                 }
             } catch (HttpException e) {
-                counters.count(Counters.Kind.ANSWERS_CUT);
-                log.warn("long answer of " + peer.host() + " cut: " + e.getMessage());
-                channel.close();
+                cut(e.getMessage());
             }
         }
 
+        /** The client gets no end of it, so that it can tell. */
+        private void cut(String why) {
+            counters.count(Counters.Kind.ANSWERS_CUT);
+            log.warn("long answer of " + peer.host() + " cut: " + why);
+            endStream(false);
+            channel.close();
+        }
+
         private void endStream(boolean whole) {
             streaming.remove(this);
             channel.config().setAutoRead(true);
@@ -555,17 +561,17 @@
                 kept.remove(this);
             }
             if (answer != null) {
-                boolean whole = decoder.ended();
-                if (!whole) {
-                    counters.count(Counters.Kind.ANSWERS_CUT);
+                if (!broken && decoder.ended()) {
+                    endStream(true);
+                } else {
+                    cut("its connection ended");
                 }
-                endStream(whole);
             }
             Running r = running;
             if (r == null) {
                 return;
             }
-            if (decoder.ended()) {
+            if (!broken && decoder.ended()) {
                 answered(true);
                 return;
             }
@@ -582,6 +588,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // Guards clients against half an answer: a reset is no end, whatever the answer says of its end.
+            broken = true;
             ctx.close();
         }
     }
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -19,7 +19,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -576,7 +575,7 @@
         void answer(int status, Headers fields, byte[] body) {
             boolean close = beginAnswer();
             channel.writeAndFlush(HttpEncoder.answer(channel.alloc(), status, fields, body, close))
-                    .addListener((ChannelFutureListener) f -> written(f.isSuccess() ? Left.WHOLE : Left.ABANDONED, close));
+                    .addListener(f -> written(f.isSuccess() ? Left.WHOLE : Left.ABANDONED, close));
         }
 
         /** The flow has its answer; whether the connection ends behind it. */
