Long requests hold no server and no place among open calls until their last byte has come

A probe shows uploads of 4 s each (a quarter of them over 2 MB) holding all 12 calls that the module lets be out, photo-tag dropped after 400 ms in the queue, and EQ 1 at its bound since no answers came. Ruled out: ejected servers (0), congestion (1.0), memory (49 MB).

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -300,6 +300,36 @@
 
     @Override
     public void onRequest(long now, Request r) {
+        Call c = admit(now, r, false);
+        if (c != null) {
+            place(now, c);
+        }
+    }
+
+    /** Bound by the rotation and sent at once: until it is whole it holds no server from others. */
+    @Override
+    public void onLongRequest(long now, Request r) {
+        Call c = admit(now, r, true);
+        Server s = c == null ? null : bind(now, c);
+        if (s != null) {
+            send(now, c, s);
+        } else if (c != null) {
+            hold(now, c, null);
+        }
+    }
+
+    @Override
+    public void onWhole(long now, long request) {
+        Call c = calls.get(request);
+        if (c != null && c.coming) {
+            c.coming = false;
+            open += c.done ? 0 : 1;
+            c.attempts.stream().filter(a -> !a.ended).forEach(this::count);
+        }
+    }
+
+    /** The call, or null if it was refused. */
+    private Call admit(long now, Request r, boolean coming) {
         start(now);
         Kind kind = kinds.get(r.className());
         if (kind == null) {
@@ -310,17 +340,18 @@
         long tau = Math.min(left, kind.is.aim());
         Call c = new Call(r, kind, settings.maxAttempts(), now, tau, left);
         calls.put(c.id, c);
-        open++;
+        c.coming = coming;
+        open += coming ? 0 : 1;
         // Guards the first clients: they may come seconds after the start, while no rate is known yet.
         firstAt = firstAt == Long.MIN_VALUE ? now : firstAt;
         c.level = level(now, c, r);
         meanTau = meanTau == 0 ? tau : meanTau + 0.02 * (tau - meanTau);
         if (open > admissible(now, c)) {
             finish(c, now);
-            return;
+            return null;
         }
         c.dropAt = now + (c.level == 0 ? tau : (long) (tau * F));
-        place(now, c);
+        return c;
     }
 
     /**
@@ -614,8 +645,9 @@
         Attempt a = new Attempt(s, now);
         c.attempts.add(a);
         c.outNow++;
-        s.inFlight++;
-        inFlight++;
+        if (!c.coming) {
+            count(a);
+        }
         if (c.key >= 0) {
             sameCall.put(c.key, s);
         }
@@ -625,6 +657,12 @@
         out.send(c.id, s.id, Math.max(1, c.deadline - now));
     }
 
+    private void count(Attempt a) {
+        a.counted = true;
+        a.server.inFlight++;
+        inFlight++;
+    }
+
     /** The final answer of the balancer's own: a refusal where that is true, else a failure. */
     private void finish(Call c, long now) {
         end(c);
@@ -640,7 +678,7 @@
     private void end(Call c) {
         if (!c.done) {
             c.done = true;
-            open--;
+            open -= c.coming ? 0 : 1;
         }
         if (c.held) {
             if (c.bound != null) {
@@ -676,14 +714,19 @@
         Server s = a.server;
         a.ended = true;
         c.outNow--;
-        s.inFlight--;
-        inFlight--;
+        if (a.counted) {
+            s.inFlight--;
+            inFlight--;
+        }
         if (!outcome.neverRan && !c.mayHaveRun) {
             c.mayHaveRun = true;
             c.ranSince = a.sentAt;
             c.ranAt = s;
         }
-        learn(now, c, s, outcome, latency);
+        // Of a server that has left, and that only a long request held on to, nothing is to be learned.
+        if (servers.get(s.id) == s) {
+            learn(now, c, s, outcome, latency);
+        }
         if (ended || c.done) {
             end(c);
         } else if (c.outNow == 0) {
--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -274,6 +274,18 @@
     /** A request has arrived; the instance owes it one final answer. */
     void onRequest(long now, Request request);
 
+    /**
+     * A long request has begun to arrive. A server begins it with its last byte only, so until {@link #onWhole} it
+     * holds none; it may be sent before that.
+     */
+    default void onLongRequest(long now, Request request) {
+        onRequest(now, request);
+    }
+
+    /** The last byte of a long request has come. */
+    default void onWhole(long now, long request) {
+    }
+
     /** The response of a streamed request has started; the attempt is the client's from now on. */
     void onFirstByte(long now, long request, int attempt);
 
--- a/core/src/main/java/brackenbridge/State.java
+++ b/core/src/main/java/brackenbridge/State.java
@@ -89,6 +89,8 @@
     static final class Attempt {
         final Server server;
         final long sentAt;
+        /** It counts among the calls in flight: its request has gone out whole. */
+        boolean counted;
         boolean ended;
 
         Attempt(Server server, long sentAt) {
@@ -114,6 +116,8 @@
         Server bound;
         boolean held;
         boolean done;
+        /** Its last byte has not come: it holds no server and is not among the open calls yet. */
+        boolean coming;
         /** Some attempt may have run, the first sent at ranSince to ranAt. */
         boolean mayHaveRun;
         long ranSince;
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -274,8 +274,13 @@
             return;
         }
         effects.add(new Effect.SetTimer(now + left, new TimerKey.Deadline(id)));
-        balancer.onRequest(ModuleTime.micros(now), new Request(id, request.className(), request.tenant(), -1,
-                ModuleTime.micros(left), -1, request.repeat()));
+        Request told = new Request(id, request.className(), request.tenant(), -1, ModuleTime.micros(left), -1,
+                request.repeat());
+        if (request.whole()) {
+            balancer.onRequest(ModuleTime.micros(now), told);
+        } else {
+            balancer.onLongRequest(ModuleTime.micros(now), told);
+        }
     }
 
     /** From now on the client waits. */
@@ -283,6 +288,7 @@
         OpenFlow f = flows.get(id);
         if (f != null && !f.isWhole()) {
             f.deadline = now + f.left;
+            balancer.onWhole(ModuleTime.micros(now), id);
             effects.add(new Effect.SetTimer(f.deadline, new TimerKey.Deadline(id)));
         }
     }
--- a/core/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/core/src/test/java/brackenbridge/core/ReducerTest.java
@@ -356,4 +356,19 @@
         p.tell(new Event.FlowSpent(f)).tell(new Event.StopAsked()).pass(5000);
         assertEquals(List.of(Fixed.REFUSED), p.fixed(f));
     }
+
+    @Test
+    void longRequestsHoldNoServerUntilTheyAreWhole() {
+        Play p = new Play(2, 2);
+        for (long f = 500; f < 530; f++) {
+            p.tell(new Event.FlowOpened(f, new Flow("file", null, 5000, false, false, "part")));
+            assertEquals(1, p.forwards(f).size(), "the " + f + " goes out at once");
+        }
+        long other = p.open(Play.FILE, 5000);
+        assertEquals(1, p.forwards(other).size(), "and takes no other's place");
+        for (long f = 500; f < 530; f++) {
+            p.tell(new Event.FlowWhole(f));
+        }
+        assertEquals(0, p.forwards(p.open(Play.VIEW, 5000)).size(), "whole, they do");
+    }
 }
