--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,11 @@
 check-config: build
 	java -jar node/target/brackenbridge.jar check-config --config "$(CONFIG)"
 
-# The node at work on loopback: builds what is needed, then shows two tiers with a hang and a drain in them.
+# The node at work on loopback: builds what is needed, then shows two tiers with a hang and a drain in them, and what
+# staff do with a node: drain and return, new settings, a replacement, long answers.
 demo: build
 	bin/brackenbridge lab demo
+	bin/brackenbridge lab operate
 
 # The hot paths of decisions and decoders, by JMH.
 bench: build
--- a/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
@@ -8,6 +8,7 @@
 import brackenbridge.lab.live.Capacity;
 import brackenbridge.lab.live.LiveRunner;
 import brackenbridge.lab.live.LoadRunner;
+import brackenbridge.lab.live.Rehearsal;
 import brackenbridge.lab.policy.Policies;
 import brackenbridge.lab.random.Distribution;
 import brackenbridge.lab.report.Compare;
@@ -71,6 +72,12 @@
         private long seed = 1;
     }
 
+    @Parameters(commandDescription = "Rehearse what staff do with a node: drain and return, settings, replacement")
+    private static final class Operate {
+        @Parameter(names = "--out", description = "The folder of logs")
+        private String out = "target/operate";
+    }
+
     @Parameters(commandDescription = "Play an experiment on real sockets with real nodes, the module alone deciding")
     private static final class Live {
         @Parameter(description = "EXPERIMENT.toml", required = true)
@@ -178,6 +185,7 @@
     public int run(String[] args) {
         Sim sim = new Sim();
         Demo demo = new Demo();
+        Operate operate = new Operate();
         Live live = new Live();
         Servers servers = new Servers();
         Load load = new Load();
@@ -189,6 +197,7 @@
         Comparison comparison = new Comparison();
         Check check = new Check();
         JCommander line = JCommander.newBuilder().programName("brackenbridge lab").addCommand("demo", demo)
+                .addCommand("operate", operate)
                 .addCommand("sim", sim).addCommand("live", live).addCommand("servers", servers)
                 .addCommand("load", load).addCommand("report", report).addCommand("compare", comparison)
                 .addCommand("theory", check).addCommand("capacity", capacity).addCommand("bench", bench)
@@ -205,6 +214,7 @@
         try {
             return switch (line.getParsedCommand()) {
                 case "demo" -> demo(demo);
+                case "operate" -> operate(operate);
                 case "sim" -> sim(sim);
                 case "live" -> live(live);
                 case "servers" -> servers(servers);
@@ -262,6 +272,15 @@
         return live(e.withSeed(o.seed), fitted, Path.of(o.out));
     }
 
+    private static int operate(Operate o) throws FileFault, IOException, InterruptedException {
+        Deployment deployment = Deployment.read();
+        Experiment e = ExperimentFile.parse("operate", plainLoad("call"), Path.of("."), Policies.names());
+        try (Rehearsal r = new Rehearsal(deployment.home(), Path.of(o.out), deployment.run(), e.world(),
+                System.out::println)) {
+            return r.play() ? 0 : BROKEN;
+        }
+    }
+
     private static int live(Live o) throws FileFault, IOException, InterruptedException {
         Path file = Path.of(o.file);
         Experiment e = ExperimentFile.read(file, Policies.names());
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -314,7 +314,10 @@
             }
         }, (long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
         if (e.key() instanceof TimerKey.Deadline) {
-            deadlines.put(e.key(), set);
+            ScheduledFuture<?> before = deadlines.put(e.key(), set);
+            if (before != null) {
+                before.cancel(false);
+            }
         }
     }
 
