--- a/lab/src/main/java/brackenbridge/lab/live/Rehearsal.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Rehearsal.java
@@ -30,8 +30,9 @@
 import java.util.function.Consumer;
 
 /**
- * What staff do with a node, one thing after the other, on a real process under load: a drain and return, new settings,
- * a replacement, long answers to slow readers, and calls while the clients' side is full. Every request is accounted for.
+ * What staff do with a node, one thing after the other, on a real process under load: a drain and return, new
+ * settings, a replacement, long answers to slow readers, and calls while the clients' side is full. Every request is
+ * accounted for.
  */
 public final class Rehearsal implements AutoCloseable {
     private static final int LONG = 32 * 1024 * 1024;
@@ -224,7 +225,8 @@
 
     private long figure(String name) {
         String told = call("INFO");
-        return told.contains(name + ":") ? Long.parseLong(told.replaceAll("(?s).*" + name + ":([0-9]+)[|].*", "$1")) : -1;
+        return told.contains(name + ":")
+                ? Long.parseLong(told.replaceAll("(?s).*" + name + ":([0-9]+)[|].*", "$1")) : -1;
     }
 
     /** Adds up what all running processes hold. */
@@ -238,8 +240,8 @@
                 descriptors += open == null ? 0 : open.length;
                 try {
                     String status = Files.readString(proc.resolve("status"));
-                    kb += status.contains("VmRSS") ? Long.parseLong(status.replaceAll("(?s).*VmRSS:\\s*([0-9]+).*", "$1"))
-                            : 0;
+                    kb += status.contains("VmRSS")
+                            ? Long.parseLong(status.replaceAll("(?s).*VmRSS:\\s*([0-9]+).*", "$1")) : 0;
                 } catch (IOException e) {
                     // It has just ended: it holds nothing.
                     continue;
@@ -313,12 +315,14 @@
         call("LAMEDUCK");
         long began = System.nanoTime();
         await(() -> !ready());
-        say.accept(String.format(Locale.ROOT, "LAMEDUCK: ready says no after %.0f ms", (System.nanoTime() - began) / 1e6));
+        say.accept(String.format(Locale.ROOT, "LAMEDUCK: ready says no after %.0f ms",
+                (System.nanoTime() - began) / 1e6));
         pause(2500);
         began = System.nanoTime();
         call("REJOIN");
         await(this::ready);
-        say.accept(String.format(Locale.ROOT, "REJOIN: ready says yes after %.0f ms", (System.nanoTime() - began) / 1e6));
+        say.accept(String.format(Locale.ROOT, "REJOIN: ready says yes after %.0f ms",
+                (System.nanoTime() - began) / 1e6));
         pause(1000);
     }
 
@@ -372,8 +376,8 @@
         pause(300);
         long told = servedByOld + figure("proxy.ok.call");
         say.accept(String.format(Locale.ROOT, "%d requests: %d served (figures say %d), %d refused while draining, "
-                + "%d failed, %d sent again on a new connection, %d lost", sent.get(), served.get(), told, refused.get(),
-                failed.get(), sentAgain.get(), lost.get()));
+                + "%d failed, %d sent again on a new connection, %d lost", sent.get(), served.get(), told,
+                refused.get(), failed.get(), sentAgain.get(), lost.get()));
         return Math.abs(told - served.get()) <= Math.max(3, served.get() / 100)
                 && sent.get() == served.get() + refused.get() + failed.get() + lost.get();
     }
@@ -444,9 +448,9 @@
         long rate = (served.get() - before) / 5;
         clientsEnd(clients);
         Collections.sort(took);
-        say.accept(String.format(Locale.ROOT, "%d calls of INFO beside %d clients at full speed (%d requests a second): "
-                + "p50 %.1f ms, p99 %.1f ms, maximum %.1f ms", took.size(), MANY_CLIENTS, rate, took.get(took.size() / 2),
-                took.get(took.size() * 99 / 100), took.get(took.size() - 1)));
+        say.accept(String.format(Locale.ROOT, "%d calls of INFO beside %d clients at full speed (%d requests a second): p50 "
+                + "%.1f ms, p99 %.1f ms, maximum %.1f ms", took.size(), MANY_CLIENTS, rate,
+                took.get(took.size() / 2), took.get(took.size() * 99 / 100), took.get(took.size() - 1)));
     }
 
     @Override
