Test of replacements by real processes: after a death, in a drain, just after SIGHUP

A successor that is killed, a replacement while the old process drains and one just after SIGHUP, under connects all the time: none is lost, each old process exits with 0. The rehearsal's last long line is short.

--- a/lab/src/main/java/brackenbridge/lab/live/Rehearsal.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Rehearsal.java
@@ -448,7 +448,7 @@
         long rate = (served.get() - before) / 5;
         clientsEnd(clients);
         Collections.sort(took);
-        say.accept(String.format(Locale.ROOT, "%d calls of INFO beside %d clients at full speed (%d requests a second): p50 "
+        say.accept(String.format(Locale.ROOT, "%d calls of INFO beside %d clients (%d requests a second): p50 "
                 + "%.1f ms, p99 %.1f ms, maximum %.1f ms", took.size(), MANY_CLIENTS, rate,
                 took.get(took.size() / 2), took.get(took.size() * 99 / 100), took.get(took.size() - 1)));
     }
--- /dev/null
+++ b/node/src/test/java/brackenbridge/cli/ProcessReplacementTest.java
@@ -0,0 +1,131 @@
+package brackenbridge.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.config.ConfigTest;
+import brackenbridge.mgmt.ManagementCall;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Replacements of real processes, one after the other, each at an awkward moment. */
+class ProcessReplacementTest {
+    @TempDir
+    private Path directory;
+    private final List<Process> processes = new ArrayList<>();
+    private final List<Exception> failed = Collections.synchronizedList(new ArrayList<>());
+    private int port;
+
+    /** A process and its second address. */
+    private record Running(Process process, String management) {
+        String call(String call) throws IOException {
+            return ManagementCall.make(management, call);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return s.getLocalPort();
+        }
+    }
+
+    private Running start() throws Exception {
+        String management = "127.0.0.1:" + freePort();
+        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                "brackenbridge.cli.Main", "serve").redirectErrorStream(true)
+                .redirectOutput(directory.resolve("log" + processes.size()).toFile());
+        b.environment().put("PROXY_CONFIG", directory.resolve("config.json").toString());
+        b.environment().put("PROXY_MGMT", management);
+        b.environment().put("TMPDIR", directory.toString());
+        Running r = new Running(b.start(), management);
+        processes.add(r.process());
+        await(() -> r.call("PING").equals("+OK\n"));
+        return r;
+    }
+
+    private static void await(Callable<Boolean> what) throws Exception {
+        for (int i = 0; i < 3000; i++) {
+            try {
+                if (what.call()) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Nobody listens there yet.
+                assertTrue(i < 2999, e.toString());
+            }
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        throw new AssertionError("waited in vain");
+    }
+
+    private String ask(String path) throws IOException {
+        try (Socket s = new Socket("127.0.0.1", port)) {
+            s.setSoTimeout(10_000);
+            s.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nConnection: close\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    private void stops(Running old) throws InterruptedException {
+        old.process().destroy();
+        assertTrue(old.process().waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, old.process().exitValue());
+    }
+
+    @AfterEach
+    void end() {
+        processes.forEach(Process::destroyForcibly);
+    }
+
+    @Test
+    void successorsComeAtAwkwardMomentsAndNoConnectionIsLost() throws Exception {
+        port = freePort();
+        String host = "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:1\",\"health\":\"active\"}";
+        Files.writeString(directory.resolve("config.json"), ConfigTest.TEXT.replace("127.0.0.1:0", "127.0.0.1:" + port)
+                .replace("\"hosts\":[]", "\"hosts\":[" + host + "]"));
+        Running first = start();
+        Running dies = start();
+        dies.process().destroyForcibly().waitFor();
+        await(() -> Files.readString(directory.resolve("log0")).contains("the successor has ended"));
+        assertEquals("+OK\n", first.call("PING"));
+        Thread storm = new Thread(() -> {
+            while (!Thread.currentThread().isInterrupted()) {
+                try {
+                    assertTrue(ask("/health/live").startsWith("HTTP/1.1 200 "));
+                } catch (IOException | AssertionError e) {
+                    failed.add(new Exception(e));
+                }
+            }
+        });
+        storm.start();
+        first.call("LAMEDUCK");
+        Running second = start();
+        assertEquals("+OK\n", first.call("PING"), "a drained process still takes who comes");
+        stops(first);
+        assertTrue(ask("/health/ready").startsWith("HTTP/1.1 200 "), "the new process serves");
+        new ProcessBuilder("kill", "-HUP", Long.toString(second.process().pid())).start().waitFor();
+        Running third = start();
+        await(() -> second.call("INFO").contains("proxy.config_applied:1|c\n"));
+        stops(second);
+        assertTrue(ask("/health/ready").startsWith("HTTP/1.1 200 "));
+        assertTrue(third.call("INFO").contains("proxy.pool_size:1|g\n"), "the list came along");
+        storm.interrupt();
+        storm.join();
+        assertEquals(List.of(), failed);
+    }
+}
