--- a/lab/src/main/java/brackenbridge/lab/live/LiveRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LiveRunner.java
@@ -79,10 +79,12 @@
                     live.registry(), true, CONNECTIONS);
             AtomicBoolean written = new AtomicBoolean();
             interrupted = new Thread(() -> {
-                if (written.compareAndSet(false, true)) {
-                    results.add(line(experiment, run, board, live.ledger(), load).add("partial", true),
-                            board.latency(), live.ledger());
-                }
+                loop.submit(() -> {
+                    if (written.compareAndSet(false, true)) {
+                        results.add(line(experiment, run, board, live.ledger(), load).add("partial", true),
+                                board.latency(), live.ledger());
+                    }
+                }).awaitUninterruptibly(LoadRunner.LAST_MS);
                 nodes.forEach(n -> n.process().destroy());
             }, "interrupted");
             Runtime.getRuntime().addShutdownHook(interrupted);
--- a/lab/src/main/java/brackenbridge/lab/live/LoadRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LoadRunner.java
@@ -35,6 +35,9 @@
         }
     }
 
+    /** An interrupted run has so long to write what there is. */
+    static final long LAST_MS = 5000;
+
     /**
      * Plays the load and adds one line of results; an interruption adds what there is, marked as partial.
      *
@@ -48,11 +51,12 @@
         LoadClient load = new LoadClient(run.world(), run.seed(), group.next(), Clock.system(),
                 List.of(new Fixed(target)), board, ledger, new Registry(), checkBodies, connections);
         AtomicBoolean written = new AtomicBoolean();
-        Thread hook = new Thread(() -> {
+        // The board is the event loop's: guards the figures against being read in the middle of an answer.
+        Thread hook = new Thread(() -> group.next().submit(() -> {
             if (written.compareAndSet(false, true)) {
                 results.add(line(experiment, run, board, ledger, load).add("partial", true), board.latency(), ledger);
             }
-        }, "interrupted");
+        }).awaitUninterruptibly(LAST_MS), "interrupted");
         Runtime.getRuntime().addShutdownHook(hook);
         try {
             CompletableFuture<Void> done = load.start();
