--- a/core/src/test/java/brackenbridge/core/LifeCycleTest.java
+++ b/core/src/test/java/brackenbridge/core/LifeCycleTest.java
@@ -61,6 +61,15 @@
         assertFalse(p.pass(5000).of(Effect.Exit.class).isEmpty());
     }
 
+    @Test
+    void newSettingsLeaveADrainAsItIs() {
+        Play p = new Play(4, 2).tell(DRAIN).pass(700);
+        p.tell(new Event.Reconfigured(Play.settings(2, 3, Play.FILE), new TargetGroup(41, true, List.of()), false));
+        assertFalse(p.reducer.ready());
+        assertEquals(List.of(Fixed.REFUSED), p.pass(1200).fixed(p.open(Play.FILE, 5000)));
+        assertTrue(p.tell(RETURN).reducer.ready());
+    }
+
     @Property(seed = "52", tries = 300)
     void takenIsWhatWasAnsweredAbandonedAndActive(@ForAll long seed) {
         java.util.SplittableRandom r = new java.util.SplittableRandom(seed);
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -416,6 +416,9 @@
 
         @Override
         public void refused() {
+            // Its client has left: the server is not at fault, so nothing counts as cut.
+            streaming.remove(this);
+            answer = null;
             channel.close();
         }
 
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -116,7 +116,11 @@
             }
         }).syncUninterruptibly();
         if (management != null) {
-            management.listen(Addresses.of(config.management()));
+            try {
+                management.listen(Addresses.of(config.management()));
+            } catch (RuntimeException e) {
+                throw new IllegalArgumentException("mgmt " + config.management() + ": " + e.getMessage(), e);
+            }
         }
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         log.info("node " + config.name() + " listens on " + door.address() + ", tier "
