A second address that is taken ends the start with one line and exit code 2

Seen when tried as written: Netty throws a failed bind as a checked exception, which a catch of RuntimeException let pass. Tried by hand with a taken port; it has no test yet.

--- a/node/src/main/java/brackenbridge/cli/Main.java
+++ b/node/src/main/java/brackenbridge/cli/Main.java
@@ -167,7 +167,8 @@
         }, "stop"));
         try {
             node.start();
-        } catch (RuntimeException e) {
+        } catch (Exception e) {
+            // Netty throws a failed bind as it is, and that is no RuntimeException.
             System.err.println("brackenbridge: can't listen on " + config.listen() + ": " + e.getMessage());
             Runtime.getRuntime().halt(USAGE);
         }
