Test of replacement waits until the meeting place is there

Seen once in a run of all tests: successorThatDiesLeavesTheOldProcessAsItWas failed with 'No such file or directory'. A node takes clients one turn of its loop before its Unix socket is bound (Handover.listen binds by a future), and the test connected without waiting. The node itself was ruled out: a successor that comes in that turn starts without a predecessor, as at any first start.

--- a/node/src/test/java/brackenbridge/net/ReplacementTest.java
+++ b/node/src/test/java/brackenbridge/net/ReplacementTest.java
@@ -177,6 +177,7 @@
     void successorThatDiesLeavesTheOldProcessAsItWas() throws Exception {
         Node old = node(true);
         for (String more : List.of("", "ready\n")) {
+            await(() -> Files.exists(meeting));
             try (SocketChannel dying = SocketChannel.open(UnixDomainSocketAddress.of(meeting))) {
                 dying.write(ByteBuffer.wrap(("brackenbridge-handover 1 successor\n" + more)
                         .getBytes(StandardCharsets.US_ASCII)));
