A struck server is tried by any call once no safe one has come for a second

Seen: with a safe and an unsafe class in the settings and only unsafe calls coming, a server that failed once is never asked again; where it is the only one, all calls are refused from then on for good. Shown by two tests of DesignTest that failed before: 'the only server is never tried again', and among four servers 'no call reaches it any more'. Ruled out: the pause (backAt had passed and the server stood in trials), the list (a new start of the server brings it back), the share of servers that may be out. Lines at fault: Balancer.tryTrial turned every call away that was not of a safe class, or was of the top level, without end. Now such calls are spared for one second after the pause, and at once where no server takes turns at all.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -803,7 +803,9 @@
 
     /** A server that may be well again is tried with one call, of a safe class where there is one. */
     private boolean tryTrial(long now, Call c) {
-        if (anySafe && c.kind.is.effect() != Effect.SAFE || c.level == 0 && levels > 1) {
+        // Guards a server that nobody tries: where none but urgent or unsafe calls come, one of them has to.
+        boolean any = rotation.isEmpty() || now >= trials.peek().backAt + SECOND;
+        if (!any && (anySafe && c.kind.is.effect() != Effect.SAFE || c.level == 0 && levels > 1)) {
             return false;
         }
         Server s = trials.poll();
--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -235,6 +235,32 @@
         assertTrue(lost < 12, "lost of " + there + ": " + lost);
     }
 
+    @Test
+    void serverThatFailedIsTriedAgainEvenIfOnlyUnsafeCallsCome() {
+        Script s = new Script(settings(safe("read", 1), unsafe("write", 5))).servers(1);
+        s.ask(1, "write").answer(1, 0, Outcome.CONNECT_FAILED, MS);
+        long served = -1;
+        for (long id = 2; id < 40 && served < 0; id++) {
+            s.ask(id, "write").pass(SECOND / 2);
+            served = s.target(id);
+        }
+        assertEquals(1, served, "the only server is never tried again");
+    }
+
+    @Test
+    void serverAmongOthersIsTriedAgainEvenIfOnlyUnsafeCallsCome() {
+        Script s = new Script(settings(safe("read", 1), unsafe("write", 5))).servers(4);
+        s.ask(1, "write");
+        long sick = s.target(1);
+        s.answer(1, 0, Outcome.TIMEOUT, MS);
+        boolean again = false;
+        for (long id = 2; id < 400 && !again; id++) {
+            s.ask(id, "write").pass(20 * MS).answer(id, 0, Outcome.OK, 20 * MS);
+            again = s.target(id) == sick;
+        }
+        assertTrue(again, "no call reaches it any more");
+    }
+
     @Test
     void oneBrokenConnectionTakesNoServerOut() {
         Script s = new Script(settings(unsafe("file", 1))).servers(1);
