Every refusal says when to come back, also before the first answer, in a drain and at a stop

Seen: refusals without Retry-After though the settings allow advice: while no answer has been measured (no server known, admission in the first second, attempts spent), in a drain, at a stop, at a deadline before the last byte was written, and after a spent body. Seven tests of the new RefusalTest and one of DesignTest failed before; its other four, for failures and rejections, passed, so these were ruled out. RefusalTest goes through all ways in which a flow ends by the node itself. Lines at fault: Balancer.meanTime gave 0 before the first answer, which means 'no guidance'; Reducer.open, conclude and answerNow passed 0 to fixedResponse. The module now says at any time how long to stay away (BalancerApi.retryAfter, a tick before the first answer, the mean response time after it, the settings' longest at most), and fixedResponse asks it.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -367,6 +367,7 @@
                 + part * meanTau * F * ratePerSecond / SECOND * Math.max(1, ROOM / congestion));
     }
 
+    /** The mean response time; before the first answer, a moment. */
     private double meanTime() {
         double sum = 0;
         int n = 0;
@@ -376,7 +377,7 @@
                 n++;
             }
         }
-        return n == 0 ? 0 : sum / n;
+        return n == 0 ? TICK : sum / n;
     }
 
     /** Priority follows worth; within the guaranteed rate d the bucket lifts a call to the top. */
@@ -669,7 +670,7 @@
         if (!c.mayHaveRun && c.outNow == 0 || c.kind.is.effect() == Effect.SAFE
                 || c.kind.is.effect() == Effect.KEYED && c.kind.is.dedupScope() == DedupScope.ALL
                 && now - c.ranSince < c.kind.is.keyTtl() && c.mayHaveRun) {
-            out.refuse(c.id, Math.min(settings.maxRetryAfter(), (long) meanTime()));
+            out.refuse(c.id, retryAfter());
         } else {
             out.fail(c.id);
         }
@@ -845,8 +846,8 @@
     }
 
     @Override
-    public void onProbed(long now, long endpoint, Outcome outcome, long latency, Report report) {
-        // No probe is sent.
+    public long retryAfter() {
+        return Math.min(settings.maxRetryAfter(), (long) meanTime());
     }
 
     // ---- Timers ----
--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -310,6 +310,12 @@
         return 0;
     }
 
-    /** A probe has ended; the report is null if none came. */
-    void onProbed(long now, long endpoint, Outcome outcome, long latency, Report report);
+    /** How long a client that is refused now had better wait before it comes again; 0 gives no guidance. */
+    default long retryAfter() {
+        return 0;
+    }
+
+    /** A probe has ended; the report is null if none came. Nothing to an instance that sends none. */
+    default void onProbed(long now, long endpoint, Outcome outcome, long latency, Report report) {
+    }
 }
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -412,7 +412,10 @@
     private void fixedResponse(OpenFlow f, Effect.Fixed kind, double retryAfterMs) {
         leaving.put(f.id, new Leaving(f.className, kind == Effect.Fixed.REFUSED ? Kind.ANSWERED_REFUSED
                 : kind == Effect.Fixed.REJECTED ? Kind.ANSWERED_REJECTED : Kind.ANSWERED_FAILED));
-        effects.add(new Effect.FixedResponse(f.id, kind, retryAfterMs));
+        // A refusal says when to come back, whoever decided it.
+        double advice = kind == Effect.Fixed.REFUSED && retryAfterMs == 0 ? ModuleTime.ms(balancer.retryAfter())
+                : retryAfterMs;
+        effects.add(new Effect.FixedResponse(f.id, kind, advice));
         end(f);
     }
 
