--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -188,8 +188,9 @@
             }
         }
         for (Endpoint e : entries) {
-            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e, levels));
+            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e, levels, now));
             if (e.startedAt() > s.is.startedAt()) {
+                s.coldSince = Math.min(e.startedAt(), now);
                 s.pace = 1;
                 s.latest = 0;
                 s.errors = 0;
@@ -508,17 +509,16 @@
 
     /** The step of a server's turn: the inverse of its weight, while cold of the part it can do. */
     private double stride(long now, Server s) {
-        double weight = s.is.weight() > 0 ? s.is.weight() : 1;
         // A server clearly slower than its peers gets turns by the capacity it shows.
         double shown = s.pace > SLOW ? Math.min(s.pace, 10) : 1;
-        return shown / (weight * warmth(now, s));
+        return shown / (s.is.weight() * warmth(now, s));
     }
 
     private double warmth(long now, Server s) {
-        if (s.is.startedAt() <= 0) {
+        if (s.coldSince <= 0) {
             return 1;
         }
-        double age = Math.max(0, now - s.is.startedAt()) / (double) Math.max(1, settings.warmAfter());
+        double age = Math.max(0, now - s.coldSince) / (double) Math.max(1, settings.warmAfter());
         return age >= 1 ? 1 : settings.coldFrom() + (1 - settings.coldFrom()) * age;
     }
 
@@ -726,7 +726,7 @@
         }
         // Of a server that has left, and that only a long request held on to, nothing is to be learned.
         if (servers.get(s.id) == s) {
-            learn(now, c, s, outcome, latency);
+            learn(now, c, s, outcome, Math.max(1, latency));
         }
         if (ended || c.done) {
             end(c);
--- a/core/src/main/java/brackenbridge/State.java
+++ b/core/src/main/java/brackenbridge/State.java
@@ -153,6 +153,8 @@
         /** Its place on the ring of its zone, from 0 to 1; the same at every instance. */
         final double place;
         Endpoint is;
+        /** When it last started, but no later than it was told: a start in the future would leave it cold for good. */
+        long coldSince;
         /** The calls bound to it, by level. */
         ArrayDeque<Call>[] queues;
         int queued;
@@ -176,9 +178,10 @@
         boolean out;
         long backAt;
 
-        Server(Endpoint is, int levels) {
+        Server(Endpoint is, int levels, long now) {
             this.id = is.id();
             this.is = is;
+            this.coldSince = Math.min(is.startedAt(), now);
             this.place = scramble(id) * 0x1p-53;
             this.queues = queues(levels);
         }
