--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -132,8 +132,8 @@
         s.ask(1, "read").pass(5 * SECOND);
         long after = s.of("refuse").get(0).amount();
         assertTrue(after > 0 && after <= 2 * SECOND, "retry-after: " + after);
-        Script untold = new Script(new BalancerApi.Settings(7, 0, 6, 0, "here", List.of(safe("read", 1)), List.of(), 0.1,
-                false, 10 * SECOND, 4, 20000, 0, true, false, true, 15 * SECOND, 0.2, 20 * SECOND,
+        Script untold = new Script(new BalancerApi.Settings(7, 0, 6, 0, "here", List.of(safe("read", 1)), List.of(),
+                0.1, false, 10 * SECOND, 4, 20000, 0, true, false, true, 15 * SECOND, 0.2, 20 * SECOND,
                 BalancerApi.Network.UNTOLD));
         untold.list(ListKind.SAVED).ask(1, "read").pass(5 * SECOND);
         assertEquals(0, untold.of("refuse").get(0).amount(), "no advice where clients heed none");
