An unreadable entry of a server list costs itself alone; no version makes later lists stale

Seen, by tests that failed before: one entry with a port above 65535 or an unknown word passed as usable or spoilt the whole list, and with it every later one that repeats it, so that a node served by its first list for ever; the version 1e300 became the greatest number, beside which every later list was stale; a line of a few hundred thousand empty objects was read into the heap. Lines at fault: TargetGroupParser.group and target. Offers of a predecessor go by the same reading.

--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -508,7 +508,10 @@
             moved = false;
             seq = group.seq();
             counters.count(Kind.TARGET_LISTS);
-            list(group.whole() ? ListKind.FULL : ListKind.CHANGES, group.targets());
+            List<Target> told = new ArrayList<>(group.targets());
+            // Guards a server that serves against one unreadable word of it: left out, it would count as gone.
+            targets.values().stream().filter(t -> group.unread().contains(t.host())).forEach(told::add);
+            list(group.whole() ? ListKind.FULL : ListKind.CHANGES, told);
         } else if (first) {
             list(ListKind.CHANGES, List.of());
         }
--- a/core/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/core/src/test/java/brackenbridge/core/ReducerTest.java
@@ -371,4 +371,22 @@
         }
         assertEquals(0, p.forwards(p.open(Play.VIEW, 5000)).size(), "whole, they do");
     }
+
+    @Test
+    void unreadableEntryOfAWholeListLeavesItsHostAsItWas() {
+        Play p = new Play(2, 2);
+        while (p.of(Effect.Watch.class).isEmpty()) {
+            p.pass(100);
+        }
+        long call = p.of(Effect.Watch.class).get(0).call();
+        p.tell(new Event.TargetsTold(call, new TargetGroup(42, true, List.of(Play.target("s-1", EndpointState.UP)),
+                List.of("s-0", "s-never-seen"))));
+        assertEquals(2, p.reducer.hosts());
+        for (int i = 0; i < 2; i++) {
+            assertEquals(1, p.forwards(p.open(Play.FILE, 5000)).size(), "both still serve");
+        }
+        p.tell(new Event.TargetsTold(call, new TargetGroup(43, true, List.of(Play.target("s-1", EndpointState.UP)))));
+        assertEquals(2, p.reducer.hosts(), "gone, but a forward is out there");
+        assertTrue(p.reducer.figures().contains("proxy.pool_size:1|g"));
+    }
 }
--- a/node/src/main/java/brackenbridge/discovery/TargetGroupParser.java
+++ b/node/src/main/java/brackenbridge/discovery/TargetGroupParser.java
@@ -12,28 +12,49 @@
 
 /** Reads discovery's lists: the whole one, or one line of a watch. */
 public final class TargetGroupParser {
+    /** Beyond it a number on the wire is no longer exact. */
+    private static final double MOST_VERSIONS = 0x1p53 - 1;
+
     private TargetGroupParser() {
     }
 
     /** Reads a list; what is not one is an IllegalArgumentException. */
     public static TargetGroup parse(String text) {
         try {
-            return group(Json.parse(text).asObject());
+            return group(StrictJson.parse(text).asObject());
         } catch (RuntimeException e) {
             throw new IllegalArgumentException("not a target list: " + e.getMessage(), e);
-        } catch (StackOverflowError e) {
-            // Guards against brackets nested deeper than the parser's stack.
-            throw new IllegalArgumentException("not a target list: nested too deep", e);
         }
     }
 
-    /** Reads a list that has been parsed. */
+    /**
+     * Reads a list that has been parsed. An entry that can't be read costs only itself, as long as it says whose it
+     * is; of anybody else's the whole list is spoilt, since what it leaves out would count as gone.
+     */
     public static TargetGroup group(JsonObject json) {
         List<Target> targets = new ArrayList<>();
+        List<String> unread = new ArrayList<>();
         for (JsonValue v : required(json, "hosts").asArray()) {
-            targets.add(target(v.asObject()));
+            String host = required(v.asObject(), "host").asString();
+            if (host.isEmpty()) {
+                throw new IllegalArgumentException("entry without a host");
+            }
+            try {
+                targets.add(target(host, v.asObject()));
+            } catch (RuntimeException e) {
+                unread.add(host);
+            }
+        }
+        return new TargetGroup(version(required(json, "seq")), json.getBoolean("whole", false), targets, unread);
+    }
+
+    /** Guards all later lists: beside a version that no counter holds they would be stale for good. */
+    private static long version(JsonValue v) {
+        double seq = v.isNumber() ? v.asDouble() : Double.NaN;
+        if (!(seq >= -1 && seq <= MOST_VERSIONS) || seq != Math.rint(seq)) {
+            throw new IllegalArgumentException("seq is not a version: " + v);
         }
-        return new TargetGroup((long) required(json, "seq").asDouble(), json.getBoolean("whole", false), targets);
+        return (long) seq;
     }
 
     /** Words a list as discovery would. */
@@ -52,11 +73,11 @@
         return Json.object().add("seq", group.seq()).add("whole", group.whole()).add("hosts", hosts);
     }
 
-    private static Target target(JsonObject o) {
-        String host = required(o, "host").asString();
+    private static Target target(String host, JsonObject o) {
         String dial = required(o, "dial").asString();
-        if (host.isEmpty() || !dial.matches("[^\\s:]+:[0-9]{1,5}")) {
-            throw new IllegalArgumentException("host '" + host + "' at '" + dial + "'");
+        int port = dial.matches("[^\\s:]+:[0-9]{1,5}") ? Integer.parseInt(dial.substring(dial.indexOf(':') + 1)) : 0;
+        if (port < 1 || port > 65535) {
+            throw new IllegalArgumentException("dial '" + dial + "'");
         }
         return new Target(host, dial, o.getString("site", "-"), (long) number(o, "block", -1),
                 number(o, "share", 1), number(o, "born_ms", 0), state(required(o, "health").asString()));
--- a/node/src/main/java/brackenbridge/handover/Offer.java
+++ b/node/src/main/java/brackenbridge/handover/Offer.java
@@ -1,6 +1,7 @@
 package brackenbridge.handover;
 
 import brackenbridge.core.TargetGroup;
+import brackenbridge.discovery.StrictJson;
 import brackenbridge.discovery.TargetGroupParser;
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
@@ -20,9 +21,9 @@
     /** Reads an offer; what can't be read is an IllegalArgumentException. */
     static Offer parse(String text) {
         try {
-            JsonObject json = Json.parse(text).asObject();
+            JsonObject json = StrictJson.parse(text).asObject();
             return new Offer(json.get("sockets").asInt(), TargetGroupParser.group(json.get("list").asObject()));
-        } catch (RuntimeException | StackOverflowError e) {
+        } catch (RuntimeException e) {
             throw new IllegalArgumentException("not an offer: " + e.getMessage(), e);
         }
     }
--- a/node/src/main/java/brackenbridge/net/DiscoveryClient.java
+++ b/node/src/main/java/brackenbridge/net/DiscoveryClient.java
@@ -114,6 +114,9 @@
             }
             try {
                 TargetGroup group = TargetGroupParser.parse(text);
+                if (!group.unread().isEmpty()) {
+                    log.warn("entries that can't be read, so these hosts stay as they were: " + group.unread());
+                }
                 events.raise(new Event.TargetsTold(id, group));
             } catch (IllegalArgumentException e) {
                 over(e.getMessage());
--- a/node/src/test/java/brackenbridge/discovery/TargetGroupParserTest.java
+++ b/node/src/test/java/brackenbridge/discovery/TargetGroupParserTest.java
@@ -8,9 +8,12 @@
 import brackenbridge.core.Target;
 import brackenbridge.core.TargetGroup;
 import brackenbridge.testing.Bytes;
+import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TargetGroupParserTest {
     private static final String LINE = "{\"seq\":43,\"whole\":false,\"hosts\":[{\"host\":\"s-5b\","
@@ -19,7 +22,7 @@
 
     @Test
     void readsALine() {
-        assertEquals(new TargetGroup(43, false, java.util.List.of(new Target("s-5b", "127.1.0.18:9000", "a", 3, 1.5, 7,
+        assertEquals(new TargetGroup(43, false, List.of(new Target("s-5b", "127.1.0.18:9000", "a", 3, 1.5, 7,
                 EndpointState.DRAINING))), TargetGroupParser.parse(LINE));
         assertThrows(IllegalArgumentException.class, () -> TargetGroupParser.parse("[".repeat(100_000)));
     }
@@ -32,4 +35,45 @@
             assertFalse(e.getMessage().isEmpty());
         }
     }
+
+    private static TargetGroup list(String... entries) {
+        return TargetGroupParser.parse("{\"seq\":7,\"whole\":true,\"hosts\":[" + String.join(",", entries) + "]}");
+    }
+
+    private static String entry(String host, String change) {
+        String usual = "{\"host\":\"" + host + "\",\"dial\":\"127.1.0.18:9000\",\"health\":\"active\"}";
+        return usual.replaceFirst(change.split("->", -1)[0], change.split("->", -1)[1]);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {":9000->:65536", ":9000->:99999", ":9000->:0", ":9000->", "\"active\"->\"well\"",
+        "\"active\"->7", "\"dial\":\"127.1.0.18:9000\",->", "\"active\"->\"active\",\"share\":\"much\"",
+        "\"active\"->\"active\",\"born_ms\":true", "\"active\"->\"active\",\"site\":5"})
+    void unreadableEntryCostsOnlyItself(String change) {
+        TargetGroup read = list(entry("a", "a->a"), entry("b", change), entry("c", "c->c"));
+        assertEquals(List.of("a", "c"), read.targets().stream().map(Target::host).toList());
+        assertEquals(List.of("b"), read.unread());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"7", "[]", "null", "{}", "{\"host\":\"\",\"dial\":\"1.1.1.1:1\",\"health\":\"active\"}",
+        "{\"host\":7,\"dial\":\"1.1.1.1:1\",\"health\":\"active\"}"})
+    void entryOfNobodyCostsTheLine(String entry) {
+        // Whom it speaks of can't be known, so what the rest leaves out can't be known to be gone either.
+        assertThrows(IllegalArgumentException.class, () -> list(entry("a", "a->a"), entry));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"1e300", "9007199254740993", "-2", "4.5", "\"4\"", "null", "true"})
+    void versionThatNoCounterHoldsCostsTheLine(String version) {
+        // Taken as the greatest number it would make every later list stale.
+        assertThrows(IllegalArgumentException.class, () -> TargetGroupParser.parse(LINE.replace("43", version)));
+    }
+
+    @Test
+    void veryManyValuesOnOneLineCostTheLine() {
+        String many = "{},".repeat(300_000);
+        assertThrows(IllegalArgumentException.class,
+                () -> TargetGroupParser.parse(LINE.replace("\"hosts\"", "\"more\":[" + many + "{}],\"hosts\"")));
+    }
 }
