A configuration that can't hold is turned down by key, unread if it is huge or a pipe

Ruled out: cut files, lost keys and values of another type (ConfigTest, unchanged), directories, bytes that are no text. Lines at fault: Config.read and parse, SettingsParser's casts, the checks of BalancerApi.Settings, Sockets.divide (forAll * 11 ran over).

--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -44,6 +44,15 @@
      */
     record RequestClass(String name, long aim, long deadline, Effect effect, DedupScope dedupScope,
             long keyTtl, boolean stream, double worth, double lateShare) {
+        /** A class that could not be served or ranked is rejected; its name stands in paths and in figures. */
+        public RequestClass {
+            Settings.require(name.matches("[^\\s\\p{Cntrl}/?#:|]+"), "name of a class", name);
+            Settings.require(aim > 0, "aim of class " + name, aim);
+            Settings.require(deadline >= aim && deadline <= Settings.DAY, "deadline of class " + name, deadline);
+            Settings.require(keyTtl >= 0 && keyTtl <= Settings.AGE, "keyTtl of class " + name, keyTtl);
+            Settings.require(worth >= 0 && worth <= Settings.MOST, "worth of class " + name, worth);
+            Settings.require(lateShare >= 0 && lateShare <= 1, "lateShare of class " + name, lateShare);
+        }
     }
 
     /**
@@ -54,6 +63,12 @@
      * @param quotaPerSecond requests a second, over all instances, within its share; 0 if not told
      */
     record Tenant(String name, double share, double quotaPerSecond) {
+        /** A share or a quota that no rate can have is rejected. */
+        public Tenant {
+            Settings.require(share >= 0 && share <= Settings.MOST, "share of tenant " + name, share);
+            Settings.require(quotaPerSecond >= 0 && quotaPerSecond <= Settings.MOST, "quota of tenant " + name,
+                    quotaPerSecond);
+        }
     }
 
     /**
@@ -70,8 +85,8 @@
 
         /** Limits that no connection or send could keep are rejected. */
         public Network {
-            Settings.require(connectTimeout > 0, "connectTimeout", connectTimeout);
-            Settings.require(drainGrace >= 0, "drainGrace", drainGrace);
+            Settings.require(connectTimeout > 0 && connectTimeout <= Settings.DAY, "connectTimeout", connectTimeout);
+            Settings.require(drainGrace >= 0 && drainGrace <= Settings.DAY, "drainGrace", drainGrace);
             reportFields = List.copyOf(reportFields);
         }
     }
@@ -105,6 +120,15 @@
             int maxAttempts, int maxOpen, long maxRetryAfter, boolean mayCancel, boolean mayProbe,
             boolean secondCopies, long idleClose, double coldFrom, long warmAfter,
             Network network) {
+        /** The longest time within which something is to happen: guards sums of times against running over. */
+        static final long DAY = 86_400_000_000L;
+        /** The longest time after which something may be forgotten, some thirty years. */
+        static final long AGE = 1_000_000_000_000_000L;
+        /** The most that a worth or a rate can be. */
+        static final double MOST = 1e9;
+        /** The least part of its capacity that a starting endpoint can have. */
+        static final double LEAST_COLD = 0.001;
+
         /** Settings that contradict themselves are rejected. */
         public Settings {
             require(!classes.isEmpty(), "no classes", classes);
@@ -112,18 +136,22 @@
                 RequestClass c = classes.get(i);
                 require(classes.stream().filter(o -> o.name().equals(c.name())).count() == 1,
                         "class given twice", c.name());
-                require(c.aim() > 0, "aim of class " + c.name(), c.aim());
-                require(c.deadline() >= c.aim(), "deadline before aim of class " + c.name(), c.deadline());
-                require(c.worth() >= 0, "worth of class " + c.name(), c.worth());
             }
+            for (Tenant t : tenants) {
+                require(tenants.stream().filter(o -> o.name().equals(t.name())).count() == 1,
+                        "tenant given twice", t.name());
+            }
+            require(overShareWorth >= 0 && overShareWorth <= MOST, "overShareWorth", overShareWorth);
             require(peers >= 1, "peers", peers);
             require(me >= 0 && me < peers, "me is not among the peers", me);
             require(tier >= 0, "tier", tier);
             require(maxAttempts >= 1, "maxAttempts", maxAttempts);
             require(maxOpen >= 1, "maxOpen", maxOpen);
-            require(maxRetryAfter >= 0, "maxRetryAfter", maxRetryAfter);
-            require(coldFrom > 0 && coldFrom <= 1, "coldFrom", coldFrom);
-            require(warmAfter >= 0, "warmAfter", warmAfter);
+            require(mustAskWithin >= 0 && mustAskWithin <= AGE, "mustAskWithin", mustAskWithin);
+            require(maxRetryAfter >= 0 && maxRetryAfter <= DAY, "maxRetryAfter", maxRetryAfter);
+            require(idleClose >= 0 && idleClose <= AGE, "idleClose", idleClose);
+            require(coldFrom >= LEAST_COLD && coldFrom <= 1, "coldFrom", coldFrom);
+            require(warmAfter >= 0 && warmAfter <= AGE, "warmAfter", warmAfter);
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
         }
--- a/core/src/test/java/brackenbridge/AbsurdInputTest.java
+++ b/core/src/test/java/brackenbridge/AbsurdInputTest.java
@@ -4,18 +4,28 @@
 import static brackenbridge.Script.SECOND;
 import static brackenbridge.Script.safe;
 import static brackenbridge.Script.settings;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brackenbridge.BalancerApi.DedupScope;
+import brackenbridge.BalancerApi.Effect;
 import brackenbridge.BalancerApi.EndpointState;
 import brackenbridge.BalancerApi.ListKind;
+import brackenbridge.BalancerApi.Network;
 import brackenbridge.BalancerApi.Outcome;
+import brackenbridge.BalancerApi.RequestClass;
+import brackenbridge.BalancerApi.Settings;
+import brackenbridge.BalancerApi.Tenant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Lists and times that no sane party would send: the module goes on deciding. */
+/** Lists, settings and times that no sane party would send: the module goes on deciding. */
 class AbsurdInputTest {
 
     /** How many of so many calls each server gets, one after the other. */
@@ -72,4 +82,62 @@
         }
         assertTrue(slow < 100, "turns of the slow server: " + slow);
     }
+
+    private static RequestClass kind(String name, long aim, long deadline, long keyTtl, double worth, double late) {
+        return new RequestClass(name, aim, deadline, Effect.KEYED, DedupScope.ALL, keyTtl, false, worth, late);
+    }
+
+    private static void turnedDown(String key, Supplier<RequestClass> c) {
+        String why = assertThrows(IllegalArgumentException.class, () -> settings(c.get()), key).getMessage();
+        assertTrue(why.contains(key), why);
+    }
+
+    @Test
+    void classesThatCanNotHoldAreTurnedDownByKey() {
+        assertNotEquals(null, settings(kind("a", 1, 1, 0, 0, 0)));
+        for (double bad : new double[] {Double.NaN, Double.POSITIVE_INFINITY, -1, 1e300}) {
+            turnedDown("worth", () -> kind("a", 1, 1, 0, bad, 0));
+            turnedDown("lateShare", () -> kind("a", 1, 1, 0, 1, bad));
+        }
+        turnedDown("keyTtl", () -> kind("a", 1, 1, -1, 1, 0));
+        turnedDown("keyTtl", () -> kind("a", 1, 1, Long.MAX_VALUE, 1, 0));
+        turnedDown("deadline", () -> kind("a", 1, Long.MAX_VALUE, 0, 1, 0));
+        for (String name : List.of("", "a b", "a\nproxy.ok.b:9|c", "a/b", "a?", "a#", "a:b", "a|b")) {
+            turnedDown("name", () -> kind(name, 1, 1, 0, 1, 0));
+        }
+    }
+
+    private static Settings with(double overShare, Tenant tenant, long askWithin, long retryAfter, long idleClose,
+            double coldFrom, long warmAfter, Network network) {
+        return new Settings(7, 0, 6, 0, "here", List.of(safe("read", 1)), List.of(tenant), overShare, false, askWithin,
+                4, 20000, retryAfter, true, false, true, idleClose, coldFrom, warmAfter, network);
+    }
+
+    private static void turnedDown(String key, double overShare, double quota, long time, double coldFrom) {
+        String why = assertThrows(IllegalArgumentException.class, () -> with(overShare, new Tenant("acme", 0, quota),
+                key.equals("mustAskWithin") ? time : 1, key.equals("maxRetryAfter") ? time : 1,
+                key.equals("idleClose") ? time : 1, coldFrom, key.equals("warmAfter") ? time : 1,
+                key.equals("connectTimeout") ? new Network(time, 0, false, List.of())
+                        : key.equals("drainGrace") ? new Network(1, time, false, List.of()) : Network.UNTOLD),
+                key).getMessage();
+        assertTrue(why.contains(key), why);
+    }
+
+    @Test
+    void settingsThatCanNotHoldAreTurnedDownByKey() {
+        assertNotEquals(null, with(0.5, new Tenant("acme", 0, 5), 1, 1, 1, 0.2, 1, Network.UNTOLD));
+        for (double bad : new double[] {Double.NaN, Double.POSITIVE_INFINITY, -1, 1e300}) {
+            turnedDown("overShareWorth", bad, 1, 1, 1);
+            turnedDown("quota", 0.1, bad, 1, 1);
+            turnedDown("coldFrom", 0.1, 1, 1, bad);
+        }
+        turnedDown("coldFrom", 0.1, 1, 1, 1e-300);
+        for (String key : List.of("mustAskWithin", "maxRetryAfter", "idleClose", "warmAfter", "connectTimeout",
+                "drainGrace")) {
+            turnedDown(key, 0.1, 1, -1, 1);
+            turnedDown(key, 0.1, 1, Long.MAX_VALUE, 1);
+        }
+        assertThrows(IllegalArgumentException.class, () -> settings(6, false,
+                List.of(new Tenant("acme", 0, 1), new Tenant("acme", 0, 2)), safe("read", 1)));
+    }
 }
--- a/node/src/main/java/brackenbridge/config/Config.java
+++ b/node/src/main/java/brackenbridge/config/Config.java
@@ -2,12 +2,15 @@
 
 import brackenbridge.BalancerApi.Settings;
 import brackenbridge.core.TargetGroup;
+import brackenbridge.discovery.StrictJson;
 import brackenbridge.discovery.TargetGroupParser;
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.io.IOException;
-import java.nio.charset.MalformedInputException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -31,13 +34,26 @@
 public record Config(String name, String listen, String discovery, String management, int sockets, Settings settings,
         TargetGroup known, Shape shape) {
 
+    /** The longest file: guards the heap against one that was named by mistake. */
+    private static final int LONGEST = 4 << 20;
+    /** A reason may quote a value, and that may be the whole file. */
+    private static final int LONGEST_REASON = 300;
+
     /** Reads the configuration file; what can't be used is an IllegalArgumentException of one plain line. */
     public static Config read(Path file) {
-        try {
-            return parse(Files.readString(file));
+        if (Files.exists(file) && !Files.isRegularFile(file)) {
+            // A pipe would hold its reader up until somebody writes to it, and each later SIGHUP behind that.
+            throw new IllegalArgumentException("not a file: " + file);
+        }
+        try (InputStream in = Files.newInputStream(file)) {
+            byte[] bytes = in.readNBytes(LONGEST + 1);
+            if (bytes.length > LONGEST) {
+                throw new IllegalArgumentException("over " + LONGEST + " bytes: " + file);
+            }
+            return parse(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString());
         } catch (NoSuchFileException e) {
             throw new IllegalArgumentException("no such file: " + file, e);
-        } catch (MalformedInputException e) {
+        } catch (CharacterCodingException e) {
             throw new IllegalArgumentException("not text: " + file, e);
         } catch (IOException e) {
             throw new IllegalArgumentException("can't be read: " + e.getMessage(), e);
@@ -47,23 +63,15 @@
     /** Reads the configuration's text. */
     public static Config parse(String text) {
         try {
-            JsonObject json = Json.parse(text).asObject();
+            JsonObject json = StrictJson.parse(text).asObject();
             Map<String, String> pairs = new LinkedHashMap<>();
             flatten("", object(json, "settings"), pairs);
-            long seed = Long.parseUnsignedLong(json.getString("seed", "0"), 16);
-            JsonValue limits = json.get("limits");
-            int sockets = limits == null ? 1024 : limits.asObject().getInt("sockets", 1024);
-            if (sockets < 64) {
-                throw new IllegalArgumentException("limits.sockets: " + sockets);
-            }
-            return new Config(json.getString("name", "node"), address(json, "listen"), address(json, "discovery"),
-                    json.get("mgmt") == null ? null : address(json, "mgmt"), sockets,
-                    new SettingsParser(pairs).parse(seed), TargetGroupParser.group(object(json, "known")),
-                    Shape.of(json));
+            return new Config(string(json, "name", "node"), address(json, "listen"), address(json, "discovery"),
+                    json.get("mgmt") == null ? null : address(json, "mgmt"), sockets(json),
+                    new SettingsParser(pairs).parse(seed(json)), known(json), Shape.of(json));
         } catch (RuntimeException e) {
-            throw new IllegalArgumentException(String.valueOf(e.getMessage()).replaceAll("\\s+", " "), e);
-        } catch (StackOverflowError e) {
-            throw new IllegalArgumentException("nested too deep", e);
+            String why = String.valueOf(e.getMessage()).replaceAll("[\\s\\p{Cntrl}]+", " ");
+            throw new IllegalArgumentException(why.substring(0, Math.min(why.length(), LONGEST_REASON)), e);
         }
     }
 
@@ -73,6 +81,45 @@
                 shape);
     }
 
+    private static int sockets(JsonObject json) {
+        JsonValue v = json.get("limits") == null ? null : object(json, "limits").get("sockets");
+        double sockets = v == null ? 1024 : v.isNumber() ? v.asDouble() : Double.NaN;
+        if (!(sockets >= 64 && sockets <= Integer.MAX_VALUE) || sockets != Math.rint(sockets)) {
+            throw new IllegalArgumentException("limits.sockets: " + v);
+        }
+        return (int) sockets;
+    }
+
+    private static long seed(JsonObject json) {
+        String seed = string(json, "seed", "0");
+        try {
+            return Long.parseUnsignedLong(seed, 16);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("seed is not a hexadecimal number: '" + seed + "'", e);
+        }
+    }
+
+    private static TargetGroup known(JsonObject json) {
+        JsonObject told = object(json, "known");
+        try {
+            TargetGroup known = TargetGroupParser.group(told);
+            if (!known.unread().isEmpty()) {
+                throw new IllegalArgumentException("entry of " + known.unread().get(0));
+            }
+            return known;
+        } catch (RuntimeException e) {
+            throw new IllegalArgumentException("known: " + e.getMessage(), e);
+        }
+    }
+
+    private static String string(JsonObject json, String name, String absent) {
+        JsonValue v = json.get(name);
+        if (v != null && !v.isString()) {
+            throw new IllegalArgumentException(name + " is not a string: " + v);
+        }
+        return v == null ? absent : v.asString();
+    }
+
     private static JsonObject object(JsonObject json, String name) {
         JsonValue v = json.get(name);
         if (v == null || !v.isObject()) {
@@ -82,7 +129,7 @@
     }
 
     private static String address(JsonObject json, String name) {
-        return checked(name, json.getString(name, ""));
+        return checked(name, string(json, name, ""));
     }
 
     private static String checked(String name, String v) {
@@ -109,10 +156,17 @@
                 }
                 i++;
             }
-            pairs.put(path + ".count", Integer.toString(i));
-            pairs.put(path, String.join(",", plain));
+            put(pairs, path + ".count", Integer.toString(i));
+            put(pairs, path, String.join(",", plain));
         } else if (!v.isNull()) {
-            pairs.put(path, v.isString() ? v.asString() : v.toString());
+            put(pairs, path, v.isString() ? v.asString() : v.toString());
+        }
+    }
+
+    /** Guards against keys with dots in them, which could say again, and otherwise, what another place says. */
+    private static void put(Map<String, String> pairs, String path, String value) {
+        if (pairs.put(path, value) != null) {
+            throw new IllegalArgumentException("told twice: " + path);
         }
     }
 }
--- a/node/src/main/java/brackenbridge/config/SettingsParser.java
+++ b/node/src/main/java/brackenbridge/config/SettingsParser.java
@@ -27,7 +27,7 @@
     /** The settings, with this seed for all random draws. */
     public Settings parse(long seed) {
         List<RequestClass> classes = new ArrayList<>();
-        for (int i = 0, n = (int) number("classes.count", null); i < n; i++) {
+        for (int i = 0, n = whole("classes.count", null); i < n; i++) {
             String at = "classes." + i + ".";
             classes.add(new RequestClass(value(at + "name", null), number(at + "aim", null),
                     number(at + "giveUp", null), choice(Effect.class, at + "effect", null),
@@ -36,7 +36,7 @@
                     decimal(at + "lateShare", "0")));
         }
         List<Tenant> tenants = new ArrayList<>();
-        for (int i = 0, n = (int) number("tenants.count", "0"); i < n; i++) {
+        for (int i = 0, n = whole("tenants.count", "0"); i < n; i++) {
             String at = "tenants." + i + ".";
             tenants.add(new Tenant(value(at + "name", null), decimal(at + "share", "0"),
                     decimal(at + "quotaPerS", "0")));
@@ -44,11 +44,11 @@
         // policyLimits.retryAfter only says whether the simulator's clients are told; on sockets any refusal may
         // carry advice. Guards against a module that gives none, whatever the site's clients would heed.
         long retryAfter = number("policyLimits.maxRetryAfter", "0");
-        return new Settings(seed, (int) number("me", null), (int) number("replicasOfMe", null),
-                (int) number("tier", "0"), value("zone", "-"), classes, tenants,
+        return new Settings(seed, whole("me", null), whole("replicasOfMe", null),
+                whole("tier", "0"), value("zone", "-"), classes, tenants,
                 decimal("overShareWorth", "1"), value("discovery", "pushed").equals("on_request"),
-                number("rules.mustAskIn", "10000000"), (int) number("policyLimits.maxAttempts", "1"),
-                (int) number("policyLimits.openCap", "20000"), retryAfter,
+                number("rules.mustAskIn", "10000000"), whole("policyLimits.maxAttempts", "1"),
+                whole("policyLimits.openCap", "20000"), retryAfter,
                 flag("policyLimits.mayCancel", "false"), flag("policyLimits.mayProbe", "false"),
                 flag("policyLimits.secondCopies", "false"), number("policyLimits.idleClose", "15000000"),
                 decimal("rules.coldFrom", "1"), number("rules.warmAfter", "0"), network());
@@ -81,6 +81,14 @@
         }
     }
 
+    private int whole(String key, String absent) {
+        long v = number(key, absent);
+        if (v < 0 || v > Integer.MAX_VALUE) {
+            throw new IllegalArgumentException(key + " is out of range: " + v);
+        }
+        return (int) v;
+    }
+
     private double decimal(String key, String absent) {
         String v = value(key, absent);
         try {
--- a/node/src/main/java/brackenbridge/net/Sockets.java
+++ b/node/src/main/java/brackenbridge/net/Sockets.java
@@ -35,7 +35,7 @@
     private void divide() {
         forAll = Math.max(16, (shared ? limit / 2 : limit) - RESERVE - held);
         // Usual clients need a third of all descriptors, and their requests as many towards the servers.
-        forClients = forAll * 11 / 20;
+        forClients = (int) (forAll * 11L / 20);
     }
 
     boolean clientFits() {
