A request with an empty X-Correlation-Id is turned down with 400

Seen: the header without a value counted as an id, so that the request went to a server, which answers 404 to a request without one; NodeTest.badRequestsHaveTheirStatus waited for an answer in vain before. Line at fault: Listener.take asked only whether the header was there.

--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -531,9 +531,10 @@
             }
             String left = r.headers().get(HttpEncoder.TIME_LEFT);
             String correlation = r.headers().get("X-Correlation-Id");
-            if (correlation == null || r.headers().count("X-Correlation-Id") > 1
+            boolean nameless = correlation == null || correlation.isEmpty();
+            if (nameless || r.headers().count("X-Correlation-Id") > 1
                     || left != null && !left.matches("[0-9]{1,9}")) {
-                reject(400, correlation == null ? "no X-Correlation-Id" : "X-Time-Left-Ms or X-Correlation-Id amiss");
+                reject(400, nameless ? "no X-Correlation-Id" : "X-Time-Left-Ms or X-Correlation-Id amiss");
                 return;
             }
             // Guards the client whose request is open: the same id twice at the servers would be a second copy.
--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -142,6 +142,7 @@
         expect(405, request("GET", "/file", "", ""));
         expect(405, request("POST", "/view", "Content-Length: 0\r\n", ""));
         expect(400, "GET /view HTTP/1.1\r\nHost: a\r\n\r\n");
+        expect(400, "GET /view HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: \r\n\r\n");
         expect(400, "junk\r\n\r\n");
         assertEquals(-1, client.getInputStream().read());
         expect(413, request("POST", "/file", "Content-Length: 33554433\r\n", ""));
