--- /dev/null
+++ b/core/src/test/java/brackenbridge/core/RecklessModuleTest.java
@@ -0,0 +1,179 @@
+package brackenbridge.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.BalancerApi;
+import brackenbridge.BalancerApi.Actions;
+import brackenbridge.BalancerApi.Endpoint;
+import brackenbridge.BalancerApi.EndpointState;
+import brackenbridge.BalancerApi.ListKind;
+import brackenbridge.BalancerApi.Outcome;
+import brackenbridge.BalancerApi.Report;
+import brackenbridge.BalancerApi.Request;
+import brackenbridge.core.Effect.Fixed;
+import brackenbridge.core.Event.Reply;
+import brackenbridge.counters.Counters;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** The node's own promises hold whatever its decisions are: each test's module does what no module should. */
+class RecklessModuleTest {
+    private static final double NOW = 1_796_000_000_000.0;
+
+    /** Does this with each request, and notes each outcome that it is told. */
+    private static final class Reckless implements BalancerApi {
+        final Actions out;
+        final BiConsumer<Actions, Long> with;
+        final List<Outcome> told = new ArrayList<>();
+        Runnable next;
+
+        Reckless(Actions out, BiConsumer<Actions, Long> with) {
+            this.out = out;
+            this.with = with;
+        }
+
+        @Override
+        public void onList(long now, ListKind kind, List<Endpoint> entries) {
+        }
+
+        @Override
+        public void onRequest(long now, Request request) {
+            with.accept(out, request.id());
+        }
+
+        @Override
+        public void onFirstByte(long now, long request, int attempt) {
+        }
+
+        @Override
+        public void onOutcome(long now, long request, int attempt, boolean ended, Outcome outcome, long latency,
+                Report report) {
+            told.add(outcome);
+        }
+
+        @Override
+        public void onGone(long now, long request) {
+        }
+
+        @Override
+        public void onTimer(long now, String token) {
+            next.run();
+        }
+    }
+
+    private Reckless module;
+    private Reducer reducer;
+    private final List<Effect> effects = new ArrayList<>();
+
+    private void start(BiConsumer<Actions, Long> with) {
+        reducer = new Reducer(Play.settings(1, 3, Play.VIEW, Play.FILE), new Counters(),
+                (settings, actions) -> module = new Reckless(actions, with));
+        tell(NOW, new Event.Started(new TargetGroup(1, true,
+                List.of(Play.target("s-0", EndpointState.UP), Play.target("s-1", EndpointState.UP)))));
+        tell(NOW, new Event.FlowOpened(7, new Flow("file", null, 1000, false, true, "message")));
+    }
+
+    private void tell(double now, Event event) {
+        effects.addAll(reducer.reduce(now, event));
+    }
+
+    /** The module does this at its next timer. */
+    private void does(double now, Consumer<Actions> what) {
+        module.next = () -> what.accept(module.out);
+        tell(now, new Event.TimerFired(new TimerKey.Module("next")));
+    }
+
+    private <E extends Effect> List<E> of(Class<E> kind) {
+        return effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    private static long id(String host) {
+        return HostIds.numberOf(host);
+    }
+
+    @Test
+    void secondForwardWhileOneIsOutNeverBegins() {
+        start((out, flow) -> {
+            out.send(flow, id("s-0"), 900_000);
+            out.send(flow, id("s-1"), 900_000);
+        });
+        assertEquals(1, of(Effect.Forward.class).size());
+        assertEquals(List.of(Outcome.MOOT), module.told);
+    }
+
+    @Test
+    void secondAnswerIsNeverGiven() {
+        start((out, flow) -> {
+            out.refuse(flow, 1000);
+            out.refuse(flow, 1000);
+            out.fail(flow);
+        });
+        assertEquals(List.of(Fixed.REFUSED), of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList());
+        start((out, flow) -> {
+            out.send(flow, id("s-0"), 900_000);
+            out.fail(flow);
+        });
+        effects.clear();
+        tell(NOW + 1, new Event.ForwardWritten(7, 0));
+        tell(NOW + 2, new Event.ForwardAnswered(7, 0, Reply.SERVED, "body", null));
+        assertEquals(List.of(), of(Effect.Respond.class), "it has failed already");
+    }
+
+    @Test
+    void moreForwardsThanAreAllowedNeverBegin() {
+        start((out, flow) -> out.send(flow, id("s-0"), 900_000));
+        for (int i = 0; i < 5; i++) {
+            tell(NOW + i, new Event.ForwardBroken(7, i));
+            does(NOW + i, out -> out.send(7, id("s-1"), 900_000));
+        }
+        assertEquals(List.of(0, 1, 2), of(Effect.Forward.class).stream().map(Effect.Forward::forward).toList());
+    }
+
+    @Test
+    void forwardToNobodyOrAfterTheDeadlineNeverBegins() {
+        start((out, flow) -> out.send(flow, 12345, 900_000));
+        assertEquals(List.of(), of(Effect.Forward.class));
+        does(NOW + 996, out -> out.send(7, id("s-0"), 900_000));
+        assertEquals(List.of(), of(Effect.Forward.class));
+        assertEquals(List.of(Outcome.MOOT, Outcome.MOOT), module.told);
+    }
+
+    @Test
+    void moduleThatForgetsOrFaultsStillAnswersAtTheDeadline() {
+        start((out, flow) -> {
+            throw new IllegalStateException("a fault in a decision");
+        });
+        assertEquals(1, of(Effect.Fault.class).size());
+        assertTrue(of(Effect.FixedResponse.class).isEmpty());
+        tell(NOW + 995, new Event.TimerFired(new TimerKey.Deadline(7)));
+        assertEquals(List.of(Fixed.REFUSED), of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList());
+    }
+
+    @Test
+    void hostThatDrainsGetsNothingAfterHalfOfItsGrace() {
+        start((out, flow) -> {
+        });
+        tell(NOW, new Event.Inherited(new TargetGroup(2, true, List.of(Play.target("s-1", EndpointState.UP)))));
+        long watch = of(Effect.Watch.class).get(0).call();
+        tell(NOW + 1, new Event.TargetsTold(watch, new TargetGroup(3, true, List.of(
+                Play.target("s-1", EndpointState.DRAINING)))));
+        tell(NOW + 240, new Event.FlowOpened(8, new Flow("file", null, 1000, false, true, "message")));
+        does(NOW + 240, out -> out.send(8, id("s-1"), 900_000));
+        does(NOW + 255, out -> out.send(7, id("s-1"), 900_000));
+        assertEquals(List.of(8L), of(Effect.Forward.class).stream().map(Effect.Forward::flow).toList());
+        assertEquals(List.of(Outcome.MOOT), module.told);
+    }
+
+    @Test
+    void forwardThatWaitsForItsConnectionAtTheEndOfTheGraceIsCalledOff() {
+        start((out, flow) -> out.send(flow, id("s-1"), 900_000));
+        tell(NOW, new Event.Inherited(new TargetGroup(2, true, List.of(Play.target("s-1", EndpointState.DRAINING)))));
+        tell(NOW + 250, new Event.TimerFired(new TimerKey.DrainCutoff("s-1")));
+        assertEquals(List.of(new Effect.CancelForward(7, 0)), of(Effect.CancelForward.class));
+        assertEquals(List.of(Outcome.CONNECT_FAILED), module.told);
+    }
+}
