--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -72,14 +72,6 @@
     private final PriorityQueue<Call> expiry = new PriorityQueue<>(
             Comparator.<Call>comparingLong(c -> c.dropAt).thenComparingLong(c -> c.id));
     private final ArrayDeque<Server> trials = new ArrayDeque<>();
-    private final Map<Long, Server> sameCall = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Server> eldest) {
-            return size() > 4096;
-        }
-    };
     private Server[] order = {};
     private int ownZone;
     private int reach = LEAST_REACH;
@@ -438,12 +430,6 @@
     }
 
     private Server bind(long now, Call c) {
-        if (c.key >= 0) {
-            Server s = sameCall.get(c.key);
-            if (s != null && s.inRotation && suits(now, c, s) && !c.tried(s)) {
-                return s;
-            }
-        }
         Server first = null;
         for (int i = 0; i < 4 && !rotation.isEmpty(); i++) {
             Server s = rotation.poll();
@@ -559,7 +545,7 @@
 
     /** A slot has freed: drop the late, then release the oldest at an urgent enough level. */
     private void free(long now, Server s) {
-        if (!usable(s) || !s.inRotation || s.inFlight >= window()) {
+        if (!s.inRotation || s.inFlight >= window()) {
             return;
         }
         for (ArrayDeque<Call> q : s.queues) {
@@ -649,9 +635,6 @@
         if (!c.coming) {
             count(a);
         }
-        if (c.key >= 0) {
-            sameCall.put(c.key, s);
-        }
         if (c.attempts.size() == 1) {
             retryBudget = Math.min(10, retryBudget + 0.1);
         }
--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -220,7 +220,7 @@
      * @param id its id, never used again
      * @param className its class
      * @param tenant its tenant; null if none
-     * @param key what it is about; -1 if not told
+     * @param key what it is about; -1 if not told; the module sends no two calls together for it
      * @param timeLeft how long until its caller gives up this try; below 0 is as good as 0
      * @param costHint the work expected; -1 if not told
      * @param repeat its caller says that it tried before
--- a/core/src/main/java/brackenbridge/State.java
+++ b/core/src/main/java/brackenbridge/State.java
@@ -103,7 +103,6 @@
     static final class Call {
         final long id;
         final Kind kind;
-        final long key;
         final long arrival;
         final long deadline;
         /** The paper's tau. */
@@ -131,7 +130,6 @@
             this.maxAttempts = maxAttempts;
             this.id = r.id();
             this.kind = kind;
-            this.key = r.key();
             this.arrival = now;
             this.tau = tau;
             this.deadline = now + left;
