Remove the probe client, whole fetches and cancels by the module: nothing asks for them

Calls by a flow whose client has gone are still called off (Reducer.gone). Removed: net.Probes, DiscoveryClient.fetch and its second way of reading, Effect.Fetch, the reducer's sets of calls (there is one watch, so one time of its last word), Actions.fetch and cancel, the simulated discovery's fetch.

--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -281,9 +281,6 @@
         /** Final answer: failed, with no promise about its effect. */
         void fail(long request);
 
-        /** Stops waiting for one attempt. */
-        void cancel(long request, int attempt);
-
         /** Asks for {@link #onTimer} at the given time or soon after. */
         void timer(long at, String token);
 
@@ -292,9 +289,6 @@
 
         /** Asks discovery for changes from now on, or no longer. */
         void watch(boolean on);
-
-        /** Asks discovery for the whole list once. */
-        void fetch();
     }
 
     // ---- Events: what an instance is told, each with the time at which it is told ----
--- a/core/src/main/java/brackenbridge/core/Effect.java
+++ b/core/src/main/java/brackenbridge/core/Effect.java
@@ -43,10 +43,6 @@
     record Watch(long call, long afterSeq) implements Effect {
     }
 
-    /** Ask discovery for the whole list once. */
-    record Fetch(long call) implements Effect {
-    }
-
     /** Give a call to discovery up. */
     record EndDiscovery(long call) implements Effect {
     }
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -120,8 +120,6 @@
     private final Map<Long, Leaving> leaving = new HashMap<>();
     private final Map<Long, PendingProbe> probes = new HashMap<>();
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
-    private final Set<Long> fetches = new HashSet<>();
-    private final Map<Long, Double> lastWord = new HashMap<>();
     private List<Effect> effects = new ArrayList<>();
     private double now;
     private int unanswered;
@@ -129,6 +127,8 @@
     private long calls;
     private long watch = -1;
     private boolean watchTold;
+    /** When discovery last said something on the watch. */
+    private double lastWord;
     /** Discovery has another address, and no list has come from there yet. */
     private boolean moved;
     private long probeCount;
@@ -482,25 +482,20 @@
 
     private void discovery(Event event) {
         if (event instanceof Event.TargetsTold e) {
-            if (e.call() == watch || fetches.contains(e.call())) {
-                lastWord.put(e.call(), now);
-                told(e.call(), e.group());
+            if (e.call() == watch) {
+                lastWord = now;
+                told(e.group());
             }
         } else if (event instanceof Event.DiscoveryBeat e) {
-            lastWord.computeIfPresent(e.call(), (call, at) -> now);
+            lastWord = e.call() == watch ? now : lastWord;
         } else if (event instanceof Event.DiscoveryEnded e) {
             failed(e.call());
         }
     }
 
-    private void told(long call, TargetGroup group) {
-        boolean first = call != watch || !watchTold;
-        if (call == watch) {
-            watchTold = true;
-        } else {
-            fetches.remove(call);
-            lastWord.remove(call);
-        }
+    private void told(TargetGroup group) {
+        boolean first = !watchTold;
+        watchTold = true;
         // Guards against word that was overtaken by a newer list: an old version must not bring servers back.
         // The versions of a discovery that has moved say nothing beside the old one's.
         boolean stale = (group.seq() < seq || group.seq() == seq && !first) && !(moved && group.whole());
@@ -518,39 +513,25 @@
     }
 
     private void failed(long call) {
-        boolean known = call == watch || fetches.contains(call);
         if (call == watch) {
             watch = -1;
-        }
-        fetches.remove(call);
-        lastWord.remove(call);
-        if (known) {
             counters.count(Kind.DISCOVERY_FAILED);
             list(ListKind.FAILED, List.of());
         }
     }
 
     private void silence(long call) {
-        Double last = lastWord.get(call);
-        if (last == null) {
+        if (call != watch) {
             return;
         }
-        if (now - last >= SILENCE_MS) {
+        if (now - lastWord >= SILENCE_MS) {
             effects.add(new Effect.EndDiscovery(call));
             failed(call);
         } else {
-            effects.add(new Effect.SetTimer(last + SILENCE_MS, new TimerKey.Silence(call)));
+            effects.add(new Effect.SetTimer(lastWord + SILENCE_MS, new TimerKey.Silence(call)));
         }
     }
 
-    private long call() {
-        long call = calls++;
-        counters.count(Kind.DISCOVERY_CALLS);
-        lastWord.put(call, now);
-        effects.add(new Effect.SetTimer(now + SILENCE_MS, new TimerKey.Silence(call)));
-        return call;
-    }
-
     /** The target group as the process before this one holds it: what it was told binds this one too. */
     private void inherited(TargetGroup list) {
         if (list.seq() >= seq) {
@@ -591,34 +572,24 @@
             // new address has to tell counts as told soon, so the node asks there without being asked to.
             moved = true;
             watch(true);
-            for (long old : List.copyOf(fetches)) {
-                effects.add(new Effect.EndDiscovery(old));
-                fetches.remove(old);
-                lastWord.remove(old);
-                fetch();
-            }
         }
     }
 
     private void watch(boolean on) {
         if (watch >= 0) {
             effects.add(new Effect.EndDiscovery(watch));
-            lastWord.remove(watch);
             watch = -1;
         }
         if (on) {
-            watch = call();
+            watch = calls++;
             watchTold = false;
+            lastWord = now;
+            counters.count(Kind.DISCOVERY_CALLS);
+            effects.add(new Effect.SetTimer(now + SILENCE_MS, new TimerKey.Silence(watch)));
             effects.add(new Effect.Watch(watch, seq));
         }
     }
 
-    private void fetch() {
-        long call = call();
-        fetches.add(call);
-        effects.add(new Effect.Fetch(call));
-    }
-
     private void list(ListKind kind, List<Target> told) {
         if (kind == ListKind.FULL || kind == ListKind.SAVED) {
             Set<String> named = new HashSet<>();
@@ -817,19 +788,6 @@
             }
         }
 
-        @Override
-        public void cancel(long request, int attempt) {
-            OpenFlow f = withOut(request, attempt);
-            if (f != null && settings.mayCancel()) {
-                effects.add(new Effect.CancelForward(f.id, attempt));
-                owed.add(new Owed(request, attempt, f.out.written ? Outcome.CANCELLED : Outcome.MOOT));
-                f.out = null;
-                if (f.ended) {
-                    forget(f);
-                }
-            }
-        }
-
         @Override
         public void timer(long at, String token) {
             effects.add(new Effect.SetTimer(ModuleTime.ms(at), new TimerKey.Module(token)));
@@ -852,10 +810,5 @@
         public void watch(boolean on) {
             Reducer.this.watch(on);
         }
-
-        @Override
-        public void fetch() {
-            Reducer.this.fetch();
-        }
     }
 }
--- a/core/src/test/java/brackenbridge/RulesTest.java
+++ b/core/src/test/java/brackenbridge/RulesTest.java
@@ -131,11 +131,6 @@
             log.append("e").append(request).append('\n');
         }
 
-        @Override
-        public void cancel(long request, int attempt) {
-            assertTrue(attempt < requests.get(request).to.size());
-        }
-
         @Override
         public void timer(long at, String token) {
             timers.merge(token, at, Math::min);
@@ -150,11 +145,6 @@
         public void watch(boolean on) {
             log.append("w\n");
         }
-
-        @Override
-        public void fetch() {
-            log.append("f\n");
-        }
     }
 
     private static Judge play(long seed, int steps) {
--- a/core/src/test/java/brackenbridge/Script.java
+++ b/core/src/test/java/brackenbridge/Script.java
@@ -142,11 +142,6 @@
         acts.add(new Act("fail", now, request, 0, 0));
     }
 
-    @Override
-    public void cancel(long request, int attempt) {
-        acts.add(new Act("cancel", now, request, 0, attempt));
-    }
-
     @Override
     public void timer(long at, String token) {
         timers.add(new Due(at, timersSet++, token));
@@ -161,9 +156,4 @@
     public void watch(boolean on) {
         acts.add(new Act("watch", now, 0, 0, on ? 1 : 0));
     }
-
-    @Override
-    public void fetch() {
-        acts.add(new Act("fetch", now, 0, 0, 0));
-    }
 }
--- a/lab/src/main/java/brackenbridge/lab/sim/SimDiscovery.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimDiscovery.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
 
-/** Discovery of one tier: lists what has changed some time after it has, and tells nodes by watches and fetches. */
+/** Discovery of one tier: lists what has changed some time after it has, and tells nodes by watches. */
 final class SimDiscovery implements Stage.Discovery {
     private static final double BEAT_MS = 2000;
     /** An address that is given up closes its watches after this time. */
@@ -125,25 +125,6 @@
         }
     }
 
-    void fetch(SimNode node, long call) {
-        int life = node.life();
-        double starts = Math.max(queue.nowMs(), busyUntilMs);
-        busyUntilMs = starts + callMs;
-        // A call that would wait longer than a second fails, as the platform's discovery does it.
-        boolean late = busyUntilMs - queue.nowMs() > 1000;
-        double at = late ? queue.nowMs() + 1000 : busyUntilMs + 1;
-        queue.at(at, () -> {
-            if (life != node.life()) {
-                return;
-            }
-            if (down || late) {
-                node.raise(new Event.DiscoveryEnded(call));
-            } else {
-                node.told(call, whole());
-            }
-        });
-    }
-
     void endCall(SimNode node, long call) {
         for (Watch w : List.copyOf(watches)) {
             if (w.node == node && w.call == call) {
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -294,8 +294,6 @@
             cancel(e.flow(), e.forward());
         } else if (effect instanceof Effect.Watch e) {
             world.discovery(tier).watch(this, e.call(), e.afterSeq());
-        } else if (effect instanceof Effect.Fetch e) {
-            world.discovery(tier).fetch(this, e.call());
         } else if (effect instanceof Effect.EndDiscovery e) {
             world.discovery(tier).endCall(this, e.call());
         } else if (effect instanceof Effect.Probe e) {
--- a/node/src/main/java/brackenbridge/net/DiscoveryClient.java
+++ b/node/src/main/java/brackenbridge/net/DiscoveryClient.java
@@ -44,11 +44,7 @@
     }
 
     void watch(long call, long afterSeq) {
-        begin(new Call(call, true), LIST + "?watch=1&after=" + afterSeq);
-    }
-
-    void fetch(long call) {
-        begin(new Call(call, false), LIST);
+        begin(new Call(call), LIST + "?watch=1&after=" + afterSeq);
     }
 
     void end(long call) {
@@ -79,20 +75,18 @@
     /** One call. */
     private final class Call extends ChannelInboundHandlerAdapter {
         final long id;
-        final boolean watch;
         final ByteArrayOutputStream line = new ByteArrayOutputStream();
         final ResponseDecoder decoder = new ResponseDecoder(this::body);
         Channel channel;
 
-        Call(long id, boolean watch) {
+        Call(long id) {
             this.id = id;
-            this.watch = watch;
         }
 
         private void body(ByteBuf from, int length) throws HttpException {
             for (int i = 0; i < length; i++) {
                 byte b = from.readByte();
-                if (watch && b == '\n' && decoder.status() == 200) {
+                if (b == '\n' && decoder.status() == 200) {
                     line();
                 } else if (line.size() < LINE_LIMIT) {
                     line.write(b);
@@ -135,15 +129,7 @@
         }
 
         private void whole() {
-            if (decoder.status() != 200) {
-                over("status " + decoder.status());
-            } else if (!watch && line.size() > 0) {
-                line();
-                calls.remove(id, this);
-                channel.close();
-            } else {
-                over("the answer ended");
-            }
+            over(decoder.status() != 200 ? "status " + decoder.status() : "the answer ended");
         }
 
         @Override
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -49,7 +49,6 @@
     private final Listener listener;
     private final Forwards forwards;
     private final DiscoveryClient discovery;
-    private final Probes probes;
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     /** The timers that may be unset. */
@@ -86,7 +85,6 @@
         forwards = new Forwards(bootstrap, loop, config.settings(), clock, this, sockets, counters, log,
                 this::makeRoom);
         discovery = new DiscoveryClient(bootstrap, config.discovery(), this, log);
-        probes = new Probes(bootstrap, config.settings(), this);
     }
 
     /** Starts to serve; fails if the address can't be listened on. */
@@ -277,14 +275,8 @@
                 forwards.cancel(e.flow(), e.forward());
             } else if (effect instanceof Effect.Watch e) {
                 discovery.watch(e.call(), e.afterSeq());
-            } else if (effect instanceof Effect.Fetch e) {
-                discovery.fetch(e.call());
             } else if (effect instanceof Effect.EndDiscovery e) {
                 discovery.end(e.call());
-            } else if (effect instanceof Effect.Probe e) {
-                probes.begin(e.probe(), e.dial());
-            } else if (effect instanceof Effect.EndProbe e) {
-                probes.end(e.probe());
             } else if (effect instanceof Effect.CloseIdle e) {
                 forwards.closeIdle(e.host(), e.dial());
             } else if (effect instanceof Effect.SayClose e) {
--- a/node/src/main/java/brackenbridge/net/Sockets.java
+++ b/node/src/main/java/brackenbridge/net/Sockets.java
@@ -4,7 +4,7 @@
 
 /** Counts the sockets that the node holds, against its limit on file descriptors. */
 final class Sockets {
-    /** Descriptors kept back for discovery, probes and what the runtime opens by itself. */
+    /** Descriptors kept back for discovery and what the runtime opens by itself. */
     private static final int RESERVE = 24;
     private final int held;
     private int limit;
--- a/node/src/main/java/brackenbridge/wire/WireWriter.java
+++ b/node/src/main/java/brackenbridge/wire/WireWriter.java
@@ -34,11 +34,6 @@
                 from(instance).text("ERROR").number(request).end();
             }
 
-            @Override
-            public void cancel(long request, int attempt) {
-                from(instance).text("RECALL").number(request).number(attempt).end();
-            }
-
             @Override
             public void timer(long at, String token) {
                 from(instance).text("SET_ALARM").number(at).tab().text(token).end();
@@ -53,11 +48,6 @@
             public void watch(boolean on) {
                 from(instance).text("OBSERVE").number(on ? 1 : 0).end();
             }
-
-            @Override
-            public void fetch() {
-                from(instance).text("RELOAD").end();
-            }
         };
     }
 
