Test: the module sends a call no more often than the settings allow

Attempts off by one in Balancer.tryAgain, put in by hand, were caught by no test: the reducer's own guard hid them. The new test of DesignTest fails with it; RecklessModuleTest does the same for the reducer's guard. No program changes.

--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -274,6 +274,17 @@
         assertTrue(again, "no call reaches it any more");
     }
 
+    @Test
+    void callIsSentNoMoreOftenThanTheSettingsAllow() {
+        Script s = new Script(settings(safe("read", 1))).servers(9).ask(1, "read");
+        for (int attempt = 0; attempt < 4; attempt++) {
+            assertEquals(attempt + 1, s.attempts.get(1L));
+            s.answer(1, attempt, Outcome.FULL, MS);
+        }
+        assertEquals(4, s.attempts.get(1L));
+        assertEquals(List.of(1L), s.requests("refuse"), "at once");
+    }
+
     @Test
     void oneBrokenConnectionTakesNoServerOut() {
         Script s = new Script(settings(unsafe("file", 1))).servers(1);
