Calls that have waited are forgotten even if no server frees a slot

Seen: the list of calls that wait is cleared only while a free server looks through it. Ruled out: the calls themselves and the queue of drop times are let go (the same test counts them), lists that flap, and servers that are there but never answer. Lines at fault: Balancer.hold added to 'waiting', oldestWaiting alone took out. hold now keeps at most twice as many as wait, and some. RecklessModuleTest's second answer is now tried while a forward is out: without that, the fault put in by hand (refuse without its guard) was still caught by nothing.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -11,9 +11,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 
@@ -515,6 +517,12 @@
         c.bound = s;
         holding++;
         waiting.add(c);
+        if (waiting.size() > 2 * holding + LEAST_REACH * LEAST_REACH) {
+            // Guards memory where no server frees a slot, which alone would look through those that wait.
+            Set<Call> still = new LinkedHashSet<>(waiting);
+            waiting.clear();
+            still.stream().filter(w -> w.held).forEach(waiting::add);
+        }
         if (s != null) {
             s.queues[c.level].add(c);
             s.queued++;
@@ -823,6 +831,11 @@
         }
     }
 
+    /** How many calls it has a memory of, in all its queues; for tests of what it lets go. */
+    int remembered() {
+        return calls.size() + waiting.size() + expiry.size();
+    }
+
     @Override
     public int avoided() {
         return ejected;
--- a/core/src/test/java/brackenbridge/AbsurdInputTest.java
+++ b/core/src/test/java/brackenbridge/AbsurdInputTest.java
@@ -83,6 +83,24 @@
         assertTrue(slow < 100, "turns of the slow server: " + slow);
     }
 
+    @Test
+    void callsThatWaitedAreForgottenWhetherServersAreThereOrNot() {
+        Script none = new Script(settings(safe("read", 1))).list(ListKind.SAVED);
+        Script jammed = new Script(settings(safe("read", 1), safe("other", 2))).servers(2);
+        Script flapping = new Script(settings(safe("read", 1))).servers(2);
+        jammed.ask(-1, "read").ask(-2, "read");
+        for (int i = 0; i < 20_000; i++) {
+            none.ask(i, "read").pass(SECOND / 2);
+            jammed.ask(i, i % 2 == 0 ? "read" : "other").pass(SECOND / 2);
+            flapping.ask(i, "read").pass(5 * MS);
+            flapping.list(ListKind.CHANGES, Script.at(1 + i % 2, "here", 0, EndpointState.DRAINING));
+            flapping.list(ListKind.CHANGES, Script.at(1 + i % 2, "here", 0, EndpointState.UP));
+        }
+        for (Script s : List.of(none, jammed, flapping)) {
+            assertTrue(s.balancer.remembered() < 2000, "calls remembered: " + s.balancer.remembered());
+        }
+    }
+
     private static RequestClass kind(String name, long aim, long deadline, long keyTtl, double worth, double late) {
         return new RequestClass(name, aim, deadline, Effect.KEYED, DedupScope.ALL, keyTtl, false, worth, late);
     }
--- a/core/src/test/java/brackenbridge/core/RecklessModuleTest.java
+++ b/core/src/test/java/brackenbridge/core/RecklessModuleTest.java
@@ -116,8 +116,11 @@
         start((out, flow) -> {
             out.send(flow, id("s-0"), 900_000);
             out.fail(flow);
+            out.fail(flow);
+            out.refuse(flow, 1000);
         });
-        effects.clear();
+        assertEquals(List.of(Fixed.REFUSED, Fixed.FAILED),
+                of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList(), "also while its forward is out");
         tell(NOW + 1, new Event.ForwardWritten(7, 0));
         tell(NOW + 2, new Event.ForwardAnswered(7, 0, Reply.SERVED, "body", null));
         assertEquals(List.of(), of(Effect.Respond.class), "it has failed already");
