Test: retries over two tiers stay bounded while the lower tier fails, hangs, spoils or crashes

All three servers of the lower tier are at fault for 10 of 25 s. The worst case by the settings is 5 attempts in each tier, 25 together. The ledger now counts attempts that arrive. No program of the node changes.

--- a/lab/src/main/java/brackenbridge/lab/rules/Ledger.java
+++ b/lab/src/main/java/brackenbridge/lab/rules/Ledger.java
@@ -115,6 +115,7 @@
          * @param open whether the node still holds the connection open: one that it has closed is no second copy
          */
         public Attempt arrived(double atMs, String host, boolean open) {
+            attempts++;
             note(atMs, "an attempt arrives at ", host, open ? "" : ", on a connection given up");
             if (out > 0 && open) {
                 broken(Rule.TWO_AT_ONCE, atMs, "a second attempt arrives at " + host + " while one is out", this);
@@ -254,6 +255,7 @@
     /** By node and host: when the node learned that it must send nothing there any more. */
     private final Map<String, Map<String, Double>> told = new HashMap<>();
     private long checked;
+    private long attempts;
 
     /**
      * Holds the rules.
@@ -328,6 +330,11 @@
         return checked;
     }
 
+    /** Attempts that arrived at servers for them. */
+    public long attempts() {
+        return attempts;
+    }
+
     /** The first breaches, each with its history. */
     public List<Breach> breaches() {
         return List.copyOf(breaches);
--- a/lab/src/test/java/brackenbridge/lab/sim/SimulationTest.java
+++ b/lab/src/test/java/brackenbridge/lab/sim/SimulationTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class SimulationTest {
@@ -117,6 +118,20 @@
         assertTrue(empty.board().count(End.REFUSED) > 300);
     }
 
+    @ParameterizedTest
+    @CsvSource({"class_fails, view", "class_fails, sign", "hang, view", "spoilt, view", "crash, view"})
+    void retriesAcrossTwoTiersAreBoundedWhateverTheLowerTierDoes(String kind, String name) throws FileFault {
+        String what = kind.equals("class_fails") ? "class = \"" + name + "\"\n" : "";
+        String fault = trouble(kind, "tier = \"core\"\ncount = 3\n" + what).replace("5s", "10s");
+        Experiment.Run run = ExperimentFile.parse("test.toml", WORLD.replace("\"12s\"", "\"25s\"") + fault,
+                Path.of("."), Policies.names()).runs().get(0);
+        Ledger ledger = new Simulation(run.world(), run.seed(), Policies.of("module")).run().ledger();
+        assertEquals(0, ledger.broken(), () -> ledger.breaches().get(0).text());
+        // Of both tiers together: a request may be sent five times, a tenth more than once are in the budget.
+        double each = ledger.attempts() / (double) ledger.checked();
+        assertTrue(each < 1.1, "attempts a request: " + each);
+    }
+
     @Test
     void whatArrivesIsTheSameWhateverDecides() throws FileFault {
         assertEquals(play("", "module").board().first(), play("", "random").board().first());
