--- a/node/src/test/java/brackenbridge/net/ReplacementTest.java
+++ b/node/src/test/java/brackenbridge/net/ReplacementTest.java
@@ -148,7 +148,10 @@
         Files.deleteIfExists(meeting);
         ServerSocketChannel.open(StandardProtocolFamily.UNIX).bind(UnixDomainSocketAddress.of(meeting)).close();
         await(node(true)::takesClients);
-        assertTrue(Files.exists(meeting), "a killed process's file makes way");
+        // A killed process's file has made way: a successor is heard there.
+        await(() -> Files.exists(meeting));
+        await(node(false)::takesClients);
+        assertTrue(ask(LIVE).startsWith("HTTP/1.1 200 "));
     }
 
     @Test
