--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -429,6 +429,21 @@
                 && told.contains("proxy.ok.sign:1|c\n") && told.contains("proxy.config_applied:1|c\n"), told);
     }
 
+    @Test
+    void newIdleTimeHoldsForConnectionsThatAreKeptAlready() throws Exception {
+        server.answers.add(OK);
+        server.answers.add(OK);
+        send(file("a"));
+        assertTrue(answer().endsWith("done"));
+        settle();
+        node.reconfigure(() -> Config.parse(ConfigTest.TEXT.replace("\"idleClose\":30000000", "\"idleClose\":2000000")));
+        settle();
+        clock.pass(1500);
+        send(file("b"));
+        assertTrue(answer().endsWith("done"));
+        assertEquals(2, server.connections.size(), "half of the old time has not passed, half of the new one has");
+    }
+
     @Test
     void drainedNodeEmptiesItselfAndComesBack() throws Exception {
         node.kill();
