--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -436,7 +436,8 @@
         send(file("a"));
         assertTrue(answer().endsWith("done"));
         settle();
-        node.reconfigure(() -> Config.parse(ConfigTest.TEXT.replace("\"idleClose\":30000000", "\"idleClose\":2000000")));
+        String shorter = ConfigTest.TEXT.replace("\"idleClose\":30000000", "\"idleClose\":2000000");
+        node.reconfigure(() -> Config.parse(shorter));
         settle();
         clock.pass(1500);
         send(file("b"));
