A node without room for a connection blames no server for it

Seen in reading: a forward for which the node itself has no descriptor left was told as a connection that failed, which strikes the server; a few of them take half of the fleet out of turns, and each goes out again at once into the same lack of room. Ruled out: a literal address that can't be read stays the server's fault. The event ForwardNotBegun says it now; the outcome is MOOT, the flow is refused at once with advice, nothing is learned. RefusalTest.nodeWithoutRoom... holds that; told as ForwardBroken, the same flows strike servers. At the sockets themselves the case is not reached by a test: one server's window is smaller than the least limit.

--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -245,7 +245,7 @@
         RESET(false),
         /** Withdrawn; it may have run. */
         CANCELLED(false),
-        /** Never sent: the request had ended, or its time or attempts were used up. */
+        /** Never sent: the request had ended, its time or attempts were used up, or the node has no room for it. */
         MOOT(true);
 
         /** Whether this outcome proves that the attempt never ran. */
--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -72,6 +72,10 @@
     record ForwardBroken(long flow, int forward) implements Event {
     }
 
+    /** The node itself has no room for another connection: nothing was sent, through no server's fault. */
+    record ForwardNotBegun(long flow, int forward) implements Event {
+    }
+
     /** A list or a change has come on a call to discovery. */
     record TargetsTold(long call, TargetGroup group) implements Event {
     }
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -237,6 +237,11 @@
             if (f != null) {
                 outcome(f, f.out.written ? Outcome.RESET : Outcome.CONNECT_FAILED, f.ended, null);
             }
+        } else if (event instanceof Event.ForwardNotBegun e) {
+            OpenFlow f = withOut(e.flow(), e.forward());
+            if (f != null) {
+                outcome(f, Outcome.MOOT, f.ended, null);
+            }
         } else if (event instanceof Event.TimerFired e) {
             fired(e.key());
         } else if (event instanceof Event.ProbeEnded e) {
--- a/core/src/test/java/brackenbridge/core/RefusalTest.java
+++ b/core/src/test/java/brackenbridge/core/RefusalTest.java
@@ -129,4 +129,16 @@
         assertEquals(5, p.forwards(f).size());
         ended(p, f, Fixed.REFUSED, "attempts spent, and none ran: at once, not at its deadline");
     }
+
+    @Test
+    void nodeWithoutRoomForAConnectionBlamesNoServer() {
+        Play p = play(2);
+        for (int i = 0; i < 6; i++) {
+            long f = open(p, Play.FILE, true);
+            assertEquals(1, p.forwards(f).size(), "every server is still in order");
+            p.tell(new Event.ForwardNotBegun(f, 0));
+            ended(p, f, Fixed.REFUSED, "no room");
+        }
+        assertTrue(p.reducer.figures().contains("proxy.pool_ejected:0|g"));
+    }
 }
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -145,10 +145,16 @@
         if (!sockets.serverFits()) {
             makeRoom.run();
         }
-        if (address == null || !sockets.serverFits()) {
+        if (address == null) {
             broken(r);
             return;
         }
+        if (!sockets.serverFits()) {
+            // Guards the servers' standing against a node that has too many connections itself.
+            running.remove(r.forward.flow(), r);
+            events.raise(new Event.ForwardNotBegun(r.forward.flow(), r.forward.forward()));
+            return;
+        }
         Connection c = new Connection(r.peer());
         ChannelFuture opened = bootstrap.clone().handler(c).connect(address);
         c.channel = opened.channel();
