--- a/node/src/main/java/brackenbridge/wire/WireReader.java
+++ b/node/src/main/java/brackenbridge/wire/WireReader.java
@@ -6,6 +6,9 @@
 
 /** Reads tab-separated lines and their fields, straight from the bytes. */
 final class WireReader {
+    /** No message is longer: guards memory against input without line ends. */
+    private static final int LONGEST = 1 << 24;
+
     private final InputStream in;
     private byte[] buffer = new byte[1 << 16];
     private int start;
@@ -38,6 +41,10 @@
                 from -= start;
                 start = 0;
             }
+            if (limit >= LONGEST) {
+                line++;
+                throw error(null, "longer than " + LONGEST + " bytes");
+            }
             if (limit == buffer.length) {
                 buffer = java.util.Arrays.copyOf(buffer, 2 * buffer.length);
             }
--- a/node/src/test/java/brackenbridge/wire/WireHostTest.java
+++ b/node/src/test/java/brackenbridge/wire/WireHostTest.java
@@ -89,6 +89,7 @@
                 complaint("SYNC\t5\t1\nCONTEXT\t1\nUP\t4\tme=0\nEOF_BATCH\n"));
         assertEquals("line 11, field result: unknown: 9",
                 complaint(START + "SYNC\t5\t2\nCONTEXT\t3\nFINISHED\t7\t1\t0\t7000\t9\t101\t-\nEOF_BATCH\n"));
+        assertEquals("line 1: longer than 16777216 bytes", complaint("SYNC\t".repeat(1 << 22)));
         assertEquals("line 2: more fields than the message has: '9'", complaint("SYNC\t5\t1\nEOF_BATCH\t9\n"));
     }
 }
