Test: a body has a least pace and no fixed time

NodeTest.bodyHasALeastPace... does: a body that comes at the pace takes three seconds in all, one that stalls for 2.6 s is answered with 408. No program changes.

--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -286,6 +286,26 @@
         silent.close();
     }
 
+    @Test
+    void bodyHasALeastPaceButNoFixedTime() throws Exception {
+        server.answers.add(OK);
+        send(request("POST", "/file", "Content-Length: 32100\r\n", "x"));
+        settle();
+        clock.pass(2000);
+        // As much as a second's worth of the least pace: three seconds in all are not too long then.
+        send("y".repeat(32_000));
+        settle();
+        clock.pass(1000);
+        settle();
+        send("z".repeat(99));
+        assertTrue(answer().endsWith("done"));
+        send(request("POST", "/file", "Content-Length: 32100\r\n", "x"));
+        settle();
+        clock.pass(2600);
+        assertTrue(answer().startsWith("HTTP/1.1 408 "));
+        assertEquals(1, server.requests.size(), "of the stalled one nothing went on");
+    }
+
     @Test
     void errorsOfAClientEndItsConnectionWhateverWaitsBehind() throws Exception {
         send(request("GET", "/other", "", "").repeat(300));
