A node that was started with SIGHUP ignored says that it will hear none

The node's log says nothing. Lines at fault: Hangup.handle took any set handler for one that hears. It now looks at what was there before, and the node logs one line.

--- a/node/src/main/java/brackenbridge/cli/Hangup.java
+++ b/node/src/main/java/brackenbridge/cli/Hangup.java
@@ -9,7 +9,8 @@
 
     /**
      * Runs this at each SIGHUP from now on, on a thread of its own. Guards against the default, which ends the
-     * process. False if the platform has no such signal.
+     * process. False if no signal will come: the platform has none, or whoever started the process had it ignored, as
+     * nohup does, and then the runtime leaves it so.
      */
     static boolean handle(Runnable work) {
         try {
@@ -25,9 +26,9 @@
                         case "equals" -> proxy == args[0];
                         default -> "SIGHUP";
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), handling);
-            return true;
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             return false;
         }
--- a/node/src/main/java/brackenbridge/cli/Main.java
+++ b/node/src/main/java/brackenbridge/cli/Main.java
@@ -151,7 +151,8 @@
         Node node = new Node(config, clock, log,
                 directory == null ? null : Handover.path(directory, config.name(), config.listen()));
         if (!Hangup.handle(() -> node.reconfigure(() -> Config.read(Path.of(file))))) {
-            log.info("no SIGHUP on this platform: the configuration is read at the start only");
+            log.warn("no SIGHUP will be heard, it is ignored here (as under nohup) or unknown: the configuration is"
+                    + " read at the start only");
         }
         // SIGTERM runs the hooks and would exit with 143; a stop that ends well ends with 0.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/node/src/test/java/brackenbridge/cli/HangupTest.java
+++ b/node/src/test/java/brackenbridge/cli/HangupTest.java
@@ -1,7 +1,9 @@
 package brackenbridge.cli;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -17,4 +19,25 @@
             assertTrue(heard.tryAcquire(10, TimeUnit.SECONDS));
         }
     }
+
+    /** Says whether the signal will be heard. */
+    static final class Asked {
+        public static void main(String[] args) {
+            System.out.println("heard: " + Hangup.handle(() -> { }));
+        }
+    }
+
+    private static String asked(String before) throws Exception {
+        String java = ProcessHandle.current().info().command().orElse("java");
+        Process p = new ProcessBuilder("sh", "-c", before + "exec \"$0\" \"$@\"", java, "-cp",
+                System.getProperty("java.class.path"), Asked.class.getName()).start();
+        String said = new String(p.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertEquals(0, p.waitFor());
+        return said.strip();
+    }
+
+    @Test
+    void processThatWasStartedWithTheSignalIgnoredSaysSo() throws Exception {
+        assertEquals("heard: false", asked("trap '' HUP; "));
+    }
 }
