One machine in core follows discovery, so that a node with pushed lists watches

Lists are pushed there, and Balancer.tick asked for a watch only if settings.askDiscovery(); the reducer opened one by itself only after a move or a replacement. On the first deployment every node must ask, so it always had one. Ruled out: the parser and the drain's cut-off, both of which a list that never arrives can't reach.

The watch, its silence, its back-off and the versions move from module (32 lines) and reducer into core.membership, one machine that the reducer, the laboratory and the simulator's wire share. At an agent the first call goes out at once and silence opens the next one in the same moment; a call that ends is opened again after a pause that doubles, so that an agent that refuses is not spun at.

Tests: 300 histories of a discovery that says anything, the wire's OBSERVE, and a node with pushed lists on sockets, which fails without it.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -28,7 +28,7 @@
     private static final long SECOND = 1_000_000;
     /** The paper's margin f: the part of the call's time that measured and queued time may fill. */
     private static final double F = 0.9;
-    /** How often the slow decisions (reach, returns, discovery) are looked at. */
+    /** How often the slow decisions (reach, returns) are looked at. */
     private static final long TICK = SECOND / 4;
     /** Weight of the newest response in the estimate of a server's pace. */
     private static final double NEWEST = 0.3;
@@ -96,10 +96,6 @@
     private boolean started;
     /** When the first request came; a node may stand ready for long before. */
     private long firstAt = Long.MIN_VALUE;
-    private boolean watching;
-    private boolean asked;
-    private int askFailures;
-    private long askAt;
 
     /** Starts an instance. */
     public Balancer(Settings settings, Actions actions) {
@@ -156,21 +152,6 @@
     @Override
     public void onList(long now, ListKind kind, List<Endpoint> entries) {
         start(now);
-        if (kind != ListKind.SAVED) {
-            asked = false;
-        }
-        if (kind == ListKind.FAILED) {
-            // Guards discovery against being asked ever more by the very callers that it fails.
-            watching = false;
-            askFailures++;
-            long pause = Math.min(SECOND << Math.min(askFailures - 1, 4), settings.mustAskWithin());
-            askAt = now + pause / 2 + (long) (random.nextDouble() * pause);
-            return;
-        }
-        if (kind != ListKind.SAVED && settings.askDiscovery()) {
-            watching = true;
-            askFailures = 0;
-        }
         if (kind != ListKind.CHANGES) {
             Map<Long, Endpoint> named = new HashMap<>();
             entries.forEach(e -> named.put(e.id(), e));
@@ -854,7 +835,6 @@
         }
         started = true;
         lastTick = now;
-        askAt = now + (long) (random.nextDouble() * Math.min(4 * SECOND, settings.mustAskWithin() / 2));
         out.timer(now + (long) (random.nextDouble() * TICK), "tick");
     }
 
@@ -894,10 +874,6 @@
             }
         }
         congestion = n == 0 ? 1 : sum / n;
-        if (settings.askDiscovery() && !watching && !asked && now >= askAt) {
-            asked = true;
-            out.watch(true);
-        }
         for (Server s : order) {
             if (s.out && s.inFlight == 0 && s.backAt <= now && s.inReach && !trials.contains(s)) {
                 trials.add(s);
--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -209,9 +209,7 @@
         /** The complete list; what is absent is gone. */
         FULL,
         /** The complete list as last held, perhaps out of date. */
-        SAVED,
-        /** A call to discovery failed or the subscription broke; the list held stays in force. */
-        FAILED
+        SAVED
     }
 
     /**
@@ -286,9 +284,6 @@
 
         /** Examines an endpoint, at some cost to it. */
         void probe(long endpoint);
-
-        /** Asks discovery for changes from now on, or no longer. */
-        void watch(boolean on);
     }
 
     // ---- Events: what an instance is told, each with the time at which it is told ----
@@ -298,7 +293,7 @@
         throw new UnsupportedOperationException("settings that change while it runs");
     }
 
-    /** A list of endpoints, or word that discovery failed. The first event of all is a list. */
+    /** A list of endpoints. The first event of all is a list. */
     void onList(long now, ListKind kind, List<Endpoint> entries);
 
     /** A request has arrived; the instance owes it one final answer. */
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -12,6 +12,9 @@
 import brackenbridge.BalancerApi.RequestClass;
 import brackenbridge.BalancerApi.Settings;
 import brackenbridge.core.Event.Reply;
+import brackenbridge.core.membership.Membership;
+import brackenbridge.core.membership.Source;
+import brackenbridge.core.membership.Step;
 import brackenbridge.counters.Counters;
 import brackenbridge.counters.Counters.Kind;
 import brackenbridge.counters.Figures;
@@ -22,6 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.BiFunction;
 
 /**
@@ -123,14 +127,7 @@
     private List<Effect> effects = new ArrayList<>();
     private double now;
     private int unanswered;
-    private long seq = -1;
-    private long calls;
-    private long watch = -1;
-    private boolean watchTold;
-    /** When discovery last said something on the watch. */
-    private double lastWord;
-    /** Discovery has another address, and no list has come from there yet. */
-    private boolean moved;
+    private final Membership membership;
     private long probeCount;
     private final LifeCycle life = new LifeCycle();
     private boolean succeeded;
@@ -151,6 +148,8 @@
         this.counters = counters;
         settings.classes().forEach(c -> classes.put(c.name(), c));
         this.balancer = decisions.apply(settings, new Acts());
+        // Not the module's own draws: its choices must not hang on how often discovery was asked.
+        this.membership = new Membership(source(settings), SILENCE_MS, new SplittableRandom(~settings.seed()));
     }
 
     /** Takes an event in; the effects are to be run in order. */
@@ -190,14 +189,14 @@
             listed += t.state() == EndpointState.REMOVED ? 0 : 1;
         }
         return Figures.lines(counters, classes.keySet(),
-                new Figures.Gauges(unanswered + leaving.size(), listed, balancer.avoided()));
+                new Figures.Gauges(unanswered + leaving.size(), listed, balancer.avoided(), membership.silentMs(now)));
     }
 
     private void apply(Event event) {
         if (event instanceof Event.Started e) {
             life.started();
-            seq = e.known().seq();
             list(ListKind.SAVED, e.known().targets());
+            follow(membership.start(now, e.known().seq()));
         } else if (event instanceof Event.Inherited e) {
             inherited(e.list());
         } else if (event instanceof Event.SuccessorServes e) {
@@ -436,8 +435,8 @@
             }
         } else if (key instanceof TimerKey.DrainCutoff k) {
             cutOff(k.host());
-        } else if (key instanceof TimerKey.Silence k) {
-            silence(k.call());
+        } else if (key instanceof TimerKey.Discovery k) {
+            follow(membership.wake(now, k.turn()));
         } else if (key instanceof TimerKey.ProbeLimit k) {
             if (probes.containsKey(k.probe())) {
                 effects.add(new Effect.EndProbe(k.probe()));
@@ -487,60 +486,50 @@
 
     private void discovery(Event event) {
         if (event instanceof Event.TargetsTold e) {
-            if (e.call() == watch) {
-                lastWord = now;
+            if (membership.told(now, e.call(), e.group().seq(), e.group().whole())) {
                 told(e.group());
             }
         } else if (event instanceof Event.DiscoveryBeat e) {
-            lastWord = e.call() == watch ? now : lastWord;
+            membership.beat(now, e.call());
         } else if (event instanceof Event.DiscoveryEnded e) {
-            failed(e.call());
+            if (membership.isOpen(e.call())) {
+                counters.count(Kind.DISCOVERY_FAILED);
+            }
+            follow(membership.ended(now, e.call()));
         }
     }
 
     private void told(TargetGroup group) {
-        boolean first = !watchTold;
-        watchTold = true;
-        // Guards against word that was overtaken by a newer list: an old version must not bring servers back.
-        // The versions of a discovery that has moved say nothing beside the old one's.
-        boolean stale = (group.seq() < seq || group.seq() == seq && !first) && !(moved && group.whole());
-        if (!stale) {
-            moved = false;
-            seq = group.seq();
-            counters.count(Kind.TARGET_LISTS);
-            List<Target> told = new ArrayList<>(group.targets());
-            // Guards a server that serves against one unreadable word of it: left out, it would count as gone.
-            targets.values().stream().filter(t -> group.unread().contains(t.host())).forEach(told::add);
-            list(group.whole() ? ListKind.FULL : ListKind.CHANGES, told);
-        } else if (first) {
-            list(ListKind.CHANGES, List.of());
-        }
-    }
-
-    private void failed(long call) {
-        if (call == watch) {
-            watch = -1;
-            counters.count(Kind.DISCOVERY_FAILED);
-            list(ListKind.FAILED, List.of());
-        }
-    }
-
-    private void silence(long call) {
-        if (call != watch) {
-            return;
-        }
-        if (now - lastWord >= SILENCE_MS) {
-            effects.add(new Effect.EndDiscovery(call));
-            failed(call);
-        } else {
-            effects.add(new Effect.SetTimer(lastWord + SILENCE_MS, new TimerKey.Silence(call)));
+        counters.count(Kind.TARGET_LISTS);
+        List<Target> told = new ArrayList<>(group.targets());
+        // Guards a server that serves against one unreadable word of it: left out, it would count as gone.
+        targets.values().stream().filter(t -> group.unread().contains(t.host())).forEach(told::add);
+        list(group.whole() ? ListKind.FULL : ListKind.CHANGES, told);
+    }
+
+    private static Source source(Settings s) {
+        return new Source(s.askDiscovery(), ModuleTime.ms(s.mustAskWithin()));
+    }
+
+    private void follow(List<Step> steps) {
+        for (Step step : steps) {
+            if (step instanceof Step.Open o) {
+                counters.count(Kind.DISCOVERY_CALLS);
+                effects.add(new Effect.Watch(o.call(), o.afterSeq()));
+            } else if (step instanceof Step.End e) {
+                if (e.silent()) {
+                    counters.count(Kind.DISCOVERY_FAILED);
+                }
+                effects.add(new Effect.EndDiscovery(e.call()));
+            } else if (step instanceof Step.Wake w) {
+                effects.add(new Effect.SetTimer(w.atMs(), new TimerKey.Discovery(w.turn())));
+            }
         }
     }
 
     /** The target group as the process before this one holds it: what it was told binds this one too. */
     private void inherited(TargetGroup list) {
-        if (list.seq() >= seq) {
-            seq = list.seq();
+        if (membership.offered(list.seq(), true)) {
             list(ListKind.SAVED, list.targets());
             for (Target t : list.targets()) {
                 if (t.state() != EndpointState.UP) {
@@ -549,13 +538,13 @@
                 }
             }
         }
-        // What changes from now on is told to both; the module's own first question may be seconds away.
-        watch(true);
+        // What changes from now on is told to both; the first question of its own may be seconds away.
+        follow(membership.askNow(now, false));
     }
 
     /** What is known of the target group, for a process that takes this one's place. */
     public TargetGroup targetGroup() {
-        return new TargetGroup(seq, true,
+        return new TargetGroup(membership.seq(), true,
                 targets.values().stream().filter(t -> t.state() != EndpointState.REMOVED).toList());
     }
 
@@ -568,30 +557,14 @@
             settings.classes().forEach(c -> classes.put(c.name(), c));
             balancer.onSettings(ModuleTime.micros(now), settings);
         }
-        if (e.known().seq() > seq) {
-            seq = e.known().seq();
+        membership.comesFrom(source(settings));
+        if (membership.offered(e.known().seq(), false)) {
             list(ListKind.SAVED, e.known().targets());
         }
         if (e.discoveryMoved()) {
-            // Guards the list against the gap that the module's pause after a failed call would leave: what the
-            // new address has to tell counts as told soon, so the node asks there without being asked to.
-            moved = true;
-            watch(true);
-        }
-    }
-
-    private void watch(boolean on) {
-        if (watch >= 0) {
-            effects.add(new Effect.EndDiscovery(watch));
-            watch = -1;
-        }
-        if (on) {
-            watch = calls++;
-            watchTold = false;
-            lastWord = now;
-            counters.count(Kind.DISCOVERY_CALLS);
-            effects.add(new Effect.SetTimer(now + SILENCE_MS, new TimerKey.Silence(watch)));
-            effects.add(new Effect.Watch(watch, seq));
+            // Guards the list against the gap that a pause after a failed call would leave: what the new address
+            // has to tell counts as told soon.
+            follow(membership.askNow(now, true));
         }
     }
 
@@ -810,10 +783,5 @@
             effects.add(new Effect.Probe(probe, t.dial()));
             effects.add(new Effect.SetTimer(now + PROBE_MS, new TimerKey.ProbeLimit(probe)));
         }
-
-        @Override
-        public void watch(boolean on) {
-            Reducer.this.watch(on);
-        }
     }
 }
--- a/core/src/main/java/brackenbridge/core/TimerKey.java
+++ b/core/src/main/java/brackenbridge/core/TimerKey.java
@@ -18,8 +18,8 @@
     record DrainCutoff(String host) implements TimerKey {
     }
 
-    /** A call to discovery may have fallen silent. */
-    record Silence(long call) implements TimerKey {
+    /** Something is due between the node and discovery. */
+    record Discovery(long turn) implements TimerKey {
     }
 
     /** A probe has taken too long. */
--- /dev/null
+++ b/core/src/main/java/brackenbridge/core/membership/Membership.java
@@ -0,0 +1,178 @@
+package brackenbridge.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * Keeps one watch at discovery: opens it, hears whether it still speaks, opens it again, and says which word holds.
+ *
+ * <p>Promise: once started, the node either has a watch open or knows when it opens the next one; at an agent that is
+ * never later than 2.4 s, and no more than one call is open at a time. Assumes that {@link #wake} is called when asked
+ * for. Times are milliseconds of the one clock.
+ *
+ * <p>Silence of {@code silenceMs} ends a watch: discovery says something every 2 s. At an agent that is no fault to
+ * wait for: it is silent while the discovery behind it is down, and what it has counts as told, so the next watch opens
+ * in the same moment. A service that falls silent is spared first.
+ */
+public final class Membership {
+    /** A watch that ended sooner has failed, whatever it had said: guards against an end that follows each list. */
+    private static final double STOOD_MS = 1000;
+
+    private Source source;
+    private final double silenceMs;
+    private final RandomGenerator random;
+    private long seq = -1;
+    private long calls;
+    private long call = -1;
+    private boolean toldOnCall;
+    private double openedAt;
+    private double lastWord = Double.NEGATIVE_INFINITY;
+    private boolean moved;
+    private int failures;
+    private double openAt = Double.POSITIVE_INFINITY;
+    /** The one turn that is waited for; guards against timers that were overtaken and would each ask for another. */
+    private long turn;
+    private double turnAt = Double.POSITIVE_INFINITY;
+
+    /**
+     * Makes a node's membership, not yet started.
+     *
+     * @param silenceMs how long a watch may say nothing, in milliseconds; infinite where each call's end is told
+     */
+    public Membership(Source source, double silenceMs, RandomGenerator random) {
+        this.source = source;
+        this.silenceMs = silenceMs;
+        this.random = random;
+    }
+
+    /** The node starts with a list of this version, -1 if it has none. */
+    public List<Step> start(double now, long heldSeq) {
+        seq = heldSeq;
+        openAt = now + source.firstMs(random);
+        return go(now);
+    }
+
+    /** The version of the list that is held. */
+    public long seq() {
+        return seq;
+    }
+
+    /** A list of the configuration or of another process: whether it is newer than the one that is held. */
+    public boolean offered(long otherSeq, boolean orEqual) {
+        boolean newer = otherSeq > seq || orEqual && otherSeq == seq;
+        seq = newer ? otherSeq : seq;
+        return newer;
+    }
+
+    /** From the next call on, lists come this way. */
+    public void comesFrom(Source next) {
+        source = next;
+    }
+
+    /**
+     * A watch opens now in place of the one there is.
+     *
+     * @param elsewhere discovery has moved: its versions say nothing beside the old one's
+     */
+    public List<Step> askNow(double now, boolean elsewhere) {
+        moved |= elsewhere;
+        openAt = now;
+        List<Step> steps = new ArrayList<>();
+        if (call >= 0) {
+            steps.add(new Step.End(call, false));
+            call = -1;
+        }
+        steps.addAll(go(now));
+        return steps;
+    }
+
+    /** Discovery has told a list or a change on this call: whether it holds. */
+    public boolean told(double now, long on, long newSeq, boolean whole) {
+        if (!isOpen(on)) {
+            return false;
+        }
+        boolean first = !toldOnCall;
+        toldOnCall = true;
+        lastWord = now;
+        // Guards against word that was overtaken by a newer list: an old version must not bring servers back. The
+        // first word of a watch may repeat the version that is held. Versions of a discovery that has moved say
+        // nothing beside the old one's.
+        if ((newSeq < seq || newSeq == seq && !first) && !(moved && whole)) {
+            return false;
+        }
+        moved = false;
+        seq = newSeq;
+        return true;
+    }
+
+    /** Discovery has said on this call that nothing has changed. */
+    public void beat(double now, long on) {
+        lastWord = isOpen(on) ? now : lastWord;
+    }
+
+    /** Whether this is the call that the node goes by. */
+    public boolean isOpen(long asked) {
+        return asked >= 0 && asked == call;
+    }
+
+    /** This call has ended or failed; nothing if it was over already. */
+    public List<Step> ended(double now, long on) {
+        if (!isOpen(on)) {
+            return List.of();
+        }
+        lose(now);
+        return go(now);
+    }
+
+    private void lose(double now) {
+        call = -1;
+        failures = toldOnCall && now - openedAt >= STOOD_MS ? 1 : failures + 1;
+        openAt = now + source.againMs(failures, random);
+    }
+
+    /** How long discovery has said nothing, in milliseconds; infinite if it never has. */
+    public double silentMs(double now) {
+        return now - lastWord;
+    }
+
+    /** The turn that was asked for has come; one that was overtaken does nothing. */
+    public List<Step> wake(double now, long ofTurn) {
+        if (ofTurn != turn) {
+            return List.of();
+        }
+        turnAt = Double.POSITIVE_INFINITY;
+        return go(now);
+    }
+
+    /** Does what is due, and asks to be woken when the next thing is. */
+    private List<Step> go(double now) {
+        List<Step> steps = new ArrayList<>();
+        if (call >= 0 && now >= heardAt() + silenceMs) {
+            steps.add(new Step.End(call, true));
+            if (source.shared()) {
+                lose(now);
+            } else {
+                call = -1;
+                openAt = now;
+            }
+        }
+        if (call < 0 && now >= openAt) {
+            call = calls++;
+            toldOnCall = false;
+            openedAt = now;
+            openAt = Double.POSITIVE_INFINITY;
+            steps.add(new Step.Open(call, seq));
+        }
+        double due = call >= 0 ? heardAt() + silenceMs : openAt;
+        if (due < turnAt) {
+            turnAt = due;
+            steps.add(new Step.Wake(due, ++turn));
+        }
+        return steps;
+    }
+
+    private double heardAt() {
+        return Math.max(openedAt, lastWord);
+    }
+}
--- a/core/src/main/java/brackenbridge/counters/Figures.java
+++ b/core/src/main/java/brackenbridge/counters/Figures.java
@@ -6,8 +6,8 @@
 
 /** Words the counters as the figures that the operators' staff fetch, one a line: {@code proxy.NAME:VALUE|c}. */
 public final class Figures {
-    /** What the figures tell beside the counters. */
-    public record Gauges(int active, int poolSize, int poolEjected) {
+    /** What the figures tell beside the counters; how long discovery has been silent, in milliseconds. */
+    public record Gauges(int active, int poolSize, int poolEjected, double silentMs) {
     }
 
     private Figures() {
@@ -28,6 +28,8 @@
         line(text, "active", gauges.active(), 'g');
         line(text, "pool_size", gauges.poolSize(), 'g');
         line(text, "pool_ejected", gauges.poolEjected(), 'g');
+        // Staff see a lost list by it: it stays below some 3,000 while discovery is there. -1: it never spoke.
+        line(text, "discovery_silent_ms", Double.isInfinite(gauges.silentMs()) ? -1 : (long) gauges.silentMs(), 'g');
         line(text, "config_applied", counters.of(Kind.RECONFIGURED), 'c');
         line(text, "config_rejected", counters.of(Kind.RECONFIGURE_FAILED), 'c');
         return text.toString();
--- a/core/src/test/java/brackenbridge/RulesTest.java
+++ b/core/src/test/java/brackenbridge/RulesTest.java
@@ -140,11 +140,6 @@
         public void probe(long endpoint) {
             assertTrue(list.containsKey(endpoint));
         }
-
-        @Override
-        public void watch(boolean on) {
-            log.append("w\n");
-        }
     }
 
     private static Judge play(long seed, int steps) {
@@ -188,7 +183,7 @@
                             Outcome.values()[r.nextInt(2) * r.nextInt(8)]);
                 }
             } else if (what == 17) {
-                change(r, j, b, ListKind.values()[r.nextInt(4)], r.nextInt(14));
+                change(r, j, b, ListKind.values()[r.nextInt(3)], r.nextInt(14));
             } else if (what == 18) {
                 long id = 1 + r.nextLong(next + 3);
                 Told t = j.requests.get(id);
@@ -257,7 +252,7 @@
 
     private static void change(SplittableRandom r, Judge j, Balancer b, ListKind kind, int n) {
         List<Endpoint> entries = new ArrayList<>();
-        for (int i = 0; i < n && kind != ListKind.FAILED; i++) {
+        for (int i = 0; i < n; i++) {
             long id = 100 + r.nextInt(30);
             EndpointState state = r.nextInt(3) > 0 ? EndpointState.UP
                     : kind == ListKind.CHANGES ? EndpointState.REMOVED : EndpointState.DRAINING;
--- a/core/src/test/java/brackenbridge/Script.java
+++ b/core/src/test/java/brackenbridge/Script.java
@@ -151,9 +151,4 @@
     public void probe(long endpoint) {
         acts.add(new Act("probe", now, 0, endpoint, 0));
     }
-
-    @Override
-    public void watch(boolean on) {
-        acts.add(new Act("watch", now, 0, 0, on ? 1 : 0));
-    }
 }
--- /dev/null
+++ b/core/src/test/java/brackenbridge/core/membership/MembershipTest.java
@@ -0,0 +1,186 @@
+package brackenbridge.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/** A discovery played by hand, which may say anything at any time; the node's own timers fire as asked. */
+class MembershipTest {
+    private static final double SILENCE_MS = 3000;
+    private static final Source AGENT = new Source(false, 0);
+    private static final Source SERVICE = new Source(true, 10_000);
+
+    private final List<Step.Open> opened = new ArrayList<>();
+    private final List<Step.End> ended = new ArrayList<>();
+    private double now = 1000;
+    private Step.Wake next;
+    private Membership m;
+
+    private MembershipTest start(Source source, long seed) {
+        opened.clear();
+        ended.clear();
+        next = null;
+        m = new Membership(source, SILENCE_MS, new SplittableRandom(seed));
+        run(m.start(now, 41));
+        return this;
+    }
+
+    private void run(List<Step> steps) {
+        for (Step step : steps) {
+            if (step instanceof Step.Open o) {
+                opened.add(o);
+            } else if (step instanceof Step.End e) {
+                ended.add(e);
+            } else if (step instanceof Step.Wake w) {
+                assertTrue(next == null || next.turn() < w.turn(), "each turn is asked for once");
+                next = w;
+            }
+        }
+    }
+
+    /** Time passes, and the machine is woken as it asked. */
+    private void pass(double ms) {
+        double until = now + ms;
+        while (next != null && next.atMs() <= until) {
+            now = Math.max(now, next.atMs());
+            Step.Wake due = next;
+            next = null;
+            run(m.wake(now, due.turn()));
+        }
+        now = until;
+    }
+
+    private long call() {
+        return opened.get(opened.size() - 1).call();
+    }
+
+    @Test
+    void agentIsAskedAtOnceAndAServiceAfterAWhile() {
+        start(AGENT, 1);
+        assertEquals(List.of(new Step.Open(0, 41)), opened);
+        start(SERVICE, 1);
+        assertEquals(List.of(), opened);
+        pass(4000);
+        assertEquals(1, opened.size());
+    }
+
+    @Test
+    void agentThatFallsSilentIsAskedAgainInTheSameMomentAndAServiceIsSpared() {
+        start(AGENT, 1);
+        m.beat(now, call());
+        pass(2999);
+        assertEquals(0, ended.size());
+        pass(1);
+        assertEquals(List.of(new Step.End(0, true)), ended);
+        assertEquals(2, opened.size());
+        pass(30_000);
+        assertEquals(12, opened.size(), "one call each 3 s, however long it is silent");
+
+        start(SERVICE, 1);
+        pass(4000);
+        int before = opened.size();
+        now = next.atMs();
+        run(m.wake(now, next.turn()));
+        assertEquals(before, opened.size());
+        pass(1500);
+        assertEquals(before + 1, opened.size());
+    }
+
+    @Test
+    void agentThatEndsEachCallAfterItsListIsNotSpunAt() {
+        start(AGENT, 3);
+        for (double from = now; now < from + 20_000;) {
+            long on = call();
+            assertTrue(m.told(now, on, 42, true));
+            run(m.ended(now, on));
+            while (call() == on) {
+                pass(1);
+            }
+        }
+        assertTrue(opened.size() > 10 && opened.size() < 30, "calls in 20 s: " + opened.size());
+    }
+
+    @Test
+    void watchThatStoodIsOpenedAgainSoonHoweverOftenItFailedBefore() {
+        start(AGENT, 3);
+        for (int i = 0; i < 12; i++) {
+            run(m.ended(now, call()));
+            pass(2400);
+        }
+        m.told(now, call(), 42, true);
+        pass(1000);
+        int before = opened.size();
+        run(m.ended(now, call()));
+        pass(75);
+        assertEquals(before + 1, opened.size());
+    }
+
+    @Test
+    void overtakenWordHoldsNothing() {
+        start(AGENT, 1);
+        assertFalse(m.told(now, call(), 40, true), "older than what is held");
+        assertTrue(m.told(now, call(), 44, false));
+        assertFalse(m.told(now, call(), 44, false));
+        assertFalse(m.told(now, call() + 1, 50, true), "no such call");
+        run(m.askNow(now, true));
+        assertEquals(List.of(new Step.End(0, false)), ended);
+        assertFalse(m.told(now, 0, 60, true), "a call that is over");
+        assertFalse(m.told(now, call(), 7, false), "changes of another discovery say nothing");
+        assertTrue(m.told(now, call(), 7, true));
+        assertEquals(7, m.seq());
+        assertTrue(m.offered(7, true) && !m.offered(7, false) && !m.offered(6, true) && m.offered(8, false));
+    }
+
+    /** Whatever discovery does: one call at a time, never neither a call nor a time for the next, never a spin. */
+    @Property(tries = 300, seed = "53")
+    void thereIsAlwaysACallOrATimeForTheNext(@ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
+        SplittableRandom r = new SplittableRandom(seed);
+        boolean shared = r.nextBoolean();
+        start(shared ? SERVICE : AGENT, seed);
+        double began = now;
+        int longSteps = 0;
+        long version = 41;
+        long last = -1;
+        boolean open = false;
+        for (int i = 0; i < 400; i++) {
+            for (Step.Open o : opened.subList((int) Math.min(opened.size(), last + 1), opened.size())) {
+                assertEquals(last + 1, o.call());
+                last = o.call();
+                open = true;
+            }
+            for (Step.End e : ended) {
+                open &= e.call() != last;
+            }
+            ended.clear();
+            assertEquals(open, m.isOpen(last));
+            assertTrue(next != null && next.atMs() <= now + (shared ? 15_000 : SILENCE_MS), "nothing is due");
+            if (open && m.isOpen(last)) {
+                switch (r.nextInt(5)) {
+                    case 0 -> {
+                        run(m.ended(now, last));
+                        open = false;
+                    }
+                    case 1 -> m.told(now, last, ++version, r.nextBoolean());
+                    case 2 -> m.beat(now, last);
+                    default -> {
+                        m.beat(now, last - 1);
+                        run(m.ended(now, last - 1));
+                    }
+                }
+            }
+            double step = r.nextDouble() * (r.nextInt(10) == 0 ? 5000 : 200);
+            longSteps += step > 1000 ? 1 : 0;
+            pass(step);
+        }
+        double seconds = (now - began) / 1000;
+        assertTrue(opened.size() < 8 + longSteps + seconds * 2, opened.size() + " calls in " + seconds + " s");
+    }
+}
--- a/lab/src/main/java/brackenbridge/lab/policy/Textbook.java
+++ b/lab/src/main/java/brackenbridge/lab/policy/Textbook.java
@@ -17,9 +17,7 @@
     private static final double RETRIES_A_REQUEST = 0.2;
     private static final double RETRIES_A_MICROSECOND = 10 / 1e6;
     private static final double MOST_SAVED = 100;
-    private static final long ASK_AGAIN = 500_000;
     private static final double NEWEST = 0.05;
-    private static final String ASK = "ask";
 
     private static final class Call {
         final RequestClass kind;
@@ -45,7 +43,6 @@
     private double budget = MOST_SAVED / 2;
     private long filled;
     private double meanLatency;
-    private boolean begun;
 
     Textbook(Settings settings, Actions out, Chooser chooser) {
         this.settings = settings;
@@ -56,10 +53,6 @@
 
     @Override
     public void onList(long now, ListKind kind, List<Endpoint> entries) {
-        if (kind == ListKind.FAILED) {
-            out.timer(now + ASK_AGAIN, ASK);
-            return;
-        }
         if (kind == ListKind.FULL || kind == ListKind.SAVED) {
             peers.values().forEach(p -> p.state = EndpointState.REMOVED);
         }
@@ -75,17 +68,11 @@
                 open.add(p);
             }
         }
-        if (!begun) {
-            begun = true;
-            if (settings.askDiscovery()) {
-                out.watch(true);
-            }
-        }
     }
 
     @Override
     public void onTimer(long now, String token) {
-        out.watch(true);
+        // It sets no timers.
     }
 
     @Override
--- a/node/src/main/java/brackenbridge/wire/WireHost.java
+++ b/node/src/main/java/brackenbridge/wire/WireHost.java
@@ -9,6 +9,9 @@
 import brackenbridge.BalancerApi.Request;
 import brackenbridge.BalancerApi.Settings;
 import brackenbridge.config.SettingsParser;
+import brackenbridge.core.membership.Membership;
+import brackenbridge.core.membership.Source;
+import brackenbridge.core.membership.Step;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
@@ -19,15 +22,30 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 
 /** Hosts instances of the module on the simulator's wire: translation only, no decisions. */
 public final class WireHost {
     private static final int LISTS = 16;
+    /** What the token of a timer begins with that is the membership's and not the module's. */
+    private static final String TURN = "discovery ";
     private static final Outcome[] OUTCOMES = Outcome.values();
 
+    /** An instance; where lists are pushed, the simulator sends them by itself and there is nothing to follow. */
+    private static final class Hosted {
+        final Balancer balancer;
+        final Membership membership;
+        long call = -1;
+
+        Hosted(Balancer balancer, Membership membership) {
+            this.balancer = balancer;
+            this.membership = membership;
+        }
+    }
+
     private final WireReader reader;
     private final WireWriter writer;
-    private final Map<Long, Balancer> instances = new HashMap<>();
+    private final Map<Long, Hosted> instances = new HashMap<>();
     private final List<List<Endpoint>> lists = new ArrayList<>(java.util.Collections.nCopies(LISTS, null));
     private long now;
     private long instance;
@@ -87,7 +105,7 @@
             case "UP" -> up();
             case "TEARDOWN" -> {
                 reader.endOfMessage();
-                balancer();
+                hosted();
                 instances.remove(instance);
             }
             case "ENDPOINTS" -> endpoints();
@@ -110,8 +128,12 @@
             }
             case "TIMEOUT_FIRED" -> {
                 String token = reader.rest("ctx");
-                Balancer b = balancer();
-                guarded(() -> b.onTimer(now, token));
+                Hosted h = hosted();
+                if (h.membership != null && token.startsWith(TURN)) {
+                    follow(h, h.membership.wake(now / 1000.0, turn(token)));
+                } else {
+                    guarded(() -> h.balancer.onTimer(now, token));
+                }
             }
             case "PROBED" -> {
                 long latency = reader.number("waitTime");
@@ -131,13 +153,36 @@
         }
     }
 
+    private static long turn(String token) {
+        try {
+            return Long.parseLong(token.substring(TURN.length()));
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private void follow(Hosted h, List<Step> steps) {
+        for (Step step : steps) {
+            if (step instanceof Step.Open o) {
+                h.call = o.call();
+                writer.watch(instance);
+            } else if (step instanceof Step.Wake w) {
+                writer.of(instance).timer((long) Math.ceil(w.atMs() * 1000), TURN + w.turn());
+            }
+        }
+    }
+
     private Balancer balancer() {
-        Balancer b = addressed ? instances.get(instance) : null;
-        if (b == null) {
+        return hosted().balancer;
+    }
+
+    private Hosted hosted() {
+        Hosted h = addressed ? instances.get(instance) : null;
+        if (h == null) {
             throw reader.error(null, addressed ? "instance " + instance + " has not been started"
                     : "no CONTEXT before this event");
         }
-        return b;
+        return h;
     }
 
     /** An exception in the module is the wire's fault message, with its cause. */
@@ -156,7 +201,12 @@
         }
         long seed = reader.number("prng");
         Settings settings = settings(seed);
-        guarded(() -> instances.put(instance, new Balancer(settings, writer.of(instance))));
+        // The end of each call is told here, so silence says nothing.
+        Membership membership = !settings.askDiscovery() ? null
+                : new Membership(new Source(true, settings.mustAskWithin() / 1000.0), Double.POSITIVE_INFINITY,
+                        new SplittableRandom(~seed));
+        guarded(() -> instances.put(instance,
+                new Hosted(new Balancer(settings, writer.of(instance)), membership)));
     }
 
     private Settings settings(long seed) {
@@ -229,11 +279,11 @@
             case "INCREMENTAL" -> ListKind.CHANGES;
             case "FULL" -> ListKind.FULL;
             case "SAVED" -> ListKind.SAVED;
-            case "FAILED" -> ListKind.FAILED;
+            case "FAILED" -> null;
             default -> throw reader.error("how", "unknown: '" + how + "'");
         };
         List<Endpoint> entries = List.of();
-        if (kind == ListKind.FAILED) {
+        if (kind == null) {
             reader.optionalNumber("setId", 0);
         } else {
             int id = listId();
@@ -242,11 +292,24 @@
                 throw reader.error("setId", "list " + id + " was never given");
             }
         }
-        reader.optionalNumber("rev", 0);
+        long version = reader.optionalNumber("rev", 0);
         reader.endOfMessage();
-        Balancer b = balancer();
-        List<Endpoint> named = entries;
-        guarded(() -> b.onList(now, kind, named));
+        Hosted h = hosted();
+        if (kind != null) {
+            List<Endpoint> named = entries;
+            guarded(() -> h.balancer.onList(now, kind, named));
+        }
+        if (h.membership != null) {
+            double ms = now / 1000.0;
+            if (kind == ListKind.SAVED) {
+                follow(h, h.membership.start(ms, version));
+            } else if (kind == null) {
+                follow(h, h.membership.ended(ms, h.call));
+            } else {
+                // The simulator tells in order, so that each word holds.
+                h.membership.told(ms, h.call, version, kind == ListKind.FULL);
+            }
+        }
     }
 
     private void order() {
--- a/node/src/main/java/brackenbridge/wire/WireWriter.java
+++ b/node/src/main/java/brackenbridge/wire/WireWriter.java
@@ -43,14 +43,14 @@
             public void probe(long endpoint) {
                 from(instance).text("ASK_LOAD").number(endpoint).end();
             }
-
-            @Override
-            public void watch(boolean on) {
-                from(instance).text("OBSERVE").number(on ? 1 : 0).end();
-            }
         };
     }
 
+    /** An instance asks discovery for changes from now on. */
+    void watch(long instance) {
+        from(instance).text("OBSERVE").number(1).end();
+    }
+
     void broken(long instance, String cause) {
         from(instance).text("BROKEN").tab().text(cause.replaceAll("\\s+", " ")).end();
     }
--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -57,8 +57,12 @@
     }
 
     private Node node(int sockets, int peers) {
+        return node(sockets, peers, ConfigTest.TEXT);
+    }
+
+    private Node node(int sockets, int peers, String text) {
         String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
-        Node n = new Node(Config.parse(ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
+        Node n = new Node(Config.parse(text.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
                 .replace("\"sockets\":1024", "\"sockets\":" + sockets)
                 .replace("\"replicasOfMe\":1", "\"replicasOfMe\":" + peers)), clock,
                 new Log(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8)));
@@ -419,6 +423,22 @@
         assertTrue(answer().endsWith("done"));
     }
 
+    @Test
+    void nodeWhoseListsArePushedOpensItsWatchAtOnceAndHearsOfADrain() throws Exception {
+        try (FakeServer agent = new FakeServer()) {
+            agent.answers.add("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"seq\":42,\"whole\":false,\"hosts\":"
+                    + "[{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"leaving\"}]}\n");
+            node.kill();
+            node = node(1024, 1, ConfigTest.TEXT.replace("\"discovery\":\"on_request\"", "\"discovery\":\"pushed\"")
+                    .replace("127.0.0.1:1\"", agent.dial() + "\""));
+            assertTrue(agent.next().startsWith("GET /registry/instances?watch=1&after=41 "));
+            while (!node.figures().contains("proxy.pool_size:1|g")) {
+                Thread.onSpinWait();
+            }
+            expect(503, "GET /health/ready HTTP/1.1\r\n\r\n");
+        }
+    }
+
     @Test
     void newSettingsHoldForNewRequestsOnly() throws Exception {
         String other = ConfigTest.TEXT.replace("\"name\":\"file\"", "\"name\":\"sign\"");
--- a/node/src/test/java/brackenbridge/wire/WireHostTest.java
+++ b/node/src/test/java/brackenbridge/wire/WireHostTest.java
@@ -65,6 +65,21 @@
         assertTrue(run(stopped + START.replace("SYNC\t1000\t1", "SYNC\t3000\t3")).endsWith("FINISHED\t3\n"));
     }
 
+    @Test
+    void instanceThatMustAskObservesAndDoesSoAgainAfterAFailure() throws IOException {
+        String asks = START.replace("discovery=pushed", "discovery=on_request\trules.mustAskIn=10000000");
+        String first = run(asks);
+        assertTrue(first.matches("(?s).*SET_ALARM\t\\d+\tdiscovery 1\n.*"), first);
+        assertTrue(!run(START).contains("discovery"), "lists come by themselves");
+        String fired = "SYNC\t5000000\t2\nCONTEXT\t3\nTIMEOUT_FIRED\tdiscovery 1\nEOF_BATCH\n";
+        assertTrue(run(asks + fired).endsWith("FROM\t3\nOBSERVE\t1\nFINISHED\t2\n"));
+        String failed = run(asks + fired + "SYNC\t5100000\t3\nCONTEXT\t3\nENDPOINTS\tFAILED\t-\t-\n"
+                + "TIMEOUT_FIRED\tdiscovery 1\nTIMEOUT_FIRED\tdiscovery x\nEOF_BATCH\n"
+                + "SYNC\t7000000\t4\nCONTEXT\t3\nTIMEOUT_FIRED\tdiscovery 2\nEOF_BATCH\n");
+        assertTrue(failed.matches("(?s).*FINISHED\t2\nFROM\t3\nSET_ALARM\t\\d+\tdiscovery 2\nFINISHED\t3\n"
+                + "FROM\t3\nOBSERVE\t1\nFINISHED\t4\n"), failed);
+    }
+
     @Test
     void anExceptionOfTheModuleIsReportedWithItsCause() throws IOException {
         String reply = run(START + "SYNC\t2000\t2\nCONTEXT\t3\nORDER\t7\tother\t-\t-\t900000\t-\t0\nEOF_BATCH\n");
