A stopping node with peers serves the connections it has, as one without peers does

The nodes' logs show the second of two nodes stop 3 s after the first, its listener closed 0.5 s later, and the first one back 5.1 s after its own SIGTERM. Reducer.stop let a node with peers close after 500 ms, since its peers would take over; they were stopped by the same release.

Each stopping node now serves its kept connections for 3.1 s, whether it has peers or not; one that was drained before stops as soon as before.

--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -42,10 +42,10 @@
     static final double PROBE_MS = 1000;
     /** A stopping node accepts connections for so long: the front needs a moment to notice. */
     static final double ACCEPT_MS = 500;
-    /** A stopping node that has no peer to take over serves the connections that it has for so long. */
-    static final double LONE_MS = 3100;
+    /** A stopping node serves the connections that it has for so long. */
+    static final double SERVES_MS = 3100;
     /** And then lets its last requests finish for so long. */
-    static final double LONE_LAST_MS = 300;
+    static final double LAST_REQUESTS_MS = 300;
     /** The platform waits no longer than this for a stopping node, however long the deadlines are. */
     static final double LONGEST_MS = 3000;
     /** A stopping node answers all that is open this long after the longest deadline, before it is killed. */
@@ -681,6 +681,7 @@
     }
 
     private void stop() {
+        boolean emptied = life.phase() == LifeCycle.Phase.DRAINING;
         if (!life.stop()) {
             return;
         }
@@ -693,16 +694,12 @@
             stopSucceeded(now + Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS);
             return;
         }
-        double serves = ACCEPT_MS;
-        if (settings.peers() == 1) {
-            // Guards the clients of a node without peers: sent away, they would find nobody until it is back.
-            serves = Math.max(ACCEPT_MS, longest * LONE_MS / LONGEST_MS);
-        } else {
-            effects.add(new Effect.SayClose(true));
-        }
+        // Guards clients against finding nobody: the front sends no new connections to a node that stops, but those
+        // that it has go on, whether it has no peer or its peer is only on its way back from the same release.
+        // Staff who have emptied the node first need not wait.
+        double serves = emptied ? ACCEPT_MS : Math.max(ACCEPT_MS, longest * SERVES_MS / LONGEST_MS);
         // What comes late in that time has little left of it: better some of it fails than all finds nobody.
-        double limit = now + (settings.peers() == 1 ? serves + LONE_LAST_MS
-                : Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS);
+        double limit = now + (emptied ? Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS : serves + LAST_REQUESTS_MS);
         effects.add(new Effect.SetTimer(now + ACCEPT_MS, new TimerKey.StopAccepting()));
         effects.add(new Effect.SetTimer(now + serves, new TimerKey.StopServing()));
         effects.add(new Effect.SetTimer(limit, new TimerKey.StopLimit()));
