Admission leaves the wait that the nearest aim at the call's level can bear

Balancer.admissible let in tau r calls with tau the mean aim of all that comes (0.9 s there), so urgent calls with an aim of 0.6 s found a queue that lasts longer than that.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -40,6 +40,8 @@
     private static final int ENOUGH = 30;
     /** Response times over their best, below which the servers have room for more callers. */
     private static final double ROOM = 2;
+    /** How many more calls a lower tier lets in than the first. */
+    private static final double CALLED = 1.5;
     /** A tick's rise of the best mean, so that an old best fades within minutes. */
     private static final double BASE_RISE = 1.001;
     /** Pace from which a server counts as slow. */
@@ -79,7 +81,6 @@
     private int reach = LEAST_REACH;
     private double virtualTime;
     private double congestion = 1;
-    private double meanTau;
     private int extra;
     private int open;
     private int holding;
@@ -321,7 +322,6 @@
         // Guards the first clients: they may come seconds after the start, while no rate is known yet.
         firstAt = firstAt == Long.MIN_VALUE ? now : firstAt;
         c.level = level(now, c, r);
-        meanTau = meanTau == 0 ? tau : meanTau + 0.02 * (tau - meanTau);
         if (open > admissible(now, c)) {
             finish(c, now);
             return null;
@@ -331,16 +331,29 @@
     }
 
     /**
-     * EQ 1: A = tau r, with r the rate of answers of late: more open calls could not be answered in time. The
-     * less urgent a call, the smaller the part of A that it may find taken. While the servers answer near
-     * their best they could answer more: guards a surge at one caller against a rate that lags behind it.
+     * EQ 1: A = tau r, with r the rate of answers of late: more open calls could not be answered in time.
+     * Here tau is the time that an open call may take: a usual one at its best, and the wait that this call
+     * and all that are at least as urgent can bear. Guards a class whose aim is near against calls that can
+     * wait long and would keep every server busy. The less urgent a call, the smaller the part of that wait.
+     * While the servers answer near their best they could do more: guards a surge against a rate that lags.
      */
     private double admissible(long now, Call c) {
         double part = 0.75 * (levels == 1 ? 1 : 1 - 0.8 * c.level / (levels - 1));
         // A small floor: many callers that each keep a few calls too many open jam a slowed fleet.
         double floor = now - firstAt < SECOND ? LEAST_REACH : LEAST_OPEN;
-        return Math.min(settings.maxOpen(), floor
-                + part * meanTau * F * ratePerSecond / SECOND * Math.max(1, ROOM / congestion));
+        double wait = c.tau * F - c.kind.base;
+        double best = 0;
+        double n = 1;
+        for (Kind k : kinds.values()) {
+            wait = k.level <= c.level ? Math.min(wait, k.is.aim() * F - k.base) : wait;
+            best += k.base * k.answers;
+            n += k.answers;
+        }
+        double tau = best / n + part * Math.max(0, wait);
+        // What a lower tier turns away has cost the tiers above it already.
+        tau *= settings.tier() > 0 ? CALLED : 1;
+        return Math.min(settings.maxOpen(),
+                floor + tau * ratePerSecond / SECOND * Math.max(1, Math.pow(ROOM / congestion, 2)));
     }
 
     /** The mean response time; before the first answer, a moment. */
--- a/core/src/main/java/brackenbridge/State.java
+++ b/core/src/main/java/brackenbridge/State.java
@@ -25,7 +25,7 @@
         double spread;
         /** The least that the mean was of late. */
         double base;
-        int answers;
+        long answers;
         /** The part of errors among the outcomes at all servers of late. */
         double errors;
 
--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -13,6 +13,7 @@
 import brackenbridge.BalancerApi.EndpointState;
 import brackenbridge.BalancerApi.ListKind;
 import brackenbridge.BalancerApi.Outcome;
+import brackenbridge.BalancerApi.RequestClass;
 import brackenbridge.BalancerApi.Tenant;
 import java.util.HashMap;
 import java.util.List;
@@ -295,7 +296,7 @@
 
     @Test
     void serversThatLeaveWhileTheyAreOutDoNotCountAsOutForEver() {
-        Script s = new Script(Script.settings(Script.unsafe("file", 1))).servers(4);
+        Script s = new Script(Script.settings(unsafe("file", 1))).servers(4);
         long id = 1;
         for (int round = 0; round < 6; round++) {
             s.ask(id, "file");
@@ -402,4 +403,24 @@
         IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> s.ask(1, "other"));
         assertTrue(e.getMessage().contains("other"));
     }
+
+    /** Where servers have slowed, calls that can wait long must not pile up past the aim of those that can't. */
+    @Test
+    void callsThatCanWaitLeaveTimeForThoseWhoseAimIsNear() {
+        RequestClass brief = unsafe("brief", 600 * MS, 5);
+        RequestClass patient = unsafe("patient", 8 * SECOND, 5);
+        Script s = new Script(settings(brief, patient)).servers(40);
+        long id = 0;
+        for (int i = 0; i < 400; i++) {
+            // 100 ms at best, then 300 ms; 100 answers a second throughout.
+            long latency = i < 200 ? 100 * MS : 300 * MS;
+            s.ask(++id, i % 2 == 0 ? "brief" : "patient").answer(id, 0, Outcome.OK, latency).pass(10 * MS);
+        }
+        int before = s.of("refuse").size();
+        for (int i = 0; i < 400; i++) {
+            s.ask(++id, "patient");
+        }
+        int let = 400 - (s.of("refuse").size() - before);
+        assertTrue(let > 10 && let <= 60, "at 100 answers a second, as many as are done in 600 ms: " + let);
+    }
 }
--- a/core/src/test/java/brackenbridge/Script.java
+++ b/core/src/test/java/brackenbridge/Script.java
@@ -47,8 +47,11 @@
     }
 
     static RequestClass unsafe(String name, double worth) {
-        return new RequestClass(name, 2 * SECOND, 5 * SECOND, Effect.UNSAFE, DedupScope.ALL, 0, false, worth,
-                0);
+        return unsafe(name, 2 * SECOND, worth);
+    }
+
+    static RequestClass unsafe(String name, long aim, double worth) {
+        return new RequestClass(name, aim, 5 * aim / 2, Effect.UNSAFE, DedupScope.ALL, 0, false, worth, 0);
     }
 
     static RequestClass keyed(String name, double worth, DedupScope scope) {
