A time-out takes a server out only if it has answered nothing since the call was sent

At 34 to 40 s each of the two nodes of the first tier takes out two of its four servers, with no errors among their answers, for up to 12 s; the window of the other two grows from 3 to 12 calls a node, they choke, and half of what is asked is refused or late for 20 s. Balancer.learn struck a server for each TIMEOUT. Clients there give a try up after 0.6 s, so 2 to 3% of all calls time out on servers that are well; a trial that times out doubles the pause. Ruled out: resets, errors, refused connections (none counted), cold starts (1.00 warm throughout), lost lists.

A time-out counts now only if nothing was answered since its call was sent. A silent server answers nothing, so it goes out as before. The test fails without it.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -711,7 +711,7 @@
         }
         // Of a server that has left, and that only a long request held on to, nothing is to be learned.
         if (servers.get(s.id) == s) {
-            learn(now, c, s, outcome, Math.max(1, latency));
+            learn(now, c, a, outcome, Math.max(1, latency));
         }
         if (ended || c.done) {
             end(c);
@@ -721,7 +721,8 @@
         free(now, s);
     }
 
-    private void learn(long now, Call c, Server s, Outcome outcome, long latency) {
+    private void learn(long now, Call c, Attempt a, Outcome outcome, long latency) {
+        Server s = a.server;
         boolean failed = outcome == Outcome.ERROR || outcome == Outcome.RESET;
         s.errors += NEWEST * ((failed ? 1 : 0) - s.errors);
         c.kind.errors += NEWEST / 10 * ((outcome == Outcome.ERROR ? 1 : 0) - c.kind.errors);
@@ -757,9 +758,11 @@
             // connection that breaks may be the network's fault, two in a row are the server's.
             s.errors = NEWEST;
             strike(now, s);
-        } else if (outcome == Outcome.TIMEOUT || outcome == Outcome.CONNECT_FAILED) {
+        } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMEOUT && a.sentAt >= s.heardAt) {
+            // Guards a server that has answered others since: the call was long, or its client in a hurry.
             strike(now, s);
         }
+        s.heardAt = outcome == Outcome.OK || outcome == Outcome.ERROR ? now : s.heardAt;
     }
 
     /** Out of the rotation for a while, longer each time; but never most of the fleet. */
--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -423,4 +423,18 @@
         int let = 400 - (s.of("refuse").size() - before);
         assertTrue(let > 10 && let <= 60, "at 100 answers a second, as many as are done in 600 ms: " + let);
     }
+
+    /** A client in a hurry, or a long call, must not take out a server that answers others; one that is silent goes. */
+    @Test
+    void timeOutTakesOutOnlyAServerThatHasAnsweredNothingSince() {
+        for (boolean answers : new boolean[] {true, false}) {
+            Script s = new Script(settings(2, false, List.of(), unsafe("write", 5))).servers(1);
+            s.ask(1, "write").ask(2, "write").pass(200 * MS);
+            if (answers) {
+                s.answer(2, 0, Outcome.OK, 200 * MS);
+            }
+            s.pass(400 * MS).answer(1, 0, Outcome.TIMEOUT, 600 * MS);
+            assertEquals(answers ? 0 : 1, s.balancer.avoided());
+        }
+    }
 }
