--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -200,6 +200,27 @@
         assertTrue(s.of("send").size() > before, "nothing has ended, yet more is in flight");
     }
 
+    /** Servers that get the calls of those taken out as well choke, and the node takes them out next. */
+    @Test
+    void windowDoesNotWidenWhileAQuarterOfTheServersIsOut() {
+        for (int out : new int[] {0, 1}) {
+            Script s = new Script(settings(safe("read", 1))).servers(4);
+            for (int i = 0; i < 60; i++) {
+                s.ask(i, "read").pass(20 * MS).answer(i, 0, Outcome.OK, 20 * MS);
+            }
+            if (out > 0) {
+                s.ask(90, "read").answer(90, 0, Outcome.CONNECT_FAILED, MS).answer(90, 1, Outcome.OK, MS);
+            }
+            assertEquals(out, s.balancer.avoided());
+            for (int i = 100; i < 112; i++) {
+                s.ask(i, "read");
+            }
+            int before = s.of("send").size();
+            s.pass(300 * MS);
+            assertEquals(out == 0, s.of("send").size() > before);
+        }
+    }
+
     @Test
     void serverThatFailsFastIsTakenOutOfTurns() {
         // It frees its slot at once and would draw every call that waits.
