A module fleet with its seams: links, replica, agreement, shares, evacuation as types

The operators ask for replicated state, tenants' shares over all nodes and a rehearsal of a zone's evacuation; the three rest on each other, so their seams come first. docs/design/fleet.md has the rooms, what passes between them and the libraries weighed. Nothing uses them yet: no type here has a body but records and two enumerations.

--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The fleet's commands. */
+package brackenbridge.fleet.cli;
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/config/package-info.java
@@ -0,0 +1,2 @@
+/** The fleet's file, checked whole. */
+package brackenbridge.fleet.config;
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/PoolSeen.java
@@ -0,0 +1,21 @@
+package brackenbridge.fleet.evacuation;
+
+/**
+ * What one node sees of a class at a pool: a record of space {@code POOLS}, as JSON. A pool is the servers of one tier,
+ * zone and kind; its name is {@code tier/zone/kind}.
+ *
+ * @param arrivals first tries a second that this node sends there
+ * @param attempts all tries a second
+ * @param refused calls a second that this node turned away
+ * @param servers servers of the pool that this node knows to run
+ * @param slots calls that one server works on at the same time, as far as known; 0 if not
+ * @param busy the mean number of this node's calls that are at the pool
+ * @param serviceMs mean time of an answer when the pool is at ease, in milliseconds
+ * @param latencyMs mean time of an answer of late, in milliseconds
+ * @param squaredVariation squared coefficient of variation of the answers' times
+ * @param failed the part of tries that failed
+ * @param overMs for how long all this was seen, in milliseconds
+ */
+public record PoolSeen(double arrivals, double attempts, double refused, int servers, double slots, double busy,
+        double serviceMs, double latencyMs, double squaredVariation, double failed, double overMs) {
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Replica.java
@@ -0,0 +1,65 @@
+package brackenbridge.fleet.replica;
+
+import java.util.List;
+
+/**
+ * This member's copy of what the fleet shares by kinds own and counted. From any thread; nothing blocks for long,
+ * nothing waits for a peer. What is agreed is in {@code fleet.agreed}.
+ */
+public interface Replica {
+    /**
+     * A record as this member holds it.
+     *
+     * @param owner who wrote it
+     * @param key its key within the space
+     * @param version when, by the owner's count
+     * @param value its content
+     * @param heardMs how long ago its owner was last known to hold it so, in milliseconds; by this member's clock, so
+     *     that it is never too small by more than a message's way
+     */
+    record Seen(String owner, String key, Version version, byte[] value, double heardMs) {
+        /** Whether it may be acted on. */
+        public boolean fresh(Space space) {
+            return heardMs <= space.freshMs();
+        }
+    }
+
+    /**
+     * How far this member is.
+     *
+     * @param level whether it holds all that its peers are known to hold
+     * @param behind how many records it is known to lack
+     * @param differing how many copies were found to differ and were not made one yet
+     * @param outOfDecision whether it differs after the rule was applied: nobody acts on its copies
+     */
+    record Level(boolean level, long behind, long differing, boolean outOfDecision) {
+    }
+
+    /** Hears of records that have changed. */
+    @FunctionalInterface
+    interface Listener {
+        /** This record is another from now on; null if it is gone. */
+        void changed(Space space, String owner, String key, Seen now);
+    }
+
+    /** Writes a record of this member's own. */
+    void put(Space space, String key, byte[] value);
+
+    /** Removes a record of this member's own. */
+    void remove(Space space, String key);
+
+    /** Adds to this member's part of a sum; never negative. */
+    void add(Space space, String key, long by);
+
+    /** The sum over all members, those that have ended included. */
+    long sum(Space space, String key);
+
+    /** All records of a space, of all owners, this one included. */
+    List<Seen> seen(Space space);
+
+    /** How far it is. */
+    Level level();
+
+    /** Who hears of changes. */
+    void listen(Listener listener);
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Space.java
@@ -0,0 +1,48 @@
+package brackenbridge.fleet.replica;
+
+/**
+ * What is replicated, and by which rule copies that differ are made one.
+ *
+ * <p>The file {@code docs/design/replication.md} has for each: owner, kind, how old it may be before it is not acted
+ * on, and what a node does without it.
+ */
+public enum Space {
+    /** What a node sees of each server: key is the host. */
+    SERVERS(Kind.OWN, 10_000),
+    /** What a node's tenants want and use of each pool: key is {@code pool/tenant}. */
+    DEMAND(Kind.OWN, 3_000),
+    /** What a node sees of each pool and class: key is {@code pool/class}. */
+    POOLS(Kind.OWN, 15_000),
+    /** How far a node is, what it holds and how old: key is empty. */
+    NODES(Kind.OWN, 10_000),
+    /** Connection time that each tenant has used: key is {@code pool/tenant}. */
+    USED(Kind.COUNTED, Double.POSITIVE_INFINITY),
+    /** Attempts that went out: key is the pool. */
+    ATTEMPTS(Kind.COUNTED, Double.POSITIVE_INFINITY);
+
+    /** The rule by which copies become one. */
+    public enum Kind {
+        /** One writer: the newer by life and sequence wins; two writers of one name are both put aside. */
+        OWN,
+        /** A sum over writers that survives a writer's end: each writer's part only grows. */
+        COUNTED
+    }
+
+    private final Kind kind;
+    private final double freshMs;
+
+    Space(Kind kind, double freshMs) {
+        this.kind = kind;
+        this.freshMs = freshMs;
+    }
+
+    /** Its rule. */
+    public Kind kind() {
+        return kind;
+    }
+
+    /** A record whose owner was not heard of for longer than this is not acted on; milliseconds. */
+    public double freshMs() {
+        return freshMs;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/share/PoolUse.java
@@ -0,0 +1,12 @@
+package brackenbridge.fleet.share;
+
+/**
+ * What a node's tenant wants and uses of a pool: a record of space {@code DEMAND}, as JSON.
+ *
+ * @param wanted connections that it would use now if it were alone, in flight and waiting together
+ * @param used connections that it uses now
+ * @param refused calls a second that were turned away for want of its share
+ * @param meanMs how long one of its calls holds a connection, in milliseconds
+ */
+public record PoolUse(double wanted, double used, double refused, double meanMs) {
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/share/package-info.java
@@ -0,0 +1,2 @@
+/** Tenants' shares of connections over the fleet: demand, allocation, leases, credits, hunger. */
+package brackenbridge.fleet.share;
