A node counts what goes to each pool for whoever asks, and heeds weights of zones that run out

The rehearsal of a zone's evacuation needs both: figures of pools from each node, and a way to move part of a zone's load that comes back by itself. core.observe.Observer counts tries, answers and their times by zone, weight and class; it is not there unless somebody asks (Node.observe). core.share.ZoneWeights reaches the reducer as an event: the module hears the servers' weights times the zone's part, or that they take nothing new where the part is 0, until the stated time. A word with a lower token, or an older one, is passed over. Without either nothing is told otherwise than before: a part of 1 leaves each entry as it is (Reducer.weighed).

--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -2,6 +2,7 @@
 
 import brackenbridge.BalancerApi.Report;
 import brackenbridge.BalancerApi.Settings;
+import brackenbridge.core.share.ZoneWeights;
 
 /** What happens to the node: all that the reducer ever learns. */
 public sealed interface Event {
@@ -106,6 +107,10 @@
     record Reconfigured(Settings settings, TargetGroup known, boolean discoveryMoved) implements Event {
     }
 
+    /** The fleet says how much of its usual load each zone's servers are to get. */
+    record ZonesWeighed(ZoneWeights weights) implements Event {
+    }
+
     /** The node is to be emptied, or is to work again after that. */
     record DrainAsked(boolean on) implements Event {
     }
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -15,6 +15,8 @@
 import brackenbridge.core.membership.Membership;
 import brackenbridge.core.membership.Source;
 import brackenbridge.core.membership.Step;
+import brackenbridge.core.observe.Observer;
+import brackenbridge.core.share.ZoneWeights;
 import brackenbridge.counters.Counters;
 import brackenbridge.counters.Counters.Kind;
 import brackenbridge.counters.Figures;
@@ -95,6 +97,8 @@
         final String host;
         double since;
         boolean written;
+        /** As what it is counted; null where nobody counts. */
+        Observer.Key seen;
 
         Out(int number, String host, double since) {
             this.number = number;
@@ -133,6 +137,9 @@
     private boolean succeeded;
     private boolean closed;
     private boolean exiting;
+    private ZoneWeights zones = ZoneWeights.USUAL;
+    /** Null where nobody wants to know. */
+    private Observer observer;
 
     /** Starts a node; the module draws its random numbers from the settings' seed. */
     public Reducer(Settings settings, Counters counters) {
@@ -182,6 +189,22 @@
         return life.phase() == LifeCycle.Phase.STOPPING;
     }
 
+    /** From now on it is counted what goes to each pool. */
+    public void observe() {
+        observer = new Observer();
+    }
+
+    /** What was seen so far of each pool; nothing where nobody asked for it. */
+    public Observer.Snapshot observed() {
+        if (observer == null) {
+            return Observer.Snapshot.NONE;
+        }
+        Map<Observer.Key, Integer> servers = new HashMap<>();
+        targets.values().stream().filter(t -> t.state() == EndpointState.UP)
+                .forEach(t -> servers.merge(new Observer.Key(t.zone(), t.weight(), ""), 1, Integer::sum));
+        return observer.snapshot(now, servers);
+    }
+
     /** The operators' figures by now. */
     public String figures() {
         int listed = 0;
@@ -248,6 +271,8 @@
                     e.report());
         } else if (event instanceof Event.Reconfigured e) {
             reconfigured(e);
+        } else if (event instanceof Event.ZonesWeighed e) {
+            weighed(e.weights());
         } else if (event instanceof Event.DrainAsked e) {
             drain(e.on());
         } else if (event instanceof Event.StopAsked) {
@@ -369,6 +394,9 @@
         Out o = f.out;
         f.out = null;
         f.mayHaveRun |= !outcome.neverRan;
+        if (o.seen != null) {
+            observer.ended(o.seen, outcome == Outcome.OK, !outcome.neverRan, now - o.since);
+        }
         f.timedOut = outcome == Outcome.TIMEOUT;
         if (f.spent && !f.ended) {
             // Nobody has its body any more, so the module has nothing to decide: the flow ends at once and truly.
@@ -414,6 +442,9 @@
     }
 
     private void fixedResponse(OpenFlow f, Effect.Fixed kind, double retryAfterMs) {
+        if (observer != null && kind == Effect.Fixed.REFUSED) {
+            observer.refused(f.className);
+        }
         leaving.put(f.id, new Leaving(f.className, kind == Effect.Fixed.REFUSED ? Kind.ANSWERED_REFUSED
                 : kind == Effect.Fixed.REJECTED ? Kind.ANSWERED_REJECTED : Kind.ANSWERED_FAILED));
         // A refusal says when to come back, whoever decided it.
@@ -442,6 +473,8 @@
                 effects.add(new Effect.EndProbe(k.probe()));
                 probed(k.probe(), Outcome.TIMEOUT, null);
             }
+        } else if (key instanceof TimerKey.WeightsOver) {
+            tellWeights();
         } else if (key instanceof TimerKey.DrainStep k) {
             drainStep(k);
         } else if (key instanceof TimerKey.EndIdle) {
@@ -582,13 +615,34 @@
         List<Endpoint> entries = new ArrayList<>();
         for (Target t : told) {
             keep(t);
-            entries.add(new Endpoint(ids.of(t.host()), t.cell(), t.zone(), t.weight(),
-                    ModuleTime.micros(t.bornMs()), t.state()));
+            entries.add(weighed(t));
         }
         balancer.onList(ModuleTime.micros(now), kind, entries);
         forgetRemoved();
     }
 
+    /** A server as the module is told of it. */
+    private Endpoint weighed(Target t) {
+        double part = zones.part(t.zone(), now);
+        // One that is to get nothing is told as one that takes nothing new: its weight could only be small.
+        return new Endpoint(ids.of(t.host()), t.cell(), t.zone(), t.weight() * (part > 0 ? part : 1),
+                ModuleTime.micros(t.bornMs()),
+                part > 0 || t.state() != EndpointState.UP ? t.state() : EndpointState.DRAINING);
+    }
+
+    private void weighed(ZoneWeights told) {
+        if (told.after(zones)) {
+            zones = told;
+            tellWeights();
+            effects.add(new Effect.SetTimer(told.untilMs(), new TimerKey.WeightsOver()));
+        }
+    }
+
+    private void tellWeights() {
+        balancer.onList(ModuleTime.micros(now), ListKind.CHANGES, targets.values().stream()
+                .filter(t -> t.state() != EndpointState.REMOVED).map(this::weighed).toList());
+    }
+
     /**
      * Guards memory: over a long day servers come and go under ever new names. One that is gone is forgotten as
      * soon as no forward is out to it; the module lets go of it by the same rule and at the same moment.
@@ -739,6 +793,10 @@
             }
             f.out = new Out(number, t.host(), now);
             counters.count(Kind.FORWARDS_SENT);
+            if (observer != null) {
+                f.out.seen = new Observer.Key(t.zone(), t.weight(), f.className);
+                observer.sent(f.out.seen, number == 0);
+            }
             double last = f.isWhole() ? f.deadline : now + f.left;
             double giveUp = Math.min(last, timeout > 0 && f.isWhole() ? now + ModuleTime.ms(timeout) : last);
             effects.add(new Effect.Forward(f.id, number, t.host(), t.dial(), giveUp, f.message));
--- a/core/src/main/java/brackenbridge/core/TimerKey.java
+++ b/core/src/main/java/brackenbridge/core/TimerKey.java
@@ -26,6 +26,10 @@
     record ProbeLimit(long probe) implements TimerKey {
     }
 
+    /** What the fleet said of zones holds no longer. */
+    record WeightsOver() implements TimerKey {
+    }
+
     /** A drain reaches its next step. */
     record DrainStep(long drain, LifeCycle.Step step) implements TimerKey {
     }
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -6,6 +6,7 @@
 import brackenbridge.core.Event;
 import brackenbridge.core.Reducer;
 import brackenbridge.core.TimerKey;
+import brackenbridge.core.observe.Observer;
 import brackenbridge.counters.Counters;
 import brackenbridge.handover.Handover;
 import brackenbridge.handover.Offer;
@@ -57,6 +58,8 @@
     /** What the management listener tells: published by the event loop, read by the other. */
     private volatile String figures = "";
     private volatile boolean takesClients;
+    private volatile boolean observes;
+    private volatile Observer.Snapshot observed = Observer.Snapshot.NONE;
     private boolean serves;
     private final ManagementListener management;
     private final Handover handover;
@@ -220,6 +223,22 @@
         publish();
     }
 
+    /** From now on the node counts what goes to each pool; before {@link #start}. */
+    public void observe() {
+        loop.submit(reducer::observe).syncUninterruptibly();
+        observes = true;
+    }
+
+    /** What was seen of each pool by the latest turn of its clock's tenth of a second; from any thread. */
+    public Observer.Snapshot observed() {
+        return observed;
+    }
+
+    /** What the fleet has to say, to be heard on the loop; from any thread, and nobody waits for it. */
+    public void tell(Event.ZonesWeighed weights) {
+        loop.execute(() -> raise(weights));
+    }
+
     /** Begins to stop; the future that is returned completes when all is answered. */
     public CompletableFuture<Void> stop() {
         loop.execute(() -> {
@@ -319,6 +338,9 @@
 
     private void publish() {
         figures = reducer.figures();
+        if (observes) {
+            observed = reducer.observed();
+        }
         takesClients = serves && door.isOpen() && !reducer.stopping();
     }
 
