--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/config/FleetFileTest.java
@@ -0,0 +1,71 @@
+package brackenbridge.fleet.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The file is checked whole, and what is at fault is said with its place. */
+class FleetFileTest {
+    @Test
+    void exampleNamesWhatHoldsWhereNothingIsSaid() throws FileFaults {
+        FleetFile example = FleetFile.read(Path.of("../deploy/fleet.toml"));
+        FleetFile bare = FleetFile.parse("bare", """
+                fleet = "example"
+                directory = "fleet-data"
+                [[member]]
+                name = "n0"
+                address = "127.0.0.1:9700"
+                zone = "a"
+                page = "127.0.0.1:9800"
+                [[member]]
+                name = "n1"
+                address = "127.0.0.1:9701"
+                zone = "b"
+                [[member]]
+                name = "n2"
+                address = "127.0.0.1:9702"
+                zone = "c"
+                """);
+        assertEquals(bare, example);
+        assertEquals("c", example.member("n2").zone());
+    }
+
+    @Test
+    void allFaultsAreReportedAtOnceEachWithItsPlace() {
+        List<String> faults = assertThrows(FileFaults.class, () -> FleetFile.parse("f", """
+                fleet = "a b"
+                [[member]]
+                name = "n0"
+                address = "127.0.0.1"
+                [[member]]
+                name = "n0"
+                address = "127.0.0.1:1"
+                [links]
+                beat = "1s"
+                suspect = "1500ms"
+                gone = "3 weeks"
+                [agreed]
+                voters = 2
+                [replica]
+                catchup = "1MiB"
+                """)).faults();
+        assertEquals(7, faults.size(), faults.toString());
+        assertTrue(faults.get(0).startsWith("f:1:1: fleet: "), faults.get(0));
+        assertTrue(faults.get(1).startsWith("f:4:1: member[0].address: "), faults.get(1));
+        assertTrue(faults.get(2).startsWith("f:6:1: member[1].name: 'n0' is another"), faults.get(2));
+        assertTrue(faults.get(3).startsWith("f:10:1: links.suspect: is less than two beats"), faults.get(3));
+        assertTrue(faults.get(4).startsWith("f:11:1: links.gone: '3 weeks'"), faults.get(4));
+        assertTrue(faults.get(5).startsWith("f:13:1: agreed.voters: 2 is even"), faults.get(5));
+        assertEquals("f:15:1: replica.catchup: is unknown; did you mean 'catch_up'?", faults.get(6));
+    }
+
+    @Test
+    void textThatIsNoTomlIsOneFaultWithItsPlace() {
+        List<String> faults = assertThrows(FileFaults.class, () -> FleetFile.parse("f", "fleet = \n")).faults();
+        assertTrue(faults.get(0).startsWith("f:1:9: syntax: "), faults.toString());
+    }
+}
