A member's page: metrics for Prometheus, and staff's commands state, settings, shares, evacuation

The four rooms need one way to be asked. StaffPage is the JDK's HTTP server with bounded threads, bodies and waiting calls; the commands are found by ServiceLoader and pass their words on to a running member. Main.serve takes what another module runs beside a node; serve itself goes the old way with nothing beside it. No room answers yet. Tests: StaffPageTest.

--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/cli/EvacuationCommand.java
@@ -0,0 +1,9 @@
+package brackenbridge.fleet.cli;
+
+/** Plans of a zone's evacuation. */
+public final class EvacuationCommand extends StaffCommand {
+    /** For the ServiceLoader. */
+    public EvacuationCommand() {
+        super("evacuation", "evacuation forecast | rehearse | run --file PLAN | status | halt | history");
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/cli/SettingsCommand.java
@@ -0,0 +1,9 @@
+package brackenbridge.fleet.cli;
+
+/** Settings that a majority decides. */
+public final class SettingsCommand extends StaffCommand {
+    /** For the ServiceLoader. */
+    public SettingsCommand() {
+        super("settings", "settings propose --file FILE | show | history | withdraw GENERATION | status");
+    }
+}
--- a/node/src/main/java/brackenbridge/cli/Main.java
+++ b/node/src/main/java/brackenbridge/cli/Main.java
@@ -16,6 +16,7 @@
 import java.util.Arrays;
 import java.util.ServiceLoader;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /** The command line. */
 public final class Main {
@@ -139,13 +140,29 @@
         }
     }
 
-    private static void fail(String why) {
+    /** Says why the command line or a file can't be used, and ends the process. */
+    public static void fail(String why) {
         System.err.println("brackenbridge: " + why);
         System.exit(USAGE);
     }
 
+    /** What another module runs beside a node, in its process. */
+    public interface Beside {
+        /** The node is about to start. */
+        void begin(Node node) throws IOException;
+
+        /** The node has answered everything. */
+        void end();
+    }
+
     static void serve(String file) {
+        serve(file, null);
+    }
+
+    /** Serves by this configuration until a signal ends it; {@code beside} makes what runs beside it, or is null. */
+    public static void serve(String file, Function<Config, Beside> beside) {
         Config config = config(file);
+        Beside other = beside == null ? null : beside.apply(config);
         // Netty's flight recorder events are not used here; to look for them costs a start more than the listener.
         System.setProperty("io.netty.jfr.enabled", "false");
         Clock clock = Clock.system();
@@ -161,6 +178,9 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.stop().get(1, TimeUnit.MINUTES);
+                if (other != null) {
+                    other.end();
+                }
                 log.flush();
                 Runtime.getRuntime().halt(0);
             } catch (InterruptedException | java.util.concurrent.ExecutionException
@@ -170,6 +190,9 @@
             }
         }, "stop"));
         try {
+            if (other != null) {
+                other.begin(node);
+            }
             node.start();
         } catch (Exception e) {
             // Netty throws a failed bind as it is, and that is no RuntimeException.
