--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Beat.java
@@ -0,0 +1,103 @@
+package brackenbridge.fleet.peer;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * The one message of liveness: what its sender has heard, and what it wants to know.
+ *
+ * @param flags of {@link #NOW}, {@link #ANSWER} and {@link #FAREWELL}
+ * @param sequence counts the sender's beats to this receiver
+ * @param echo greatest sequence the sender has heard from the receiver on this link; 0 is the handshake
+ * @param heldMs how long ago that was, by the sender's clock
+ * @param incarnation the sender's: greater after each refutation
+ * @param entries what the sender holds of members
+ * @param asks of whom the sender would like to hear
+ */
+record Beat(int flags, int sequence, int echo, double heldMs, int incarnation, List<Entry> entries, List<String> asks) {
+    /** The receiver is to answer at once. */
+    static final int NOW = 1;
+    /** It answers a question. */
+    static final int ANSWER = 2;
+    /** The sender ends. */
+    static final int FAREWELL = 4;
+    static final int ENTRIES = 64;
+    static final int ASKS = 32;
+    private static final Standing[] STANDINGS = Standing.values();
+
+    /**
+     * What a member holds of another.
+     *
+     * @param name whose
+     * @param life its life
+     * @param instance its process
+     * @param incarnation the greatest known of this life
+     * @param standing as the sender holds it
+     * @param left whether it has said farewell
+     * @param ageMs how long ago it was surely alive; negative if that is not known
+     */
+    record Entry(String name, long life, long instance, int incarnation, Standing standing, boolean left,
+            double ageMs) {
+    }
+
+    boolean has(int flag) {
+        return (flags & flag) != 0;
+    }
+
+    byte[] bytes() {
+        int most = 24 + entries.size() * (27 + PeerLimits.NAME_BYTES) + asks.size() * (1 + PeerLimits.NAME_BYTES);
+        ByteBuffer out = ByteBuffer.allocate(most);
+        out.put((byte) flags).putInt(sequence).putInt(echo).putFloat((float) heldMs).putInt(incarnation);
+        out.put((byte) entries.size()).put((byte) asks.size());
+        for (Entry e : entries) {
+            Wire.text(out, e.name());
+            out.putLong(e.life()).putLong(e.instance()).putInt(e.incarnation());
+            out.put((byte) (e.standing().ordinal() | (e.left() ? 16 : 0))).putFloat((float) Math.max(-1, e.ageMs()));
+        }
+        for (String ask : asks) {
+            Wire.text(out, ask);
+        }
+        return Arrays.copyOf(out.array(), out.position());
+    }
+
+    static Beat of(byte[] bytes) throws WireException {
+        return Wire.whole(bytes, Beat::read);
+    }
+
+    private static Beat read(ByteBuffer in) throws WireException {
+        int flags = in.get() & 0xff;
+        int sequence = in.getInt();
+        int echo = in.getInt();
+        double held = Wire.length(in);
+        int incarnation = in.getInt();
+        int entries = in.get() & 0xff;
+        int asks = in.get() & 0xff;
+        if (sequence < 0 || echo < 0 || incarnation < 0 || entries > ENTRIES || asks > ASKS) {
+            throw new WireException("a beat beyond its bounds");
+        }
+        List<Entry> known = new ArrayList<>(entries);
+        for (int i = 0; i < entries; i++) {
+            known.add(entry(in));
+        }
+        List<String> wanted = new ArrayList<>(asks);
+        for (int i = 0; i < asks; i++) {
+            wanted.add(Wire.name(in));
+        }
+        return new Beat(flags, sequence, echo, held, incarnation, known, wanted);
+    }
+
+    private static Entry entry(ByteBuffer in) throws WireException {
+        String name = Wire.name(in);
+        long life = in.getLong();
+        long instance = in.getLong();
+        int incarnation = in.getInt();
+        int standing = in.get() & 0xff;
+        float age = in.getFloat();
+        if ((standing & 15) >= STANDINGS.length || standing > 31 || incarnation < 0 || Float.isNaN(age)) {
+            throw new WireException("an entry beyond its bounds");
+        }
+        return new Entry(name, life, instance, incarnation, STANDINGS[standing & 15], standing > 15, age);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Frames.java
@@ -0,0 +1,65 @@
+package brackenbridge.fleet.peer;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+
+/**
+ * Messages on the wire: length of the body (4 bytes), stream (1), CRC32C of the body (4), CRC32C of these nine bytes
+ * (4), the body. The head has a sum of its own so that a spoilt length is found at once and not after a wait for bytes
+ * that never come. All numbers are big-endian.
+ */
+final class Frames {
+    static final int HEAD = 13;
+    private static final Stream[] STREAMS = Stream.values();
+
+    private Frames() {
+    }
+
+    /** One message. */
+    record Frame(Stream stream, byte[] body) {
+    }
+
+    /** The bytes that go before the body. */
+    static byte[] head(Stream stream, byte[] body) {
+        ByteBuffer out = ByteBuffer.allocate(HEAD);
+        out.putInt(body.length).put((byte) stream.ordinal()).putInt(Wire.crc(body, 0, body.length));
+        out.putInt(Wire.crc(out.array(), 0, HEAD - 4));
+        return out.array();
+    }
+
+    /**
+     * The next message.
+     *
+     * @throws WireException for anything that is not one, or is longer than the limit
+     * @throws EOFException at the end, also within a message
+     */
+    static Frame read(InputStream in, int most) throws IOException {
+        byte[] head = in.readNBytes(HEAD);
+        if (head.length < HEAD) {
+            throw new EOFException(head.length == 0 ? "ended" : "ended within a message");
+        }
+        ByteBuffer fields = ByteBuffer.wrap(head);
+        int length = fields.getInt();
+        int stream = fields.get() & 0xff;
+        int sum = fields.getInt();
+        if (fields.getInt() != Wire.crc(head, 0, HEAD - 4)) {
+            throw new WireException("the sum of a message's head is wrong");
+        }
+        if (length < 0 || length > most) {
+            throw new WireException("a message of " + (length & 0xffffffffL) + " bytes");
+        }
+        if (stream >= STREAMS.length) {
+            throw new WireException("a message in the unknown stream " + stream);
+        }
+        byte[] body = in.readNBytes(length);
+        if (body.length < length) {
+            throw new EOFException("ended within a message");
+        }
+        if (Wire.crc(body, 0, length) != sum) {
+            throw new WireException("the sum of a message is wrong");
+        }
+        return new Frame(STREAMS[stream], body);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Handshake.java
@@ -0,0 +1,154 @@
+package brackenbridge.fleet.peer;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+
+/**
+ * What two members say before the first message: the dialler a {@link Hello}, the other its own hello as a welcome, the
+ * dialler {@link Ready}; each of them {@link Refuse} instead. On the wire: magic (4 bytes), length (2), kind, lowest and
+ * highest version the sender speaks (1 each), the fields, CRC32C of all before it (4). The head stays as it is in
+ * every later version, so that two versions can refuse each other in words.
+ */
+final class Handshake {
+    static final int LOWEST = 1;
+    static final int HIGHEST = 1;
+    /** Longest handshake: bounds what a stranger makes this side allocate. */
+    static final int MOST = 1024;
+    private static final int MAGIC = 0x42425031;
+    private static final int HEAD = 9;
+    private static final Refusal[] REFUSALS = Refusal.values();
+
+    private Handshake() {
+    }
+
+    /** One part of a handshake. */
+    sealed interface Part permits Hello, Ready, Refuse, Foreign {
+    }
+
+    /**
+     * Who speaks.
+     *
+     * @param welcome whether it answers a hello
+     * @param fleet name of the fleet
+     * @param from who speaks
+     * @param to whom it means
+     * @param address where the speaker listens
+     * @param life the speaker's life
+     * @param instance drawn at each start: tells two processes of one name and life apart
+     * @param dial counts the speaker's dials, so that an old one that arrives late does not replace a newer
+     */
+    record Hello(boolean welcome, String fleet, String from, String to, String address, long life, long instance,
+            long dial) implements Part {
+    }
+
+    /** The link stands. */
+    record Ready() implements Part {
+    }
+
+    /**
+     * No link.
+     *
+     * @param why the reason
+     * @param life a life that the refusing side knows, for {@link Refusal#OLD_LIFE}
+     * @param text what staff should read
+     */
+    record Refuse(Refusal why, long life, String text) implements Part {
+    }
+
+    /** A part whose versions have none in common with ours: its fields are not read. */
+    record Foreign(int lowest, int highest) implements Part {
+    }
+
+    static byte[] bytes(Part part) {
+        ByteBuffer out = ByteBuffer.allocate(MOST);
+        out.position(HEAD);
+        int kind = write(part, out);
+        int length = out.position() - HEAD;
+        out.putInt(0, MAGIC).putShort(4, (short) length).put(6, (byte) kind).put(7, (byte) LOWEST);
+        out.put(8, (byte) HIGHEST);
+        out.putInt(Wire.crc(out.array(), 0, HEAD + length));
+        return Arrays.copyOf(out.array(), out.position());
+    }
+
+    private static int write(Part part, ByteBuffer out) {
+        if (part instanceof Hello hello) {
+            Wire.text(out, hello.fleet());
+            Wire.text(out, hello.from());
+            Wire.text(out, hello.to());
+            Wire.text(out, hello.address());
+            out.putLong(hello.life()).putLong(hello.instance()).putLong(hello.dial());
+            return hello.welcome() ? 2 : 1;
+        }
+        if (part instanceof Refuse refuse) {
+            String text = refuse.text();
+            out.put((byte) refuse.why().ordinal()).putLong(refuse.life());
+            Wire.text(out, text.length() > 80 ? text.substring(0, 80) : text);
+            return 4;
+        }
+        return 3;
+    }
+
+    /**
+     * The next part.
+     *
+     * @throws WireException for anything that is none
+     * @throws EOFException if the other has ended
+     */
+    static Part read(InputStream in) throws IOException {
+        byte[] head = exactly(in, HEAD);
+        ByteBuffer fields = ByteBuffer.wrap(head);
+        if (fields.getInt() != MAGIC) {
+            throw new WireException("no handshake of this protocol");
+        }
+        int length = fields.getShort() & 0xffff;
+        int kind = fields.get() & 0xff;
+        int lowest = fields.get() & 0xff;
+        int highest = fields.get() & 0xff;
+        if (length > MOST - HEAD - 4) {
+            throw new WireException("a handshake of " + length + " bytes");
+        }
+        byte[] rest = exactly(in, length + 4);
+        byte[] all = Arrays.copyOf(head, HEAD + length);
+        System.arraycopy(rest, 0, all, HEAD, length);
+        if (ByteBuffer.wrap(rest).getInt(length) != Wire.crc(all, 0, all.length)) {
+            throw new WireException("the sum of a handshake is wrong");
+        }
+        if (lowest > highest) {
+            throw new WireException("versions from " + lowest + " to " + highest);
+        }
+        if (lowest > HIGHEST || highest < LOWEST) {
+            return new Foreign(lowest, highest);
+        }
+        return Wire.whole(Arrays.copyOf(rest, length), body -> part(kind, body));
+    }
+
+    private static Part part(int kind, ByteBuffer in) throws WireException {
+        switch (kind) {
+            case 1:
+            case 2:
+                return new Hello(kind == 2, Wire.name(in), Wire.name(in), Wire.name(in), Wire.text(in), in.getLong(),
+                        in.getLong(), in.getLong());
+            case 3:
+                return new Ready();
+            case 4:
+                int why = in.get() & 0xff;
+                long life = in.getLong();
+                String text = Wire.text(in);
+                // Guards against a reason of a later build: it is still a refusal.
+                return new Refuse(why < REFUSALS.length ? REFUSALS[why] : Refusal.UNREADABLE, life, text);
+            default:
+                throw new WireException("a handshake of the unknown kind " + kind);
+        }
+    }
+
+    private static byte[] exactly(InputStream in, int count) throws IOException {
+        byte[] bytes = in.readNBytes(count);
+        if (bytes.length < count) {
+            throw new EOFException("ended within the handshake");
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Outbox.java
@@ -0,0 +1,113 @@
+package brackenbridge.fleet.peer;
+
+import java.util.ArrayDeque;
+
+/**
+ * What waits to be written at one connection: a bounded queue for each stream. Liveness goes first, for it is rare and
+ * short; the others take turns by bytes (deficit round robin, Shreedhar and Varghese, SIGCOMM 1995), so that a stream
+ * of long messages takes no more than its part.
+ */
+final class Outbox {
+    /** What a stream may write in one turn; a longer message waits for several turns. */
+    static final int QUANTUM = 32 << 10;
+    private static final Stream[] STREAMS = Stream.values();
+
+    private final long bytesMost;
+    private final int messagesMost;
+    private final Queue[] queues = new Queue[STREAMS.length];
+    private int turn = 1;
+    private boolean granted;
+    private boolean ended;
+
+    private static final class Queue {
+        final ArrayDeque<byte[]> messages = new ArrayDeque<>();
+        long bytes;
+        long deficit;
+    }
+
+    Outbox(long bytesMost, int messagesMost) {
+        this.bytesMost = bytesMost;
+        this.messagesMost = messagesMost;
+        for (int i = 0; i < queues.length; i++) {
+            queues[i] = new Queue();
+        }
+    }
+
+    /** Takes the message, or says that the stream's queue is full. */
+    synchronized boolean offer(Stream stream, byte[] body) {
+        Queue queue = queues[stream.ordinal()];
+        if (ended || queue.messages.size() >= messagesMost || queue.bytes + body.length > bytesMost) {
+            return false;
+        }
+        queue.messages.add(body);
+        queue.bytes += body.length;
+        notifyAll();
+        return true;
+    }
+
+    /** The next message by turn; null if there is none now. */
+    synchronized Frames.Frame poll() {
+        if (!queues[0].messages.isEmpty()) {
+            return taken(0);
+        }
+        if (isEmpty()) {
+            return null;
+        }
+        while (true) {
+            Queue queue = queues[turn];
+            if (!queue.messages.isEmpty()) {
+                if (!granted) {
+                    queue.deficit += QUANTUM;
+                    granted = true;
+                }
+                int cost = queue.messages.peek().length + Frames.HEAD;
+                if (cost <= queue.deficit) {
+                    queue.deficit -= cost;
+                    return taken(turn);
+                }
+            }
+            if (queue.messages.isEmpty()) {
+                queue.deficit = 0;
+            }
+            granted = false;
+            turn = turn + 1 < queues.length ? turn + 1 : 1;
+        }
+    }
+
+    /** Waits until there is a message or the end. */
+    synchronized void await() throws InterruptedException {
+        while (isEmpty() && !ended) {
+            wait();
+        }
+    }
+
+    /** Nothing is taken any more; what waits may still be polled. */
+    synchronized void end() {
+        ended = true;
+        notifyAll();
+    }
+
+    synchronized boolean ended() {
+        return ended;
+    }
+
+    /** Messages that wait in a stream. */
+    synchronized int waiting(Stream stream) {
+        return queues[stream.ordinal()].messages.size();
+    }
+
+    private boolean isEmpty() {
+        for (Queue queue : queues) {
+            if (!queue.messages.isEmpty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private Frames.Frame taken(int stream) {
+        byte[] body = queues[stream].messages.poll();
+        queues[stream].bytes -= body.length;
+        return new Frames.Frame(STREAMS[stream], body);
+    }
+}
