--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Forecast.java
@@ -0,0 +1,310 @@
+package brackenbridge.fleet.evacuation;
+
+import brackenbridge.fleet.evacuation.Fluid.Course;
+import brackenbridge.fleet.evacuation.Fluid.Draw;
+import brackenbridge.fleet.evacuation.Picture.Flow;
+import brackenbridge.fleet.evacuation.Picture.Missing;
+import brackenbridge.fleet.evacuation.Picture.Pool;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.math3.random.RandomGenerator;
+import org.apache.commons.math3.random.Well19937c;
+import org.apache.commons.math3.stat.descriptive.rank.Percentile;
+
+/**
+ * What a plan would do to the pools that remain. The course of the plan is computed as it is expected, and many times
+ * more with figures drawn within their spreads and with the chance of arrivals; verdicts and intervals are counts of
+ * those courses.
+ *
+ * @param plan the plan's name
+ * @param zone the zone that is emptied
+ * @param verdict the worst of the pools'
+ * @param pools the pools of the other zones
+ */
+public record Forecast(String plan, String zone, Verdict verdict, List<PoolForecast> pools) {
+    /** Courses that are drawn. */
+    static final int COURSES = 80;
+    /** A pool saturates if it does in so many of the courses; it is tight if it does in so many. */
+    private static final double LIKELY = 0.5;
+    private static final double POSSIBLE = 0.1;
+    private static final double TIGHT_SHARE = 0.9;
+    /** The interval's ends, in percent: it holds in eight cases of ten. */
+    private static final double LOW = 10;
+    private static final double HIGH = 90;
+    private static final double HALF = 50;
+    private static final double SERVED = 0.995;
+
+    /** What becomes of a pool. */
+    public enum Verdict {
+        /** It serves what comes. */
+        HOLDS,
+        /** It serves what is expected, with little room or by luck. */
+        TIGHT,
+        /** A stated part of what comes fails for want of room or time. */
+        SATURATES,
+        /** Nothing can be said; the reason stands beside it. Not a guess: it counts as no permission. */
+        UNKNOWN
+    }
+
+    /** What a pool runs out of. */
+    public enum Resource {
+        /** All slots are taken: calls wait, and then are turned away. */
+        SLOTS,
+        /** No more calls may be open, though slots are free. */
+        CONNECTIONS,
+        /** Calls are served, but after their class's time. */
+        DEADLINE
+    }
+
+    /**
+     * A figure between bounds that hold in eight cases of ten.
+     *
+     * @param expected in the middle
+     * @param low the lower bound
+     * @param high the upper bound
+     */
+    public record Within(double expected, double low, double high) {
+        /** Whether it lies between the bounds. */
+        public boolean holds(double value) {
+            return value >= low && value <= high;
+        }
+    }
+
+    /**
+     * A pool in a step, in the step's later half.
+     *
+     * @param step which, from 0
+     * @param load tries a second, repeats included
+     * @param utilisation the part of what its servers can do
+     * @param slots the part of its slots that is taken at the most
+     * @param connections the part of its connections that is taken at the most
+     * @param waitMs the mean wait before work, by Allen and Cunneen; negative if it grows without bound
+     * @param responseMs the mean time of an answer
+     * @param late the part whose wait alone is longer than the shortest deadline
+     * @param amplification tries for a first try
+     * @param refusedTenants tenants that shares would not give all that they want, with the part that is refused
+     */
+    public record StepForecast(int step, Within load, double utilisation, double slots, double connections,
+            double waitMs, double responseMs, double late, double amplification,
+            Map<String, Double> refusedTenants) {
+    }
+
+    /**
+     * A pool.
+     *
+     * @param pool its name
+     * @param verdict what becomes of it
+     * @param why why nothing can be said
+     * @param part the part of the courses in which it saturates
+     * @param atMs when, from the first step's begin; null if it does in none
+     * @param step the step in which it does; -1 if in none
+     * @param resource what runs out first
+     * @param next the pool that falls next, if one does
+     * @param steps step by step
+     */
+    @JsonInclude(JsonInclude.Include.NON_NULL)
+    public record PoolForecast(PoolName pool, Verdict verdict, String why, double part, Within atMs, int step,
+            Resource resource, PoolName next, List<StepForecast> steps) {
+    }
+
+    /** Forecasts a plan that has no faults; the same seed gives the same forecast. */
+    public static Forecast of(Picture picture, Plan plan, Shares shares, long seed) {
+        double[] moved = new double[plan.steps().size()];
+        for (int i = 0; i < moved.length; i++) {
+            moved[i] = plan.moved(i + 1);
+        }
+        return of(picture, plan, moved, shares, seed, COURSES);
+    }
+
+    /** Forecasts a rehearsal of it: one step, held for its time. */
+    public static Forecast rehearsal(Picture picture, Plan plan, Shares shares, long seed) {
+        Plan one = plan.with(List.of(new Plan.Step(plan.rehearsalPart(), plan.rehearsalMs())));
+        return of(picture, one, new double[] {plan.rehearsalPart()}, shares, seed, COURSES);
+    }
+
+    static Forecast of(Picture picture, Plan plan, double[] moved, Shares shares, long seed, int courses) {
+        Fluid fluid = new Fluid(picture, plan, moved);
+        RandomGenerator random = new Well19937c(seed);
+        Course central = fluid.run(new Draw(picture.pools().size(), picture.flows().size(), null));
+        List<Course> drawn = new ArrayList<>();
+        for (int i = 0; i < courses; i++) {
+            drawn.add(fluid.run(draw(picture, random)));
+        }
+        List<PoolForecast> out = new ArrayList<>();
+        Verdict worst = Verdict.HOLDS;
+        for (int i = 0; i < picture.pools().size(); i++) {
+            if (!picture.pools().get(i).name().zone().equals(plan.zone())) {
+                PoolForecast p = pool(picture, plan, moved, fluid, shares, i, central, drawn);
+                out.add(p);
+                worst = worse(worst, p.verdict());
+            }
+        }
+        return new Forecast(plan.name(), plan.zone(), out.isEmpty() ? Verdict.UNKNOWN : worst, out);
+    }
+
+    private static Verdict worse(Verdict a, Verdict b) {
+        // What saturates is certain harm and said first; what is unknown comes before what is tight.
+        int[] rank = {0, 1, 3, 2};
+        return rank[a.ordinal()] >= rank[b.ordinal()] ? a : b;
+    }
+
+    private static Draw draw(Picture picture, RandomGenerator random) {
+        Draw d = new Draw(picture.pools().size(), picture.flows().size(), random);
+        for (int i = 0; i < d.capacity.length; i++) {
+            Pool p = picture.pools().get(i);
+            d.capacity[i] = factor(random, p.capacitySpread());
+            d.calls[i] = factor(random, p.callsSpread());
+            d.correction[i] = factor(random, p.correctionSpread());
+        }
+        for (int i = 0; i < d.flow.length; i++) {
+            d.flow[i] = factor(random, picture.flows().get(i).spread());
+        }
+        return d;
+    }
+
+    private static double factor(RandomGenerator random, double spread) {
+        double z = random.nextGaussian();
+        double sigma = Double.isFinite(spread) ? Math.min(spread, 1) : 1;
+        return Math.exp(sigma * z - sigma * sigma / 2);
+    }
+
+    private static PoolForecast pool(Picture picture, Plan plan, double[] moved, Fluid fluid, Shares shares, int i,
+            Course central, List<Course> drawn) {
+        Pool p = picture.pools().get(i);
+        String why = why(picture, plan, p);
+        int fell = 0;
+        List<Double> times = new ArrayList<>();
+        Map<Resource, Integer> resources = new TreeMap<>();
+        Map<Integer, Integer> nexts = new HashMap<>();
+        for (Course c : drawn) {
+            if (!Double.isNaN(c.saturatesMs[i])) {
+                fell++;
+                times.add(c.saturatesMs[i]);
+                resources.merge(c.resource[i], 1, Integer::sum);
+                int next = next(c, i);
+                if (next >= 0) {
+                    nexts.merge(next, 1, Integer::sum);
+                }
+            }
+        }
+        double part = drawn.isEmpty() ? 0 : fell / (double) drawn.size();
+        Within at = times.isEmpty() ? null : within(times);
+        List<StepForecast> steps = new ArrayList<>();
+        double fullest = 0;
+        for (int s = 0; s < moved.length; s++) {
+            StepForecast f = step(picture, p, shares, s, i, central, drawn);
+            fullest = Math.max(fullest, Math.max(f.utilisation(), Math.max(f.slots(), f.connections())));
+            steps.add(f);
+        }
+        Verdict verdict = why != null ? Verdict.UNKNOWN : part >= LIKELY ? Verdict.SATURATES
+                : part >= POSSIBLE || fullest >= TIGHT_SHARE ? Verdict.TIGHT : Verdict.HOLDS;
+        PoolName next = null;
+        for (Map.Entry<Integer, Integer> e : nexts.entrySet()) {
+            if (e.getValue() * 2 >= fell) {
+                next = picture.pools().get(e.getKey()).name();
+            }
+        }
+        Resource first = resources.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey)
+                .orElse(null);
+        if (why != null) {
+            return new PoolForecast(p.name(), verdict, why, 0, null, -1, null, null, List.of());
+        }
+        return new PoolForecast(p.name(), verdict, null, part, at, at == null ? -1 : fluid.stepAt(at.expected()),
+                first, next, steps);
+    }
+
+    /** The pool that saturates next after this one in a course; -1 if none does. */
+    private static int next(Course c, int i) {
+        int next = -1;
+        for (int j = 0; j < c.saturatesMs.length; j++) {
+            if (j != i && c.saturatesMs[j] >= c.saturatesMs[i]
+                    && (next < 0 || c.saturatesMs[j] < c.saturatesMs[next])) {
+                next = j;
+            }
+        }
+        return next;
+    }
+
+    private static String why(Picture picture, Plan plan, Pool p) {
+        if (p.unknown() != null) {
+            return p.unknown();
+        }
+        // Load that a missing node sends is load that nobody tells: in its own zone, and wherever the plan moves it.
+        for (Missing m : picture.missing()) {
+            boolean reaches = m.zone().equals(p.name().zone()) || m.zone().equals(plan.zone());
+            for (Flow f : picture.flows()) {
+                reaches |= f.origin().equals(m.zone()) && f.to().equals(p.name()) && f.rate() > 0;
+            }
+            if (reaches) {
+                return m.why();
+            }
+        }
+        // What flows from an unknown pool of a tier before it comes here, and nobody knows how much.
+        for (Pool q : picture.pools()) {
+            if (q.unknown() != null && !q.name().zone().equals(plan.zone())
+                    && q.name().zone().equals(p.name().zone())
+                    && picture.terms().tiers().indexOf(q.name().tier())
+                            < picture.terms().tiers().indexOf(p.name().tier())) {
+                return q.name() + ", which calls it, is unknown: " + q.unknown();
+            }
+        }
+        return null;
+    }
+
+    private static Within within(List<Double> values) {
+        double[] all = values.stream().mapToDouble(Double::doubleValue).toArray();
+        Percentile p = new Percentile();
+        p.setData(all);
+        return new Within(p.evaluate(HALF), p.evaluate(LOW), p.evaluate(HIGH));
+    }
+
+    private static StepForecast step(Picture picture, Pool p, Shares shares, int s, int i, Course central,
+            List<Course> drawn) {
+        List<Double> loads = new ArrayList<>();
+        for (Course c : drawn) {
+            loads.add(c.load[s][i]);
+        }
+        double load = central.load[s][i];
+        Within within = loads.isEmpty() ? new Within(load, load, load) : within(loads);
+        int c = Math.max(1, (int) Math.round(p.parallel()));
+        double workS = c / Math.max(1e-9, p.capacity());
+        double shortest = p.mix().keySet().stream().mapToDouble(picture.terms()::deadlineMs).min().orElse(10_000);
+        double wait = Queues.allenCunneen(c, load, workS, 1, p.variation());
+        double late = Queues.waitsLonger(c, load, workS, p.variation(), Math.max(0, shortest - p.workMs()) / 1000);
+        double first = central.firstTries[s][i];
+        return new StepForecast(s, within, central.utilisation[s][i], central.slots[s][i],
+                central.connections[s][i], Double.isFinite(wait) ? wait * 1000 : -1, central.responseMs[s][i], late,
+                first > 0 ? load / first : 1, refused(picture, p, shares, load));
+    }
+
+    private static Map<String, Double> refused(Picture picture, Pool p, Shares shares, double load) {
+        Map<String, Double> wanted = new TreeMap<>();
+        double grown = p.attempts() > 0 ? load / p.attempts() : 1;
+        for (Picture.Want w : picture.tenants()) {
+            if (w.pool().equals(p.name())) {
+                wanted.merge(w.tenant(), w.wanted() * grown, Double::sum);
+            }
+        }
+        Map<String, Double> out = new TreeMap<>();
+        if (!wanted.isEmpty()) {
+            Map<String, Double> granted = shares.granted(p.name(),
+                    p.servers() * Math.min(p.slots(), p.connections()), wanted);
+            wanted.forEach((t, w) -> {
+                double gets = granted.getOrDefault(t, 0.0);
+                if (w > 0 && gets < w * SERVED) {
+                    out.put(t, 1 - gets / w);
+                }
+            });
+        }
+        return out;
+    }
+
+    /** The forecast of a pool; null if it is not among them. */
+    public PoolForecast of(PoolName name) {
+        return pools.stream().filter(p -> p.pool().equals(name)).findFirst().orElse(null);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Learnt.java
@@ -0,0 +1,61 @@
+package brackenbridge.fleet.evacuation;
+
+/**
+ * A figure that is learnt by exponentially weighted mean and variance (Finch, Incremental calculation of weighted mean
+ * and variance, 2009), with a spread that widens with age and with thin data.
+ */
+final class Learnt {
+    /** What one observation says of the next, at the least: figures of neighbouring seconds are not independent. */
+    private static final double CORRELATED = 2;
+    /** Relative spread that a single observation leaves open. */
+    private static final double THIN = 0.3;
+    /** Relative spread that a minute's age adds. */
+    private static final double AGE_A_MINUTE = 0.1;
+
+    private final double halfLifeMs;
+    private double mean;
+    private double variance;
+    private double weight;
+    private double lastMs = Double.NEGATIVE_INFINITY;
+
+    Learnt(double halfLifeMs) {
+        this.halfLifeMs = halfLifeMs;
+    }
+
+    void take(double nowMs, double value) {
+        if (!Double.isFinite(value)) {
+            return;
+        }
+        double kept = weight == 0 ? 0 : Math.pow(0.5, Math.max(0, nowMs - lastMs) / halfLifeMs);
+        weight = weight * kept + 1;
+        double part = 1 / weight;
+        double off = value - mean;
+        mean += part * off;
+        variance = (1 - part) * (variance + part * off * off);
+        lastMs = nowMs;
+    }
+
+    boolean known() {
+        return weight > 0;
+    }
+
+    double mean() {
+        return mean;
+    }
+
+    /** For how many observations of late it stands. */
+    double weight() {
+        return weight;
+    }
+
+    /** Relative standard deviation of the figure as an estimate of what is true now; infinite if nothing is known. */
+    double spread(double nowMs) {
+        if (weight == 0 || mean == 0) {
+            return weight == 0 ? Double.POSITIVE_INFINITY : 0;
+        }
+        double seen = variance * CORRELATED / weight / (mean * mean);
+        double thin = THIN / weight;
+        double age = AGE_A_MINUTE * Math.max(0, nowMs - lastMs) / 60_000;
+        return Math.sqrt(seen + thin * thin + age * age);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Plan.java
@@ -0,0 +1,177 @@
+package brackenbridge.fleet.evacuation;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * A plan to empty a zone. Parts are of the zone's usual load; times in milliseconds.
+ *
+ * @param name its name
+ * @param zone the zone to be emptied
+ * @param startDayMs when, as a time of the day (UTC); negative if at once
+ * @param steps what is moved, one after the other; together all of the load
+ * @param rehearsalPart what a rehearsal moves
+ * @param rehearsalMs for how long
+ * @param back how the load comes back, once staff say so or after {@code backAfterMs}; empty if at once
+ * @param backAfterMs after what time it comes back by itself; 0 if only when staff say so
+ * @param comes servers that come to pools meanwhile
+ */
+@JsonIgnoreProperties(ignoreUnknown = false)
+public record Plan(String name, String zone, double startDayMs, List<Step> steps, double rehearsalPart,
+        double rehearsalMs, List<Step> back, double backAfterMs, List<Comes> comes) {
+    /** Steps and pools that a plan may name: it travels in an agreed record. */
+    public static final int MOST = 64;
+    private static final double LONGEST_MS = 24 * 3_600_000.0;
+    private static final double ROUNDING = 1e-6;
+
+    /**
+     * A step.
+     *
+     * @param part the part of the zone's usual load that it moves
+     * @param pauseMs how long it is held before the next
+     */
+    public record Step(double part, double pauseMs) {
+    }
+
+    /**
+     * Servers that come.
+     *
+     * @param pool where
+     * @param servers how many, of the pool's sort, cold
+     * @param afterMs after the first step's begin
+     */
+    public record Comes(PoolName pool, int servers, double afterMs) {
+    }
+
+    /** Keeps its own copies; what is absent is empty. */
+    public Plan {
+        steps = steps == null ? List.of() : List.copyOf(steps);
+        back = back == null ? List.of() : List.copyOf(back);
+        comes = comes == null ? List.of() : List.copyOf(comes);
+    }
+
+    /** A plan of equal steps, rehearsed with a twentieth of the load for eight seconds. */
+    public static Plan even(String name, String zone, int steps, double pauseMs) {
+        List<Step> all = new ArrayList<>();
+        for (int i = 0; i < steps; i++) {
+            all.add(new Step(1.0 / steps, pauseMs));
+        }
+        return new Plan(name, zone, -1, all, 0.05, 8000, List.of(), 0, List.of());
+    }
+
+    /** The same plan with other steps. */
+    public Plan with(List<Step> others) {
+        return new Plan(name, zone, startDayMs, others, rehearsalPart, rehearsalMs, back, backAfterMs, comes);
+    }
+
+    /** The part that is moved once so many steps have begun. */
+    public double moved(int begun) {
+        double sum = 0;
+        for (int i = 0; i < Math.min(begun, steps.size()); i++) {
+            sum += steps.get(i).part();
+        }
+        return Math.min(1, sum);
+    }
+
+    /** The part that is still moved once so many steps back have begun. */
+    public double stillMoved(int begun) {
+        if (begun > 0 && begun >= back.size()) {
+            return 0;
+        }
+        double sum = moved(steps.size());
+        for (int i = 0; i < begun; i++) {
+            sum -= back.get(i).part();
+        }
+        return Math.max(0, sum);
+    }
+
+    /** From the first step's begin to the last one's end. */
+    public double lengthMs() {
+        return steps.stream().mapToDouble(Step::pauseMs).sum();
+    }
+
+    /** All that is wrong with it, for a fleet of these pools; empty if nothing is. */
+    public List<String> faults(Collection<PoolName> pools) {
+        List<String> faults = new ArrayList<>();
+        Set<String> zones = new TreeSet<>();
+        pools.forEach(p -> zones.add(p.zone()));
+        if (name == null || !name.matches("[A-Za-z0-9._-]{1,64}")) {
+            faults.add("name: 1 to 64 letters, digits, dots, dashes or underscores");
+        }
+        if (zone == null || !zones.contains(zone)) {
+            faults.add("zone: there is no zone " + zone + "; there are " + zones);
+        } else {
+            Set<String> tiers = new TreeSet<>();
+            pools.stream().filter(p -> p.zone().equals(zone)).forEach(p -> tiers.add(p.tier()));
+            pools.stream().filter(p -> !p.zone().equals(zone)).forEach(p -> tiers.remove(p.tier()));
+            if (zones.size() == 1) {
+                faults.add("zone: " + zone + " is the last one");
+            } else if (!tiers.isEmpty()) {
+                faults.add("zone: " + zone + " is the last one with " + tiers);
+            }
+        }
+        steps("steps", steps, faults);
+        if (steps.isEmpty()) {
+            faults.add("steps: none");
+        } else if (steps.size() <= MOST && Math.abs(sum(steps) - 1) > ROUNDING) {
+            faults.add("steps: they move " + round(sum(steps)) + " of the load, not all of it");
+        }
+        steps("back", back, faults);
+        if (!back.isEmpty() && Math.abs(sum(back) - 1) > ROUNDING) {
+            faults.add("back: they bring back " + round(sum(back)) + " of the load, not all of it");
+        }
+        if (!(rehearsalPart > 0 && rehearsalPart <= 0.5)) {
+            faults.add("rehearsalPart: above 0, at most 0.5");
+        }
+        if (!(rehearsalMs >= 1000 && rehearsalMs <= 600_000)) {
+            faults.add("rehearsalMs: from a second to ten minutes");
+        }
+        if (!(startDayMs < LONGEST_MS) || Double.isNaN(startDayMs)) {
+            faults.add("startDayMs: a time of the day, or negative");
+        }
+        if (!(backAfterMs >= 0 && backAfterMs <= LONGEST_MS)) {
+            faults.add("backAfterMs: from 0 to a day");
+        }
+        if (comes.size() > MOST) {
+            faults.add("comes: more than " + MOST);
+        }
+        for (Comes c : comes) {
+            if (c.pool() == null || !pools.contains(c.pool())) {
+                faults.add("comes: there is no pool " + c.pool());
+            } else if (c.pool().zone().equals(zone)) {
+                faults.add("comes: " + c.pool() + " is in the zone that is emptied");
+            }
+            if (c.servers() < 1 || c.servers() > 10_000 || !(c.afterMs() >= 0 && c.afterMs() <= LONGEST_MS)) {
+                faults.add("comes: 1 to 10000 servers, within a day");
+            }
+        }
+        return faults;
+    }
+
+    private static void steps(String key, List<Step> steps, List<String> faults) {
+        if (steps.size() > MOST) {
+            faults.add(key + ": more than " + MOST);
+        }
+        for (int i = 0; i < Math.min(MOST, steps.size()); i++) {
+            Step s = steps.get(i);
+            if (!(s.part() > 0 && s.part() <= 1 + ROUNDING)) {
+                faults.add(key + "[" + i + "].part: above 0, at most 1");
+            }
+            if (!(s.pauseMs() >= 1000 && s.pauseMs() <= LONGEST_MS)) {
+                faults.add(key + "[" + i + "].pauseMs: from a second to a day");
+            }
+        }
+    }
+
+    private static double sum(List<Step> steps) {
+        return steps.stream().mapToDouble(Step::part).sum();
+    }
+
+    private static double round(double v) {
+        return Math.round(v * 1000) / 1000.0;
+    }
+}
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/PoolSeen.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/PoolSeen.java
@@ -2,7 +2,8 @@
 
 /**
  * What one node sees of a class at a pool: a record of space {@code POOLS}, as JSON. A pool is the servers of one tier,
- * zone and kind; its name is {@code tier/zone/kind}.
+ * zone and kind; its name is {@code tier/zone/kind}. Figures of the pool as a whole (servers to {@code slowAt}) are the
+ * same in the records of all its classes.
  *
  * @param arrivals first tries a second that this node sends there
  * @param attempts all tries a second
@@ -10,12 +11,19 @@
  * @param servers servers of the pool that this node knows to run
  * @param slots calls that one server works on at the same time, as far as known; 0 if not
  * @param busy the mean number of this node's calls that are at the pool
- * @param serviceMs mean time of an answer when the pool is at ease, in milliseconds
+ * @param serviceMs mean time of an answer when the pool is at ease, in milliseconds; 0 if not known
  * @param latencyMs mean time of an answer of late, in milliseconds
  * @param squaredVariation squared coefficient of variation of the answers' times
  * @param failed the part of tries that failed
  * @param overMs for how long all this was seen, in milliseconds
+ * @param utilisation the mean part of their time for which servers say they work, 0 to 1; negative if none says
+ * @param connections calls that one server may have open, those that wait for a slot included; 0 if not known
+ * @param coldFrom the part of its speed that a server has at its start; 1 if it has all
+ * @param coldMs after what time it has all
+ * @param slowPart the part of its speed that was left to a server after a backlog; 1 if none was ever seen
+ * @param slowAt calls at a server from which on that was so; 0 if none was ever seen
  */
 public record PoolSeen(double arrivals, double attempts, double refused, int servers, double slots, double busy,
-        double serviceMs, double latencyMs, double squaredVariation, double failed, double overMs) {
+        double serviceMs, double latencyMs, double squaredVariation, double failed, double overMs, double utilisation,
+        double connections, double coldFrom, double coldMs, double slowPart, double slowAt) {
 }
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Queues.java
@@ -0,0 +1,57 @@
+package brackenbridge.fleet.evacuation;
+
+/**
+ * Waiting in queues with many servers, by published approximations. Times in any one unit.
+ *
+ * <p>Erlang C by the recursion of Erlang B (stable: Cooper, Introduction to Queueing Theory, 1981); the wait of G/G/c
+ * by Allen and Cunneen (Allen, Probability, Statistics and Queueing Theory, 1990), which is Kingman's bound (1961)
+ * carried over to c servers, and by Sakasegawa (An approximation formula L_q = a rho^b / (1 - rho), 1977); Whitt,
+ * Approximations for the GI/G/m queue, 1993, compares them.
+ */
+final class Queues {
+    private Queues() {
+    }
+
+    /** The part of arrivals that must wait in M/M/c with this offered load (arrivals times mean work). */
+    static double erlangC(int c, double offered) {
+        if (offered <= 0) {
+            return 0;
+        }
+        if (offered >= c) {
+            return 1;
+        }
+        double b = 1;
+        for (int k = 1; k <= c; k++) {
+            b = offered * b / (k + offered * b);
+        }
+        return b / (1 - offered / c * (1 - b));
+    }
+
+    /** Mean wait before work by Allen and Cunneen; infinite from the load of 1 on. */
+    static double allenCunneen(int c, double arrivals, double work, double arrivalsVariation, double workVariation) {
+        double offered = arrivals * work;
+        if (offered >= c) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return erlangC(c, offered) * work / (c - offered) * (arrivalsVariation + workVariation) / 2;
+    }
+
+    /** Mean number that wait in M/M/c by Sakasegawa, at the load rho of each server; c need not be whole. */
+    static double waiting(double c, double rho) {
+        return rho >= 1 ? Double.POSITIVE_INFINITY : Math.pow(rho, Math.sqrt(2 * (c + 1))) / (1 - rho);
+    }
+
+    /**
+     * The part of arrivals whose wait is longer than this: the wait of those that must wait is taken for exponential
+     * (exact in M/M/c).
+     */
+    static double waitsLonger(int c, double arrivals, double work, double workVariation, double than) {
+        double offered = arrivals * work;
+        double wait = allenCunneen(c, arrivals, work, 1, workVariation);
+        if (!Double.isFinite(wait)) {
+            return 1;
+        }
+        double must = erlangC(c, offered);
+        return must <= 0 ? 0 : must * Math.exp(-than * must / Math.max(1e-12, wait));
+    }
+}
