Agreed values: MicroRaft over the links, a checked disk, leases by the generation machines

Need: settings, shares and plans must be decided by a majority, and no two members may act by contradicting ones. AgreedNode holds the Raft library, its disk on MVStore (checksums, count of forced writes), founding and disks that were lost, the leader's leases and a member's question for all names.

--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Endpoint.java
@@ -0,0 +1,45 @@
+package brackenbridge.fleet.agreed;
+
+import io.microraft.RaftEndpoint;
+import java.util.Collection;
+import java.util.List;
+
+/**
+ * A voter: a member with the disk that it has. The same member with another disk is another voter, so that a vote or a
+ * log entry that was lost with a disk is never counted on.
+ *
+ * @param name the member
+ * @param disk the disk's number, drawn when it was empty
+ */
+record Endpoint(String name, String disk) implements RaftEndpoint {
+    private static final int LONGEST = 128;
+
+    Endpoint {
+        if (name.isEmpty() || disk.isEmpty() || name.length() > LONGEST || disk.length() > LONGEST
+                || name.indexOf('@') >= 0 || disk.indexOf('@') >= 0) {
+            throw new IllegalArgumentException("voter: " + name + "@" + disk);
+        }
+    }
+
+    static Endpoint parse(String id) {
+        int at = id.indexOf('@');
+        if (at < 0) {
+            throw new IllegalArgumentException("voter: " + id);
+        }
+        return new Endpoint(id.substring(0, at), id.substring(at + 1));
+    }
+
+    static List<String> ids(Collection<? extends RaftEndpoint> all) {
+        return all.stream().map(e -> (String) e.getId()).toList();
+    }
+
+    @Override
+    public Object getId() {
+        return name + "@" + disk;
+    }
+
+    @Override
+    public String toString() {
+        return name + "@" + disk;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Op.java
@@ -0,0 +1,55 @@
+package brackenbridge.fleet.agreed;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** What is written to the log that all voters share; each has the same effect at each of them. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "op")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = Op.Reign.class, name = "reign"),
+    @JsonSubTypes.Type(value = Op.Stage.class, name = "stage"),
+    @JsonSubTypes.Type(value = Op.Activate.class, name = "activate"),
+    @JsonSubTypes.Type(value = Op.Abandon.class, name = "abandon"),
+    @JsonSubTypes.Type(value = Op.Take.class, name = "take"),
+})
+sealed interface Op {
+    /**
+     * A voter leads from here on; the first entry of each of its terms.
+     *
+     * @param leader who
+     * @param life in which of its lives
+     * @param number counts its reigns in this life
+     */
+    record Reign(String leader, long life, long number) implements Op {
+    }
+
+    /**
+     * A proposal; repeated ones of the same proposer, life and number count once.
+     *
+     * @param expected the generation that it was made against
+     */
+    record Stage(String name, long expected, byte[] content, String by, long life, long number) implements Op {
+    }
+
+    /**
+     * Whoever acted by another generation has heard of the staged one or can't act any more.
+     *
+     * @param version the word's version for which that was found
+     * @param reign the reign that found it: no other knows the leases that it looked at
+     */
+    record Activate(String name, long version, long reign) implements Op {
+    }
+
+    /** A member can't use what is staged. */
+    record Abandon(String name, long version, long reign, String by) implements Op {
+    }
+
+    /**
+     * A role has a new holder, or its holder a longer lease.
+     *
+     * @param forMs the lease, milliseconds
+     * @param token the token that the reign found there
+     */
+    record Take(String role, String holder, long life, double forMs, long token, long reign) implements Op {
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/State.java
@@ -0,0 +1,189 @@
+package brackenbridge.fleet.agreed;
+
+import brackenbridge.core.generation.Authority;
+import brackenbridge.core.generation.Terms;
+import brackenbridge.core.generation.Word;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * What is decided, as far as this voter knows: the same at each voter after the same entries. Its bounds are constants,
+ * for each voter must come to the same result.
+ */
+final class State {
+    /** Longest content, in bytes. */
+    static final int MAX_CONTENT = 256 * 1024;
+    /** Longest name of a value or role. */
+    static final int MAX_NAME = 64;
+    private static final int NAMES = 16;
+    private static final int ROLES = 256;
+    private static final int KEEP = 16;
+    private static final int KEEP_BYTES = 512 * 1024;
+    private static final Terms ANY = new Terms(1, 0);
+
+    /** What came of a generation. */
+    enum Came { STAGED, IN_FORCE, ABANDONED }
+
+    /** A generation that is kept. */
+    record Kept(long generation, byte[] content, String by, long life, long number, Came came) {
+        Kept with(Came next) {
+            return new Kept(generation, content, by, life, number, next);
+        }
+    }
+
+    /** All that is decided of a name. */
+    record Named(String name, Word word, long last, List<Kept> history) {
+    }
+
+    /** Who acts in a role, since when by count, and with which longest lease. */
+    record Role(String role, String holder, long life, long token, double forMs) {
+    }
+
+    /** A copy of all of it. */
+    record Image(long reign, List<Named> names, List<Role> roles) {
+    }
+
+    /** What came of an entry. */
+    enum Result { STAGED, IN_FORCE, ABANDONED, OVERTAKEN, ANOTHER_STAGED, FULL, DONE, VOID }
+
+    private final Map<String, Named> names = new TreeMap<>();
+    private final Map<String, Role> roles = new TreeMap<>();
+    private long reign;
+
+    long reign() {
+        return reign;
+    }
+
+    Map<String, Named> names() {
+        return names;
+    }
+
+    Optional<Named> named(String name) {
+        return Optional.ofNullable(names.get(name));
+    }
+
+    Optional<Role> role(String role) {
+        return Optional.ofNullable(roles.get(role));
+    }
+
+    Map<String, Role> roles() {
+        return roles;
+    }
+
+    /** A generation that is kept. */
+    Optional<Kept> kept(String name, long generation) {
+        return named(name).stream().flatMap(n -> n.history().stream()).filter(k -> k.generation() == generation)
+                .findFirst();
+    }
+
+    /** The generation that this proposal became, if it did. */
+    Optional<Kept> proposed(String name, String by, long life, long number) {
+        return named(name).stream().flatMap(n -> n.history().stream())
+                .filter(k -> k.by().equals(by) && k.life() == life && k.number() == number).findFirst();
+    }
+
+    Result apply(Op op) {
+        if (op instanceof Op.Reign) {
+            reign++;
+            return Result.DONE;
+        }
+        if (op instanceof Op.Stage s) {
+            return stage(s);
+        }
+        if (op instanceof Op.Activate a) {
+            Named n = names.get(a.name());
+            return current(n, a.version(), a.reign()) ? settle(n, Came.IN_FORCE) : Result.VOID;
+        }
+        if (op instanceof Op.Abandon a) {
+            Named n = names.get(a.name());
+            return current(n, a.version(), a.reign()) ? settle(n, Came.ABANDONED) : Result.VOID;
+        }
+        return take((Op.Take) op);
+    }
+
+    // Guards against a finding of an earlier reign, or of a word that was overtaken on the way.
+    private boolean current(Named n, long version, long foundIn) {
+        return n != null && foundIn == reign && n.word().version() == version && n.word().staged() != 0;
+    }
+
+    private Result stage(Op.Stage s) {
+        Optional<Kept> again = proposed(s.name(), s.by(), s.life(), s.number());
+        if (again.isPresent()) {
+            return Result.valueOf(again.get().came().name());
+        }
+        if (!names.containsKey(s.name()) && names.size() >= NAMES || s.content().length > MAX_CONTENT
+                || s.name().length() > MAX_NAME) {
+            return Result.FULL;
+        }
+        Named n = names.getOrDefault(s.name(), new Named(s.name(), Word.NONE, 0, List.of()));
+        Authority a = alone(n);
+        Authority.Verdict v = a.judge(s.expected());
+        if (v != Authority.Verdict.STAGED) {
+            return Result.valueOf(v.name());
+        }
+        Authority staged = a.stage();
+        List<Kept> history = new ArrayList<>(n.history());
+        history.add(new Kept(staged.last(), s.content(), s.by(), s.life(), s.number(), Came.STAGED));
+        names.put(s.name(), new Named(s.name(), staged.word(), staged.last(), trimmed(history, staged.word())));
+        return Result.STAGED;
+    }
+
+    private Result settle(Named n, Came came) {
+        Authority a = alone(n);
+        long settled = n.word().staged();
+        Authority next = came == Came.IN_FORCE ? a.activate(0) : a.abandon();
+        List<Kept> history = n.history().stream().map(k -> k.generation() == settled ? k.with(came) : k).toList();
+        names.put(n.name(), new Named(n.name(), next.word(), n.last(), trimmed(history, next.word())));
+        return Result.valueOf(came.name());
+    }
+
+    /** The rules of words and numbers are the authority's; the leases that it waits for are the leader's to know. */
+    private static Authority alone(Named n) {
+        return new Authority(ANY, n.word(), n.last(), Double.NEGATIVE_INFINITY, Map.of());
+    }
+
+    private static List<Kept> trimmed(List<Kept> history, Word word) {
+        List<Kept> kept = new ArrayList<>();
+        int count = 0;
+        long bytes = 0;
+        for (int i = history.size() - 1; i >= 0; i--) {
+            Kept k = history.get(i);
+            count++;
+            bytes += k.content().length;
+            if (k.generation() == word.inForce() || k.generation() == word.staged()
+                    || count <= KEEP && bytes <= KEEP_BYTES) {
+                kept.add(0, k);
+            }
+        }
+        return List.copyOf(kept);
+    }
+
+    private Result take(Op.Take t) {
+        Role r = roles.get(t.role());
+        if (t.reign() != reign || t.token() != (r == null ? 0 : r.token())) {
+            return Result.VOID;
+        }
+        if (r == null && roles.size() >= ROLES) {
+            return Result.FULL;
+        }
+        boolean same = r != null && r.holder().equals(t.holder()) && r.life() == t.life();
+        roles.put(t.role(), new Role(t.role(), t.holder(), t.life(), same ? r.token() : t.token() + 1,
+                same ? Math.max(r.forMs(), t.forMs()) : t.forMs()));
+        return Result.DONE;
+    }
+
+    Image image() {
+        return new Image(reign, List.copyOf(names.values()), List.copyOf(roles.values()));
+    }
+
+    void restore(Image image) {
+        names.clear();
+        roles.clear();
+        reign = image.reign();
+        image.names().forEach(n -> names.put(n.name(), n));
+        image.roles().forEach(r -> roles.put(r.role(), r));
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Store.java
@@ -0,0 +1,462 @@
+package brackenbridge.fleet.agreed;
+
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+import org.h2.mvstore.MVMap;
+import org.h2.mvstore.MVStore;
+import org.h2.mvstore.MVStoreException;
+
+/**
+ * A voter's disk: terms, votes, entries and snapshots in one file of an MVStore, each value with its own checksum, and
+ * beside it the count of writes that were forced. What was forced is there when it is opened again, or the disk is
+ * {@link Damaged}: a store that goes back to an earlier chunk must not pass for whole.
+ */
+final class Store implements RaftStore, AutoCloseable {
+    private static final String FILE = "agreed.mv";
+    private static final String MARK = "agreed.mark";
+    /** The two places of the mark lie in different sectors, so that a torn write spoils one only. */
+    private static final int SECTOR = 4096;
+    private static final int SLOT = 12;
+
+    /** The disk has lost or changed what was forced to it: it counts as lost. */
+    static final class Damaged extends IOException {
+        private static final long serialVersionUID = 1;
+
+        Damaged(String message, Throwable cause) {
+            super(message, cause);
+        }
+    }
+
+    /** The disk belongs to another fleet or member: staff have mixed something up. */
+    static final class Foreign extends IOException {
+        private static final long serialVersionUID = 1;
+
+        Foreign(String message) {
+            super(message);
+        }
+    }
+
+    private final MVStore store;
+    private final MVMap<String, byte[]> meta;
+    private final MVMap<Long, byte[]> log;
+    private final MVMap<String, byte[]> chunks;
+    private final FileChannel mark;
+    private final Path file;
+    private long count;
+    private volatile boolean failed;
+    private volatile long forced;
+    private RestoredRaftState restored;
+
+    private Store(MVStore store, FileChannel mark, Path file) {
+        this.store = store;
+        this.mark = mark;
+        this.file = file;
+        this.meta = store.openMap("meta");
+        this.log = store.openMap("log");
+        this.chunks = store.openMap("chunks");
+    }
+
+    /**
+     * Opens a member's disk; an empty one becomes this member's.
+     *
+     * @param directory where; null for memory only, which is a disk that is lost at each end
+     */
+    static Store open(Path directory, String fleet, String member) throws IOException {
+        if (directory == null) {
+            return ready(new Store(new MVStore.Builder().autoCommitDisabled().open(), null, null), fleet, member);
+        }
+        Files.createDirectories(directory);
+        Path file = directory.resolve(FILE);
+        Path marks = directory.resolve(MARK);
+        if (Files.exists(marks) && !Files.exists(file)) {
+            throw new Damaged(file + " is gone", null);
+        }
+        FileChannel mark = FileChannel.open(marks, StandardOpenOption.CREATE, StandardOpenOption.READ,
+                StandardOpenOption.WRITE);
+        MVStore opened = null;
+        try {
+            if (mark.tryLock() == null) {
+                throw new IOException(directory + " is in use by another process");
+            }
+            opened = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().open();
+            return ready(new Store(opened, mark, file), fleet, member);
+        } catch (MVStoreException e) {
+            close(opened, mark);
+            throw new Damaged(file + ": " + e.getMessage(), e);
+        } catch (java.nio.channels.OverlappingFileLockException e) {
+            close(opened, mark);
+            throw new IOException(directory + " is in use by this process", e);
+        } catch (IOException | RuntimeException e) {
+            close(opened, mark);
+            throw e;
+        }
+    }
+
+    private static void close(MVStore opened, FileChannel mark) throws IOException {
+        if (opened != null) {
+            opened.closeImmediately();
+        }
+        mark.close();
+    }
+
+    private static Store ready(Store s, String fleet, String member) throws IOException {
+        long marked = s.marked();
+        try {
+            s.check();
+            if (s.meta.isEmpty() && s.log.isEmpty() && marked == 0) {
+                byte[] number = new byte[12];
+                new SecureRandom().nextBytes(number);
+                s.text("fleet", fleet);
+                s.text("member", member);
+                s.text("disk", HexFormat.of().formatHex(number));
+                s.text("starts", "0");
+            }
+            if (!s.text("fleet").equals(fleet) || !s.text("member").equals(member)) {
+                throw new Foreign("disk of fleet '" + s.text("fleet") + "', member '" + s.text("member")
+                        + "'; this is fleet '" + fleet + "', member '" + member + "'");
+            }
+            s.count = Long.parseLong(s.meta.containsKey("count") ? s.text("count") : "0");
+            if (s.count < marked) {
+                throw new Damaged("write " + marked + " was forced, the store ends with " + s.count, null);
+            }
+            s.restored = s.restore();
+            s.text("starts", String.valueOf(s.starts() + 1));
+            s.flush();
+            return s;
+        } catch (MVStoreException | IllegalStateException | NumberFormatException e) {
+            throw new Damaged(e.getMessage(), e);
+        }
+    }
+
+    /** Moves what is in the directory to one beside it, whose name is the answer: staff may look at it. */
+    static Path putAside(Path directory) throws IOException {
+        for (int i = 1;; i++) {
+            Path aside = directory.resolveSibling(directory.getFileName() + ".aside-" + i);
+            if (!Files.exists(aside)) {
+                return Files.move(directory, aside, StandardCopyOption.ATOMIC_MOVE);
+            }
+            if (i >= 1000) {
+                throw new IOException("too many disks put aside beside " + directory);
+            }
+        }
+    }
+
+    // Values with their checksums: the store's own cover its pages' heads only.
+
+    private static byte[] sealed(String key, byte[] value) {
+        return ByteBuffer.allocate(value.length + 4).putInt(crc(key, value, 0)).put(value).array();
+    }
+
+    private static byte[] unsealed(String key, byte[] sealed) throws Damaged {
+        if (sealed.length < 4 || ByteBuffer.wrap(sealed).getInt() != crc(key, sealed, 4)) {
+            throw new Damaged("checksum of " + key, null);
+        }
+        return Arrays.copyOfRange(sealed, 4, sealed.length);
+    }
+
+    private static int crc(String key, byte[] bytes, int from) {
+        CRC32C crc = new CRC32C();
+        crc.update(key.getBytes(StandardCharsets.UTF_8));
+        crc.update(bytes, from, bytes.length - from);
+        return (int) crc.getValue();
+    }
+
+    private void check() throws Damaged {
+        for (Map.Entry<String, byte[]> e : meta.entrySet()) {
+            unsealed(e.getKey(), e.getValue());
+        }
+        for (Map.Entry<String, byte[]> e : chunks.entrySet()) {
+            unsealed(e.getKey(), e.getValue());
+        }
+        for (Map.Entry<Long, byte[]> e : log.entrySet()) {
+            unsealed(e.getKey().toString(), e.getValue());
+        }
+    }
+
+    private String text(String key) throws IOException {
+        byte[] value = meta.get(key);
+        if (value == null) {
+            throw new Damaged("no " + key, null);
+        }
+        return new String(unsealed(key, value), StandardCharsets.UTF_8);
+    }
+
+    private void text(String key, String value) {
+        meta.put(key, sealed(key, value.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    // What the member keeps beside the library's.
+
+    /** This disk's number, drawn when it was empty. */
+    String disk() throws IOException {
+        return text("disk");
+    }
+
+    /** How often it was started with, this time included. */
+    long starts() throws IOException {
+        return Long.parseLong(text("starts"));
+    }
+
+    /** The voters of the founding that it takes part in; empty if none. */
+    List<String> founding() throws IOException {
+        return meta.containsKey("founding") ? List.of(text("founding").split(",")) : List.of();
+    }
+
+    /** It takes part in this founding from now on; {@code joining} until it is one of its voters. */
+    void found(List<String> founding, boolean joining) throws IOException {
+        write(() -> {
+            text("founding", String.join(",", founding));
+            text("joining", String.valueOf(joining));
+        });
+        flush();
+    }
+
+    /** It is one of the voters since this change of members. */
+    void joined(long since) throws IOException {
+        write(() -> {
+            text("joining", "false");
+            text("since", String.valueOf(since));
+        });
+        flush();
+    }
+
+    long since() throws IOException {
+        return meta.containsKey("since") ? Long.parseLong(text("since")) : 0;
+    }
+
+    boolean joining() throws IOException {
+        return meta.containsKey("joining") && Boolean.parseBoolean(text("joining"));
+    }
+
+    /** What another voter said of itself when it was last heard of; empty if never. */
+    Optional<String> seen(String member) throws IOException {
+        return meta.containsKey("seen/" + member) ? Optional.of(text("seen/" + member)) : Optional.empty();
+    }
+
+    void seen(String member, String said) throws IOException {
+        write(() -> text("seen/" + member, said));
+        flush();
+    }
+
+    /** What the library goes on with; empty if it has not begun on this disk. */
+    Optional<RestoredRaftState> restored() {
+        return Optional.ofNullable(restored);
+    }
+
+    /** Bytes of the file; 0 in memory. */
+    long bytes() {
+        try {
+            return file == null ? 0 : Files.size(file);
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** How often something was forced since it was opened. */
+    long forced() {
+        return forced;
+    }
+
+    /** Whether a write has failed: nothing more is written or promised. */
+    boolean failed() {
+        return failed;
+    }
+
+    private RestoredRaftState restore() throws IOException {
+        if (!meta.containsKey("endpoint") || !meta.containsKey("initial") || !meta.containsKey("term")) {
+            return null;
+        }
+        try {
+            SnapshotEntry snapshot = snapshot();
+            List<LogEntry> entries = new ArrayList<>();
+            long next = snapshot == null ? 1 : snapshot.getIndex() + 1;
+            for (Map.Entry<Long, byte[]> e : log.entrySet()) {
+                LogEntry entry = Codec.entry(unsealed(e.getKey().toString(), e.getValue()));
+                if (entry.getIndex() != e.getKey()) {
+                    throw new Damaged("entry " + entry.getIndex() + " in place " + e.getKey(), null);
+                }
+                if (entry.getIndex() < next && entries.isEmpty()) {
+                    continue;
+                }
+                if (entry.getIndex() != next++) {
+                    throw new Damaged("entry " + entry.getIndex() + " after " + (next - 2), null);
+                }
+                entries.add(entry);
+            }
+            return new RestoredRaftState(Codec.self(unsealed("endpoint", meta.get("endpoint"))),
+                    Codec.members(unsealed("initial", meta.get("initial"))),
+                    Codec.term(unsealed("term", meta.get("term"))), snapshot, entries);
+        } catch (Damaged e) {
+            throw e;
+        } catch (IOException e) {
+            throw new Damaged(e.getMessage(), e);
+        }
+    }
+
+    /** The latest snapshot that is there whole. */
+    private SnapshotEntry snapshot() throws IOException {
+        List<SnapshotChunk> of = new ArrayList<>();
+        List<SnapshotChunk> whole = List.of();
+        for (Map.Entry<String, byte[]> e : chunks.entrySet()) {
+            SnapshotChunk c = Codec.chunk(unsealed(e.getKey(), e.getValue()));
+            if (!of.isEmpty() && of.get(0).getIndex() != c.getIndex()) {
+                of = new ArrayList<>();
+            }
+            of.add(c);
+            if (of.size() == c.getSnapshotChunkCount()) {
+                whole = of;
+            }
+        }
+        if (whole.isEmpty()) {
+            return null;
+        }
+        SnapshotChunk first = whole.get(0);
+        return new DefaultRaftModelFactory().createSnapshotEntryBuilder().setIndex(first.getIndex())
+                .setTerm(first.getTerm()).setSnapshotChunks(whole)
+                .setGroupMembersView(first.getGroupMembersView()).build();
+    }
+
+    private long marked() throws IOException {
+        long highest = 0;
+        for (int i = 0; mark != null && i < 2; i++) {
+            ByteBuffer b = ByteBuffer.allocate(SLOT);
+            mark.read(b, (long) i * SECTOR);
+            if (b.position() == SLOT && b.getInt(8) == crc(MARK, Arrays.copyOf(b.array(), 8), 0)) {
+                highest = Math.max(highest, b.getLong(0));
+            }
+        }
+        return highest;
+    }
+
+    @FunctionalInterface
+    private interface Write {
+        void run() throws IOException;
+    }
+
+    /** After a write that failed nobody knows what is on the disk, so nothing more is promised by it. */
+    private void write(Write w) throws IOException {
+        if (failed) {
+            throw new IOException("the disk has failed");
+        }
+        try {
+            w.run();
+        } catch (IOException | RuntimeException e) {
+            failed = true;
+            throw new IOException("disk: " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void flush() throws IOException {
+        write(() -> {
+            count++;
+            text("count", String.valueOf(count));
+            store.commit();
+            store.sync();
+            if (mark != null) {
+                ByteBuffer b = ByteBuffer.allocate(SLOT).putLong(count);
+                b.putInt(crc(MARK, Arrays.copyOf(b.array(), 8), 0)).flip();
+                mark.write(b, count % 2 * SECTOR);
+                mark.force(false);
+            }
+            forced++;
+        });
+    }
+
+    @Override
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState e) throws IOException {
+        write(() -> meta.put("endpoint", sealed("endpoint", Codec.self(e))));
+        flush();
+    }
+
+    @Override
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView v) throws IOException {
+        write(() -> meta.put("initial", sealed("initial", Codec.members(v))));
+        flush();
+    }
+
+    @Override
+    public void persistAndFlushTerm(RaftTermPersistentState t) throws IOException {
+        write(() -> meta.put("term", sealed("term", Codec.term(t))));
+        flush();
+    }
+
+    @Override
+    public void persistLogEntries(List<LogEntry> entries) throws IOException {
+        write(() -> entries.forEach(e -> log.put(e.getIndex(), sealed(String.valueOf(e.getIndex()),
+                Codec.entry(e)))));
+    }
+
+    @Override
+    public void persistSnapshotChunk(SnapshotChunk c) throws IOException {
+        String key = key(c.getIndex(), c.getSnapshotChunkIndex());
+        write(() -> chunks.put(key, sealed(key, Codec.chunk(c))));
+    }
+
+    private static String key(long index, int chunk) {
+        return String.format("%019d/%05d", index, chunk);
+    }
+
+    @Override
+    public void truncateLogEntriesFrom(long index) throws IOException {
+        write(() -> {
+            for (Long last = log.lastKey(); last != null && last >= index; last = log.lastKey()) {
+                log.remove(last);
+            }
+        });
+    }
+
+    @Override
+    public void truncateLogEntriesUntil(long index) throws IOException {
+        write(() -> {
+            for (Long first = log.firstKey(); first != null && first <= index; first = log.firstKey()) {
+                log.remove(first);
+            }
+        });
+    }
+
+    @Override
+    public void deleteSnapshotChunks(long index, int chunkCount) throws IOException {
+        write(() -> {
+            for (int i = 0; i < chunkCount; i++) {
+                chunks.remove(key(index, i));
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        try {
+            // What was not forced was promised to nobody.
+            store.closeImmediately();
+            if (mark != null) {
+                mark.close();
+            }
+        } catch (IOException | RuntimeException e) {
+            failed = true;
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/Members.java
@@ -0,0 +1,188 @@
+package brackenbridge.fleet.agreed;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.core.generation.Acts;
+import brackenbridge.core.generation.Terms;
+import brackenbridge.fleet.peer.Links;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Members in one process, watched at every moment: no two contradict each other, no role is held twice. */
+final class Members implements AutoCloseable {
+    static final double LEASE_MS = 400;
+    private static final double DRIFT = 0.01;
+
+    final MemoryNet net;
+    private final Path root;
+    private final Map<String, AgreedNode> nodes = new TreeMap<>();
+    private final Map<String, Links> links = new HashMap<>();
+    private final List<String> breaches = new CopyOnWriteArrayList<>();
+    private final Map<String, Long> tokens = new HashMap<>();
+    private final Clock base = Clock.system();
+    private final Thread watch;
+    private volatile boolean over;
+    private volatile long looked;
+
+    Members(int n, Path root, long seed) throws IOException {
+        this.net = new MemoryNet(n, seed);
+        this.root = root;
+        for (int i = 0; i < n; i++) {
+            start("m" + i, 1);
+        }
+        watch = new Thread(this::watch, "watch");
+        watch.setDaemon(true);
+        watch.start();
+    }
+
+    AgreedSettings settings(String name) {
+        return new AgreedSettings("f", AgreedSettings.voters(net.members()), new Terms(LEASE_MS, DRIFT), 40, 5, 2000,
+                name.hashCode());
+    }
+
+    Path disk(String name) {
+        return root == null ? null : root.resolve(name);
+    }
+
+    /** Starts a member whose clock has this rate. */
+    AgreedNode start(String name, double rate) throws IOException {
+        Links l = net.links(name);
+        AgreedNode n = new AgreedNode(l, disk(name), new Clock() {
+            @Override
+            public double nowMs() {
+                return base.nowMs() * rate;
+            }
+        }, settings(name));
+        n.usable(Agreed.SETTINGS, c -> !new String(c, java.nio.charset.StandardCharsets.UTF_8).contains("bad"));
+        n.start();
+        l.start();
+        synchronized (nodes) {
+            nodes.put(name, n);
+            links.put(name, l);
+        }
+        return n;
+    }
+
+    /** Ends it as a kill does. */
+    void kill(String name) {
+        AgreedNode n;
+        Links l;
+        synchronized (nodes) {
+            n = nodes.remove(name);
+            l = links.remove(name);
+        }
+        l.close();
+        n.halt();
+    }
+
+    AgreedNode node(String name) {
+        synchronized (nodes) {
+            return nodes.get(name);
+        }
+    }
+
+    List<AgreedNode> all() {
+        synchronized (nodes) {
+            return new ArrayList<>(nodes.values());
+        }
+    }
+
+    /** Who leads, by its own word; empty if nobody or more than one says so. */
+    String leader() {
+        List<String> who = new ArrayList<>();
+        synchronized (nodes) {
+            nodes.forEach((name, n) -> {
+                if (n.leads()) {
+                    who.add(name);
+                }
+            });
+        }
+        return who.size() == 1 ? who.get(0) : "";
+    }
+
+    List<String> breaches() {
+        return breaches;
+    }
+
+    long looked() {
+        return looked;
+    }
+
+    private void watch() {
+        while (!over) {
+            look();
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Two collects that are the same: all of it was so at the moment between them. */
+    private void look() {
+        List<AgreedNode> all = all();
+        List<Object> once = collect(all);
+        double[] now = all.stream().mapToDouble(n -> n.clock().nowMs()).toArray();
+        List<Object> again = collect(all);
+        for (int i = 0; i < once.size(); i++) {
+            if (once.get(i) != again.get(i)) {
+                return;
+            }
+        }
+        looked++;
+        for (String name : List.of(Agreed.SETTINGS, Agreed.SHARES)) {
+            for (int i = 0; i < all.size(); i++) {
+                for (int j = 0; j < i; j++) {
+                    Acts a = ((Part) once.get(2 * i)).acts(name, now[i]);
+                    Acts b = ((Part) once.get(2 * j)).acts(name, now[j]);
+                    if (a.contradicts(b)) {
+                        breaches.add(name + ": " + a + " beside " + b);
+                    }
+                }
+            }
+        }
+        Map<String, String> holders = new HashMap<>();
+        for (int i = 0; i < all.size(); i++) {
+            int at = i;
+            @SuppressWarnings("unchecked")
+            Map<String, Agreed.Hold> held = (Map<String, Agreed.Hold>) once.get(2 * i + 1);
+            held.forEach((role, h) -> {
+                if (h.untilMs() > now[at]) {
+                    String other = holders.put(role, h.holder());
+                    if (other != null) {
+                        breaches.add(role + " held by " + other + " and " + h.holder());
+                    }
+                    if (h.token() < tokens.getOrDefault(role, 0L)) {
+                        breaches.add(role + ": token " + h.token() + " after " + tokens.get(role));
+                    }
+                    tokens.merge(role, h.token(), Math::max);
+                }
+            });
+        }
+    }
+
+    private static List<Object> collect(List<AgreedNode> all) {
+        List<Object> collected = new ArrayList<>();
+        for (AgreedNode n : all) {
+            collected.add(n.part());
+            collected.add(n.held());
+        }
+        return collected;
+    }
+
+    @Override
+    public void close() {
+        over = true;
+        try {
+            watch.join(5000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        synchronized (nodes) {
+            nodes.values().forEach(AgreedNode::halt);
+        }
+        net.close();
+    }
+}
