Fleet peers: a stall that a message tells of first is nobody's silence; seeded histories

Messages that waited while a process stood still were judged before its next beat saw the gap, so a member that woke took all others for dead. Each entry now notes the gap.

Seeded histories of the detector: loss, one-way loss, slow lines, stalls, halves, later lives, two of one name.

--- a/fleet/src/main/java/brackenbridge/fleet/peer/Detector.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Detector.java
@@ -51,6 +51,7 @@
     private int doubt;
     private int calmTicks;
     private double lastTick = NEVER;
+    private double lastAwake = NEVER;
     private double asksFrom = NEVER;
     private boolean asked;
     private boolean answered;
@@ -183,19 +184,11 @@
 
     /** Time goes on; to be called each beat. */
     List<Out> tick(double now) {
-        double gap = lastTick == NEVER ? limits.beatMs() : now - lastTick;
-        lastTick = now;
-        if (gap > 2 * limits.beatMs()) {
-            lateTicks++;
-            doubt = Math.min(DOUBT_MOST, doubt + 1);
-            calmTicks = 0;
-            for (Peer p : order) {
-                forgive(p, gap - limits.beatMs(), now);
-            }
-        } else if (gap <= 1.5 * limits.beatMs() && ++calmTicks >= 4) {
+        if (!awake(now) && now - lastTick <= 1.5 * limits.beatMs() && ++calmTicks >= 4) {
             calmTicks = 0;
             doubt = Math.max(0, doubt - 1);
         }
+        lastTick = now;
         countAnswers(now);
         List<String> silent = new ArrayList<>();
         for (Peer p : order) {
@@ -225,6 +218,8 @@
         if (p == null) {
             return out;
         }
+        // Guards against a stall that a message tells of before the next beat does.
+        awake(now);
         double at = sentAt(now, p, beat);
         if (p.known && (itsLife != p.life || itsInstance != p.instance)) {
             if (itsLife == p.life || at > p.learnedMs) {
@@ -421,6 +416,22 @@
         }
     }
 
+    /** Notes that this member runs; if it did not for a while, that time is nobody's silence. */
+    private boolean awake(double now) {
+        double gap = lastAwake == NEVER ? 0 : now - lastAwake;
+        lastAwake = now;
+        if (gap <= 2 * limits.beatMs()) {
+            return false;
+        }
+        lateTicks++;
+        calmTicks = 0;
+        doubt = Math.min(DOUBT_MOST, doubt + 1);
+        for (Peer p : order) {
+            forgive(p, gap - limits.beatMs(), now);
+        }
+        return true;
+    }
+
     private void forgive(Peer p, double ms, double now) {
         p.forgivenMs += ms;
         p.forgivenAt = now;
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Handshake.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Handshake.java
@@ -7,10 +7,10 @@
 import java.util.Arrays;
 
 /**
- * What two members say before the first message: the dialler a {@link Hello}, the other its own hello as a welcome, the
- * dialler {@link Ready}; each of them {@link Refuse} instead. On the wire: magic (4 bytes), length (2), kind, lowest and
- * highest version the sender speaks (1 each), the fields, CRC32C of all before it (4). The head stays as it is in
- * every later version, so that two versions can refuse each other in words.
+ * What two members say before the first message: the dialler a {@link Hello}, the other its own hello as a welcome,
+ * the dialler {@link Ready}; each of them {@link Refuse} instead. On the wire: magic (4 bytes), length (2), kind,
+ * lowest and highest version the sender speaks (1 each), the fields, CRC32C of all before it (4). The head stays as it
+ * is in every later version, so that two versions can refuse each other in words.
  */
 final class Handshake {
     static final int LOWEST = 1;
--- a/fleet/src/main/java/brackenbridge/fleet/peer/PeerLimits.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/PeerLimits.java
@@ -8,8 +8,8 @@
  * @param queueMessages messages that wait in one stream of one link
  * @param beatMs a member speaks to each linked peer this often
  * @param suspectMs a peer that nobody has heard for so long is suspected
- * @param goneMs a peer that nobody has heard for so long is taken for dead, if enough others suspect it too; up to twice
- *     this if they do not. A link on which nothing comes or goes for so long is closed
+ * @param goneMs a peer that nobody has heard for so long is taken for dead, if enough others suspect it too; up to
+ *     twice this if they do not. A link on which nothing comes or goes for so long is closed
  * @param handshakeMs a dial and a handshake take at most so long each
  * @param dialMinMs mean wait before the first dial after a loss, doubled after each failure
  * @param dialMaxMs longest wait between two dials
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/DetectorTest.java
@@ -0,0 +1,320 @@
+package brackenbridge.fleet.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import org.junit.jupiter.api.Test;
+
+class DetectorTest {
+    private static final PeerLimits LIMITS = PeerLimits.standard();
+
+    /** Members that exchange beats over simulated lines; one seed gives one history. */
+    private static final class World {
+        final int size;
+        final Random random;
+        final Detector[] members;
+        final long[] lives;
+        final double[] stoppedUntil;
+        final double[] offset;
+        final List<String> names = new ArrayList<>();
+        final PriorityQueue<Event> events = new PriorityQueue<>();
+        /** Each change: who holds it, of whom, what, when. */
+        final List<Seen> seen = new ArrayList<>();
+        double now;
+        double loss;
+        double delayMs = 1;
+        BiPredicate<Integer, Integer> cut = (from, to) -> false;
+        long order;
+
+        record Seen(int by, int of, Standing standing, double at) {
+        }
+
+        record Event(double at, long order, Runnable work) implements Comparable<Event> {
+            @Override
+            public int compareTo(Event o) {
+                return at != o.at ? Double.compare(at, o.at) : Long.compare(order, o.order);
+            }
+        }
+
+        World(int size, long seed) {
+            this.size = size;
+            random = new Random(seed);
+            members = new Detector[size];
+            lives = new long[size];
+            stoppedUntil = new double[size];
+            offset = new double[size];
+            for (int i = 0; i < size; i++) {
+                names.add("n" + i);
+            }
+            for (int i = 0; i < size; i++) {
+                begin(i, 1);
+            }
+            for (int i = 0; i < size; i++) {
+                for (int j = 0; j < size; j++) {
+                    link(i, j);
+                }
+            }
+        }
+
+        void begin(int i, long life) {
+            lives[i] = life;
+            offset[i] = random.nextDouble() * 1e6;
+            Detector d = new Detector(names.get(i), life, instance(i, life), LIMITS, random.nextLong());
+            d.update(names);
+            members[i] = d;
+            in(random.nextDouble() * LIMITS.beatMs(), () -> tick(i, d));
+        }
+
+        static long instance(int i, long life) {
+            return 1000L * (i + 1) + life;
+        }
+
+        void link(int i, int j) {
+            if (i != j) {
+                send(i, members[i].linked(local(i), local(i) - 1, names.get(j), lives[j], instance(j, lives[j])));
+                note(i);
+            }
+        }
+
+        double local(int i) {
+            return now + offset[i];
+        }
+
+        void in(double ms, Runnable work) {
+            events.add(new Event(now + ms, order++, work));
+        }
+
+        void tick(int i, Detector d) {
+            if (members[i] != d) {
+                return;
+            }
+            if (now < stoppedUntil[i]) {
+                in(stoppedUntil[i] - now, () -> tick(i, d));
+                return;
+            }
+            send(i, d.tick(local(i)));
+            note(i);
+            in(LIMITS.beatMs(), () -> tick(i, d));
+        }
+
+        void send(int i, List<Detector.Out> out) {
+            for (Detector.Out o : out) {
+                int j = names.indexOf(o.to());
+                if (random.nextDouble() >= loss && !cut.test(i, j)) {
+                    byte[] wire = o.beat().bytes();
+                    long life = lives[i];
+                    Detector target = members[j];
+                    in(delayMs * (0.5 + random.nextDouble()), () -> take(j, target, i, life, wire));
+                }
+            }
+        }
+
+        void take(int j, Detector target, int from, long life, byte[] wire) {
+            if (members[j] != target) {
+                return;
+            }
+            if (now < stoppedUntil[j]) {
+                in(stoppedUntil[j] - now, () -> take(j, target, from, life, wire));
+                return;
+            }
+            try {
+                send(j, target.took(local(j), names.get(from), life, instance(from, life), Beat.of(wire)));
+            } catch (WireException e) {
+                throw new AssertionError(e);
+            }
+            note(j);
+        }
+
+        void note(int i) {
+            for (Detector.Change c : members[i].changes()) {
+                seen.add(new Seen(i, names.indexOf(c.peer()), c.standing(), now));
+            }
+        }
+
+        void end(int i) {
+            members[i] = null;
+            for (int j = 0; j < size; j++) {
+                if (members[j] != null) {
+                    members[j].unlinked(names.get(i));
+                }
+            }
+        }
+
+        void run(double ms) {
+            double until = now + ms;
+            while (!events.isEmpty() && events.peek().at() <= until) {
+                Event e = events.poll();
+                now = e.at();
+                e.work().run();
+            }
+            now = until;
+        }
+
+        long count(Standing standing) {
+            return seen.stream().filter(s -> s.standing() == standing).count();
+        }
+
+        void awaitAll(int of, Standing standing) {
+            for (int i = 0; i < size; i++) {
+                if (i != of && members[i] != null) {
+                    assertEquals(standing, members[i].standing(names.get(of)), names.get(i) + " of " + names.get(of));
+                }
+            }
+        }
+    }
+
+    @Test
+    void deadMemberIsGoneForAllWithinItsBoundAndNoOther() {
+        List<Double> took = new ArrayList<>();
+        long wrong = 0;
+        for (long seed = 0; seed < 300; seed++) {
+            World w = new World(2 + (int) (seed % 11), seed);
+            w.loss = seed % 3 * 0.15;
+            w.run(5000 + seed);
+            double died = w.now;
+            w.end(0);
+            w.run(2 * LIMITS.goneMs() + 3 * LIMITS.beatMs());
+            w.awaitAll(0, Standing.GONE);
+            for (World.Seen s : w.seen) {
+                if (s.standing() == Standing.GONE) {
+                    assertEquals(0, s.of(), "a live one is gone, seed " + seed);
+                    took.add(s.at() - died);
+                } else if (s.standing() == Standing.SUSPECT && s.of() != 0) {
+                    wrong++;
+                }
+            }
+        }
+        double[] sorted = took.stream().mapToDouble(d -> d).sorted().toArray();
+        System.out.printf("dead: %d sightings, p50 %.0f, p99 %.0f, max %.0f ms; suspected wrongly %d%n", sorted.length,
+                sorted[sorted.length / 2], sorted[sorted.length * 99 / 100], sorted[sorted.length - 1], wrong);
+        assertTrue(sorted[0] > LIMITS.goneMs() - 4 * LIMITS.beatMs(), "too soon: " + sorted[0]);
+        assertTrue(sorted[sorted.length / 2] < LIMITS.goneMs() + 2 * LIMITS.beatMs(), "p50 of " + sorted.length);
+        assertEquals(0, wrong);
+    }
+
+    @Test
+    void memberThatOneOtherHearsIsGoneForNobody() {
+        for (long seed = 0; seed < 100; seed++) {
+            World w = new World(3 + (int) (seed % 12), seed);
+            w.run(3000);
+            int friend = 1 + (int) (seed % (w.size - 1));
+            w.cut = (from, to) -> from == 0 && to != friend || to == 0 && from != friend;
+            w.run(20_000);
+            w.awaitAll(0, Standing.ALIVE);
+            assertEquals(0, w.count(Standing.GONE), "seed " + seed);
+        }
+    }
+
+    @Test
+    void oneWayLossIsSeenBySenderAndDoesNotKill() {
+        for (long seed = 0; seed < 100; seed++) {
+            World w = new World(3 + (int) (seed % 10), seed);
+            w.run(3000);
+            w.cut = (from, to) -> from == 0 && to == 1;
+            w.run(10_000);
+            assertTrue(w.members[0].deafMs("n1") > 9000, "n0 knows that n1 does not hear it");
+            assertEquals(1, w.members[0].oneWay());
+            assertEquals(0, w.members[1].deafMs("n0"));
+            assertEquals(Standing.ALIVE, w.members[1].standing("n0"));
+            assertEquals(Standing.ALIVE, w.members[0].standing("n1"));
+            assertEquals(0, w.count(Standing.GONE));
+            w.cut = (from, to) -> false;
+            w.run(1000);
+            assertEquals(0, w.members[0].oneWay());
+        }
+    }
+
+    @Test
+    void slowAndLossyLinesAreNoDeath() {
+        for (long seed = 0; seed < 30; seed++) {
+            World w = new World(4 + (int) (seed % 9), seed);
+            w.delayMs = 250;
+            w.loss = 0.3;
+            w.run(60_000);
+            assertEquals(0, w.count(Standing.GONE), "seed " + seed);
+        }
+    }
+
+    @Test
+    void memberThatStoodStillTakesNobodyForDeadAndRefutes() {
+        for (long seed = 0; seed < 100; seed++) {
+            World w = new World(3 + (int) (seed % 10), seed);
+            w.run(3000);
+            w.stoppedUntil[0] = w.now + 10_000 + seed * 50;
+            w.run(9_900);
+            w.awaitAll(0, Standing.GONE);
+            w.run(8_000);
+            for (World.Seen s : w.seen) {
+                assertTrue(s.by() != 0 || s.standing() == Standing.ALIVE, "it doubts others: " + s);
+            }
+            w.awaitAll(0, Standing.ALIVE);
+            assertTrue(w.members[0].refutations() > 0);
+            assertTrue(w.members[0].lateTicks() > 0);
+        }
+    }
+
+    @Test
+    void beatsThatStoodInTheLineDoNotKeepTheDeadAlive() {
+        World w = new World(2, 5);
+        w.run(3000);
+        w.delayMs = 8000;
+        w.run(2000);
+        // All beats of these two seconds arrive from four to twelve seconds later, long after their sender has ended.
+        double died = w.now;
+        w.end(0);
+        w.run(LIMITS.goneMs() + 3 * LIMITS.beatMs());
+        assertEquals(Standing.GONE, w.members[1].standing("n0"), "by " + (w.now - died));
+        w.run(10_000);
+        assertEquals(Standing.GONE, w.members[1].standing("n0"));
+    }
+
+    @Test
+    void laterLifeComesBackAndHalvesFindEachOther() {
+        for (long seed = 0; seed < 50; seed++) {
+            World w = new World(6, seed);
+            w.run(2000);
+            w.cut = (from, to) -> from < 3 != to < 3;
+            w.run(12_000);
+            assertEquals(3, w.members[0].count(Standing.GONE));
+            w.cut = (from, to) -> false;
+            w.run(2000);
+            assertEquals(5, w.members[0].count(Standing.ALIVE));
+            w.end(2);
+            w.run(10_000);
+            w.begin(2, 2);
+            // Only one other has a link with the new life: the rest hear of it.
+            w.link(2, 4);
+            w.link(4, 2);
+            w.run(2000);
+            w.awaitAll(2, Standing.ALIVE);
+            assertEquals(2, w.members[0].lifeOf("n2"));
+        }
+    }
+
+    @Test
+    void twoProcessesOfOneNameAreFoundWithoutMeetingOneMember() {
+        World w = new World(4, 1);
+        w.run(2000);
+        // n3 lives on at n0 and n1; a copy of it, of the same life, has linked with n2 only.
+        w.members[2] = new Detector("n2", 2, World.instance(2, 2), LIMITS, 9);
+        w.members[2].update(w.names);
+        w.lives[2] = 2;
+        Detector d = w.members[2];
+        w.in(1, () -> w.tick(2, d));
+        for (int i = 0; i < 2; i++) {
+            w.link(2, i);
+            w.link(i, 2);
+        }
+        d.linked(w.local(2), w.local(2), "n3", 1, 4711);
+        w.run(2000);
+        List<Detector.Conflict> told = w.members[0].conflicts();
+        assertEquals(1, told.size(), "once: " + told);
+        assertEquals("n3", told.get(0).name());
+        assertEquals("n3", w.members[3].conflicts().get(0).name(), "the first process is told itself");
+    }
+}
