The reducer lets tenants' flows begin by their shares; without shares nothing is asked

The scheduler (core.share.TenantScheduler) had no one to ask it. Event.SharesTold brings what tenants may hold; from then on a flow begins when its tenant's turn comes, waits without the module's knowledge until then, and is refused at once with when to come back if its time can't be met (counted as flows_over_share). Places come free once a flow has ended and has no forward out, and go on only after the module has finished its own event (Reducer.shareOut). With no shares told no scheduler exists, and each flow begins as before. Node.tell and Node.tenantUse are the ways in and out for another thread; PoolReports makes records of what Observer counted. Links' bounds in the file are those that links accept.

--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -2,6 +2,7 @@
 
 import brackenbridge.BalancerApi.Report;
 import brackenbridge.BalancerApi.Settings;
+import brackenbridge.core.share.Allowances;
 import brackenbridge.core.share.ZoneWeights;
 
 /** What happens to the node: all that the reducer ever learns. */
@@ -107,6 +108,10 @@
     record Reconfigured(Settings settings, TargetGroup known, boolean discoveryMoved) implements Event {
     }
 
+    /** The fleet says what each tenant may hold here. */
+    record SharesTold(Allowances allowances) implements Event {
+    }
+
     /** The fleet says how much of its usual load each zone's servers are to get. */
     record ZonesWeighed(ZoneWeights weights) implements Event {
     }
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -16,6 +16,10 @@
 import brackenbridge.core.membership.Source;
 import brackenbridge.core.membership.Step;
 import brackenbridge.core.observe.Observer;
+import brackenbridge.core.share.Allowances;
+import brackenbridge.core.share.TenantScheduler;
+import brackenbridge.core.share.TenantUse;
+import brackenbridge.core.share.Turn;
 import brackenbridge.core.share.ZoneWeights;
 import brackenbridge.counters.Counters;
 import brackenbridge.counters.Counters.Kind;
@@ -65,8 +69,13 @@
         /** As many forwards as were allowed when it opened. */
         final int maxAttempts;
         final Object message;
+        /** Its tenant; null if none. */
+        final String tenant;
+        final boolean repeat;
         /** How long its client waits, from its last byte on. */
         final double left;
+        /** The module knows of it: it waits for no turn among the tenants. */
+        boolean begun;
         /** Infinite until its last byte has come. */
         double deadline;
         /** It can't be sent again. */
@@ -77,11 +86,13 @@
         boolean timedOut;
         boolean mayHaveRun;
 
-        OpenFlow(long id, String className, int maxAttempts, Object message, double left, double deadline) {
+        OpenFlow(long id, Flow request, int maxAttempts, double left, double deadline) {
             this.id = id;
-            this.className = className;
+            this.className = request.className();
             this.maxAttempts = maxAttempts;
-            this.message = message;
+            this.message = request.message();
+            this.tenant = request.tenant();
+            this.repeat = request.repeat();
             this.left = left;
             this.deadline = deadline;
         }
@@ -138,6 +149,11 @@
     private boolean closed;
     private boolean exiting;
     private ZoneWeights zones = ZoneWeights.USUAL;
+    /** Null until the fleet has told what tenants may hold: then each flow begins when it comes. */
+    private TenantScheduler tenants;
+    /** Flows that have ended and whose place nobody has yet. */
+    private final ArrayDeque<Long> freed = new ArrayDeque<>();
+    private double sharesWakeMs = Double.POSITIVE_INFINITY;
     /** Null where nobody wants to know. */
     private Observer observer;
 
@@ -166,6 +182,7 @@
         try {
             apply(event);
             settle();
+            shareOut();
         } catch (RuntimeException e) {
             // Guards the node against a fault in a decision: each flow's own deadline still answers it.
             owed.clear();
@@ -271,6 +288,8 @@
                     e.report());
         } else if (event instanceof Event.Reconfigured e) {
             reconfigured(e);
+        } else if (event instanceof Event.SharesTold e) {
+            shared(e.allowances());
         } else if (event instanceof Event.ZonesWeighed e) {
             weighed(e.weights());
         } else if (event instanceof Event.DrainAsked e) {
@@ -292,7 +311,7 @@
         double waits = request.timeLeftMs() >= 0 ? request.timeLeftMs()
                 : ModuleTime.ms(classes.get(request.className()).deadline());
         double left = Math.max(0, waits - MARGIN_MS);
-        OpenFlow f = new OpenFlow(id, request.className(), settings.maxAttempts(), request.message(), left,
+        OpenFlow f = new OpenFlow(id, request, settings.maxAttempts(), left,
                 request.whole() ? now + left : Double.POSITIVE_INFINITY);
         flows.put(id, f);
         unanswered++;
@@ -303,21 +322,89 @@
             return;
         }
         effects.add(new Effect.SetTimer(now + left, new TimerKey.Deadline(id)));
-        Request told = new Request(id, request.className(), request.tenant(), -1, ModuleTime.micros(left), -1,
-                request.repeat());
-        if (request.whole()) {
+        if (tenants == null) {
+            begin(f);
+            return;
+        }
+        TenantScheduler.Decision d = tenants.open(now, id, f.tenant, now + left, 0);
+        if (d.verdict() == TenantScheduler.Verdict.GO) {
+            begin(f);
+        } else if (d.verdict() == TenantScheduler.Verdict.REFUSE) {
+            counters.count(Kind.FLOWS_OVER_SHARE);
+            fixedResponse(f, Effect.Fixed.REFUSED, d.retryAfterMs());
+        }
+    }
+
+    /** The module hears of a flow: at once, or when its tenant's turn has come. */
+    private void begin(OpenFlow f) {
+        f.begun = true;
+        double left = f.isWhole() ? f.deadline - now : f.left;
+        Request told = new Request(f.id, f.className, f.tenant, -1, ModuleTime.micros(left), -1, f.repeat);
+        if (f.isWhole()) {
             balancer.onRequest(ModuleTime.micros(now), told);
         } else {
             balancer.onLongRequest(ModuleTime.micros(now), told);
         }
     }
 
+    // ---- Tenants ----
+
+    /** From now on tenants have what they are told here. */
+    private void shared(Allowances told) {
+        if (tenants == null) {
+            tenants = new TenantScheduler(TenantScheduler.Limits.USUAL);
+            // What is open already holds connections too.
+            for (OpenFlow f : flows.values()) {
+                tenants.open(now, f.id, f.tenant, f.isWhole() ? f.deadline : now + f.left, 0);
+            }
+        }
+        turn(tenants.told(now, told));
+    }
+
+    private void turn(Turn t) {
+        for (Turn.Refused r : t.refuse()) {
+            OpenFlow f = flows.get(r.flow());
+            if (f != null && !f.ended) {
+                counters.count(Kind.FLOWS_OVER_SHARE);
+                fixedResponse(f, Effect.Fixed.REFUSED, r.retryAfterMs());
+            }
+        }
+        for (long id : t.begin()) {
+            OpenFlow f = flows.get(id);
+            if (f != null && !f.ended && !f.begun) {
+                begin(f);
+            }
+        }
+    }
+
+    /**
+     * Flows that hold nothing any more give their places to others. Only once the module has finished its own event:
+     * one that begins would be told in the midst of it.
+     */
+    private void shareOut() {
+        while (!freed.isEmpty()) {
+            turn(tenants.done(now, freed.poll()));
+            settle();
+        }
+        if (tenants != null && tenants.wakeMs() < sharesWakeMs) {
+            sharesWakeMs = tenants.wakeMs();
+            effects.add(new Effect.SetTimer(sharesWakeMs, new TimerKey.Shares()));
+        }
+    }
+
+    /** What each tenant wanted and used since the last reading; nothing where they have no shares. */
+    public List<TenantUse> tenantUse(double nowMs) {
+        return tenants == null ? List.of() : tenants.read(nowMs);
+    }
+
     /** From now on the client waits. */
     private void whole(long id) {
         OpenFlow f = flows.get(id);
         if (f != null && !f.isWhole()) {
             f.deadline = now + f.left;
-            balancer.onWhole(ModuleTime.micros(now), id);
+            if (f.begun) {
+                balancer.onWhole(ModuleTime.micros(now), id);
+            }
             effects.add(new Effect.SetTimer(f.deadline, new TimerKey.Deadline(id)));
         }
     }
@@ -329,7 +416,9 @@
         }
         counters.count(Kind.FLOWS_GONE, f.className);
         end(f);
-        balancer.onGone(ModuleTime.micros(now), id);
+        if (f.begun) {
+            balancer.onGone(ModuleTime.micros(now), id);
+        }
         if (f.out != null && settings.mayCancel()) {
             cancelOut(f, Outcome.CANCELLED);
         }
@@ -380,6 +469,9 @@
     /** Guards memory: a client may name any time it likes, and its timer must not outlive its flow. */
     private void forget(OpenFlow f) {
         if (flows.remove(f.id, f)) {
+            if (tenants != null) {
+                freed.add(f.id);
+            }
             effects.add(new Effect.UnsetTimer(new TimerKey.Deadline(f.id)));
         }
     }
@@ -473,6 +565,9 @@
                 effects.add(new Effect.EndProbe(k.probe()));
                 probed(k.probe(), Outcome.TIMEOUT, null);
             }
+        } else if (key instanceof TimerKey.Shares) {
+            sharesWakeMs = Double.POSITIVE_INFINITY;
+            turn(tenants.due(now));
         } else if (key instanceof TimerKey.WeightsOver) {
             tellWeights();
         } else if (key instanceof TimerKey.DrainStep k) {
@@ -511,7 +606,9 @@
             // Guards against a flow that the module still holds: the client must not be left without an answer.
             counters.count(Kind.ANSWERED_AT_DEADLINE);
             fixedResponse(f, f.mayHaveRun ? Effect.Fixed.TIMED_OUT : Effect.Fixed.REFUSED, 0);
-            balancer.onGone(ModuleTime.micros(now), f.id);
+            if (f.begun) {
+                balancer.onGone(ModuleTime.micros(now), f.id);
+            }
         }
     }
 
--- a/core/src/main/java/brackenbridge/core/TimerKey.java
+++ b/core/src/main/java/brackenbridge/core/TimerKey.java
@@ -26,6 +26,10 @@
     record ProbeLimit(long probe) implements TimerKey {
     }
 
+    /** Something is due among the tenants. */
+    record Shares() implements TimerKey {
+    }
+
     /** What the fleet said of zones holds no longer. */
     record WeightsOver() implements TimerKey {
     }
--- a/core/src/main/java/brackenbridge/counters/Counters.java
+++ b/core/src/main/java/brackenbridge/counters/Counters.java
@@ -13,6 +13,8 @@
         FLOWS_IN,
         /** Flows that their client marked as a repeat. */
         FLOWS_REPEATED,
+        /** Flows that their tenant had no share left for in time; they count as refused too. */
+        FLOWS_OVER_SHARE,
         /** Flows whose client went away, before its answer or while it was written. */
         FLOWS_GONE,
         /** Requests that were malformed, too large or not for this node. */
--- a/fleet/src/main/java/brackenbridge/fleet/config/FleetFile.java
+++ b/fleet/src/main/java/brackenbridge/fleet/config/FleetFile.java
@@ -149,11 +149,14 @@
             t.fault("member", "a fleet needs members");
         }
         Table l = t.table("links");
-        Links links = new Links(l.span("beat", 250, 10, 10_000), l.span("suspect", 1000, 20, 60_000),
-                l.span("gone", 3000, 50, 600_000), (int) l.size("frame", 1 << 20, 4096, 16 << 20),
+        Links links = new Links(l.span("beat", 250, 10, 10_000), l.span("suspect", 1250, 20, 60_000),
+                l.span("gone", 4000, 50, 600_000), (int) l.size("frame", 1 << 20, 4096, 16 << 20),
                 l.size("queue", 4 << 20, 65_536, 256 << 20));
-        if (links.suspectMs() < 2 * links.beatMs()) {
-            l.fault("suspect", "is less than two beats: each lost beat would be a suspicion");
+        if (links.suspectMs() < 4 * links.beatMs()) {
+            l.fault("suspect", "is less than four beats: a few that come late would be a suspicion");
+        }
+        if (links.goneMs() < 2 * links.suspectMs()) {
+            l.fault("gone", "is less than twice suspect: nobody could refute in time");
         }
         if (links.queueBytes() < links.frameBytes()) {
             l.fault("queue", "is less than one frame");
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/node/PoolReports.java
@@ -0,0 +1,96 @@
+package brackenbridge.fleet.node;
+
+import brackenbridge.core.observe.Observer.Key;
+import brackenbridge.core.observe.Observer.Snapshot;
+import brackenbridge.core.observe.Observer.Tally;
+import brackenbridge.fleet.evacuation.PoolName;
+import brackenbridge.fleet.evacuation.PoolSeen;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Turns what a node counted into records of its pools: what went there over the last seconds, and what answers took.
+ * Plain values in and out; one thread.
+ */
+final class PoolReports {
+    /** What lies further back counts no more; milliseconds. */
+    private static final double OVER_MS = 10_000;
+    /** A mean of fewer answers says nothing of the time at ease. */
+    private static final long ENOUGH = 20;
+    /** The least mean rises by so much a report, so that servers that became slower for good are not measured by it. */
+    private static final double RISE = 1.0005;
+
+    private final String tier;
+    private final double connections;
+    private final double coldFrom;
+    private final double coldMs;
+    private final ArrayDeque<Snapshot> seen = new ArrayDeque<>();
+    private final Map<Key, Double> leastMs = new HashMap<>();
+
+    /**
+     * Reports of one node.
+     *
+     * @param tier the tier that it sends to
+     * @param connections calls that a server of weight 1 may have open; 0 if not known
+     * @param coldFrom the part of its speed that a server has at its start
+     * @param coldMs after what time it has all, in milliseconds
+     */
+    PoolReports(String tier, double connections, double coldFrom, double coldMs) {
+        this.tier = tier;
+        this.connections = connections;
+        this.coldFrom = coldFrom;
+        this.coldMs = coldMs;
+    }
+
+    /** The records by key, {@code tier/zone/kind/class}, as they are once this snapshot was taken. */
+    Map<String, PoolSeen> report(Snapshot now) {
+        while (seen.size() > 1 && now.atMs() - seen.peekFirst().atMs() > OVER_MS) {
+            seen.pollFirst();
+        }
+        Map<String, PoolSeen> all = new TreeMap<>();
+        Snapshot before = seen.peekFirst();
+        if (before != null && now.atMs() > before.atMs()) {
+            double seconds = (now.atMs() - before.atMs()) / 1000;
+            Map<String, Double> refused = new HashMap<>();
+            now.refused().forEach((c, n) -> refused.put(c, (n - before.refused().getOrDefault(c, 0L)) / seconds));
+            Map<String, Long> firstOfClass = new HashMap<>();
+            now.pools().forEach((k, t) -> firstOfClass.merge(k.className(),
+                    t.first() - before.pools().getOrDefault(k, NONE).first(), Long::sum));
+            now.pools().forEach((k, t) -> {
+                Tally was = before.pools().getOrDefault(k, NONE);
+                // What was turned away went nowhere: it counts with each pool by its part of what did go.
+                double part = firstOfClass.get(k.className()) == 0 ? 0
+                        : (t.first() - was.first()) / (double) firstOfClass.get(k.className());
+                all.put(name(k) + "/" + k.className(),
+                        one(k, t, was, seconds, refused.getOrDefault(k.className(), 0.0) * part,
+                                now.servers().getOrDefault(new Key(k.zone(), k.weight(), ""), 0)));
+            });
+        }
+        seen.addLast(now);
+        return all;
+    }
+
+    private static final Tally NONE = new Tally(0, 0, 0, 0, 0, 0, 0, 0);
+
+    private PoolName name(Key k) {
+        // Servers of one zone and weight are one pool: nothing else in a list tells kinds apart.
+        return new PoolName(tier, k.zone().isEmpty() ? "-" : k.zone().replace('/', '_'), "w" + k.weight());
+    }
+
+    private PoolSeen one(Key k, Tally now, Tally was, double seconds, double refused, int servers) {
+        long served = now.served() - was.served();
+        long ended = served + now.failed() - was.failed();
+        double mean = served == 0 ? 0 : (now.sumMs() - was.sumMs()) / served;
+        double square = served == 0 ? 0 : (now.sumSquaredMs() - was.sumSquaredMs()) / served;
+        if (served >= ENOUGH) {
+            leastMs.merge(k, mean, (old, m) -> Math.min(old * RISE, m));
+        }
+        return new PoolSeen((now.first() - was.first()) / seconds, (now.attempts() - was.attempts()) / seconds, refused,
+                servers, 0, (now.heldMs() - was.heldMs()) / (seconds * 1000), leastMs.getOrDefault(k, 0.0), mean,
+                mean == 0 ? 0 : Math.max(0, square / (mean * mean) - 1),
+                ended == 0 ? 0 : (now.failed() - was.failed()) / (double) ended, seconds * 1000, -1,
+                connections * k.weight(), coldFrom, coldMs, 1, 0);
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/node/PoolReportsTest.java
@@ -0,0 +1,65 @@
+package brackenbridge.fleet.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import brackenbridge.core.observe.Observer;
+import brackenbridge.core.observe.Observer.Key;
+import brackenbridge.fleet.evacuation.PoolSeen;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What a node counted becomes rates and times of the last seconds. */
+class PoolReportsTest {
+    private static final Key A = new Key("a", 1, "view");
+    private static final Key B = new Key("b", 2, "view");
+    private final Observer observer = new Observer();
+    private final PoolReports reports = new PoolReports("tier-0", 4, 0.3, 8500);
+    private double now = 1_000_000;
+
+    private Map<String, PoolSeen> second(int toA, int toB, double ms, int refused) {
+        for (int i = 0; i < toA; i++) {
+            observer.sent(A, true);
+            observer.ended(A, true, true, ms);
+        }
+        for (int i = 0; i < toB; i++) {
+            observer.sent(B, i % 2 == 0);
+            observer.ended(B, i % 2 == 1, true, ms);
+        }
+        for (int i = 0; i < refused; i++) {
+            observer.refused("view");
+        }
+        now += 1000;
+        return reports.report(observer.snapshot(now,
+                Map.of(new Key("a", 1, ""), 3, new Key("b", 2, ""), 5)));
+    }
+
+    @Test
+    void ratesTimesAndServersOfEachPool() {
+        second(0, 0, 0, 0);
+        Map<String, PoolSeen> all = second(40, 20, 50, 10);
+        PoolSeen a = all.get("tier-0/a/w1.0/view");
+        PoolSeen b = all.get("tier-0/b/w2.0/view");
+        assertEquals(40, a.arrivals(), 1e-9);
+        assertEquals(2, a.busy(), 1e-9, "forty calls of 50 ms in a second");
+        assertEquals(50, a.latencyMs(), 1e-9);
+        assertEquals(0, a.squaredVariation(), 1e-9);
+        assertEquals(8, a.refused(), 1e-9, "four of five first tries went to a");
+        assertEquals(10, b.arrivals(), 1e-9);
+        assertEquals(20, b.attempts(), 1e-9);
+        assertEquals(0.5, b.failed(), 1e-9);
+        assertEquals(5, b.servers());
+        assertEquals(8, b.connections(), 1e-9, "a server of weight 2 bears twice as many");
+    }
+
+    @Test
+    void timeAtEaseStaysWhenThePoolSlowsDownAndWhatIsLongAgoCountsNoMore() {
+        second(0, 0, 0, 0);
+        second(50, 0, 20, 0);
+        for (int i = 0; i < 12; i++) {
+            second(50, 0, 200, 0);
+        }
+        PoolSeen a = second(50, 0, 200, 0).get("tier-0/a/w1.0/view");
+        assertEquals(20, a.serviceMs(), 0.5);
+        assertEquals(200, a.latencyMs(), 1e-9, "the fast second is out of the window");
+    }
+}
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -7,6 +7,7 @@
 import brackenbridge.core.Reducer;
 import brackenbridge.core.TimerKey;
 import brackenbridge.core.observe.Observer;
+import brackenbridge.core.share.TenantUse;
 import brackenbridge.counters.Counters;
 import brackenbridge.handover.Handover;
 import brackenbridge.handover.Offer;
@@ -27,6 +28,7 @@
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
@@ -239,6 +241,18 @@
         loop.execute(() -> raise(weights));
     }
 
+    /** What tenants may hold, as {@link #tell(Event.ZonesWeighed)}. */
+    public void tell(Event.SharesTold shares) {
+        loop.execute(() -> raise(shares));
+    }
+
+    /** What each tenant wanted and used since this was last asked; from any thread. */
+    public CompletableFuture<List<TenantUse>> tenantUse() {
+        CompletableFuture<List<TenantUse>> read = new CompletableFuture<>();
+        loop.execute(() -> read.complete(reducer.tenantUse(clock.nowMs())));
+        return read;
+    }
+
     /** Begins to stop; the future that is returned completes when all is answered. */
     public CompletableFuture<Void> stop() {
         loop.execute(() -> {
