--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Differences.java
@@ -0,0 +1,308 @@
+package brackenbridge.fleet.replica;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Finds copies that differ at rest, without a reader: digests of lives, then of ranges of keys, then the records of a
+ * range; and makes them one by a rule that is the same at every member:
+ * <ol>
+ * <li>the owner's copy of its present life decides, what it lacks is gone;
+ * <li>a record that is no longer what its owner wrote (its checksum) yields to one that is;
+ * <li>the later write wins; a record that only one has stays;
+ * <li>two contents of one write are two writers: both are put aside; of sums, the greater count stays.
+ * </ol>
+ */
+public final class Differences {
+    /** Comparisons with the owner that still find a difference after the rule, until the copy is given up. */
+    static final int STRIKES = 3;
+    private static final int MOST_KEPT = 256;
+    private static final int MOST_LIVES = 256;
+    private static final int PIECE_BYTES = 64 << 10;
+
+    /** What became of a difference. */
+    public enum Verdict {
+        /** The peer's record was taken, or its word that there is none. */
+        TOOK_THEIRS,
+        /** The record here stands. */
+        KEPT_MINE,
+        /** Two writers. */
+        TWO_WRITERS
+    }
+
+    /**
+     * Two copies of a record that differed.
+     *
+     * @param atMs when it was found
+     * @param owner whose record
+     * @param life of which life
+     * @param space its space
+     * @param key its key
+     * @param peer who holds the other copy
+     * @param mine the copy here, as text
+     * @param theirs the other, as text
+     * @param verdict what became of it
+     */
+    public record Difference(double atMs, String owner, long life, Space space, String key, String peer, String mine,
+            String theirs, Verdict verdict) {
+    }
+
+    private final Store store;
+    private final ArrayDeque<Difference> found = new ArrayDeque<>();
+    private final Map<CatchUp.Of, Integer> strikes = new HashMap<>();
+    private final Set<CatchUp.Of> open = new TreeSet<>();
+    private final Set<CatchUp.Of> givenUp = new TreeSet<>();
+    private final List<String> alarms = new ArrayList<>();
+    private CatchUp.Of next = new CatchUp.Of("", 0);
+    private long total;
+
+    /** Of this copy. */
+    public Differences(Store store) {
+        this.store = store;
+    }
+
+    /** The next lives to compare with this peer; all come in turn, the peer's own one is always among them. */
+    public Message.Digests next(String peer) {
+        Set<CatchUp.Of> of = new LinkedHashSet<>();
+        of.add(new CatchUp.Of(peer, store.newest(peer)));
+        of.add(new CatchUp.Of(store.me(), store.life()));
+        List<CatchUp.Of> all = new ArrayList<>();
+        store.owners().forEach(o -> store.lives(o).forEach(l -> all.add(new CatchUp.Of(o, l))));
+        int from = 0;
+        while (from < all.size() && all.get(from).compareTo(next) < 0) {
+            from++;
+        }
+        for (int i = 0; i < all.size() && of.size() < MOST_LIVES; i++) {
+            of.add(all.get((from + i) % all.size()));
+        }
+        next = all.isEmpty() ? next : all.get((from + Math.min(all.size(), MOST_LIVES - 2)) % all.size());
+        List<Message.Digest> digests = new ArrayList<>();
+        for (CatchUp.Of o : of) {
+            long[] d = store.digests(o.owner(), o.life());
+            if (d != null) {
+                digests.add(new Message.Digest(o.owner(), o.life(), store.have(o.owner(), o.life()).orElse(0),
+                        Part.digest(d)));
+            }
+        }
+        return new Message.Digests(digests);
+    }
+
+    /** Takes a peer's digests; answers with ranges where they differ. */
+    public List<Message> took(String peer, Message.Digests m) {
+        List<Message> answers = new ArrayList<>();
+        for (Message.Digest d : m.digests()) {
+            long[] mine = same(d.owner(), d.life(), d.have());
+            if (mine == null) {
+                continue;
+            }
+            if (Part.digest(mine) == d.digest()) {
+                agreed(peer, d.owner(), d.life());
+            } else {
+                answers.add(ranges(d.owner(), d.life(), d.have(), mine));
+            }
+        }
+        return answers;
+    }
+
+    private static Message.Ranges ranges(String owner, long life, long have, long[] digests) {
+        List<Long> list = new ArrayList<>();
+        for (long d : digests) {
+            list.add(d);
+        }
+        return new Message.Ranges(owner, life, have, list);
+    }
+
+    /** Only copies that are equally far are compared. */
+    private long[] same(String owner, long life, long have) {
+        return store.have(owner, life).orElse(0) == have ? store.digests(owner, life) : null;
+    }
+
+    private void agreed(String peer, String owner, long life) {
+        CatchUp.Of of = new CatchUp.Of(owner, life);
+        open.remove(of);
+        if (peer.equals(owner) || life < store.newest(owner)) {
+            strikes.remove(of);
+            givenUp.remove(of);
+        }
+    }
+
+    /** Takes a peer's digests by range; answers with the records of ranges that differ. */
+    public List<Message> took(String peer, Message.Ranges m) {
+        List<Message> answers = new ArrayList<>();
+        long[] mine = same(m.owner(), m.life(), m.have());
+        if (mine == null) {
+            return answers;
+        }
+        boolean differ = false;
+        for (int r = 0; r < mine.length; r++) {
+            if (mine[r] != m.digests().get(r)) {
+                differ = true;
+                answers.addAll(copies(m.owner(), m.life(), m.have(), r, true));
+            }
+        }
+        if (differ) {
+            strike(peer, m.owner(), m.life());
+        } else {
+            agreed(peer, m.owner(), m.life());
+        }
+        return answers;
+    }
+
+    private void strike(String peer, String owner, long life) {
+        CatchUp.Of of = new CatchUp.Of(owner, life);
+        if (owner.equals(store.me())) {
+            return;
+        }
+        open.add(of);
+        if (peer.equals(owner) && strikes.merge(of, 1, Integer::sum) >= STRIKES) {
+            strikes.remove(of);
+            givenUp.add(of);
+            alarm("the copy of " + owner + " in life " + life + " still differs from its owner's after "
+                    + STRIKES + " times: out of decision, fetched whole");
+            store.again(owner, life);
+        }
+    }
+
+    private List<Message> copies(String owner, long life, long have, int range, boolean ask) {
+        List<Message> pieces = new ArrayList<>();
+        List<Entry> piece = new ArrayList<>();
+        int bytes = 0;
+        for (Entry e : store.range(owner, life, range)) {
+            if (!piece.isEmpty() && (bytes + e.bytes() > PIECE_BYTES || piece.size() == Message.MOST)) {
+                pieces.add(new Message.Copies(owner, life, have, range, pieces.size(), false, ask, piece));
+                piece = new ArrayList<>();
+                bytes = 0;
+            }
+            piece.add(e);
+            bytes += e.bytes();
+        }
+        pieces.add(new Message.Copies(owner, life, have, range, pieces.size(), true, ask, piece));
+        return pieces;
+    }
+
+    /** Takes a peer's records of a range, and applies the rule; answers with those here if asked to. */
+    public List<Message> took(String peer, Message.Copies m, double nowMs) {
+        if (store.have(m.owner(), m.life()).orElse(0) != m.have() || store.digests(m.owner(), m.life()) == null) {
+            return List.of();
+        }
+        List<Message> answer = m.ask() && m.last() ? copies(m.owner(), m.life(), m.have(), m.range(), false)
+                : List.of();
+        Map<Item, Entry> theirs = new TreeMap<>();
+        m.entries().forEach(e -> theirs.put(e.item(), e));
+        Set<Item> items = new TreeSet<>(theirs.keySet());
+        Item first = m.part() == 0 || theirs.isEmpty() ? null : m.entries().get(0).item();
+        Item last = m.last() ? null : m.entries().isEmpty() ? first : m.entries().get(m.entries().size() - 1).item();
+        for (Entry e : store.range(m.owner(), m.life(), m.range())) {
+            if ((first == null || e.item().compareTo(first) >= 0) && (last == null || e.item().compareTo(last) <= 0)) {
+                items.add(e.item());
+            }
+        }
+        if (!peer.equals(m.owner()) || !m.ask()) {
+            open.add(new CatchUp.Of(m.owner(), m.life()));
+        }
+        for (Item i : items) {
+            Entry t = theirs.get(i);
+            if (t == null || t.item().range() == m.range() && t.version().life() == m.life()
+                    && t.version().sequence() <= m.have()) {
+                rule(peer, m.owner(), m.life(), i, t, nowMs);
+            }
+        }
+        if (m.last() && m.owner().equals(store.me())) {
+            open.remove(new CatchUp.Of(m.owner(), m.life()));
+        }
+        return answer;
+    }
+
+    private void rule(String peer, String owner, long life, Item item, Entry theirs, double nowMs) {
+        Entry mine = store.entry(owner, life, item);
+        boolean goneHere = mine == null || mine.gone();
+        boolean goneThere = theirs == null || theirs.gone();
+        if (goneHere && goneThere || mine != null && theirs != null && mine.sum() == theirs.sum()
+                && mine.intact(owner) && theirs.intact(owner)) {
+            return;
+        }
+        boolean own = owner.equals(store.me()) && life == store.life();
+        boolean present = life == store.newest(owner);
+        Verdict v;
+        if (mine != null && !mine.intact(owner)) {
+            v = theirs != null && theirs.intact(owner) || !own ? Verdict.TOOK_THEIRS : Verdict.KEPT_MINE;
+        } else if (theirs != null && !theirs.intact(owner) || own) {
+            v = Verdict.KEPT_MINE;
+        } else if (theirs == null) {
+            v = peer.equals(owner) && present ? Verdict.TOOK_THEIRS : Verdict.KEPT_MINE;
+        } else if (mine == null) {
+            v = Verdict.TOOK_THEIRS;
+        } else if (mine.version().equals(theirs.version())) {
+            v = Verdict.TWO_WRITERS;
+        } else {
+            v = theirs.version().compareTo(mine.version()) > 0 ? Verdict.TOOK_THEIRS : Verdict.KEPT_MINE;
+        }
+        if (own && mine != null && theirs != null && mine.intact(owner) && theirs.intact(owner)
+                && mine.version().equals(theirs.version())) {
+            v = Verdict.TWO_WRITERS;
+        }
+        found(new Difference(nowMs, owner, life, item.space(), item.key(), peer, text(owner, mine),
+                text(owner, theirs), v));
+        if (v == Verdict.TOOK_THEIRS) {
+            store.mend(owner, life, item, theirs != null && !theirs.intact(owner) ? null : theirs, nowMs);
+        } else if (v == Verdict.TWO_WRITERS) {
+            store.clash(owner, life, mine, theirs);
+        }
+    }
+
+    private static String text(String owner, Entry e) {
+        return e == null ? "nothing" : e.intact(owner) ? e.toString() : e + " (not what was written)";
+    }
+
+    private void found(Difference d) {
+        total++;
+        if (found.size() == MOST_KEPT) {
+            found.removeFirst();
+        }
+        found.addLast(d);
+        alarm("copies differ: " + d.owner() + " life " + d.life() + " " + d.space() + "/" + d.key() + ": here "
+                + d.mine() + ", at " + d.peer() + " " + d.theirs() + ": " + d.verdict());
+    }
+
+    private void alarm(String text) {
+        if (alarms.size() < MOST_KEPT) {
+            alarms.add(text);
+        }
+    }
+
+    /** What was found that staff should know, since the last call. */
+    public List<String> alarms() {
+        List<String> a = List.copyOf(alarms);
+        alarms.clear();
+        return a;
+    }
+
+    /** The last differences that were found, earliest first. */
+    public List<Difference> found() {
+        return List.copyOf(found);
+    }
+
+    /** How many were found since the start. */
+    public long total() {
+        return total;
+    }
+
+    /** Lives of owners that were found to differ and were not found equal since. */
+    public int open() {
+        open.removeIf(o -> o.life() < store.newest(o.owner()) && store.have(o.owner(), o.life()).isEmpty());
+        return open.size();
+    }
+
+    /** Whether a copy here still differs after the rule: nobody acts on this member's copies. */
+    public boolean outOfDecision() {
+        givenUp.removeIf(o -> o.life() < store.newest(o.owner()));
+        return !givenUp.isEmpty();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Disk.java
@@ -0,0 +1,282 @@
+package brackenbridge.fleet.replica;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32C;
+import org.h2.mvstore.MVMap;
+import org.h2.mvstore.MVStore;
+import org.h2.mvstore.MVStoreException;
+import org.h2.mvstore.DataUtils;
+import org.h2.mvstore.type.ByteArrayDataType;
+import org.h2.mvstore.type.StringDataType;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A member's copy on disk: one file of H2's MVStore, written behind by appended chunks, each commit whole or not at
+ * all. Every record carries a checksum of its own. The header says whose it is.
+ */
+public final class Disk implements AutoCloseable {
+    /** The way of writing; another one is not read. */
+    static final int SCHEMA = 1;
+    private static final Logger LOG = LoggerFactory.getLogger(Disk.class);
+    private static final String FILE = "replica.mv";
+
+    /**
+     * What is to be written of one life of an owner.
+     *
+     * @param owner whose
+     * @param life which life
+     * @param have how far the copy is; empty if the life is gone
+     * @param floor how far removals are forgotten
+     * @param entries records that changed
+     * @param gone records that are gone
+     */
+    record Batch(String owner, long life, Long have, long floor, List<Entry> entries, List<Item> gone) {
+    }
+
+    private final Path file;
+    private final long life;
+    private MVStore store;
+    private MVMap<String, byte[]> heads;
+    private MVMap<String, byte[]> records;
+    private MVMap<String, byte[]> header;
+
+    private Disk(Path file, MVStore store, long life) {
+        this.file = file;
+        this.life = life;
+        use(store);
+    }
+
+    private void use(MVStore opened) {
+        store = opened;
+        header = map(opened, "header");
+        heads = map(opened, "heads");
+        records = map(opened, "records");
+    }
+
+    private static MVMap<String, byte[]> map(MVStore store, String name) {
+        return store.openMap(name, new MVMap.Builder<String, byte[]>().keyType(StringDataType.INSTANCE)
+                .valueType(ByteArrayDataType.INSTANCE));
+    }
+
+    private static MVStore open(Path file) {
+        return new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(4).open();
+    }
+
+    /**
+     * Opens a member's directory, and takes the next life: greater than the one before, and at least the time of day
+     * in milliseconds, so that a member whose disk is lost or old begins a later one all the same.
+     *
+     * @throws IOException in one line, if it is another fleet's or another member's, or a process has it open
+     */
+    public static Disk open(Path directory, String fleet, String member, double nowMs) throws IOException {
+        Files.createDirectories(directory);
+        Path file = directory.resolve(FILE);
+        MVStore store;
+        try {
+            store = open(file);
+        } catch (MVStoreException e) {
+            if (e.getErrorCode() == DataUtils.ERROR_FILE_LOCKED) {
+                throw new IOException(file + " is open in another process");
+            }
+            if (e.getErrorCode() != DataUtils.ERROR_FILE_CORRUPT
+                    && e.getErrorCode() != DataUtils.ERROR_UNSUPPORTED_FORMAT) {
+                throw new IOException(file + " can't be opened: " + first(e));
+            }
+            store = anew(file, nowMs, first(e));
+        }
+        Disk d;
+        try {
+            d = begun(file, store, fleet, member, nowMs);
+        } catch (MVStoreException e) {
+            store.closeImmediately();
+            store = anew(file, nowMs, first(e));
+            d = begun(file, store, fleet, member, nowMs);
+        }
+        return d;
+    }
+
+    private static MVStore anew(Path file, double nowMs, String why) throws IOException {
+        Path broken = file.resolveSibling(FILE + ".broken");
+        LOG.error("{} is broken ({}): kept as {}, begins empty and catches up from peers", file, why, broken);
+        Files.move(file, broken, StandardCopyOption.REPLACE_EXISTING);
+        return open(file);
+    }
+
+    private static Disk begun(Path file, MVStore store, String fleet, String member, double nowMs) throws IOException {
+        MVMap<String, byte[]> header = map(store, "header");
+        String wrong = !header.isEmpty() && !text(header, "schema").equals(Integer.toString(SCHEMA))
+                ? "is written in another way, " + text(header, "schema")
+                : !header.isEmpty() && !text(header, "fleet").equals(fleet)
+                ? "belongs to the fleet " + text(header, "fleet") + ", not to " + fleet
+                : !header.isEmpty() && !text(header, "member").equals(member)
+                ? "belongs to the member " + text(header, "member") + ", not to " + member : null;
+        if (wrong != null) {
+            store.closeImmediately();
+            throw new IOException(file + " " + wrong);
+        }
+        long before = 0;
+        try {
+            before = header.isEmpty() ? 0 : Long.parseLong(text(header, "life"));
+        } catch (NumberFormatException e) {
+            LOG.error("{} does not say its life: takes the time of day", file);
+        }
+        long life = Math.max(before + 1, (long) nowMs);
+        header.put("schema", text(Integer.toString(SCHEMA)));
+        header.put("fleet", text(fleet));
+        header.put("member", text(member));
+        header.put("life", text(Long.toString(life)));
+        store.commit();
+        store.sync();
+        return new Disk(file, store, life);
+    }
+
+    /** The life of a member that has no disk. */
+    public static long lifeWithout(double nowMs) {
+        return (long) nowMs;
+    }
+
+    private static byte[] text(String s) {
+        byte[] b = s.getBytes(StandardCharsets.UTF_8);
+        return checked(b);
+    }
+
+    private static String text(MVMap<String, byte[]> map, String key) {
+        byte[] b = unchecked(map.get(key));
+        return b == null ? "unknown" : new String(b, StandardCharsets.UTF_8);
+    }
+
+    /** The life that was taken at this start. */
+    public long life() {
+        return life;
+    }
+
+    /** Writes a life that was taken later, since peers knew a later one. */
+    void took(long later) {
+        header.put("life", text(Long.toString(later)));
+        store.commit();
+        store.sync();
+    }
+
+    /** Puts all that can be read into a copy; a life with a record that can't is left out, and fetched from peers. */
+    public void restore(Store to) {
+        Map<String, List<Entry>> entries = new HashMap<>();
+        Map<String, Integer> bad = new HashMap<>();
+        for (Map.Entry<String, byte[]> e : records.entrySet()) {
+            String of = e.getKey().substring(0, second(e.getKey()));
+            byte[] b = unchecked(e.getValue());
+            try {
+                Entry entry = b == null ? null : Codec.readEntry(b);
+                if (entry == null || !entry.intact(of.substring(0, of.indexOf('\0')))) {
+                    bad.merge(of, 1, Integer::sum);
+                } else {
+                    entries.computeIfAbsent(of, k -> new ArrayList<>()).add(entry);
+                }
+            } catch (IOException x) {
+                bad.merge(of, 1, Integer::sum);
+            }
+        }
+        for (Map.Entry<String, byte[]> e : heads.entrySet()) {
+            byte[] b = unchecked(e.getValue());
+            int cut = e.getKey().indexOf('\0');
+            String owner = e.getKey().substring(0, cut);
+            long of = Long.parseLong(e.getKey().substring(cut + 1));
+            List<Entry> of1 = entries.getOrDefault(e.getKey(), List.of());
+            if (b == null || b.length != 20 || bad.containsKey(e.getKey())
+                    || ByteBuffer.wrap(b).getInt(16) != of1.size()) {
+                LOG.error("{}: {} life {} is not whole on disk ({} of its records can't be read): fetched from peers",
+                        file, owner, of, bad.getOrDefault(e.getKey(), 0));
+                drop(e.getKey());
+                continue;
+            }
+            ByteBuffer head = ByteBuffer.wrap(b);
+            to.restore(owner, of, head.getLong(), head.getLong(), of1);
+        }
+    }
+
+    private void drop(String of) {
+        heads.remove(of);
+        List<String> keys = new ArrayList<>();
+        for (java.util.Iterator<String> i = records.keyIterator(of + '\0'); i.hasNext();) {
+            String k = i.next();
+            if (!k.startsWith(of + '\0')) {
+                break;
+            }
+            keys.add(k);
+        }
+        keys.forEach(records::remove);
+    }
+
+    private static int second(String key) {
+        return key.indexOf('\0', key.indexOf('\0') + 1);
+    }
+
+    /**
+     * Writes what changed, whole or not at all.
+     *
+     * @throws IOException if the disk does not take it: full, gone
+     */
+    void write(List<Batch> batches, Map<CatchUp.Of, Integer> sizes) throws IOException {
+        try {
+            if (store == null || store.isClosed()) {
+                use(open(file));
+            }
+            for (Batch b : batches) {
+                String of = b.owner() + '\0' + b.life();
+                if (b.have() == null) {
+                    drop(of);
+                    continue;
+                }
+                b.gone().forEach(i -> records.remove(key(of, i)));
+                b.entries().forEach(e -> records.put(key(of, e.item()), checked(Codec.write(e))));
+                heads.put(of, checked(ByteBuffer.allocate(20).putLong(b.have()).putLong(b.floor())
+                        .putInt(sizes.get(new CatchUp.Of(b.owner(), b.life()))).array()));
+            }
+            store.commit();
+        } catch (MVStoreException e) {
+            // A store that failed once does not write again: the next attempt opens the file anew.
+            store.closeImmediately();
+            throw new IOException(file + ": " + first(e), e);
+        }
+    }
+
+    private static String key(String of, Item i) {
+        return of + '\0' + i.space() + '\0' + i.key();
+    }
+
+    private static String first(Exception e) {
+        return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+    }
+
+    private static byte[] checked(byte[] b) {
+        CRC32C c = new CRC32C();
+        c.update(b, 0, b.length);
+        return ByteBuffer.allocate(b.length + 4).put(b).putInt((int) c.getValue()).array();
+    }
+
+    private static byte[] unchecked(byte[] b) {
+        if (b == null || b.length < 4) {
+            return null;
+        }
+        CRC32C c = new CRC32C();
+        c.update(b, 0, b.length - 4);
+        return ByteBuffer.wrap(b).getInt(b.length - 4) == (int) c.getValue() ? Arrays.copyOf(b, b.length - 4) : null;
+    }
+
+    @Override
+    public void close() {
+        if (store != null && !store.isClosed()) {
+            store.close();
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Entry.java
@@ -0,0 +1,97 @@
+package brackenbridge.fleet.replica;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32;
+import java.util.zip.CRC32C;
+import java.util.zip.Checksum;
+
+/**
+ * The last write of one key by one life of its owner. It is never changed.
+ *
+ * @param space the space
+ * @param key the key within it, at most {@link #MOST_KEY} characters
+ * @param version when, by the owner's count
+ * @param value the content of an own record; null if it was removed, and for counted ones
+ * @param count what this life of the owner has added, and what it took over by folding; 0 for own ones
+ * @param below parts of earlier lives than this one are within {@code count}; 0 if none is
+ * @param sum a checksum over all of it and the owner's name, made by the owner at the write
+ */
+public record Entry(Space space, String key, Version version, byte[] value, long count, long below, long sum) {
+    /** Characters of a key, at the most. */
+    public static final int MOST_KEY = 512;
+    /** Bytes of a value, at the most. */
+    public static final int MOST_VALUE = 16 << 10;
+
+    /** Checks what can be checked without the owner's name. */
+    public Entry {
+        if (space == null || key == null || key.length() > MOST_KEY || !text(key) || version == null || version.sequence() < 1
+                || value != null && value.length > MOST_VALUE || count < 0 || below < 0
+                || below > version.life() || space.kind() == Space.Kind.COUNTED && value != null) {
+            throw new IllegalArgumentException("not a record");
+        }
+    }
+
+    /** A record with its checksum. */
+    public static Entry of(String owner, Space space, String key, Version version, byte[] value, long count,
+            long below) {
+        return new Entry(space, key, version, value, count, below,
+                sum(owner, space, key, version, value, count, below));
+    }
+
+    /** Whether this can be written as UTF-8 and read again: half a surrogate pair can't. */
+    static boolean text(String s) {
+        return s.chars().noneMatch(c -> c >= Character.MIN_SURROGATE && c <= Character.MAX_SURROGATE)
+                || StandardCharsets.UTF_8.newEncoder().canEncode(s);
+    }
+
+    /** Whether it says that the key is gone. */
+    public boolean gone() {
+        return value == null && space.kind() == Space.Kind.OWN;
+    }
+
+    /** Whether it still is what its owner wrote: guards against a bit that flipped in memory, on a disk or a way. */
+    public boolean intact(String owner) {
+        return sum == actual(owner);
+    }
+
+    /** The checksum of what it holds by now. */
+    long actual(String owner) {
+        return sum(owner, space, key, version, value, count, below);
+    }
+
+    Item item() {
+        return new Item(space, key);
+    }
+
+    /** About how many bytes it takes in a message. */
+    int bytes() {
+        return 40 + key.length() + (value == null ? 0 : value.length);
+    }
+
+    /** Two cyclic checksums of different polynomials side by side: 64 bits against accidents, not against intent. */
+    private static long sum(String owner, Space space, String key, Version version, byte[] value, long count,
+            long below) {
+        byte[] o = owner.getBytes(StandardCharsets.UTF_8);
+        byte[] k = key.getBytes(StandardCharsets.UTF_8);
+        ByteBuffer b = ByteBuffer.allocate(o.length + k.length + (value == null ? 0 : value.length) + 48);
+        b.putInt(o.length).put(o).putInt(space.ordinal()).putInt(k.length).put(k).putLong(version.life())
+                .putLong(version.sequence()).putLong(count).putLong(below).putInt(value == null ? -1 : value.length);
+        if (value != null) {
+            b.put(value);
+        }
+        return over(new CRC32C(), b) << 32 | over(new CRC32(), b);
+    }
+
+    private static long over(Checksum c, ByteBuffer b) {
+        c.update(b.array(), 0, b.position());
+        return c.getValue();
+    }
+
+    @Override
+    public String toString() {
+        return space + "/" + key + "@" + version.life() + "." + version.sequence() + "=" + (gone() ? "gone"
+                : value == null ? count + (below == 0 ? "" : " with all below " + below)
+                : value.length > 64 ? value.length + " bytes" : new String(value, StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Exchange.java
@@ -0,0 +1,447 @@
+package brackenbridge.fleet.replica;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Which messages go to which peer, and when. Writes are pushed at once: by their owner to each peer in a small fleet;
+ * in a large one each member passes news on to a few, once (rumours, Demers et al., Epidemic algorithms for replicated
+ * database maintenance, 1987). Beside that every member compares how far it is with others again and again
+ * (anti-entropy, the same paper), asks for what it lacks, and compares contents by digests.
+ *
+ * <p>Times and messages in, messages out. One thread at a time.
+ */
+public final class Exchange {
+    private static final int MOST_PENDING = 1024;
+
+    /**
+     * A message to send.
+     *
+     * @param peer to whom
+     * @param body the message
+     */
+    public record Out(String peer, byte[] body) {
+    }
+
+    private static final class Peer {
+        boolean told;
+        long mineHeld;
+        double helloAtMs = Double.NEGATIVE_INFINITY;
+        Map<Long, Long> mineEnded = Map.of();
+        Map<Long, Long> mineEndedNew = new TreeMap<>();
+        final Map<CatchUp.Of, Message.Want> pending = new LinkedHashMap<>();
+    }
+
+    private final Store store;
+    private final Terms terms;
+    private final SplittableRandom random;
+    private final Bucket bucket;
+    private final CatchUp catchUp;
+    private final Differences differences;
+    private final Map<String, Peer> peers = new TreeMap<>();
+    private List<String> configured = List.of();
+    private List<String> reachable = List.of();
+    private final TreeSet<String> news = new TreeSet<>();
+    private final Map<String, Long> advanced = new HashMap<>();
+    private final double beganMs;
+    private double pushAtMs;
+    private double beatAtMs;
+    private double digestAtMs;
+    private double foldAtMs;
+    private boolean listened;
+    private int compareWith;
+    private long sentBytes;
+    private long dropped;
+    private long unreadable;
+
+    /** An exchange for this copy; it begins at this time. */
+    public Exchange(Store store, Terms terms, SplittableRandom random, double nowMs) {
+        this.store = store;
+        this.terms = terms;
+        this.random = random;
+        this.bucket = new Bucket(terms.bytesASecond());
+        this.catchUp = new CatchUp(terms);
+        this.differences = new Differences(store);
+        beganMs = nowMs;
+        pushAtMs = nowMs;
+        beatAtMs = nowMs + random.nextDouble() * terms.beatMs();
+        digestAtMs = nowMs + (1 + random.nextDouble()) * terms.digestMs();
+        foldAtMs = nowMs + 10 * terms.beatMs();
+    }
+
+    /** Who there is, and who can be reached as far as is known. */
+    public void peers(List<String> all, List<String> reach) {
+        configured = List.copyOf(all);
+        reachable = List.copyOf(reach);
+        peers.keySet().retainAll(configured);
+        configured.forEach(p -> peers.computeIfAbsent(p, n -> new Peer()));
+    }
+
+    /** A peer can be reached again: how far both are is compared at once. */
+    public void linked(String peer) {
+        Peer p = peers.get(peer);
+        if (p != null) {
+            p.helloAtMs = Double.NEGATIVE_INFINITY;
+            p.told = false;
+        }
+    }
+
+    /** This member has written. */
+    public void wrote(long had) {
+        news.add(store.me());
+        advanced.merge(store.me(), had, Math::min);
+    }
+
+    /** The next time at which {@link #tick} has something to do. */
+    public double nextMs() {
+        return Math.min(pushAtMs, beatAtMs);
+    }
+
+    // ---- out ----
+
+    /** What is to be sent by now. */
+    public List<Out> tick(double nowMs) {
+        List<Out> out = new ArrayList<>();
+        hello(nowMs, out);
+        if (nowMs >= beatAtMs) {
+            beatAtMs = Math.max(beatAtMs + terms.beatMs(), nowMs);
+            store.beat();
+            news.add(store.me());
+            store.forget(nowMs, terms.removalMs());
+            for (String p : some(reachable.size() > terms.mesh() ? 1 : 2)) {
+                all(p, true, nowMs, out);
+            }
+        }
+        if (nowMs >= foldAtMs) {
+            foldAtMs = nowMs + 10 * terms.beatMs();
+            fold(nowMs);
+        }
+        if (nowMs >= pushAtMs) {
+            pushAtMs = Math.max(pushAtMs + terms.pushMs(), nowMs);
+            push(nowMs, out);
+            ask(nowMs, out);
+            serve(nowMs, out);
+        }
+        if (nowMs >= digestAtMs && listened && !reachable.isEmpty()) {
+            digestAtMs = nowMs + terms.digestMs() * (0.75 + 0.5 * random.nextDouble());
+            String p = reachable.get(compareWith++ % reachable.size());
+            Message.Digests d = differences.next(p);
+            if (!d.digests().isEmpty() && bucket.spare(nowMs)) {
+                send(p, d, nowMs, out);
+            }
+        }
+        return out;
+    }
+
+    private void send(String peer, Message m, double nowMs, List<Out> out) {
+        if (!bucket.urgent(nowMs)) {
+            dropped++;
+            return;
+        }
+        byte[] body = Codec.write(m);
+        bucket.spent(body.length);
+        sentBytes += body.length;
+        out.add(new Out(peer, body));
+    }
+
+    /** Asks those who have not told yet what there is. */
+    private void hello(double nowMs, List<Out> out) {
+        long told = reachable.stream().filter(n -> peers.get(n).told).count();
+        boolean large = reachable.size() > terms.mesh();
+        int most = large ? 2 * terms.fanOut() : reachable.size();
+        if (told < Math.min(most, reachable.size())) {
+            int asked = 0;
+            int from = random.nextInt(reachable.size());
+            for (int i = 0; i < reachable.size() && asked < most; i++) {
+                String n = reachable.get((from + i) % reachable.size());
+                Peer p = peers.get(n);
+                if (!p.told) {
+                    asked++;
+                    if (p.helloAtMs <= nowMs) {
+                        p.helloAtMs = nowMs + terms.beatMs();
+                        all(n, true, nowMs, out);
+                    }
+                }
+            }
+        }
+        if (!listened) {
+            // Some that can't be reached are not known as such yet: after a few beats, those who told are enough.
+            int enough = large ? 3 : nowMs > beganMs + 3 * terms.beatMs() ? 1 : reachable.size();
+            listened = told > 0 && told >= Math.min(reachable.size(), enough);
+            if (listened) {
+                wrote(0);
+            }
+        }
+    }
+
+    /** All marks there are, in as many messages as it takes. */
+    private void all(String peer, boolean ask, double nowMs, List<Out> out) {
+        TreeSet<String> names = new TreeSet<>(store.owners());
+        if (!listened) {
+            // Guards against a life that was used before: nobody tells before it has listened.
+            names.remove(store.me());
+        }
+        List<Message.Mark> marks = store.marks(names, nowMs);
+        List<Message.Have> ended = store.ended();
+        int pieces = 1 + Math.max(marks.size(), ended.size()) / Message.MOST;
+        for (int i = 0; i < pieces; i++) {
+            boolean last = i == pieces - 1;
+            send(peer, new Message.Marks(ask && last, last, slice(marks, i), slice(ended, i)), nowMs, out);
+        }
+    }
+
+    private static <T> List<T> slice(List<T> list, int piece) {
+        int from = Math.min(list.size(), piece * Message.MOST);
+        return list.subList(from, Math.min(list.size(), from + Message.MOST));
+    }
+
+    private List<String> some(int many) {
+        if (many >= reachable.size()) {
+            return reachable;
+        }
+        TreeSet<Integer> drawn = new TreeSet<>();
+        while (drawn.size() < many) {
+            drawn.add(random.nextInt(reachable.size()));
+        }
+        return drawn.stream().map(reachable::get).toList();
+    }
+
+    private void push(double nowMs, List<Out> out) {
+        if (!listened || news.isEmpty()) {
+            return;
+        }
+        boolean large = reachable.size() > terms.mesh();
+        List<String> of = large ? List.copyOf(news) : news.contains(store.me()) ? List.of(store.me()) : List.of();
+        if (!of.isEmpty()) {
+            if (of.contains(store.me()) && advanced.containsKey(store.me())) {
+                store.beat();
+            }
+            List<Message> messages = new ArrayList<>();
+            List<Message.Mark> marks = store.marks(of, nowMs);
+            for (int i = 0; i * Message.MOST < marks.size(); i++) {
+                messages.add(new Message.Marks(false, false, slice(marks, i), List.of()));
+            }
+            for (String o : of) {
+                Message.Chunk c = advanced.containsKey(o)
+                        ? store.after(o, store.newest(o), advanced.get(o), terms.pieceBytes()) : null;
+                if (c != null) {
+                    messages.add(c);
+                }
+            }
+            for (String p : large ? some(terms.fanOut()) : reachable) {
+                for (Message m : messages) {
+                    send(p, m, nowMs, out);
+                }
+            }
+        }
+        news.clear();
+        advanced.clear();
+    }
+
+    private void ask(double nowMs, List<Out> out) {
+        catchUp.due(nowMs).forEach((peer, of) -> send(peer, new Message.Wants(of.stream()
+                .map(o -> store.want(o.owner(), o.life())).toList()), nowMs, out));
+    }
+
+    /** Answers to wants, as far as bytes allow: each peer gets a piece in turn. */
+    private void serve(double nowMs, List<Out> out) {
+        boolean more = true;
+        while (more) {
+            more = false;
+            for (Map.Entry<String, Peer> e : peers.entrySet()) {
+                if (e.getValue().pending.isEmpty()) {
+                    continue;
+                }
+                if (!bucket.spare(nowMs)) {
+                    return;
+                }
+                CatchUp.Of of = e.getValue().pending.keySet().iterator().next();
+                Message.Chunk c = store.since(e.getValue().pending.remove(of), terms.pieceBytes());
+                if (c != null) {
+                    send(e.getKey(), c, nowMs, out);
+                }
+                more = true;
+            }
+        }
+    }
+
+    /** Folds ended lives of this member once all members were heard to hold as much of them as this one. */
+    private void fold(double nowMs) {
+        Map<Long, Long> ended = store.endedOfMine();
+        long below = 0;
+        for (Map.Entry<Long, Long> e : ended.entrySet()) {
+            if (!configured.stream().allMatch(p -> e.getValue().equals(peers.get(p).mineEnded.get(e.getKey())))) {
+                break;
+            }
+            below = e.getKey() + 1;
+        }
+        if (below > 0 && catchUp.level(listened, nowMs)) {
+            long had = store.have(store.me(), store.life()).orElse(0);
+            if (store.fold(below, nowMs) > 0) {
+                wrote(had);
+            }
+        }
+    }
+
+    // ---- in ----
+
+    /** A message has come; what is to be sent at once in answer. */
+    public List<Out> took(String peer, byte[] body, double nowMs) {
+        List<Out> out = new ArrayList<>();
+        Peer p = peers.get(peer);
+        if (p == null) {
+            return out;
+        }
+        Message m;
+        try {
+            m = Codec.read(body);
+        } catch (java.io.IOException e) {
+            unreadable++;
+            return out;
+        }
+        if (m instanceof Message.Marks marks) {
+            marks(peer, p, marks, nowMs, out);
+        } else if (m instanceof Message.Wants wants) {
+            for (Message.Want w : wants.wants()) {
+                if (p.pending.size() < MOST_PENDING) {
+                    p.pending.put(new CatchUp.Of(w.owner(), w.life()), w);
+                }
+            }
+            serve(nowMs, out);
+        } else if (m instanceof Message.Chunk c) {
+            chunk(peer, c, nowMs, out);
+        } else if (m instanceof Message.Digests d) {
+            answer(peer, differences.took(peer, d), nowMs, out);
+        } else if (m instanceof Message.Ranges r) {
+            answer(peer, differences.took(peer, r), nowMs, out);
+        } else if (m instanceof Message.Copies c) {
+            answer(peer, differences.took(peer, c, nowMs), nowMs, out);
+        }
+        return out;
+    }
+
+    private void answer(String peer, List<Message> answers, double nowMs, List<Out> out) {
+        for (Message a : answers) {
+            if (bucket.spare(nowMs)) {
+                send(peer, a, nowMs, out);
+            }
+        }
+    }
+
+    private void marks(String peer, Peer p, Message.Marks m, double nowMs, List<Out> out) {
+        for (Message.Mark mark : m.marks()) {
+            long newest = store.newest(mark.owner());
+            if (store.took(mark, nowMs)) {
+                news.add(mark.owner());
+            }
+            if (mark.life() > newest) {
+                catchUp.ended(mark.owner(), mark.life());
+                advanced.remove(mark.owner());
+            }
+            named(peer, mark.owner(), mark.life(), mark.have(), nowMs);
+            if (mark.owner().equals(store.me()) && mark.life() == store.life()) {
+                p.mineHeld = Math.max(p.mineHeld, mark.have());
+            }
+        }
+        for (Message.Have h : m.ended()) {
+            named(peer, h.owner(), h.life(), h.have(), nowMs);
+            if (h.owner().equals(store.me())) {
+                p.mineEndedNew.put(h.life(), h.have());
+            }
+        }
+        if (m.whole()) {
+            p.told = true;
+            p.mineEnded = p.mineEndedNew;
+            p.mineEndedNew = new TreeMap<>();
+        }
+        if (m.ask()) {
+            all(peer, false, nowMs, out);
+        }
+    }
+
+    private void named(String peer, String owner, long life, long have, double nowMs) {
+        if (owner.equals(store.me()) && life >= store.life()) {
+            return;
+        }
+        CatchUp.Of of = new CatchUp.Of(owner, life);
+        long held = store.have(owner, life).orElse(0);
+        if (life < store.newest(owner)) {
+            // What remains of an ended life is worth the way only if it was not folded.
+            held = store.have(owner, life).orElse(life < oldestKept(owner) ? Long.MAX_VALUE : 0);
+        }
+        catchUp.named(peer, of, have, held, nowMs);
+    }
+
+    private long oldestKept(String owner) {
+        List<Long> lives = store.lives(owner);
+        return lives.size() > Store.MOST_LIVES ? lives.get(0) : 0;
+    }
+
+    private void chunk(String peer, Message.Chunk c, double nowMs, List<Out> out) {
+        long had = store.have(c.owner(), c.life()).orElse(0);
+        Store.Took t = store.took(c, nowMs);
+        CatchUp.Of of = new CatchUp.Of(c.owner(), c.life());
+        if (t == Store.Took.NEW) {
+            if (c.life() == store.newest(c.owner())) {
+                news.add(c.owner());
+                advanced.merge(c.owner(), had, Math::min);
+            }
+            catchUp.held(of, store.have(c.owner(), c.life()).orElse(c.to()), nowMs);
+            ask(nowMs, out);
+        } else if (t == Store.Took.GAP) {
+            named(peer, c.owner(), c.life(), c.base() == 0 ? c.to() : c.base(), nowMs);
+        } else if (t == Store.Took.KNOWN) {
+            catchUp.held(of, Math.max(had, c.life() < store.newest(c.owner()) ? c.to() : 0), nowMs);
+        }
+    }
+
+    // ---- figures ----
+
+    /** How far this member is. */
+    public Replica.Level level(double nowMs) {
+        return new Replica.Level(catchUp.level(listened, nowMs), catchUp.behind(), differences.open(),
+                differences.outOfDecision() || store.aside(store.me()) != null);
+    }
+
+    /** The copies that differ. */
+    public Differences differences() {
+        return differences;
+    }
+
+    /** How many peers there are by the file. */
+    int configured() {
+        return configured.size();
+    }
+
+    /** How many peers have said that they hold this member's writes up to this one. */
+    int heldBy(long sequence) {
+        return (int) peers.values().stream().filter(p -> p.mineHeld >= sequence).count();
+    }
+
+    /** Bytes sent since the start. */
+    public long sentBytes() {
+        return sentBytes;
+    }
+
+    /** Messages that were not sent for want of bytes. */
+    public long dropped() {
+        return dropped;
+    }
+
+    /** Messages that could not be read. */
+    public long unreadable() {
+        return unreadable;
+    }
+
+    @Override
+    public String toString() {
+        return store.me() + ": " + Arrays.toString(new long[] {sentBytes, dropped, unreadable});
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Item.java
@@ -0,0 +1,22 @@
+package brackenbridge.fleet.replica;
+
+/**
+ * What a record is found by, within one life of its owner.
+ *
+ * @param space the space
+ * @param key the key in it
+ */
+public record Item(Space space, String key) implements Comparable<Item> {
+    /** Ranges of keys by which copies are compared. */
+    static final int RANGES = 16;
+
+    int range() {
+        int h = key.hashCode() * 31 + space.ordinal();
+        return (h ^ h >>> 16 ^ h >>> 8) & RANGES - 1;
+    }
+
+    @Override
+    public int compareTo(Item o) {
+        return space != o.space ? space.compareTo(o.space) : key.compareTo(o.key);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Message.java
@@ -0,0 +1,230 @@
+package brackenbridge.fleet.replica;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * What members tell each other about own and counted records. All are idempotent, and each may be lost, late, repeated
+ * or out of order.
+ */
+public sealed interface Message {
+    /** Elements of any list of a message, at the most. */
+    int MOST = 1024;
+
+    /**
+     * That an owner lives, and how far the sender's copy of its newest life is.
+     *
+     * @param owner whose
+     * @param life its newest life that the sender has heard of
+     * @param nonce drawn by the owner's process at its start: two for one life are two writers
+     * @param beat grows with every sign of life
+     * @param said how many writes the owner had made at that beat
+     * @param have how many of them the sender has
+     * @param ageMs how long ago the owner gave this beat, as far as the sender's clock and those before it know
+     * @param aside whether this life was put aside because two wrote in it
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Mark(String owner, long life, long nonce, long beat, long said, long have, long ageMs, boolean aside) {
+        /** Checks bounds. */
+        public Mark {
+            name(owner);
+            notNegative(life, beat, said, have, ageMs);
+        }
+    }
+
+    /**
+     * How much of an ended life the sender has.
+     *
+     * @param owner whose
+     * @param life which life
+     * @param have how many of its writes
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Have(String owner, long life, long have) {
+        /** Checks bounds. */
+        public Have {
+            name(owner);
+            notNegative(life, have);
+        }
+    }
+
+    /**
+     * Marks, all that the sender has or the news.
+     *
+     * @param ask whether the sender wants the receiver's in return
+     * @param whole whether this ends a list of all that the sender has
+     * @param marks newest lives
+     * @param ended ended lives of which parts of sums are kept
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Marks(boolean ask, boolean whole, List<Mark> marks, List<Have> ended) implements Message {
+        /** Checks bounds. */
+        public Marks {
+            most(marks, ended);
+        }
+    }
+
+    /**
+     * Asks for what is missing of one life.
+     *
+     * @param owner whose
+     * @param life which life
+     * @param have all up to this write are there
+     * @param cursor with a snapshot under way: it is taken up to this write; else 0
+     * @param base with a snapshot under way: it ends at this write; else 0
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Want(String owner, long life, long have, long cursor, long base) {
+        /** Checks bounds. */
+        public Want {
+            name(owner);
+            notNegative(life, have, cursor, base);
+        }
+    }
+
+    /**
+     * Asks for what is missing.
+     *
+     * @param wants of which lives
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Wants(List<Want> wants) implements Message {
+        /** Checks bounds. */
+        public Wants {
+            most(wants);
+        }
+    }
+
+    /**
+     * The last writes of all keys of one life that were written last after {@code from} and up to {@code to}.
+     *
+     * @param owner whose
+     * @param life which life
+     * @param newest the newest life that the sender knows; if later, own records of this one have ended and are left out
+     * @param from after this write
+     * @param to up to this write
+     * @param base 0: the receiver needs all up to {@code from}; else this is a piece of a snapshot that ends at this
+     *     write, and what the receiver has between {@code from} and {@code to} that is not in it is gone
+     * @param floor removals up to this write are forgotten by the sender
+     * @param entries the writes, earliest first
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Chunk(String owner, long life, long newest, long from, long to, long base, long floor,
+            List<Entry> entries) implements Message {
+        /** Checks bounds and order. */
+        public Chunk {
+            name(owner);
+            notNegative(life, newest, from, to, base, floor);
+            most(entries);
+            long last = from;
+            for (Entry e : entries) {
+                if (e.version().life() != life || e.version().sequence() <= last || e.version().sequence() > to) {
+                    throw new IllegalArgumentException("a write out of order");
+                }
+                last = e.version().sequence();
+            }
+            if (to < from || life > newest || base != 0 && to > base) {
+                throw new IllegalArgumentException("not a piece of a log");
+            }
+        }
+    }
+
+    /**
+     * A digest of a copy of one life.
+     *
+     * @param owner whose
+     * @param life which life
+     * @param have up to which write the copy is
+     * @param digest over all ranges of keys
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Digest(String owner, long life, long have, long digest) {
+        /** Checks bounds. */
+        public Digest {
+            name(owner);
+            notNegative(life, have);
+        }
+    }
+
+    /**
+     * Digests of copies, for comparison.
+     *
+     * @param digests of which lives
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Digests(List<Digest> digests) implements Message {
+        /** Checks bounds. */
+        public Digests {
+            most(digests);
+        }
+    }
+
+    /**
+     * Digests of a copy by ranges of keys.
+     *
+     * @param owner whose
+     * @param life which life
+     * @param have up to which write the copy is
+     * @param digests one for each range
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Ranges(String owner, long life, long have, List<Long> digests) implements Message {
+        /** Checks bounds. */
+        public Ranges {
+            name(owner);
+            notNegative(life, have);
+            if (digests == null || digests.size() != Item.RANGES || digests.stream().anyMatch(Objects::isNull)) {
+                throw new IllegalArgumentException("not as many ranges as there are");
+            }
+        }
+    }
+
+    /**
+     * All records of a copy in a range of keys, as it holds them.
+     *
+     * @param owner whose
+     * @param life which life
+     * @param have up to which write the copy is
+     * @param range which range
+     * @param part counts the pieces of the range from 0
+     * @param last whether it is the last piece
+     * @param ask whether the sender wants the receiver's in return
+     * @param entries the records in the order of their keys, complete from the first one's key to the last one's
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Copies(String owner, long life, long have, int range, int part, boolean last, boolean ask,
+            List<Entry> entries) implements Message {
+        /** Checks bounds. */
+        public Copies {
+            name(owner);
+            notNegative(life, have, range, part);
+            most(entries);
+            if (range >= Item.RANGES) {
+                throw new IllegalArgumentException("no such range");
+            }
+        }
+    }
+
+    private static void name(String name) {
+        if (name == null || name.isEmpty() || name.length() > 128 || !Entry.text(name)) {
+            throw new IllegalArgumentException("not a member's name");
+        }
+    }
+
+    private static void notNegative(long... numbers) {
+        for (long n : numbers) {
+            if (n < 0) {
+                throw new IllegalArgumentException("a negative number");
+            }
+        }
+    }
+
+    private static void most(List<?>... lists) {
+        for (List<?> l : lists) {
+            if (l == null || l.size() > MOST || l.stream().anyMatch(Objects::isNull)) {
+                throw new IllegalArgumentException("not a list within bounds");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Terms.java
@@ -0,0 +1,34 @@
+package brackenbridge.fleet.replica;
+
+/**
+ * How a member exchanges records; times in milliseconds.
+ *
+ * @param bytesASecond what it sends, at the most
+ * @param pushMs writes of so long go out together
+ * @param beatMs between two signs of life; so often it also compares how far it is with others
+ * @param digestMs between two comparisons of contents
+ * @param againMs after so long without an answer it asks again
+ * @param lagMs a member that lacks for longer what it knows of is not level
+ * @param removalMs how long a removal is remembered
+ * @param mesh up to so many peers, a write goes from its owner to each; with more, each passes news on to some
+ * @param fanOut to how many news are passed on, above that
+ * @param pieceBytes the size of a piece of a log, about
+ */
+public record Terms(double bytesASecond, double pushMs, double beatMs, double digestMs, double againMs, double lagMs,
+        double removalMs, int mesh, int fanOut, int pieceBytes) {
+    /** What holds without a word in the file. */
+    public static final Terms DEFAULT = new Terms(1_000_000, 20, 1000, 2000, 300, 2000, 60_000, 32, 4, 32 << 10);
+
+    /** Checks bounds. */
+    public Terms {
+        if (!(pushMs >= 1 && beatMs >= pushMs && digestMs >= pushMs && againMs >= pushMs && lagMs >= againMs
+                && removalMs >= beatMs) || mesh < 1 || fanOut < 1 || pieceBytes < 1024 || pieceBytes > 128 << 10) {
+            throw new IllegalArgumentException("terms out of bounds");
+        }
+    }
+
+    /** The same with another bound on what it sends. */
+    public Terms sending(double most) {
+        return new Terms(most, pushMs, beatMs, digestMs, againMs, lagMs, removalMs, mesh, fanOut, pieceBytes);
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/replica/ReplicaNodeTest.java
@@ -0,0 +1,130 @@
+package brackenbridge.fleet.replica;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.clock.Clock;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ReplicaNodeTest {
+    private static final Terms FAST = new Terms(10_000_000, 5, 50, 60, 30, 500, 60_000, 32, 4, 4096);
+    @TempDir
+    private Path folder;
+    private final Wires wires = new Wires("a", "b", "c");
+    private final Map<String, ReplicaNode> nodes = new LinkedHashMap<>();
+    private final Clock clock = Clock.system();
+
+    @BeforeEach
+    void quick() {
+        org.awaitility.Awaitility.setDefaultPollInterval(Duration.ofMillis(5));
+        org.awaitility.Awaitility.setDefaultTimeout(Duration.ofSeconds(20));
+    }
+
+    @AfterEach
+    void end() {
+        nodes.values().forEach(ReplicaNode::close);
+        wires.close();
+    }
+
+    private ReplicaNode start(String name, Disk disk) {
+        Wires.End end = wires.end(name, disk == null ? (long) clock.nowMs() : disk.life());
+        ReplicaNode n = new ReplicaNode(end, disk, clock, FAST);
+        n.start();
+        end.start();
+        nodes.put(name, n);
+        return n;
+    }
+
+    private Disk disk(String name) throws IOException {
+        return Disk.open(folder.resolve(name), "fleet", name, clock.nowMs());
+    }
+
+    private void stop(String name) {
+        nodes.remove(name).close();
+        wires.end(name, 0).close();
+    }
+
+    private static Map<String, String> at(ReplicaNode n, Space space) {
+        Map<String, String> all = new TreeMap<>();
+        n.seen(space).forEach(s -> all.put(s.owner() + "/" + s.key(), new String(s.value(), UTF_8)));
+        return all;
+    }
+
+    private void allHold(Space space, Map<String, String> want) {
+        await().untilAsserted(() -> {
+            for (ReplicaNode n : nodes.values()) {
+                assertEquals(want, at(n, space));
+            }
+        });
+    }
+
+    @Test
+    void whatIsWrittenAndRemovedIsSoEverywhereThoughMessagesAreLostAndRepeated() {
+        wires.faults(0.3, 0.3);
+        ReplicaNode a = start("a", null);
+        ReplicaNode b = start("b", null);
+        ReplicaNode c = start("c", null);
+        for (int i = 0; i < 200; i++) {
+            a.put(Space.SERVERS, "h" + i % 20, ("v" + i).getBytes(UTF_8));
+            b.add(Space.ATTEMPTS, "pool", 2);
+            c.add(Space.ATTEMPTS, "pool", 1);
+        }
+        for (int i = 2; i < 20; i++) {
+            a.remove(Space.SERVERS, "h" + i);
+        }
+        allHold(Space.SERVERS, Map.of("a/h0", "v180", "a/h1", "v181"));
+        await().untilAsserted(() -> nodes.values().forEach(n -> assertEquals(600, n.sum(Space.ATTEMPTS, "pool"))));
+        await().untilAsserted(() -> nodes.values().forEach(n -> assertTrue(n.level().level(), n.level()::toString)));
+        assertEquals(0, a.figures().differences());
+    }
+
+    @Test
+    void oneThatReturnsWithOrWithoutItsDiskHasAllBeforeItIsLevelAndSumsSurvive() throws IOException {
+        start("a", null);
+        start("b", disk("b"));
+        start("c", null);
+        nodes.get("b").add(Space.USED, "k", 5);
+        nodes.get("c").add(Space.USED, "k", 7);
+        nodes.get("a").put(Space.POOLS, "p", "1".getBytes(UTF_8));
+        nodes.get("b").put(Space.POOLS, "gone with its life", "1".getBytes(UTF_8));
+        await().untilAsserted(() -> nodes.values().forEach(n -> assertEquals(12, n.sum(Space.USED, "k"))));
+        stop("b");
+        stop("c");
+        nodes.get("a").put(Space.POOLS, "p", "2".getBytes(UTF_8));
+        for (String n : new String[] {"b", "c"}) {
+            ReplicaNode r = start(n, n.equals("b") ? disk("b") : null);
+            await().until(() -> r.level().level());
+            assertEquals(n.equals("b") ? 12 : 13, r.sum(Space.USED, "k"));
+            assertEquals("2", at(r, Space.POOLS).get("a/p"));
+            r.add(Space.USED, "k", 1);
+        }
+        await().untilAsserted(() -> nodes.values().forEach(n -> assertEquals(14, n.sum(Space.USED, "k"))));
+        allHold(Space.POOLS, Map.of("a/p", "2"));
+    }
+
+    @Test
+    void anotherPassesOnWhatACutWayHoldsBack() {
+        ReplicaNode a = start("a", null);
+        start("b", null);
+        ReplicaNode c = start("c", null);
+        wires.cut("a", "c");
+        wires.cut("c", "a");
+        Map<String, String> heard = new ConcurrentHashMap<>();
+        c.listen((space, owner, key, now) -> heard.put(owner + key, new String(now.value(), UTF_8)));
+        a.put(Space.DEMAND, "p/t", "9".getBytes(UTF_8));
+        await().until(() -> "9".equals(heard.get("ap/t")));
+        await().until(() -> c.seen(Space.DEMAND).get(0).fresh(Space.DEMAND));
+    }
+}
