--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/PeerProcessTest.java
@@ -0,0 +1,107 @@
+package brackenbridge.fleet.peer;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerProcessTest {
+    private final List<Child> children = new ArrayList<>();
+
+    private final class Child {
+        final String name;
+        final Process process;
+        final List<String> said = new CopyOnWriteArrayList<>();
+
+        Child(String name, long life) throws IOException {
+            this.name = name;
+            ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
+                    "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
+                    PeerProcess.class.getName(), name, Long.toString(life));
+            process = builder.redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            children.add(this);
+            Thread reader = new Thread(() -> {
+                try (BufferedReader in = process.inputReader(StandardCharsets.UTF_8)) {
+                    for (String line = in.readLine(); line != null; line = in.readLine()) {
+                        said.add(line);
+                    }
+                } catch (IOException e) {
+                    // The process was killed: there is nothing more to read.
+                    return;
+                }
+            });
+            reader.setDaemon(true);
+            reader.start();
+        }
+
+        String address() {
+            await().until(() -> said.stream().anyMatch(l -> l.startsWith("at ")));
+            return said.get(0).substring(3);
+        }
+
+        void hears(String line) {
+            await().until(() -> said.contains(line));
+        }
+
+        void signal(String signal) throws IOException, InterruptedException {
+            assertEquals(0, new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor());
+        }
+
+        long count(String standing) {
+            return said.stream().filter(l -> l.contains(" " + standing + " ")).count();
+        }
+    }
+
+    private void meet(Child... all) throws IOException {
+        StringBuilder members = new StringBuilder();
+        for (Child child : all) {
+            members.append(child.name).append('=').append(child.address()).append(' ');
+        }
+        for (Child child : all) {
+            child.process.getOutputStream().write((members.toString().trim() + "\n").getBytes());
+            child.process.getOutputStream().flush();
+        }
+    }
+
+    @AfterEach
+    void end() {
+        children.forEach(c -> c.process.destroyForcibly());
+    }
+
+    @Test
+    void stoppedKilledAndReplacedProcessesAreToldApart() throws Exception {
+        Child a = new Child("a", 1);
+        Child b = new Child("b", 1);
+        Child c = new Child("c", 1);
+        meet(a, b, c);
+        for (Child child : List.of(a, b)) {
+            child.hears("c ALIVE 1");
+        }
+        c.hears("a ALIVE 1");
+        c.signal("-STOP");
+        a.hears("c SUSPECT 1");
+        a.hears("c GONE 1");
+        b.hears("c GONE 1");
+        c.signal("-CONT");
+        await().until(() -> a.count("ALIVE") == 3 && b.count("ALIVE") == 3);
+        assertEquals(0, c.count("GONE") + c.count("SUSPECT"), "who stood still takes nobody for dead: " + c.said);
+        c.process.destroyForcibly();
+        await().until(() -> a.count("GONE") == 2 && b.count("GONE") == 2);
+        Child later = new Child("c", 2);
+        meet(a, b, later);
+        a.hears("c ALIVE 2");
+        b.hears("c ALIVE 2");
+        b.process.getOutputStream().close();
+        a.hears("b GONE 1");
+        later.hears("b GONE 1");
+        assertTrue(a.said.stream().noneMatch("b SUSPECT 1"::equals), "a farewell is no silence: " + a.said);
+    }
+}
