brackenbridge node: a node with its part of the fleet in one process

FleetNode puts a member's links, records, agreement and page together by the fleet's file; Together runs it beside a node, writes what the node sees of its pools and tenants into records and ends with it. Nothing passes from shares or evacuation to the node yet.

--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/node/FleetNode.java
@@ -0,0 +1,142 @@
+package brackenbridge.fleet.node;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.core.generation.Terms;
+import brackenbridge.fleet.agreed.AgreedNode;
+import brackenbridge.fleet.agreed.AgreedSettings;
+import brackenbridge.fleet.config.FleetFile;
+import brackenbridge.fleet.peer.Member;
+import brackenbridge.fleet.peer.PeerLimits;
+import brackenbridge.fleet.peer.TcpLinks;
+import brackenbridge.fleet.replica.Disk;
+import brackenbridge.fleet.replica.ReplicaNode;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A member of the fleet in a process: its links, its copy of the records, its part of the agreement, and its page. */
+public final class FleetNode implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(FleetNode.class);
+    private static final double AGREED_BEAT_MS = 150;
+    private static final int AGREED_PATIENCE = 5;
+    private static final double LONGEST_ROLE_MS = 60_000;
+
+    private final FleetFile file;
+    private final Member me;
+    private final Disk disk;
+    private final TcpLinks links;
+    private final ReplicaNode replica;
+    private final AgreedNode agreed;
+    private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<String, StaffPage.Calls> rooms = new LinkedHashMap<>();
+    private StaffPage page;
+
+    /**
+     * A member that is not started; its disk is read.
+     *
+     * @throws IllegalArgumentException if the file does not name it
+     * @throws IOException if its disk can't be used: it is another fleet's or another member's
+     */
+    public FleetNode(FleetFile file, String name, Clock clock) throws IOException {
+        this.file = file;
+        me = file.member(name);
+        if (me == null) {
+            throw new IllegalArgumentException("the fleet's file names no member '" + name + "'");
+        }
+        Path directory = file.directory() == null ? null : file.directory().resolve(name);
+        disk = directory == null ? null : Disk.open(directory, file.fleet(), name, clock.nowMs());
+        long life = disk == null ? Disk.lifeWithout(clock.nowMs()) : disk.life();
+        PeerLimits usual = PeerLimits.standard();
+        FleetFile.Links l = file.links();
+        List<Member> peers = file.members().stream().filter(m -> !m.name().equals(name)).toList();
+        links = new TcpLinks(me, life, file.fleet(), peers, clock, new PeerLimits(l.frameBytes(), l.queueBytes(),
+                usual.queueMessages(), l.beatMs(), l.suspectMs(), l.goneMs(), usual.handshakeMs(), usual.dialMinMs(),
+                usual.dialMaxMs(), usual.strangers(), usual.asked()));
+        replica = new ReplicaNode(links, disk, clock,
+                brackenbridge.fleet.replica.Terms.DEFAULT.sending(file.replica().bytesPerSecond()));
+        FleetFile.Agreement a = file.agreed();
+        agreed = new AgreedNode(links, directory, clock, new AgreedSettings(file.fleet(),
+                file.members().stream().map(Member::name).limit(a.voters()).toList(), new Terms(a.leaseMs(), a.drift()),
+                AGREED_BEAT_MS, AGREED_PATIENCE, LONGEST_ROLE_MS, life));
+        links.figures().keySet().forEach(k -> Gauge.builder("fleet.links." + k,
+                () -> links.figures().getOrDefault(k, 0.0)).register(metrics));
+        Gauge.builder("fleet.replica.behind", () -> replica.level().behind()).register(metrics);
+        Gauge.builder("fleet.replica.differing", () -> replica.level().differing()).register(metrics);
+        Gauge.builder("fleet.replica.level", () -> replica.level().level() ? 1 : 0).register(metrics);
+        agreed.bind(metrics);
+        rooms.put("state", new StateCalls(replica));
+    }
+
+    /** Its fleet's file. */
+    public FleetFile file() {
+        return file;
+    }
+
+    /** Itself, as the file has it. */
+    public Member me() {
+        return me;
+    }
+
+    /** Its links. */
+    public TcpLinks links() {
+        return links;
+    }
+
+    /** Its copy of the records. */
+    public ReplicaNode replica() {
+        return replica;
+    }
+
+    /** Its part of the agreement. */
+    public AgreedNode agreed() {
+        return agreed;
+    }
+
+    /** Its figures. */
+    public PrometheusMeterRegistry metrics() {
+        return metrics;
+    }
+
+    /** A room of this member that staff may call; before {@link #start}. */
+    public void room(String name, StaffPage.Calls calls) {
+        rooms.put(name, calls);
+    }
+
+    /** Begins; fails if an address is not to be had. */
+    public void start() throws IOException {
+        replica.start();
+        agreed.start();
+        links.start();
+        String at = file.page().get(me.name());
+        if (at != null) {
+            int colon = at.lastIndexOf(':');
+            page = new StaffPage(new InetSocketAddress(at.substring(0, colon),
+                    Integer.parseInt(at.substring(colon + 1))), metrics, rooms);
+        }
+        LOG.info("member {} of fleet {}, life {}, {} peers, {} disk", me.name(), file.fleet(), links.life(),
+                links.peers().size(), disk == null ? "no" : "with a");
+    }
+
+    /** Where its page is; null if it has none. */
+    public InetSocketAddress page() {
+        return page == null ? null : page.address();
+    }
+
+    @Override
+    public void close() {
+        if (page != null) {
+            page.close();
+        }
+        agreed.close();
+        links.close();
+        replica.close();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/node/Together.java
@@ -0,0 +1,103 @@
+package brackenbridge.fleet.node;
+
+import brackenbridge.cli.Main;
+import brackenbridge.clock.Clock;
+import brackenbridge.config.Config;
+import brackenbridge.core.share.TenantUse;
+import brackenbridge.fleet.config.FleetFile;
+import brackenbridge.fleet.replica.Space;
+import brackenbridge.fleet.share.PoolUse;
+import brackenbridge.net.Node;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A node and its part of the fleet in one process: what the node sees goes into records, what the fleet decides goes to
+ * the node's reducer as events. The node's loop waits for nothing here.
+ */
+public final class Together implements Main.Beside {
+    private static final Logger LOG = LoggerFactory.getLogger(Together.class);
+    private static final long POOLS_MS = 1000;
+    private static final long DEMAND_MS = 500;
+
+    private final FleetFile file;
+    private final Config config;
+    private final String pool;
+    private final ObjectMapper json = new ObjectMapper();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, r -> {
+        Thread t = new Thread(r, "fleet-values");
+        t.setDaemon(true);
+        return t;
+    });
+    private FleetNode fleet;
+    private final Set<String> wanted = new HashSet<>();
+    private final Set<String> reported = new HashSet<>();
+
+    /** The part of the node that this configuration names. */
+    public Together(FleetFile file, Config config) {
+        this.file = file;
+        this.config = config;
+        pool = "tier-" + config.settings().tier();
+    }
+
+    @Override
+    public void begin(Node node) throws IOException {
+        Clock clock = Clock.system();
+        fleet = new FleetNode(file, config.name(), clock);
+        double slots = file.shares() == null ? 0 : file.shares().connectionsPerServer();
+        PoolReports reports = new PoolReports(pool, slots, config.settings().coldFrom(),
+                config.settings().warmAfter() / 1000.0);
+        fleet.start();
+        node.observe();
+        every(POOLS_MS, () -> publish(Space.POOLS, reports.report(node.observed()), reported));
+        every(DEMAND_MS, () -> {
+            List<TenantUse> all = node.tenantUse().join();
+            Map<String, PoolUse> uses = new TreeMap<>();
+            all.forEach(u -> uses.put(pool + "/" + u.tenant(),
+                    new PoolUse(u.wanted(), u.used(), u.refused(), u.meanMs())));
+            publish(Space.DEMAND, uses, wanted);
+        });
+    }
+
+    /** Writes these records and removes those that were written before and are not among them. */
+    private void publish(Space space, Map<String, ?> now, Set<String> before) {
+        now.forEach((key, value) -> {
+            try {
+                fleet.replica().put(space, key, json.writeValueAsBytes(value));
+            } catch (JsonProcessingException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        before.stream().filter(k -> !now.containsKey(k)).forEach(k -> fleet.replica().remove(space, k));
+        before.clear();
+        before.addAll(now.keySet());
+    }
+
+    private void every(long ms, Runnable work) {
+        timer.scheduleWithFixedDelay(() -> {
+            try {
+                work.run();
+            } catch (RuntimeException e) {
+                // Guards the next turn: a scheduler drops what has failed once.
+                LOG.error("a turn failed", e);
+            }
+        }, ms, ms, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void end() {
+        timer.shutdownNow();
+        fleet.close();
+    }
+}
