--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -424,10 +424,11 @@
     }
 
     @Test
-    void nodeWhoseListsArePushedOpensItsWatchAtOnceAndHearsOfADrain() throws Exception {
+    void nodeWhoseListsArePushedOpensItsWatchAtOnceAndHearsOfADrainThatComesIndented() throws Exception {
         try (FakeServer agent = new FakeServer()) {
-            agent.answers.add("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"seq\":42,\"whole\":false,\"hosts\":"
-                    + "[{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"leaving\"}]}\n");
+            agent.answers.add("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n\n{\n  \"seq\": 42,\n\n"
+                    + "  \"whole\": false,\n  \"hosts\": [\n    {\"host\": \"s-1\",\n\"dial\":\"" + server.dial()
+                    + "\",\n\t\"health\":\"leaving\"}\n  ]\n}");
             node.kill();
             node = node(1024, 1, ConfigTest.TEXT.replace("\"discovery\":\"on_request\"", "\"discovery\":\"pushed\"")
                     .replace("127.0.0.1:1\"", agent.dial() + "\""));
