Connections to servers are a machine; one that is late is joined by another

A server whose trial ended without a verdict (its client left, an error below the threshold) was never tried again: out for 11 s. Trust fell to 28 ms after one reset under a request, though new connections broke as often (2.5% of 1,350, kept ones 2.8% of 608), so kept ones were thrown away and new ones opened, late again.

core.connection.Connections decides who gets which connection and when one is opened; Forwards sends and reads. A late one is joined by up to two more within a budget, stays as a spare, and goes to the first that waits. Kept ones are distrusted only while they break more often than new ones.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -712,6 +712,10 @@
         // Of a server that has left, and that only a long request held on to, nothing is to be learned.
         if (servers.get(s.id) == s) {
             learn(now, c, a, outcome, Math.max(1, latency));
+            if (s.out && s.backAt == Long.MAX_VALUE) {
+                // Guards a server whose trial has told nothing of it: it would be out for good.
+                s.backAt = now;
+            }
         }
         if (ended || c.done) {
             end(c);
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -6,6 +6,9 @@
 import brackenbridge.core.Effect;
 import brackenbridge.core.Event;
 import brackenbridge.core.Event.Reply;
+import brackenbridge.core.connection.Connections;
+import brackenbridge.core.connection.Peer;
+import brackenbridge.core.connection.Step;
 import brackenbridge.counters.Counters;
 import brackenbridge.http.HttpEncoder;
 import brackenbridge.http.HttpException;
@@ -24,8 +27,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -49,7 +50,7 @@
     /** Bytes that all answers together may hold that are not whole yet. */
     private static final int HELD_LIMIT = 16 * 1024 * 1024;
 
-    /** A forward that its connection's end meets so soon has met a connection that was dead already. */
+    /** A forward that its connection's end meets so soon may have met a connection that was dead already. */
     private static final double AT_ONCE_MS = 50;
 
     private Bootstrap bootstrap;
@@ -61,27 +62,25 @@
     private final Sockets sockets;
     private final Counters counters;
     private final Runnable makeRoom;
-    private double idleMs;
-    /** Kept connections are believed alive when they have been idle for less than this. */
-    private double trustMs;
     private int held;
-    private final Map<Peer, ArrayDeque<Connection>> idle = new HashMap<>();
+    /** Who gets which connection, and when one is opened; here is only what is sent and read on them. */
+    private final Connections pool;
+    /** Connections by their number in the pool. */
+    private final Map<Long, Connection> connections = new HashMap<>();
     private final Map<Long, Running> running = new HashMap<>();
+    /** Forwards that wait for a connection, by the number of their wait. */
+    private final Map<Long, Running> waits = new HashMap<>();
+    private long waited;
     /** Connections whose answer is long and on its way to a client. */
     private final Set<Connection> streaming = new HashSet<>();
 
-    /**
-     * Whom a connection leads to. Guards a new host against the connections of one that had its address before,
-     * and theirs against word that the old host has left.
-     */
-    private record Peer(String host, String dial) {
-    }
-
     /** A forward from its effect to its end. */
     private static final class Running {
         final Effect.Forward forward;
         Connection connection;
         boolean written;
+        /** Its wait in the pool; negative before it. */
+        long wait = -1;
 
         Running(Effect.Forward forward) {
             this.forward = forward;
@@ -102,17 +101,23 @@
         this.counters = counters;
         this.makeRoom = makeRoom;
         this.bootstrap = bootstrap;
-        goBy(settings);
+        this.settings = settings;
+        this.pool = new Connections(connectMs(settings), idleMs(settings));
     }
 
     /** Forwards that begin from now on go by these settings. */
     void goBy(Settings now) {
         settings = now;
-        bootstrap = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                (int) Math.max(1, settings.network().connectTimeout() / 1000));
-        // Guards against the server's own idle close, which may come early: what is written from then on is lost.
-        idleMs = settings.idleClose() / 2000.0;
-        trustMs = idleMs;
+        pool.goBy(connectMs(now), idleMs(now));
+    }
+
+    private static double connectMs(Settings s) {
+        return Math.max(1, s.network().connectTimeout() / 1000.0);
+    }
+
+    /** Half: guards against the server's own idle close, which may come early; what is written from then on is lost. */
+    private static double idleMs(Settings s) {
+        return s.idleClose() / 2000.0;
     }
 
     void begin(Effect.Forward forward) {
@@ -128,56 +133,97 @@
     }
 
     private void dispatch(Running r) {
-        ArrayDeque<Connection> kept = idle.get(r.peer());
-        while (kept != null && !kept.isEmpty()) {
-            Connection c = kept.pollLast();
-            if (c.channel.isActive() && clock.nowMs() - c.idleSince < trustMs) {
-                c.send(r);
-                return;
+        r.wait = waited++;
+        waits.put(r.wait, r);
+        follow(pool.ask(clock.nowMs(), r.wait, r.peer()));
+    }
+
+    private void follow(List<Step> steps) {
+        for (Step step : steps) {
+            if (step instanceof Step.Open s) {
+                open(s);
+            } else if (step instanceof Step.Lend s) {
+                lend(s);
+            } else if (step instanceof Step.Close s) {
+                connections.remove(s.connection()).channel.close();
+            } else if (step instanceof Step.GiveUp s) {
+                giveUp(s);
+            } else if (step instanceof Step.Wake s) {
+                wake(s);
             }
-            c.channel.close();
         }
-        connect(r);
     }
 
-    private void connect(Running r) {
-        InetSocketAddress address = Addresses.of(r.forward.dial());
+    private void open(Step.Open s) {
+        InetSocketAddress address = Addresses.of(s.peer().dial());
         if (!sockets.serverFits()) {
             makeRoom.run();
         }
         if (address == null) {
-            broken(r);
+            follow(pool.ended(clock.nowMs(), s.connection()));
             return;
         }
         if (!sockets.serverFits()) {
             // Guards the servers' standing against a node that has too many connections itself.
-            running.remove(r.forward.flow(), r);
-            events.raise(new Event.ForwardNotBegun(r.forward.flow(), r.forward.forward()));
+            follow(pool.noRoom(clock.nowMs(), s.connection()));
             return;
         }
-        Connection c = new Connection(r.peer());
-        ChannelFuture opened = bootstrap.clone().handler(c).connect(address);
+        Connection c = new Connection(s.connection(), s.peer());
+        ChannelFuture opened = bootstrap.clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(Integer.MAX_VALUE, s.withinMs()))
+                .handler(c).connect(address);
         c.channel = opened.channel();
+        connections.put(c.id, c);
         sockets.server(1);
         c.channel.closeFuture().addListener(f -> sockets.server(-1));
         opened.addListener(f -> {
-            boolean wanted = running.get(r.forward.flow()) == r;
-            if (!f.isSuccess()) {
-                if (wanted) {
-                    broken(r);
-                }
-                return;
-            }
-            counters.count(Counters.Kind.CONNECTIONS_OPENED);
-            if (wanted) {
-                c.send(r);
+            if (f.isSuccess()) {
+                counters.count(Counters.Kind.CONNECTIONS_OPENED);
+                follow(pool.up(clock.nowMs(), c.id));
             } else {
-                // Its forward was called off before anything was sent: the next one can have the connection.
-                c.keep();
+                c.forget();
             }
         });
     }
 
+    private void lend(Step.Lend s) {
+        Connection c = connections.get(s.connection());
+        Running r = waits.remove(s.ticket());
+        if (r == null) {
+            // Called off by what an earlier step has raised.
+            follow(pool.free(clock.nowMs(), s.connection()));
+        } else if (c != null && c.channel.isActive()) {
+            c.send(r);
+        } else {
+            // It has ended, and its end is not told yet.
+            follow(pool.ended(clock.nowMs(), s.connection()));
+            dispatch(r);
+        }
+    }
+
+    private void giveUp(Step.GiveUp s) {
+        Running r = waits.remove(s.ticket());
+        if (r == null) {
+            return;
+        }
+        if (s.why() == Step.Why.UNCONNECTED) {
+            broken(r);
+        } else if (running.remove(r.forward.flow(), r)) {
+            events.raise(new Event.ForwardNotBegun(r.forward.flow(), r.forward.forward()));
+        }
+    }
+
+    private void wake(Step.Wake s) {
+        double wait = s.atMs() - clock.nowMs();
+        loop.schedule(() -> {
+            if (clock.nowMs() < s.atMs()) {
+                wake(s);
+            } else {
+                follow(pool.due(clock.nowMs(), s.ticket()));
+            }
+        }, (long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
+    }
+
     private void broken(Running r) {
         if (running.remove(r.forward.flow(), r)) {
             events.raise(new Event.ForwardBroken(r.forward.flow(), r.forward.forward()));
@@ -188,25 +234,23 @@
         Running r = running.get(flow);
         if (r != null && r.forward.forward() == forward) {
             running.remove(flow);
+            waits.remove(r.wait);
+            follow(pool.withdraw(r.wait));
             if (r.connection != null) {
                 r.connection.running = null;
                 r.connection.endUpload();
-                r.connection.channel.close();
+                r.connection.close();
             }
         }
     }
 
     void closeIdle(String host, String dial) {
-        ArrayDeque<Connection> kept = idle.remove(new Peer(host, dial));
-        if (kept != null) {
-            kept.forEach(c -> c.channel.close());
-        }
+        follow(pool.closeIdle(new Peer(host, dial)));
     }
 
     /** Closes connections that have been idle for long, and those whose answer has stopped half way. */
     void sweep() {
         double now = clock.nowMs();
-        trustMs = Math.min(idleMs, trustMs * 1.01 + 0.1);
         for (Running r : List.copyOf(running.values())) {
             Connection c = r.connection;
             if (c != null) {
@@ -216,32 +260,27 @@
         for (Connection c : List.copyOf(streaming)) {
             c.sweepStream(now);
         }
-        List<Connection> old = new ArrayList<>();
-        idle.values().forEach(kept -> kept.stream().filter(c -> now - c.idleSince >= idleMs).forEach(old::add));
-        old.forEach(c -> c.channel.close());
-        idle.values().removeIf(ArrayDeque::isEmpty);
+        follow(pool.sweep(now));
     }
 
     /** Closes one idle connection, if there is one. */
     boolean shed() {
-        for (ArrayDeque<Connection> kept : idle.values()) {
-            Connection c = kept.pollFirst();
-            if (c != null) {
-                counters.count(Counters.Kind.CONNECTIONS_SHED);
-                c.channel.close();
-                return true;
-            }
+        List<Step> steps = pool.shed();
+        if (steps.isEmpty()) {
+            return false;
         }
-        return false;
+        counters.count(Counters.Kind.CONNECTIONS_SHED);
+        follow(steps);
+        return true;
     }
 
     /** A connection to a server. */
     private final class Connection extends ChannelInboundHandlerAdapter implements Body.Giver {
+        final long id;
         final Peer peer;
         final ResponseDecoder decoder = new ResponseDecoder();
         Channel channel;
         Running running;
-        double idleSince;
         double sentAt;
         /** The long body that goes out on it. */
         Upload upload;
@@ -253,7 +292,8 @@
         /** Its part of what all answers hold. */
         int holds;
 
-        Connection(Peer peer) {
+        Connection(long id, Peer peer) {
+            this.id = id;
             this.peer = peer;
         }
 
@@ -425,7 +465,7 @@
             // Its client has left: the server is not at fault, so nothing counts as cut.
             streaming.remove(this);
             answer = null;
-            channel.close();
+            close();
         }
 
         private void readStream(ByteBuf in) {
@@ -449,7 +489,7 @@
             counters.count(Counters.Kind.ANSWERS_CUT);
             log.warn("long answer of " + peer.host() + " cut: " + why);
             endStream(false);
-            channel.close();
+            close();
         }
 
         private void endStream(boolean whole) {
@@ -462,11 +502,21 @@
 
         void keep() {
             if (channel.isActive()) {
-                idleSince = clock.nowMs();
-                idle.computeIfAbsent(peer, p -> new ArrayDeque<>()).addLast(this);
+                follow(pool.free(clock.nowMs(), id));
             }
         }
 
+        /** Nothing more goes out on it. */
+        void close() {
+            forget();
+            channel.close();
+        }
+
+        void forget() {
+            connections.remove(id);
+            follow(pool.ended(clock.nowMs(), id));
+        }
+
         /**
          * Nothing that comes here can be trusted any more: the forward that is out has failed and may have run. For
          * the module it is as good as a broken connection, which says less of a server than its word of an error.
@@ -478,7 +528,7 @@
             endUpload();
             counters.count(Counters.Kind.ANSWERS_SPOILT);
             log.warn("answer of " + peer.host() + " spoilt: " + why);
-            channel.close();
+            close();
             if (r != null) {
                 broken(r);
             }
@@ -492,7 +542,7 @@
                     readStream(in);
                 } else if (running == null || !running.written && upload == null) {
                     // Bytes that nobody asked for: what follows on this connection can't be trusted.
-                    channel.close();
+                    close();
                 } else if (decoder.decode(in)) {
                     answered(in.isReadable());
                 } else if (decoder.isLong()) {
@@ -537,7 +587,7 @@
             if (response.keepAlive() && !more) {
                 loop.schedule(this::keep, REST_MS, TimeUnit.MILLISECONDS);
             } else {
-                channel.close();
+                close();
             }
         }
 
@@ -565,10 +615,6 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             hold(0);
-            ArrayDeque<Connection> kept = idle.get(peer);
-            if (kept != null) {
-                kept.remove(this);
-            }
             if (answer != null) {
                 if (!broken && decoder.ended()) {
                     endStream(true);
@@ -578,6 +624,7 @@
             }
             Running r = running;
             if (r == null) {
+                forget();
                 return;
             }
             if (!broken && decoder.ended()) {
@@ -586,12 +633,11 @@
             }
             running = null;
             endUpload();
-            if (idleSince > 0 && answerSince == 0 && clock.nowMs() - sentAt < AT_ONCE_MS) {
-                // Guards requests that may not be repeated: servers and what lies between end idle connections
-                // sooner than they say, or say nothing. From now on only fresher ones are used, for a while.
+            boolean atOnce = answerSince == 0 && clock.nowMs() - sentAt < AT_ONCE_MS;
+            if (atOnce && pool.broke(id)) {
                 counters.count(Counters.Kind.CONNECTIONS_STALE);
-                trustMs = Math.min(trustMs, (sentAt - idleSince) / 4);
             }
+            forget();
             broken(r);
         }
 
