--- a/fleet/src/main/java/brackenbridge/fleet/replica/Codec.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Codec.java
@@ -35,7 +35,8 @@
                 .maxNestingDepth(6).maxDocumentLength(MOST_BYTES).maxStringLength(2 * Entry.MOST_VALUE)
                 .maxNameLength(64).maxNumberLength(32).build()).build();
         ObjectMapper m = CBORMapper.builder(factory)
-                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES, DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                 .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
                 .enable(SerializationFeature.WRITE_ENUMS_USING_INDEX).build();
         m.configOverride(Entry.class).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Entry.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Entry.java
@@ -25,7 +25,8 @@
 
     /** Checks what can be checked without the owner's name. */
     public Entry {
-        if (space == null || key == null || key.length() > MOST_KEY || !text(key) || version == null || version.sequence() < 1
+        if (space == null || key == null || key.length() > MOST_KEY || !text(key) || version == null
+                || version.life() < 0 || version.sequence() < 1
                 || value != null && value.length > MOST_VALUE || count < 0 || below < 0
                 || below > version.life() || space.kind() == Space.Kind.COUNTED && value != null) {
             throw new IllegalArgumentException("not a record");
@@ -60,7 +61,8 @@
         return sum(owner, space, key, version, value, count, below);
     }
 
-    Item item() {
+    /** What it is found by. */
+    public Item item() {
         return new Item(space, key);
     }
 
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Exchange.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Exchange.java
@@ -31,6 +31,7 @@
     }
 
     private static final class Peer {
+        long life;
         boolean told;
         long mineHeld;
         double helloAtMs = Double.NEGATIVE_INFINITY;
@@ -292,13 +293,22 @@
 
     // ---- in ----
 
-    /** A message has come; what is to be sent at once in answer. */
-    public List<Out> took(String peer, byte[] body, double nowMs) {
+    /**
+     * A message has come.
+     *
+     * @param peer who sent it
+     * @param life the life of the sender's process
+     * @param body the message
+     * @return what is to be sent at once in answer
+     */
+    public List<Out> took(String peer, long life, byte[] body, double nowMs) {
         List<Out> out = new ArrayList<>();
         Peer p = peers.get(peer);
-        if (p == null) {
+        // Guards against what an ended process of the peer left on its way.
+        if (p == null || life < p.life) {
             return out;
         }
+        p.life = life;
         Message m;
         try {
             m = Codec.read(body);
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Message.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Message.java
@@ -101,7 +101,8 @@
      *
      * @param owner whose
      * @param life which life
-     * @param newest the newest life that the sender knows; if later, own records of this one have ended and are left out
+     * @param newest the newest life that the sender knows; if later, this one has ended and its own records are left
+     *     out
      * @param from after this write
      * @param to up to this write
      * @param base 0: the receiver needs all up to {@code from}; else this is a piece of a snapshot that ends at this
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Part.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Part.java
@@ -107,7 +107,8 @@
         kept.forEach(e -> keep.add(e.version().sequence()));
         List<Item> dropped = new ArrayList<>();
         for (Entry e : List.copyOf(bySequence.subMap(from, false, to, true).values())) {
-            if (!keep.contains(e.version().sequence())) {
+            // Guards a count that only this copy has: its later value may never come.
+            if (e.space().kind() == Space.Kind.OWN && !keep.contains(e.version().sequence())) {
                 drop(e.item());
                 dropped.add(e.item());
             }
@@ -125,6 +126,8 @@
             }
         }
         removals.clear();
+        // Counts are never removed, so what a snapshot has brought until now is as good as a log up to there.
+        have = Math.max(have, cursor);
         base = 0;
         cursor = 0;
         return dropped;
--- a/fleet/src/main/java/brackenbridge/fleet/replica/ReplicaNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/ReplicaNode.java
@@ -105,7 +105,7 @@
             store.touched();
         }
         exchange = new Exchange(store, terms, new SplittableRandom(nonce), clock.nowMs());
-        links.receive(Stream.REPLICA, (peer, of, body) -> turn(() -> exchange.took(peer, body, clock.nowMs())));
+        links.receive(Stream.REPLICA, (peer, of, body) -> turn(() -> exchange.took(peer, of, body, clock.nowMs())));
         links.watch((peer, standing, of) -> turn(() -> {
             peersChanged = true;
             if (standing == Standing.ALIVE) {
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Store.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Store.java
@@ -635,6 +635,13 @@
                 .sorted((a, b) -> a.item().compareTo(b.item())).toList();
     }
 
+    /** All records of one life, removals that are not forgotten among them, in the order of writes. */
+    public List<Entry> all(String owner, long of) {
+        Owner o = owners.get(owner);
+        Part p = o == null ? null : o.parts.get(of);
+        return p == null ? List.of() : p.all();
+    }
+
     /** The last write of this key by this life, a removal too; null if there is none. */
     public Entry entry(String owner, long of, Item item) {
         Owner o = owners.get(owner);
@@ -643,7 +650,7 @@
     }
 
     /** Puts a record in the place of a copy that the rule found to be the wrong one; null drops it. */
-    void mend(String owner, long of, Item item, Entry by, double nowMs) {
+    public void mend(String owner, long of, Item item, Entry by, double nowMs) {
         Owner o = owners.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         if (p != null && (by == null || by.intact(owner))) {
@@ -666,7 +673,7 @@
     }
 
     /** Gives a copy up, so that it is fetched whole. */
-    void again(String owner, long of) {
+    public void again(String owner, long of) {
         Owner o = owners.get(owner);
         Part p = o == null || owner.equals(me) && of == life ? null : o.parts.get(of);
         if (p != null) {
@@ -753,7 +760,7 @@
     // ---- disk ----
 
     /** Puts back what a disk had of one life. */
-    void restore(String owner, long of, long have, long floor, List<Entry> entries) {
+    public void restore(String owner, long of, long have, long floor, List<Entry> entries) {
         Owner o = owner(owner);
         if (o == null || owner.equals(me) && of >= life) {
             return;
@@ -767,14 +774,14 @@
     }
 
     /** How many records of this life are here. */
-    int size(String owner, long of) {
+    public int size(String owner, long of) {
         Owner o = owners.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null ? 0 : p.size();
     }
 
     /** How far removals of this life are forgotten. */
-    long floor(String owner, long of) {
+    public long floor(String owner, long of) {
         Owner o = owners.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null ? 0 : p.floor;
--- a/fleet/src/test/java/brackenbridge/fleet/replica/CodecTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/replica/CodecTest.java
@@ -16,7 +16,8 @@
 
 class CodecTest {
     private static final Arbitrary<Long> COUNT = Arbitraries.longs().between(0, Long.MAX_VALUE);
-    private static final Arbitrary<String> NAME = Arbitraries.strings().withCharRange(' ', '\ud7ff').ofMinLength(1).ofMaxLength(128);
+    private static final Arbitrary<String> NAME =
+            Arbitraries.strings().withCharRange(' ', '\ud7ff').ofMinLength(1).ofMaxLength(128);
 
     @Provide
     Arbitrary<Message> messages() {
@@ -39,7 +40,8 @@
 
     private static Arbitrary<List<Entry>> entries(long life) {
         Arbitrary<byte[]> value = Arbitraries.bytes().array(byte[].class).ofMaxSize(40).injectNull(0.2);
-        return Combinators.combine(Arbitraries.of(Space.values()), Arbitraries.strings().withCharRange(' ', '\ud7ff').ofMaxLength(40), value,
+        return Combinators.combine(Arbitraries.of(Space.values()),
+                Arbitraries.strings().withCharRange(' ', '\ud7ff').ofMaxLength(40), value,
                 COUNT).as((s, k, v, c) -> new Object[] {s, k, v, c}).list().ofMaxSize(20).map(list -> {
                     Entry[] all = new Entry[list.size()];
                     for (int i = 0; i < all.length; i++) {
--- a/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
@@ -197,6 +197,7 @@
         Comparison comparison = new Comparison();
         Check check = new Check();
         Agree agree = new Agree();
+        Replicate replicate = new Replicate();
         Fleets fleet = new Fleets();
         JCommander line = JCommander.newBuilder().programName("brackenbridge lab").addCommand("demo", demo)
                 .addCommand("operate", operate)
@@ -204,7 +205,7 @@
                 .addCommand("load", load).addCommand("report", report).addCommand("compare", comparison)
                 .addCommand("theory", check).addCommand("capacity", capacity).addCommand("bench", bench)
                 .addCommand("echo", echo).addCommand("relay", relay)
-                .addCommand("agree", agree).addCommand("fleet", fleet).build();
+                .addCommand("agree", agree).addCommand("replicate", replicate).addCommand("fleet", fleet).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -236,6 +237,7 @@
                 }
                 case "theory" -> theory(check);
                 case "agree" -> agree.run();
+                case "replicate" -> replicate.run();
                 case "fleet" -> fleet.run();
                 case "capacity" -> capacity(capacity);
                 case "bench" -> bench(bench);
--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/replica/Model.java
@@ -0,0 +1,439 @@
+package brackenbridge.lab.replica;
+
+import brackenbridge.fleet.replica.Entry;
+import brackenbridge.fleet.replica.Item;
+import brackenbridge.fleet.replica.Message;
+import brackenbridge.fleet.replica.Space;
+import brackenbridge.fleet.replica.Store;
+import brackenbridge.fleet.replica.Version;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * All that may happen next among three members, one of which writes. What is sent is kept for ever, so each piece may
+ * arrive never, late, twice and in any order; any process may end at any moment and start again with what its disk last
+ * had, or with nothing.
+ *
+ * <p>At each moment it is asserted what may never be: a copy that holds what nobody wrote, two copies with two contents
+ * of one write, a sum above what was added. And from each moment on it is tried whether the members become one if from
+ * now on messages come through: all equal, each holding exactly what a replay of the owner's writes gives, and no sum
+ * below what a living member had counted.
+ */
+public final class Model {
+    private static final String[] NAMES = {"a", "b", "c"};
+    private static final String OWNER = "a";
+    /** So small that each piece carries one record. */
+    private static final int PIECE = 1;
+    private static final String SUM = "s";
+
+    /** What was written, by life; the whole of a log, for the replay. */
+    private record Written(Map<Long, List<Entry>> logs, long added) {
+    }
+
+    /** A message on its way, for ever. */
+    private record Sent(int to, Message message) {
+    }
+
+    /** One moment. */
+    static final class State {
+        private final Store[] stores = new Store[NAMES.length];
+        private final Store[] disks = new Store[NAMES.length];
+        private final Map<String, Sent> sent = new TreeMap<>();
+        private Written written = new Written(Map.of(), 0);
+        private long lives;
+        private int writes;
+        private int wants;
+        private int pieces;
+        private int ends;
+        private int saves;
+        private int forgets;
+        private int folds;
+
+        private State copy() {
+            State s = new State();
+            for (int i = 0; i < NAMES.length; i++) {
+                s.stores[i] = stores[i].copy();
+                s.disks[i] = disks[i];
+            }
+            s.sent.putAll(sent);
+            s.written = written;
+            s.lives = lives;
+            s.writes = writes;
+            s.wants = wants;
+            s.pieces = pieces;
+            s.ends = ends;
+            s.saves = saves;
+            s.forgets = forgets;
+            s.folds = folds;
+            return s;
+        }
+
+        /** What tells this moment from others. */
+        String key() {
+            StringBuilder b = new StringBuilder();
+            b.append(writes).append(',').append(wants).append(',').append(pieces).append(',').append(ends).append(',')
+                    .append(saves).append(',').append(forgets).append(',').append(folds);
+            for (int i = 0; i < NAMES.length; i++) {
+                b.append('|').append(stores[i]).append('/').append(disks[i] == null ? "" : disks[i]);
+            }
+            return b.append(sent.keySet()).append(written.logs().values()).toString();
+        }
+    }
+
+    private final Bounds bounds;
+    private final Mistake mistake;
+
+    /** Histories within these bounds, of an implementation that makes this mistake. */
+    public Model(Bounds bounds, Mistake mistake) {
+        this.bounds = bounds;
+        this.mistake = mistake;
+    }
+
+    /** The first moment: nothing is written. */
+    State first() {
+        State s = new State();
+        s.lives = 1;
+        for (int i = 0; i < NAMES.length; i++) {
+            s.stores[i] = new Store(NAMES[i], 1, 1, false);
+        }
+        return s;
+    }
+
+    /** The moments that may follow, by what leads to them. */
+    Map<String, State> next(State s) {
+        Map<String, State> next = new LinkedHashMap<>();
+        if (s.writes < bounds.writes()) {
+            next.put("a writes", write(s));
+        }
+        for (int i = 0; i < NAMES.length; i++) {
+            ends(s, i, next);
+            for (int j = 0; j < NAMES.length; j++) {
+                if (i != j) {
+                    asks(s, i, j, next);
+                }
+            }
+        }
+        for (Map.Entry<String, Sent> e : s.sent.entrySet()) {
+            State n = s.copy();
+            arrives(n, e.getValue());
+            next.put("arrives " + e.getKey(), n);
+        }
+        if (s.folds < bounds.folds() && !s.stores[0].endedOfMine().isEmpty()
+                && (mistake == Mistake.FOLD_TOO_SOON || allHoldAsMuch(s))) {
+            State n = s.copy();
+            n.folds++;
+            // Assumed: nothing of an ended life is on its way for as long as a fold waits.
+            n.sent.values().removeIf(m -> m.message() instanceof Message.Chunk c && c.life() < n.stores[0].life());
+            fold(n);
+            next.put("a folds", n);
+        }
+        return next;
+    }
+
+    private State write(State s) {
+        State n = s.copy();
+        Store a = n.stores[0];
+        long had = a.have(OWNER, a.life()).orElse(0);
+        long added = 0;
+        // With folds, sums come first: what is at stake then.
+        boolean wrote = switch (bounds.folds() > 0 ? (n.writes + 3) % 5 : n.writes) {
+            case 0 -> a.put(Space.SERVERS, "k", new byte[] {'1'}, 0);
+            case 1 -> a.remove(Space.SERVERS, "k", 0) || a.put(Space.SERVERS, "j", new byte[] {'2'}, 0);
+            case 2 -> a.put(Space.SERVERS, "i", new byte[] {'3'}, 0);
+            case 3 -> {
+                added = 5;
+                yield a.add(Space.USED, SUM, 5, 0);
+            }
+            default -> {
+                added = 7;
+                yield a.add(Space.USED, SUM, 7, 0);
+            }
+        };
+        n.writes++;
+        if (wrote) {
+            n.written = new Written(n.written.logs(), n.written.added() + added);
+            log(n, had);
+        }
+        return n;
+    }
+
+    /** The owner's writes since this one go to the log for the replay, and out to both. */
+    private static void log(State n, long had) {
+        Store a = n.stores[0];
+        Map<Long, List<Entry>> logs = new TreeMap<>(n.written.logs());
+        List<Entry> log = new ArrayList<>(logs.getOrDefault(a.life(), List.of()));
+        a.all(OWNER, a.life()).stream().filter(e -> e.version().sequence() > had).forEach(log::add);
+        logs.put(a.life(), log);
+        n.written = new Written(logs, n.written.added());
+        Message.Chunk c = a.after(OWNER, a.life(), had, 1 << 10);
+        if (c != null) {
+            for (int i = 1; i < NAMES.length; i++) {
+                put(n, i, c);
+            }
+        }
+    }
+
+    private static void put(State n, int to, Message m) {
+        n.sent.put(NAMES[to] + " gets " + m, new Sent(to, m));
+    }
+
+    private void ends(State s, int i, Map<String, State> next) {
+        String name = NAMES[i];
+        if (s.saves < bounds.saves()) {
+            State n = s.copy();
+            n.saves++;
+            n.disks[i] = s.stores[i].copy();
+            next.put(name + " saves", n);
+        }
+        if (s.ends < bounds.ends()) {
+            State without = s.copy();
+            without.ends++;
+            without.disks[i] = null;
+            without.stores[i] = born(without, i);
+            next.put(name + " ends, and starts without its disk", without);
+            if (s.disks[i] != null) {
+                State with = s.copy();
+                with.ends++;
+                with.stores[i] = born(with, i);
+                restore(with.stores[i], s.disks[i]);
+                next.put(name + " ends, and starts with its disk", with);
+            }
+        }
+        if (s.forgets < bounds.forgets()) {
+            State n = s.copy();
+            n.forgets++;
+            n.stores[i].forget(1, 0);
+            if (!n.key().equals(s.key())) {
+                next.put(name + " forgets removals", n);
+            }
+        }
+    }
+
+    private Store born(State s, int i) {
+        // Lives are of the owner only: what the others write is of no concern here.
+        long life = i > 0 ? 1 : mistake == Mistake.LIFE_REUSED ? s.stores[0].life() : ++s.lives;
+        return new Store(NAMES[i], life, life, false);
+    }
+
+    private void restore(Store to, Store disk) {
+        for (String owner : disk.owners()) {
+            for (long life : disk.lives(owner)) {
+                List<Entry> all = disk.all(owner, life);
+                if (mistake == Mistake.DISK_HALF_WRITTEN && !all.isEmpty()) {
+                    all = all.subList(0, all.size() - 1);
+                }
+                to.restore(owner, life, disk.have(owner, life).orElse(0), disk.floor(owner, life), all);
+            }
+        }
+    }
+
+    /** One asks another for what it lacks of each life of the owner; the other answers at once, its answer may be late. */
+    private void asks(State s, int i, int j, Map<String, State> next) {
+        for (long life : s.stores[j].lives(OWNER)) {
+            Message.Want w = s.stores[i].want(OWNER, life);
+            if (s.wants < bounds.wants() && lacks(s, i, j, life)) {
+                State n = s.copy();
+                n.wants++;
+                put(n, j, new Message.Wants(List.of(w)));
+                next.put(NAMES[i] + " asks " + NAMES[j] + " for " + w, n);
+            }
+        }
+        for (Sent m : s.sent.values()) {
+            if (m.to() == j && m.message() instanceof Message.Wants w && s.pieces < bounds.pieces()) {
+                State n = s.copy();
+                n.pieces++;
+                Message.Chunk c = piece(s.stores[j], w.wants().get(0));
+                if (c != null) {
+                    put(n, i, c);
+                    next.put(NAMES[j] + " answers " + NAMES[i] + " with " + c, n);
+                }
+            }
+        }
+    }
+
+    private static boolean lacks(State s, int i, int j, long life) {
+        return !(i == 0 && life == s.stores[0].life())
+                && s.stores[j].have(OWNER, life).orElse(0) > s.stores[i].have(OWNER, life).orElse(0);
+    }
+
+    private Message.Chunk piece(Store from, Message.Want w) {
+        Message.Chunk c = from.since(w, PIECE);
+        if (c == null) {
+            return null;
+        }
+        long end = c.base() != 0 ? c.base() : from.have(c.owner(), c.life()).orElse(0);
+        return switch (mistake) {
+            case PIECE_SAYS_ALL -> new Message.Chunk(c.owner(), c.life(), c.newest(), c.from(), end, c.base(),
+                    c.floor(), c.entries());
+            case SNAPSHOT_AS_TAIL -> c.base() == 0 ? c : from.copy().since(new Message.Want(w.owner(), w.life(),
+                    from.floor(w.owner(), w.life()), 0, 0), PIECE) == null
+                    ? new Message.Chunk(c.owner(), c.life(), c.newest(), w.have(), end, 0, 0, List.of())
+                    : tail(from, w, c, end);
+            case SNAPSHOT_DONE_EARLY -> c.base() == 0 ? c : new Message.Chunk(c.owner(), c.life(), c.newest(),
+                    c.from(), end, end, c.floor(), c.entries());
+            default -> c;
+        };
+    }
+
+    private static Message.Chunk tail(Store from, Message.Want w, Message.Chunk c, long end) {
+        List<Entry> entries = from.all(w.owner(), w.life()).stream()
+                .filter(e -> e.version().sequence() > w.have()).toList();
+        return new Message.Chunk(c.owner(), c.life(), c.newest(), w.have(), end, 0, 0, entries);
+    }
+
+    private void arrives(State n, Sent sent) {
+        if (sent.message() instanceof Message.Chunk c) {
+            take(n.stores[sent.to()], c);
+        }
+    }
+
+    private void take(Store to, Message.Chunk c) {
+        long have = to.have(c.owner(), c.life()).orElse(0);
+        Message.Chunk taken = c;
+        if (mistake == Mistake.GAP_FORGIVEN && c.from() > have && c.base() == 0) {
+            taken = new Message.Chunk(c.owner(), c.life(), c.newest(), have, c.to(), 0, c.floor(), c.entries());
+        } else if (mistake == Mistake.OLD_LIFE_INTO_NEW && c.life() < to.newest(c.owner()) && !to.me().equals(OWNER)) {
+            long life = to.newest(c.owner());
+            taken = new Message.Chunk(c.owner(), life, life, c.from(), c.to(), c.base(), c.floor(),
+                    c.entries().stream().map(e -> Entry.of(OWNER, e.space(), e.key(), new Version(life,
+                            e.version().sequence()), e.value(), e.count(), e.below())).toList());
+        } else if (mistake == Mistake.COUNT_ADDED_ON_MERGE) {
+            taken = new Message.Chunk(c.owner(), c.life(), c.newest(), c.from(), c.to(), c.base(), c.floor(),
+                    c.entries().stream().map(e -> {
+                        Entry mine = to.entry(OWNER, c.life(), e.item());
+                        return mine == null || e.count() == 0 ? e : Entry.of(OWNER, e.space(), e.key(), e.version(),
+                                null, e.count() + mine.count(), e.below());
+                    }).toList());
+        }
+        to.took(taken, 0);
+        if (mistake == Mistake.LAST_COME_WINS && c.life() == to.newest(OWNER)) {
+            c.entries().forEach(e -> to.mend(OWNER, c.life(), e.item(), e, 0));
+        } else if (mistake == Mistake.COUNT_ADDED_ON_MERGE) {
+            for (Entry e : taken.entries()) {
+                if (e.count() > 0) {
+                    to.mend(OWNER, c.life(), e.item(), e, 0);
+                }
+            }
+        } else if (mistake == Mistake.SUMS_END_WITH_LIFE) {
+            to.lives(OWNER).stream().filter(l -> l < to.newest(OWNER)).forEach(l -> to.again(OWNER, l));
+        }
+    }
+
+    private boolean allHoldAsMuch(State s) {
+        Map<Long, Long> ended = s.stores[0].endedOfMine();
+        for (int i = 1; i < NAMES.length; i++) {
+            for (Map.Entry<Long, Long> e : ended.entrySet()) {
+                if (s.stores[i].have(OWNER, e.getKey()).orElse(0) != e.getValue()
+                        || s.stores[i].size(OWNER, e.getKey()) == 0) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    private void fold(State n) {
+        Store a = n.stores[0];
+        long had = a.have(OWNER, a.life()).orElse(0);
+        if (mistake == Mistake.FOLD_KEEPS_ENDED) {
+            a.add(Space.USED, SUM, a.sum(Space.USED, SUM), 0);
+        } else {
+            a.fold(a.life(), 0);
+        }
+        log(n, had);
+    }
+
+    // ---- what must hold ----
+
+    /** What is wrong at this moment; null if nothing is. */
+    String breach(State s) {
+        Map<Version, Long> contents = new TreeMap<>();
+        for (Store store : s.stores) {
+            long sum = store.sum(Space.USED, SUM);
+            if (sum > s.written.added()) {
+                return store.me() + " counts " + sum + ", added were " + s.written.added();
+            }
+            for (long life : store.aside(OWNER) == null ? store.lives(OWNER) : List.<Long>of()) {
+                for (Entry e : store.all(OWNER, life)) {
+                    Long other = contents.putIfAbsent(e.version(), e.sum());
+                    if (other != null && other != e.sum()) {
+                        return "two contents of write " + e.version();
+                    }
+                    if (s.written.logs().getOrDefault(life, List.of()).stream().noneMatch(w -> w.sum() == e.sum())) {
+                        return store.me() + " holds what nobody wrote: " + e;
+                    }
+                }
+            }
+        }
+        return differs(s);
+    }
+
+    /** From here on all messages come through: the members must become one. */
+    private String differs(State s) {
+        State n = s.copy();
+        long counted = 0;
+        for (Store store : n.stores) {
+            counted = Math.max(counted, store.sum(Space.USED, SUM));
+        }
+        for (int round = 0; moved(n); round++) {
+            if (round > 50) {
+                return "the members never come to rest";
+            }
+        }
+        for (Store store : n.stores) {
+            long life = store.newest(OWNER);
+            if (life != n.stores[0].life()) {
+                return store.me() + " has not heard of life " + n.stores[0].life();
+            }
+            Map<Item, Entry> want = new TreeMap<>();
+            s.written.logs().getOrDefault(life, List.of()).forEach(e -> want.put(e.item(), e));
+            want.values().removeIf(Entry::gone);
+            Map<Item, Entry> has = new TreeMap<>();
+            store.all(OWNER, life).stream().filter(e -> !e.gone()).forEach(e -> has.put(e.item(), e));
+            if (!want.keySet().equals(has.keySet())
+                    || want.entrySet().stream().anyMatch(e -> has.get(e.getKey()).sum() != e.getValue().sum())) {
+                return store.me() + " has " + has.values() + " in the end, written were " + want.values();
+            }
+            long sum = store.sum(Space.USED, SUM);
+            if (sum < counted || sum != n.stores[0].sum(Space.USED, SUM)) {
+                return store.me() + " counts " + sum + " in the end, a member had " + counted + ", a has "
+                        + n.stores[0].sum(Space.USED, SUM);
+            }
+        }
+        return null;
+    }
+
+    private boolean moved(State n) {
+        boolean moved = false;
+        for (int i = 0; i < NAMES.length; i++) {
+            for (int j = 0; j < NAMES.length; j++) {
+                if (i == j) {
+                    continue;
+                }
+                for (Message.Mark m : n.stores[j].marks(List.of(OWNER), 0)) {
+                    moved |= n.stores[i].newest(OWNER) < m.life();
+                    if (i != 0) {
+                        n.stores[i].took(m, 0);
+                    }
+                }
+                for (long life : new TreeSet<>(n.stores[j].lives(OWNER))) {
+                    boolean named = life == n.stores[j].newest(OWNER) || n.stores[j].size(OWNER, life) > 0;
+                    if (named && lacks(n, i, j, life)) {
+                        String before = Objects.toString(n.stores[i]);
+                        Message.Chunk c = piece(n.stores[j], n.stores[i].want(OWNER, life));
+                        if (c != null) {
+                            take(n.stores[i], c);
+                            moved |= !before.equals(n.stores[i].toString());
+                        }
+                    }
+                }
+            }
+        }
+        return moved;
+    }
+}
