Fleet peers: what happens at one peer wakes no other peer's thread

Each link made or lost woke every waiting thread of the member, which is quadratic when many join at once. Dialling threads now park by themselves and events have a monitor of their own.

--- a/fleet/src/main/java/brackenbridge/fleet/peer/TcpLinks.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/TcpLinks.java
@@ -24,6 +24,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -89,7 +90,8 @@
         String toldAddress;
         Socket dialling;
         Connection meeting;
-        boolean removed;
+        Thread keeper;
+        volatile boolean removed;
         double dialMs;
         int failures;
         int dialCount;
@@ -346,6 +348,7 @@
                     connection.outbox.end();
                 }
                 give(peer);
+                LockSupport.unpark(peer.keeper);
             }
             strangers.forEach(c -> c.close("this member ends"));
             if (listener != null) {
@@ -429,7 +432,7 @@
             // The lower name dials first, so that dials seldom cross.
             double wait = me.name().compareTo(peer.member.name()) < 0 ? 0 : limits.dialMinMs();
             peer.dialMs = clock.nowMs() + wait * (1 + random.nextDouble());
-            thread("peer-to-" + peer.member.name(), () -> keep(peer));
+            peer.keeper = thread("peer-to-" + peer.member.name(), () -> keep(peer));
         }
     }
 
@@ -440,6 +443,7 @@
             peer.connection = null;
         }
         give(peer);
+        LockSupport.unpark(peer.keeper);
         lock.notifyAll();
     }
 
@@ -667,6 +671,7 @@
             peer.connection = connection;
             figures.count("links_made");
             after(detector.linked(now, connection.begunMs, hello.from(), hello.life(), hello.instance()));
+            LockSupport.unpark(peer.keeper);
             lock.notifyAll();
         }
         LOG.info("linked with {} at {}, life {}, {}", hello.from(), hello.address(), hello.life(),
@@ -748,18 +753,16 @@
     private void keep(Peer peer) {
         while (!closing && !peer.removed) {
             Connection connection;
+            double left;
             synchronized (lock) {
                 connection = peer.connection;
-                if (connection == null) {
-                    double left = peer.dialMs - clock.nowMs();
-                    if (left > 0) {
-                        pause(left);
-                        continue;
-                    }
-                }
+                left = peer.dialMs - clock.nowMs();
             }
             if (connection != null) {
                 write(peer, connection);
+            } else if (left > 0) {
+                // Not on the lock: what happens at other peers wakes nobody here.
+                LockSupport.parkNanos(this, (long) Math.ceil(left * 1e6));
             } else {
                 dial(peer);
             }
@@ -1043,29 +1046,33 @@
     }
 
     private void post(String peer, Runnable call) {
-        if (events.size() >= EVENTS_MOST) {
-            // Guards against a watcher that hangs: what is oldest of the same peer gives way.
-            Event oldest = events.stream().filter(e -> Objects.equals(e.peer(), peer)).findFirst()
-                    .orElse(events.peek());
-            events.remove(oldest);
-            figures.count("events_lost");
-        }
-        events.add(new Event(peer, call));
-        lock.notifyAll();
+        synchronized (events) {
+            if (events.size() >= EVENTS_MOST) {
+                // Guards against a watcher that hangs: what is oldest of the same peer gives way.
+                Event oldest = events.stream().filter(e -> Objects.equals(e.peer(), peer)).findFirst()
+                        .orElse(events.peek());
+                events.remove(oldest);
+                figures.count("events_lost");
+            }
+            events.add(new Event(peer, call));
+            events.notifyAll();
+        }
     }
 
     private void tell() {
         while (true) {
             Event event;
-            synchronized (lock) {
+            synchronized (events) {
                 event = events.poll();
                 if (event == null) {
                     if (closing) {
                         return;
                     }
-                    pause(1000);
-                    if (Thread.interrupted() && closing) {
-                        return;
+                    try {
+                        events.wait();
+                    } catch (InterruptedException e) {
+                        // Only the end interrupts; what is left is told first.
+                        LOG.debug("woken to end");
                     }
                     continue;
                 }
