Laboratory: fleets of members as processes, faults on links and disks, promises on one log

A fleet that shares state needs faults between its members and on their disks, and a checker apart from the code. A file with [members] starts each as a process, with a relay for each ordered pair, a disk and a command channel, and writes all lines into one log by the machine's one monotonic clock. Blows: killed, stopped, stalled, disk wiped, older, of another member, torn, one bit turned, a twin. Promises: converges, level_after, never_lost, no_contradiction, one_holder, capacity.

--- a/lab/src/main/java/brackenbridge/lab/cli/Fleets.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/Fleets.java
@@ -5,6 +5,7 @@
 import brackenbridge.lab.fleet.FleetFile;
 import brackenbridge.lab.fleet.FleetPlan;
 import brackenbridge.lab.fleet.FleetRunner;
+import brackenbridge.lab.fleet.MembersFile;
 import brackenbridge.lab.fleet.Shrinking;
 import brackenbridge.lab.report.HtmlReport;
 import brackenbridge.lab.rules.Ledger;
@@ -35,10 +36,13 @@
 
     /** The exit status: 0, or 1 where a promise was broken. */
     int run() throws FileFault, IOException, InterruptedException {
-        FleetPlan plan = FleetFile.read(Path.of(file));
         if (seeds < 1 || seeds > 10_000 || shrink < 0) {
             throw new ParameterException("--seeds must be within 1 to 10000, --shrink 0 or more");
         }
+        if (MembersFile.is(Path.of(file))) {
+            return new FleetsOfMembers(MembersFile.read(Path.of(file)), Path.of(out)).run(seed, seeds, shrink);
+        }
+        FleetPlan plan = FleetFile.read(Path.of(file));
         Deployment deployment = Deployment.read();
         FleetRunner.Program program = new FleetRunner.Program(deployment.home(), deployment.run());
         int status = 0;
--- a/lab/src/main/java/brackenbridge/lab/fleet/Fault.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/Fault.java
@@ -21,7 +21,24 @@
         /** Told to stop; started again after the time. */
         STOP,
         /** Stands still for the time. */
-        STALL
+        STALL,
+        /** Killed; started again after the time with an empty disk. */
+        WIPE,
+        /** Its disk is copied; after the time it is killed and started again with that copy. */
+        AGED,
+        /** Killed, as another is; started again after the time with a copy of the other's disk. */
+        SWAPPED,
+        /** Killed; started again after the time with the end of a file cut off. */
+        TORN,
+        /** Killed; started again after the time with one bit of a file turned. */
+        FLIPPED,
+        /** A second process of its name runs for the time beside it, with a copy of its disk. */
+        TWIN;
+
+        /** Whether it needs a process with a disk: {@link MembersPlan} has them. */
+        boolean ofDisk() {
+            return ordinal() > STALL.ordinal();
+        }
     }
 
     /** Keeps its own copies. */
--- a/lab/src/main/java/brackenbridge/lab/fleet/FleetFile.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/FleetFile.java
@@ -45,14 +45,22 @@
         double least = root.number("served_least", 0, 0, 1);
         List<Fault> faults = new ArrayList<>();
         for (Section s : root.sections("fault")) {
-            faults.add(fault(s));
+            Fault f = fault(s);
+            if (f.blow() != null && f.blow().ofDisk()) {
+                throw s.fault("kind", "is for members, which have a disk: see [members]");
+            }
+            faults.add(f);
         }
         FleetPlan.Drawn drawn = root.has("random") ? drawn(root.section("random")) : null;
+        if (drawn != null && drawn.blows().stream().anyMatch(Fault.Blow::ofDisk)) {
+            throw root.section("random").fault("blows", "has one for members, which have a disk: see [members]");
+        }
         root.end();
         return new FleetPlan(name, about, world.withPolicies(List.of(Policies.MODULE)), faults, drawn, least);
     }
 
-    private static Fault fault(Section s) throws FileFault {
+    /** One fault. */
+    static Fault fault(Section s) throws FileFault {
         double at = s.time("at", Double.NaN);
         double lasts = s.time("for", Double.NaN);
         List<List<String>> groups = new ArrayList<>();
@@ -84,7 +92,8 @@
         return f;
     }
 
-    private static FleetPlan.Drawn drawn(Section s) throws FileFault {
+    /** What is drawn by the seed. */
+    static FleetPlan.Drawn drawn(Section s) throws FileFault {
         List<LinkFault.Kind> kinds = names(s, "kinds", LinkFault.Kind.class);
         List<Fault.Blow> blows = names(s, "blows", Fault.Blow.class);
         FleetPlan.Drawn d = new FleetPlan.Drawn(s.whole("faults", 5, 1, 1000), s.text("links", "*"), kinds,
--- a/lab/src/main/java/brackenbridge/lab/fleet/FleetPlan.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/FleetPlan.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 /**
  * A fleet and what goes wrong in it.
@@ -31,6 +32,35 @@
      */
     public record Drawn(int count, String links, List<LinkFault.Kind> kinds, String processes,
             List<Fault.Blow> blows, double fromMs, double untilMs, double longestMs) {
+        /** What this seed draws, for these links ({@code a>b}) and processes. */
+        List<Fault> faults(long seed, List<String> open, List<String> names) {
+            List<Fault> all = new ArrayList<>();
+            SplittableRandom random = new SplittableRandom(seed);
+            for (int i = 0; i < count; i++) {
+                double at = fromMs + random.nextDouble() * (untilMs - fromMs);
+                double lasts = (0.1 + 0.9 * random.nextDouble()) * longestMs;
+                int which = random.nextInt(kinds.size() + blows.size());
+                if (which < kinds.size()) {
+                    LinkFault fault = new LinkFault(kinds.get(which), kinds.get(which).usual(), 0);
+                    Fault any = new Fault(fault, null, links, List.of(), at, lasts);
+                    one(random, open.stream().filter(l -> any.strikes(l.substring(0, l.indexOf('>')),
+                            l.substring(l.indexOf('>') + 1))).toList(),
+                            l -> all.add(new Fault(fault, null, l, List.of(), at, lasts)));
+                } else {
+                    Fault.Blow blow = blows.get(which - kinds.size());
+                    Fault any = new Fault(null, blow, processes, List.of(), at, lasts);
+                    one(random, names.stream().filter(any::strikes).toList(),
+                            n -> all.add(new Fault(null, blow, n, List.of(), at, lasts)));
+                }
+            }
+            return all;
+        }
+
+        private static void one(SplittableRandom random, List<String> of, Consumer<String> taken) {
+            if (!of.isEmpty()) {
+                taken.accept(of.get(random.nextInt(of.size())));
+            }
+        }
     }
 
     /** Keeps its own copy. */
@@ -41,30 +71,8 @@
     /** The script with what the seed draws, for these links ({@code a>b}) and processes. */
     public List<Fault> faults(long seed, List<String> links, List<String> processes) {
         List<Fault> all = new ArrayList<>(faults);
-        if (drawn == null) {
-            return all;
-        }
-        SplittableRandom random = new SplittableRandom(seed);
-        for (int i = 0; i < drawn.count(); i++) {
-            double at = drawn.fromMs() + random.nextDouble() * (drawn.untilMs() - drawn.fromMs());
-            double lasts = (0.1 + 0.9 * random.nextDouble()) * drawn.longestMs();
-            int which = random.nextInt(drawn.kinds().size() + drawn.blows().size());
-            if (which < drawn.kinds().size()) {
-                LinkFault.Kind kind = drawn.kinds().get(which);
-                Fault any = new Fault(new LinkFault(kind, kind.usual(), 0), null, drawn.links(), List.of(), at, lasts);
-                List<String> open = links.stream().filter(l -> any.strikes(l.substring(0, l.indexOf('>')),
-                        l.substring(l.indexOf('>') + 1))).toList();
-                if (!open.isEmpty()) {
-                    all.add(new Fault(any.link(), null, open.get(random.nextInt(open.size())), List.of(), at, lasts));
-                }
-            } else {
-                Fault.Blow blow = drawn.blows().get(which - drawn.kinds().size());
-                Fault any = new Fault(null, blow, drawn.processes(), List.of(), at, lasts);
-                List<String> open = processes.stream().filter(any::strikes).toList();
-                if (!open.isEmpty()) {
-                    all.add(new Fault(null, blow, open.get(random.nextInt(open.size())), List.of(), at, lasts));
-                }
-            }
+        if (drawn != null) {
+            all.addAll(drawn.faults(seed, links, processes));
         }
         return all;
     }
--- a/lab/src/main/java/brackenbridge/lab/fleet/Relays.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/Relays.java
@@ -37,6 +37,11 @@
         return at.getAddress().getHostAddress() + ":" + at.getPort();
     }
 
+    /** The relay of a link that was asked for. */
+    synchronized Relay of(String link) {
+        return links.values().stream().map(Link::relay).filter(r -> r.name().equals(link)).findFirst().orElseThrow();
+    }
+
     synchronized List<String> names() {
         return links.values().stream().map(l -> l.relay().name()).distinct().toList();
     }
--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/Records.java
@@ -0,0 +1,102 @@
+package brackenbridge.lab.fleet.check;
+
+import com.eclipsesource.json.JsonObject;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Own records as the log tells of them: the value of each is a number that grows with each write of its owner, so a
+ * later one of the same key is known by its number alone.
+ */
+final class Records {
+    /** A record's name. */
+    record Id(String owner, String key) {
+    }
+
+    /**
+     * A write that its owner said was taken.
+     *
+     * @param t when it said so
+     * @param n its number
+     * @param gone whether it removed the record
+     */
+    record Wrote(double t, Id id, long n, boolean gone) {
+    }
+
+    private final List<Wrote> wrote = new ArrayList<>();
+    /** By reader and record: times and the number that was seen. */
+    private final Map<String, Map<Id, TreeMap<Double, Long>>> seen = new HashMap<>();
+
+    Records(List<Entry> log) {
+        Map<Id, Long> removals = new HashMap<>();
+        for (Entry e : log) {
+            switch (e.what()) {
+                case "tries" -> {
+                    if (e.is("gone")) {
+                        removals.put(new Id(e.text("member"), e.text("key")), e.whole("n"));
+                    }
+                }
+                case "wrote" -> wrote.add(new Wrote(e.t(), new Id(e.who(), e.text("key")), e.whole("n"),
+                        e.is("gone")));
+                case "saw" -> {
+                    // A record that is gone has no number left: it is that of the last removal that was tried.
+                    Id id = new Id(e.text("owner"), e.text("key"));
+                    saw(e.who(), e.t(), id, e.is("gone") ? removals.getOrDefault(id, 0L) : e.whole("n"));
+                }
+                case "level" -> have(e).forEach((id, n) -> saw(e.who(), e.t(), id, n));
+                default -> {
+                }
+            }
+        }
+    }
+
+    private void saw(String reader, double t, Id id, long n) {
+        TreeMap<Double, Long> times = seen.computeIfAbsent(reader, r -> new HashMap<>())
+                .computeIfAbsent(id, i -> new TreeMap<>());
+        Map.Entry<Double, Long> last = times.lastEntry();
+        if (last == null || last.getValue() != n) {
+            times.put(t, n);
+        }
+    }
+
+    /** What a member says that it holds, by record. */
+    static Map<Id, Long> have(Entry level) {
+        Map<Id, Long> all = new HashMap<>();
+        if (level.more().get("have") != null) {
+            for (JsonObject.Member owner : level.more().get("have").asObject()) {
+                for (JsonObject.Member key : owner.getValue().asObject()) {
+                    all.put(new Id(owner.getName(), key.getName()), key.getValue().asLong());
+                }
+            }
+        }
+        return all;
+    }
+
+    List<Wrote> wrote() {
+        return wrote;
+    }
+
+    /** When a reader first held this write or a later one of the key; infinite if never. */
+    double seenAt(String reader, Wrote w) {
+        for (Map.Entry<Double, Long> e : seen.getOrDefault(reader, Map.of()).getOrDefault(w.id(), new TreeMap<>())
+                .entrySet()) {
+            if (e.getValue() >= w.n()) {
+                return e.getKey();
+            }
+        }
+        return Double.POSITIVE_INFINITY;
+    }
+
+    /** All members that the log tells of as started; a second process of one's name, {@code m0.twin}, is none. */
+    static List<String> members(List<Entry> log) {
+        return log.stream().filter(e -> e.what().equals("ready") && !e.who().contains(".")).map(Entry::who)
+                .distinct().sorted().toList();
+    }
+
+    static double end(List<Entry> log) {
+        return log.isEmpty() ? 0 : log.get(log.size() - 1).t();
+    }
+}
--- a/lab/src/test/java/brackenbridge/lab/fleet/FleetFileTest.java
+++ b/lab/src/test/java/brackenbridge/lab/fleet/FleetFileTest.java
@@ -47,6 +47,24 @@
         assertTrue(f.getMessage().contains(reason), f.getMessage());
     }
 
+    @Test
+    void aFleetOfMembersNamesWhatItPromises() throws FileFault {
+        MembersPlan smoke = MembersFile.read(FLEETS.resolve("state-smoke.toml"));
+        assertEquals(List.of("m0", "m1", "m2", "m3", "m4"), smoke.members());
+        assertEquals(20, smoke.links().size());
+        assertEquals(5, smoke.promises().size());
+        MembersPlan state = MembersFile.read(FLEETS.resolve("state.toml"));
+        assertEquals(state.faults(3), state.faults(3));
+        assertTrue(MembersFile.is(FLEETS.resolve("state.toml")));
+        assertFalse(MembersFile.is(FLEETS.resolve("links.toml")));
+        FileFault f = assertThrows(FileFault.class, () -> MembersFile.parse("f.toml",
+                "name = \"f\"\n[members]\ncount = 3\n[[promise]]\nkind = \"converge\"\n"));
+        assertTrue(f.getMessage().contains("f.toml:5:1: promise[0].kind: 'converge' is unknown (did you mean "
+                + "'converges'?)"), f.getMessage());
+        assertTrue(assertThrows(FileFault.class, () -> parse("[[fault]]\nprocess = \"n0-0\"\nkind = \"wipe\"\n"
+                + "at = \"1s\"\nfor = \"1s\"\n")).getMessage().contains("is for members"));
+    }
+
     @Test
     void namesWithStarsMatchWholeNames() {
         Fault f = new Fault(new LinkFault(LinkFault.Kind.RESET, 0, 0), null, "n0-*>s-0-1", List.of(), 0, 1);
