--- a/lab/src/main/java/brackenbridge/lab/fleet/MemberProcess.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/MemberProcess.java
@@ -46,8 +46,12 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
+            boolean was = ready;
             ready = false;
             journal.lab("ended", Json.object().add("member", name));
+            if (!was) {
+                refused.accept(name);
+            }
         }
 
         private void took(String line) {
@@ -89,6 +93,7 @@
     private final Path errors;
     private final Journal journal;
     private final Consumer<String> readied;
+    private final Consumer<String> refused;
     private volatile Run run;
     private volatile boolean stalled;
 
@@ -96,15 +101,17 @@
      * A member that has not started yet.
      *
      * @param readied hears its name, on a thread of its own, each time that it is ready
+     * @param refused hears its name when it has ended without ever being ready
      */
     MemberProcess(String name, List<String> command, Path disk, Path errors, Journal journal,
-            Consumer<String> readied) {
+            Consumer<String> readied, Consumer<String> refused) {
         this.name = name;
         this.command = command;
         this.disk = disk;
         this.errors = errors;
         this.journal = journal;
         this.readied = readied;
+        this.refused = refused;
     }
 
     String name() {
--- a/lab/src/main/java/brackenbridge/lab/fleet/MembersRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/MembersRunner.java
@@ -104,11 +104,11 @@
             w.put("peers", peers(m, listens));
             w.put("disk", folder.resolve(m + ".disk").toString());
             words.put(m, w);
-            members.put(m, member(m, w, this::readied));
+            members.put(m, member(m, w));
         }
     }
 
-    private MemberProcess member(String name, Map<String, String> w, java.util.function.Consumer<String> ready) {
+    private MemberProcess member(String name, Map<String, String> w) {
         List<String> command = new ArrayList<>();
         for (String part : plan.command()) {
             String whole = part;
@@ -117,7 +117,8 @@
             }
             command.add(whole);
         }
-        return new MemberProcess(name, command, Path.of(w.get("disk")), folder.resolve(name + ".log"), journal, ready);
+        return new MemberProcess(name, command, Path.of(w.get("disk")), folder.resolve(name + ".log"), journal,
+                this::readied, this::refused);
     }
 
     private static Thread daemon(Runnable r, String name) {
@@ -188,10 +189,7 @@
             throw new IOException("not every member was ready after " + READY_MS / 1000 + " s: see " + folder);
         }
         journal.begin();
-        members.values().forEach(m -> plan.load().lines().forEach(m::tell));
-        if (plan.load().proposals() > 0) {
-            members.values().forEach(m -> m.tell("watch settings"));
-        }
+        members.values().forEach(this::begun);
         double longest = plan.load().lengthMs();
         for (Fault f : faults) {
             schedule(f);
@@ -215,6 +213,14 @@
         return new Outcome(findings, faults, log, rate);
     }
 
+    /** What a member is told each time that it has begun. */
+    private void begun(MemberProcess m) {
+        if (plan.load().proposals() > 0) {
+            m.tell("watch settings");
+        }
+        plan.load().lines().forEach(m::tell);
+    }
+
     private long bytes() {
         Relay.Counts c = relays.counts();
         return c.bytesThere() + c.bytesBack();
@@ -333,14 +339,15 @@
      * connections that one of them makes (refused ones, half open ones) strikes those alone.
      */
     private void strikeLinks(Fault f) {
-        Map<Wrong, Long> wrong = new LinkedHashMap<>();
+        Set<Wrong> wrong = new LinkedHashSet<>();
+        List<Long> ids = new ArrayList<>();
         for (String link : plan.links()) {
             String from = link.substring(0, link.indexOf('>'));
             String to = link.substring(link.indexOf('>') + 1);
             if (f.strikes(from, to)) {
-                long id = begins(f.link().kind().name().toLowerCase(java.util.Locale.ROOT),
-                        Json.object().add("from", from).add("to", to));
-                wrong.putIfAbsent(new Wrong(byLink.get(link), f.link()), id);
+                ids.add(begins(f.link().kind().name().toLowerCase(java.util.Locale.ROOT),
+                        Json.object().add("from", from).add("to", to)));
+                wrong.add(new Wrong(byLink.get(link), f.link()));
                 LinkFault.Kind other = switch (f.link().kind()) {
                     case NO_WAY_THERE -> LinkFault.Kind.NO_WAY_BACK;
                     case NO_WAY_BACK -> LinkFault.Kind.NO_WAY_THERE;
@@ -348,15 +355,15 @@
                     default -> null;
                 };
                 if (other != null) {
-                    wrong.putIfAbsent(new Wrong(byLink.get(to + ">" + from),
-                            new LinkFault(other, f.link().amount(), f.link().jitterMs())), id);
+                    wrong.add(new Wrong(byLink.get(to + ">" + from),
+                            new LinkFault(other, f.link().amount(), f.link().jitterMs())));
                 }
             }
         }
-        wrong.keySet().forEach(w -> w.relay().begin(w.fault()));
+        wrong.forEach(w -> w.relay().begin(w.fault()));
         later(f, () -> {
-            wrong.keySet().forEach(w -> w.relay().end(w.fault()));
-            new LinkedHashSet<>(wrong.values()).forEach(this::ends);
+            wrong.forEach(w -> w.relay().end(w.fault()));
+            ids.forEach(this::ends);
         });
     }
 
@@ -415,6 +422,21 @@
         if (ids != null) {
             ids.forEach(this::ends);
             struck.remove(name);
+            begun(members.get(name));
+        }
+    }
+
+    /** It does not start with the disk that it was given: it gets an empty one, as staff would give it. */
+    private void refused(String name) {
+        if (!over || !struck.isEmpty()) {
+            blows.execute(() -> run(() -> {
+                MemberProcess m = members.get(name);
+                if (open.containsKey(name) && !m.alive()) {
+                    journal.lab("refused", Json.object().add("member", name));
+                    Disks.wipe(m.disk());
+                    m.start();
+                }
+            }));
         }
     }
 
@@ -459,8 +481,8 @@
         Disks.copy(m.disk(), disk);
         again(m, id);
         long second = begins("twin", Json.object().add("member", m.name()));
-        MemberProcess twin = new MemberProcess(m.name() + ".twin", member(m.name(), w, n -> { }).command(), disk,
-                folder.resolve(m.name() + ".twin.log"), journal, n -> { });
+        MemberProcess twin = new MemberProcess(m.name() + ".twin", member(m.name(), w).command(), disk,
+                folder.resolve(m.name() + ".twin.log"), journal, n -> { }, n -> { });
         twin.start();
         later(f, () -> {
             twin.kill();
