--- a/lab/src/main/java/brackenbridge/lab/fleet/MembersRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/MembersRunner.java
@@ -40,6 +40,7 @@
     private static final int FIRST_PORT = 20_000;
     private static final int PORTS = 10_000;
     private static final int TRIES = 200;
+    private static final long AGAIN_MS = 100;
     /** One of so many writes removes a record instead. */
     private static final int REMOVES = 16;
 
@@ -445,13 +446,21 @@
         m.stop();
         Disks.copy(m.disk(), copy);
         again(m, id);
-        later(f, () -> {
+        later(f, () -> alone(m, () -> {
             long second = begins("aged", Json.object().add("member", m.name()));
-            struck.add(m.name());
             m.kill();
             Disks.copy(copy, m.disk());
             again(m, second);
-        });
+        }));
+    }
+
+    /** As soon as nothing else strikes this member: two blows at its disk at once would be neither. */
+    private void alone(MemberProcess m, Task task) throws IOException {
+        if (struck.add(m.name())) {
+            task.run();
+        } else {
+            blows.schedule(() -> run(() -> alone(m, task)), AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void swapped(Fault f, MemberProcess m, long id) throws IOException {
@@ -486,10 +495,11 @@
         twin.start();
         later(f, () -> {
             twin.kill();
-            struck.add(m.name());
-            m.kill();
-            Disks.wipe(m.disk());
-            again(m, second);
+            alone(m, () -> {
+                m.kill();
+                Disks.wipe(m.disk());
+                again(m, second);
+            });
         });
     }
 
