--- a/core/src/main/java/brackenbridge/core/share/Allowances.java
+++ b/core/src/main/java/brackenbridge/core/share/Allowances.java
@@ -3,8 +3,8 @@
 import java.util.Map;
 
 /**
- * What each tenant may hold here and now: connections to this node's target group, open at the same time. A value from
- * outside, which says itself until when it holds.
+ * What each tenant may hold here and now: connections to this node's target group, open at the same time. A value
+ * from outside, which says itself until when it holds.
  *
  * @param epoch counts the allocations; a lower one than was told before is passed over
  * @param tenants connections for each tenant; one that is absent has {@code others} together with all that are absent
--- a/core/src/main/java/brackenbridge/core/share/TenantScheduler.java
+++ b/core/src/main/java/brackenbridge/core/share/TenantScheduler.java
@@ -16,18 +16,18 @@
  * <p>Start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996; with many servers at once, Jin, Chase and Kaur,
  * SIGMETRICS 2004) over tenants: each call moves its tenant's tag on by its connection time through its allowance, by
  * what was expected when it begins and by what it took when it ends; one that is still running beyond that is charged
- * meanwhile. Virtual time runs with the clock, so that an allowance in full use moves its tag as fast as time goes. A tag
- * stays behind virtual time by {@link Limits#burstMs} at the most, which is the tenant's burst credit: it lets the tenant
- * hold up to twice its allowance and is spent by that. A tenant that holds less than its allowance goes before all that
- * hold more. What nobody may claim is lent, by weights, to tenants whose calls are short enough to be given back within
- * {@link Limits#returnMs}.
+ * meanwhile. Virtual time runs with the clock, so that an allowance in full use moves its tag as fast as time goes.
+ * A tag stays behind virtual time by {@link Limits#burstMs} at the most, which is the tenant's burst credit: it lets
+ * the tenant hold up to twice its allowance and is spent by that. A tenant that holds less than its allowance goes
+ * before all that hold more. What nobody may claim is lent, by weights, to tenants whose calls are short enough to
+ * be given back within {@link Limits#returnMs}.
  *
- * <p>Tenants that are not named in {@link Allowances} share what is for all others, by the same method among themselves.
- * At no time begins a call while as many run as all allowances make together. Until allowances are told for the first
- * time every call goes.
+ * <p>Tenants that are not named in {@link Allowances} share what is for all others, by the same method among
+ * themselves. At no time begins a call while as many run as all allowances make together. Until allowances are told
+ * for the first time every call goes.
  *
- * <p>Each call costs at most logarithmic time in the tenants that wait. Idle tenants hold nothing. Not for more than one
- * thread; time never goes back.
+ * <p>Each call costs at most logarithmic time in the tenants that wait. Idle tenants hold nothing. Not for more than
+ * one thread; time never goes back.
  */
 public final class TenantScheduler {
     /** What a new tenant's call is expected to take where its caller does not say; milliseconds. */
@@ -240,8 +240,8 @@
         }
         t.flows(nowMs);
         Share s = t.share;
-        // Guards against a call that overtakes those that waited before it: a place is free for it only if no share that
-        // holds less than it may has one waiting.
+        // Guards against a call that overtakes those that waited before it: a place is free for it only if no share
+        // that holds less than it may has one waiting.
         if (told == null || running < total && under.isEmpty() && t.waiting == 0 && fits(t, nowMs)
                 && (mayClaim(s, nowMs) || over.isEmpty() && mayBorrow(s, nowMs))) {
             begin(c, nowMs);
@@ -327,8 +327,8 @@
     }
 
     /**
-     * Flows to give up so that no more run than may: for a node that is cut off and whose calls outlast its lease by more
-     * than the fleet waits. The oldest of those who are furthest over their allowance.
+     * Flows to give up so that no more run than may: for a node that is cut off and whose calls outlast its lease by
+     * more than the fleet waits. The oldest of those who are furthest over their allowance.
      */
     public List<Long> overstaying(double nowMs) {
         due(nowMs);
--- a/core/src/main/java/brackenbridge/core/share/TenantUse.java
+++ b/core/src/main/java/brackenbridge/core/share/TenantUse.java
@@ -4,8 +4,8 @@
  * What a tenant wanted and used since its last reading.
  *
  * @param tenant its name; empty for calls without one
- * @param wanted connections that it would have used if it were alone: in use, waiting, and what was refused would have
- *     held
+ * @param wanted connections that it would have used if it were alone: in use, waiting, and what was refused would
+ *     have held
  * @param used connections in use on average
  * @param running connections in use now
  * @param refused calls a second that were refused
--- a/core/src/test/java/brackenbridge/core/share/TenantSchedulerTest.java
+++ b/core/src/test/java/brackenbridge/core/share/TenantSchedulerTest.java
@@ -252,7 +252,8 @@
     }
 
     @Property(tries = 200, seed = "29")
-    void whateverHappensNoMoreRunThanMayAndNoFlowIsLost(@ForAll long seed, @ForAll @IntRange(min = 1, max = 8) int names) {
+    void whateverHappensNoMoreRunThanMayAndNoFlowIsLost(@ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 8) int names) {
         Random r = new Random(seed);
         TenantScheduler s = new TenantScheduler(new Limits(r.nextInt(3) * 100, 200, 20, 5));
         Map<Long, String> state = new HashMap<>();
