--- a/core/src/main/java/brackenbridge/core/share/TenantScheduler.java
+++ b/core/src/main/java/brackenbridge/core/share/TenantScheduler.java
@@ -16,16 +16,15 @@
  * <p>Start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996; with many servers at once, Jin, Chase and Kaur,
  * SIGMETRICS 2004) over tenants: each call moves its tenant's tag on by its connection time through its allowance, by
  * what was expected when it begins and by what it took when it ends; one that is still running beyond that is charged
- * meanwhile. Virtual time runs with the clock, so that an allowance in full use moves its tag as fast as time goes. A
- * tag stays behind virtual time by {@link Limits#burstMs} at the most, which is the tenant's burst credit: it lets the
- * tenant hold up to twice its allowance and is spent by that. A tenant that holds less than its allowance goes before
- * all that hold more. What nobody may claim is lent, by weights, to tenants whose calls are short enough to be given
- * back within {@link Limits#returnMs}.
+ * meanwhile. Virtual time runs with the clock, so that an allowance in full use moves its tag as fast as time goes.
+ * A tag stays behind virtual time by {@link Limits#burstMs} at the most, which is the tenant's burst credit: it lets
+ * the tenant hold up to twice its allowance and is spent by that. A tenant that holds less than its allowance goes
+ * before all that hold more. What nobody may claim is lent, by weights, to tenants whose calls are short enough to
+ * be given back within {@link Limits#returnMs}.
  *
  * <p>Tenants that are not named in {@link Allowances} share what is for all others, by the same method among
- * themselves.
- * At no time begins a call while as many run as all allowances make together. Until allowances are told for the first
- * time every call goes.
+ * themselves. At no time begins a call while as many run as all allowances make together. Until allowances are told
+ * for the first time every call goes.
  *
  * <p>Each call costs at most logarithmic time in the tenants that wait. Idle tenants hold nothing. Not for more than
  * one thread; time never goes back.
