--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Fluid.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Fluid.java
@@ -32,7 +32,6 @@
     private static final double REACTION = 0.1;
     private static final double SLOW_AFTER_MS = 2000;
     private static final double RESTED_AFTER_MS = 3500;
-    private static final double FULL = 0.98;
 
     /** Factors on what the picture holds; the noise of arrivals, or none. */
     static final class Draw {
@@ -268,6 +267,7 @@
         double[] failedSum = new double[n];
         double[] cameSum = new double[n];
         double[] scale = new double[n];
+        double[][] causes = new double[n][Resource.values().length];
         Arrays.fill(noise, 1);
         Arrays.fill(slowSince, Double.NaN);
         Arrays.fill(restSince, Double.NaN);
@@ -336,6 +336,11 @@
                     failing[i] += REACTION * (part - failing[i]);
                     refusing[i] += REACTION * ((in > 1e-9 ? refused / in : 0) - refusing[i]);
                     int slot = (int) (k % window);
+                    causes[i][0] *= 1 - REACTION;
+                    causes[i][1] *= 1 - REACTION;
+                    causes[i][2] *= 1 - REACTION;
+                    causes[i][limit > slotsAll ? Resource.SLOTS.ordinal() : Resource.CONNECTIONS.ordinal()] += refused;
+                    causes[i][free <= 0 ? Resource.SLOTS.ordinal() : Resource.DEADLINE.ordinal()] += fails - refused;
                     failedSum[i] += fails - failed[i][slot];
                     cameSum[i] += in - came[i][slot];
                     failed[i][slot] = fails;
@@ -346,8 +351,7 @@
                         if (Double.isNaN(out.saturatesMs[i]) && k >= window && cameSum[i] > 1e-6
                                 && failedSum[i] / cameSum[i] >= terms.failing()) {
                             out.saturatesMs[i] = at;
-                            out.resource[i] = slotShare >= FULL ? Resource.SLOTS
-                                    : connectionShare >= FULL ? Resource.CONNECTIONS : Resource.DEADLINE;
+                            out.resource[i] = largest(causes[i]);
                         }
                         // The later half of a step, where its load has come.
                         if (at >= endsMs[step] - plan.steps().get(step).pauseMs() / 2) {
@@ -373,6 +377,16 @@
         return out;
     }
 
+    private static Resource largest(double[] causes) {
+        Resource most = Resource.DEADLINE;
+        for (Resource r : Resource.values()) {
+            if (causes[r.ordinal()] > causes[most.ordinal()]) {
+                most = r;
+            }
+        }
+        return most;
+    }
+
     /** First tries go where they go usually, what a zone does not keep to the others by their slots. */
     private void spread(int t, double[] from, double keeps, Draw draw, double[] inflow) {
         double[] weight = new double[zones.size()];
