Evacuation: who drives a plan, what nodes follow, and the fastest order that saturates nothing

A plan is an agreed record with checked transitions; what nodes are told follows from it alone, so a member that takes over does the same. Driver is a plain machine; DriverTask runs it over Agreed and Links; orders end by themselves.

--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/DriverTask.java
@@ -0,0 +1,167 @@
+package brackenbridge.fleet.evacuation;
+
+import brackenbridge.fleet.agreed.Agreed;
+import brackenbridge.fleet.agreed.Agreed.Acting;
+import brackenbridge.fleet.agreed.Agreed.Hold;
+import brackenbridge.fleet.agreed.Agreed.Verdict;
+import brackenbridge.fleet.evacuation.Driver.Correction;
+import brackenbridge.fleet.evacuation.Driver.Seen;
+import brackenbridge.fleet.evacuation.Driver.Turn;
+import brackenbridge.fleet.peer.Links;
+import brackenbridge.fleet.peer.Member;
+import brackenbridge.fleet.peer.Stream;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A member's part in driving: asks for the role while a plan has to be driven, and while it holds it, tells every node
+ * what the agreed record says and proposes what comes next. {@link #tick} is called a few times a second from one
+ * thread; it waits for nothing.
+ *
+ * <p>Two drivers: the role is held by one member at any moment; orders carry its token, and nodes pass over a lower
+ * one. A driver that can't reach a majority loses the role and falls silent, and what it told ends by itself.
+ */
+public final class DriverTask {
+    /** The role of the one who drives. */
+    public static final String ROLE = "evacuation";
+    private static final Logger LOG = LoggerFactory.getLogger(DriverTask.class);
+
+    /**
+     * Times.
+     *
+     * @param holdMs for how long the role is asked
+     * @param orderMs how often orders are repeated
+     * @param forMs for how long an order holds: longer than it takes another member to take over
+     * @param withinMs for how long a proposal is waited for
+     */
+    public record Times(double holdMs, double orderMs, double forMs, double withinMs) {
+        /** The usual ones. */
+        public static final Times USUAL = new Times(3000, 500, 10_000, 2500);
+    }
+
+    private final Agreed agreed;
+    private final Links links;
+    private final Driver driver;
+    private final Times times;
+    private final Supplier<List<Seen>> seen;
+    private final Consumer<Correction> learns;
+    private final Consumer<Order> local;
+    private CompletableFuture<Hold> asked;
+    private CompletableFuture<Verdict> proposed;
+    private double askedMs = Double.NEGATIVE_INFINITY;
+    private double orderedMs = Double.NEGATIVE_INFINITY;
+    private long orderedEpoch = -1;
+    private long token;
+
+    /**
+     * A member's part.
+     *
+     * @param seen what is seen of pools now
+     * @param learns takes what rehearsals have shown
+     * @param local takes the orders for this member's own node
+     */
+    public DriverTask(Agreed agreed, Links links, Driver driver, Times times, Supplier<List<Seen>> seen,
+            Consumer<Correction> learns, Consumer<Order> local) {
+        this.agreed = agreed;
+        this.links = links;
+        this.driver = driver;
+        this.times = times;
+        this.seen = seen;
+        this.learns = learns;
+        this.local = local;
+    }
+
+    /** One turn. */
+    public void tick(double nowMs) {
+        Optional<Acting> acting = agreed.acting(Agreed.EVACUATION);
+        if (acting.isEmpty() || acting.get().one() == null) {
+            return;
+        }
+        PlanState one = read(acting.get().one());
+        PlanState other = acting.get().other() == null ? null : read(acting.get().other());
+        if (one == null || acting.get().other() != null && other == null) {
+            return;
+        }
+        boolean wanted = one.status().driven() || other != null && other.status().driven();
+        if (!wanted) {
+            // Orders of a plan that is over end by themselves; the last one says that all is as usual.
+            if (token > 0 && agreed.holds(ROLE) && orderedEpoch != acting.get().one().generation()) {
+                order(nowMs, one.parts(), acting.get().one().generation());
+            }
+            return;
+        }
+        hold(nowMs);
+        if (token == 0 || !agreed.holds(ROLE) || one.token() > token) {
+            return;
+        }
+        long epoch = acting.get().one().generation();
+        if (other == null && (proposed == null || proposed.isDone())) {
+            Turn turn = driver.turn(nowMs, one, epoch, token, seen.get());
+            turn.corrections().forEach(learns);
+            if (turn.next() != null) {
+                LOG.atInfo().addKeyValue("plan", one.plan().name()).addKeyValue("step", turn.next().step())
+                        .log("evacuation becomes {}: {}", PlanState.name(turn.next().status()),
+                                turn.next().history().get(turn.next().history().size() - 1).why());
+                proposed = agreed.propose(Agreed.EVACUATION, epoch, turn.next().bytes(), times.withinMs());
+            }
+        }
+        if (nowMs - orderedMs >= times.orderMs() || epoch != orderedEpoch) {
+            order(nowMs, both(one, other), epoch);
+        }
+    }
+
+    /** While two records are acted by, a zone keeps the larger part: what both allow. */
+    private static Map<String, Double> both(PlanState one, PlanState other) {
+        Map<String, Double> parts = new HashMap<>(one.parts());
+        if (other != null) {
+            other.parts().forEach((z, p) -> parts.merge(z, p, Math::max));
+            parts.replaceAll((z, p) -> Math.max(p, other.parts().getOrDefault(z, 1.0)));
+        }
+        return parts;
+    }
+
+    private void hold(double nowMs) {
+        if (asked != null && asked.isDone()) {
+            if (!asked.isCompletedExceptionally()) {
+                Hold h = asked.getNow(null);
+                // A token is this member's only while it holds the role; another's is nothing to act by.
+                token = h != null && links.me().name().equals(h.holder()) ? h.token() : 0;
+            }
+            asked = null;
+        }
+        if (asked == null && nowMs - askedMs >= times.holdMs() / 3) {
+            askedMs = nowMs;
+            asked = agreed.hold(ROLE, times.holdMs());
+        }
+    }
+
+    private void order(double nowMs, Map<String, Double> parts, long epoch) {
+        Order o = new Order(token, epoch, parts, times.forMs());
+        byte[] body = o.bytes();
+        for (Member m : links.peers()) {
+            // A full queue loses one; the next comes soon.
+            links.send(m.name(), Stream.EVACUATION, body);
+        }
+        local.accept(o);
+        orderedMs = nowMs;
+        orderedEpoch = epoch;
+    }
+
+    private static PlanState read(Agreed.Value v) {
+        try {
+            return PlanState.read(v.content());
+        } catch (IOException e) {
+            LOG.atWarn().addKeyValue("generation", v.generation()).log("the agreed plan can't be read: {}",
+                    e.getMessage());
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Order.java
@@ -0,0 +1,49 @@
+package brackenbridge.fleet.evacuation;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+
+/**
+ * What a driver tells every node, again and again: a message of stream {@code EVACUATION}.
+ *
+ * @param token the driver's
+ * @param epoch the generation of the agreed record that it follows from
+ * @param parts the part of its usual load that each zone keeps
+ * @param forMs for how long it holds from its arrival
+ */
+public record Order(long token, long epoch, Map<String, Double> parts, double forMs) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MOST_BYTES = 64 * 1024;
+    private static final double LONGEST_MS = 120_000;
+
+    /** Keeps its own copy. */
+    public Order {
+        parts = parts == null ? Map.of() : Map.copyOf(parts);
+    }
+
+    /** As bytes. */
+    public byte[] bytes() {
+        try {
+            return JSON.writeValueAsBytes(this);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Reads it.
+     *
+     * @throws IOException if it is not one, or asks for what no plan may
+     */
+    public static Order read(byte[] bytes) throws IOException {
+        Order o = bytes.length > MOST_BYTES ? null : JSON.readValue(bytes, Order.class);
+        if (o == null || !(o.forMs() > 0 && o.forMs() <= LONGEST_MS)
+                || o.parts().values().stream().anyMatch(p -> !(p >= 0 && p <= 1))) {
+            throw new IOException("not an order");
+        }
+        return o;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/PlanState.java
@@ -0,0 +1,165 @@
+package brackenbridge.fleet.evacuation;
+
+import brackenbridge.fleet.evacuation.Forecast.Verdict;
+import brackenbridge.fleet.evacuation.Forecast.Within;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The agreed record of the one plan that there is. What nodes are told follows from it alone, so whoever drives it does
+ * the same, also twice.
+ *
+ * @param plan the plan
+ * @param status where it stands
+ * @param step the step that is held now, from 0, while load is moved or comes back
+ * @param foretold what the forecast said, by pool
+ * @param verdict the forecast's verdict
+ * @param override staff said that it is carried out although no rehearsal passed
+ * @param token of whoever wrote it last as its driver; 0 if staff did
+ * @param history what became of it, the latest last; bounded
+ */
+public record PlanState(Plan plan, Status status, int step, List<Foretold> foretold, Verdict verdict,
+        boolean override, long token, List<Entry> history) {
+    /** Pools whose figures an agreed record carries. */
+    public static final int MOST_POOLS = 128;
+    private static final int MOST_HISTORY = 100;
+    private static final int MOST_BYTES = 4 << 20;
+    private static final ObjectMapper JSON = new ObjectMapper(JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(20).maxStringLength(10_000)
+                    .maxDocumentLength(MOST_BYTES).build()).build())
+            .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true);
+
+    /**
+     * What was foretold of a pool.
+     *
+     * @param pool its name
+     * @param servers the servers for which it was
+     * @param before tries a second before anything was moved
+     * @param rehearsal tries a second while the rehearsal holds
+     * @param steps tries a second while each step holds
+     */
+    public record Foretold(PoolName pool, int servers, double before, Within rehearsal, List<Within> steps) {
+    }
+
+    /**
+     * What has happened.
+     *
+     * @param status what it became
+     * @param step the step
+     * @param by who did it
+     * @param why the reason
+     */
+    public record Entry(Status status, int step, String by, String why) {
+    }
+
+    /** Keeps its own copies, and the latest of its history. */
+    public PlanState {
+        foretold = foretold == null ? List.of() : List.copyOf(foretold);
+        history = history == null ? List.of()
+                : List.copyOf(history.subList(Math.max(0, history.size() - MOST_HISTORY), history.size()));
+    }
+
+    /** A new plan. */
+    public static PlanState drafted(Plan plan, String by) {
+        return new PlanState(plan, Status.DRAFTED, 0, List.of(), null, false, 0,
+                List.of(new Entry(Status.DRAFTED, 0, by, "")));
+    }
+
+    /**
+     * The same plan at another status or step.
+     *
+     * @throws IllegalStateException if that may not come after where it stands
+     */
+    public PlanState to(Status next, int nextStep, long byToken, String by, String why) {
+        if (!status.next().contains(next)) {
+            throw new IllegalStateException(plan.name() + " is " + name(status) + "; it can't be " + name(next)
+                    + " next");
+        }
+        if (next == Status.EVACUATING && status == Status.FORECAST && !override) {
+            throw new IllegalStateException(plan.name() + " has not passed a rehearsal; staff may override that");
+        }
+        if (next == status && next != Status.FORECAST && nextStep != step + 1) {
+            throw new IllegalStateException("step " + nextStep + " does not follow step " + step);
+        }
+        List<Entry> longer = new ArrayList<>(history);
+        longer.add(new Entry(next, nextStep, by, why));
+        return new PlanState(plan, next, nextStep, foretold, verdict, override, byToken, longer);
+    }
+
+    /** The same with what a forecast says. */
+    public PlanState foretold(List<Foretold> now, Verdict of, String by) {
+        PlanState next = to(Status.FORECAST, 0, 0, by, name(of));
+        return new PlanState(plan, next.status(), 0, now, of, false, 0, next.history());
+    }
+
+    /** The same, to be carried out whatever its rehearsal said. */
+    public PlanState overridden() {
+        return new PlanState(plan, status, step, foretold, verdict, true, token, history);
+    }
+
+    /** The part of its usual load that the plan's zone keeps. */
+    public double keeps() {
+        return switch (status) {
+            case REHEARSING -> 1 - plan.rehearsalPart();
+            case EVACUATING -> 1 - plan.moved(step + 1);
+            case EVACUATED -> 1 - plan.moved(plan.steps().size());
+            case RETURNING -> 1 - plan.stillMoved(step + 1);
+            default -> 1;
+        };
+    }
+
+    /** What nodes are to be told. */
+    public Map<String, Double> parts() {
+        return Map.of(plan.zone(), Math.max(0, keeps()));
+    }
+
+    static String name(Enum<?> e) {
+        return e.name().toLowerCase(java.util.Locale.ROOT);
+    }
+
+    /** As bytes, for the agreed record. */
+    public byte[] bytes() {
+        try {
+            return JSON.writeValueAsBytes(this);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Reads it.
+     *
+     * @throws IOException if it is not one
+     */
+    public static PlanState read(byte[] bytes) throws IOException {
+        PlanState s = bytes.length > MOST_BYTES ? null : JSON.readValue(bytes, PlanState.class);
+        if (s == null || s.plan() == null || s.status() == null || s.plan().zone() == null || s.step() < 0
+                || s.step() > Plan.MOST || s.plan().steps().size() > Plan.MOST
+                || s.foretold().size() > MOST_POOLS) {
+            throw new IOException("not a plan's record");
+        }
+        return s;
+    }
+
+    /** What the forecasts of a plan and of its rehearsal say, as the record carries it. */
+    public static List<Foretold> foretold(Picture picture, Forecast all, Forecast rehearsal) {
+        List<Foretold> out = new ArrayList<>();
+        for (Forecast.PoolForecast p : all.pools()) {
+            Forecast.PoolForecast r = rehearsal.of(p.pool());
+            Picture.Pool now = picture.pool(p.pool());
+            if (out.size() < MOST_POOLS && now != null && r != null && !r.steps().isEmpty()) {
+                out.add(new Foretold(p.pool(), now.servers(), now.attempts(), r.steps().get(0).load(),
+                        p.steps().stream().map(Forecast.StepForecast::load).toList()));
+            }
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Proposer.java
@@ -0,0 +1,146 @@
+package brackenbridge.fleet.evacuation;
+
+import brackenbridge.fleet.evacuation.Forecast.PoolForecast;
+import brackenbridge.fleet.evacuation.Forecast.Verdict;
+import brackenbridge.fleet.evacuation.Picture.Pool;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Looks for the fastest order of steps that saturates nothing, or says what is missing for one. */
+public final class Proposer {
+    private static final int COURSES = 40;
+    /** A step order is taken only if no pool saturates in more of the courses. */
+    private static final double MOST_PART = 0.1;
+    private static final int[] STEPS = {1, 2, 3, 4, 6, 8, 12, 16};
+    private static final double[] FIRST = {0.9, 0.8, 0.7, 0.6, 0.5, 0.4, 0.3, 0.2, 0.1};
+    private static final int ROUNDS = 60;
+    private static final double GROWTH = 0.08;
+
+    /**
+     * What was found.
+     *
+     * @param plan the fastest plan; null if there is none
+     * @param forecast its forecast, or that of moving all at once where there is no plan
+     * @param missing servers by pool with which one step would do; empty if there is a plan or nothing can be said
+     * @param why why there is none; null if there is
+     */
+    public record Proposal(Plan plan, Forecast forecast, Map<PoolName, Integer> missing, String why) {
+    }
+
+    private Proposer() {
+    }
+
+    /**
+     * Looks for a plan.
+     *
+     * @param wanted its name, zone, rehearsal, return and servers that come; its steps are replaced
+     * @param pauseMs the shortest pause between two steps
+     */
+    public static Proposal propose(Picture picture, Plan wanted, double pauseMs, Shares shares, long seed) {
+        Forecast atOnce = null;
+        for (int n : STEPS) {
+            Plan p = wanted.with(even(1, n, pauseMs));
+            Forecast f = forecast(picture, p, shares, seed);
+            if (f.verdict() == Verdict.UNKNOWN || f.pools().stream().anyMatch(x -> x.verdict() == Verdict.UNKNOWN)) {
+                return new Proposal(null, f, Map.of(), "not all pools are known");
+            }
+            if (holds(f)) {
+                return new Proposal(p, f, Map.of(), null);
+            }
+            atOnce = atOnce == null ? f : atOnce;
+        }
+        Plan later = afterServersCame(picture, wanted, pauseMs, shares, seed);
+        if (later != null) {
+            return new Proposal(later, forecast(picture, later, shares, seed), Map.of(), null);
+        }
+        Map<PoolName, Integer> missing = missing(picture, wanted.with(even(1, 1, pauseMs)), shares, seed);
+        return new Proposal(null, atOnce, missing, missing.isEmpty() ? "no number of servers was found that would do"
+                : "no order of steps does it without more servers");
+    }
+
+    private static Forecast forecast(Picture picture, Plan p, Shares shares, long seed) {
+        double[] moved = new double[p.steps().size()];
+        for (int i = 0; i < moved.length; i++) {
+            moved[i] = p.moved(i + 1);
+        }
+        return Forecast.of(picture, p, moved, shares, seed, COURSES);
+    }
+
+    private static boolean holds(Forecast f) {
+        return f.pools().stream().allMatch(p -> p.verdict() != Verdict.UNKNOWN && p.part() < MOST_PART);
+    }
+
+    private static List<Plan.Step> even(double part, int n, double pauseMs) {
+        List<Plan.Step> steps = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            steps.add(new Plan.Step(part / n, pauseMs));
+        }
+        return steps;
+    }
+
+    /** What holds at once, then a wait until the servers that come are warm, then the rest. */
+    private static Plan afterServersCame(Picture picture, Plan wanted, double pauseMs, Shares shares, long seed) {
+        double warm = 0;
+        for (Plan.Comes c : wanted.comes()) {
+            Pool p = picture.pool(c.pool());
+            warm = Math.max(warm, c.afterMs() + (p == null ? 0 : p.coldMs()));
+        }
+        if (warm == 0) {
+            return null;
+        }
+        for (double first : FIRST) {
+            for (int n : STEPS) {
+                List<Plan.Step> steps = new ArrayList<>();
+                steps.add(new Plan.Step(first, Math.max(pauseMs, warm)));
+                steps.addAll(even(1 - first, n, pauseMs));
+                Plan p = wanted.with(steps);
+                if (holds(forecast(picture, p, shares, seed))) {
+                    return p;
+                }
+            }
+        }
+        return null;
+    }
+
+    /** Grows the pools that fall until none does, then takes back what was too much. */
+    private static Map<PoolName, Integer> missing(Picture picture, Plan atOnce, Shares shares, long seed) {
+        Map<PoolName, Integer> more = new TreeMap<>();
+        boolean done = false;
+        for (int round = 0; round < ROUNDS && !done; round++) {
+            Forecast f = forecast(grown(picture, more), atOnce, shares, seed);
+            done = holds(f);
+            for (PoolForecast p : f.pools()) {
+                if (p.part() >= MOST_PART) {
+                    Pool pool = picture.pool(p.pool());
+                    more.merge(p.pool(), Math.max(1, (int) (pool.servers() * GROWTH)), Integer::sum);
+                }
+            }
+        }
+        if (!done) {
+            return Map.of();
+        }
+        for (PoolName name : List.copyOf(more.keySet())) {
+            while (more.getOrDefault(name, 0) > 0) {
+                Map<PoolName, Integer> less = new TreeMap<>(more);
+                less.merge(name, -1, Integer::sum);
+                less.values().removeIf(n -> n == 0);
+                if (!holds(forecast(grown(picture, less), atOnce, shares, seed))) {
+                    break;
+                }
+                more.clear();
+                more.putAll(less);
+            }
+        }
+        return more;
+    }
+
+    private static Picture grown(Picture picture, Map<PoolName, Integer> more) {
+        List<Pool> pools = new ArrayList<>();
+        for (Pool p : picture.pools()) {
+            pools.add(p.with(more.getOrDefault(p.name(), 0)));
+        }
+        return picture.with(pools);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Status.java
@@ -0,0 +1,53 @@
+package brackenbridge.fleet.evacuation;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/** Where a plan stands. */
+public enum Status {
+    /** Written down. */
+    DRAFTED,
+    /** It is known what it would do. */
+    FORECAST,
+    /** A small part of the load is moved for a while. */
+    REHEARSING,
+    /** Something passed its bound or was not as foretold, or staff said so: all load is where it usually is. */
+    HALTED,
+    /** The rehearsal was as foretold. */
+    PASSED,
+    /** Load is moved step by step. */
+    EVACUATING,
+    /** All load is moved. */
+    EVACUATED,
+    /** Load comes back step by step. */
+    RETURNING,
+    /** Done: all load is where it usually is. */
+    CLOSED,
+    /** Given up before it was done. */
+    ABANDONED;
+
+    /** What may come after it. */
+    public Set<Status> next() {
+        return switch (this) {
+            case DRAFTED -> EnumSet.of(FORECAST, ABANDONED);
+            case FORECAST -> EnumSet.of(FORECAST, REHEARSING, EVACUATING, ABANDONED);
+            case REHEARSING -> EnumSet.of(PASSED, HALTED);
+            case HALTED -> EnumSet.of(FORECAST, CLOSED, ABANDONED);
+            case PASSED -> EnumSet.of(FORECAST, EVACUATING, ABANDONED);
+            case EVACUATING -> EnumSet.of(EVACUATING, EVACUATED, HALTED, RETURNING);
+            case EVACUATED -> EnumSet.of(RETURNING, HALTED);
+            case RETURNING -> EnumSet.of(RETURNING, HALTED, CLOSED);
+            case CLOSED, ABANDONED -> EnumSet.noneOf(Status.class);
+        };
+    }
+
+    /** Whether load may be elsewhere than usual: somebody must drive it. */
+    public boolean driven() {
+        return this == REHEARSING || this == EVACUATING || this == EVACUATED || this == RETURNING;
+    }
+
+    /** Whether another plan may be drafted after it. */
+    public boolean over() {
+        return this == CLOSED || this == ABANDONED;
+    }
+}
