Agreed values: staff's calls; partition, takeover, lost and old disks, roles and storms tested

Need: what the room promises must be shown under faults, and staff need propose, history, withdraw and diff. Members are watched at every moment: no two contradict, no role is held twice, tokens grow. Disks torn or flipped in 150 ways never pass for whole. An old copy from before the founding was taken for the disk itself; it is put aside.

--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Admission.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Admission.java
@@ -16,8 +16,8 @@
  * there and nobody, voter or not, knows of a founding.
  * <li>A voter with an empty disk joins the founding that it hears of: as one of its voters if its disk is one of them,
  * else it asks to take its old disk's place, which the others decide by a change of members.
- * <li>A voter with a disk waits until a majority has told what it knows. A disk that was replaced, or that was heard of
- * with a later start, is put aside; it comes back as an empty one.
+ * <li>A voter of the founding waits until a majority has told what it knows. A disk that was replaced, or that was
+ * heard of with a later start, is put aside; it comes back as an empty one.
  * </ul>
  */
 final class Admission {
@@ -70,18 +70,17 @@
         if (founding.isEmpty()) {
             return voters.get(0).equals(self.endpoint().name()) && heard == voters.size() - 1 ? Step.FOUND : Step.WAIT;
         }
-        if (self.founding().isEmpty()) {
-            return founding.contains(me) ? Step.START : Step.JOIN;
-        }
         for (Note.Facts f : answers.values()) {
             boolean later = f.seenDisk().equals(self.endpoint().disk()) && (f.seenStarts() > self.starts()
                     || f.seenStarts() == self.starts() && f.seenLife() != self.life());
-            boolean replaced = !self.joining() && f.membersSince() > self.since() && !f.members().contains(me);
+            boolean replaced = !self.founding().isEmpty() && !self.joining() && f.membersSince() > self.since()
+                    && !f.members().contains(me);
             if (later || replaced) {
                 return Step.PUT_ASIDE;
             }
         }
-        return heard < voters.size() / 2 ? Step.WAIT : self.joining() ? Step.JOIN : Step.START;
+        boolean as = self.founding().isEmpty() ? founding.contains(me) : !self.joining();
+        return !as ? Step.JOIN : heard < voters.size() / 2 ? Step.WAIT : Step.START;
     }
 
     /** A founding's number: the same for the same voters with the same disks. */
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
@@ -73,6 +73,9 @@
     /** Proposals, claims and looks of this member that wait for an answer. */
     private static final int MOST_PENDING = 256;
     private static final int MOST_IN_TURN = 256;
+    /** How long an election may take, and by how much longer each later voter of the file waits; in beats. */
+    private static final double ELECTION_BEATS = 2;
+    private static final double LATER_BEATS = 1.5;
     private static final int SNAPSHOT_EVERY = 1000;
     /** A learner this near to the leader's log votes from then on. */
     private static final long NEAR = 50;
@@ -476,7 +479,10 @@
         List<RaftEndpoint> initial = new ArrayList<>();
         founders.forEach(f -> initial.add(Endpoint.parse(f)));
         RaftNode.RaftNodeBuilder b = RaftNode.newBuilder().setGroupId(founding)
-                .setConfig(RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(2000)
+                .setConfig(RaftConfig.newBuilder()
+                        // The library's own jitter is too small beside a disk's write: voters would split for long.
+                        .setLeaderElectionTimeoutMillis((long) (1000 * (ELECTION_BEATS
+                                + LATER_BEATS * settings.voters().indexOf(me))))
                         .setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(settings.patienceBeats())
                         .setAppendEntriesRequestBatchSize(Codec.BATCH).setCommitCountToTakeSnapshot(SNAPSHOT_EVERY)
                         .setMaxPendingLogEntryCount(MOST_PENDING).setTransferSnapshotsFromFollowersEnabled(false)
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/SettingsCalls.java
@@ -0,0 +1,155 @@
+package brackenbridge.fleet.agreed;
+
+import brackenbridge.fleet.agreed.Agreed.Acting;
+import brackenbridge.fleet.agreed.Agreed.Value;
+import brackenbridge.fleet.agreed.Agreed.Verdict;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** What staff do with agreed values, as text in and out; each call waits for its answer, at most for the time given. */
+public final class SettingsCalls {
+    private final AgreedNode node;
+    private final double withinMs;
+
+    /**
+     * Calls by this member.
+     *
+     * @param withinMs how long an answer is waited for
+     */
+    public SettingsCalls(AgreedNode node, double withinMs) {
+        this.node = node;
+        this.withinMs = withinMs;
+    }
+
+    /**
+     * What a call came to.
+     *
+     * @param done whether what was asked for is done or shown
+     * @param text for people
+     */
+    public record Reply(boolean done, String text) {
+    }
+
+    /**
+     * Proposes a content.
+     *
+     * @param against the generation that it was made against; below 0: the one in force as this member knows it
+     */
+    public Reply propose(String name, String content, long against) {
+        long expected = against >= 0 ? against : node.known(name).map(Value::generation).orElse(0L);
+        byte[] bytes = content.getBytes(StandardCharsets.UTF_8);
+        if (bytes.length > State.MAX_CONTENT) {
+            return new Reply(false, bytes.length + " bytes; at most " + State.MAX_CONTENT);
+        }
+        Optional<Verdict> v = wait(node.propose(name, expected, bytes, withinMs));
+        return new Reply(v.isPresent() && v.get() == Verdict.IN_FORCE, switch (v.orElse(Verdict.UNKNOWN)) {
+            case IN_FORCE -> "in force; nobody acts by generation " + expected + " any more";
+            case OVERTAKEN -> "not taken: it was made against generation " + expected
+                    + ", and another is in force; look at it and propose again";
+            case ANOTHER_STAGED -> "not taken: another proposal is under way";
+            case REFUSED -> "refused: a member can't use it; its status and log say why";
+            case UNKNOWN -> "no majority has answered in " + Math.round(withinMs)
+                    + " ms: it may still come into force, or never; look at the history before you propose again";
+        });
+    }
+
+    /** What is in force or staged, as this member may act by it. */
+    public Reply show(String name) {
+        Optional<Acting> acting = node.acting(name);
+        if (acting.isEmpty()) {
+            return node.known(name).map(v -> new Reply(false, "in doubt; last known:\n" + text(v)))
+                    .orElse(new Reply(false, "nothing is known of " + name));
+        }
+        Value other = acting.get().other();
+        return new Reply(true, text(acting.get().one()) + (other == null ? "" : "\nstaged beside it:\n" + text(other)));
+    }
+
+    private static String text(Value v) {
+        return "generation " + v.generation() + " by " + v.by() + "\n" + new String(v.content(), StandardCharsets.UTF_8);
+    }
+
+    /** The generations that are kept, oldest first. */
+    public Reply history(String name) {
+        Optional<Note.Looked> l = look(name, 0);
+        if (l.isEmpty()) {
+            return silent();
+        }
+        StringBuilder s = new StringBuilder();
+        l.get().lines().forEach(i -> s.append(String.format(Locale.ROOT, "%6d  %-16s %8d bytes  by %s%n",
+                i.generation(), i.came(), i.bytes(), i.by())));
+        return new Reply(s.length() > 0, s.length() > 0 ? s.toString() : "nothing is known of " + name);
+    }
+
+    /** Proposes an older generation's content as a new one; numbers never go back. */
+    public Reply withdraw(String name, long to) {
+        Reply older = content(name, to);
+        return older.done() ? propose(name, older.text(), -1) : older;
+    }
+
+    /** What is not the same in two generations. */
+    public Reply diff(String name, long from, long to) {
+        Reply one = content(name, from);
+        Reply other = content(name, to);
+        return !one.done() ? one : !other.done() ? other : new Reply(true, diff(one.text(), other.text()));
+    }
+
+    /** Whether a majority answers, who leads, and what is in force. */
+    public Reply status() {
+        return new Reply(node.alarm().isEmpty(), node.status());
+    }
+
+    private Reply content(String name, long generation) {
+        Optional<Note.Looked> l = look(name, generation);
+        return l.isEmpty() ? silent() : l.get().lines().stream().noneMatch(i -> i.generation() == generation)
+                ? new Reply(false, "generation " + generation + " of " + name + " is not kept")
+                : new Reply(true, new String(l.get().content(), StandardCharsets.UTF_8));
+    }
+
+    private Optional<Note.Looked> look(String name, long generation) {
+        return wait(node.look(name, generation, withinMs)).flatMap(o -> o);
+    }
+
+    private Reply silent() {
+        return new Reply(false, "no voter has answered in " + Math.round(withinMs) + " ms");
+    }
+
+    private <T> Optional<T> wait(CompletableFuture<T> f) {
+        try {
+            return Optional.of(f.get((long) withinMs + 1000, TimeUnit.MILLISECONDS));
+        } catch (TimeoutException | ExecutionException e) {
+            return Optional.empty();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        }
+    }
+
+    /** The lines between the first and the last that differ: those that go, then those that come. */
+    static String diff(String from, String to) {
+        List<String> a = Arrays.asList(from.split("\n", -1));
+        List<String> b = Arrays.asList(to.split("\n", -1));
+        int start = 0;
+        while (start < Math.min(a.size(), b.size()) && a.get(start).equals(b.get(start))) {
+            start++;
+        }
+        int end = 0;
+        while (end < Math.min(a.size(), b.size()) - start
+                && a.get(a.size() - 1 - end).equals(b.get(b.size() - 1 - end))) {
+            end++;
+        }
+        StringBuilder s = new StringBuilder();
+        if (a.size() - end > start || b.size() - end > start) {
+            s.append("from line ").append(start + 1).append('\n');
+        }
+        a.subList(start, a.size() - end).forEach(l -> s.append("- ").append(l).append('\n'));
+        b.subList(start, b.size() - end).forEach(l -> s.append("+ ").append(l).append('\n'));
+        return s.toString();
+    }
+}
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Store.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Store.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -27,7 +28,10 @@
 import java.util.zip.CRC32C;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
-import org.h2.mvstore.MVStoreException;
+import org.h2.mvstore.type.ByteArrayDataType;
+import org.h2.mvstore.type.DataType;
+import org.h2.mvstore.type.LongDataType;
+import org.h2.mvstore.type.StringDataType;
 
 /**
  * A voter's disk: terms, votes, entries and snapshots in one file of an MVStore, each value with its own checksum, and
@@ -74,9 +78,16 @@
         this.store = store;
         this.mark = mark;
         this.file = file;
-        this.meta = store.openMap("meta");
-        this.log = store.openMap("log");
-        this.chunks = store.openMap("chunks");
+        this.meta = store.openMap("meta", map(StringDataType.INSTANCE));
+        this.log = store.openMap("log", map(LongDataType.INSTANCE));
+        this.chunks = store.openMap("chunks", map(StringDataType.INSTANCE));
+    }
+
+    private static <K> MVMap.Builder<K, byte[]> map(DataType<K> keys) {
+        MVMap.Builder<K, byte[]> b = new MVMap.Builder<>();
+        b.setKeyType(keys);
+        b.setValueType(ByteArrayDataType.INSTANCE);
+        return b;
     }
 
     /**
@@ -103,15 +114,16 @@
             }
             opened = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().open();
             return ready(new Store(opened, mark, file), fleet, member);
-        } catch (MVStoreException e) {
-            close(opened, mark);
-            throw new Damaged(file + ": " + e.getMessage(), e);
-        } catch (java.nio.channels.OverlappingFileLockException e) {
+        } catch (OverlappingFileLockException e) {
             close(opened, mark);
             throw new IOException(directory + " is in use by this process", e);
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException e) {
             close(opened, mark);
             throw e;
+        } catch (RuntimeException | AssertionError | OutOfMemoryError e) {
+            // Guards against whatever the store makes of bytes that were changed, lengths without end among them.
+            close(opened, mark);
+            throw new Damaged(file + ": " + e, e);
         }
     }
 
@@ -124,31 +136,27 @@
 
     private static Store ready(Store s, String fleet, String member) throws IOException {
         long marked = s.marked();
-        try {
-            s.check();
-            if (s.meta.isEmpty() && s.log.isEmpty() && marked == 0) {
-                byte[] number = new byte[12];
-                new SecureRandom().nextBytes(number);
-                s.text("fleet", fleet);
-                s.text("member", member);
-                s.text("disk", HexFormat.of().formatHex(number));
-                s.text("starts", "0");
-            }
-            if (!s.text("fleet").equals(fleet) || !s.text("member").equals(member)) {
-                throw new Foreign("disk of fleet '" + s.text("fleet") + "', member '" + s.text("member")
-                        + "'; this is fleet '" + fleet + "', member '" + member + "'");
-            }
-            s.count = Long.parseLong(s.meta.containsKey("count") ? s.text("count") : "0");
-            if (s.count < marked) {
-                throw new Damaged("write " + marked + " was forced, the store ends with " + s.count, null);
-            }
-            s.restored = s.restore();
-            s.text("starts", String.valueOf(s.starts() + 1));
-            s.flush();
-            return s;
-        } catch (MVStoreException | IllegalStateException | NumberFormatException e) {
-            throw new Damaged(e.getMessage(), e);
+        s.check();
+        if (s.meta.isEmpty() && s.log.isEmpty() && marked == 0) {
+            byte[] number = new byte[12];
+            new SecureRandom().nextBytes(number);
+            s.text("fleet", fleet);
+            s.text("member", member);
+            s.text("disk", HexFormat.of().formatHex(number));
+            s.text("starts", "0");
+        }
+        if (!s.text("fleet").equals(fleet) || !s.text("member").equals(member)) {
+            throw new Foreign("disk of fleet '" + s.text("fleet") + "', member '" + s.text("member")
+                    + "'; this is fleet '" + fleet + "', member '" + member + "'");
+        }
+        s.count = Long.parseLong(s.meta.containsKey("count") ? s.text("count") : "0");
+        if (s.count < marked) {
+            throw new Damaged("write " + marked + " was forced, the store ends with " + s.count, null);
         }
+        s.restored = s.restore();
+        s.text("starts", String.valueOf(s.starts() + 1));
+        s.flush();
+        return s;
     }
 
     /** Moves what is in the directory to one beside it, whose name is the answer: staff may look at it. */
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedNodeTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedNodeTest.java
@@ -2,12 +2,26 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brackenbridge.fleet.agreed.Agreed.Hold;
 import brackenbridge.fleet.agreed.Agreed.Verdict;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.awaitility.core.ConditionFactory;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -21,25 +35,45 @@
         return s.getBytes(StandardCharsets.UTF_8);
     }
 
+    private CompletableFuture<Verdict> proposing(String at, long expected, String content, double withinMs) {
+        return members.node(at).propose(Agreed.SETTINGS, expected, bytes(content), withinMs);
+    }
+
     private Verdict propose(String at, long expected, String content) throws Exception {
-        return members.node(at).propose(Agreed.SETTINGS, expected, bytes(content), 5000)
-                .get(8, java.util.concurrent.TimeUnit.SECONDS);
+        return proposing(at, expected, content, 8000).get(10, TimeUnit.SECONDS);
+    }
+
+    private static ConditionFactory soon() {
+        return await().atMost(Duration.ofSeconds(15)).pollInterval(Duration.ofMillis(5));
     }
 
     private String awaitLeader() {
-        return await().atMost(Duration.ofSeconds(10)).until(() -> members.leader(), l -> !l.isEmpty());
+        return soon().until(() -> members.leader(), l -> !l.isEmpty());
+    }
+
+    private boolean acts(AgreedNode n, long generation) {
+        return n.acting(Agreed.SETTINGS).map(a -> a.other() == null && a.one().generation() == generation)
+                .orElse(false);
     }
 
     private void awaitActs(long generation) {
-        await().atMost(Duration.ofSeconds(10)).until(() -> members.all().stream().allMatch(n -> n.acting(
-                Agreed.SETTINGS).map(a -> a.other() == null && a.one().generation() == generation).orElse(false)));
+        soon().until(() -> members.all().stream().allMatch(n -> acts(n, generation)));
+    }
+
+    private String known(String at) {
+        return members.node(at).known(Agreed.SETTINGS).map(v -> new String(v.content(), StandardCharsets.UTF_8))
+                .orElse("");
+    }
+
+    private Hold hold(String at, double forMs) throws Exception {
+        return members.node(at).hold("driver", forMs).get(10, TimeUnit.SECONDS);
     }
 
     @AfterEach
     void nobodyContradicts() {
         members.close();
         assertTrue(members.looked() > 100, "looked " + members.looked());
-        assertEquals(java.util.List.of(), members.breaches());
+        assertEquals(List.of(), members.breaches());
     }
 
     @Test
@@ -51,7 +85,196 @@
         assertEquals(Verdict.OVERTAKEN, propose("m0", 0, "b"));
         assertEquals(Verdict.IN_FORCE, propose("m0", 1, "b"));
         awaitActs(2);
-        assertEquals("b", new String(members.node("m3").known(Agreed.SETTINGS).orElseThrow().content(),
-                StandardCharsets.UTF_8));
+        assertEquals("b", known("m3"));
+    }
+
+    @Test
+    void whatOneMemberCannotUseIsAbandonedAndItsNumberIsBurnt() throws Exception {
+        members = new Members(3, null, 2);
+        awaitLeader();
+        assertEquals(Verdict.IN_FORCE, propose("m0", 0, "a"));
+        awaitActs(1);
+        assertEquals(Verdict.REFUSED, propose("m0", 1, "bad at m2"));
+        assertEquals(Verdict.IN_FORCE, propose("m0", 1, "b"));
+        awaitActs(3);
+        SettingsCalls calls = new SettingsCalls(members.node("m1"), 3000);
+        assertTrue(calls.history(Agreed.SETTINGS).text().matches(
+                "(?s).*1  in_force .*2  abandoned .*3  in_force, now.*"), calls.history(Agreed.SETTINGS).text());
+        assertEquals("from line 1\n- a\n+ b\n", calls.diff(Agreed.SETTINGS, 1, 3).text());
+        assertTrue(calls.withdraw(Agreed.SETTINGS, 1).done());
+        awaitActs(4);
+        assertTrue(calls.show(Agreed.SETTINGS).text().startsWith("generation 4 by m1\na"));
+        assertFalse(calls.withdraw(Agreed.SETTINGS, 9).done());
+    }
+
+    @Test
+    void aLeaderThatIsCutOffDecidesNothingAndIsInDoubtWhileTheMajorityGoesOn() throws Exception {
+        members = new Members(3, root, 3);
+        String old = awaitLeader();
+        assertEquals(Verdict.IN_FORCE, propose("m0", 0, "a"));
+        awaitActs(1);
+        members.net.cut(old);
+        CompletableFuture<Verdict> alone = proposing(old, 1, "alone", 1500);
+        String other = old.equals("m0") ? "m1" : "m0";
+        assertEquals(Verdict.IN_FORCE, propose(other, 1, "b"));
+        assertTrue(members.node(old).acting(Agreed.SETTINGS).isEmpty(), "cut off for longer than a lease");
+        assertEquals(Verdict.UNKNOWN, alone.get(5, TimeUnit.SECONDS));
+        members.net.cut();
+        awaitActs(2);
+        assertEquals("b", known(old));
+    }
+
+    @Test
+    void aProposalOutlivesItsLeaderAndAllOfThemAtOnce() throws Exception {
+        members = new Members(3, root, 4);
+        String old = awaitLeader();
+        assertEquals(Verdict.IN_FORCE, propose("m0", 0, "a"));
+        awaitActs(1);
+        String other = old.equals("m0") ? "m1" : "m0";
+        CompletableFuture<Verdict> verdict = proposing(other, 1, "b", 8000);
+        members.kill(old);
+        assertEquals(Verdict.IN_FORCE, verdict.get(10, TimeUnit.SECONDS));
+        for (String m : List.of("m0", "m1", "m2")) {
+            if (members.node(m) != null) {
+                members.kill(m);
+            }
+        }
+        for (String m : List.of("m0", "m1", "m2")) {
+            members.start(m, 1);
+        }
+        awaitActs(2);
+        assertEquals("b", known(old));
+        assertEquals(Verdict.IN_FORCE, propose(old, 2, "c"));
+    }
+
+    private void lose(String name) throws IOException {
+        try (Stream<Path> files = Files.walk(members.disk(name))) {
+            for (Path p : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                Files.delete(p);
+            }
+        }
+    }
+
+    @Test
+    void aVoterThatLostItsDiskVotesAgainOnlyAsAnother() throws Exception {
+        members = new Members(3, root, 5);
+        String leader = awaitLeader();
+        assertEquals(Verdict.IN_FORCE, propose("m0", 0, "a"));
+        String lost = leader.equals("m1") ? "m2" : "m1";
+        members.kill(lost);
+        lose(lost);
+        members.start(lost, 1);
+        soon().until(() -> members.node(lost).status().contains("votes") && !members.node(lost).status()
+                .contains("joins"));
+        // With the third one gone, nothing is decided but by the new disk's vote.
+        String third = List.of("m0", "m1", "m2").stream().filter(m -> !m.equals(lost) && !m.equals(leader))
+                .findFirst().orElseThrow();
+        members.kill(third);
+        assertEquals(Verdict.IN_FORCE, propose(lost, 1, "b"));
+    }
+
+    @Test
+    void anOldDiskIsPutAside() throws Exception {
+        members = new Members(3, root, 6);
+        String leader = awaitLeader();
+        String name = leader.equals("m1") ? "m2" : "m1";
+        members.kill(name);
+        Path copy = root.resolve("copy");
+        Files.createDirectories(copy);
+        for (String f : List.of("agreed.mv", "agreed.mark")) {
+            Files.copy(members.disk(name).resolve(f), copy.resolve(f));
+        }
+        members.start(name, 1);
+        soon().until(() -> members.node(name).status().contains("votes"));
+        assertEquals(Verdict.IN_FORCE, propose(name, 0, "a"));
+        members.kill(name);
+        lose(name);
+        Files.move(copy, members.disk(name));
+        members.start(name, 1);
+        soon().until(() -> Files.exists(root.resolve(name + ".aside-1")));
+        soon().until(() -> members.node(name).status().contains("votes") && !members.node(name).status()
+                .contains("joins"));
+        awaitActs(1);
+    }
+
+    @Test
+    void aRoleIsHeldByOneAlsoWhenItsHolderStandsStillAndTheLeaderGoes() throws Exception {
+        members = new Members(4, root, 7);
+        String leader = awaitLeader();
+        // One that doesn't vote, so that a majority is left when it stands still and the leader is gone.
+        String holder = "m3";
+        String next = leader.equals("m0") ? "m1" : "m0";
+        Hold first = hold(holder, 500);
+        assertTrue(members.node(holder).holds("driver"));
+        assertEquals(holder, hold(next, 500).holder());
+        assertFalse(members.node(next).holds("driver"));
+        Hold longer = hold(holder, 500);
+        assertEquals(first.token(), longer.token());
+        assertTrue(longer.untilMs() > first.untilMs());
+        // Its thread stands still: an answer that lay in its queue must not lengthen what is over.
+        CountDownLatch still = new CountDownLatch(1);
+        AgreedNode stalled = members.node(holder);
+        CompletableFuture<Hold> late = stalled.hold("driver", 500);
+        stalled.next(() -> {
+            try {
+                still.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        members.kill(leader);
+        Hold taken = soon().until(() -> hold(next, 500), h -> h.holder().equals(next) && h.untilMs() > 0);
+        assertTrue(taken.token() > first.token());
+        still.countDown();
+        late.get(10, TimeUnit.SECONDS);
+        assertFalse(stalled.holds("driver"));
+    }
+
+    @Test
+    void inAStormNothingAcknowledgedIsLostAndNobodyContradicts() throws Exception {
+        Random random = new Random(8);
+        members = new Members(5, root, 8);
+        awaitLeader();
+        members.net.faults(0.05, 0.05, 8000);
+        Map<Long, String> acknowledged = new TreeMap<>();
+        List<String> names = members.net.members().stream().map(m -> m.name()).toList();
+        for (int round = 0; round < 8; round++) {
+            String struck = names.get(random.nextInt(5));
+            String also = names.get(random.nextInt(5));
+            int kind = random.nextInt(3);
+            if (kind == 0) {
+                members.kill(struck);
+            } else if (kind == 1) {
+                members.net.cut(struck);
+            } else {
+                members.net.cut(struck, also);
+            }
+            String at = names.stream().filter(n -> !n.equals(struck) && !n.equals(also)).findFirst().orElseThrow();
+            List<CompletableFuture<Hold>> claims = new ArrayList<>();
+            members.all().forEach(n -> claims.add(n.hold("driver", 300)));
+            long expected = members.node(at).known(Agreed.SETTINGS).map(Agreed.Value::generation).orElse(0L);
+            String content = "round " + round;
+            if (proposing(at, expected, content, 4000).get(8, TimeUnit.SECONDS) == Verdict.IN_FORCE) {
+                acknowledged.put((long) round, content);
+            }
+            for (CompletableFuture<Hold> c : claims) {
+                c.get(10, TimeUnit.SECONDS);
+            }
+            members.net.cut();
+            if (kind == 0) {
+                members.start(struck, random.nextBoolean() ? 1.01 : 0.99);
+            }
+        }
+        assertTrue(acknowledged.size() >= 4, "acknowledged " + acknowledged);
+        members.net.faults(0, 0, 300);
+        SettingsCalls calls = new SettingsCalls(members.node("m0"), 5000);
+        String all = soon().until(() -> calls.history(Agreed.SETTINGS), SettingsCalls.Reply::done).text();
+        List<String> kept = new ArrayList<>();
+        for (String line : all.split("\n")) {
+            long g = Long.parseLong(line.trim().split(" ")[0]);
+            kept.add(new String(members.node("m0").look(Agreed.SETTINGS, g, 5000).get(8, TimeUnit.SECONDS)
+                    .orElseThrow().content(), StandardCharsets.UTF_8));
+        }
+        assertTrue(kept.containsAll(acknowledged.values()), kept + " of " + acknowledged);
     }
 }
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/CodecTest.java
@@ -0,0 +1,136 @@
+package brackenbridge.fleet.agreed;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import brackenbridge.core.generation.Word;
+import io.microraft.MembershipChangeMode;
+import io.microraft.RaftEndpoint;
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.message.RaftMessage;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+class CodecTest {
+    private static final DefaultRaftModelFactory MODEL = new DefaultRaftModelFactory();
+    private static final Endpoint A = new Endpoint("a", "1");
+    private static final Set<RaftEndpoint> ALL = Set.of(A);
+    private static final RaftGroupMembersView VIEW = MODEL.createRaftGroupMembersViewBuilder().setLogIndex(4)
+            .setMembers(ALL).setVotingMembers(ALL).build();
+
+    @Provide
+    Arbitrary<Object> operations() {
+        Arbitrary<byte[]> bytes = Arbitraries.bytes().array(byte[].class).ofMaxSize(400);
+        Arbitrary<Long> number = Arbitraries.longs().between(0, Long.MAX_VALUE);
+        return Arbitraries.oneOf(
+                Combinators.combine(bytes, number, number).as((b, n, m) -> new Op.Stage("s", n, b, "a", m, n)),
+                number.map(n -> new Op.Reign("a@1", n, n)), number.map(n -> new Op.Activate("s", n, n)),
+                number.map(n -> new Op.Abandon("s", n, n, "b")), number.map(n -> new Op.Take("r", "a", n, 1.5, n, n)),
+                Arbitraries.of(MembershipChangeMode.class).map(m -> MODEL.createUpdateRaftGroupMembersOpBuilder()
+                        .setMembers(ALL).setVotingMembers(ALL).setEndpoint(A).setMode(m).build()));
+    }
+
+    @Provide
+    Arbitrary<RaftMessage> messages() {
+        Arbitrary<Integer> term = Arbitraries.integers().between(0, Integer.MAX_VALUE);
+        Arbitrary<Long> number = Arbitraries.longs().between(0, Long.MAX_VALUE);
+        Arbitrary<LogEntry> entry = Combinators.combine(operations(), number, term).as((o, i, t) ->
+                MODEL.createLogEntryBuilder().setIndex(i).setTerm(t).setOperation(o).build());
+        return Arbitraries.oneOf(
+                Combinators.combine(entry.list().ofMaxSize(3), number, term).as((e, n, t) ->
+                        MODEL.createAppendEntriesRequestBuilder().setGroupId("g").setSender(A).setTerm(t)
+                                .setPreviousLogTerm(t).setPreviousLogIndex(n).setCommitIndex(n)
+                                .setQuerySequenceNumber(n).setFlowControlSequenceNumber(n).setLogEntries(e).build()),
+                Combinators.combine(number, term).as((n, t) -> MODEL.createAppendEntriesSuccessResponseBuilder()
+                        .setGroupId("g").setSender(A).setTerm(t).setLastLogIndex(n).setQuerySequenceNumber(n)
+                        .setFlowControlSequenceNumber(n).build()),
+                Combinators.combine(number, term).as((n, t) -> MODEL.createAppendEntriesFailureResponseBuilder()
+                        .setGroupId("g").setSender(A).setTerm(t).setExpectedNextIndex(n).setQuerySequenceNumber(n)
+                        .setFlowControlSequenceNumber(n).build()),
+                Combinators.combine(number, term, Arbitraries.bytes().array(byte[].class).ofMaxSize(300))
+                        .as((n, t, b) -> MODEL.createInstallSnapshotRequestBuilder().setGroupId("g").setSender(A)
+                                .setTerm(t).setSenderLeader(true).setSnapshotTerm(t).setSnapshotIndex(n)
+                                .setTotalSnapshotChunkCount(2).setSnapshotChunk(MODEL.createSnapshotChunkBuilder()
+                                        .setIndex(n).setTerm(t).setOperation(b).setSnapshotChunkIndex(1)
+                                        .setSnapshotChunkCount(2).setGroupMembersView(VIEW).build())
+                                .setSnapshottedMembers(ALL).setGroupMembersView(VIEW).setQuerySequenceNumber(n)
+                                .setFlowControlSequenceNumber(n).build()),
+                Combinators.combine(number, term).as((n, t) -> MODEL.createInstallSnapshotResponseBuilder()
+                        .setGroupId("g").setSender(A).setTerm(t).setSnapshotIndex(n).setRequestedSnapshotChunkIndex(t)
+                        .setQuerySequenceNumber(n).setFlowControlSequenceNumber(n).build()),
+                Combinators.combine(number, term).as((n, t) -> MODEL.createPreVoteRequestBuilder().setGroupId("g")
+                        .setSender(A).setTerm(t).setLastLogTerm(t).setLastLogIndex(n).build()),
+                term.map(t -> MODEL.createPreVoteResponseBuilder().setGroupId("g").setSender(A).setTerm(t)
+                        .setGranted(t % 2 == 0).build()),
+                Combinators.combine(number, term).as((n, t) -> MODEL.createVoteRequestBuilder().setGroupId("g")
+                        .setSender(A).setTerm(t).setLastLogTerm(t).setLastLogIndex(n).setSticky(t % 2 == 0).build()),
+                term.map(t -> MODEL.createVoteResponseBuilder().setGroupId("g").setSender(A).setTerm(t)
+                        .setGranted(t % 2 == 0).build()),
+                Combinators.combine(number, term).as((n, t) -> MODEL.createTriggerLeaderElectionRequestBuilder()
+                        .setGroupId("g").setSender(A).setTerm(t).setLastLogTerm(t).setLastLogIndex(n).build()));
+    }
+
+    @Property(tries = 400, seed = "5")
+    void eachMessageOfTheLibraryIsTheSameAfterItsWay(@ForAll("messages") RaftMessage m) throws IOException {
+        byte[] once = Codec.frame(m);
+        RaftMessage back = Codec.frame(once).raft();
+        assertEquals(m.getClass(), back.getClass());
+        assertArrayEquals(once, Codec.frame(back));
+    }
+
+    @Property(tries = 600, seed = "6")
+    void whatWasChangedOnTheWayIsReadOrRefusedAndNothingElse(@ForAll("messages") RaftMessage m,
+            @ForAll @Size(min = 1, max = 6) List<@IntRange(max = 1 << 20) Integer> at, @ForAll byte with,
+            @ForAll boolean cut) {
+        byte[] b = Codec.frame(m);
+        for (int i : at) {
+            b[i % b.length] ^= with;
+        }
+        byte[] sent = cut ? Arrays.copyOf(b, at.get(0) % b.length) : b;
+        readOrRefused(sent);
+    }
+
+    @Property(tries = 600, seed = "7")
+    void anyBytesAreReadOrRefused(@ForAll @Size(max = 300) byte[] b) {
+        readOrRefused(b);
+    }
+
+    private static void readOrRefused(byte[] b) {
+        try {
+            Codec.Frame f = Codec.frame(b);
+            assertEquals(f.note() == null, f.raft() != null);
+        } catch (IOException e) {
+            assertNotNull(e.getMessage());
+        }
+    }
+
+    @Example
+    void notesAreTheSameAfterTheirWayAndWithoutAFieldTheyAreRefused() throws IOException {
+        Note.Answer a = new Note.Answer(3, 4, "f", 1600, List.of(new Note.Told("s", new Word(5, 2, 3), List.of(
+                new Note.Item(3, new byte[] {7}, "m")))));
+        Note.Answer back = (Note.Answer) Codec.frame(Codec.frame(a)).note();
+        assertEquals(a.told().get(0).word(), back.told().get(0).word());
+        assertArrayEquals(new byte[] {7}, back.told().get(0).items().get(0).content());
+        byte[] whole = Codec.frame(new Note.Hint(9));
+        String as = new String(whole, StandardCharsets.ISO_8859_1);
+        byte[] other = as.replace("reign", "reigm").getBytes(StandardCharsets.ISO_8859_1);
+        assertThrows(IOException.class, () -> Codec.frame(other));
+        assertThrows(IOException.class, () -> Codec.frame(new byte[Codec.MAX_MESSAGE + 1]));
+    }
+}
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/Members.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/Members.java
@@ -5,6 +5,7 @@
 import brackenbridge.core.generation.Terms;
 import brackenbridge.fleet.peer.Links;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -58,7 +59,7 @@
                 return base.nowMs() * rate;
             }
         }, settings(name));
-        n.usable(Agreed.SETTINGS, c -> !new String(c, java.nio.charset.StandardCharsets.UTF_8).contains("bad"));
+        n.usable(Agreed.SETTINGS, c -> !new String(c, StandardCharsets.UTF_8).contains("bad at " + name));
         n.start();
         l.start();
         synchronized (nodes) {
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/MemoryNet.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/MemoryNet.java
@@ -50,7 +50,7 @@
 
     /** Nothing passes between these and the others, either way. */
     void cut(String... names) {
-        cut = Set.of(names);
+        cut = Set.copyOf(List.of(names));
     }
 
     /** Parts of messages that are lost or come twice, and how late they are at the most. */
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/StoreTest.java
@@ -0,0 +1,133 @@
+package brackenbridge.fleet.agreed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class StoreTest {
+    private static final DefaultRaftModelFactory MODEL = new DefaultRaftModelFactory();
+    private static final Endpoint ME = new Endpoint("m", "d");
+
+    @TempDir
+    Path root;
+    private Path disk;
+
+    @BeforeEach
+    void fill() throws IOException {
+        disk = root.resolve("m");
+        try (Store s = Store.open(disk, "f", "m")) {
+            RaftGroupMembersView one = MODEL.createRaftGroupMembersViewBuilder().setLogIndex(0)
+                    .setMembers(Set.of(ME)).setVotingMembers(Set.of(ME)).build();
+            s.persistAndFlushLocalEndpoint(MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(ME)
+                    .setVoting(true).build());
+            s.persistAndFlushInitialGroupMembers(one);
+            s.persistSnapshotChunk(MODEL.createSnapshotChunkBuilder().setIndex(3).setTerm(1)
+                    .setOperation(new byte[] {1, 2, 3}).setSnapshotChunkIndex(0).setSnapshotChunkCount(1)
+                    .setGroupMembersView(one).build());
+            // The first of two pieces only: a snapshot that was being taken.
+            s.persistSnapshotChunk(MODEL.createSnapshotChunkBuilder().setIndex(5).setTerm(1)
+                    .setOperation(new byte[] {4}).setSnapshotChunkIndex(0).setSnapshotChunkCount(2)
+                    .setGroupMembersView(one).build());
+            s.persistLogEntries(List.of(entry(2), entry(3), entry(4), entry(5), entry(6)));
+            s.truncateLogEntriesFrom(6);
+            s.truncateLogEntriesUntil(2);
+            s.persistAndFlushTerm(MODEL.createRaftTermPersistentStateBuilder().setTerm(7).setVotedFor(ME).build());
+            s.persistLogEntries(List.of(entry(6)));
+        }
+    }
+
+    private static LogEntry entry(long index) {
+        return MODEL.createLogEntryBuilder().setIndex(index).setTerm(1)
+                .setOperation(new Op.Stage("settings", index, new byte[3000], "m", 1, index)).build();
+    }
+
+    @Test
+    void whatWasForcedIsThereAgainAndWhatWasNotIsNot() throws IOException {
+        try (Store s = Store.open(disk, "f", "m")) {
+            RestoredRaftState r = s.restored().orElseThrow();
+            assertEquals(7, r.getTermPersistentState().getTerm());
+            assertEquals(ME, r.getTermPersistentState().getVotedFor());
+            assertEquals(3, r.getSnapshotEntry().getIndex());
+            assertEquals(List.of(4L, 5L), r.getLogEntries().stream().map(LogEntry::getIndex).toList());
+            assertEquals(2, s.starts());
+        }
+    }
+
+    @Test
+    void theDiskOfAnotherFleetOrMemberOrInUseIsRefused() throws IOException {
+        assertThrows(Store.Foreign.class, () -> Store.open(disk, "g", "m"));
+        assertThrows(Store.Foreign.class, () -> Store.open(disk, "f", "n"));
+        try (Store s = Store.open(disk, "f", "m")) {
+            assertTrue(assertThrows(IOException.class, () -> Store.open(disk, "f", "m")).getMessage()
+                    .contains("in use"), () -> "forced " + s.forced());
+        }
+    }
+
+    @Test
+    void aStoreThatWentBackToAnEarlierWriteIsDamagedAndItsSuccessorIsAnotherDisk() throws IOException {
+        Path file = disk.resolve("agreed.mv");
+        byte[] before = Files.readAllBytes(file);
+        String number;
+        try (Store s = Store.open(disk, "f", "m")) {
+            number = s.disk();
+            s.found(List.of("m@d"), false);
+        }
+        Files.write(file, before);
+        assertThrows(Store.Damaged.class, () -> Store.open(disk, "f", "m"));
+        Path aside = Store.putAside(disk);
+        assertTrue(Files.exists(aside.resolve("agreed.mv")));
+        try (Store s = Store.open(disk, "f", "m")) {
+            assertNotEquals(number, s.disk());
+            assertTrue(s.restored().isEmpty());
+        }
+    }
+
+    @Test
+    void aTornEndOrAFlippedBitNeverPassesForWhatWasForced() throws IOException {
+        Path file = disk.resolve("agreed.mv");
+        byte[] whole = Files.readAllBytes(file);
+        byte[] mark = Files.readAllBytes(disk.resolve("agreed.mark"));
+        Random random = new Random(11);
+        int found = 0;
+        for (int i = 0; i < 150; i++) {
+            Files.write(file, whole);
+            Files.write(disk.resolve("agreed.mark"), mark);
+            try (RandomAccessFile f = new RandomAccessFile(file.toFile(), "rw")) {
+                if (i % 3 == 0) {
+                    f.setLength(random.nextInt(whole.length));
+                } else {
+                    int at = random.nextInt(whole.length);
+                    f.seek(at);
+                    f.write(whole[at] ^ 1 << random.nextInt(8));
+                }
+            }
+            try (Store s = Store.open(disk, "f", "m")) {
+                RestoredRaftState r = s.restored().orElseThrow();
+                assertEquals(7, r.getTermPersistentState().getTerm(), "round " + i);
+                assertEquals(List.of(4L, 5L), r.getLogEntries().stream().map(LogEntry::getIndex).toList());
+                for (LogEntry e : r.getLogEntries()) {
+                    assertEquals(new String(Codec.entry(entry(e.getIndex()))), new String(Codec.entry(e)));
+                }
+            } catch (Store.Damaged e) {
+                found++;
+            }
+        }
+        assertTrue(found > 30, "found " + found);
+    }
+}
