--- a/fleet/src/main/java/brackenbridge/fleet/agreed/SettingsCalls.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/SettingsCalls.java
@@ -68,7 +68,8 @@
                     .orElse(new Reply(false, "nothing is known of " + name));
         }
         Value other = acting.get().other();
-        return new Reply(true, text(acting.get().one()) + (other == null ? "" : "\nstaged beside it:\n" + text(other)));
+        return new Reply(true, text(acting.get().one()) + (other == null ? "" : "\nstaged beside it:\n"
+                + text(other)));
     }
 
     private static String text(Value v) {
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/MemberMain.java
@@ -0,0 +1,89 @@
+package brackenbridge.fleet.agreed;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.core.generation.Acts;
+import brackenbridge.core.generation.Terms;
+import brackenbridge.fleet.agreed.Agreed.Hold;
+import brackenbridge.fleet.peer.Member;
+import brackenbridge.fleet.peer.PeerLimits;
+import brackenbridge.fleet.peer.TcpLinks;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * A member in a process of its own, for tests: number, disk, ports. It claims the role "driver" all the time and says
+ * what it acts by and holds, each with the monotonic time before and after it looked.
+ */
+final class MemberMain {
+    private MemberMain() {
+    }
+
+    public static void main(String[] args) throws Exception {
+        List<Member> members = new ArrayList<>();
+        for (int i = 2; i < args.length; i++) {
+            members.add(new Member("m" + (i - 2), "127.0.0.1:" + args[i], "z"));
+        }
+        Member me = members.get(Integer.parseInt(args[0]));
+        Clock clock = Clock.system();
+        TcpLinks links = new TcpLinks(me, System.currentTimeMillis(), "f", members, clock, PeerLimits.standard());
+        AgreedNode node = new AgreedNode(links, Path.of(args[1]), clock, new AgreedSettings("f",
+                AgreedSettings.voters(members), new Terms(400, 0.01), 40, 5, 2000, me.name().hashCode()));
+        node.start();
+        links.start();
+        Thread talk = new Thread(() -> talk(node), "talk");
+        talk.setDaemon(true);
+        talk.start();
+        claim(node);
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            String[] words = line.split(" ");
+            if (words[0].equals("propose")) {
+                long expected = Long.parseLong(words[1]);
+                node.propose(Agreed.SETTINGS, expected, words[2].getBytes(StandardCharsets.UTF_8), 8000)
+                        .thenAccept(v -> say("verdict " + words[2] + " " + v));
+            } else if (words[0].equals("history")) {
+                for (long g = 1; g < 100; g++) {
+                    long at = g;
+                    node.look(Agreed.SETTINGS, g, 4000).thenAccept(l -> l.ifPresent(k -> say("kept " + at + " "
+                            + new String(k.content(), StandardCharsets.UTF_8))));
+                }
+            } else if (words[0].equals("who")) {
+                say("who " + node.leads() + " " + node.known(Agreed.SETTINGS).map(Agreed.Value::generation)
+                        .orElse(0L));
+            }
+        }
+        // Its parent is gone.
+        System.exit(0);
+    }
+
+    private static synchronized void say(String line) {
+        System.out.println(line);
+        System.out.flush();
+    }
+
+    private static void claim(AgreedNode node) {
+        node.hold("driver", 300).thenRunAsync(() -> claim(node),
+                CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
+    }
+
+    private static void talk(AgreedNode node) {
+        while (true) {
+            long before = System.nanoTime();
+            boolean holds = node.holds("driver");
+            Hold h = node.held().get("driver");
+            long token = h == null ? 0 : h.token();
+            Acts a = node.part().acts(Agreed.SETTINGS, node.clock().nowMs());
+            long after = System.nanoTime();
+            say("sees " + before + " " + after + " " + (holds ? token : 0) + " " + Math.min(a.one(), a.other()) + " "
+                    + Math.max(a.one(), a.other()));
+            LockSupport.parkNanos(2_000_000);
+        }
+    }
+}
