Time-outs of calls that came too late strike no server; one failure strikes it once

A time-out strikes only after the class's mean and spread; a server that is out is struck again by its trial alone.

--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -762,13 +762,19 @@
             // connection that breaks may be the network's fault, two in a row are the server's.
             s.errors = NEWEST;
             strike(now, s);
-        } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMEOUT) {
+        } else if (outcome == Outcome.CONNECT_FAILED
+                || outcome == Outcome.TIMEOUT && latency >= c.kind.mean + c.kind.spread) {
+            // Guards servers against calls that came with less time than an answer takes: they tell nothing.
             strike(now, s);
         }
     }
 
     /** Out of the rotation for a while, longer each time; but never most of the fleet. */
     private void strike(long now, Server s) {
+        if (s.out && s.backAt < Long.MAX_VALUE) {
+            // Guards against one failure that counts once for each call that was out to the server.
+            return;
+        }
         s.strikes++;
         pause(now, s, SECOND / 2 << Math.min(s.strikes - 1, 4));
     }
--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -485,4 +485,56 @@
         s.pass(400 * MS).answer(1, 0, Outcome.TIMEOUT, 600 * MS);
         assertEquals(1, s.balancer.avoided());
     }
+
+    /** Asks until a call goes to this server; how long that took. */
+    private static long untilTried(Script s, long from, long server) {
+        long since = s.now;
+        long id = from;
+        do {
+            s.pass(50 * MS).ask(++id, "read");
+            if (s.target(id) != server) {
+                s.answer(id, 0, Outcome.OK, 20 * MS);
+            }
+        } while (s.target(id) != server && s.now < since + 60 * SECOND);
+        return s.now - since;
+    }
+
+    @Test
+    void trialThatTellsNothingIsFollowedByAnother() {
+        Script s = new Script(settings(safe("read", 1))).servers(4).ask(1, "read");
+        long sick = s.target(1);
+        s.answer(1, 0, Outcome.CONNECT_FAILED, MS);
+        untilTried(s, 100, sick);
+        long trial = s.acts.get(s.acts.size() - 1).request();
+        s.balancer.onGone(s.now, trial);
+        s.answer(trial, 0, Outcome.CANCELLED, MS);
+        assertTrue(untilTried(s, 10_000, sick) < SECOND, "out for good");
+    }
+
+    @Test
+    void timeOutOfACallThatCameTooLateStrikesNoServer() {
+        Script s = new Script(settings(unsafe("file", 1))).servers(4);
+        for (int id = 1; id < 40; id++) {
+            s.ask(id, "file").pass(100 * MS).answer(id, 0, Outcome.OK, 100 * MS);
+        }
+        s.ask(100, "file", null, -1, 10 * MS).pass(10 * MS).answer(100, 0, Outcome.TIMEOUT, 10 * MS);
+        assertEquals(0, s.balancer.avoided());
+        s.ask(101, "file").pass(3 * SECOND).answer(101, 0, Outcome.TIMEOUT, 3 * SECOND);
+        assertEquals(1, s.balancer.avoided());
+    }
+
+    @Test
+    void callsThatWereOutTogetherStrikeTheirServerOnce() {
+        Script s = new Script(settings(1, false, List.of(), safe("read", 1), unsafe("write", 5))).servers(2);
+        for (int id = 1; id <= 8; id++) {
+            s.ask(id, "write");
+        }
+        long sick = s.target(1);
+        List<Long> there = s.of("send").stream().filter(a -> a.endpoint() == sick).map(Script.Act::request).toList();
+        assertTrue(there.size() >= 3, "calls at one server: " + there);
+        for (long id = 1; id <= 8; id++) {
+            s.answer(id, 0, there.contains(id) ? Outcome.TIMEOUT : Outcome.OK, 3 * SECOND);
+        }
+        assertTrue(untilTried(s, 100, sick) < 1500 * MS, "as if it had failed again and again");
+    }
 }
