--- a/fleet/src/main/java/brackenbridge/fleet/replica/Exchange.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Exchange.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -49,11 +50,13 @@
     private final Map<String, Peer> peers = new TreeMap<>();
     private List<String> configured = List.of();
     private List<String> reachable = List.of();
+    private final LinkedHashSet<String> waiting = new LinkedHashSet<>();
     private final TreeSet<String> news = new TreeSet<>();
     private final Map<String, Long> advanced = new HashMap<>();
     private final double beganMs;
     private double pushAtMs;
     private double beatAtMs;
+    private double helloAtMs = Double.NEGATIVE_INFINITY;
     private double digestAtMs;
     private double foldAtMs;
     private boolean listened;
@@ -91,6 +94,7 @@
         if (p != null) {
             p.helloAtMs = Double.NEGATIVE_INFINITY;
             p.told = false;
+            helloAtMs = Double.NEGATIVE_INFINITY;
         }
     }
 
@@ -110,7 +114,10 @@
     /** What is to be sent by now. */
     public List<Out> tick(double nowMs) {
         List<Out> out = new ArrayList<>();
-        hello(nowMs, out);
+        if ((!listened || nowMs >= helloAtMs) && !reachable.isEmpty()) {
+            helloAtMs = nowMs + terms.beatMs();
+            hello(nowMs, out);
+        }
         if (nowMs >= beatAtMs) {
             beatAtMs = Math.max(beatAtMs + terms.beatMs(), nowMs);
             store.beat();
@@ -253,22 +260,20 @@
 
     /** Answers to wants, as far as bytes allow: each peer gets a piece in turn. */
     private void serve(double nowMs, List<Out> out) {
-        boolean more = true;
-        while (more) {
-            more = false;
-            for (Map.Entry<String, Peer> e : peers.entrySet()) {
-                if (e.getValue().pending.isEmpty()) {
-                    continue;
-                }
-                if (!bucket.spare(nowMs)) {
-                    return;
-                }
-                CatchUp.Of of = e.getValue().pending.keySet().iterator().next();
-                Message.Chunk c = store.since(e.getValue().pending.remove(of), terms.pieceBytes());
-                if (c != null) {
-                    send(e.getKey(), c, nowMs, out);
-                }
-                more = true;
+        while (!waiting.isEmpty() && bucket.spare(nowMs)) {
+            String n = waiting.iterator().next();
+            waiting.remove(n);
+            Peer p = peers.get(n);
+            if (p == null || p.pending.isEmpty()) {
+                continue;
+            }
+            CatchUp.Of of = p.pending.keySet().iterator().next();
+            Message.Chunk c = store.since(p.pending.remove(of), terms.pieceBytes());
+            if (c != null) {
+                send(n, c, nowMs, out);
+            }
+            if (!p.pending.isEmpty()) {
+                waiting.add(n);
             }
         }
     }
@@ -324,6 +329,7 @@
                     p.pending.put(new CatchUp.Of(w.owner(), w.life()), w);
                 }
             }
+            waiting.add(peer);
             serve(nowMs, out);
         } else if (m instanceof Message.Chunk c) {
             chunk(peer, c, nowMs, out);
