--- a/lab/src/test/java/brackenbridge/lab/fleet/check/PromisesTest.java
+++ b/lab/src/test/java/brackenbridge/lab/fleet/check/PromisesTest.java
@@ -71,6 +71,21 @@
                 30 m1 saw owner=m0 key=k gone=true
                 5000 lab end
                 """);
+        kept(p, TWO + """
+                0 m0 wrote key=k n=1
+                3 lab tries member=m0 key=k n=2 gone=true
+                4 m0 wrote key=k n=2 gone=true
+                5 m1 saw owner=m0 key=k n=1
+                9 m1 saw owner=m0 key=k gone=true
+                20 m0 wrote key=k n=3 gone=true
+                5000 lab end
+                """);
+        broken(p, TWO + """
+                0 m0 wrote key=k n=1
+                1 m1 saw owner=m0 key=k n=1
+                3 m0 wrote key=k n=2 gone=true
+                5000 lab end
+                """, "m1 does not hold m0/k number 2");
         broken(p, TWO + """
                 0 m0 wrote key=k n=1
                 1300 m1 saw owner=m0 key=k n=1
