Orders of an evacuation reach the node's reducer, and staff's settings commands the agreement

Together hands what a driver says to the reducer once OrdersTaken lets it pass. A driver says the same every half second, and while two records are acted by it says the larger parts under the same number: the reducer takes what is no earlier word (ZoneWeights.mayFollow) and tells the module only of parts that have changed or had run out, so that a repeated order prolongs the word and does not lay the rotation anew. 'settings propose, show, history, withdraw, status' are answered.

--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -737,9 +737,13 @@
     }
 
     private void weighed(ZoneWeights told) {
-        if (told.after(zones)) {
+        if (told.mayFollow(zones)) {
+            // What is only said again need not reach the module, unless it has run out meanwhile.
+            boolean anew = !told.parts().equals(zones.parts()) || now >= zones.untilMs();
             zones = told;
-            tellWeights();
+            if (anew) {
+                tellWeights();
+            }
             effects.add(new Effect.SetTimer(told.untilMs(), new TimerKey.WeightsOver()));
         }
     }
--- a/core/src/main/java/brackenbridge/core/share/ZoneWeights.java
+++ b/core/src/main/java/brackenbridge/core/share/ZoneWeights.java
@@ -25,9 +25,9 @@
     /** None told: each zone has its usual load. */
     public static final ZoneWeights USUAL = new ZoneWeights(0, 0, Map.of(), Double.NEGATIVE_INFINITY);
 
-    /** Whether this one was said after that one. */
-    public boolean after(ZoneWeights that) {
-        return token != that.token ? token > that.token : epoch > that.epoch;
+    /** Whether this one may take that one's place: it is no earlier driver's, and no earlier word of the same one. */
+    public boolean mayFollow(ZoneWeights that) {
+        return token != that.token ? token > that.token : epoch >= that.epoch;
     }
 
     /** The part of its usual load that this zone has at this time. */
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/SettingsCalls.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/SettingsCalls.java
@@ -73,7 +73,8 @@
     }
 
     private static String text(Value v) {
-        return "generation " + v.generation() + " by " + v.by() + "\n" + new String(v.content(), StandardCharsets.UTF_8);
+        return "generation " + v.generation() + " by " + v.by() + "\n"
+                + new String(v.content(), StandardCharsets.UTF_8);
     }
 
     /** The generations that are kept, oldest first. */
--- a/fleet/src/main/java/brackenbridge/fleet/node/FleetNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/FleetNode.java
@@ -2,8 +2,10 @@
 
 import brackenbridge.clock.Clock;
 import brackenbridge.core.generation.Terms;
+import brackenbridge.fleet.agreed.Agreed;
 import brackenbridge.fleet.agreed.AgreedNode;
 import brackenbridge.fleet.agreed.AgreedSettings;
+import brackenbridge.fleet.agreed.SettingsCalls;
 import brackenbridge.fleet.config.FleetFile;
 import brackenbridge.fleet.peer.Member;
 import brackenbridge.fleet.peer.PeerLimits;
@@ -15,6 +17,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,6 +31,8 @@
     private static final double AGREED_BEAT_MS = 150;
     private static final int AGREED_PATIENCE = 5;
     private static final double LONGEST_ROLE_MS = 60_000;
+    /** How long staff wait for a majority. */
+    private static final double PATIENCE_MS = 10_000;
 
     private final FleetFile file;
     private final Member me;
@@ -73,6 +78,33 @@
         Gauge.builder("fleet.replica.level", () -> replica.level().level() ? 1 : 0).register(metrics);
         agreed.bind(metrics);
         rooms.put("state", new StateCalls(replica));
+        SettingsCalls settings = new SettingsCalls(agreed, PATIENCE_MS);
+        rooms.put("settings", (words, body, json) -> {
+            SettingsCalls.Reply r = settings(settings, words, new String(body, StandardCharsets.UTF_8));
+            return new StaffPage.Answer(r.done(), r.text());
+        });
+    }
+
+    private static SettingsCalls.Reply settings(SettingsCalls calls, List<String> words, String file) {
+        String name = words.size() > 1 && !words.get(0).equals("withdraw") ? words.get(1) : Agreed.SETTINGS;
+        return switch (words.get(0)) {
+            case "propose" -> calls.propose(name, file, -1);
+            case "show" -> calls.show(name);
+            case "history" -> calls.history(name);
+            case "withdraw" -> calls.withdraw(Agreed.SETTINGS, generation(words));
+            case "status" -> calls.status();
+            default -> throw new IllegalArgumentException(
+                    "settings propose --file FILE | show | history | withdraw GENERATION | status");
+        };
+    }
+
+    private static long generation(List<String> words) {
+        try {
+            return Long.parseLong(words.size() > 1 ? words.get(1) : "");
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("settings withdraw GENERATION: the generation whose content is to hold "
+                    + "again", e);
+        }
     }
 
     /** Its fleet's file. */
--- a/fleet/src/main/java/brackenbridge/fleet/node/Together.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/Together.java
@@ -3,8 +3,12 @@
 import brackenbridge.cli.Main;
 import brackenbridge.clock.Clock;
 import brackenbridge.config.Config;
+import brackenbridge.core.Event;
 import brackenbridge.core.share.TenantUse;
 import brackenbridge.fleet.config.FleetFile;
+import brackenbridge.fleet.evacuation.Order;
+import brackenbridge.fleet.evacuation.OrdersTaken;
+import brackenbridge.fleet.peer.Stream;
 import brackenbridge.fleet.replica.Space;
 import brackenbridge.fleet.share.PoolUse;
 import brackenbridge.net.Node;
@@ -58,6 +62,14 @@
         double slots = file.shares() == null ? 0 : file.shares().connectionsPerServer();
         PoolReports reports = new PoolReports(pool, slots, config.settings().coldFrom(),
                 config.settings().warmAfter() / 1000.0);
+        OrdersTaken orders = new OrdersTaken(file.agreed().drift());
+        fleet.links().receive(Stream.EVACUATION, (peer, life, body) -> {
+            try {
+                take(orders, Order.read(body), clock.nowMs(), node);
+            } catch (IOException e) {
+                LOG.warn("{} sends what is no order: {}", peer, e.getMessage());
+            }
+        });
         fleet.start();
         node.observe();
         every(POOLS_MS, () -> publish(Space.POOLS, reports.report(node.observed()), reported));
@@ -70,6 +82,13 @@
         });
     }
 
+    /** Peers' threads bring orders; one at a time is looked at. */
+    private static void take(OrdersTaken orders, Order order, double nowMs, Node node) {
+        synchronized (orders) {
+            orders.take(order, nowMs).ifPresent(w -> node.tell(new Event.ZonesWeighed(w)));
+        }
+    }
+
     /** Writes these records and removes those that were written before and are not among them. */
     private void publish(Space space, Map<String, ?> now, Set<String> before) {
         now.forEach((key, value) -> {
