--- a/core/src/main/java/brackenbridge/core/connection/Connections.java
+++ b/core/src/main/java/brackenbridge/core/connection/Connections.java
@@ -341,7 +341,7 @@
         all.put(c.id, c);
         g.opening.add(c);
         w.opened++;
-        steps.add(new Step.Open(c.id, c.peer, connectMs * LINGER));
+        steps.add(new Step.Open(c.id, c.peer, connectMs * LINGER, w.opened > 1));
     }
 
     /** Connections under way that may well be up soon. */
--- a/core/src/main/java/brackenbridge/core/connection/Step.java
+++ b/core/src/main/java/brackenbridge/core/connection/Step.java
@@ -2,8 +2,8 @@
 
 /** What {@link Connections} wants done. */
 public sealed interface Step {
-    /** Open a connection under this number; it has failed if it is not up within this time. */
-    record Open(long connection, Peer peer, double withinMs) implements Step {
+    /** Open a connection under this number, or a further one beside a late one; it must be up within this time. */
+    record Open(long connection, Peer peer, double withinMs, boolean further) implements Step {
     }
 
     /** The wait is over: its forward goes out on this connection, alone. */
--- a/core/src/main/java/brackenbridge/counters/Counters.java
+++ b/core/src/main/java/brackenbridge/counters/Counters.java
@@ -77,6 +77,8 @@
         CLIENTS_ACCEPTED,
         /** Connections to servers opened. */
         CONNECTIONS_OPENED,
+        /** Connections asked for beside one that was late. */
+        CONNECTIONS_JOINED,
         /** Kept connections that proved dead when they were used. */
         CONNECTIONS_STALE,
         /** Idle connections shed at the limit on sockets. */
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -174,6 +174,9 @@
                 .handler(c).connect(address);
         c.channel = opened.channel();
         connections.put(c.id, c);
+        if (s.further()) {
+            counters.count(Counters.Kind.CONNECTIONS_JOINED);
+        }
         sockets.server(1);
         c.channel.closeFuture().addListener(f -> sockets.server(-1));
         opened.addListener(f -> {
