--- a/core/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/core/src/test/java/brackenbridge/core/ReducerTest.java
@@ -241,7 +241,10 @@
 
     @Test
     void drainedNodeStopsSoon() {
-        Play p = new Play(4, 2).tell(new Event.DrainAsked(true)).pass(2000).tell(new Event.StopAsked()).pass(600);
+        Play p = new Play(4, 2).tell(new Event.DrainAsked(true)).pass(2000).tell(new Event.StopAsked()).pass(550);
+        assertEquals(1, p.of(Effect.StopAccepting.class).size());
+        assertEquals(0, p.of(Effect.Exit.class).size(), "whom it took with its last look may have a request");
+        p.pass(50);
         assertEquals(List.of(new Effect.Exit(false)), p.of(Effect.Exit.class));
     }
 
