--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -917,7 +917,7 @@
                 leave(now, s);
             }
         }
-        if (holding > 0 && reach >= order.length && ejected * 4 < order.length && n > 0
+        if (holding > 0 && reach >= order.length && ejected * 3 < order.length && n > 0
                 && congestion < ROOM) {
             // Guards the servers that are left against the calls of those taken out: more would choke them.
             extra++;
