--- a/fleet/src/main/java/brackenbridge/fleet/replica/Disk.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Disk.java
@@ -250,6 +250,11 @@
         }
     }
 
+    /** Lets go of the file as a failure would, without writing what is open. */
+    void breakOff() {
+        store.closeImmediately();
+    }
+
     private static String key(String of, Item i) {
         return of + '\0' + i.space() + '\0' + i.key();
     }
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/replica/DiskTest.java
@@ -0,0 +1,122 @@
+package brackenbridge.fleet.replica;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class DiskTest {
+    @TempDir
+    private Path folder;
+    private final Store full = new Store("b", 1, 7, false);
+
+    @BeforeEach
+    void copies() {
+        Store a = new Store("a", 3, 9, false);
+        for (int i = 0; i < 300; i++) {
+            a.put(Space.SERVERS, "h" + i % 100, ("value " + i).getBytes(UTF_8), 0);
+        }
+        full.took(a.since(new Message.Want("a", 3, 0, 0, 0), 1 << 20), 0);
+    }
+
+    private Disk open(double nowMs) throws IOException {
+        return Disk.open(folder, "fleet", "b", nowMs);
+    }
+
+    private void write(Disk d) throws IOException {
+        d.write(List.of(new Disk.Batch("a", 3, 300L, 0, full.all("a", 3), List.of())),
+                Map.of(new CatchUp.Of("a", 3), 100));
+    }
+
+    private Store read(Disk d) {
+        Store s = new Store("b", d.life(), 8, false);
+        d.restore(s);
+        return s;
+    }
+
+    @Test
+    void whatWasWrittenIsReadAndLivesGrowWhateverTheClockSays() throws IOException {
+        long first;
+        try (Disk d = open(1000)) {
+            first = d.life();
+            write(d);
+        }
+        try (Disk d = open(10)) {
+            assertEquals(first + 1, d.life());
+            Store s = read(d);
+            assertEquals(full.all("a", 3).toString(), s.all("a", 3).toString());
+            assertEquals(300, s.have("a", 3).orElseThrow());
+            assertTrue(s.seen(Space.SERVERS, 0).stream().noneMatch(e -> e.fresh(Space.SERVERS)));
+            assertTrue(assertThrows(IOException.class, () -> open(0)).getMessage().contains("another process"));
+        }
+        try (Disk d = open(1e12)) {
+            assertEquals(1_000_000_000_000L, d.life());
+        }
+    }
+
+    @Test
+    void anotherFleetsOrMembersDiskIsRefusedInOneLine() throws IOException {
+        open(1).close();
+        String fleet = assertThrows(IOException.class, () -> Disk.open(folder, "other", "b", 1)).getMessage();
+        String member = assertThrows(IOException.class, () -> Disk.open(folder, "fleet", "x", 1)).getMessage();
+        assertTrue(fleet.contains("belongs to the fleet fleet, not to other") && fleet.lines().count() == 1, fleet);
+        assertTrue(member.contains("belongs to the member b, not to x"), member);
+    }
+
+    /** A file cut anywhere, or with any bit flipped: what is read is what was written, or nothing of that life. */
+    @Test
+    void tornTailsAndFlippedBitsAreNeverReadAsRecords() throws IOException {
+        try (Disk d = open(1)) {
+            write(d);
+        }
+        Path file = folder.resolve("replica.mv");
+        byte[] good = Files.readAllBytes(file);
+        SplittableRandom random = new SplittableRandom(5);
+        int whole = 0;
+        for (int i = 0; i < 60; i++) {
+            byte[] bad = i % 2 == 0 ? Arrays.copyOf(good, random.nextInt(good.length)) : good.clone();
+            if (i % 2 == 1) {
+                bad[random.nextInt(bad.length)] ^= (byte) (1 << random.nextInt(8));
+            }
+            Files.write(file, bad);
+            try (Disk d = open(1)) {
+                String read = read(d).all("a", 3).toString();
+                assertTrue(read.equals("[]") || read.equals(full.all("a", 3).toString()), read);
+                whole += read.equals("[]") ? 0 : 1;
+                write(d);
+            } catch (IOException refused) {
+                assertTrue(refused.getMessage().lines().count() == 1, refused.getMessage());
+            }
+        }
+        assertTrue(whole > 0 && whole < 60, "faults hit: " + whole);
+    }
+
+    @Test
+    void aDiskThatFailsSaysSoAndTakesItUpAgain() throws IOException {
+        try (Disk d = open(1)) {
+            write(d);
+            d.breakOff();
+            Path file = folder.resolve("replica.mv");
+            Path away = folder.resolve("away");
+            Files.move(file, away);
+            Files.createDirectory(file);
+            assertThrows(IOException.class, () -> write(d));
+            Files.delete(file);
+            Files.move(away, file);
+            write(d);
+            assertFalse(read(d).all("a", 3).isEmpty());
+        }
+    }
+}
