--- a/lab/src/main/java/brackenbridge/lab/fleet/check/Converges.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/Converges.java
@@ -41,6 +41,7 @@
                     breaches.add(new Breach(due, String.format(java.util.Locale.ROOT,
                             "%s does not hold %s/%s number %d of %.0f ms by %.0f ms", reader, owner, w.id().key(),
                             w.n(), w.t(), due)));
+                    longest = Math.max(longest, Troubles.took(w.t(), Math.min(at, end), way));
                 } else if (at <= end) {
                     double took = Troubles.took(w.t(), at, way);
                     all.add(took);
--- a/lab/src/test/java/brackenbridge/lab/fleet/check/PromisesTest.java
+++ b/lab/src/test/java/brackenbridge/lab/fleet/check/PromisesTest.java
@@ -91,6 +91,11 @@
                 1300 m1 saw owner=m0 key=k n=1
                 5000 lab end
                 """, "m1 does not hold m0/k number 1");
+        assertEquals(1300, p.check(log(TWO + """
+                0 m0 wrote key=k n=1
+                1300 m1 saw owner=m0 key=k n=1
+                5000 lab end
+                """)).figures().get("longest_ms"));
         broken(p, TWO + """
                 0 m0 wrote key=k n=2
                 300 m1 saw owner=m0 key=k n=1
