Fleet peers: tests that tell late evidence and a missing refutation

Two deliberate mistakes were not found: evidence dated on arrival by the history of a line that stands, and an end of GONE without a greater incarnation. The first history proved nothing by its times; the second had no test.

--- a/fleet/src/test/java/brackenbridge/fleet/peer/DetectorTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/DetectorTest.java
@@ -262,9 +262,9 @@
     void beatsThatStoodInTheLineDoNotKeepTheDeadAlive() {
         World w = new World(2, 5);
         w.run(3000);
-        w.delayMs = 8000;
-        w.run(2000);
-        // All beats of these two seconds arrive from four to twelve seconds later, long after their sender has ended.
+        w.delayMs = 2600;
+        w.run(500);
+        // The beats of this half second arrive from 1.3 to 3.9 s after their sending, when their sender has ended.
         double died = w.now;
         w.end(0);
         w.run(LIMITS.goneMs() + 3 * LIMITS.beatMs());
@@ -317,4 +317,22 @@
         assertEquals("n3", told.get(0).name());
         assertEquals("n3", w.members[3].conflicts().get(0).name(), "the first process is told itself");
     }
+
+    @Test
+    void goneEndsByAGreaterIncarnationOnly() {
+        Detector d = new Detector("a", 1, 1, LIMITS, 1);
+        d.update(List.of("b"));
+        d.linked(0, 0, "b", 1, 2);
+        int sent = 0;
+        double now = 0;
+        while (d.standing("b") != Standing.GONE) {
+            now += LIMITS.beatMs();
+            sent = d.tick(now).get(0).beat().sequence();
+        }
+        assertEquals(LIMITS.goneMs(), now, LIMITS.beatMs());
+        d.took(now + 10, "b", 1, 2, new Beat(0, 1, sent, 5, 0, List.of(), List.of()));
+        assertEquals(Standing.GONE, d.standing("b"), "it does not know yet that it was held gone");
+        d.took(now + 20, "b", 1, 2, new Beat(0, 2, sent, 15, 1, List.of(), List.of()));
+        assertEquals(Standing.ALIVE, d.standing("b"));
+    }
 }
