--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Driver.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Driver.java
@@ -25,7 +25,7 @@
      */
     public record Limits(double partOff, double utilisation, double failing, double graceMs, double silentMs) {
         /** The usual ones. */
-        public static final Limits USUAL = new Limits(0.2, 0.97, 0.03, 2000, 6000);
+        public static final Limits USUAL = new Limits(0.2, 0.98, 0.03, 2000, 6000);
     }
 
     /**
@@ -71,7 +71,7 @@
     /** A foretold figure is compared once it was seen for so long. */
     private static final double COMPARED_MS = 2500;
     /** A bound is passed once it was for so long: one second's figure is noise. */
-    private static final double PASSED_MS = 800;
+    private static final double PASSED_MS = 1400;
     private static final double LEAST_LOAD = 1;
 
     private final String me;
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Fluid.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Fluid.java
@@ -14,8 +14,9 @@
  * One course of a plan through all pools, as a fluid. Each pool's calls in work follow the pointwise stationary fluid
  * flow approximation (Wang, Tipper and Banerjee, A new method for analyzing time-varying queues, Performance
  * Evaluation 1996): what it completes is what a stationary M/G/c queue completes that holds as many, with the number
- * waiting by Sakasegawa. Tries call the next tier while they hold their slot, so that a slow pool fills the slots of
- * those before it, and a full one spares those behind it.
+ * waiting by Sakasegawa. Where chance is drawn as well it makes the queues by itself (a reflected diffusion: Kingman,
+ * On queues in heavy traffic, 1962), and the number waiting is left out. Tries call the next tier while they hold
+ * their slot, so that a slow pool fills the slots of those before it, and a full one spares those behind it.
  */
 final class Fluid {
     private static final double STEP_MS = 50;
@@ -25,7 +26,7 @@
     private static final int GRID = 400;
     private static final double TOP = 0.9975;
     /** Noise holds for so many steps. */
-    private static final int NOISE_STEPS = 10;
+    private static final int NOISE_STEPS = 2;
     /** Every how many steps the part that is late is looked at. */
     private static final int LATE_STEPS = 4;
     /** How fast the part that fails makes clients and nodes try again. */
@@ -103,6 +104,8 @@
     private final int[] originOf;
     private final int[] poolOf;
     private final double[][] rhoAt;
+    private final double[][] plainAt;
+    private final double[] chance;
 
     /** The courses of this plan; moved parts may be told apart from the plan's own steps. */
     Fluid(Picture picture, Plan plan, double[] movedAt) {
@@ -143,8 +146,13 @@
             usual(t);
         }
         rhoAt = new double[pools.size()][];
+        plainAt = new double[pools.size()][];
+        chance = new double[pools.size()];
         for (int i = 0; i < pools.size(); i++) {
-            rhoAt[i] = table(pools.get(i));
+            Pool p = pools.get(i);
+            rhoAt[i] = table(p, true);
+            plainAt[i] = table(p, false);
+            chance[i] = 1 + (inTurn(p) ? p.variation() : 1);
         }
     }
 
@@ -194,13 +202,16 @@
         }
     }
 
-    /** The number in work and before it at each load of the grid. */
-    private static double[] table(Pool p) {
+    /** Slots beyond what is worked on share it evenly, and then the work's variation does not matter. */
+    private static boolean inTurn(Pool p) {
+        return p.slots() * p.servers() <= Math.max(1, p.parallel()) * 1.05;
+    }
+
+    /** The number in work and before it at each load of the grid: as it is in the mean, or without any chance. */
+    private static double[] table(Pool p, boolean mean) {
         double[] n = new double[GRID + 1];
         double c = Math.max(1, p.parallel());
-        // Slots beyond what is worked on share it evenly, and then the work's variation does not matter.
-        boolean inTurn = p.slots() * p.servers() <= c * 1.05;
-        double factor = inTurn ? (1 + p.variation()) / 2 : 1;
+        double factor = !mean ? 0 : inTurn(p) ? (1 + p.variation()) / 2 : 1;
         for (int i = 0; i <= GRID; i++) {
             double rho = TOP * i / GRID;
             n[i] = c * rho + factor * Queues.waiting(c, rho);
@@ -215,8 +226,7 @@
      * @param most what all servers complete in a step at the most
      * @param scale servers there are for each that the table was made for
      */
-    private double left(int pool, double before, double most, double scale) {
-        double[] n = rhoAt[pool];
+    private static double left(double[] n, double before, double most, double scale) {
         if (before >= n[GRID] * scale + TOP * most) {
             return before - most * Math.min(1, TOP + (1 - TOP) * (before / (n[GRID] * scale + TOP * most) - 1));
         }
@@ -298,7 +308,8 @@
                     scale[i] = servers / Math.max(1, p.servers());
                     if (draw.noise != null && k % NOISE_STEPS == 0) {
                         double calls = Math.max(0.1, inflow[i] * STEP_S * NOISE_STEPS);
-                        noise[i] = Math.max(0, 1 + draw.noise.nextGaussian() * Math.sqrt((1 + p.variation()) / calls));
+                        noise[i] = Math.max(0, 1 + draw.noise.nextGaussian()
+                                * Math.sqrt(chance[i] / calls));
                     }
                     double again = again(i, t, failing[i], refusing[i]);
                     double attempts = inflow[i] * again * noise[i];
@@ -315,7 +326,8 @@
                     double admitted = Math.min(waiting[i], free);
                     waiting[i] -= admitted;
                     double inWork = working[i] + admitted;
-                    working[i] = left(i, inWork, speed * STEP_S, Math.max(1e-9, scale[i]));
+                    double[] table = draw.noise == null ? rhoAt[i] : plainAt[i];
+                    working[i] = left(table, inWork, speed * STEP_S, Math.max(1e-9, scale[i]));
                     double doneWork = inWork - working[i];
                     double before = calling[i] + doneWork;
                     calling[i] = callMs <= 0 ? 0 : before / (1 + STEP_MS / callMs);
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Model.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Model.java
@@ -128,6 +128,7 @@
     public void take(double nowMs, double nowDayMs, List<Observation> all) {
         dayMs = nowDayMs;
         boolean news = false;
+        Map<Key, Kept> present = new HashMap<>();
         for (Observation o : all) {
             heardAt.merge(o.node(), nowMs - o.heardMs(), Math::max);
             Key key = new Key(o.node(), o.pool(), o.className());
@@ -140,6 +141,8 @@
                 kept.put(key, k);
             }
             k.heldMs = nowMs - o.heardMs();
+            // What its owner has taken back counts no more.
+            present.put(key, k);
             if (!o.version().equals(k.version) && o.heardMs() <= terms.freshMs() && sane(o.seen())) {
                 k.version = o.version();
                 k.seen = o.seen();
@@ -151,7 +154,7 @@
         kept.values().removeIf(k -> nowMs - k.heldMs > FORGOTTEN_MS);
         heardAt.values().removeIf(at -> nowMs - at > FORGOTTEN_MS);
         if (news) {
-            learn(nowMs);
+            learn(nowMs, present);
         }
     }
 
@@ -181,10 +184,10 @@
         final Map<String, Double> classes = new TreeMap<>();
     }
 
-    private void learn(double nowMs) {
+    private void learn(double nowMs, Map<Key, Kept> present) {
         Map<PoolName, Sum> sums = new TreeMap<>();
         Map<Origin, Double> from = new HashMap<>();
-        for (Map.Entry<Key, Kept> e : kept.entrySet()) {
+        for (Map.Entry<Key, Kept> e : present.entrySet()) {
             Kept k = e.getValue();
             if (k.seen == null || nowMs - k.heldMs > terms.freshMs()) {
                 continue;
--- a/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
@@ -198,13 +198,15 @@
         Check check = new Check();
         Agree agree = new Agree();
         Fleets fleet = new Fleets();
+        Evacuate evacuate = new Evacuate();
         JCommander line = JCommander.newBuilder().programName("brackenbridge lab").addCommand("demo", demo)
                 .addCommand("operate", operate)
                 .addCommand("sim", sim).addCommand("live", live).addCommand("servers", servers)
                 .addCommand("load", load).addCommand("report", report).addCommand("compare", comparison)
                 .addCommand("theory", check).addCommand("capacity", capacity).addCommand("bench", bench)
                 .addCommand("echo", echo).addCommand("relay", relay)
-                .addCommand("agree", agree).addCommand("fleet", fleet).build();
+                .addCommand("agree", agree).addCommand("fleet", fleet)
+                .addCommand("evacuate", evacuate).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -237,6 +239,7 @@
                 case "theory" -> theory(check);
                 case "agree" -> agree.run();
                 case "fleet" -> fleet.run();
+                case "evacuate" -> evacuate.run();
                 case "capacity" -> capacity(capacity);
                 case "bench" -> bench(bench);
                 case "echo" -> stand(Bare.echo(echo.addresses));
--- /dev/null
+++ b/lab/src/main/java/brackenbridge/lab/evacuation/package-info.java
@@ -0,0 +1,2 @@
+/** Evacuations of zones in simulated time: what was foretold, beside what came. */
+package brackenbridge.lab.evacuation;
