Ever new tenants' names no longer cost a look at all of them each

Seen: TenantSchedulerTest.aHundredThousandTenantsAreForgottenOnceIdle took 241 s. Cause: once the bound on tenants was reached, each new name went through all remembered ones (TenantScheduler.tenant), 50,000 looks a flow on the node's loop, for whoever sends new names.

--- a/core/src/main/java/brackenbridge/core/share/TenantScheduler.java
+++ b/core/src/main/java/brackenbridge/core/share/TenantScheduler.java
@@ -204,6 +204,7 @@
     private double lentTime;
     private double readMs = Double.NaN;
     private long numbers;
+    private long sweepFrom;
 
     /** A scheduler that was told nothing yet. */
     public TenantScheduler(Limits limits) {
@@ -393,14 +394,17 @@
     private Tenant tenant(String name, double nowMs) {
         Tenant t = tenants.get(name);
         if (t == null) {
-            if (tenants.size() >= limits.mostTenants()) {
+            if (tenants.size() >= limits.mostTenants() && numbers >= sweepFrom) {
+                // Guards the loop against callers of ever new names: a look at all of them only now and then.
+                sweepFrom = numbers + Math.max(1, limits.mostTenants() / 8);
                 tenants.values().removeIf(old -> idle(old) && old.refused == 0 && old.usedArea == 0);
             }
             // Guards against memory without bound: names beyond the limit count as calls without a tenant.
+            numbers++;
             String as = tenants.size() >= limits.mostTenants() ? "" : name;
             t = tenants.get(as);
             if (t == null) {
-                t = new Tenant(as, ++numbers, nowMs);
+                t = new Tenant(as, numbers, nowMs);
                 join(t, as);
                 tenants.put(as, t);
             }
