--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -145,7 +145,10 @@
             } else if (step instanceof Step.Lend s) {
                 lend(s);
             } else if (step instanceof Step.Close s) {
-                connections.remove(s.connection()).channel.close();
+                Connection c = connections.remove(s.connection());
+                if (c != null) {
+                    c.channel.close();
+                }
             } else if (step instanceof Step.GiveUp s) {
                 giveUp(s);
             } else if (step instanceof Step.Wake s) {
