--- a/fleet/src/main/java/brackenbridge/fleet/replica/Store.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Store.java
@@ -1,6 +1,7 @@
 package brackenbridge.fleet.replica;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -78,6 +79,8 @@
     private long beat;
     private boolean hasBeenHeard;
     private final TreeMap<String, Owner> owners = new TreeMap<>();
+    /** The same by hash: with a thousand owners, names are looked up for each mark of each message. */
+    private final Map<String, Owner> byName = new HashMap<>();
     private final boolean tracks;
     private final Set<Touched> touched = new LinkedHashSet<>();
     private final List<String> alarms = new ArrayList<>();
@@ -99,6 +102,7 @@
         o.life = life;
         o.nonce = nonce;
         owners.put(me, o);
+        byName.put(me, o);
         o.parts.put(life, new Part(me, life));
     }
 
@@ -110,6 +114,7 @@
         hasBeenHeard = s.hasBeenHeard;
         tracks = false;
         s.owners.forEach((n, o) -> owners.put(n, o.copy()));
+        byName.putAll(owners);
     }
 
     /** A copy that goes its own way. */
@@ -164,7 +169,7 @@
     }
 
     private Part mine() {
-        return owners.get(me).parts.get(life);
+        return byName.get(me).parts.get(life);
     }
 
     // ---- writing ----
@@ -196,10 +201,10 @@
 
     private boolean write(Space space, String key, byte[] value, long count, long below, double nowMs) {
         Part p = mine();
-        if (owners.get(me).aside != null || p.size() >= MOST_RECORDS && p.get(new Item(space, key)) == null) {
+        if (byName.get(me).aside != null || p.size() >= MOST_RECORDS && p.get(new Item(space, key)) == null) {
             return false;
         }
-        apply(owners.get(me), p, Entry.of(me, space, key, new Version(life, p.have + 1), value, count, below), nowMs);
+        apply(byName.get(me), p, Entry.of(me, space, key, new Version(life, p.have + 1), value, count, below), nowMs);
         p.have++;
         touch(me, life, null);
         return true;
@@ -224,7 +229,7 @@
             throw new IllegalArgumentException("only ended lives are folded");
         }
         TreeSet<Item> items = new TreeSet<>();
-        Owner o = owners.get(me);
+        Owner o = byName.get(me);
         for (Part p : o.parts.headMap(below).values()) {
             p.all().stream().filter(e -> e.space().kind() == Space.Kind.COUNTED).forEach(e -> items.add(e.item()));
         }
@@ -243,7 +248,7 @@
     /** This member's ended lives of which parts of sums are kept, each with how far the copy is. */
     public Map<Long, Long> endedOfMine() {
         TreeMap<Long, Long> ended = new TreeMap<>();
-        owners.get(me).parts.headMap(life).forEach((l, p) -> {
+        byName.get(me).parts.headMap(life).forEach((l, p) -> {
             if (p.size() > 0) {
                 ended.put(l, p.have);
             }
@@ -272,7 +277,7 @@
     public List<Message.Mark> marks(Iterable<String> of, double nowMs) {
         List<Message.Mark> marks = new ArrayList<>();
         for (String n : of) {
-            Owner o = owners.get(n);
+            Owner o = byName.get(n);
             if (o != null) {
                 Part p = o.parts.get(o.life);
                 long have = p == null ? 0 : p.have;
@@ -331,7 +336,7 @@
 
     /** Hears what others know of this member itself. */
     private boolean tookOfMine(Message.Mark m) {
-        Owner o = owners.get(me);
+        Owner o = byName.get(me);
         if (m.life() == life && (m.nonce() == nonce || m.nonce() == 0)) {
             hasBeenHeard = true;
             return m.aside() && aside(me, o, "put aside by another member in life " + life)
@@ -352,7 +357,7 @@
     }
 
     private void relive(long next) {
-        Owner o = owners.get(me);
+        Owner o = byName.get(me);
         o.parts.remove(life);
         life = next;
         o.life = next;
@@ -366,10 +371,11 @@
     }
 
     private Owner owner(String name) {
-        Owner o = owners.get(name);
+        Owner o = byName.get(name);
         if (o == null && owners.size() < MOST_OWNERS) {
             o = new Owner();
             owners.put(name, o);
+            byName.put(name, o);
         }
         return o;
     }
@@ -423,7 +429,7 @@
 
     /** Why an owner's present life was put aside; null if it was not. */
     public String aside(String owner) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         return o == null ? null : o.aside;
     }
 
@@ -438,7 +444,7 @@
 
     /** How far the copy of this life is; empty if the life has ended and nothing of it is kept. */
     public OptionalLong have(String owner, long of) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p != null ? OptionalLong.of(p.have) : o != null && of < o.life ? OptionalLong.empty()
                 : OptionalLong.of(0);
@@ -446,13 +452,13 @@
 
     /** The newest life of this owner that was heard of; 0 if none. */
     public long newest(String owner) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         return o == null ? 0 : o.life;
     }
 
     /** What to ask for to get on with this life. */
     public Message.Want want(String owner, long of) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null ? new Message.Want(owner, of, 0, 0, 0) : new Message.Want(owner, of, p.have, p.cursor, p.base);
     }
@@ -465,7 +471,7 @@
      * @return null if there is nothing here that the other lacks
      */
     public Message.Chunk since(Message.Want w, int mostBytes) {
-        Owner o = owners.get(w.owner());
+        Owner o = byName.get(w.owner());
         Part p = o == null ? null : o.parts.get(w.life());
         if (p == null || p.have <= w.have()) {
             return null;
@@ -481,7 +487,7 @@
 
     /** What was written after one write, without a look at what a certain peer has. */
     public Message.Chunk after(String owner, long of, long from, int mostBytes) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null || from >= p.have || from < p.floor ? null : p.piece(from, p.have, 0, o.life, mostBytes);
     }
@@ -616,20 +622,20 @@
 
     /** Digests of this copy by range; null if it has none of this life, or a snapshot is under way. */
     public long[] digests(String owner, long of) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null || p.base != 0 || p.have == 0 ? null : p.digests();
     }
 
     /** Lives of this owner of which something is here, earliest first. */
     public List<Long> lives(String owner) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         return o == null ? List.of() : List.copyOf(o.parts.keySet());
     }
 
     /** Records of one life in a range of keys, in the order of keys, removals that are not forgotten among them. */
     public List<Entry> range(String owner, long of, int range) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null ? List.of() : p.all().stream().filter(e -> e.item().range() == range)
                 .sorted((a, b) -> a.item().compareTo(b.item())).toList();
@@ -637,21 +643,21 @@
 
     /** All records of one life, removals that are not forgotten among them, in the order of writes. */
     public List<Entry> all(String owner, long of) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null ? List.of() : p.all();
     }
 
     /** The last write of this key by this life, a removal too; null if there is none. */
     public Entry entry(String owner, long of, Item item) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null ? null : p.get(item);
     }
 
     /** Puts a record in the place of a copy that the rule found to be the wrong one; null drops it. */
     public void mend(String owner, long of, Item item, Entry by, double nowMs) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         if (p != null && (by == null || by.intact(owner))) {
             if (by == null) {
@@ -665,7 +671,7 @@
 
     /** Two contents of one write were found side by side. */
     void clash(String owner, long of, Entry mine, Entry theirs) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         if (p != null) {
             clash(o, p, mine, theirs);
@@ -674,7 +680,7 @@
 
     /** Gives a copy up, so that it is fetched whole. */
     public void again(String owner, long of) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null || owner.equals(me) && of == life ? null : o.parts.get(of);
         if (p != null) {
             p.all().forEach(e -> {
@@ -724,7 +730,7 @@
 
     /** One record of an owner's newest life; null if there is none that may be looked at. */
     public Replica.Seen seen(String owner, Space space, String key, double nowMs) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(o.life);
         Entry e = p == null ? null : p.get(new Item(space, key));
         return e == null ? null : seen(owner, o, p, e, nowMs);
@@ -742,13 +748,13 @@
 
     /** How long ago this owner last gave a sign of life, in milliseconds; infinite if it never did. */
     public double heardMs(String owner, double nowMs) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         return owner.equals(me) ? 0 : o == null ? Double.POSITIVE_INFINITY : Math.max(0, nowMs - o.heardAtMs);
     }
 
     /** How many writes its newest life is said to have made. */
     public long said(String owner) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         return owner.equals(me) ? mine().have : o == null ? 0 : o.said;
     }
 
@@ -775,14 +781,14 @@
 
     /** How many records of this life are here. */
     public int size(String owner, long of) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null ? 0 : p.size();
     }
 
     /** How far removals of this life are forgotten. */
     public long floor(String owner, long of) {
-        Owner o = owners.get(owner);
+        Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
         return p == null ? 0 : p.floor;
     }
--- a/lab/src/main/java/brackenbridge/lab/cli/Replicate.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/Replicate.java
@@ -46,8 +46,8 @@
         }
         if (nodes < 2 || nodes > 2000 || keys < 1 || keys > 1000 || !(writes > 0 && writes <= 1000)
                 || !(lost >= 0 && lost < 0.9) || !(change >= 100 && change <= 600_000) || !(budget >= 1000)) {
-            throw new ParameterException("--nodes must be within 2 to 2000, --keys 1 to 1000, --writes above 0 to 1000, "
-                    + "--lost 0 to 0.9, --change 100 to 600000, --budget 1000 and more");
+            throw new ParameterException("--nodes must be within 2 to 2000, --keys 1 to 1000, --writes above 0 to "
+                    + "1000, --lost 0 to 0.9, --change 100 to 600000, --budget 1000 and more");
         }
         return explore ? explore() : fleet();
     }
--- a/lab/src/main/java/brackenbridge/lab/replica/Fleet.java
+++ b/lab/src/main/java/brackenbridge/lab/replica/Fleet.java
@@ -94,7 +94,7 @@
         void took(Node from, byte[] body) {
             if (!away && !from.away) {
                 send(exchange.took(from.name, from.store.life(), body, queue.nowMs()));
-                writes.forEach(w -> w.look(this));
+                writes.removeIf(w -> w.look(this));
             }
         }
     }
@@ -104,7 +104,6 @@
         final long sequence;
         final double atMs = queue.nowMs();
         final BitSet have = new BitSet();
-        boolean done;
 
         Write(Node by) {
             this.by = by;
@@ -112,15 +111,16 @@
             have.set(by.id);
         }
 
-        void look(Node n) {
-            if (!done && !have.get(n.id) && n.store.have(by.name, by.store.life()).orElse(0) >= sequence) {
+        boolean look(Node n) {
+            if (!have.get(n.id) && n.store.have(by.name, by.store.life()).orElse(0) >= sequence) {
                 have.set(n.id);
                 each.recordValue(Math.round(queue.nowMs() - atMs));
                 if (have.cardinality() == nodes.size()) {
-                    done = true;
                     all.recordValue(Math.round(queue.nowMs() - atMs));
+                    return true;
                 }
             }
+            return false;
         }
     }
 
@@ -195,7 +195,7 @@
                 oldest = Math.max(oldest, n.store.heardMs(o.name, queue.nowMs()));
             }
         }
-        runUntil(60_000, () -> writes.stream().allMatch(w -> w.done));
+        runUntil(60_000, writes::isEmpty);
         return new Outcome(level, all, each, atRest, underChange, oldest);
     }
 
--- a/lab/src/main/java/brackenbridge/lab/replica/Model.java
+++ b/lab/src/main/java/brackenbridge/lab/replica/Model.java
@@ -232,7 +232,7 @@
         }
     }
 
-    /** One asks another for what it lacks of each life of the owner; the other answers at once, its answer may be late. */
+    /** One asks another for what it lacks of each life of the owner; question and answer may each be late. */
     private void asks(State s, int i, int j, Map<String, State> next) {
         for (long life : s.stores[j].lives(OWNER)) {
             Message.Want w = s.stores[i].want(OWNER, life);
