Take back the list's clock and the changed stop; lists that span lines stay readable

Membership, Source, the reducer's and the node's use of them, and their tests are as in; ObjectCutter and DiscoveryClient stay, so that an indented list is read whole.

--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -44,16 +44,12 @@
     static final double MARGIN_MS = 5;
     /** Discovery says something every 2 s: a call without a word for so long has failed. */
     static final double SILENCE_MS = 3000;
-    /** An agent answers at once: a node that has just started is put to use without its word after so long. */
-    static final double FIRST_WORD_MS = 1000;
     /** Longest time that a probe may take. */
     static final double PROBE_MS = 1000;
     /** A stopping node accepts connections for so long: the front needs a moment to notice. */
     static final double ACCEPT_MS = 500;
     /** A stopping node serves the connections that it has for so long. */
     static final double SERVES_MS = 3100;
-    /** Those that it took with its last look at the door have so long to bring a request. */
-    static final double LAST_ACCEPTED_MS = 100;
     /** And then lets its last requests finish for so long. */
     static final double LAST_REQUESTS_MS = 300;
     /** The platform waits no longer than this for a stopping node, however long the deadlines are. */
@@ -199,12 +195,9 @@
         return effects;
     }
 
-    /**
-     * Whether a flow could be served: some server is known to run, the node neither drains nor stops, and an agent of
-     * its own has said what it has, or does not answer.
-     */
-    public boolean ready(double nowMs) {
-        return life.phase() == LifeCycle.Phase.SERVING && !membership.awaitsFirstWord(nowMs, FIRST_WORD_MS)
+    /** Whether a flow could be served: some server is known to run, and the node neither drains nor stops. */
+    public boolean ready() {
+        return life.phase() == LifeCycle.Phase.SERVING
                 && targets.values().stream().anyMatch(t -> t.state() == EndpointState.UP);
     }
 
@@ -588,8 +581,6 @@
             effects.add(new Effect.SayClose(true));
             effects.add(new Effect.CloseIdleClients());
         } else if (key instanceof TimerKey.StopLimit) {
-            // Guards what comes behind the last answers, such as a request that was half here: it would die unanswered.
-            life.turnAway();
             answerAll();
         } else if (key instanceof TimerKey.StopNow) {
             effects.add(new Effect.Exit(true));
@@ -696,7 +687,7 @@
             settings.classes().forEach(c -> classes.put(c.name(), c));
             balancer.onSettings(ModuleTime.micros(now), settings);
         }
-        follow(membership.comesFrom(now, source(settings)));
+        membership.comesFrom(source(settings));
         if (membership.offered(e.known().seq(), false)) {
             list(ListKind.SAVED, e.known().targets());
         }
@@ -861,7 +852,7 @@
         // Guards clients against finding nobody: the front sends no new connections to a node that stops, but those
         // that it has go on, whether it has no peer or its peer is only on its way back from the same release.
         // Staff who have emptied the node first need not wait.
-        double serves = Math.max(ACCEPT_MS + LAST_ACCEPTED_MS, emptied ? 0 : longest * SERVES_MS / LONGEST_MS);
+        double serves = emptied ? ACCEPT_MS : Math.max(ACCEPT_MS, longest * SERVES_MS / LONGEST_MS);
         // What comes late in that time has little left of it: better some of it fails than all finds nobody.
         double limit = now + (emptied ? Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS : serves + LAST_REQUESTS_MS);
         effects.add(new Effect.SetTimer(now + ACCEPT_MS, new TimerKey.StopAccepting()));
--- a/core/src/main/java/brackenbridge/core/membership/Membership.java
+++ b/core/src/main/java/brackenbridge/core/membership/Membership.java
@@ -13,8 +13,7 @@
  *
  * <p>Silence of {@code silenceMs} ends a watch: discovery says something every 2 s. At an agent that is no fault to
  * wait for: it is silent while the discovery behind it is down, and what it has counts as told, so the next watch opens
- * in the same moment. At a service the next one is soon out as well, since what a silent watch misses counts as told
- * 6 s after its last word; a service that turns callers away is spared ever longer.
+ * in the same moment. A service that falls silent is spared first.
  */
 public final class Membership {
     /** A watch that ended sooner has failed, whatever it had said: guards against an end that follows each list. */
@@ -29,7 +28,6 @@
     private boolean toldOnCall;
     private double openedAt;
     private double lastWord = Double.NEGATIVE_INFINITY;
-    private boolean everOver;
     private boolean moved;
     private int failures;
     private double openAt = Double.POSITIVE_INFINITY;
@@ -67,22 +65,9 @@
         return newer;
     }
 
-    /** Lists come this way from now on; a next call that was put off goes by what it costs here. */
-    public List<Step> comesFrom(double now, Source next) {
-        if (call < 0 && openAt < Double.POSITIVE_INFINITY && !next.equals(source)) {
-            openAt = Math.min(openAt, now + next.againMs(Math.max(1, failures), random));
-        }
+    /** From the next call on, lists come this way. */
+    public void comesFrom(Source next) {
         source = next;
-        return go(now);
-    }
-
-    /**
-     * Whether an agent has not said yet what it has, though it answers at once: it counts as told from the process's
-     * first moment. An agent that does not answer its first call within {@code patienceMs} is not waited for.
-     */
-    public boolean awaitsFirstWord(double now, double patienceMs) {
-        return !source.shared() && calls == 1 && !everOver && call >= 0 && !toldOnCall
-                && now - openedAt < patienceMs;
     }
 
     /**
@@ -92,8 +77,6 @@
      */
     public List<Step> askNow(double now, boolean elsewhere) {
         moved |= elsewhere;
-        // Guards the new address against what the old one did: its callers were never turned away.
-        failures = elsewhere ? 0 : failures;
         openAt = now;
         List<Step> steps = new ArrayList<>();
         if (call >= 0) {
@@ -138,20 +121,14 @@
         if (!isOpen(on)) {
             return List.of();
         }
-        lose();
-        failures = heardOnCall() && now - openedAt >= STOOD_MS ? 1 : failures + 1;
-        openAt = now + source.againMs(failures, random);
+        lose(now);
         return go(now);
     }
 
-    private void lose() {
+    private void lose(double now) {
         call = -1;
-        everOver = true;
-    }
-
-    /** Whether this call, or the last one, has said anything. */
-    private boolean heardOnCall() {
-        return toldOnCall || lastWord >= openedAt;
+        failures = toldOnCall && now - openedAt >= STOOD_MS ? 1 : failures + 1;
+        openAt = now + source.againMs(failures, random);
     }
 
     /** How long discovery has said nothing, in milliseconds; infinite if it never has. */
@@ -173,10 +150,12 @@
         List<Step> steps = new ArrayList<>();
         if (call >= 0 && now >= heardAt() + silenceMs) {
             steps.add(new Step.End(call, true));
-            lose();
-            // Silence is no word of a caller too many: only what is said so puts calls off ever longer.
-            failures = heardOnCall() ? 0 : failures;
-            openAt = now + source.afterSilenceMs(heardOnCall(), random);
+            if (source.shared()) {
+                lose(now);
+            } else {
+                call = -1;
+                openAt = now;
+            }
         }
         if (call < 0 && now >= openAt) {
             call = calls++;
--- a/core/src/main/java/brackenbridge/core/membership/Source.java
+++ b/core/src/main/java/brackenbridge/core/membership/Source.java
@@ -13,7 +13,6 @@
     private static final double LONGEST_FIRST_MS = 4000;
     private static final double SERVICE_PAUSE_MS = 1000;
     private static final double AGENT_PAUSE_MS = 50;
-    private static final double SILENCE_PAUSE_MS = 500;
     /** Most doublings of a pause: 16 s at a service, 1.6 s at an agent. */
     private static final int SERVICE_DOUBLINGS = 4;
     private static final int AGENT_DOUBLINGS = 5;
@@ -29,20 +28,9 @@
      * agent that turns it away.
      */
     double againMs(int failures, RandomGenerator random) {
-        // Whoever has no watch counts as told so long after its last call, four times as long if that one failed.
-        double most = failures == 1 ? mustAskWithinMs / 1.5 : mustAskWithinMs;
         double pause = shared
-                ? Math.min(SERVICE_PAUSE_MS * (1 << Math.min(failures - 1, SERVICE_DOUBLINGS)), most)
+                ? Math.min(SERVICE_PAUSE_MS * (1 << Math.min(failures - 1, SERVICE_DOUBLINGS)), mustAskWithinMs)
                 : AGENT_PAUSE_MS * (1 << Math.min(failures - 1, AGENT_DOUBLINGS));
         return pause / 2 + random.nextDouble() * pause;
     }
-
-    /**
-     * How long it waits after a call that fell silent, which is noticed after 3 of the 6 s that what it missed may take
-     * to count as told. A service gets no more than what keeps a fleet from calling in one moment, and a call that it
-     * never answered, which may still wait there, a little longer.
-     */
-    double afterSilenceMs(boolean heard, RandomGenerator random) {
-        return !shared ? 0 : heard ? random.nextDouble() * SILENCE_PAUSE_MS : againMs(1, random);
-    }
 }
--- a/core/src/test/java/brackenbridge/core/LifeCycleTest.java
+++ b/core/src/test/java/brackenbridge/core/LifeCycleTest.java
@@ -21,7 +21,7 @@
     @Test
     void drainSaysNoAtOnceAndTurnsLateFlowsAway() {
         Play p = new Play(4, 2).tell(DRAIN);
-        assertFalse(p.ready());
+        assertFalse(p.reducer.ready());
         assertEquals(List.of(new Effect.SayClose(true)), p.of(Effect.SayClose.class));
         long early = p.pass(1000).open(Play.FILE, 5000);
         assertEquals(1, p.forwards(early).size(), "clients still come until the front has noticed");
@@ -37,7 +37,7 @@
     @Test
     void returnTakesOneEventAndEndsTheDrainsSteps() {
         Play p = new Play(4, 2).tell(DRAIN).pass(700).tell(RETURN);
-        assertTrue(p.ready());
+        assertTrue(p.reducer.ready());
         assertEquals(List.of(true, false), p.of(Effect.SayClose.class).stream().map(Effect.SayClose::on).toList());
         assertEquals(List.of(true, false), p.of(Effect.KeepNoClients.class).stream().map(e -> e.on()).toList());
         p.pass(5000);
@@ -50,12 +50,12 @@
     @Test
     void callsThatChangeNothingDoNothing() {
         Play p = new Play(4, 2).tell(RETURN);
-        assertTrue(p.ready());
+        assertTrue(p.reducer.ready());
         p.tell(DRAIN).pass(400).tell(DRAIN).pass(250);
         assertEquals(1, p.of(Effect.KeepNoClients.class).size(), "the steps run from the first call");
         assertEquals(1, p.counters.of(Kind.DRAINS));
         p.tell(new Event.StopAsked()).tell(RETURN).tell(DRAIN);
-        assertFalse(p.ready());
+        assertFalse(p.reducer.ready());
         assertTrue(p.reducer.stopping());
         assertEquals(0, p.counters.of(Kind.RETURNS));
         assertFalse(p.pass(5000).of(Effect.Exit.class).isEmpty());
@@ -65,9 +65,9 @@
     void newSettingsLeaveADrainAsItIs() {
         Play p = new Play(4, 2).tell(DRAIN).pass(700);
         p.tell(new Event.Reconfigured(Play.settings(2, 3, Play.FILE), new TargetGroup(41, true, List.of()), false));
-        assertFalse(p.ready());
+        assertFalse(p.reducer.ready());
         assertEquals(List.of(Fixed.REFUSED), p.pass(1200).fixed(p.open(Play.FILE, 5000)));
-        assertTrue(p.tell(RETURN).ready());
+        assertTrue(p.tell(RETURN).reducer.ready());
     }
 
     @Property(seed = "52", tries = 300)
--- a/core/src/test/java/brackenbridge/core/Play.java
+++ b/core/src/test/java/brackenbridge/core/Play.java
@@ -49,13 +49,6 @@
                 new Network(120_000, 500_000, false, List.of("depth")));
     }
 
-    /** The same with lists that are pushed. */
-    static Settings pushed() {
-        return new Settings(7, 0, 1, 0, "room", List.of(VIEW, FILE), List.of(), 0.1, false, 10_000_000, 5, 40000,
-                0, true, true, false, 30_000_000, 0.3, 8_500_000,
-                new Network(120_000, 500_000, false, List.of("depth")));
-    }
-
     static Target target(String host, EndpointState state) {
         return new Target(host, "127.0.0.1:" + (9000 + Math.abs(host.hashCode() % 1000)), "room", -1, 1, 0, state);
     }
@@ -71,10 +64,6 @@
         return this;
     }
 
-    boolean ready() {
-        return reducer.ready(clock.nowMs());
-    }
-
     /** Opens a flow and gives its number back. */
     long open(RequestClass c, double leftMs) {
         tell(new Event.FlowOpened(flows, new Flow(c.name(), null, leftMs, false, true, "message " + flows)));
--- a/core/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/core/src/test/java/brackenbridge/core/ReducerTest.java
@@ -9,7 +9,6 @@
 import brackenbridge.BalancerApi.RequestClass;
 import brackenbridge.core.Effect.Fixed;
 import brackenbridge.core.Event.Reply;
-import brackenbridge.counters.Counters;
 import brackenbridge.counters.Counters.Kind;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -79,7 +78,7 @@
     void flowThatNoServerCouldTakeIsRefusedInTime() {
         Play p = new Play(0);
         long f = p.open(Play.FILE, 1000);
-        assertFalse(p.ready());
+        assertFalse(p.reducer.ready());
         assertEquals(List.of(Fixed.REFUSED), p.pass(999).fixed(f));
     }
 
@@ -116,13 +115,13 @@
         long call = p.of(Effect.Watch.class).get(0).call();
         p.tell(new Event.TargetsTold(call, new TargetGroup(50, false,
                 List.of(Play.target("s-0", EndpointState.DRAINING)))));
-        assertFalse(p.ready());
+        assertFalse(p.reducer.ready());
         p.tell(new Event.TargetsTold(call, new TargetGroup(49, true,
                 List.of(Play.target("s-0", EndpointState.UP)))));
-        assertFalse(p.ready());
+        assertFalse(p.reducer.ready());
         p.tell(new Event.TargetsTold(call, new TargetGroup(51, false,
                 List.of(Play.target("s-0", EndpointState.UP)))));
-        assertTrue(p.ready());
+        assertTrue(p.reducer.ready());
     }
 
     @Test
@@ -157,7 +156,7 @@
         assertEquals(41, w.afterSeq());
         p.tell(new Event.DiscoveryEnded(old));
         p.tell(new Event.TargetsTold(old, new TargetGroup(99, true, List.of())));
-        assertTrue(p.ready());
+        assertTrue(p.reducer.ready());
         p.tell(new Event.TargetsTold(w.call(), new TargetGroup(7, true,
                 List.of(Play.target("s-new", EndpointState.UP)))));
         assertEquals("s-new", p.forwards(p.open(Play.FILE, 5000)).get(0).host());
@@ -196,7 +195,7 @@
     void stoppingNodeServesTheConnectionsItHasAndEndsWhenAllIsAnswered() {
         for (int peers : new int[] {1, 2}) {
             Play p = new Play(4, peers).tell(new Event.StopAsked()).pass(450);
-            assertFalse(p.ready());
+            assertFalse(p.reducer.ready());
             assertEquals(0, p.of(Effect.StopAccepting.class).size());
             p.pass(100);
             assertEquals(1, p.of(Effect.StopAccepting.class).size());
@@ -214,37 +213,9 @@
         }
     }
 
-    /** Half of a request may have been here when the last answers went. */
-    @Test
-    void requestThatIsWholeOnlyAfterTheLastAnswersIsRefusedAtOnce() {
-        Play p = new Play(4);
-        p.open(Play.FILE, 6000);
-        p.tell(new Event.StopAsked()).pass(3450);
-        assertEquals(0, p.of(Effect.Exit.class).stream().filter(Effect.Exit::atOnce).count());
-        long late = p.open(Play.FILE, 6000);
-        assertEquals(List.of(Fixed.REFUSED), p.fixed(late));
-        assertEquals(0, p.forwards(late).size());
-    }
-
-    @Test
-    void nodeIsReadyOnceItsAgentHasSaidWhatItHas() {
-        BalancerApi.Settings pushed = Play.pushed();
-        Reducer r = new Reducer(pushed, new Counters());
-        double now = 1000;
-        TargetGroup known = new TargetGroup(41, true, List.of(Play.target("s-0", EndpointState.UP)));
-        r.reduce(now, new Event.Started(known));
-        assertFalse(r.ready(now));
-        assertTrue(r.ready(now + Reducer.FIRST_WORD_MS), "an agent that is silent is not waited for");
-        r.reduce(now, new Event.TargetsTold(0, new TargetGroup(41, false, List.of())));
-        assertTrue(r.ready(now));
-    }
-
     @Test
     void drainedNodeStopsSoon() {
-        Play p = new Play(4, 2).tell(new Event.DrainAsked(true)).pass(2000).tell(new Event.StopAsked()).pass(550);
-        assertEquals(1, p.of(Effect.StopAccepting.class).size());
-        assertEquals(0, p.of(Effect.Exit.class).size(), "whom it took with its last look may have a request");
-        p.pass(50);
+        Play p = new Play(4, 2).tell(new Event.DrainAsked(true)).pass(2000).tell(new Event.StopAsked()).pass(600);
         assertEquals(List.of(new Effect.Exit(false)), p.of(Effect.Exit.class));
     }
 
--- a/core/src/test/java/brackenbridge/core/membership/MembershipTest.java
+++ b/core/src/test/java/brackenbridge/core/membership/MembershipTest.java
@@ -73,7 +73,7 @@
     }
 
     @Test
-    void agentThatFallsSilentIsAskedAgainInTheSameMoment() {
+    void agentThatFallsSilentIsAskedAgainInTheSameMomentAndAServiceIsSpared() {
         start(AGENT, 1);
         m.beat(now, call());
         pass(2999);
@@ -83,109 +83,17 @@
         assertEquals(2, opened.size());
         pass(30_000);
         assertEquals(12, opened.size(), "one call each 3 s, however long it is silent");
-    }
-
-    @Test
-    void serviceThatFallsSilentIsAskedAgainWhileWhatWasMissedIsNotToldYet() {
-        for (long seed = 1; seed < 20; seed++) {
-            start(SERVICE, seed);
-            pass(4000);
-            run(m.ended(now, call()));
-            pass(1500);
-            m.beat(now, call());
-            double lastWord = now;
-            pass(3500);
-            assertEquals(3, opened.size(), "silent for 3 s, then at most half a second");
-            // Its line is full, or it lets the call wait for a second in vain.
-            pass(Math.max(0, lastWord + 4500 - now));
-            run(m.ended(now, call()));
-            pass(1500);
-            assertEquals(4, opened.size(), "a second call is out 6 s after the last word");
-            for (int i = 0; i < 8; i++) {
-                int before = opened.size();
-                pass(SILENCE_MS + 1500);
-                assertTrue(opened.size() > before, "calls that nobody answers follow each other");
-            }
-        }
-    }
-
-    @Test
-    void watchThatOnlySaysThatNothingChangesHasNotFailed() {
-        start(SERVICE, 5);
-        pass(4000);
-        for (int i = 0; i < 6; i++) {
-            for (int beats = 0; beats < 3; beats++) {
-                m.beat(now, call());
-                pass(1500);
-            }
-            int before = opened.size();
-            run(m.ended(now, call()));
-            pass(1500);
-            assertEquals(before + 1, opened.size());
-        }
-    }
 
-    @Test
-    void nodeWhoseWatchEndsAsksWithinTheTimeThatTheSettingsGive() {
-        for (long seed = 1; seed < 20; seed++) {
-            start(new Source(true, 600), seed);
-            pass(600);
-            m.told(now, call(), 42, true);
-            pass(1000);
-            int before = opened.size();
-            run(m.ended(now, call()));
-            pass(600);
-            assertEquals(before + 1, opened.size());
-        }
-    }
-
-    @Test
-    void movedDiscoveryDoesNotInheritTheOldOnesFailures() {
-        start(SERVICE, 7);
+        start(SERVICE, 1);
         pass(4000);
-        for (int i = 0; i < 5; i++) {
-            run(m.ended(now, call()));
-            pass(15_000 - SILENCE_MS);
-        }
-        run(m.askNow(now, true));
         int before = opened.size();
-        run(m.ended(now, call()));
+        now = next.atMs();
+        run(m.wake(now, next.turn()));
+        assertEquals(before, opened.size());
         pass(1500);
         assertEquals(before + 1, opened.size());
     }
 
-    @Test
-    void callThatWasPutOffGoesByTheNewSettings() {
-        start(SERVICE, 7);
-        pass(4000);
-        for (int i = 0; i < 6; i++) {
-            run(m.ended(now, call()));
-            if (i < 5) {
-                pass(15_000 - SILENCE_MS);
-            }
-        }
-        int before = opened.size();
-        run(m.comesFrom(now, AGENT));
-        pass(2400);
-        assertEquals(before + 1, opened.size());
-    }
-
-    @Test
-    void agentsFirstWordIsAwaitedButNotForLong() {
-        start(AGENT, 1);
-        assertTrue(m.awaitsFirstWord(now, 1000));
-        assertFalse(m.awaitsFirstWord(now + 1000, 1000), "it is silent while discovery is down");
-        m.told(now, call(), 41, false);
-        assertFalse(m.awaitsFirstWord(now, 1000));
-        start(AGENT, 1);
-        run(m.ended(now, call()));
-        pass(75);
-        assertFalse(m.awaitsFirstWord(now, 1000), "it does not answer");
-        start(SERVICE, 1);
-        pass(4000);
-        assertFalse(m.awaitsFirstWord(now, 1000));
-    }
-
     @Test
     void agentThatEndsEachCallAfterItsListIsNotSpunAt() {
         start(AGENT, 3);
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -184,7 +184,7 @@
 
     /** Whether the front may send clients here. */
     boolean ready() {
-        return up && reducer.ready(queue.nowMs());
+        return up && reducer.ready();
     }
 
     Counters counters() {
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -86,8 +86,7 @@
                 .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, received())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000);
-        listener = new Listener(config.settings(), clock, this, sockets, counters,
-                () -> reducer.ready(clock.nowMs()), this::makeRoom);
+        listener = new Listener(config.settings(), clock, this, sockets, counters, reducer::ready, this::makeRoom);
         forwards = new Forwards(bootstrap, loop, config.settings(), clock, this, sockets, counters, log,
                 this::makeRoom);
         discovery = new DiscoveryClient(bootstrap, config.discovery(), this, log);
