--- a/node/src/main/java/brackenbridge/net/DiscoveryClient.java
+++ b/node/src/main/java/brackenbridge/net/DiscoveryClient.java
@@ -2,7 +2,6 @@
 
 import brackenbridge.core.Event;
 import brackenbridge.core.TargetGroup;
-import brackenbridge.discovery.ObjectCutter;
 import brackenbridge.discovery.TargetGroupParser;
 import brackenbridge.http.HttpEncoder;
 import brackenbridge.http.HttpException;
@@ -15,14 +14,15 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 
 /** Makes the calls to discovery that the reducer asks for, each on a connection of its own. */
 final class DiscoveryClient {
-    /** A list of 5,000 servers is shorter, indented as well. */
-    private static final int LIST_LIMIT = 1 << 20;
+    private static final int LINE_LIMIT = 1 << 20;
     private static final String LIST = "/registry/instances";
 
     private final Bootstrap bootstrap;
@@ -75,7 +75,7 @@
     /** One call. */
     private final class Call extends ChannelInboundHandlerAdapter {
         final long id;
-        final ObjectCutter cutter = new ObjectCutter(LIST_LIMIT);
+        final ByteArrayOutputStream line = new ByteArrayOutputStream();
         final ResponseDecoder decoder = new ResponseDecoder(this::body);
         Channel channel;
 
@@ -84,30 +84,28 @@
         }
 
         private void body(ByteBuf from, int length) throws HttpException {
-            boolean spoke = false;
             for (int i = 0; i < length; i++) {
                 byte b = from.readByte();
-                if (decoder.status() != 200) {
-                    continue;
+                if (b == '\n' && decoder.status() == 200) {
+                    line();
+                } else if (line.size() < LINE_LIMIT) {
+                    line.write(b);
+                } else {
+                    over("line too long");
                 }
-                switch (cutter.add(b)) {
-                    case TEXT -> told(cutter.take());
-                    case EMPTY_LINE -> spoke = true;
-                    case TOO_LONG -> over("list too long");
-                    // A list that comes in pieces speaks with each of them; the empty lines behind one that broke off
-                    // say nothing of it.
-                    default -> spoke |= (b & 0xff) > ' ';
-                }
-            }
-            if (spoke && calls.get(id) == this) {
-                events.raise(new Event.DiscoveryBeat(id));
             }
         }
 
-        private void told(String text) {
+        private void line() {
+            String text = line.toString(StandardCharsets.UTF_8).strip();
+            line.reset();
             if (calls.get(id) != this) {
                 return;
             }
+            if (text.isEmpty()) {
+                events.raise(new Event.DiscoveryBeat(id));
+                return;
+            }
             try {
                 TargetGroup group = TargetGroupParser.parse(text);
                 if (!group.unread().isEmpty()) {
