--- a/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
@@ -76,7 +76,9 @@
     /** How long an election may take, and by how much longer each later voter of the file waits; in beats. */
     private static final double ELECTION_BEATS = 2;
     private static final double LATER_BEATS = 1.5;
+    /** A snapshot is taken after so many entries, or so many bytes of contents. */
     private static final int SNAPSHOT_EVERY = 1000;
+    private static final long SNAPSHOT_BYTES = 4 << 20;
     /** A learner this near to the leader's log votes from then on. */
     private static final long NEAR = 50;
 
@@ -85,6 +87,10 @@
             Runnable over) {
     }
 
+    /** A proposal of this member that is in force, which this member has not heard of yet. */
+    private record Hearing(String name, long generation, double untilMs, CompletableFuture<Verdict> verdict) {
+    }
+
     /** A proposal whose outcome another member waits for. */
     private record Waiter(String peer, String name, long life, long number) {
     }
@@ -124,6 +130,7 @@
     private final Map<Long, Pending> pending = new TreeMap<>();
     private final Deque<DoubleConsumer> turns = new ArrayDeque<>();
     private final List<Waiter> waiters = new ArrayList<>();
+    private final List<Hearing> hearings = new ArrayList<>();
     private final Set<Waiter> staging = new HashSet<>();
     private final Map<String, Note.Facts> facts = new HashMap<>();
     private Store store;
@@ -351,6 +358,7 @@
         if (now >= askAtMs) {
             ask(now);
         }
+        heard();
         for (Iterator<Pending> i = pending.values().iterator(); i.hasNext();) {
             Pending p = i.next();
             if (now >= p.untilMs()) {
@@ -534,6 +542,8 @@
     // Leading.
 
     private final class Machine implements StateMachine {
+        private long bytes;
+
         @Override
         public Object runOperation(long commitIndex, Object operation) {
             if (operation instanceof Turn t) {
@@ -541,6 +551,12 @@
                 return null;
             }
             State.Result result = state.apply((Op) operation);
+            bytes += operation instanceof Op.Stage s ? s.content().length : 0;
+            if (bytes > SNAPSHOT_BYTES) {
+                // Guards the log's memory and disk against few but long contents.
+                bytes = 0;
+                later(() -> raft.takeSnapshot());
+            }
             if (operation instanceof Op.Reign r) {
                 boolean mine = r.leader().equals(endpoint.toString()) && r.life() == links.life()
                         && r.number() == reignNumber;
@@ -682,7 +698,7 @@
             };
             if (v != null) {
                 waiters.remove(w);
-                post(peer, new Note.Outcome(p.life(), p.number(), v));
+                post(peer, new Note.Outcome(p.life(), p.number(), v, 0));
             }
         }));
     }
@@ -690,12 +706,12 @@
     private void outcomes(String name) {
         for (Iterator<Waiter> i = waiters.iterator(); i.hasNext();) {
             Waiter w = i.next();
-            State.Came came = w.name().equals(name) ? state.proposed(name, w.peer(), w.life(), w.number())
-                    .map(State.Kept::came).orElse(State.Came.STAGED) : State.Came.STAGED;
-            if (came != State.Came.STAGED) {
+            Optional<State.Kept> kept = w.name().equals(name)
+                    ? state.proposed(name, w.peer(), w.life(), w.number()) : Optional.empty();
+            if (kept.isPresent() && kept.get().came() != State.Came.STAGED) {
                 i.remove();
-                post(w.peer(), new Note.Outcome(w.life(), w.number(), came == State.Came.IN_FORCE
-                        ? Verdict.IN_FORCE : Verdict.REFUSED));
+                post(w.peer(), new Note.Outcome(w.life(), w.number(), kept.get().came() == State.Came.IN_FORCE
+                        ? Verdict.IN_FORCE : Verdict.REFUSED, kept.get().generation()));
             }
         }
     }
@@ -780,6 +796,7 @@
         // A hint may have come while the question was on its way: it stays.
         askAtMs = asking ? at : Math.min(askAtMs, at);
         asking = false;
+        heard();
         news.forEach(n -> {
             if (next.refused(n) != 0) {
                 alarm("generation " + next.refused(n) + " of " + n + " can't be used here");
@@ -861,10 +878,30 @@
         }
         CompletableFuture<Verdict> verdict = new CompletableFuture<>();
         await(withinMs, n -> new Note.Propose(name, expected, content, links.life(), n),
-                o -> verdict.complete(((Note.Outcome) o).verdict()), () -> verdict.complete(Verdict.UNKNOWN));
+                o -> {
+                    Note.Outcome came = (Note.Outcome) o;
+                    if (came.verdict() == Verdict.IN_FORCE) {
+                        hearings.add(new Hearing(name, came.generation(), clock.nowMs() + settings.terms().leaseMs(),
+                                verdict));
+                        heard();
+                    } else {
+                        verdict.complete(came.verdict());
+                    }
+                }, () -> verdict.complete(Verdict.UNKNOWN));
         return verdict;
     }
 
+    /** Whoever has proposed is told once this member knows it as well, so that the next is made against it. */
+    private void heard() {
+        for (Iterator<Hearing> i = hearings.iterator(); i.hasNext();) {
+            Hearing h = i.next();
+            if (part.word(h.name()).inForce() >= h.generation() || clock.nowMs() >= h.untilMs()) {
+                i.remove();
+                h.verdict().complete(Verdict.IN_FORCE);
+            }
+        }
+    }
+
     @Override
     public Optional<Acting> acting(String name) {
         Part p = part;
@@ -1026,6 +1063,7 @@
             lead = null;
             pending.values().forEach(p -> p.over().run());
             pending.clear();
+            hearings.forEach(h -> h.verdict().complete(Verdict.IN_FORCE));
             if (raft == null) {
                 done.complete(null);
             } else {
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Note.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Note.java
@@ -89,8 +89,12 @@
     record Propose(String name, long expected, byte[] content, long life, long number) implements Note {
     }
 
-    /** What came of a proposal. */
-    record Outcome(long life, long number, Agreed.Verdict verdict) implements Note {
+    /**
+     * What came of a proposal.
+     *
+     * @param generation the number that it was given; 0 if none
+     */
+    record Outcome(long life, long number, Agreed.Verdict verdict, long generation) implements Note {
     }
 
     /** A member asks to act in a role, or to go on in it. */
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Store.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Store.java
@@ -44,6 +44,12 @@
     /** The two places of the mark lie in different sectors, so that a torn write spoils one only. */
     private static final int SECTOR = 4096;
     private static final int SLOT = 12;
+    /** Chunks that nothing refers to any more are kept so long; each write is forced, so that none needs them. */
+    private static final int RETENTION_MS = 5000;
+    /** After so many writes what little is alive in old chunks is moved together, so that their space is free. */
+    private static final int COMPACT_EACH = 100;
+    private static final int COMPACT_FILL = 70;
+    private static final int COMPACT_BYTES = 4 << 20;
 
     /** The disk has lost or changed what was forced to it: it counts as lost. */
     static final class Damaged extends IOException {
@@ -78,6 +84,7 @@
         this.store = store;
         this.mark = mark;
         this.file = file;
+        store.setRetentionTime(RETENTION_MS);
         this.meta = store.openMap("meta", map(StringDataType.INSTANCE));
         this.log = store.openMap("log", map(LongDataType.INSTANCE));
         this.chunks = store.openMap("chunks", map(StringDataType.INSTANCE));
@@ -383,6 +390,9 @@
             count++;
             text("count", String.valueOf(count));
             store.commit();
+            if (file != null && count % COMPACT_EACH == 0) {
+                store.compact(COMPACT_FILL, COMPACT_BYTES);
+            }
             store.sync();
             if (mark != null) {
                 ByteBuffer b = ByteBuffer.allocate(SLOT).putLong(count);
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedNodeTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedNodeTest.java
@@ -161,6 +161,12 @@
         String leader = awaitLeader();
         assertEquals(Verdict.IN_FORCE, propose("m0", 0, "a"));
         String lost = leader.equals("m1") ? "m2" : "m1";
+        // So much that the log's beginning is gone: the new disk starts from a snapshot of several pieces.
+        for (int g = 1; g < 20; g++) {
+            byte[] large = new byte[State.MAX_CONTENT];
+            assertEquals(Verdict.IN_FORCE, members.node("m0").propose(Agreed.SETTINGS, g, large, 8000)
+                    .get(10, TimeUnit.SECONDS));
+        }
         members.kill(lost);
         lose(lost);
         members.start(lost, 1);
@@ -170,7 +176,8 @@
         String third = List.of("m0", "m1", "m2").stream().filter(m -> !m.equals(lost) && !m.equals(leader))
                 .findFirst().orElseThrow();
         members.kill(third);
-        assertEquals(Verdict.IN_FORCE, propose(lost, 1, "b"));
+        assertEquals(Verdict.IN_FORCE, propose(lost, 20, "b"));
+        assertEquals("b", known(lost));
     }
 
     @Test
