--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/share/Allocation.java
@@ -0,0 +1,58 @@
+package brackenbridge.fleet.share;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * How a pool is divided at a moment.
+ *
+ * @param nodes for each node, connections for each tenant; together a whole number
+ * @param tenants for each tenant, what it has, wants and would have
+ */
+public record Allocation(Map<String, Map<String, Double>> nodes, Map<String, Part> tenants) {
+    /** Nothing to divide. */
+    public static final Allocation NONE = new Allocation(Map.of(), Map.of());
+
+    /**
+     * A tenant's part.
+     *
+     * @param given connections that it has over all nodes
+     * @param wanted connections that it is believed to want
+     * @param entitled connections that it would have if all that want anything wanted everything
+     * @param floor its floor, or less where it wants less
+     * @param weight its weight within its group
+     */
+    public record Part(double given, double wanted, double entitled, double floor, double weight) {
+    }
+
+    /**
+     * Connections that one tenant does not use of its part and another has.
+     *
+     * @param from who lends
+     * @param to who has them
+     * @param connections how many
+     */
+    public record Loan(String from, String to, double connections) {
+    }
+
+    /** Who lends to whom: what is lent is taken by each borrower in proportion to what it has over its own. */
+    public List<Loan> loans() {
+        double borrowed = tenants.values().stream().mapToDouble(p -> Math.max(0, p.given() - p.entitled())).sum();
+        List<Loan> loans = new ArrayList<>();
+        tenants.forEach((from, f) -> tenants.forEach((to, t) -> {
+            double lent = f.entitled() - f.given();
+            double part = lent * (t.given() - t.entitled()) / borrowed;
+            // Guards against a list of all pairs: less than a tenth of a connection is nobody's concern.
+            if (lent > 0 && t.given() > t.entitled() && part >= 0.1) {
+                loans.add(new Loan(from, to, part));
+            }
+        }));
+        return loans;
+    }
+
+    /** Connections of a node over all its tenants. */
+    public int total(String node) {
+        return (int) Math.round(nodes.getOrDefault(node, Map.of()).values().stream().mapToDouble(d -> d).sum());
+    }
+}
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedFigures.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedFigures.java
@@ -55,7 +55,8 @@
     private String leader() {
         String[] who = new String[1];
         until(() -> {
-            List<String> l = nodes.entrySet().stream().filter(e -> e.getValue().leads()).map(Map.Entry::getKey).toList();
+            List<String> l = nodes.entrySet().stream().filter(e -> e.getValue().leads())
+                    .map(Map.Entry::getKey).toList();
             who[0] = l.size() == 1 ? l.get(0) : null;
             return who[0] != null;
         });
