No back-off keeps a node from discovery that is back: at most 0.9 s between calls

Cause: after failed calls a node of an asked discovery waited 0.5 to 1.5 s, doubled up to 8 to 24 s (Source.againMs).

Change: the pause is 0.2 to 0.6 s after a first failure and 0.3 to 0.9 s after each further one, within mustAskIn. docs/design/membership.md has the sum: 5.9 s at the latest with a call that hangs as discovery returns, 5.8 s with one that waits and is refused. One open call a node bounds the line of the service.

The check of thereIsAlwaysACallOrATimeForTheNext that something is due is tightened from 15 s to 3 s (4 s before the first call).

--- a/core/src/main/java/brackenbridge/core/membership/Source.java
+++ b/core/src/main/java/brackenbridge/core/membership/Source.java
@@ -11,11 +11,18 @@
  */
 public record Source(boolean shared, double mustAskWithinMs) {
     private static final double LONGEST_FIRST_MS = 4000;
-    private static final double SERVICE_PAUSE_MS = 1000;
+    /**
+     * What a change that discovery has, and can be asked for, may take until it counts as told is 6 s. Of these a call
+     * that hangs takes 3 s, and one that is answered up to 2 s in the service's line: the pauses share what is left,
+     * see docs/design/membership.md.
+     */
+    private static final double SERVICE_PAUSE_MS = 400;
+    private static final double LONGEST_SERVICE_PAUSE_MS = 600;
     private static final double AGENT_PAUSE_MS = 50;
-    /** Most doublings of a pause: 16 s at a service, 1.6 s at an agent. */
-    private static final int SERVICE_DOUBLINGS = 4;
+    /** Most doublings of a pause at an agent: 1.6 s. */
     private static final int AGENT_DOUBLINGS = 5;
+    /** A pause is drawn from half of its length to so many times of it. */
+    private static final double LONGEST_DRAW = 1.5;
 
     /** How long a node waits before its first call: guards a service against a fleet that starts in one moment. */
     double firstMs(RandomGenerator random) {
@@ -23,14 +30,15 @@
     }
 
     /**
-     * How long it waits after so many failures in a row, at least one: exponential back-off with jitter. Guards a
-     * service against being asked ever more by the very callers that it fails, and the node against spinning at an
-     * agent that turns it away.
+     * How long it waits after so many failures in a row, at least one. Jitter guards a service against the calls of a
+     * whole fleet in one moment, and one open call a node against more than a fleet's worth in its line; the pause
+     * does not grow with the time that discovery is down, since the node must have its answer soon after. At an agent
+     * it guards the node against spinning.
      */
     double againMs(int failures, RandomGenerator random) {
         double pause = shared
-                ? Math.min(SERVICE_PAUSE_MS * (1 << Math.min(failures - 1, SERVICE_DOUBLINGS)), mustAskWithinMs)
+                ? Math.min(failures > 1 ? LONGEST_SERVICE_PAUSE_MS : SERVICE_PAUSE_MS, mustAskWithinMs / LONGEST_DRAW)
                 : AGENT_PAUSE_MS * (1 << Math.min(failures - 1, AGENT_DOUBLINGS));
-        return pause / 2 + random.nextDouble() * pause;
+        return pause / 2 + random.nextDouble() * (LONGEST_DRAW - 0.5) * pause;
     }
 }
--- a/core/src/test/java/brackenbridge/core/membership/MembershipTest.java
+++ b/core/src/test/java/brackenbridge/core/membership/MembershipTest.java
@@ -123,6 +123,58 @@
         assertEquals(before + 1, opened.size());
     }
 
+    /** The 6 s of the terms, less the time that discovery's answer may take in its line. */
+    private static final double KNOWN_WITHIN_MS = 6000;
+    private static final double LINE_MS = 2000;
+
+    /** However long discovery was down and however often it refused, and whatever is on its way as it comes back. */
+    @Test
+    void serviceThatIsBackIsHeardWithinSixSeconds() {
+        for (long seed = 1; seed <= 40; seed++) {
+            for (boolean hangs : List.of(false, true)) {
+                start(SERVICE, seed);
+                double downUntil = now + 4000 + 500 * seed;
+                while (now < downUntil) {
+                    pass(10);
+                    if (!opened.isEmpty() && m.isOpen(call())) {
+                        run(m.ended(now, call()));
+                    }
+                }
+                if (hangs) {
+                    // Sent in the last moment in which it is down, and never answered.
+                    while (!m.isOpen(call())) {
+                        pass(10);
+                    }
+                }
+                double back = now;
+                long hanging = hangs ? call() : -1;
+                boolean refused = hangs;
+                while (!m.isOpen(call()) || call() == hanging || !refused) {
+                    pass(10);
+                    if (!refused && m.isOpen(call())) {
+                        // One call too many: it waits its time and is turned away.
+                        pass(LINE_MS);
+                        run(m.ended(now, call()));
+                        refused = true;
+                    }
+                }
+                assertTrue(now + LINE_MS - back < KNOWN_WITHIN_MS, (now - back) + " ms, seed " + seed);
+            }
+        }
+    }
+
+    /** Jitter: of a hundred nodes whose calls were refused in one moment no tenth of a second gets over a quarter. */
+    @Test
+    void fleetIsSpreadOverItsPause() {
+        int[] calls = new int[12];
+        for (long seed = 0; seed < 100; seed++) {
+            calls[(int) (SERVICE.againMs(3, new SplittableRandom(seed)) / 100)]++;
+        }
+        for (int tenth = 0; tenth < calls.length; tenth++) {
+            assertTrue(calls[tenth] <= 25, calls[tenth] + " calls in tenth " + tenth);
+        }
+    }
+
     @Test
     void overtakenWordHoldsNothing() {
         start(AGENT, 1);
@@ -161,7 +213,8 @@
             }
             ended.clear();
             assertEquals(open, m.isOpen(last));
-            assertTrue(next != null && next.atMs() <= now + (shared ? 15_000 : SILENCE_MS), "nothing is due");
+            assertTrue(next != null && next.atMs() <= now + (opened.isEmpty() ? 4000 : SILENCE_MS),
+                    "nothing is due");
             if (open && m.isOpen(last)) {
                 switch (r.nextInt(5)) {
                     case 0 -> {
