One clock for silence: a silent or ended watch is open again within the terms

Cause: a service's watch that fell silent counted as refused, so that after the 3 s a further pause of up to 0.9 s came and failures added up (Membership.go, lose); a watch that had only said that nothing changed counted as failed; an agent that ends a watch with each piece of news was asked again after up to 2.4 s, while what it has counts as told at once (Source.againMs); a moved discovery inherited the old one's failures, and a call put off under old settings stayed put off.

Change: after silence a service is asked within 0.25 s, an agent at once, and failures are forgotten; a beat is a word; an agent's pause is 25 to 75 ms, then 50 to 150 ms; a move forgets failures, new settings shorten a call that was put off.

Tests: ExplorationTest plays 262,144 histories of six events (outages, moves, resets, late words) for an agent and a service with the shortest and the longest pauses; it finds seven deliberate mistakes.

--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -687,7 +687,7 @@
             settings.classes().forEach(c -> classes.put(c.name(), c));
             balancer.onSettings(ModuleTime.micros(now), settings);
         }
-        membership.comesFrom(source(settings));
+        follow(membership.comesFrom(now, source(settings)));
         if (membership.offered(e.known().seq(), false)) {
             list(ListKind.SAVED, e.known().targets());
         }
--- a/core/src/main/java/brackenbridge/core/membership/Membership.java
+++ b/core/src/main/java/brackenbridge/core/membership/Membership.java
@@ -7,13 +7,14 @@
 /**
  * Keeps one watch at discovery: opens it, hears whether it still speaks, opens it again, and says which word holds.
  *
- * <p>Promise: once started, the node either has a watch open or knows when it opens the next one; at an agent that is
- * never later than 2.4 s, at a service 0.9 s, and no more than one call is open at a time. Assumes that {@link #wake} is called when asked
- * for. Times are milliseconds of the one clock.
+ * <p>Promise: once started, the node either has a watch open or knows when it opens the next one; after the first call
+ * that is at an agent never later than 150 ms, at a service 0.9 s, and no more than one call is open at a time. Assumes
+ * that {@link #wake} is called when asked for. Times are milliseconds of the one clock.
  *
  * <p>Silence of {@code silenceMs} ends a watch: discovery says something every 2 s. At an agent that is no fault to
  * wait for: it is silent while the discovery behind it is down, and what it has counts as told, so the next watch opens
- * in the same moment. A service that falls silent is spared first.
+ * in the same moment. At a service the next one is soon out as well, since what a silent watch misses counts as told
+ * 6 s after its last word.
  */
 public final class Membership {
     /** A watch that ended sooner has failed, whatever it had said: guards against an end that follows each list. */
@@ -65,9 +66,13 @@
         return newer;
     }
 
-    /** From the next call on, lists come this way. */
-    public void comesFrom(Source next) {
+    /** Lists come this way from now on; a next call that was put off goes by what it costs here. */
+    public List<Step> comesFrom(double now, Source next) {
+        if (call < 0 && openAt < Double.POSITIVE_INFINITY && !next.equals(source)) {
+            openAt = Math.min(openAt, now + next.againMs(Math.max(1, failures), random));
+        }
         source = next;
+        return go(now);
     }
 
     /**
@@ -77,6 +82,8 @@
      */
     public List<Step> askNow(double now, boolean elsewhere) {
         moved |= elsewhere;
+        // Guards the new address against what the old one did: its callers were never turned away.
+        failures = elsewhere ? 0 : failures;
         openAt = now;
         List<Step> steps = new ArrayList<>();
         if (call >= 0) {
@@ -121,14 +128,15 @@
         if (!isOpen(on)) {
             return List.of();
         }
-        lose(now);
+        call = -1;
+        failures = heardOnCall() && now - openedAt >= STOOD_MS ? 1 : failures + 1;
+        openAt = now + source.againMs(failures, random);
         return go(now);
     }
 
-    private void lose(double now) {
-        call = -1;
-        failures = toldOnCall && now - openedAt >= STOOD_MS ? 1 : failures + 1;
-        openAt = now + source.againMs(failures, random);
+    /** Whether this call, or the last one, has said anything. */
+    private boolean heardOnCall() {
+        return toldOnCall || lastWord >= openedAt;
     }
 
     /** How long discovery has said nothing, in milliseconds; infinite if it never has. */
@@ -150,12 +158,10 @@
         List<Step> steps = new ArrayList<>();
         if (call >= 0 && now >= heardAt() + silenceMs) {
             steps.add(new Step.End(call, true));
-            if (source.shared()) {
-                lose(now);
-            } else {
-                call = -1;
-                openAt = now;
-            }
+            call = -1;
+            // Silence is no word of a caller too many.
+            failures = 0;
+            openAt = now + source.afterSilenceMs(random);
         }
         if (call < 0 && now >= openAt) {
             call = calls++;
--- a/core/src/main/java/brackenbridge/core/membership/Source.java
+++ b/core/src/main/java/brackenbridge/core/membership/Source.java
@@ -19,8 +19,9 @@
     private static final double SERVICE_PAUSE_MS = 400;
     private static final double LONGEST_SERVICE_PAUSE_MS = 600;
     private static final double AGENT_PAUSE_MS = 50;
-    /** Most doublings of a pause at an agent: 1.6 s. */
-    private static final int AGENT_DOUBLINGS = 5;
+    /** Short of the grace of a drain: what an agent has counts as told at once, whether or not a watch is open. */
+    private static final double LONGEST_AGENT_PAUSE_MS = 100;
+    private static final double SILENCE_PAUSE_MS = 250;
     /** A pause is drawn from half of its length to so many times of it. */
     private static final double LONGEST_DRAW = 1.5;
 
@@ -38,7 +39,15 @@
     double againMs(int failures, RandomGenerator random) {
         double pause = shared
                 ? Math.min(failures > 1 ? LONGEST_SERVICE_PAUSE_MS : SERVICE_PAUSE_MS, mustAskWithinMs / LONGEST_DRAW)
-                : AGENT_PAUSE_MS * (1 << Math.min(failures - 1, AGENT_DOUBLINGS));
+                : failures > 1 ? LONGEST_AGENT_PAUSE_MS : AGENT_PAUSE_MS;
         return pause / 2 + random.nextDouble() * (LONGEST_DRAW - 0.5) * pause;
     }
+
+    /**
+     * How long it waits after a call that fell silent, which is noticed after 3 of the 6 s: at a service no more than
+     * what keeps a fleet from calling in one moment.
+     */
+    double afterSilenceMs(RandomGenerator random) {
+        return shared ? random.nextDouble() * SILENCE_PAUSE_MS : 0;
+    }
 }
--- /dev/null
+++ b/core/src/test/java/brackenbridge/core/membership/ExplorationTest.java
@@ -0,0 +1,279 @@
+package brackenbridge.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Plays every history of so many events at discovery, for an agent and a service and with the shortest and the longest
+ * pauses, and holds each against what the node promises, by a count of its own.
+ */
+class ExplorationTest {
+    private static final int EVENTS = 6;
+    /** Between two events; three of them are more than the silence that ends a watch. */
+    private static final double STEP_MS = 1100;
+    private static final double SILENCE_MS = 3000;
+    private static final double MUST_ASK_MS = 10_000;
+    /** When a change counts as told, and how long discovery may take to answer a call. */
+    private static final double KNOWN_WITHIN_MS = 6000;
+    private static final double LINE_MS = 2000;
+
+    /** What may happen at discovery, in its words; a list that comes in pieces is beats and then its word. */
+    private enum Happening { NOTHING, BEAT, NEWER, OLDER, RESET, MOVED, WORD_ON_THE_LAST_CALL, DOWN_OR_BACK }
+
+    /** The machine as it is, and with a mistake. */
+    private enum Machine { RIGHT, DEAF_TO_SILENCE, WAKES_LATE, NEVER_ENDS, HEARS_CLOSED_CALLS, HOLDS_OLD_VERSIONS,
+        SPINS, FORGETS_THE_MOVE }
+
+    /** One history. */
+    private static final class History {
+        final Machine machine;
+        final Membership m;
+        final Source source;
+        double now = 1000;
+        Step.Wake next;
+        long open = -1;
+        double heard;
+        boolean spoke;
+        long held = 41;
+        boolean moved;
+        /** When the next call has to be out. */
+        double dueBy;
+        /** And before which it must not be. */
+        double notBefore;
+        int failures;
+        double opened;
+        boolean down;
+        boolean refused;
+        /** Since when discovery could be reached and has said nothing, and the calls it has refused since. */
+        double could;
+        int refusals;
+        String wrong;
+
+        History(Machine machine, boolean shared, double draw) {
+            this.machine = machine;
+            source = new Source(shared, MUST_ASK_MS);
+            RandomGenerator fixed = new RandomGenerator() {
+                @Override
+                public long nextLong() {
+                    return 0;
+                }
+
+                @Override
+                public double nextDouble() {
+                    return draw;
+                }
+            };
+            m = new Membership(source, machine == Machine.DEAF_TO_SILENCE ? 1e9 : SILENCE_MS, fixed);
+            dueBy = now + (shared ? 4000 : 0);
+            could = now;
+            run(m.start(now, held));
+        }
+
+        void fail(String what) {
+            wrong = wrong == null ? what + " at " + now : wrong;
+        }
+
+        void run(List<Step> steps) {
+            for (Step step : steps) {
+                if (step instanceof Step.Open o) {
+                    if (open >= 0) {
+                        fail("two calls are open");
+                    }
+                    if (o.afterSeq() != held) {
+                        fail("asks after another version than it holds");
+                    }
+                    if (now < notBefore) {
+                        fail("calls again too soon");
+                    }
+                    open = o.call();
+                    opened = now;
+                    heard = now;
+                    spoke = false;
+                    refused = down && source.shared();
+                } else if (step instanceof Step.End e && machine != Machine.NEVER_ENDS) {
+                    if (e.call() != open) {
+                        fail("ends a call that is not open");
+                    }
+                    open = -1;
+                    if (e.silent()) {
+                        // Never answered though it was up all the time: it could not be reached.
+                        could = !spoke && opened >= could ? now : could;
+                        failures = 0;
+                        dueBy = now + (source.shared() ? 250 : 0);
+                    }
+                } else if (step instanceof Step.Wake w) {
+                    next = w;
+                }
+            }
+        }
+
+        /** The call has ended, by discovery's doing. */
+        void end(long call) {
+            if (call >= 0 && !down) {
+                // What waits in the line does not count; who is refused once more could not reach discovery.
+                could = spoke || refusals++ > 0 ? now : could + now - opened;
+            }
+            open = -1;
+            failures = spoke && now - opened >= 1000 ? 1 : failures + 1;
+            double pause = source.shared() ? failures > 1 ? 600 : 400 : failures > 1 ? 100 : 50;
+            dueBy = now + 1.5 * pause;
+            notBefore = now + pause / 2;
+            run(m.ended(now, call));
+            if (machine == Machine.SPINS) {
+                run(m.askNow(now, false));
+            }
+        }
+
+        /** While a service is down it refuses each call; an agent keeps it and says nothing. */
+        void refuse() {
+            while (refused && wrong == null) {
+                refused = false;
+                end(open);
+            }
+        }
+
+        void pass(double ms) {
+            double until = now + ms;
+            double late = machine == Machine.WAKES_LATE ? 1500 : 0;
+            while (next != null && next.atMs() + late <= until) {
+                now = Math.max(now, next.atMs() + late);
+                Step.Wake due = next;
+                next = null;
+                run(m.wake(now, due.turn()));
+                refuse();
+                check();
+            }
+            now = until;
+            check();
+        }
+
+        void check() {
+            if (open < 0 && now > dueBy + 1) {
+                fail("no call is out");
+            }
+            if (open >= 0 && now > heard + SILENCE_MS + 1) {
+                fail("a silent call is kept");
+            }
+            if (source.shared() && !down && now > could + KNOWN_WITHIN_MS - LINE_MS && (open < 0 || opened < could)) {
+                fail("discovery could be reached and was not");
+            }
+        }
+
+        void word(long call, long version, boolean whole) {
+            boolean counts = call == open && open >= 0;
+            long on = machine == Machine.HEARS_CLOSED_CALLS ? open : call;
+            boolean holds = m.told(now, on, version, whole) || machine == Machine.HOLDS_OLD_VERSIONS && counts;
+            if (holds && !(counts && (version > held || moved && whole || version == held && !spoke))) {
+                fail("an overtaken word holds");
+            }
+            if (!holds && counts && (version > held || moved && whole)) {
+                fail("news is lost");
+            }
+            if (holds) {
+                held = version;
+                moved = false;
+            }
+            if (counts) {
+                heard();
+            }
+        }
+
+        void heard() {
+            heard = now;
+            could = now;
+            refusals = 0;
+            spoke = true;
+        }
+
+        void happen(Happening what) {
+            long call = open;
+            if (down && what != Happening.MOVED && what != Happening.DOWN_OR_BACK) {
+                return;
+            }
+            switch (what) {
+                case BEAT -> {
+                    m.beat(now, call);
+                    if (call >= 0) {
+                        heard();
+                    }
+                }
+                case NEWER -> word(call, held + 1, false);
+                case OLDER -> word(call, held - 1, true);
+                case RESET -> {
+                    if (call >= 0) {
+                        end(call);
+                    }
+                }
+                case DOWN_OR_BACK -> {
+                    down = !down;
+                    could = now;
+                    refusals = 0;
+                    if (down && source.shared() && call >= 0 && spoke) {
+                        // Its watches end; a call that waits in its line hangs.
+                        end(call);
+                    }
+                }
+                case MOVED -> {
+                    failures = 0;
+                    could = now;
+                    refusals = 0;
+                    notBefore = now;
+                    run(m.askNow(now, machine != Machine.FORGETS_THE_MOVE));
+                    moved = true;
+                    if (open < 0 || open == call) {
+                        fail("a moved discovery is not asked at once");
+                    }
+                    refuse();
+                }
+                case WORD_ON_THE_LAST_CALL -> {
+                    word(call - 1, held + 5, true);
+                    m.beat(now, call - 1);
+                    run(m.ended(now, call - 1));
+                }
+                default -> {
+                }
+            }
+        }
+    }
+
+    /** The first promise that some history breaks, with that history; null if none does. */
+    private static String explore(Machine machine) {
+        Happening[] all = Happening.values();
+        int histories = (int) Math.pow(all.length, EVENTS);
+        for (int kind = 0; kind < 4; kind++) {
+            for (int i = 0; i < histories; i++) {
+                History h = new History(machine, kind % 2 == 1, kind < 2 ? 0 : 0.999_999);
+                List<Happening> story = new ArrayList<>();
+                h.pass(50);
+                for (int rest = i, n = 0; n < EVENTS && h.wrong == null; n++, rest /= all.length) {
+                    story.add(all[rest % all.length]);
+                    h.happen(all[rest % all.length]);
+                    h.pass(STEP_MS);
+                }
+                h.pass(h.wrong == null ? 4000 : 0);
+                if (h.wrong != null) {
+                    return (kind % 2 == 1 ? "service: " : "agent: ") + h.wrong + " after " + story;
+                }
+            }
+        }
+        return null;
+    }
+
+    @Test
+    void noHistoryBreaksAPromise() {
+        assertNull(explore(Machine.RIGHT));
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Machine.class, mode = EnumSource.Mode.EXCLUDE, names = "RIGHT")
+    void mistakeIsFound(Machine mistaken) {
+        assertNotNull(explore(mistaken));
+    }
+}
