--- a/core/src/main/java/brackenbridge/core/membership/Source.java
+++ b/core/src/main/java/brackenbridge/core/membership/Source.java
@@ -11,11 +11,19 @@
  */
 public record Source(boolean shared, double mustAskWithinMs) {
     private static final double LONGEST_FIRST_MS = 4000;
-    private static final double SERVICE_PAUSE_MS = 1000;
+    /**
+     * What a change that discovery has, and can be asked for, may take until it counts as told is 6 s. Of these a call
+     * that hangs takes 3 s, and one that is answered up to 2 s in the service's line: the pauses share what is left,
+     * see docs/design/membership.md.
+     */
+    private static final double SERVICE_PAUSE_MS = 400;
+    private static final double LONGEST_SERVICE_PAUSE_MS = 600;
     private static final double AGENT_PAUSE_MS = 50;
-    /** Most doublings of a pause: 16 s at a service, 1.6 s at an agent. */
-    private static final int SERVICE_DOUBLINGS = 4;
-    private static final int AGENT_DOUBLINGS = 5;
+    /** Short of the grace of a drain: what an agent has counts as told at once, whether or not a watch is open. */
+    private static final double LONGEST_AGENT_PAUSE_MS = 100;
+    private static final double SILENCE_PAUSE_MS = 250;
+    /** A pause is drawn from half of its length to so many times of it. */
+    private static final double LONGEST_DRAW = 1.5;
 
     /** How long a node waits before its first call: guards a service against a fleet that starts in one moment. */
     double firstMs(RandomGenerator random) {
@@ -23,14 +31,23 @@
     }
 
     /**
-     * How long it waits after so many failures in a row, at least one: exponential back-off with jitter. Guards a
-     * service against being asked ever more by the very callers that it fails, and the node against spinning at an
-     * agent that turns it away.
+     * How long it waits after so many failures in a row, at least one. Jitter guards a service against the calls of a
+     * whole fleet in one moment, and one open call a node against more than a fleet's worth in its line; the pause
+     * does not grow with the time that discovery is down, since the node must have its answer soon after. At an agent
+     * it guards the node against spinning.
      */
     double againMs(int failures, RandomGenerator random) {
         double pause = shared
-                ? Math.min(SERVICE_PAUSE_MS * (1 << Math.min(failures - 1, SERVICE_DOUBLINGS)), mustAskWithinMs)
-                : AGENT_PAUSE_MS * (1 << Math.min(failures - 1, AGENT_DOUBLINGS));
-        return pause / 2 + random.nextDouble() * pause;
+                ? Math.min(failures > 1 ? LONGEST_SERVICE_PAUSE_MS : SERVICE_PAUSE_MS, mustAskWithinMs / LONGEST_DRAW)
+                : failures > 1 ? LONGEST_AGENT_PAUSE_MS : AGENT_PAUSE_MS;
+        return pause / 2 + random.nextDouble() * (LONGEST_DRAW - 0.5) * pause;
+    }
+
+    /**
+     * How long it waits after a call that fell silent, which is noticed after 3 of the 6 s: at a service no more than
+     * what keeps a fleet from calling in one moment.
+     */
+    double afterSilenceMs(RandomGenerator random) {
+        return shared ? random.nextDouble() * SILENCE_PAUSE_MS : 0;
     }
 }
