Settings tell when a cold server falls over: rules.fallMultiple and rules.fall are read

Change: Settings carries fallMultiple and fall (0 if not told), the parser, the narrower of two generations and the laboratory's configuration know them. The narrower takes the smaller multiple and the shorter time of those told. Nothing decides by them yet.

Result: NarrowerTest, AbsurdInputTest, WireHostTest and ConfigTest pass; the first two ask more than before, ConfigTest counts two more keys that are missed when lost. The laboratory's two files compile alone; its module was not built, libraries of the fleet module were not at hand.

--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -113,12 +113,14 @@
      * @param idleClose idle connections are closed after this time
      * @param coldFrom a starting endpoint has at least this part of its capacity
      * @param warmAfter and all of it after this time
+     * @param fallMultiple sent more than so many times what it can do then ...
+     * @param fall ... for this time, a starting endpoint falls over; 0 if it can not, or is not told
      * @param network what the node round the module must keep to
      */
     record Settings(long seed, int me, int peers, int tier, String zone, List<RequestClass> classes,
             List<Tenant> tenants, double overShareWorth, boolean askDiscovery, long mustAskWithin,
             int maxAttempts, int maxOpen, long maxRetryAfter, boolean mayCancel, boolean mayProbe,
-            boolean secondCopies, long idleClose, double coldFrom, long warmAfter,
+            boolean secondCopies, long idleClose, double coldFrom, long warmAfter, double fallMultiple, long fall,
             Network network) {
         /** The longest time within which something is to happen: guards sums of times against running over. */
         static final long DAY = 86_400_000_000L;
@@ -152,15 +154,34 @@
             require(idleClose >= 0 && idleClose <= AGE, "idleClose", idleClose);
             require(coldFrom >= LEAST_COLD && coldFrom <= 1, "coldFrom", coldFrom);
             require(warmAfter >= 0 && warmAfter <= AGE, "warmAfter", warmAfter);
+            require(fallMultiple >= LEAST_COLD && fallMultiple <= MOST, "fallMultiple", fallMultiple);
+            require(fall >= 0 && fall <= DAY, "fall", fall);
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
         }
 
+        /** The settings of a deployment that tells of no endpoint that falls over. */
+        public Settings(long seed, int me, int peers, int tier, String zone, List<RequestClass> classes,
+                List<Tenant> tenants, double overShareWorth, boolean askDiscovery, long mustAskWithin,
+                int maxAttempts, int maxOpen, long maxRetryAfter, boolean mayCancel, boolean mayProbe,
+                boolean secondCopies, long idleClose, double coldFrom, long warmAfter, Network network) {
+            this(seed, me, peers, tier, zone, classes, tenants, overShareWorth, askDiscovery, mustAskWithin,
+                    maxAttempts, maxOpen, maxRetryAfter, mayCancel, mayProbe, secondCopies, idleClose, coldFrom,
+                    warmAfter, 1, 0, network);
+        }
+
         /** The same settings with another seed. */
         public Settings withSeed(long other) {
             return new Settings(other, me, peers, tier, zone, classes, tenants, overShareWorth, askDiscovery,
                     mustAskWithin, maxAttempts, maxOpen, maxRetryAfter, mayCancel, mayProbe, secondCopies, idleClose,
-                    coldFrom, warmAfter, network);
+                    coldFrom, warmAfter, fallMultiple, fall, network);
+        }
+
+        /** The same settings with another word on the endpoints that fall over while cold. */
+        public Settings withFall(double multiple, long time) {
+            return new Settings(seed, me, peers, tier, zone, classes, tenants, overShareWorth, askDiscovery,
+                    mustAskWithin, maxAttempts, maxOpen, maxRetryAfter, mayCancel, mayProbe, secondCopies, idleClose,
+                    coldFrom, warmAfter, multiple, time, network);
         }
 
         private static void require(boolean holds, String what, Object value) {
--- a/core/src/main/java/brackenbridge/core/generation/Narrower.java
+++ b/core/src/main/java/brackenbridge/core/generation/Narrower.java
@@ -47,7 +47,8 @@
         }
         return new Settings(was.seed(), was.me(), was.peers(), was.tier(), was.zone(), classes, List.of(),
                 was.overShareWorth(), was.askDiscovery(), was.mustAskWithin(), 1, was.maxOpen(), was.maxRetryAfter(),
-                was.mayCancel(), false, false, was.idleClose(), was.coldFrom(), was.warmAfter(), was.network());
+                was.mayCancel(), false, false, was.idleClose(), was.coldFrom(), was.warmAfter(),
+                was.fallMultiple(), was.fall(), was.network());
     }
 
     private static RequestClass of(RequestClass a, RequestClass b) {
@@ -66,7 +67,7 @@
                 : a == Effect.KEYED || b == Effect.KEYED ? Effect.KEYED : Effect.SAFE;
     }
 
-    /** A quota of 0 is none told. */
+    /** A quota, or a time, of 0 is none told. */
     private static double told(double a, double b) {
         return a == 0 ? b : b == 0 ? a : Math.min(a, b);
     }
@@ -81,6 +82,13 @@
                 Math.min(a.maxOpen(), b.maxOpen()), Math.min(a.maxRetryAfter(), b.maxRetryAfter()),
                 a.mayCancel() && b.mayCancel(), a.mayProbe() && b.mayProbe(), a.secondCopies() && b.secondCopies(),
                 Math.min(a.idleClose(), b.idleClose()), Math.min(a.coldFrom(), b.coldFrom()),
-                Math.max(a.warmAfter(), b.warmAfter()), net);
+                Math.max(a.warmAfter(), b.warmAfter()), fallMultiple(a, b),
+                (long) told(a.fall(), b.fall()), net);
+    }
+
+    /** The smaller multiple of those that are told; a generation in which nothing falls has none. */
+    private static double fallMultiple(Settings a, Settings b) {
+        return a.fall() == 0 ? b.fallMultiple() : b.fall() == 0 ? a.fallMultiple()
+                : Math.min(a.fallMultiple(), b.fallMultiple());
     }
 }
--- a/core/src/test/java/brackenbridge/AbsurdInputTest.java
+++ b/core/src/test/java/brackenbridge/AbsurdInputTest.java
@@ -155,6 +155,15 @@
             turnedDown(key, 0.1, 1, -1, 1);
             turnedDown(key, 0.1, 1, Long.MAX_VALUE, 1);
         }
+        Settings plain = settings(safe("read", 1));
+        for (double bad : new double[] {Double.NaN, Double.POSITIVE_INFINITY, -1, 0, 1e300}) {
+            String why = assertThrows(IllegalArgumentException.class, () -> plain.withFall(bad, SECOND)).getMessage();
+            assertTrue(why.contains("fallMultiple"), why);
+        }
+        for (long bad : new long[] {-1, Long.MAX_VALUE}) {
+            String why = assertThrows(IllegalArgumentException.class, () -> plain.withFall(3, bad)).getMessage();
+            assertTrue(why.startsWith("fall:"), why);
+        }
         assertThrows(IllegalArgumentException.class, () -> settings(6, false,
                 List.of(new Tenant("acme", 0, 1), new Tenant("acme", 0, 2)), safe("read", 1)));
     }
--- a/core/src/test/java/brackenbridge/core/generation/NarrowerTest.java
+++ b/core/src/test/java/brackenbridge/core/generation/NarrowerTest.java
@@ -33,8 +33,8 @@
         }
         return new Settings(1, 0, 2, 0, "z", classes, tenants, r.nextInt(10) / 10.0, true, 1000 + r.nextInt(9),
                 1 + r.nextInt(5), 1 + r.nextInt(99), r.nextInt(5), r.nextBoolean(), r.nextBoolean(), r.nextBoolean(),
-                r.nextInt(99), 0.1 + r.nextInt(9) / 10.0, r.nextInt(99), new Network(1 + r.nextInt(9), r.nextInt(9),
-                true, List.of()));
+                r.nextInt(99), 0.1 + r.nextInt(9) / 10.0, r.nextInt(99), 0.1 + r.nextInt(9), r.nextInt(5),
+                new Network(1 + r.nextInt(9), r.nextInt(9), true, List.of()));
     }
 
     private static int breadth(Effect e) {
@@ -62,6 +62,8 @@
         assertTrue(!n.mayProbe() || of.mayProbe());
         assertTrue(!n.mayCancel() || of.mayCancel());
         assertTrue(n.coldFrom() <= of.coldFrom() && n.warmAfter() >= of.warmAfter());
+        assertTrue(of.fall() == 0
+                || n.fall() <= of.fall() && n.fall() > 0 && n.fallMultiple() <= of.fallMultiple());
     }
 
     @Property(tries = 300, seed = "24")
@@ -98,6 +100,6 @@
         return new Settings(s.seed(), s.me(), s.peers(), s.tier(), s.zone(), List.of(c), s.tenants(),
                 s.overShareWorth(), s.askDiscovery(), s.mustAskWithin(), s.maxAttempts(), s.maxOpen(),
                 s.maxRetryAfter(), s.mayCancel(), s.mayProbe(), s.secondCopies(), s.idleClose(), s.coldFrom(),
-                s.warmAfter(), s.network());
+                s.warmAfter(), s.fallMultiple(), s.fall(), s.network());
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/live/SettingsJson.java
+++ b/lab/src/main/java/brackenbridge/lab/live/SettingsJson.java
@@ -51,7 +51,8 @@
                         .add("columns", columns))
                 .add("rules", Json.object().add("drainGrace", s.network().drainGrace())
                         .add("mustAskIn", s.mustAskWithin()).add("coldFrom", s.coldFrom())
-                        .add("warmAfter", s.warmAfter()));
+                        .add("warmAfter", s.warmAfter()).add("fallMultiple", s.fallMultiple())
+                        .add("fall", s.fall()));
     }
 
     /** A list as discovery tells it. */
--- a/lab/src/main/java/brackenbridge/lab/world/World.java
+++ b/lab/src/main/java/brackenbridge/lab/world/World.java
@@ -257,6 +257,7 @@
                 10_000_000,
                 limits.maxAttempts(), limits.maxOpen(), micros(limits.maxRetryAfterMs()), limits.mayCancel(),
                 limits.mayProbe(), false, micros(limits.idleCloseMs()), cold.from(), micros(cold.ms()),
+                cold.fallMultiple(), micros(cold.fallMs()),
                 new Network(micros(limits.connectTimeoutMs()), micros(limits.drainGraceMs()),
                         limits.reportsInAnswers(), limits.reportFields()));
     }
--- a/node/src/main/java/brackenbridge/config/SettingsParser.java
+++ b/node/src/main/java/brackenbridge/config/SettingsParser.java
@@ -51,7 +51,8 @@
                 whole("policyLimits.openCap", "20000"), retryAfter,
                 flag("policyLimits.mayCancel", "false"), flag("policyLimits.mayProbe", "false"),
                 flag("policyLimits.secondCopies", "false"), number("policyLimits.idleClose", "15000000"),
-                decimal("rules.coldFrom", "1"), number("rules.warmAfter", "0"), network());
+                decimal("rules.coldFrom", "1"), number("rules.warmAfter", "0"), decimal("rules.fallMultiple", "1"),
+                number("rules.fall", "0"), network());
     }
 
     private Network network() {
--- a/node/src/test/java/brackenbridge/config/ConfigTest.java
+++ b/node/src/test/java/brackenbridge/config/ConfigTest.java
@@ -24,7 +24,8 @@
             + "\"me\":0,\"replicasOfMe\":1,\"tier\":1,\"zone\":\"room\",\"discovery\":\"on_request\","
             + "\"policyLimits\":{\"maxAttempts\":5,\"connectTimeout\":120000,\"mayCancel\":true,"
             + "\"retryAfter\":false,\"maxRetryAfter\":3000000,\"idleClose\":30000000},"
-            + "\"report\":{\"how\":\"probe\",\"columns\":[\"depth\",\"tps\"]},\"rules\":{\"drainGrace\":500000}}}";
+            + "\"report\":{\"how\":\"probe\",\"columns\":[\"depth\",\"tps\"]},\"rules\":{\"drainGrace\":500000,\"fallMultiple\":2.5,"
+            + "\"fall\":1500000}}}";
 
     @Test
     void nestedJsonIsTheWiresSettings() {
@@ -37,6 +38,8 @@
         assertEquals(0xfc1f30d27a5be964L, c.settings().seed());
         assertEquals(3_000_000, c.settings().maxRetryAfter(), "advice is free on sockets");
         assertEquals(41, c.known().seq());
+        assertEquals(2.5, c.settings().fallMultiple());
+        assertEquals(1_500_000, c.settings().fall());
     }
 
     @Property(seed = "31", tries = 1000)
@@ -73,7 +76,7 @@
             assertNotNull(turnedDown(without), key.group(1));
             keys++;
         }
-        assertEquals(41, keys);
+        assertEquals(43, keys);
     }
 
     @Test
