A client that has gone is noticed whatever holds its request, and nothing begins for it

Cause: a connection was not read while over 16 KiB waited behind a request being served, or while nobody took a long body yet, so neither an end nor a reset was seen (Listener.channelRead, Client.read). Where the settings allow no cancelling, a forward that still waited for a connection went out when one came up (Reducer.gone). A request whose end had come with it was sent on before the end was read: one read a turn, and the channel's last event comes behind the dispatch. The next bytes behind a long body moved the buffer of parts that nobody had taken yet (discardReadBytes).

Change: 256 KiB may wait, 16 KiB once all clients hold 4 MB; a connection that rests is looked at every 50 ms by one bounded read, up to 64 KiB more. What is not written whole is withdrawn whatever the settings say. Clients' sockets are read until nothing is left, and their end counts as they close. A buffer with parts on their way is not moved. Bytes in the kernel beyond these bounds still hide an end; the code says so.

--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -419,7 +419,8 @@
         if (f.begun) {
             balancer.onGone(ModuleTime.micros(now), id);
         }
-        if (f.out != null && settings.mayCancel()) {
+        // What is not written whole is no attempt yet and is withdrawn whatever the settings say of those that are.
+        if (f.out != null && (settings.mayCancel() || !f.out.written)) {
             cancelOut(f, Outcome.CANCELLED);
         }
     }
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -377,7 +377,8 @@
 
             @Override
             public void flush() {
-                sentAt = clock.nowMs();
+                // Guards the time limit of a server that takes nothing against what its client still sends ahead.
+                sentAt = channel.isWritable() ? clock.nowMs() : sentAt;
                 channel.flush();
                 if (!channel.isWritable()) {
                     upload.rest().want(false);
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -32,6 +32,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /** The HTTP listener: makes flows of what clients send, and writes the answers. */
@@ -61,8 +62,18 @@
     private static final int LINGER_BYTES = 256 * 1024;
     /** Guards clients that have just come: their request may be on the way already. */
     private static final double YOUNG_MS = 100;
-    /** Bytes that may wait behind a request that is being served. */
-    private static final int AHEAD = 16 * 1024;
+    /**
+     * Bytes that may wait behind a request that is being served, or of a body that nobody takes yet. Java sees that a
+     * client has gone only by reading, so what it sent before it went is read first: hundreds of requests at once.
+     * Beyond this, and what the looks below add, an end stays hidden behind bytes that the kernel holds.
+     */
+    private static final int AHEAD = 256 * 1024;
+    /** And so many once all clients hold half of what they may: to see an end must cost nobody his connection. */
+    private static final int AHEAD_CROWDED = 16 * 1024;
+    /** A connection that is not read is looked at so often, by one bounded read: its client may have gone. */
+    private static final long LOOK_MS = 50;
+    /** Looks may add so many bytes. */
+    private static final int LOOKS = 64 * 1024;
     /** Bytes that all clients together may have here in requests that are not whole or not begun. */
     private static final int HELD_LIMIT = 8 * 1024 * 1024;
 
@@ -291,6 +302,12 @@
         int drained;
         /** Bytes of a long request that are kept so that it can be sent again. */
         int kept;
+        /** Whoever takes the rest of a long request has enough for now. */
+        boolean resting;
+        /** Bytes of it that have come since then. */
+        int ahead;
+        /** It is not read, but looked at. */
+        boolean looks;
 
         Client(Channel channel) {
             this.channel = channel;
@@ -311,6 +328,8 @@
             counters.count(Kind.CLIENTS_ACCEPTED);
             sockets.client(1);
             clients.add(this);
+            // At once, not as the channel's last event: what is still to begin for this client comes before that.
+            channel.closeFuture().addListener(f -> gone());
             if (!sockets.clientFits()) {
                 makeRoom.run();
                 // With nothing idle to shed, further clients wait in the backlog until some connection ends.
@@ -320,11 +339,10 @@
             }
         }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            if (clients.remove(this)) {
-                sockets.client(-1);
-            }
+        /** The connection has ended; a client that only ends its sending has gone as well. */
+        private void gone() {
+            clients.remove(this);
+            sockets.client(-1);
             if (door != null && sockets.clientFits()) {
                 door.admit(true);
             }
@@ -364,20 +382,63 @@
             if (pending == null) {
                 pending = in;
             } else {
+                if (pending.refCnt() > 1) {
+                    // Guards the body in front, of which parts are still on their way, against being overwritten.
+                    ByteBuf rest = channel.alloc().buffer(waiting()).writeBytes(pending);
+                    dropPending();
+                    pending = rest;
+                }
                 pending.discardReadBytes().writeBytes(in);
                 in.release();
             }
             if (upload != null) {
+                ahead += resting ? in.readableBytes() : 0;
                 readLong();
             }
             read();
             boundHeld();
-            // Guards memory against a client that sends ahead without reading its answers.
-            if (pending != null && pending.readableBytes() > AHEAD) {
-                channel.config().setAutoRead(false);
+            readOrRest();
+        }
+
+        /** Bytes that wait for somebody to take them. */
+        private int waiting() {
+            return ahead + (pending == null ? 0 : pending.readableBytes());
+        }
+
+        /** Guards memory against a client that sends ahead without reading its answers. */
+        private void readOrRest() {
+            if (closing) {
+                return;
+            }
+            boolean on = waiting() <= most();
+            channel.config().setAutoRead(on);
+            if (!on && !looks) {
+                looks = true;
+                look();
+            }
+        }
+
+        private int most() {
+            return held > HELD_LIMIT / 2 ? AHEAD_CROWDED : AHEAD;
+        }
+
+        /** Guards servers against requests of a client that went while its connection was not read. */
+        private void look() {
+            looks = !closing && !channel.config().isAutoRead() && channel.isActive();
+            if (looks) {
+                if (waiting() <= most() + LOOKS) {
+                    channel.read();
+                }
+                channel.eventLoop().schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
             }
         }
 
+        /** The next request has its turn; what is taken out makes room for more. */
+        private void readOn() {
+            read();
+            readOrRest();
+        }
+
         /** Takes the next request out of the bytes that have come, if none is being served. */
         private void read() {
             while (flow < 0 && !writing && !closing && pending != null) {
@@ -407,7 +468,7 @@
             if (pending != null && !pending.isReadable()) {
                 dropPending();
             }
-            hold(closing ? 0 : decoder.held() + (pending == null ? 0 : pending.readableBytes()) + kept);
+            hold(closing ? 0 : decoder.held() + waiting() + kept);
         }
 
         // ---- A long request ----
@@ -435,7 +496,7 @@
                 if (decoder.decode(pending)) {
                     decoder.take();
                     endUpload(true);
-                    channel.config().setAutoRead(true);
+                    resting = false;
                     events.raise(new Event.FlowWhole(flow));
                 } else {
                     upload.flush();
@@ -467,13 +528,15 @@
 
         @Override
         public void read(boolean on) {
-            channel.config().setAutoRead(on);
+            resting = !on;
+            ahead = on ? 0 : ahead;
+            readOrRest();
         }
 
         @Override
         public void refused() {
             // The flow has its answer, or will have it at once; what still comes of the body is dropped.
-            channel.config().setAutoRead(true);
+            read(true);
         }
 
         private void dropPending() {
@@ -589,6 +652,8 @@
                 rest.refuse();
             }
             kept = 0;
+            ahead = 0;
+            resting = false;
             answered = flow;
             flow = -1;
             open.remove(id);
@@ -687,8 +752,8 @@
                 channel.config().setAutoRead(true);
                 ((SocketChannel) channel).shutdownOutput();
             } else {
-                channel.config().setAutoRead(true);
-                channel.eventLoop().execute(this::read);
+                readOrRest();
+                channel.eventLoop().execute(this::readOn);
             }
         }
 
@@ -700,7 +765,7 @@
                 channel.close();
             } else if (isReading() && !decoder.awaitsBody() && age > SLOW_MS) {
                 bad(408, "request too slow");
-            } else if (decoder.awaitsBody() && channel.config().isAutoRead() && (isReading() || upload != null)) {
+            } else if (decoder.awaitsBody() && !resting && (isReading() || upload != null)) {
                 behindMs = Math.max(-SLOW_MS, behindMs + now - sweptAt - arrived / LEAST_PACE);
                 if (behindMs > SLOW_MS && upload != null) {
                     failLong(408, "body too slow");
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -21,7 +21,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
@@ -108,7 +107,8 @@
         }
         door = new Door(new ServerBootstrap().group(group).option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, received())
+                // Guards servers against the request of a client whose end is there as well, read a turn too late.
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, received().respectMaybeMoreData(false))
                 .childHandler(listener.initializer()), address);
         loop.submit(() -> {
             listener.opened(door);
@@ -171,8 +171,10 @@
      * How much is read from one connection before the next has its turn. Guards memory and usual clients against
      * those that send at full speed.
      */
-    private static RecvByteBufAllocator received() {
-        return new AdaptiveRecvByteBufAllocator(512, 2048, 8192).maxMessagesPerRead(4);
+    private static AdaptiveRecvByteBufAllocator received() {
+        AdaptiveRecvByteBufAllocator received = new AdaptiveRecvByteBufAllocator(512, 2048, 8192);
+        received.maxMessagesPerRead(4);
+        return received;
     }
 
     /** Where staff call it; null if nowhere. */
--- a/node/src/test/java/brackenbridge/net/FakeServer.java
+++ b/node/src/test/java/brackenbridge/net/FakeServer.java
@@ -5,7 +5,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -17,10 +20,38 @@
     final LinkedBlockingQueue<String> requests = new LinkedBlockingQueue<>();
     final LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
     final LinkedBlockingQueue<Socket> connections = new LinkedBlockingQueue<>();
-    private final ServerSocket listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    private final List<Socket> fillers = new ArrayList<>();
+    private final ServerSocket listening;
 
     FakeServer() throws IOException {
-        daemon(this::accept);
+        this(50);
+        accept();
+    }
+
+    private FakeServer(int backlog) throws IOException {
+        listening = new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1"));
+    }
+
+    /** A server whose backlog is full: no connection to it comes up before it accepts. */
+    static FakeServer full() throws IOException {
+        FakeServer s = new FakeServer(1);
+        try {
+            while (true) {
+                Socket filler = new Socket();
+                filler.connect(s.listening.getLocalSocketAddress(), 100);
+                s.fillers.add(filler);
+            }
+        } catch (SocketTimeoutException e) {
+            return s;
+        }
+    }
+
+    /** Accepts and serves from now on. */
+    void accept() throws IOException {
+        for (Socket filler : fillers) {
+            filler.close();
+        }
+        daemon(this::acceptAll);
     }
 
     private static void daemon(Runnable work) {
@@ -37,7 +68,7 @@
         return requests.poll(10, TimeUnit.SECONDS);
     }
 
-    private void accept() {
+    private void acceptAll() {
         try {
             while (true) {
                 Socket s = listening.accept();
