A test on real connections: a cold server gets what it bears when all clients come at once

Cause: the budget of a cold server was held by tests of the module alone. Change: NodeTest.coldServerGetsNoMoreThanItBearsWhenAllClientsComeAtOnce, six clients in one instant at a node whose only server is cold and bears 1.9 calls.

--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -16,6 +16,8 @@
 import java.io.PrintStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -317,6 +319,33 @@
         assertEquals(-1, client.getInputStream().read());
     }
 
+    /** All clients come in one instant, and the only server is cold: what it bears then is 1.9 calls. */
+    @Test
+    void coldServerGetsNoMoreThanItBearsWhenAllClientsComeAtOnce() throws Exception {
+        node.kill();
+        node = node(1024, 1, ConfigTest.TEXT.replace("\"fallMultiple\":2.5,\"fall\":1500000",
+                "\"fallMultiple\":0.5,\"fall\":5000000,\"coldFrom\":0.19,\"warmAfter\":1000000000000")
+                .replace("\"hosts\":[]", "\"hosts\":[{\"host\":\"s-1\",\"dial\":\"" + server.dial()
+                        + "\",\"health\":\"active\",\"born_ms\":" + Math.round(clock.nowMs()) + "}]"));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            Socket s = connect();
+            clients.add(s);
+            s.getOutputStream().write(file("hello").replace("9b", "c" + i).replace("5000", "700")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+        }
+        int sent = 0;
+        for (Socket s : clients) {
+            // The server says nothing: a call that reached it has no answer in time, any other is refused.
+            String a = FakeServer.message(s.getInputStream());
+            assertTrue(a != null && a.matches("(?s)HTTP/1.1 50[34] .*"), a);
+            sent += a.startsWith("HTTP/1.1 504 ") ? 1 : 0;
+            s.close();
+        }
+        assertTrue(sent >= 1 && sent <= 2, "calls that the cold server got: " + sent);
+        assertEquals(sent, server.requests.size());
+    }
+
     @Test
     void idThatAnOpenRequestBearsIsTurnedAway() throws Exception {
         send(file("a"));
