--- a/core/src/main/java/brackenbridge/Balancer.java
+++ b/core/src/main/java/brackenbridge/Balancer.java
@@ -430,7 +430,8 @@
                 first = first == null ? s : first;
             }
         }
-        if (first == null && c.mayHaveRun && allowed(now, c, c.ranAt) && usable(c.ranAt)) {
+        if (first == null && c.mayHaveRun && allowed(now, c, c.ranAt) && !c.ranAt.out
+                && c.ranAt.is.state() == EndpointState.UP) {
             return c.ranAt;
         }
         return first;
@@ -476,10 +477,6 @@
         return now >= s.standing(c.kind).avoidedUntil && allowed(now, c, s);
     }
 
-    private static boolean usable(Server s) {
-        return s.is.state() == EndpointState.UP && !s.out;
-    }
-
     /** The step of a server's turn: the inverse of its weight, while cold of the part it can do. */
     private double stride(long now, Server s) {
         // A server clearly slower than its peers gets turns by the capacity it shows.
@@ -507,11 +504,12 @@
         }
         double used = 0;
         double weights = 0;
-        for (Server r : order) {
-            used += r.inReach ? r.is.weight() * warmth(now, r) : 0;
-            weights += r.is.weight();
+        int near = Math.min(reach, order.length);
+        for (int i = 0; i < near; i++) {
+            used += order[i].is.weight() * warmth(now, order[i]);
+            weights += order[i].is.weight();
         }
-        double least = order.length / (weights * meanTime() * settings.peers());
+        double least = near / (weights * meanTime() * settings.peers());
         double perUnit = Math.max(answeredPerSecond / SECOND / used, least);
         double part = settings.fallMultiple() * perUnit * s.is.weight() * warmth * settings.fall();
         return s.inFlight < window() && s.budget.allows(now, part, settings.fall(), random);
