A list may span lines and come in any pieces; the head of an answer is a word

Cause: DiscoveryClient read its answers line by line: an indented list ended its call at the first line, one without a line's end behind it was never read, one above 1 MB ended its call. A call that had waited 1.5 s for its head was given up before the first empty line, which is due 2 s behind the head. A refusal without a length kept its call until silence ended it.

Change: ObjectCutter cuts objects by their braces, at most 4 MB each; a text that is no object ends with its line. The head of a 200, an empty line and the first byte of a list are words; no event comes for each further piece. Any other status ends the call with its head. Of lists that span no lines the cutter makes what a reader of lines makes (property, 500 texts).

Tests on sockets (DiscoveryTest): indented lists cut at each byte, with a chunk's border there, and a last one in chunks of one byte, on one call; an answer with a length and one to its end that end with their news; reset and silence in the middle of a list; a move in its middle; a refusal that stays open; a head after 1.5 s.

--- /dev/null
+++ b/node/src/main/java/brackenbridge/discovery/ObjectCutter.java
@@ -0,0 +1,77 @@
+package brackenbridge.discovery;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Cuts what comes on a watch into the objects it is made of, however their lines are broken and in whatever pieces
+ * they arrive. An object ends with its last brace: nothing waits for the line behind it.
+ */
+public final class ObjectCutter {
+    /** What one byte has completed. */
+    public enum Cut {
+        /** Nothing yet. */
+        NOTHING,
+        /** The first byte of a text that is not whole yet. */
+        BEGUN,
+        /** An empty line: discovery says that nothing has changed. */
+        EMPTY_LINE,
+        /** A text to be parsed, see {@link #take}: an object, or a line that is none. */
+        TEXT,
+        /** More than is believed of one object; nothing of it is kept. */
+        TOO_LONG
+    }
+
+    private final int limit;
+    private ByteArrayOutputStream text = new ByteArrayOutputStream();
+    private boolean object;
+    private int depth;
+    private boolean quoted;
+    private boolean escaped;
+    /** Whether this line has held the end of an object: its own end is no empty line then. */
+    private boolean said;
+
+    /** Cuts objects of at most so many bytes. */
+    public ObjectCutter(int limit) {
+        this.limit = limit;
+    }
+
+    /** Takes the next byte. */
+    public Cut add(byte b) {
+        boolean blank = b == ' ' || b == '\t' || b == '\r' || b == '\n';
+        if (text.size() == 0 && blank) {
+            boolean empty = b == '\n' && !said;
+            said &= b != '\n';
+            return empty ? Cut.EMPTY_LINE : Cut.NOTHING;
+        }
+        if (text.size() >= limit) {
+            text.reset();
+            return Cut.TOO_LONG;
+        }
+        object = text.size() > 0 ? object : b == '{';
+        text.write(b);
+        if (quoted) {
+            quoted = escaped || b != '"';
+            escaped = !escaped && b == '\\';
+        } else if (b == '"') {
+            quoted = object;
+        } else if (b == '{') {
+            depth++;
+        } else if (b == '}') {
+            depth--;
+        }
+        // Of what is no object a line is all there is: guards the watch against waiting for the end of nonsense.
+        boolean whole = object ? depth == 0 : b == '\n';
+        said = whole ? object : said;
+        return whole ? Cut.TEXT : text.size() == 1 ? Cut.BEGUN : Cut.NOTHING;
+    }
+
+    /** The text that is whole; the next one begins behind it. */
+    public String take() {
+        String whole = text.toString(StandardCharsets.UTF_8);
+        // Not reset: a watch lasts, and would keep the room of its longest list.
+        text = new ByteArrayOutputStream();
+        depth = 0;
+        return whole;
+    }
+}
--- a/node/src/main/java/brackenbridge/net/DiscoveryClient.java
+++ b/node/src/main/java/brackenbridge/net/DiscoveryClient.java
@@ -2,6 +2,7 @@
 
 import brackenbridge.core.Event;
 import brackenbridge.core.TargetGroup;
+import brackenbridge.discovery.ObjectCutter;
 import brackenbridge.discovery.TargetGroupParser;
 import brackenbridge.http.HttpEncoder;
 import brackenbridge.http.HttpException;
@@ -14,15 +15,14 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 
 /** Makes the calls to discovery that the reducer asks for, each on a connection of its own. */
 final class DiscoveryClient {
-    private static final int LINE_LIMIT = 1 << 20;
+    /** A list of 15,000 servers is shorter, indented as well. Guards the heap. */
+    private static final int LIST_LIMIT = 4 << 20;
     private static final String LIST = "/registry/instances";
 
     private final Bootstrap bootstrap;
@@ -49,8 +49,11 @@
 
     void end(long call) {
         Call c = calls.remove(call);
-        if (c != null && c.channel != null) {
-            c.channel.close();
+        if (c != null) {
+            c.done = true;
+            if (c.channel != null) {
+                c.channel.close();
+            }
         }
     }
 
@@ -75,9 +78,11 @@
     /** One call. */
     private final class Call extends ChannelInboundHandlerAdapter {
         final long id;
-        final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        final ObjectCutter cutter = new ObjectCutter(LIST_LIMIT);
         final ResponseDecoder decoder = new ResponseDecoder(this::body);
         Channel channel;
+        boolean answered;
+        boolean done;
 
         Call(long id) {
             this.id = id;
@@ -86,26 +91,20 @@
         private void body(ByteBuf from, int length) throws HttpException {
             for (int i = 0; i < length; i++) {
                 byte b = from.readByte();
-                if (b == '\n' && decoder.status() == 200) {
-                    line();
-                } else if (line.size() < LINE_LIMIT) {
-                    line.write(b);
-                } else {
-                    over("line too long");
+                if (decoder.status() != 200 || done) {
+                    continue;
+                }
+                switch (cutter.add(b)) {
+                    case TEXT -> told(cutter.take());
+                    // A list that comes in pieces speaks with its first byte only: guards against one that never ends.
+                    case EMPTY_LINE, BEGUN -> events.raise(new Event.DiscoveryBeat(id));
+                    case TOO_LONG -> over("list too long");
+                    default -> { }
                 }
             }
         }
 
-        private void line() {
-            String text = line.toString(StandardCharsets.UTF_8).strip();
-            line.reset();
-            if (calls.get(id) != this) {
-                return;
-            }
-            if (text.isEmpty()) {
-                events.raise(new Event.DiscoveryBeat(id));
-                return;
-            }
+        private void told(String text) {
             try {
                 TargetGroup group = TargetGroupParser.parse(text);
                 if (!group.unread().isEmpty()) {
@@ -119,6 +118,7 @@
 
         /** The call ends, once. */
         private void over(String why) {
+            done = true;
             if (calls.remove(id, this)) {
                 log.warn("discovery call " + id + " ended: " + why);
                 events.raise(new Event.DiscoveryEnded(id));
@@ -136,8 +136,14 @@
         public void channelRead(ChannelHandlerContext ctx, Object msg) {
             ByteBuf in = (ByteBuf) msg;
             try {
-                if (decoder.decode(in)) {
+                boolean whole = decoder.decode(in);
+                if (whole || decoder.awaitsBody() && decoder.status() != 200) {
+                    // Guards against waiting for the end of a refusal.
                     whole();
+                } else if (!answered && decoder.awaitsBody()) {
+                    // Guards a call that had to wait for its answer: the first empty line is due 2 s behind it.
+                    answered = true;
+                    events.raise(new Event.DiscoveryBeat(id));
                 }
             } catch (HttpException e) {
                 over(e.getMessage());
--- /dev/null
+++ b/node/src/test/java/brackenbridge/discovery/ObjectCutterTest.java
@@ -0,0 +1,76 @@
+package brackenbridge.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import brackenbridge.discovery.ObjectCutter.Cut;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Lists, however their lines are broken; "-" stands for an empty line. */
+class ObjectCutterTest {
+    private static List<String> cut(int limit, String text) {
+        ObjectCutter cutter = new ObjectCutter(limit);
+        List<String> all = new ArrayList<>();
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+            Cut c = cutter.add(b);
+            if (c != Cut.NOTHING && c != Cut.BEGUN) {
+                all.add(c == Cut.TEXT ? cutter.take() : c == Cut.EMPTY_LINE ? "-" : c.name());
+            }
+        }
+        return all;
+    }
+
+    @Test
+    void indentedObjectsAreWholeWithTheirLastBrace() {
+        String indented = "{\r\n  \"seq\": 4,\r\n\r\n  \"hosts\": [\r\n    {\r\n    }\r\n  ]\r\n}";
+        assertEquals(List.of("-", indented, "-", "{}", "{\"a\":{}}"),
+                cut(100, "\n" + indented + "\r\n  \r\n{} {\"a\":{}}\n"));
+    }
+
+    @Test
+    void bracesInTextsEndNothing() {
+        String text = "{\"host\":\"}\\\"}\\\\\",\"site\":\"\u00e9{\"}";
+        assertEquals(List.of(text), cut(100, text + "\n"));
+    }
+
+    @Test
+    void nonsenseEndsWithItsLineAndWhatBrokeOffHidesTheEmptyLinesBehindIt() {
+        assertEquals(List.of("what {\n", "\"[\n", "]}\n"), cut(100, "what {\n\"[\n]}\n"));
+        assertEquals(List.of(), cut(100, "{\"seq\":4,\n\n\n\n"));
+        assertEquals("TOO_LONG", cut(8, "{\"seq\":4}").get(0));
+    }
+
+    /** Of lists that span no lines it makes what a reader of lines makes, whatever stands between them. */
+    @Property(seed = "59", tries = 500)
+    void linesAreCutAsBefore(@ForAll long seed) {
+        SplittableRandom r = new SplittableRandom(seed);
+        String[] parts = {"\n", "\r\n", "{\"seq\":4,\"hosts\":[{\"host\":\"a}\"}]}\n", "{}\r\n", " \n", "what {\n"};
+        StringBuilder text = new StringBuilder();
+        List<String> lines = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            String part = parts[r.nextInt(parts.length - (i < 29 ? 1 : 0))];
+            text.append(part);
+            lines.add(part.isBlank() ? "-" : part.strip());
+        }
+        assertEquals(lines, cut(100, text.toString()).stream().map(String::strip).toList());
+    }
+
+    @Test
+    void eachObjectBeginsOnceHoweverManyBytesItHas() {
+        ObjectCutter cutter = new ObjectCutter(100);
+        int begun = 0;
+        for (byte b : "\n{\n \"a\":{}\n}\n\n{ }\n".getBytes(StandardCharsets.UTF_8)) {
+            Cut c = cutter.add(b);
+            begun += c == Cut.BEGUN ? 1 : 0;
+            if (c == Cut.TEXT) {
+                cutter.take();
+            }
+        }
+        assertEquals(2, begun);
+    }
+}
--- a/node/src/test/java/brackenbridge/net/DiscoveryTest.java
+++ b/node/src/test/java/brackenbridge/net/DiscoveryTest.java
@@ -1,6 +1,8 @@
 package brackenbridge.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brackenbridge.clock.Clock;
@@ -85,4 +87,135 @@
         double ms = (System.nanoTime() - back) / 1e6;
         assertTrue(ms < 3000, "known " + ms + " ms after discovery is back");
     }
+
+    /** A list as somebody who reads it would like it; it spans lines and has empty ones. */
+    private static String indented(int seq, String hosts) {
+        return "\n{\n  \"seq\": " + seq + ",\r\n\n  \"whole\": true,\n\t\"hosts\": [\n    "
+                + hosts.replace(":\"", ": \"").replace(",", ",\n      ") + "\n  ]\n}";
+    }
+
+    private static void say(Socket on, String text) throws IOException {
+        on.setTcpNoDelay(true);
+        on.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String chunk(String text) {
+        return text.isEmpty() ? "" : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private void awaitCounter(String text) throws Exception {
+        String counted = "";
+        for (int i = 0; i < 10_000 && !counted.contains(text); i++) {
+            try (Socket s = new Socket(node.address().getAddress(), node.address().getPort())) {
+                say(s, "GET /health/counters HTTP/1.1\r\n\r\n");
+                counted = FakeServer.message(s.getInputStream());
+            }
+        }
+        assertTrue(counted.contains(text), counted);
+    }
+
+    @Test
+    void indentedListsInPiecesCutAnywhereAreHeardOnOneWatch() throws Exception {
+        start(ASKED, "127.0.0.1:1");
+        move(discovery.dial());
+        Socket watch = call();
+        say(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        int lists = 0;
+        for (int cut = 0; cut < indented(42, host(1, "active")).length(); cut++) {
+            String list = indented(42 + lists++, host(1, "active"));
+            // A chunk border there, and a piece of the connection's bytes that ends inside of the chunk's frame.
+            String framed = chunk(list.substring(0, cut)) + chunk(list.substring(cut));
+            say(watch, framed.substring(0, cut));
+            say(watch, framed.substring(cut));
+        }
+        String last = indented(42 + lists++, host(1, "active") + "," + host(2, "leaving") + "," + host(3, "active"));
+        for (char c : last.toCharArray()) {
+            say(watch, chunk(String.valueOf(c)));
+        }
+        awaitCounter("target_lists " + lists + "\n");
+        awaitCounter("discovery_calls 1\n");
+        awaitServers(3);
+    }
+
+    @Test
+    void watchThatEndsWithItsNewsIsHeardInEveryForm() throws Exception {
+        start(ASKED, "127.0.0.1:1");
+        move(discovery.dial());
+        String two = indented(42, host(1, "active") + "," + host(2, "active"));
+        call();
+        // The whole list leaves out s-0 and s-3, and nothing stands behind its last brace.
+        discovery.answers.add("HTTP/1.1 200 OK\r\nContent-Length: " + two.length() + "\r\n\r\n" + two);
+        awaitServers(2);
+        String asked = discovery.next();
+        assertTrue(asked.startsWith("GET /registry/instances?watch=1&after=42 "), asked);
+        Socket toEnd = discovery.connections.take();
+        say(toEnd, HEAD + indented(43, host(1, "active")));
+        toEnd.close();
+        awaitServers(1);
+        asked = discovery.next();
+        assertTrue(asked.startsWith("GET /registry/instances?watch=1&after=43 "), asked);
+    }
+
+    @Test
+    void listThatBreaksOffHoldsNothingAndIsAskedForAgain() throws Exception {
+        start(ASKED, "127.0.0.1:1");
+        move(discovery.dial());
+        String list = indented(42, host(1, "active"));
+        Socket reset = call();
+        say(reset, HEAD + list.substring(0, list.length() - 1));
+        reset.setSoLinger(true, 0);
+        reset.close();
+        Socket silent = call();
+        long fell = System.nanoTime();
+        say(silent, HEAD + list.substring(0, list.length() - 1));
+        Socket next = call();
+        double ms = (System.nanoTime() - fell) / 1e6;
+        assertTrue(ms > 2500 && ms < 4000, "asked again after " + ms + " ms");
+        awaitServers(4);
+        say(next, HEAD + list);
+        awaitServers(1);
+    }
+
+    @Test
+    void movedDiscoveryIsAskedInTheMiddleOfAListAndTheOldCallEnds() throws Exception {
+        try (FakeServer other = new FakeServer()) {
+            start(ASKED, "127.0.0.1:1");
+            move(other.dial());
+            assertNotNull(other.next());
+            Socket old = other.connections.take();
+            String late = indented(99, host(1, "active"));
+            say(old, HEAD + late.substring(0, late.length() - 1));
+            move(discovery.dial());
+            Socket call = call();
+            assertEquals(-1, old.getInputStream().read(), "there is no place left for a late word");
+            say(call, HEAD + indented(7, host(1, "active") + "," + host(2, "active")));
+            awaitServers(2);
+            awaitCounter("target_lists 1\n");
+        }
+    }
+
+    @Test
+    void refusalThatLeavesItsConnectionOpenIsNotTakenForSilence() throws Exception {
+        start(ASKED, "127.0.0.1:1");
+        move(discovery.dial());
+        Socket refused = call();
+        long at = System.nanoTime();
+        say(refused, "HTTP/1.1 503 Service Unavailable\r\n\r\n");
+        call();
+        double ms = (System.nanoTime() - at) / 1e6;
+        assertTrue(ms < 2000, "asked again after " + ms + " ms");
+    }
+
+    /** As with a call that had to wait: its first empty line is due 2 s behind its head. */
+    @Test
+    void headOfAnAnswerIsAWord() throws Exception {
+        start(ASKED, "127.0.0.1:1");
+        move(discovery.dial());
+        Socket watch = call();
+        assertNull(discovery.requests.poll(1500, TimeUnit.MILLISECONDS));
+        say(watch, HEAD);
+        assertNull(discovery.requests.poll(2000, TimeUnit.MILLISECONDS), "asked again while the answer was on its way");
+        say(watch, "\n");
+        assertNull(discovery.requests.poll(1500, TimeUnit.MILLISECONDS));
+    }
 }
