A connection that the node ends is shut first and drained; a stopping node refuses to the end

What was whole only after the last answers was begun and died with the process (Reducer.fired, StopLimit). What was accepted with the last look at the door could meet the end at once where the door closes as serving ends.

Change: one way to end a connection (Client.end): output shut, input read and dropped for 1 s at most, of a process that exits 0.1 s. Half requests are refused with 503 as time is up, later ones turned away, the last accepted have 100 ms. Over the limit of held bytes the largest client is answered first and nothing behind it is begun. At the limit on descriptors idle connections are still closed at once, lingering ones first: their descriptors are wanted.

Answering the largest client that is being served has no test of its own.

--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -60,8 +60,10 @@
     static final double SUCCEEDED_IDLE_MS = 1000;
     /** And may exit from then on, once nothing is open. */
     static final double SUCCEEDED_MS = 1500;
-    /** And its last answers have so long to leave. */
-    static final double LAST_MS = 150;
+    /** And its last answers have so long to leave, before connections are ended that carry half a request. */
+    static final double LAST_MS = 50;
+    /** Clients that a stopping node took with its last look at the door have so long to bring a request. */
+    static final double LAST_ACCEPTED_MS = 100;
 
     private static final class OpenFlow {
         final long id;
@@ -582,6 +584,8 @@
             effects.add(new Effect.SayClose(true));
             effects.add(new Effect.CloseIdleClients());
         } else if (key instanceof TimerKey.StopLimit) {
+            // Guards what is whole only behind the last answers: begun now, it would die with the process.
+            life.turnAway();
             answerAll();
         } else if (key instanceof TimerKey.StopNow) {
             effects.add(new Effect.Exit(true));
@@ -853,7 +857,7 @@
         // Guards clients against finding nobody: the front sends no new connections to a node that stops, but those
         // that it has go on, whether it has no peer or its peer is only on its way back from the same release.
         // Staff who have emptied the node first need not wait.
-        double serves = emptied ? ACCEPT_MS : Math.max(ACCEPT_MS, longest * SERVES_MS / LONGEST_MS);
+        double serves = Math.max(ACCEPT_MS + LAST_ACCEPTED_MS, emptied ? 0 : longest * SERVES_MS / LONGEST_MS);
         // What comes late in that time has little left of it: better some of it fails than all finds nobody.
         double limit = now + (emptied ? Math.max(ACCEPT_MS, longest) + STOP_SLACK_MS : serves + LAST_REQUESTS_MS);
         effects.add(new Effect.SetTimer(now + ACCEPT_MS, new TimerKey.StopAccepting()));
--- a/core/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/core/src/test/java/brackenbridge/core/ReducerTest.java
@@ -213,6 +213,18 @@
         }
     }
 
+    /** Half of a request may have been here when the last answers went. */
+    @Test
+    void requestThatIsWholeOnlyAfterTheLastAnswersIsRefusedAtOnce() {
+        Play p = new Play(4);
+        p.open(Play.FILE, 6000);
+        p.tell(new Event.StopAsked()).pass(3420);
+        assertEquals(0, p.of(Effect.Exit.class).stream().filter(Effect.Exit::atOnce).count());
+        long late = p.open(Play.FILE, 6000);
+        assertEquals(List.of(Fixed.REFUSED), p.fixed(late));
+        assertEquals(0, p.forwards(late).size());
+    }
+
     @Test
     void drainedNodeStopsSoon() {
         Play p = new Play(4, 2).tell(new Event.DrainAsked(true)).pass(2000).tell(new Event.StopAsked()).pass(600);
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -58,6 +58,8 @@
     private static final double STALLED_MS = 5000;
     /** After a last answer, what the client still sends is read and dropped for so long. */
     private static final double LINGER_MS = 1000;
+    /** A process that exits gives its last clients so long to see their answers' end. */
+    private static final double EXIT_LINGER_MS = 100;
     /** And so many bytes of it at most: to read all that a client could send would cost the others. */
     private static final int LINGER_BYTES = 256 * 1024;
     /** Guards clients that have just come: their request may be on the way already. */
@@ -186,11 +188,11 @@
         keepNone = on;
     }
 
-    /** Ends the connections whose request has begun and is not whole. */
-    void endUnfinished() {
+    /** Ends the connections whose request has begun and is not whole, with this status. */
+    void endUnfinished(int status) {
         for (Client c : List.copyOf(clients)) {
             if (c.isReading()) {
-                c.bad(408, "request too slow for a node that drains");
+                c.bad(status, "request too slow for a node that drains or stops");
             }
         }
     }
@@ -204,14 +206,15 @@
     void closeIdle() {
         for (Client c : List.copyOf(clients)) {
             if (c.isIdle()) {
-                c.channel.close();
+                c.end();
             }
         }
     }
 
-    /** Whether no client is owed anything. */
+    /** Whether no client is owed anything, and those whose connection has been ended had time to see it. */
     boolean quiet() {
-        return clients.stream().allMatch(c -> c.isIdle() || c.closing && !c.writing);
+        double now = clock.nowMs();
+        return clients.stream().allMatch(c -> c.closing && now - c.since > EXIT_LINGER_MS);
     }
 
     /** Ends what takes too long. */
@@ -235,12 +238,12 @@
         return shed(false) || shed(true);
     }
 
-    /** Closes one idle client connection that has asked before, or that never has; the longest idle. */
+    /** Closes one idle client connection that has asked before, or one that never has or lingers; the longest idle. */
     boolean shed(boolean asked) {
         double now = clock.nowMs();
         Client oldest = null;
         for (Client c : clients) {
-            if (c.isIdle() && c.asked == asked && now - c.since > YOUNG_MS
+            if ((c.isIdle() && c.asked == asked || c.lingers() && !asked) && now - c.since > YOUNG_MS
                     && (oldest == null || c.since < oldest.since)) {
                 oldest = c;
             }
@@ -249,8 +252,7 @@
             return false;
         }
         counters.count(Kind.CONNECTIONS_SHED);
-        // Guards against shedding one connection many times while its end is still on the way.
-        oldest.closing = true;
+        // Its descriptor is wanted now; an answer has been out for a while, and a request that crosses this comes anew.
         oldest.channel.close();
         return true;
     }
@@ -265,8 +267,7 @@
                 }
             }
             counters.count(Kind.CLIENTS_SHED_FOR_MEMORY);
-            largest.hold(0);
-            largest.channel.close();
+            largest.empty();
         }
     }
 
@@ -306,6 +307,8 @@
         boolean resting;
         /** Bytes of it that have come since then. */
         int ahead;
+        /** It held too much: what comes behind the request that is being served is dropped. */
+        boolean full;
         /** It is not read, but looked at. */
         boolean looks;
 
@@ -319,6 +322,11 @@
             return flow < 0 && !writing && !closing && !decoder.begun() && (pending == null || !pending.isReadable());
         }
 
+        /** It has been ended, and what still comes is dropped. */
+        boolean lingers() {
+            return closing && !writing;
+        }
+
         boolean isReading() {
             return flow < 0 && !writing && !closing && decoder.begun();
         }
@@ -371,7 +379,7 @@
         public void channelRead(ChannelHandlerContext ctx, Object msg) {
             ByteBuf in = (ByteBuf) msg;
             arrived += in.readableBytes();
-            if (closing) {
+            if (closing || full) {
                 drained += in.readableBytes();
                 if (drained > LINGER_BYTES) {
                     channel.config().setAutoRead(false);
@@ -407,7 +415,7 @@
 
         /** Guards memory against a client that sends ahead without reading its answers. */
         private void readOrRest() {
-            if (closing) {
+            if (closing || full) {
                 return;
             }
             boolean on = waiting() <= most();
@@ -424,7 +432,7 @@
 
         /** Guards servers against requests of a client that went while its connection was not read. */
         private void look() {
-            looks = !closing && !channel.config().isAutoRead() && channel.isActive();
+            looks = !closing && !full && !channel.config().isAutoRead() && channel.isActive();
             if (looks) {
                 if (waiting() <= most() + LOOKS) {
                     channel.read();
@@ -551,6 +559,22 @@
             holds = bytes;
         }
 
+        /** Holds nothing any more: what is being served is answered, nothing behind it is begun. */
+        private void empty() {
+            keepAlive = false;
+            if (upload != null) {
+                failLong(503, "too much is held");
+            } else if (flow >= 0 || writing) {
+                full = true;
+                dropPending();
+                channel.config().setAutoRead(true);
+            } else {
+                bad(503, "too much is held");
+            }
+            kept = 0;
+            hold(0);
+        }
+
         /** Says what is wrong and ends the connection: where the next request begins can't be known. */
         private void bad(int status, String why) {
             counters.count(Kind.BAD_REQUESTS);
@@ -744,25 +768,35 @@
             since = clock.nowMs();
             if (how != Left.WHOLE) {
                 channel.close();
-            } else if (close) {
-                // Guards the answer: closing over unread bytes would reset the connection before it is read.
-                closing = true;
-                dropPending();
-                hold(0);
-                channel.config().setAutoRead(true);
-                ((SocketChannel) channel).shutdownOutput();
+            } else if (close || full) {
+                end();
             } else {
                 readOrRest();
                 channel.eventLoop().execute(this::readOn);
             }
         }
 
+        /**
+         * Nothing more goes out. Guards what has: closing over unread bytes would reset the connection before the
+         * client has read its answer. A request that crosses this is read and dropped; its client sends it anew.
+         */
+        private void end() {
+            closing = true;
+            since = clock.nowMs();
+            dropPending();
+            hold(0);
+            channel.config().setAutoRead(true);
+            ((SocketChannel) channel).shutdownOutput();
+        }
+
         void sweep(double now) {
             double age = now - since;
             double limit = keepNone ? YOUNG_MS : !asked ? SLOW_MS : sockets.crowded() ? CROWDED_IDLE_MS : IDLE_MS;
             double stalled = download != null ? STALLED_STREAM_MS : STALLED_MS;
-            if (closing ? age > LINGER_MS : writing ? age > stalled : isIdle() && age > limit) {
+            if (closing ? age > LINGER_MS : writing && age > stalled) {
                 channel.close();
+            } else if (isIdle() && age > limit) {
+                end();
             } else if (isReading() && !decoder.awaitsBody() && age > SLOW_MS) {
                 bad(408, "request too slow");
             } else if (decoder.awaitsBody() && !resting && (isReading() || upload != null)) {
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -38,6 +38,8 @@
 public final class Node implements Events, Staff, Handover.Process {
     private static final long SWEEP_MS = 100;
     private static final long LAST_ANSWERS_MS = 20;
+    /** What is still on its way when time is up has so long to arrive. */
+    private static final long LAST_LINGER_MS = 120;
 
     private Config config;
     private final Clock clock;
@@ -323,7 +325,7 @@
             } else if (effect instanceof Effect.KeepNoClients e) {
                 listener.keepNone(e.on());
             } else if (effect instanceof Effect.EndUnfinished) {
-                listener.endUnfinished();
+                listener.endUnfinished(408);
             } else if (effect instanceof Effect.Fault e) {
                 log.error("fault in a decision", e.cause());
             } else if (effect instanceof Effect.Exit e) {
@@ -400,8 +402,26 @@
     }
 
     private void exit(boolean atOnce) {
-        if (!atOnce && !listener.quiet()) {
-            loop.schedule(() -> exit(false), LAST_ANSWERS_MS, TimeUnit.MILLISECONDS);
+        if (atOnce) {
+            // Half a request is refused now: what comes of it later would meet a process that is gone.
+            listener.endUnfinished(503);
+            loop.schedule(this::exited, LAST_LINGER_MS, TimeUnit.MILLISECONDS);
+        }
+        awaitQuiet();
+    }
+
+    /** Exits once the last clients have seen the end of their answers. */
+    private void awaitQuiet() {
+        listener.closeIdle();
+        if (listener.quiet()) {
+            exited();
+        } else if (!ended.isDone()) {
+            loop.schedule(this::awaitQuiet, LAST_ANSWERS_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void exited() {
+        if (ended.isDone()) {
             return;
         }
         if (handover != null) {
--- a/node/src/test/java/brackenbridge/net/HeldClock.java
+++ b/node/src/test/java/brackenbridge/net/HeldClock.java
@@ -9,6 +9,7 @@
     private final Clock system = Clock.system();
     private final Thread test = Thread.currentThread();
     private volatile double ahead;
+    private volatile double stands = Double.NaN;
     private volatile CountDownLatch entered;
     private volatile CountDownLatch released;
 
@@ -16,6 +17,11 @@
         ahead += ms;
     }
 
+    /** From now on no time passes. */
+    void stand() {
+        stands = system.nowMs() + ahead;
+    }
+
     /** Returns once the node's event loop rests; what comes to its sockets from now on waits there. */
     void hold() throws InterruptedException {
         entered = new CountDownLatch(1);
@@ -42,6 +48,6 @@
                 Thread.currentThread().interrupt();
             }
         }
-        return system.nowMs() + ahead;
+        return Double.isNaN(stands) ? system.nowMs() + ahead : stands;
     }
 }
--- /dev/null
+++ b/node/src/test/java/brackenbridge/net/LastConnectionsTest.java
@@ -0,0 +1,199 @@
+package brackenbridge.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.config.Config;
+import brackenbridge.config.ConfigTest;
+import brackenbridge.log.Log;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What a node that ends connections, or itself, still owes on them in that instant. */
+class LastConnectionsTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    private static final String LIVE = "GET /health/live HTTP/1.1\r\n\r\n";
+    /** Deadlines of 0.5 s: a stopping node serves for 0.6 s and answers all after 0.9 s. */
+    private static final String BRIEF = ConfigTest.TEXT
+            .replace("\"aim\":4000000,\"giveUp\":8000000", "\"aim\":9000,\"giveUp\":500000")
+            .replace("\"aim\":3000000,\"giveUp\":6000000", "\"aim\":9000,\"giveUp\":500000");
+
+    private final HeldClock clock = new HeldClock();
+    private FakeServer server;
+    private Node node;
+    private Socket client;
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new FakeServer();
+        node = node(server.dial());
+        client = connect();
+    }
+
+    private Node node(String... dials) {
+        String hosts = "";
+        for (String dial : dials) {
+            hosts += (hosts.isEmpty() ? "" : ",") + "{\"host\":\"s" + hosts.length() + "\",\"dial\":\"" + dial
+                    + "\",\"health\":\"active\"}";
+        }
+        Node n = new Node(Config.parse(BRIEF.replace("\"hosts\":[]", "\"hosts\":[" + hosts + "]")), clock,
+                new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
+        n.start();
+        return n;
+    }
+
+    private Socket connect() throws IOException {
+        Socket s = new Socket(node.address().getAddress(), node.address().getPort());
+        s.setSoTimeout(10_000);
+        return s;
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        client.close();
+        server.close();
+        node.kill();
+    }
+
+    private static String file(String id, int left) {
+        return "POST /file HTTP/1.1\r\nX-Correlation-Id: " + id + "\r\nX-Time-Left-Ms: " + left
+                + "\r\nContent-Length: 1\r\n\r\na";
+    }
+
+    private static void send(Socket s, String text) throws IOException {
+        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String answer(Socket s) throws IOException {
+        return FakeServer.message(s.getInputStream());
+    }
+
+    private void live(Socket s) throws IOException {
+        send(s, LIVE);
+        assertTrue(answer(s).endsWith("live\n"));
+    }
+
+    /** Stops the node, and returns once it has ended the connections that rest. */
+    private CompletableFuture<Void> stopUntilIdleOnesEnd() throws Exception {
+        Socket idle = connect();
+        live(idle);
+        CompletableFuture<Void> ended = node.stop();
+        assertEquals(-1, idle.getInputStream().read());
+        idle.close();
+        return ended;
+    }
+
+    @Test
+    void requestThatCrossesTheEndOfARestingConnectionIsNeitherResetNorSentOn() throws Exception {
+        Socket busy = connect();
+        send(busy, file("busy", 9000));
+        assertNotNull(server.next());
+        live(client);
+        CompletableFuture<Void> ended = stopUntilIdleOnesEnd();
+        assertEquals(-1, client.getInputStream().read(), "output is shut");
+        send(client, file("late0", 400));
+        server.answers.add(OK);
+        assertTrue(answer(busy).contains("Connection: close\r\n"));
+        assertEquals(-1, busy.getInputStream().read());
+        // A connection that was closed would have been reset by now, and writing would fail.
+        node.tenantUse().get(10, TimeUnit.SECONDS);
+        send(client, file("late1", 400));
+        node.tenantUse().get(10, TimeUnit.SECONDS);
+        send(client, file("late2", 400));
+        busy.close();
+        client.close();
+        ended.get(10, TimeUnit.SECONDS);
+        assertNull(server.requests.poll());
+    }
+
+    @Test
+    void connectionThatIsIdleForTooLongEndsWithNoReset() throws Exception {
+        live(client);
+        // Its answer has been noted as written once others have been answered after it.
+        live(connect());
+        live(connect());
+        clock.pass(61_000);
+        assertEquals(-1, client.getInputStream().read());
+        for (int i = 0; i < 3; i++) {
+            send(client, file("late" + i, 400));
+            live(connect());
+        }
+        assertNull(server.requests.poll());
+    }
+
+    @Test
+    void nodeExitsOnceItsLastClientHasSeenItsEnd() throws Exception {
+        send(client, file("a", 9000));
+        assertNotNull(server.next());
+        CompletableFuture<Void> ended = stopUntilIdleOnesEnd();
+        clock.stand();
+        server.answers.add(OK);
+        assertTrue(answer(client).endsWith("done"));
+        assertEquals(-1, client.getInputStream().read());
+        node.tenantUse().get(10, TimeUnit.SECONDS);
+        assertFalse(ended.isDone(), "a process that exits now resets what its client still sends, and the answer");
+        client.close();
+        ended.get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void halfARequestIsRefusedBeforeTheNodeExits() throws Exception {
+        send(client, file("a", 400).substring(0, 40));
+        live(connect());
+        CompletableFuture<Void> ended = node.stop();
+        String last = answer(client);
+        assertTrue(last.startsWith("HTTP/1.1 503 ") && last.contains("Connection: close\r\n"), last);
+        assertEquals(-1, client.getInputStream().read());
+        ended.get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void requestThatIsWholeOnlyAfterTheLastAnswersIsRefusedAndNotBegun() throws Exception {
+        String late = file("late", 400);
+        // The other server is free to take it.
+        FakeServer other = new FakeServer();
+        node.kill();
+        node = node(server.dial(), other.dial());
+        client = connect();
+        Socket half = connect();
+        send(half, late.substring(0, late.length() - 1));
+        send(client, file("a", 9000));
+        while (server.requests.size() + other.requests.size() == 0) {
+            Thread.onSpinWait();
+        }
+        node.stop();
+        // Its server says nothing: the node answers it as time is up.
+        assertTrue(answer(client).startsWith("HTTP/1.1 504 "));
+        send(half, late.substring(late.length() - 1));
+        assertTrue(answer(half).startsWith("HTTP/1.1 503 "));
+        assertEquals(1, server.requests.size() + other.requests.size());
+        half.close();
+        other.close();
+    }
+
+    @Test
+    void whatClientsPipelineBehindTheLastAnswerDoesNotResetIt() throws Exception {
+        send(client, file("a", 9000));
+        assertNotNull(server.next());
+        CompletableFuture<Void> ended = stopUntilIdleOnesEnd();
+        server.answers.add(OK);
+        send(client, file("b", 9000).repeat(500));
+        String last = answer(client);
+        assertTrue(last.startsWith("HTTP/1.1 200 ") && last.contains("Connection: close\r\n"), last);
+        send(client, file("c", 9000));
+        assertEquals(-1, client.getInputStream().read(), "an end, and no reset");
+        ended.get(10, TimeUnit.SECONDS);
+        assertNull(server.requests.poll());
+    }
+}
