--- a/node/src/test/java/brackenbridge/net/DescriptorsTest.java
+++ b/node/src/test/java/brackenbridge/net/DescriptorsTest.java
@@ -41,7 +41,8 @@
         Files.writeString(directory.resolve("config.json"), ConfigTest.TEXT
                 .replace("127.0.0.1:0", "127.0.0.1:" + port)
                 .replace("127.0.0.1:1\"", "127.0.0.1:" + discovery + "\"")
-                .replace("\"sockets\":1024", "\"sockets\":" + LIMIT).replace("\"hosts\":[]", "\"hosts\":[" + host + "]"));
+                .replace("\"sockets\":1024", "\"sockets\":" + LIMIT)
+                .replace("\"hosts\":[]", "\"hosts\":[" + host + "]"));
         ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + LIMIT + "; exec \"$0\" \"$@\"",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "brackenbridge.cli.Main",
