--- a/node/src/test/java/brackenbridge/config/ConfigTest.java
+++ b/node/src/test/java/brackenbridge/config/ConfigTest.java
@@ -24,8 +24,8 @@
             + "\"me\":0,\"replicasOfMe\":1,\"tier\":1,\"zone\":\"room\",\"discovery\":\"on_request\","
             + "\"policyLimits\":{\"maxAttempts\":5,\"connectTimeout\":120000,\"mayCancel\":true,"
             + "\"retryAfter\":false,\"maxRetryAfter\":3000000,\"idleClose\":30000000},"
-            + "\"report\":{\"how\":\"probe\",\"columns\":[\"depth\",\"tps\"]},\"rules\":{\"drainGrace\":500000,\"fallMultiple\":2.5,"
-            + "\"fall\":1500000}}}";
+            + "\"report\":{\"how\":\"probe\",\"columns\":[\"depth\",\"tps\"]},\"rules\":{\"drainGrace\":500000,"
+            + "\"fallMultiple\":2.5,\"fall\":1500000}}}";
 
     @Test
     void nestedJsonIsTheWiresSettings() {
