Agreed values: a history is read at the leader, behind a turn that a majority has confirmed

Cause: AgreedNode.took answered Note.Look by whichever voter it reached, from what that one had applied; one that is behind does not know what is acknowledged, though staff are told to look at the history before they propose again. Change: only the leader answers, after the library's linearizable read, as for questions.

--- a/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
@@ -312,8 +312,9 @@
                 turn(now -> claimed(now, peer, c));
             }
         } else if (note instanceof Note.Look l) {
-            if (raft != null) {
-                post(peer, looked(l));
+            // Guards whoever looks before proposing again: a voter that is behind does not know what is acknowledged.
+            if (leadsOrSays(peer)) {
+                turn(now -> post(peer, looked(l)));
             }
         } else if (note instanceof Note.Outcome o) {
             answer(o.life(), o.number(), o);
