--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 # Build, test, lint and run; CONFIG names the configuration for 'make run'.
 CONFIG ?= $(PROXY_CONFIG)
+# What the operators gave; its kit holds what has to lie beside a site's file for the bench.
+GIVEN ?= ../given
 
-.PHONY: build test lint run check-config demo bench clean
+.PHONY: build test lint run check-config demo bench sites clean
 
 build:
 	mvn -q -B -DskipTests package
@@ -28,5 +30,13 @@
 bench: build
 	bin/brackenbridge lab bench
 
+# Lays beside the variants of deploy/sites what the bench wants there; says what is missing, and fails then.
+SITE_FILES = sites/wire.json sites/real.json users/unlock.txt
+sites:
+	@missing=0; for file in $(SITE_FILES); do \
+	  if [ ! -r "$(GIVEN)/kit/$$file" ]; then echo "missing: $(GIVEN)/kit/$$file" >&2; missing=1; \
+	  else cp -f "$(GIVEN)/kit/$$file" deploy/sites/ && chmod u+w "deploy/sites/$${file##*/}" || exit 1; fi; \
+	done; exit $$missing
+
 clean:
 	mvn -q -B clean
