Bad input: named reasons at each port; what waits while its class changes is refused

Seen, and the lines at fault: - Reducer.begin told the module of a flow that had waited for its tenant's turn by its class's name, whatever SIGHUP had made of that class: a class that was dropped was a fault in the decision and the flow waited for its deadline, one that had become safe would have been repeated. Now a flow keeps its class of the time at which it opened, and one that waits while that class changes is refused at once; it has never run. Begun flows keep their rules in the module, and nothing else is looked up by name later (Listener, Forwards, Balancer were read through). Now staff's address comes first and is named. - Config took names as addresses: discovery that never answers, at start and at SIGHUP. Now each address is literal. - Handover: a successor that said so and no more held half of the descriptors and the place of a good one for ever. Now it has 5 s to listen. - Refusals at the ports were one count or none. counters.Refusal names the reasons for clients' requests, servers' answers, staff's calls and handovers; counters (refused_PORT_REASON) and log use the same words.

One row of BadInputTest failed once, as it read the log before the log's own thread had written; it awaits the line now. Seen failing with the fix out: ClassRulesTest (both rows), the silent successor, the taken staff address (named, and in a replacement), a name for an address (at start and at SIGHUP). ManagementListenerTest gained reasons; nothing in it was taken out.

--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -66,6 +66,8 @@
     private static final class OpenFlow {
         final long id;
         final String className;
+        /** Its class by the settings under which it opened. */
+        final RequestClass rules;
         /** As many forwards as were allowed when it opened. */
         final int maxAttempts;
         final Object message;
@@ -86,9 +88,10 @@
         boolean timedOut;
         boolean mayHaveRun;
 
-        OpenFlow(long id, Flow request, int maxAttempts, double left, double deadline) {
+        OpenFlow(long id, Flow request, RequestClass rules, int maxAttempts, double left, double deadline) {
             this.id = id;
             this.className = request.className();
+            this.rules = rules;
             this.maxAttempts = maxAttempts;
             this.message = request.message();
             this.tenant = request.tenant();
@@ -308,10 +311,10 @@
         if (request.repeat()) {
             counters.count(Kind.FLOWS_REPEATED);
         }
-        double waits = request.timeLeftMs() >= 0 ? request.timeLeftMs()
-                : ModuleTime.ms(classes.get(request.className()).deadline());
+        RequestClass rules = classes.get(request.className());
+        double waits = request.timeLeftMs() >= 0 ? request.timeLeftMs() : ModuleTime.ms(rules.deadline());
         double left = Math.max(0, waits - MARGIN_MS);
-        OpenFlow f = new OpenFlow(id, request, settings.maxAttempts(), left,
+        OpenFlow f = new OpenFlow(id, request, rules, settings.maxAttempts(), left,
                 request.whole() ? now + left : Double.POSITIVE_INFINITY);
         flows.put(id, f);
         unanswered++;
@@ -685,6 +688,7 @@
             settings = e.settings();
             classes.clear();
             settings.classes().forEach(c -> classes.put(c.name(), c));
+            refuseChanged();
             balancer.onSettings(ModuleTime.micros(now), settings);
         }
         membership.comesFrom(source(settings));
@@ -698,6 +702,18 @@
         }
     }
 
+    /**
+     * Guards flows that wait for their tenant's turn against the rules of another time: the module takes the class by
+     * its name when it hears of them, and by then it may be gone, or safe to repeat where it was not.
+     */
+    private void refuseChanged() {
+        for (OpenFlow f : List.copyOf(flows.values())) {
+            if (!f.begun && !f.ended && !f.rules.equals(classes.get(f.className))) {
+                fixedResponse(f, Effect.Fixed.REFUSED, 0);
+            }
+        }
+    }
+
     private void list(ListKind kind, List<Target> told) {
         if (kind == ListKind.FULL || kind == ListKind.SAVED) {
             Set<String> named = new HashSet<>();
--- a/core/src/main/java/brackenbridge/counters/Counters.java
+++ b/core/src/main/java/brackenbridge/counters/Counters.java
@@ -91,12 +91,18 @@
 
     private final EnumMap<Kind, Long> counts = new EnumMap<>(Kind.class);
     private final Map<String, EnumMap<Kind, Long>> byClass = new TreeMap<>();
+    private final EnumMap<Refusal.Port, EnumMap<Refusal, Long>> refused = new EnumMap<>(Refusal.Port.class);
 
     /** Counts one. */
     public void count(Kind kind) {
         counts.merge(kind, 1L, Long::sum);
     }
 
+    /** Counts one refusal, or one close, at a port. */
+    public void refuse(Refusal.Port port, Refusal why) {
+        refused.computeIfAbsent(port, p -> new EnumMap<>(Refusal.class)).merge(why, 1L, Long::sum);
+    }
+
     /** Counts one of a class of request. The class keeps its counts when it is dropped from the settings. */
     public void count(Kind kind, String className) {
         count(kind);
@@ -127,12 +133,14 @@
         return counts.getOrDefault(kind, 0L);
     }
 
-    /** One line a kind, in the order of their declaration, those at zero included. */
+    /** One line a kind, in the order of their declaration, those at zero included; and one a reason of refusals. */
     public String text() {
         StringBuilder text = new StringBuilder();
         for (Kind kind : Kind.values()) {
             text.append(name(kind)).append(' ').append(of(kind)).append('\n');
         }
+        refused.forEach((port, reasons) -> reasons.forEach((why, count) ->
+                text.append(name(port, why)).append(' ').append(count).append('\n')));
         return text.toString();
     }
 
@@ -142,9 +150,15 @@
         for (Map.Entry<Kind, Long> e : counts.entrySet()) {
             line.append(line.isEmpty() ? "" : " ").append(name(e.getKey())).append('=').append(e.getValue());
         }
+        refused.forEach((port, reasons) -> reasons.forEach((why, count) ->
+                line.append(line.isEmpty() ? "" : " ").append(name(port, why)).append('=').append(count)));
         return line.toString();
     }
 
+    private static String name(Refusal.Port port, Refusal why) {
+        return "refused_" + port.name().toLowerCase(java.util.Locale.ROOT) + "_" + why.text();
+    }
+
     private static String name(Kind kind) {
         return kind.name().toLowerCase(java.util.Locale.ROOT);
     }
--- a/node/src/main/java/brackenbridge/config/Config.java
+++ b/node/src/main/java/brackenbridge/config/Config.java
@@ -6,6 +6,7 @@
 import brackenbridge.discovery.TargetGroupParser;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
@@ -133,7 +134,9 @@
     }
 
     private static String checked(String name, String v) {
-        if (!v.matches("[^\\s:]+:[0-9]{1,5}") || Integer.parseInt(v.substring(v.indexOf(':') + 1)) > 65535) {
+        // Names are not looked up: one that was taken here would be a listener or a discovery that never is.
+        if (!v.matches("[^\\s:]+:[0-9]{1,5}") || !NetUtil.isValidIpV4Address(v.substring(0, v.indexOf(':')))
+                || Integer.parseInt(v.substring(v.indexOf(':') + 1)) > 65535) {
             throw new IllegalArgumentException(name + " is not an address and port: '" + v + "'");
         }
         return v;
--- a/node/src/main/java/brackenbridge/handover/Handover.java
+++ b/node/src/main/java/brackenbridge/handover/Handover.java
@@ -1,5 +1,7 @@
 package brackenbridge.handover;
 
+import brackenbridge.counters.Counters;
+import brackenbridge.counters.Refusal;
 import brackenbridge.log.Log;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -28,6 +30,8 @@
     private static final String GO = "go";
     /** Longest wait for each step of the other process. */
     private static final long STEP_MS = 1000;
+    /** Longest wait for a successor to listen, once it has its offer. */
+    private static final long STARTS_MS = 5000;
 
     /** The process that hands over or takes over. */
     public interface Process {
@@ -44,6 +48,7 @@
     private final EventLoop loop;
     private final Path path;
     private final Process process;
+    private final Counters counters;
     private final Log log;
     private Channel listening;
     private Channel predecessor;
@@ -53,10 +58,11 @@
     private boolean over;
 
     /** Nothing happens before the first call. */
-    public Handover(EventLoop loop, Path path, Process process, Log log) {
+    public Handover(EventLoop loop, Path path, Process process, Counters counters, Log log) {
         this.loop = loop;
         this.path = path;
         this.process = process;
+        this.counters = counters;
         this.log = log;
     }
 
@@ -83,6 +89,7 @@
         });
         loop.schedule(() -> {
             if (asked.complete(null) && predecessor != null) {
+                refuse("predecessor", Refusal.SLOW);
                 predecessor.close();
             }
         }, STEP_MS, TimeUnit.MILLISECONDS);
@@ -140,6 +147,11 @@
         leavePath();
     }
 
+    private void refuse(String whom, Refusal why) {
+        counters.refuse(Refusal.Port.HANDOVERS, why);
+        log.warn("a " + whom + " is refused: " + why.text());
+    }
+
     private void leavePath() {
         if (listening != null) {
             listening.close();
@@ -163,13 +175,20 @@
                     asked.complete(Offer.parse(text.substring(HELLO.length())));
                 } catch (IllegalArgumentException e) {
                     log.warn("the predecessor can't be understood: " + e.getMessage());
+                    refused(Refusal.MALFORMED);
                     channel.close();
                 }
             } else {
+                refused(Refusal.MALFORMED);
                 channel.close();
             }
         }
 
+        @Override
+        void refused(Refusal why) {
+            refuse("predecessor", why);
+        }
+
         @Override
         void ended(Channel channel) {
             predecessor = null;
@@ -180,28 +199,49 @@
     }
 
     private final class ToSuccessor extends Lines {
+        private boolean ready;
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             loop.schedule(() -> {
-                if (successor != ctx.channel()) {
+                if (successor != ctx.channel() && ctx.channel().isActive()) {
+                    refused(Refusal.SLOW);
                     ctx.close();
                 }
             }, STEP_MS, TimeUnit.MILLISECONDS);
         }
 
+        @Override
+        void refused(Refusal why) {
+            refuse("successor", why);
+        }
+
+        /** Guards half of the descriptors, and the place of a good successor, against one that says no more. */
+        private void awaitReady(Channel channel) {
+            loop.schedule(() -> {
+                if (!ready && channel.isActive()) {
+                    refused(Refusal.SLOW);
+                    channel.close();
+                }
+            }, STARTS_MS, TimeUnit.MILLISECONDS);
+        }
+
         @Override
         void line(Channel channel, String text) {
             if (text.equals(SUCCESSOR) && successor == null) {
                 successor = channel;
                 log.info("a successor has come");
                 say(channel, HELLO + process.offer().json());
+                awaitReady(channel);
             } else if (text.equals(READY) && successor == channel) {
+                ready = true;
                 // The path is left before the successor takes it: closing later would remove the successor's.
                 leavePath();
                 process.successorServes(true);
                 log.info("the successor serves");
                 say(channel, GO);
             } else {
+                refused(text.equals(SUCCESSOR) || text.equals(READY) ? Refusal.OUT_OF_TURN : Refusal.MALFORMED);
                 channel.close();
             }
         }
--- a/node/src/main/java/brackenbridge/handover/Lines.java
+++ b/node/src/main/java/brackenbridge/handover/Lines.java
@@ -1,5 +1,6 @@
 package brackenbridge.handover;
 
+import brackenbridge.counters.Refusal;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -16,6 +17,9 @@
     /** A line has come. */
     abstract void line(Channel channel, String text);
 
+    /** What came can't be used, and the connection ends. */
+    abstract void refused(Refusal why);
+
     /** The connection has ended. */
     abstract void ended(Channel channel);
 
@@ -36,6 +40,8 @@
                 } else if (line.size() < LONGEST) {
                     line.write(b);
                 } else {
+                    refused(Refusal.OVERSIZED);
+                    line.reset();
                     ctx.close();
                 }
             }
@@ -46,6 +52,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (line.size() > 0) {
+            refused(Refusal.CUT);
+        }
         ended(ctx.channel());
     }
 
--- a/node/src/main/java/brackenbridge/mgmt/ManagementListener.java
+++ b/node/src/main/java/brackenbridge/mgmt/ManagementListener.java
@@ -1,5 +1,6 @@
 package brackenbridge.mgmt;
 
+import brackenbridge.counters.Refusal;
 import brackenbridge.log.Log;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -88,17 +89,21 @@
                 Channel longest = callers.iterator().next();
                 callers.remove(longest);
                 longest.close();
+                staff.refused(Refusal.SHED);
             }
             ctx.executor().schedule(() -> {
-                if (!called) {
+                if (!called && callers.remove(ctx.channel())) {
                     ctx.close();
+                    staff.refused(Refusal.SLOW);
                 }
             }, SILENCE_MS, TimeUnit.MILLISECONDS);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            callers.remove(ctx.channel());
+            if (callers.remove(ctx.channel()) && !called && !line.isEmpty()) {
+                staff.refused(Refusal.CUT);
+            }
         }
 
         @Override
@@ -110,9 +115,12 @@
                     if (b == '\n') {
                         called = true;
                         call(ctx, line.toString());
-                    } else if (b >= 0x7f || b < ' ' && b != '\r' || line.length() == LONGEST_CALL) {
+                    } else if (b >= 0x7f || b < ' ' && b != '\r') {
+                        called = true;
+                        refuse(ctx, Refusal.MALFORMED, "not a call");
+                    } else if (line.length() == LONGEST_CALL) {
                         called = true;
-                        answer(ctx, "-ERR not a call\n");
+                        refuse(ctx, Refusal.OVERSIZED, "not a call");
                     } else {
                         line.append((char) b);
                     }
@@ -129,10 +137,15 @@
                 case "INFO" -> answer(ctx, "+OK\n" + staff.figures() + ".\n");
                 case "LAMEDUCK", "REJOIN" -> staff.drain(name.equals("LAMEDUCK")).thenAccept(taken ->
                         ctx.executor().execute(() -> answer(ctx, taken ? "+OK\n" : "-ERR the node is stopping\n")));
-                default -> answer(ctx, "-ERR unknown call\n");
+                default -> refuse(ctx, Refusal.UNKNOWN, "unknown call");
             }
         }
 
+        private void refuse(ChannelHandlerContext ctx, Refusal why, String text) {
+            staff.refused(why);
+            answer(ctx, "-ERR " + text + "\n");
+        }
+
         private void answer(ChannelHandlerContext ctx, String text) {
             ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII))
                     .addListener(ChannelFutureListener.CLOSE);
--- a/node/src/main/java/brackenbridge/mgmt/Staff.java
+++ b/node/src/main/java/brackenbridge/mgmt/Staff.java
@@ -1,5 +1,6 @@
 package brackenbridge.mgmt;
 
+import brackenbridge.counters.Refusal;
 import java.util.concurrent.CompletableFuture;
 
 /** What staff may ask of a running node; called on the management listener's own thread. */
@@ -12,4 +13,7 @@
 
     /** Empties the node, or lets it work again; completes once the node has taken it, with whether it goes by it. */
     CompletableFuture<Boolean> drain(boolean on);
+
+    /** A call was turned down, or its connection closed. */
+    void refused(Refusal why);
 }
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -10,6 +10,7 @@
 import brackenbridge.core.connection.Peer;
 import brackenbridge.core.connection.Step;
 import brackenbridge.counters.Counters;
+import brackenbridge.counters.Refusal;
 import brackenbridge.http.HttpEncoder;
 import brackenbridge.http.HttpException;
 import brackenbridge.http.HttpRequest;
@@ -419,9 +420,9 @@
             if (answerSince > 0 && decoder.saysLong() && decoder.status() == 200 && now - answerSince > FIRST_PART_MS) {
                 startStream();
             } else if (answerSince > 0 && now - answerSince > ANSWER_MS) {
-                spoilt("stopped half way");
+                spoilt(Refusal.SLOW, "stopped half way");
             } else if (upload != null && !running.written && !channel.isWritable() && now - sentAt > STREAM_MS) {
-                spoilt("takes no more of a long body");
+                spoilt(Refusal.SLOW, "takes no more of a long body");
             }
         }
 
@@ -527,13 +528,14 @@
          * Nothing that comes here can be trusted any more: the forward that is out has failed and may have run. For
          * the module it is as good as a broken connection, which says less of a server than its word of an error.
          */
-        void spoilt(String why) {
+        void spoilt(Refusal reason, String why) {
             hold(0);
             Running r = running;
             running = null;
             endUpload();
             counters.count(Counters.Kind.ANSWERS_SPOILT);
-            log.warn("answer of " + peer.host() + " spoilt: " + why);
+            counters.refuse(Refusal.Port.ANSWERS, reason);
+            log.warn("answer of " + peer.host() + " spoilt, " + reason.text() + ": " + why);
             close();
             if (r != null) {
                 broken(r);
@@ -564,11 +566,11 @@
                     hold(decoder.held());
                     if (held > HELD_LIMIT) {
                         // Guards memory against many long answers at once.
-                        spoilt("too much is held of answers");
+                        spoilt(Refusal.OVERSIZED, "too much is held of answers");
                     }
                 }
             } catch (HttpException e) {
-                spoilt(e.getMessage());
+                spoilt(Refusal.ofStatus(e.status()), e.getMessage());
             } finally {
                 in.release();
             }
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -10,6 +10,7 @@
 import brackenbridge.core.Flow;
 import brackenbridge.counters.Counters;
 import brackenbridge.counters.Counters.Kind;
+import brackenbridge.counters.Refusal;
 import brackenbridge.http.Headers;
 import brackenbridge.http.HttpEncoder;
 import brackenbridge.http.HttpException;
@@ -491,6 +492,7 @@
         /** Says what is wrong and ends the connection: where the next request begins can't be known. */
         private void bad(int status, String why) {
             counters.count(Kind.BAD_REQUESTS);
+            counters.refuse(Refusal.Port.REQUESTS, Refusal.ofStatus(status));
             keepAlive = false;
             answer(status, new Headers(), text(why + "\n"));
         }
@@ -564,6 +566,7 @@
 
         private void wrongMethod(String right) {
             counters.count(Kind.BAD_REQUESTS);
+            counters.refuse(Refusal.Port.REQUESTS, Refusal.ofStatus(405));
             keepAlive = false;
             answer(405, new Headers().add("Allow", right), text("only " + right + "\n"));
         }
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -9,6 +9,7 @@
 import brackenbridge.core.observe.Observer;
 import brackenbridge.core.share.TenantUse;
 import brackenbridge.counters.Counters;
+import brackenbridge.counters.Refusal;
 import brackenbridge.handover.Handover;
 import brackenbridge.handover.Offer;
 import brackenbridge.log.Log;
@@ -79,7 +80,7 @@
         this.log = log;
         reducer = new Reducer(config.settings(), counters);
         buffers = new PooledByteBufAllocator(false, 1, 0, 8192, 7, 64, 32, false);
-        handover = meeting == null ? null : new Handover(loop, meeting, this, log);
+        handover = meeting == null ? null : new Handover(loop, meeting, this, counters, log);
         management = config.management() == null ? null : new ManagementListener(this, log);
         sockets = new Sockets(config.sockets() - (management == null ? 0 : ManagementListener.DESCRIPTORS));
         Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
@@ -94,6 +95,10 @@
 
     /** Starts to serve; fails if the address can't be listened on. */
     public void start() {
+        InetSocketAddress address = Addresses.of(config.listen());
+        if (address == null) {
+            throw new IllegalArgumentException("listen: not a literal address: " + config.listen());
+        }
         Offer offer = inherit();
         loop.submit(() -> {
             raise(new Event.Started(config.known()));
@@ -102,9 +107,14 @@
                 raise(new Event.Inherited(offer.list()));
             }
         }).syncUninterruptibly();
-        InetSocketAddress address = Addresses.of(config.listen());
-        if (address == null) {
-            throw new IllegalArgumentException("listen: not a literal address: " + config.listen());
+        // Before any client can come: guards those who would lose their connection to a process that ends at once.
+        if (management != null) {
+            try {
+                management.listen(Addresses.of(config.management()));
+            } catch (Exception e) {
+                // Netty throws a failed bind as it is, and that is no RuntimeException.
+                throw new IllegalArgumentException("mgmt " + config.management() + ": " + e.getMessage(), e);
+            }
         }
         door = new Door(new ServerBootstrap().group(group).option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
@@ -118,13 +128,6 @@
                 handover.ready(this::serves);
             }
         }).syncUninterruptibly();
-        if (management != null) {
-            try {
-                management.listen(Addresses.of(config.management()));
-            } catch (RuntimeException e) {
-                throw new IllegalArgumentException("mgmt " + config.management() + ": " + e.getMessage(), e);
-            }
-        }
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         log.info("node " + config.name() + " listens on " + door.address() + ", tier "
                 + config.settings().tier());
@@ -380,6 +383,11 @@
         return taken;
     }
 
+    @Override
+    public void refused(Refusal why) {
+        loop.execute(() -> counters.refuse(Refusal.Port.CALLS, why));
+    }
+
     private void sweep() {
         try {
             publish();
--- a/node/src/test/java/brackenbridge/mgmt/ManagementListenerTest.java
+++ b/node/src/test/java/brackenbridge/mgmt/ManagementListenerTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brackenbridge.clock.Clock;
+import brackenbridge.counters.Refusal;
 import brackenbridge.log.Log;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -12,6 +14,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -21,6 +24,7 @@
 /** Staff's calls, good and bad. */
 class ManagementListenerTest {
     private final List<Boolean> drains = new ArrayList<>();
+    private final List<Refusal> refused = Collections.synchronizedList(new ArrayList<>());
     private boolean stopping;
     private final ManagementListener listener = new ManagementListener(new Staff() {
         @Override
@@ -38,6 +42,11 @@
             drains.add(on);
             return CompletableFuture.completedFuture(!stopping);
         }
+
+        @Override
+        public void refused(Refusal why) {
+            refused.add(why);
+        }
     }, new Log(Clock.system(), new PrintStream(OutputStream.nullOutputStream())));
     private String at;
 
@@ -84,6 +93,7 @@
         assertEquals("-ERR not a call\n", raw("x".repeat(257).getBytes(StandardCharsets.US_ASCII)));
         assertEquals("-ERR not a call\n", raw(new byte[] {'P', (byte) 0xff}));
         assertEquals(List.of(), drains);
+        assertEquals(List.of(Refusal.UNKNOWN, Refusal.UNKNOWN, Refusal.OVERSIZED, Refusal.MALFORMED), refused);
     }
 
     @Test
@@ -110,6 +120,9 @@
         assertEquals(true, open <= 16, open + " are open");
         silent.get(299).setSoTimeout(10_000);
         assertEquals(-1, silent.get(299).getInputStream().read(), "silence ends");
+        assertEquals(List.of(), refused.stream().filter(r -> r != Refusal.SHED && r != Refusal.SLOW).toList());
+        assertTrue(refused.contains(Refusal.SLOW) && refused.contains(Refusal.SHED), refused.toString());
+        assertTrue(refused.size() <= 300, "each is counted once: " + refused.size());
         for (Socket s : silent) {
             s.close();
         }
--- /dev/null
+++ b/node/src/test/java/brackenbridge/net/BadInputTest.java
@@ -0,0 +1,286 @@
+package brackenbridge.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.config.Config;
+import brackenbridge.config.ConfigTest;
+import brackenbridge.handover.Handover;
+import brackenbridge.log.Log;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * What is malformed, cut off or too long, at each port of a node: one refusal or one close, counted under its reason,
+ * while another client's request is open and is served after all.
+ */
+@Timeout(60)
+class BadInputTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    @TempDir
+    private Path directory;
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private FakeServer server;
+    private FakeServer agent;
+    private Path meeting;
+    private Node node;
+    private Socket other;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = new FakeServer();
+        agent = new FakeServer();
+        meeting = Handover.path(directory.toString(), "n3", "127.0.0.1:0");
+        Clock clock = Clock.system();
+        node = new Node(Config.parse(text()), clock, new Log(clock, new PrintStream(log, true,
+                StandardCharsets.UTF_8)), meeting);
+        node.start();
+        other = send(node.address(), request("POST", "/file", "other", ""));
+        assertNotNull(server.next());
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        other.close();
+        server.close();
+        agent.close();
+        node.kill();
+    }
+
+    /** The text of a configuration whose lists the agent pushes, with one server, and an address for staff. */
+    private String text() {
+        String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
+        return ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
+                .replace("\"discovery\":\"on_request\"", "\"discovery\":\"pushed\"")
+                .replace("\"discovery\":\"127.0.0.1:1\"", "\"mgmt\":\"127.0.0.1:0\",\"discovery\":\""
+                        + agent.dial() + "\"");
+    }
+
+    private static String request(String method, String path, String id, String more) {
+        return method + " " + path + " HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: " + id + "\r\n" + more + "\r\n";
+    }
+
+    private static Socket send(InetSocketAddress to, String text) throws IOException {
+        Socket s = new Socket(to.getAddress(), to.getPort());
+        s.setSoTimeout(10_000);
+        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        return s;
+    }
+
+    /** All that comes back until the end, which there has to be. */
+    private static String answers(InetSocketAddress to, String text) throws IOException {
+        try (Socket s = send(to, text)) {
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private String counters() throws IOException {
+        return answers(node.address(), "GET /health/counters HTTP/1.1\r\nConnection: close\r\n\r\n");
+    }
+
+    private static void await(BooleanSupplier what, String why) {
+        for (int i = 0; i < 5000 && !what.getAsBoolean(); i++) {
+            LockSupport.parkNanos(2_000_000);
+        }
+        assertTrue(what.getAsBoolean(), why);
+    }
+
+    private void awaitCounter(String line) throws IOException {
+        String counted = counters();
+        for (int i = 0; i < 5000 && !counted.contains(line); i++) {
+            counted = counters();
+        }
+        assertTrue(counted.contains("\n" + line + "\n"), counted);
+        assertEquals(line.startsWith("refused_") ? 1 : 0, counted.split("\nrefused_", -1).length - 1, counted);
+    }
+
+    private void nobodyElseIsDisturbed() throws IOException {
+        server.answers.add(OK);
+        assertTrue(FakeServer.message(other.getInputStream()).endsWith("done"));
+    }
+
+    private int logged(String part) {
+        return log.toString(StandardCharsets.UTF_8).split(java.util.regex.Pattern.quote(part), -1).length - 1;
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "malformed, bytes", "malformed, binary", "malformed, name", "malformed, framing", "malformed, chunk",
+        "malformed, version", "malformed, time", "oversized, target", "oversized, head", "oversized, fields",
+        "oversized, body", "unknown, class", "unknown, method", "unknown, expectation", "out_of_turn, id",
+    })
+    void badRequestHasOneAnswerAndOneReason(String reason, String what) throws IOException {
+        String text = Map.ofEntries(
+                Map.entry("bytes", "\u0016\u0003\u0001\u0002\u0000\u0001\r\n\r\n"),
+                Map.entry("binary", request("GET", "/view", "1", "A: \u0000\r\n")),
+                Map.entry("name", request("GET", "/view", "1", "A : b\r\n")),
+                Map.entry("framing", request("POST", "/file", "1", "Content-Length: 1\r\nContent-Length: 2\r\n")),
+                Map.entry("chunk", request("POST", "/file", "1", "Transfer-Encoding: chunked\r\n") + "zz\r\n"),
+                Map.entry("version", "GET /view HTTP/2.0\r\n\r\n"),
+                Map.entry("time", request("GET", "/view", "1", "X-Time-Left-Ms: -1\r\n")),
+                Map.entry("target", "GET /" + "x".repeat(10_000) + " HTTP/1.1\r\n\r\n"),
+                Map.entry("head", request("GET", "/view", "1", "A: " + "x".repeat(20_000) + "\r\n")),
+                Map.entry("fields", request("GET", "/view", "1", "A: b\r\n".repeat(101))),
+                Map.entry("body", request("POST", "/file", "1", "Content-Length: 33554433\r\n")),
+                Map.entry("class", request("GET", "/nothing", "1", "")),
+                Map.entry("method", request("GET", "/file", "1", "")),
+                Map.entry("expectation", request("GET", "/view", "1", "Expect: miracles\r\n")),
+                Map.entry("id", request("POST", "/file", "other", ""))).get(what);
+        String back = answers(node.address(), text);
+        assertTrue(back.matches("(?s)HTTP/1.1 [45][0-9][0-9] .*"), back);
+        assertEquals(1, back.split("HTTP/1.1 ", -1).length - 1, back);
+        awaitCounter("refused_requests_" + reason + " 1");
+        nobodyElseIsDisturbed();
+        assertEquals(0, server.requests.size(), "nothing of it goes on");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"malformed, HTTP/1.1 200 OK", "malformed, zzz", "oversized, HTTP/1.1 200 OK",
+        "malformed, HTTP/1.1 101 Now something else"})
+    void badAnswerFailsItsOwnRequestUnderItsReason(String reason, String status) throws Exception {
+        String head = reason.equals("oversized") ? "\r\nContent-Length: 99999999999\r\n\r\n" : "\r\n\r\nx";
+        try (Socket mine = send(node.address(), request("POST", "/file", "mine", ""))) {
+            assertNotNull(server.next());
+            // Either connection may have it: the servers answer in any order, and both requests have gone out.
+            server.answers.add(status + head);
+            awaitCounter("refused_answers_" + reason + " 1");
+            server.answers.add(OK);
+            String a = FakeServer.message(mine.getInputStream());
+            String b = FakeServer.message(other.getInputStream());
+            assertTrue(a.startsWith("HTTP/1.1 502 ") && b.endsWith("done")
+                    || b.startsWith("HTTP/1.1 502 ") && a.endsWith("done"), a + b);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"list", "nobody", "cut", "long", "status", "head"})
+    void badWordOfDiscoveryEndsItsCallAndTheListStays(String what) throws Exception {
+        assertNotNull(agent.next());
+        String head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+        agent.answers.add(Map.of(
+                "list", head + "{\"seq\":43,\"whole\":true}\n",
+                "nobody", head + "{\"seq\":43,\"whole\":true,\"hosts\":[{\"dial\":\"127.0.0.1:7\"}]}\n",
+                "cut", head + "{\"seq\":43,\"whole\":true,\"hosts\":[",
+                "long", head + " ".repeat((1 << 20) + 1),
+                "status", "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
+                "head", "{\"seq\":43,\"whole\":true,\"hosts\":[]}\n\n").get(what));
+        agent.connections.poll().shutdownInput();
+        await(() -> logged("discovery call ") > 0, "the call ends");
+        awaitCounter("discovery_failed 1");
+        assertEquals(1, logged("discovery call "), log.toString(StandardCharsets.UTF_8));
+        nobodyElseIsDisturbed();
+        server.answers.add(OK);
+        assertTrue(answers(node.address(), request("POST", "/file", "next", "Connection: close\r\n")).endsWith("done"),
+                "the list stays");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"malformed, P\u0001NG", "oversized, long", "unknown, HELP", "cut, cut", "slow, silent"})
+    void badCallOfStaffHasOneLineAndOneReason(String reason, String what) throws IOException {
+        String text = what.equals("long") ? "x".repeat(1000) : what.equals("silent") ? "" : what + "\n";
+        if (what.equals("cut")) {
+            send(node.managementAddress(), "PIN").close();
+        } else {
+            try {
+                String back = answers(node.managementAddress(), text);
+                assertTrue(what.equals("silent") ? back.isEmpty() : back.matches("-ERR [a-z ]+\n"), back);
+            } catch (SocketException e) {
+                assertEquals("long", what, "a close over unread bytes may reset: " + e);
+            }
+        }
+        awaitCounter("refused_calls_" + reason + " 1");
+        assertEquals("+OK\n", answers(node.managementAddress(), "PING\n"));
+        nobodyElseIsDisturbed();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "malformed, GET / HTTP/1.1\\n", "oversized, long", "cut, brackenbridge-handover 1 succ", "slow, silent",
+        "out_of_turn, ready\\n", "slow, brackenbridge-handover 1 successor\\n",
+        "malformed, brackenbridge-handover 1 successor\\njunk\\n",
+    })
+    void badWordOfASuccessorIsClosedUnderItsReason(String reason, String what) throws Exception {
+        await(() -> Files.exists(meeting), "it listens for a successor");
+        String text = what.equals("long") ? "x".repeat((1 << 20) + 1) : what.equals("silent") ? ""
+                : what.replace("\\n", "\n");
+        try (SocketChannel c = SocketChannel.open(UnixDomainSocketAddress.of(meeting))) {
+            ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII));
+            while (bytes.hasRemaining()) {
+                c.write(bytes);
+            }
+            ByteBuffer back = ByteBuffer.allocate(4096);
+            if (reason.equals("cut")) {
+                c.shutdownOutput();
+            }
+            while (c.read(back) >= 0) {
+                back.clear();
+            }
+        }
+        awaitCounter("refused_handovers_" + reason + " 1");
+        // The log's own thread writes it.
+        await(() -> logged("refused: ") > 0, "it is logged");
+        assertEquals(1, logged("refused: " + reason), log.toString(StandardCharsets.UTF_8));
+        nobodyElseIsDisturbed();
+    }
+
+    @Test
+    void successorThatStaffCanNotCallTakesNothingFromTheOldProcess() throws Exception {
+        await(() -> Files.exists(meeting), "it listens for a successor");
+        Clock clock = Clock.system();
+        String taken = "127.0.0.1:" + node.managementAddress().getPort();
+        Node next = new Node(Config.parse(text().replace("\"listen\":\"127.0.0.1:0", "\"listen\":\"127.0.0.1:"
+                + node.address().getPort())).withManagement(taken), clock,
+                new Log(clock, new PrintStream(OutputStream.nullOutputStream())), meeting);
+        String why = assertThrows(IllegalArgumentException.class, next::start).getMessage();
+        assertTrue(why.startsWith("mgmt " + taken), why);
+        next.kill();
+        await(() -> logged("the successor has ended") > 0, "the old process notices");
+        assertEquals(0, logged("the successor serves"), "no client could have reached it");
+        nobodyElseIsDisturbed();
+    }
+
+    @Test
+    void eachBadFileAtAHangupIsOneCountAndOneLineAndOpenRequestsKeepTheirRules() throws Exception {
+        String good = text();
+        String[] texts = {"", good.substring(0, 200), "{}", "[]", "x".repeat(5 << 20),
+            good.replace("\"tier\":1", "\"tier\":\"x\""), good.replace("\"tier\":1", "\"tier\":1,\"tier\":2"),
+            good.replace("\"name\":\"n3\"", "\"name\":3"),
+            good.replace("\"giveUp\":8000000", "\"giveUp\":1e30"),
+            good.replace(agent.dial(), "nowhere:80"), good.replace("\"health\":\"active\"", "\"health\":7")};
+        for (int i = 0; i < texts.length; i++) {
+            Path file = Files.writeString(directory.resolve("config" + i), texts[i]);
+            node.reconfigure(() -> Config.read(file));
+        }
+        node.reconfigure(() -> Config.read(directory));
+        node.reconfigure(() -> Config.parse(good));
+        awaitCounter("reconfigured 1");
+        awaitCounter("reconfigure_failed " + (texts.length + 1));
+        await(() -> logged("the old configuration stays: ") > texts.length, "each is logged");
+        assertEquals(texts.length + 1, logged("the old configuration stays: "), log.toString(StandardCharsets.UTF_8));
+        nobodyElseIsDisturbed();
+    }
+}
--- /dev/null
+++ b/node/src/test/java/brackenbridge/net/ClassRulesTest.java
@@ -0,0 +1,90 @@
+package brackenbridge.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.config.Config;
+import brackenbridge.config.ConfigTest;
+import brackenbridge.core.Event;
+import brackenbridge.core.share.Allowances;
+import brackenbridge.log.Log;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A flow goes by the rules that its class had when it opened, whatever SIGHUP brings while it waits. */
+class ClassRulesTest {
+    private FakeServer server;
+    private Node node;
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new FakeServer();
+        Clock clock = Clock.system();
+        node = new Node(config(ConfigTest.TEXT), clock,
+                new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
+        node.start();
+        // One connection in all: the next flow waits for its tenant's turn.
+        node.tell(new Event.SharesTold(new Allowances(1, Map.of("a", 1.0), 0, Map.of(), clock.nowMs() + 60_000,
+                Map.of("a", 1.0))));
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        server.close();
+        node.kill();
+    }
+
+    private Config config(String text) {
+        String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
+        return Config.parse(text.replace("\"hosts\":[]", "\"hosts\":[" + host + "]"));
+    }
+
+    private Socket send(String method, String path, int id) throws IOException {
+        Socket s = new Socket(node.address().getAddress(), node.address().getPort());
+        s.setSoTimeout(3000);
+        s.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: a\r\nX-Account: a\r\nX-Correlation-Id: "
+                + id + "\r\nX-Time-Left-Ms: 60000\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        return s;
+    }
+
+    private void awaitCounter(String line) throws IOException {
+        String counted = "";
+        for (int i = 0; i < 2000 && !counted.contains(line); i++) {
+            try (Socket s = new Socket(node.address().getAddress(), node.address().getPort())) {
+                s.getOutputStream().write("GET /health/counters HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                counted = FakeServer.message(s.getInputStream());
+            }
+        }
+        assertTrue(counted.contains(line), counted);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"name\":\"file\" | \"name\":\"sign\"",
+        "\"effect\":\"unsafe\" | \"effect\":\"safe\"",
+    })
+    void flowThatWaitsItsTurnWhileItsClassChangesIsRefusedAtOnce(String before, String after) throws Exception {
+        try (Socket first = send("GET", "/view", 1)) {
+            assertNotNull(server.next());
+            try (Socket waits = send("POST", "/file", 2)) {
+                awaitCounter("flows_in 2\n");
+                node.reconfigure(() -> config(ConfigTest.TEXT.replace(before, after)));
+                String back = FakeServer.message(waits.getInputStream());
+                assertTrue(back.startsWith("HTTP/1.1 503 "), back);
+            }
+            server.answers.add("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+            assertTrue(FakeServer.message(first.getInputStream()).endsWith("done"), "the open one ends as it began");
+        }
+        assertEquals(0, server.requests.size());
+    }
+}
