A fleet's file that can't be used is one line at the start, also with many faults or deep

Cause: NodeCommand wrote a line for each fault (two wrong keys were two lines), and FleetFile.parse let the TOML parser's StackOverflowError through for a file of very many open brackets: a stack trace. Both were seen on a real process by NodeCommandTest before the mend (rows "two faults" and "deep"). Now all faults stand on one line, and depth is a fault like others.

--- a/fleet/src/main/java/brackenbridge/fleet/cli/NodeCommand.java
+++ b/fleet/src/main/java/brackenbridge/fleet/cli/NodeCommand.java
@@ -44,7 +44,7 @@
             System.err.println("brackenbridge: " + e.getMessage());
             return 2;
         } catch (FileFaults e) {
-            e.faults().forEach(System.err::println);
+            System.err.println(String.join("; ", e.faults()));
             return 2;
         }
         Main.serve(line.config, config -> new Together(file, config));
--- a/fleet/src/main/java/brackenbridge/fleet/config/FleetFile.java
+++ b/fleet/src/main/java/brackenbridge/fleet/config/FleetFile.java
@@ -119,7 +119,12 @@
     /** Reads the file's text; {@code name} stands before each fault. */
     public static FleetFile parse(String name, String text) throws FileFaults {
         Table.Faults faults = new Table.Faults(name);
-        TomlParseResult toml = Toml.parse(text);
+        TomlParseResult toml;
+        try {
+            toml = Toml.parse(text);
+        } catch (StackOverflowError e) {
+            throw new FileFaults(List.of(name + ":1:1: syntax: nested too deep"));
+        }
         toml.errors().forEach(e -> faults.add(e.position(), "syntax", e.getMessage().replaceAll("\\s+", " ")));
         faults.none();
         Table t = new Table("", toml, null, faults);
