--- a/node/src/test/java/brackenbridge/net/LastConnectionsTest.java
+++ b/node/src/test/java/brackenbridge/net/LastConnectionsTest.java
@@ -182,6 +182,34 @@
         other.close();
     }
 
+    @Test
+    void clientThatIsServedIsAnsweredAlsoWhenItHoldsTheMostOfTooMuch() throws Exception {
+        send(client, file("a", 9000));
+        assertNotNull(server.next());
+        send(client, file("b", 9000).repeat(2000));
+        Socket[] many = new Socket[150];
+        for (int i = 0; i < many.length; i++) {
+            many[i] = connect();
+            send(many[i], "POST /file HTTP/1.1\r\nX-Correlation-Id: m\r\nContent-Length: 65000\r\n\r\n"
+                    + "x".repeat(60_000));
+        }
+        String counted = "";
+        for (int i = 0; i < 10_000 && !counted.matches("(?s).*clients_shed_for_memory [1-9].*"); i++) {
+            try (Socket s = connect()) {
+                send(s, "GET /health/counters HTTP/1.1\r\n\r\n");
+                counted = answer(s);
+            }
+        }
+        server.answers.add(OK);
+        String last = answer(client);
+        assertTrue(last != null && last.startsWith("HTTP/1.1 200 ") && last.contains("Connection: close\r\n"), last);
+        assertEquals(-1, client.getInputStream().read());
+        assertNull(server.requests.poll());
+        for (Socket s : many) {
+            s.close();
+        }
+    }
+
     @Test
     void whatClientsPipelineBehindTheLastAnswerDoesNotResetIt() throws Exception {
         send(client, file("a", 9000));
