Test: a request that the module holds is not sent once a server comes, if its client has gone

Not confirmed as a fault: this held before. Two guards stand behind it, the module's (onGone) and the reducer's (a flow that has ended is sent nothing). Change: the test.

--- a/node/src/test/java/brackenbridge/net/GoneClientTest.java
+++ b/node/src/test/java/brackenbridge/net/GoneClientTest.java
@@ -192,6 +192,24 @@
         onlyTheNextIsServed();
     }
 
+    @Test
+    void requestThatTheModuleHoldsIsNotSentOnceAServerComes() throws Exception {
+        node.kill();
+        Node none = new Node(Config.parse(ConfigTest.TEXT), clock,
+                new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
+        none.start();
+        node = none;
+        client = connect();
+        send(client, file("a", "a"));
+        await("flows_in 1");
+        client.shutdownOutput();
+        await("flows_gone 1");
+        String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
+        node.reconfigure(() -> Config.parse(ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
+                .replace("\"seq\":41", "\"seq\":42")));
+        onlyTheNextIsServed();
+    }
+
     /** What comes behind a long body must not move the parts of it that nobody has taken yet. */
     @Test
     void bodyThatWaitsIsNotOverwrittenByWhatComesBehindIt() throws Exception {
