NodeTest waits for both figures that it asserts

Seen: newSettingsHoldForNewRequestsOnly failed once beside other builds. Cause: it waited for the first of two figures and asserted the second as well, which may be published up to 0.1 s later. Change: it waits for both; what it asserts is as before.

--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -490,7 +490,8 @@
         server.answers.add(OK);
         expect(200, file("new").replace("/file", "/sign"));
         String told = node.figures();
-        for (int i = 0; i < 500 && !told.contains("proxy.errors.file:1|c\n"); i++) {
+        for (int i = 0; i < 500 && !(told.contains("proxy.errors.file:1|c\n")
+                && told.contains("proxy.ok.sign:1|c\n")); i++) {
             settle();
             told = node.figures();
         }
