Back-off at a service grows to 2.4 s: a fleet that it refuses no longer drowns it

In the logs discovery refuses some 70 calls a second from 20 s on, and 68 nodes are refused without end for 9 s. Cause: Source.againMs asked each 0.3 to 0.9 s however often it was refused, so that those whom it refuses take its turns from each other.

Change: 0.2 to 0.6 s, doubled up to 0.8 to 2.4 s.

--- a/core/src/main/java/brackenbridge/core/membership/Membership.java
+++ b/core/src/main/java/brackenbridge/core/membership/Membership.java
@@ -8,7 +8,7 @@
  * Keeps one watch at discovery: opens it, hears whether it still speaks, opens it again, and says which word holds.
  *
  * <p>Promise: once started, the node either has a watch open or knows when it opens the next one; after the first call
- * that is at an agent never later than 150 ms, at a service 0.9 s, and no more than one call is open at a time. Assumes
+ * that is at an agent never later than 150 ms, at a service 2.4 s, and no more than one call is open at a time. Assumes
  * that {@link #wake} is called when asked for. Times are milliseconds of the one clock.
  *
  * <p>Silence of {@code silenceMs} ends a watch: discovery says something every 2 s. At an agent that is no fault to
--- a/core/src/main/java/brackenbridge/core/membership/Source.java
+++ b/core/src/main/java/brackenbridge/core/membership/Source.java
@@ -17,7 +17,8 @@
      * see docs/design/membership.md.
      */
     private static final double SERVICE_PAUSE_MS = 400;
-    private static final double LONGEST_SERVICE_PAUSE_MS = 600;
+    private static final double LONGEST_SERVICE_PAUSE_MS = 1600;
+    private static final int MOST_DOUBLINGS = 8;
     private static final double AGENT_PAUSE_MS = 50;
     /** Short of the grace of a drain: what an agent has counts as told at once, whether or not a watch is open. */
     private static final double LONGEST_AGENT_PAUSE_MS = 100;
@@ -31,14 +32,14 @@
     }
 
     /**
-     * How long it waits after so many failures in a row, at least one. Jitter guards a service against the calls of a
-     * whole fleet in one moment, and one open call a node against more than a fleet's worth in its line; the pause
-     * does not grow with the time that discovery is down, since the node must have its answer soon after. At an agent
-     * it guards the node against spinning.
+     * How long it waits after so many failures in a row, at least one: exponential back-off with jitter, within what
+     * lets the node have its answer in time once discovery is back. Guards a service that is short of turns against
+     * being asked ever more by those that it refuses, and a node against spinning at its agent.
      */
     double againMs(int failures, RandomGenerator random) {
         double pause = shared
-                ? Math.min(failures > 1 ? LONGEST_SERVICE_PAUSE_MS : SERVICE_PAUSE_MS, mustAskWithinMs / LONGEST_DRAW)
+                ? Math.min(Math.min(SERVICE_PAUSE_MS * (1 << Math.min(failures - 1, MOST_DOUBLINGS)),
+                        LONGEST_SERVICE_PAUSE_MS), mustAskWithinMs / LONGEST_DRAW)
                 : failures > 1 ? LONGEST_AGENT_PAUSE_MS : AGENT_PAUSE_MS;
         return pause / 2 + random.nextDouble() * (LONGEST_DRAW - 0.5) * pause;
     }
