A further attempt is told what is surely left; a node late with deadlines answers earlier

Ruled out: the time written to a server (worked out when it is written, Forwards.send), the wait for a connection. At fault: Listener's Client, which counted from its own first look. Now Door notes how long the backlog had not been empty when a client was taken, and a further attempt (Reducer.Acts.send) is told, and made, only within what is left after that. The first attempt keeps its time: the bound is an upper one.

Now the margin grows by the longest such delay, which fades by half in 2 s, up to a quarter of the request's time.

Tests: ReducerTest (both), NodeTest with a full node and a client in its backlog.

--- a/core/src/main/java/brackenbridge/core/Flow.java
+++ b/core/src/main/java/brackenbridge/core/Flow.java
@@ -8,8 +8,14 @@
  * @param timeLeftMs how long its client still waits, from its last byte on; negative if it did not say
  * @param repeat its client says that it tried before
  * @param whole whether its last byte has come; if not, {@link Event.FlowWhole} says when it has
+ * @param unseenMs it may have waited for so long before the node could see it, at the most; in milliseconds
  * @param message what to forward; nothing in the core looks into it
  */
 public record Flow(String className, String tenant, double timeLeftMs, boolean repeat, boolean whole,
-        Object message) {
+        double unseenMs, Object message) {
+
+    /** A request that was seen as soon as it came. */
+    public Flow(String className, String tenant, double timeLeftMs, boolean repeat, boolean whole, Object message) {
+        this(className, tenant, timeLeftMs, repeat, whole, 0, message);
+    }
 }
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -42,6 +42,8 @@
 public final class Reducer {
     /** A flow ends this long before its client gives up, so that the answer is still in time on the way. */
     static final double MARGIN_MS = 5;
+    /** And earlier by as much as the node is late with its own deadlines of late, up to this part of the time. */
+    static final double LATE_PART = 0.25;
     /** Discovery says something every 2 s: a call without a word for so long has failed. */
     static final double SILENCE_MS = 3000;
     /** Longest time that a probe may take. */
@@ -78,6 +80,8 @@
         final boolean repeat;
         /** How long its client waits, from its last byte on. */
         final double left;
+        /** It may have waited for so long before the node could see it. */
+        final double unseen;
         /** The module knows of it: it waits for no turn among the tenants. */
         boolean begun;
         /** Infinite until its last byte has come. */
@@ -99,6 +103,7 @@
             this.tenant = request.tenant();
             this.repeat = request.repeat();
             this.left = left;
+            this.unseen = request.unseenMs();
             this.deadline = deadline;
         }
 
@@ -147,6 +152,7 @@
     private List<Effect> effects = new ArrayList<>();
     private double now;
     private int unanswered;
+    private final TimerLateness lateness = new TimerLateness();
     private final Membership membership;
     private long probeCount;
     private final LifeCycle life = new LifeCycle();
@@ -315,7 +321,7 @@
         }
         RequestClass rules = classes.get(request.className());
         double waits = request.timeLeftMs() >= 0 ? request.timeLeftMs() : ModuleTime.ms(rules.deadline());
-        double left = Math.max(0, waits - MARGIN_MS);
+        double left = Math.max(0, waits - MARGIN_MS - Math.min(lateness.ms(now), waits * LATE_PART));
         OpenFlow f = new OpenFlow(id, request, rules, settings.maxAttempts(), left,
                 request.whole() ? now + left : Double.POSITIVE_INFINITY);
         flows.put(id, f);
@@ -602,6 +608,9 @@
         if (f == null || (f.isWhole() ? now < f.deadline : f.out != null)) {
             return;
         }
+        if (f.isWhole() && f.out != null) {
+            lateness.noticed(now, f.deadline);
+        }
         answerNow(f);
     }
 
@@ -908,7 +917,9 @@
             int number = f.attempts++;
             Target t = targets.get(endpoint);
             Double cutoff = t == null ? null : noSendAfter.get(t.host());
-            if (f.ended || f.out != null || number >= f.maxAttempts || t == null || now >= f.deadline
+            // A further attempt must not outlast a client that has waited longer than the node could see.
+            double end = number == 0 ? f.deadline : f.deadline - f.unseen;
+            if (f.ended || f.out != null || number >= f.maxAttempts || t == null || now >= end
                     || cutoff != null && now >= cutoff) {
                 owed.add(new Owed(request, number, Outcome.MOOT));
                 return;
@@ -919,7 +930,7 @@
                 f.out.seen = new Observer.Key(t.zone(), t.weight(), f.className);
                 observer.sent(f.out.seen, number == 0);
             }
-            double last = f.isWhole() ? f.deadline : now + f.left;
+            double last = f.isWhole() ? end : now + f.left;
             double giveUp = Math.min(last, timeout > 0 && f.isWhole() ? now + ModuleTime.ms(timeout) : last);
             effects.add(new Effect.Forward(f.id, number, t.host(), t.dial(), giveUp, f.message));
             if (giveUp < last) {
--- a/core/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/core/src/test/java/brackenbridge/core/ReducerTest.java
@@ -65,6 +65,40 @@
         assertEquals(0, p.of(Effect.Respond.class).size());
     }
 
+    /** It may have stood in the backlog: only what is surely left of its client's time is told to a second server. */
+    @Test
+    void furtherAttemptIsToldWhatIsSurelyLeftAndIsNotMadeBeyondIt() {
+        Play p = new Play(4);
+        long f = 70;
+        p.tell(new Event.FlowOpened(f, new Flow(Play.FILE.name(), null, 5000, false, true, 1500, "m")));
+        double opened = p.clock.nowMs();
+        assertEquals(opened + 4995, p.forwards(f).get(0).giveUpMs(), 1e-6);
+        p.tell(new Event.ForwardBroken(f, 0));
+        assertEquals(opened + 3495, p.forwards(f).get(1).giveUpMs(), 1e-6);
+        long late = 71;
+        p.tell(new Event.FlowOpened(late, new Flow(Play.FILE.name(), null, 1000, false, true, 1500, "m")))
+                .tell(new Event.ForwardBroken(late, 0));
+        assertEquals(1, p.forwards(late).size());
+        assertEquals(List.of(Fixed.REFUSED), p.fixed(late));
+    }
+
+    @Test
+    void nodeThatNoticesDeadlinesLateAnswersEarlierForAWhile() {
+        Play p = new Play(4);
+        long f = p.open(Play.FILE, 1000);
+        p.tell(new Event.ForwardWritten(f, 0));
+        p.clock.pass(1030);
+        p.tell(new Event.TimerFired(new TimerKey.Deadline(f)));
+        assertEquals(List.of(Fixed.TIMED_OUT), p.fixed(f));
+        long next = p.open(Play.FILE, 5000);
+        assertEquals(p.clock.nowMs() + 5000 - Reducer.MARGIN_MS - 35, p.forwards(next).get(0).giveUpMs(), 1e-6);
+        long brief = p.open(Play.VIEW, 40);
+        assertEquals(p.clock.nowMs() + 40 - Reducer.MARGIN_MS - 10, p.forwards(brief).get(0).giveUpMs(), 1e-6);
+        p.pass(30_000);
+        long calm = p.open(Play.FILE, 5000);
+        assertEquals(p.clock.nowMs() + 5000 - Reducer.MARGIN_MS, p.forwards(calm).get(0).giveUpMs(), 0.1);
+    }
+
     @Test
     void flowWithoutTimeLeftHasItsClasssDeadline() {
         Play p = new Play(4);
--- a/node/src/main/java/brackenbridge/net/Door.java
+++ b/node/src/main/java/brackenbridge/net/Door.java
@@ -1,14 +1,17 @@
 package brackenbridge.net;
 
+import brackenbridge.clock.Clock;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.AttributeKey;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -18,12 +21,17 @@
 final class Door {
     /** The selector needs a turn to let go of the channel; until then closing it would only mark it. */
     private static final long OFF_SELECTOR_MS = 2;
+    private static final AttributeKey<Double> WAITED = AttributeKey.valueOf(Door.class, "waited");
     private final ServerSocketChannel socket;
     private final Channel channel;
+    private final Clock clock;
     private boolean closing;
+    /** Since when clients may stand in the backlog; not a number if nobody did at the last look. */
+    private double waitingSince = Double.NaN;
 
     /** Listens; fails if it can't. */
-    Door(ServerBootstrap bootstrap, InetSocketAddress address) {
+    Door(ServerBootstrap bootstrap, InetSocketAddress address, Clock clock) {
+        this.clock = clock;
         try {
             socket = ServerSocketChannel.open();
             socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -31,10 +39,36 @@
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         }
-        channel = bootstrap.channelFactory(() -> new NioServerSocketChannel(socket)).bind(address)
+        channel = bootstrap.channelFactory(() -> new Backlog(socket)).bind(address)
                 .syncUninterruptibly().channel();
     }
 
+    /** How long a client may have stood in the backlog before it was taken, at the most; in milliseconds. */
+    static double waitedMs(Channel client) {
+        Double waited = client.attr(WAITED).get();
+        return waited == null ? 0 : waited;
+    }
+
+    /** Notes of each client how long the backlog had not been empty when it was taken. */
+    private final class Backlog extends NioServerSocketChannel {
+        Backlog(ServerSocketChannel socket) {
+            super(socket);
+        }
+
+        @Override
+        protected int doReadMessages(List<Object> taken) throws Exception {
+            int count = super.doReadMessages(taken);
+            if (count <= 0) {
+                waitingSince = Double.NaN;
+                return count;
+            }
+            double now = clock.nowMs();
+            waitingSince = Double.isNaN(waitingSince) ? now : waitingSince;
+            ((Channel) taken.get(taken.size() - 1)).attr(WAITED).set(now - waitingSince);
+            return count;
+        }
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) channel.localAddress();
     }
@@ -46,6 +80,7 @@
     /** Takes clients, or lets them wait in the backlog. */
     void admit(boolean on) {
         if (!closing) {
+            waitingSince = on || !Double.isNaN(waitingSince) ? waitingSince : clock.nowMs();
             channel.config().setAutoRead(on);
         }
     }
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -65,6 +65,8 @@
     private static final int LINGER_BYTES = 256 * 1024;
     /** Guards clients that have just come: their request may be on the way already. */
     private static final double YOUNG_MS = 100;
+    /** Longer than the turn of the loop in which a connection is first read. */
+    private static final long FIRST_LOOK_MS = 1;
     /**
      * Bytes that may wait behind a request that is being served, or of a body that nobody takes yet. Java sees that a
      * client has gone only by reading, so what it sent before it went is read first: hundreds of requests at once.
@@ -310,6 +312,8 @@
         int ahead;
         /** It held too much: what comes behind the request that is being served is dropped. */
         boolean full;
+        /** What was there at the first look may have waited for so long, behind others that were to be taken. */
+        double unseen;
         /** It is not read, but looked at. */
         boolean looks;
 
@@ -317,6 +321,7 @@
             this.channel = channel;
             this.since = clock.nowMs();
             this.sweptAt = since;
+            this.unseen = Door.waitedMs(channel);
         }
 
         boolean isIdle() {
@@ -337,6 +342,11 @@
             counters.count(Kind.CLIENTS_ACCEPTED);
             sockets.client(1);
             clients.add(this);
+            if (unseen > 0) {
+                // What is not there at the first look was sent later than the connection was taken.
+                channel.eventLoop().schedule(() -> unseen = pending != null || decoder.begun() ? unseen : 0,
+                        FIRST_LOOK_MS, TimeUnit.MILLISECONDS);
+            }
             // At once, not as the channel's last event: what is still to begin for this client comes before that.
             channel.closeFuture().addListener(f -> gone());
             if (!sockets.clientFits()) {
@@ -637,7 +647,8 @@
             flows.put(flow, this);
             events.raise(new Event.FlowOpened(flow, new Flow(c.name(), r.headers().get("X-Account"),
                     left == null ? -1 : Integer.parseInt(left), "1".equals(r.headers().get("X-Repeat")),
-                    whole, message)));
+                    whole, unseen, message)));
+            unseen = 0;
         }
 
         private void local(HttpRequest r, String path) {
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -121,7 +121,7 @@
                 .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
                 // Guards servers against the request of a client whose end is there as well, read a turn too late.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, received().respectMaybeMoreData(false))
-                .childHandler(listener.initializer()), address);
+                .childHandler(listener.initializer()), address, clock);
         loop.submit(() -> {
             listener.opened(door);
             if (handover == null) {
--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -267,6 +267,38 @@
         assertTrue(back != null && back.startsWith("HTTP/1.1 200 "), back);
     }
 
+    /** What it waits in the backlog the node can't see, but it knows how long nobody was taken. */
+    @Test
+    void furtherAttemptOfAClientThatWaitedInTheBacklogIsToldWhatIsSurelyLeft() throws Exception {
+        node.kill();
+        node = node(64);
+        Socket[] busy = new Socket[40];
+        for (int i = 0; i < busy.length; i++) {
+            busy[i] = connect();
+            busy[i].getOutputStream().write("POST /file HTTP/1.1\r\nContent-Length: 9\r\n".getBytes(
+                    StandardCharsets.US_ASCII));
+        }
+        client = connect();
+        send(request("GET", "/view", "", ""));
+        client.setSoTimeout(300);
+        assertThrows(java.net.SocketTimeoutException.class, () -> client.getInputStream().read());
+        client.setSoTimeout(10_000);
+        clock.pass(1200);
+        server.answers.add(FakeServer.HANG_UP);
+        server.answers.add(OK);
+        for (Socket s : busy) {
+            s.close();
+        }
+        assertTrue(timeLeft(server.next()) > 4800, "nothing is known against the first attempt");
+        int second = timeLeft(server.next());
+        assertTrue(second > 2000 && second <= 3800, "told " + second);
+        assertTrue(answer().endsWith("done"));
+    }
+
+    private static int timeLeft(String request) {
+        return Integer.parseInt(request.replaceAll("(?s).*X-Time-Left-Ms: ([0-9]+).*", "$1"));
+    }
+
     /**
      * Rounds of question and answer, so that all that had come to the node before them is taken in; and for so long
      * that a connection to a server has rested.
