Agreement and links in smaller classes; a member may listen elsewhere than it is reached

Change: the member's thread, the Raft library's clock and transport, and requests that wait for the leader are classes of their own (MemberThread, BeatClock, LinkTransport, PendingRequests), as is the queue of calls to watchers (WatcherQueue). Of behaviour: 1,024 names in place of 16, bounded at 48 MiB of kept contents; an answer says whether all names had room, so that a lease for all of them (AgreedNode.confirmed) is never believed on half an answer; TcpLinks takes an address to listen at beside the one it tells; a stream for control machines.

--- a/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
@@ -4,7 +4,6 @@
 import brackenbridge.core.generation.Cadence;
 import brackenbridge.core.generation.Word;
 import brackenbridge.fleet.peer.Links;
-import brackenbridge.fleet.peer.Standing;
 import brackenbridge.fleet.peer.Stream;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
@@ -16,17 +15,12 @@
 import io.microraft.RaftNode;
 import io.microraft.RaftNodeStatus;
 import io.microraft.exception.NotLeaderException;
-import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.report.RaftGroupMembers;
 import io.microraft.statemachine.StateMachine;
-import io.microraft.transport.Transport;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -41,13 +35,11 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -65,12 +57,13 @@
  */
 public final class AgreedNode implements Agreed, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(AgreedNode.class);
-    private static final double TICK_MS = 10;
+    private static final double MILLIS_PER_SECOND = 1000;
+    private static final long TICK_MS = 10;
     private static final double AGAIN_MS = 200;
     private static final double JOIN_MS = 500;
     /** Messages that wait for this member's thread; more are dropped, as a link might. */
     private static final int MOST_WAITING = 4096;
-    /** Proposals, claims and looks of this member that wait for an answer. */
+    /** Entries on their way into the log, and proposals that are staged at once. */
     private static final int MOST_PENDING = 256;
     private static final int MOST_IN_TURN = 256;
     /** How long an election may take, and by how much longer each later voter of the file waits; in beats. */
@@ -82,11 +75,6 @@
     /** A learner this near to the leader's log votes from then on. */
     private static final long NEAR = 50;
 
-    /** Something that this member waits for: sent to the leader again until it is answered or its time is over. */
-    private record Pending(Note note, double askedAtMs, double untilMs, double[] sentMs, Consumer<Note> answer,
-            Runnable over) {
-    }
-
     /** A proposal of this member that is in force, which this member has not heard of yet. */
     private record Hearing(String name, long generation, double untilMs, CompletableFuture<Verdict> verdict) {
     }
@@ -105,9 +93,8 @@
     private final AgreedSettings settings;
     private final String me;
     private final boolean votes;
-    private final ScheduledThreadPoolExecutor pool;
+    private final MemberThread thread;
     private final Cadence cadence;
-    private final double speed;
     private final Map<String, Predicate<byte[]>> usable = new ConcurrentHashMap<>();
     private final List<Consumer<String>> listeners = new CopyOnWriteArrayList<>();
     private final AtomicInteger waiting = new AtomicInteger();
@@ -127,7 +114,7 @@
 
     // This member's thread only, from here on.
     private final State state = new State();
-    private final Map<Long, Pending> pending = new TreeMap<>();
+    private final PendingRequests pending = new PendingRequests(note -> post(target(), note));
     private final Deque<DoubleConsumer> turns = new ArrayDeque<>();
     private final List<Waiter> waiters = new ArrayList<>();
     private final List<Hearing> hearings = new ArrayList<>();
@@ -149,7 +136,6 @@
     private int tried;
     private double askAtMs;
     private boolean asking;
-    private long numbers;
     private boolean closed;
 
     /**
@@ -168,14 +154,8 @@
         this.me = links.me().name();
         this.votes = settings.voters().contains(me);
         this.cadence = new Cadence(settings.terms(), new SplittableRandom(settings.seed()));
-        this.speed = 1000 / settings.beatMs();
         this.part = Part.start(links.life());
-        this.pool = new ScheduledThreadPoolExecutor(1, r -> {
-            Thread t = new Thread(r, "agreed-" + me);
-            t.setDaemon(true);
-            return t;
-        });
-        pool.setRemoveOnCancelPolicy(true);
+        this.thread = new MemberThread(me, MILLIS_PER_SECOND / settings.beatMs(), dropped);
         links.receive(Stream.AGREED, this::took);
     }
 
@@ -199,7 +179,7 @@
             openDisk();
         }
         askAtMs = cadence.firstMs(clock.nowMs());
-        pool.scheduleWithFixedDelay(safely(this::tick), 0, (long) TICK_MS, TimeUnit.MILLISECONDS);
+        thread.every(TICK_MS, this::tick);
     }
 
     private void openDisk() throws IOException {
@@ -221,24 +201,8 @@
         }
     }
 
-    /** Guards this member's thread: a fault in one event is logged and ends that event only. */
-    private Runnable safely(Runnable r) {
-        return () -> {
-            try {
-                r.run();
-            } catch (RuntimeException e) {
-                LOG.error("agreement at {}: an event failed", me, e);
-            }
-        };
-    }
-
-    private void later(Runnable r) {
-        try {
-            pool.execute(safely(r));
-        } catch (RejectedExecutionException e) {
-            // It is closed: nothing is owed any more.
-            dropped.increment();
-        }
+    private void later(Runnable event) {
+        thread.later(event);
     }
 
     // Messages.
@@ -360,16 +324,7 @@
             ask(now);
         }
         heard();
-        for (Iterator<Pending> i = pending.values().iterator(); i.hasNext();) {
-            Pending p = i.next();
-            if (now >= p.untilMs()) {
-                i.remove();
-                p.over().run();
-            } else if (now >= p.sentMs()[0] + AGAIN_MS) {
-                p.sentMs()[0] = now;
-                post(target(), p.note());
-            }
-        }
+        pending.tick(now);
     }
 
     private void voterTick(double now) {
@@ -496,8 +451,10 @@
                         .setAppendEntriesRequestBatchSize(Codec.BATCH).setCommitCountToTakeSnapshot(SNAPSHOT_EVERY)
                         .setMaxPendingLogEntryCount(MOST_PENDING).setTransferSnapshotsFromFollowersEnabled(false)
                         .build())
-                .setExecutor(new Loop()).setTransport(new Wire()).setStateMachine(new Machine()).setStore(store)
-                .setRandom(new Random(settings.seed())).setClock(new Beats()).setRaftNodeReportListener(r -> { });
+                .setExecutor(thread).setTransport(new LinkTransport(links)).setStateMachine(new Machine())
+                .setStore(store).setRandom(new Random(settings.seed()))
+                .setClock(new BeatClock(clock, MILLIS_PER_SECOND / settings.beatMs()))
+                .setRaftNodeReportListener(r -> { });
         raft = (store.restored().isPresent() ? b.setRestoredState(store.restored().get())
                 : b.setLocalEndpoint(endpoint).setInitialGroupMembers(initial)).build();
         raft.start();
@@ -649,7 +606,7 @@
             if (lead == of) {
                 majorityMs = now;
                 double at = clock.nowMs();
-                batch.forEach(b -> safely(() -> b.accept(at)).run());
+                batch.forEach(b -> thread.safely(() -> b.accept(at)).run());
             }
         });
         raft.query(t, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()).whenComplete((r, e) ->
@@ -802,7 +759,7 @@
             if (next.refused(n) != 0) {
                 alarm("generation " + next.refused(n) + " of " + n + " can't be used here");
             }
-            listeners.forEach(l -> safely(() -> l.accept(n)).run());
+            listeners.forEach(l -> thread.safely(() -> l.accept(n)).run());
         });
     }
 
@@ -842,28 +799,23 @@
     }
 
     private void answer(long life, long number, Note note) {
-        Pending p = life == links.life() ? pending.remove(number) : null;
-        if (p != null) {
-            p.answer().accept(note);
+        if (life == links.life()) {
+            pending.answered(number, note);
         }
     }
 
     /** Waits for an answer of the leader's. */
     private void await(double withinMs, java.util.function.LongFunction<Note> note, Consumer<Note> answer,
             Runnable over) {
-        double asked = clock.nowMs();
+        double untilMs = clock.nowMs() + withinMs;
         later(() -> {
-            if (pending.size() >= MOST_PENDING || closed) {
+            if (closed) {
                 over.run();
-                return;
+            } else {
+                pending.send(clock.nowMs(), untilMs, note, answer, over);
             }
-            long number = ++numbers;
-            Pending p = new Pending(note.apply(number), asked, asked + withinMs, new double[] {clock.nowMs()}, answer,
-                    over);
-            pending.put(number, p);
-            post(target(), p.note());
         });
-        if (pool.isShutdown()) {
+        if (thread.isEnded()) {
             over.run();
         }
     }
@@ -909,6 +861,14 @@
         return p.acting(name, clock.nowMs());
     }
 
+    /**
+     * Whether this member was told all that is decided within the last lease: no value is in force anywhere that it
+     * does not act by, alone or beside the one before.
+     */
+    public boolean confirmed() {
+        return clock.nowMs() < part.leaseUntilMs();
+    }
+
     /** What it was told, and what it holds, for a check of all members at one moment. */
     Part part() {
         return part;
@@ -982,7 +942,7 @@
     @Override
     public String status() {
         try {
-            return CompletableFuture.supplyAsync(this::statusNow, pool).get(1, TimeUnit.SECONDS);
+            return CompletableFuture.supplyAsync(this::statusNow, thread.executor()).get(1, TimeUnit.SECONDS);
         } catch (TimeoutException | ExecutionException | RejectedExecutionException e) {
             return "member " + me + ": does not answer: " + e;
         } catch (InterruptedException e) {
@@ -1062,8 +1022,7 @@
         later(() -> {
             closed = true;
             lead = null;
-            pending.values().forEach(p -> p.over().run());
-            pending.clear();
+            pending.end();
             hearings.forEach(h -> h.verdict().complete(Verdict.IN_FORCE));
             if (raft == null) {
                 done.complete(null);
@@ -1083,72 +1042,9 @@
 
     /** Ends at once, as a killed process does: nothing more is written or told. */
     void halt() {
-        pool.shutdownNow();
-        try {
-            pool.awaitTermination(2, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        thread.end();
         if (store != null) {
             store.close();
         }
     }
-
-    // What the library runs on.
-
-    /** The library counts in whole seconds; here one of its seconds is one beat. */
-    private final class Beats extends java.time.Clock {
-        @Override
-        public long millis() {
-            return (long) (clock.nowMs() * speed);
-        }
-
-        @Override
-        public Instant instant() {
-            return Instant.ofEpochMilli(millis());
-        }
-
-        @Override
-        public ZoneId getZone() {
-            return ZoneOffset.UTC;
-        }
-
-        @Override
-        public java.time.Clock withZone(ZoneId zone) {
-            return this;
-        }
-    }
-
-    private final class Loop implements RaftNodeExecutor {
-        @Override
-        public void execute(Runnable r) {
-            later(r);
-        }
-
-        @Override
-        public void submit(Runnable r) {
-            later(r);
-        }
-
-        @Override
-        public void schedule(Runnable r, long delay, TimeUnit unit) {
-            try {
-                pool.schedule(safely(r), (long) (unit.toNanos(delay) / speed), TimeUnit.NANOSECONDS);
-            } catch (RejectedExecutionException e) {
-                dropped.increment();
-            }
-        }
-    }
-
-    private final class Wire implements Transport {
-        @Override
-        public void send(RaftEndpoint target, RaftMessage message) {
-            links.send(((Endpoint) target).name(), Stream.AGREED, Codec.frame(message));
-        }
-
-        @Override
-        public boolean isReachable(RaftEndpoint e) {
-            return links.standing(((Endpoint) e).name()) != Standing.GONE;
-        }
-    }
 }
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/BeatClock.java
@@ -0,0 +1,38 @@
+package brackenbridge.fleet.agreed;
+
+import brackenbridge.clock.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+
+/** The Raft library's clock. It counts heartbeats in whole seconds: here one of its seconds is one heartbeat. */
+final class BeatClock extends java.time.Clock {
+    private final Clock clock;
+    private final double speed;
+
+    /** A clock that runs so many times as fast as the other. */
+    BeatClock(Clock clock, double speed) {
+        this.clock = clock;
+        this.speed = speed;
+    }
+
+    @Override
+    public long millis() {
+        return (long) (clock.nowMs() * speed);
+    }
+
+    @Override
+    public Instant instant() {
+        return Instant.ofEpochMilli(millis());
+    }
+
+    @Override
+    public ZoneId getZone() {
+        return ZoneOffset.UTC;
+    }
+
+    @Override
+    public java.time.Clock withZone(ZoneId zone) {
+        return this;
+    }
+}
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Lead.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Lead.java
@@ -92,6 +92,7 @@
         q.heard().forEach(h -> heard.put(h.name(), h));
         List<Note.Told> told = new ArrayList<>();
         int room = ROOM;
+        boolean whole = true;
         for (Map.Entry<String, Authority> e : authorities.entrySet()) {
             Note.Heard h = heard.getOrDefault(e.getKey(), new Note.Heard(e.getKey(), 0, 0, List.of()));
             Ask ask = new Ask(id, q.life(), q.number(), h.version(), h.refused());
@@ -99,6 +100,7 @@
             List<Note.Item> items = items(a.word(), e.getKey(), h.has());
             int bytes = items.stream().mapToInt(i -> i.content().length).sum();
             if (bytes > room) {
+                whole = false;
                 continue;
             }
             room -= bytes;
@@ -110,7 +112,7 @@
             Grant g = next.grant(ask);
             told.add(new Note.Told(e.getKey(), g.word(), items));
         }
-        return new Note.Answer(q.life(), q.number(), founding, terms.leaseMs(), told);
+        return new Note.Answer(q.life(), q.number(), founding, terms.leaseMs(), told, whole);
     }
 
     private List<Note.Item> items(Word word, String name, List<Long> has) {
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/MemberThread.java
@@ -0,0 +1,102 @@
+package brackenbridge.fleet.agreed;
+
+import io.microraft.executor.RaftNodeExecutor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The one thread on which a member's part of the agreement runs, the Raft library's part too. */
+final class MemberThread implements RaftNodeExecutor {
+    private static final Logger LOG = LoggerFactory.getLogger(MemberThread.class);
+    private static final long END_S = 2;
+
+    private final String member;
+    private final double speed;
+    private final LongAdder dropped;
+    private final ScheduledThreadPoolExecutor pool;
+
+    /**
+     * A thread that has nothing to do yet.
+     *
+     * @param member whose
+     * @param speed how many of the library's seconds pass in one
+     * @param dropped counts what came after the end
+     */
+    MemberThread(String member, double speed, LongAdder dropped) {
+        this.member = member;
+        this.speed = speed;
+        this.dropped = dropped;
+        pool = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "agreed-" + member);
+            thread.setDaemon(true);
+            return thread;
+        });
+        pool.setRemoveOnCancelPolicy(true);
+    }
+
+    /** Guards the thread: a fault in one event is logged and ends that event only. */
+    Runnable safely(Runnable event) {
+        return () -> {
+            try {
+                event.run();
+            } catch (RuntimeException e) {
+                LOG.error("agreement at {}: an event failed", member, e);
+            }
+        };
+    }
+
+    /** Does this behind all that waits already; nothing once it has ended. */
+    void later(Runnable event) {
+        try {
+            pool.execute(safely(event));
+        } catch (RejectedExecutionException e) {
+            // It is closed: nothing is owed any more.
+            dropped.increment();
+        }
+    }
+
+    void every(long ms, Runnable event) {
+        pool.scheduleWithFixedDelay(safely(event), 0, ms, TimeUnit.MILLISECONDS);
+    }
+
+    boolean isEnded() {
+        return pool.isShutdown();
+    }
+
+    /** What {@link java.util.concurrent.CompletableFuture} runs on. */
+    java.util.concurrent.Executor executor() {
+        return pool;
+    }
+
+    /** Ends at once: nothing that waits is done any more. */
+    void end() {
+        pool.shutdownNow();
+        try {
+            pool.awaitTermination(END_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        later(task);
+    }
+
+    @Override
+    public void submit(Runnable task) {
+        later(task);
+    }
+
+    @Override
+    public void schedule(Runnable task, long delay, TimeUnit unit) {
+        try {
+            pool.schedule(safely(task), (long) (unit.toNanos(delay) / speed), TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException e) {
+            dropped.increment();
+        }
+    }
+}
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Note.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Note.java
@@ -73,8 +73,13 @@
     record Told(String name, Word word, List<Item> items) {
     }
 
-    /** The answer to a question; a name whose contents had no room is not in it and is asked for again. */
-    record Answer(long life, long number, String founding, double leaseMs, List<Told> told) implements Note {
+    /**
+     * The answer to a question; a name whose contents had no room is not in it and is asked for again.
+     *
+     * @param whole whether all names had room
+     */
+    record Answer(long life, long number, String founding, double leaseMs, List<Told> told, boolean whole)
+            implements Note {
     }
 
     /** The asked one does not lead; empty if it does not know who does. */
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Part.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Part.java
@@ -76,7 +76,8 @@
                     : !can(w.inForce(), values, usable) ? w.inForce() : 0;
             next.put(t.name(), new Known(told.cannotUse(refused), values));
         }
-        return new Part(fresh, next, Math.max(leaseUntilMs, fresh.askedAtMs() + a.leaseMs()));
+        return new Part(fresh, next, a.whole() ? Math.max(leaseUntilMs, fresh.askedAtMs() + a.leaseMs())
+                : leaseUntilMs);
     }
 
     private static void keep(Map<Long, Value> values, Word w, Value v) {
@@ -122,7 +123,7 @@
         return List.copyOf(names.keySet());
     }
 
-    /** Until when it may act by what it was told last; milliseconds. */
+    /** Until when it may act by what it was told last, of all names; milliseconds. */
     double leaseUntilMs() {
         return leaseUntilMs;
     }
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/PendingRequests.java
@@ -0,0 +1,80 @@
+package brackenbridge.fleet.agreed;
+
+import java.util.Iterator;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+
+/**
+ * Requests of a member to the leader: each is sent again until it is answered or its time is over. Proposals, claims
+ * and questions of operators; for the member's own thread.
+ */
+final class PendingRequests {
+    private static final double RESEND_MS = 200;
+    private static final int MAX_PENDING = 256;
+
+    private static final class Request {
+        private final Note note;
+        private final double untilMs;
+        private final Consumer<Note> answered;
+        private final Runnable timedOut;
+        private double sentMs;
+
+        Request(Note note, double sentMs, double untilMs, Consumer<Note> answered, Runnable timedOut) {
+            this.note = note;
+            this.sentMs = sentMs;
+            this.untilMs = untilMs;
+            this.answered = answered;
+            this.timedOut = timedOut;
+        }
+    }
+
+    private final Consumer<Note> sender;
+    private final Map<Long, Request> requests = new TreeMap<>();
+    private long numbers;
+
+    /** Sends by this, to whoever leads. */
+    PendingRequests(Consumer<Note> sender) {
+        this.sender = sender;
+    }
+
+    /** Sends a request with a number of its own; too many at once are over at once. */
+    void send(double nowMs, double untilMs, LongFunction<Note> note, Consumer<Note> answered, Runnable timedOut) {
+        if (requests.size() >= MAX_PENDING) {
+            timedOut.run();
+            return;
+        }
+        long number = ++numbers;
+        Request request = new Request(note.apply(number), nowMs, untilMs, answered, timedOut);
+        requests.put(number, request);
+        sender.accept(request.note);
+    }
+
+    void answered(long number, Note answer) {
+        Request request = requests.remove(number);
+        if (request != null) {
+            request.answered.accept(answer);
+        }
+    }
+
+    /** Sends again what has waited long enough, and gives up what is over. */
+    void tick(double nowMs) {
+        for (Iterator<Request> all = requests.values().iterator(); all.hasNext();) {
+            Request request = all.next();
+            if (nowMs >= request.untilMs) {
+                all.remove();
+                request.timedOut.run();
+            } else if (nowMs >= request.sentMs + RESEND_MS) {
+                request.sentMs = nowMs;
+                sender.accept(request.note);
+            }
+        }
+    }
+
+    /** All are over. */
+    void end() {
+        requests.values().forEach(request -> request.timedOut.run());
+        requests.clear();
+    }
+}
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/State.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/State.java
@@ -18,7 +18,10 @@
     static final int MAX_CONTENT = 256 * 1024;
     /** Longest name of a value or role. */
     static final int MAX_NAME = 64;
-    private static final int NAMES = 16;
+    /** Names that are kept at most; their contents together are bounded by {@link #MAX_BYTES}. */
+    static final int MAX_NAMES = 1024;
+    /** Contents that are kept at most, of all names and generations; in bytes. A snapshot has room for them. */
+    static final long MAX_BYTES = 48L * 1024 * 1024;
     private static final int ROLES = 256;
     private static final int KEEP = 16;
     private static final int KEEP_BYTES = 512 * 1024;
@@ -52,6 +55,7 @@
     private final Map<String, Named> names = new TreeMap<>();
     private final Map<String, Role> roles = new TreeMap<>();
     private long reign;
+    private long bytes;
 
     long reign() {
         return reign;
@@ -114,8 +118,8 @@
         if (again.isPresent()) {
             return Result.valueOf(again.get().came().name());
         }
-        if (!names.containsKey(s.name()) && names.size() >= NAMES || s.content().length > MAX_CONTENT
-                || s.name().length() > MAX_NAME) {
+        if (!names.containsKey(s.name()) && names.size() >= MAX_NAMES || s.content().length > MAX_CONTENT
+                || s.name().length() > MAX_NAME || bytes + s.content().length > MAX_BYTES) {
             return Result.FULL;
         }
         Named n = names.getOrDefault(s.name(), new Named(s.name(), Word.NONE, 0, List.of()));
@@ -127,7 +131,7 @@
         Authority staged = a.stage();
         List<Kept> history = new ArrayList<>(n.history());
         history.add(new Kept(staged.last(), s.content(), s.by(), s.life(), s.number(), Came.STAGED));
-        names.put(s.name(), new Named(s.name(), staged.word(), staged.last(), trimmed(history, staged.word())));
+        keep(new Named(s.name(), staged.word(), staged.last(), trimmed(history, staged.word())));
         return Result.STAGED;
     }
 
@@ -136,10 +140,19 @@
         long settled = n.word().staged();
         Authority next = came == Came.IN_FORCE ? a.activate(0) : a.abandon();
         List<Kept> history = n.history().stream().map(k -> k.generation() == settled ? k.with(came) : k).toList();
-        names.put(n.name(), new Named(n.name(), next.word(), n.last(), trimmed(history, next.word())));
+        keep(new Named(n.name(), next.word(), n.last(), trimmed(history, next.word())));
         return Result.valueOf(came.name());
     }
 
+    private void keep(Named named) {
+        Named before = names.put(named.name(), named);
+        bytes += bytes(named) - (before == null ? 0 : bytes(before));
+    }
+
+    private static long bytes(Named named) {
+        return named.history().stream().mapToLong(kept -> kept.content().length).sum();
+    }
+
     /** The rules of words and numbers are the authority's; the leases that it waits for are the leader's to know. */
     private static Authority alone(Named n) {
         return new Authority(ANY, n.word(), n.last(), Double.NEGATIVE_INFINITY, Map.of());
@@ -183,7 +196,8 @@
         names.clear();
         roles.clear();
         reign = image.reign();
-        image.names().forEach(n -> names.put(n.name(), n));
+        bytes = 0;
+        image.names().forEach(this::keep);
         image.roles().forEach(r -> roles.put(r.role(), r));
     }
 }
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Stream.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Stream.java
@@ -11,5 +11,7 @@
     /** Questions and answers about leases of connections. */
     SHARE,
     /** Orders and reports of an evacuation. */
-    EVACUATION
+    EVACUATION,
+    /** What control machines tell each other of the nodes that they serve. */
+    CONTROL
 }
--- a/fleet/src/main/java/brackenbridge/fleet/peer/TcpLinks.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/TcpLinks.java
@@ -8,7 +8,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
@@ -19,7 +18,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -38,7 +36,6 @@
  */
 public final class TcpLinks implements Links {
     private static final Logger LOG = LoggerFactory.getLogger(TcpLinks.class);
-    private static final int EVENTS_MOST = 4096;
     private static final double FAREWELL_MS = 500;
     private static final double LOG_EACH_MS = 1000;
     private static final int UNKNOWN_TIMES = 6;
@@ -51,6 +48,7 @@
     private final Clock clock;
     private final Random random = new Random(instance);
     private final Figures figures = new Figures();
+    private final WatcherQueue watcherCalls = new WatcherQueue(figures);
     private final Map<Stream, Receiver> receivers = new EnumMap<>(Stream.class);
     private final List<Watcher> watchers = new ArrayList<>();
     private final List<Alarm> alarms = new ArrayList<>();
@@ -59,9 +57,9 @@
     private final Object lock = new Object();
     private final Map<String, Peer> peers = new ConcurrentHashMap<>();
     private final Detector detector;
-    private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Set<Connection> strangers = new LinkedHashSet<>();
     private final Set<Thread> threads = new HashSet<>();
+    private final String listenAddress;
     private volatile Member me;
     private volatile boolean closing;
     private ServerSocket listener;
@@ -80,9 +78,6 @@
         void raised(String name, Refusal why, String text);
     }
 
-    private record Event(String peer, Runnable call) {
-    }
-
     /** A peer as this member has it configured, and the connection with it. */
     private static final class Peer {
         final Member member;
@@ -118,7 +113,25 @@
      * @param limits what the links are granted
      */
     public TcpLinks(Member me, long life, String fleet, List<Member> peers, Clock clock, PeerLimits limits) {
+        this(me, me.address(), life, fleet, peers, clock, limits);
+    }
+
+    /**
+     * Links that are not started yet, of a member that listens elsewhere than where its peers reach it.
+     *
+     * @param me this member, with the address at which its peers reach it
+     * @param listenAddress where it listens; port 0 stands for any free one if it is the member's own address
+     * @param life greater than that of each earlier start
+     * @param fleet the fleet's name: members of others are refused
+     * @param peers the others; this member among them is passed over
+     * @param clock the source of time
+     * @param limits what the links are granted
+     */
+    public TcpLinks(Member me, String listenAddress, long life, String fleet, List<Member> peers, Clock clock,
+            PeerLimits limits) {
         this.me = checked(me);
+        address(listenAddress);
+        this.listenAddress = listenAddress;
         this.life = life;
         this.fleet = checkedName(fleet);
         this.clock = clock;
@@ -261,22 +274,22 @@
             if (listener != null || closing) {
                 throw new IllegalStateException("started already, or closed");
             }
-            InetSocketAddress own = address(me.address());
+            InetSocketAddress own = address(listenAddress);
             listener = new ServerSocket();
             listener.setReuseAddress(true);
             try {
                 listener.bind(new InetSocketAddress(InetAddress.getByName(own.getHostString()), own.getPort()), 128);
             } catch (IOException e) {
                 listener.close();
-                throw new IOException("cannot listen on " + me.address() + ": " + e.getMessage(), e);
+                throw new IOException("cannot listen on " + listenAddress + ": " + e.getMessage(), e);
             }
-            if (own.getPort() == 0) {
+            if (own.getPort() == 0 && listenAddress.equals(me.address())) {
                 String text = me.address().substring(0, me.address().lastIndexOf(':') + 1);
                 me = new Member(me.name(), text + listener.getLocalPort(), me.zone());
             }
             thread("peer-accept", this::accept);
             thread("peer-beat", this::beat);
-            thread("peer-watch", this::tell);
+            thread("peer-watch", watcherCalls::run);
             for (Peer peer : peers.values()) {
                 begin(peer);
             }
@@ -341,6 +354,7 @@
                 dispatch(detector.farewell(clock.nowMs()));
             }
             closing = true;
+            watcherCalls.end();
             for (Peer peer : peers.values()) {
                 Connection connection = peer.connection;
                 if (connection != null) {
@@ -1014,10 +1028,10 @@
         dispatch(out);
         for (Detector.Change change : detector.changes()) {
             // Not here but on the watchers' thread: a log that blocks holds no lock.
-            post(change.peer(), () -> LOG.info("{} holds {} for {}, life {}", me.name(), change.peer(),
+            watcherCalls.add(change.peer(), () -> LOG.info("{} holds {} for {}, life {}", me.name(), change.peer(),
                     change.standing(), change.life()));
             for (Watcher watcher : watchers) {
-                post(change.peer(), () -> watcher.changed(change.peer(), change.standing(), change.life()));
+                watcherCalls.add(change.peer(), () -> watcher.changed(change.peer(), change.standing(), change.life()));
             }
         }
         for (Detector.Conflict c : detector.conflicts()) {
@@ -1038,51 +1052,10 @@
     }
 
     private void raise(String name, Refusal why, String text) {
-        post(name, () -> LOG.error("{}: {}: {}", name.equals(me.name()) ? "this member, " + name : name,
+        watcherCalls.add(name, () -> LOG.error("{}: {}: {}", name.equals(me.name()) ? "this member, " + name : name,
                 why.text(), text));
         for (Alarm alarm : alarms) {
-            post(name, () -> alarm.raised(name, why, text));
-        }
-    }
-
-    private void post(String peer, Runnable call) {
-        synchronized (events) {
-            if (events.size() >= EVENTS_MOST) {
-                // Guards against a watcher that hangs: what is oldest of the same peer gives way.
-                Event oldest = events.stream().filter(e -> Objects.equals(e.peer(), peer)).findFirst()
-                        .orElse(events.peek());
-                events.remove(oldest);
-                figures.count("events_lost");
-            }
-            events.add(new Event(peer, call));
-            events.notifyAll();
-        }
-    }
-
-    private void tell() {
-        while (true) {
-            Event event;
-            synchronized (events) {
-                event = events.poll();
-                if (event == null) {
-                    if (closing) {
-                        return;
-                    }
-                    try {
-                        events.wait();
-                    } catch (InterruptedException e) {
-                        // Only the end interrupts; what is left is told first.
-                        LOG.debug("woken to end");
-                    }
-                    continue;
-                }
-            }
-            try {
-                event.call().run();
-            } catch (RuntimeException e) {
-                figures.count("watcher_failed");
-                LOG.error("a watcher failed", e);
-            }
+            watcherCalls.add(name, () -> alarm.raised(name, why, text));
         }
     }
 
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/CodecTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/CodecTest.java
@@ -123,7 +123,7 @@
     @Example
     void notesAreTheSameAfterTheirWayAndWithoutAFieldTheyAreRefused() throws IOException {
         Note.Answer a = new Note.Answer(3, 4, "f", 1600, List.of(new Note.Told("s", new Word(5, 2, 3), List.of(
-                new Note.Item(3, new byte[] {7}, "m")))));
+                new Note.Item(3, new byte[] {7}, "m")))), true);
         Note.Answer back = (Note.Answer) Codec.frame(Codec.frame(a)).note();
         assertEquals(a.told().get(0).word(), back.told().get(0).word());
         assertArrayEquals(new byte[] {7}, back.told().get(0).items().get(0).content());
