--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/cli/ControlCommand.java
@@ -0,0 +1,68 @@
+package brackenbridge.fleet.cli;
+
+import brackenbridge.cli.Extension;
+import brackenbridge.clock.Clock;
+import brackenbridge.fleet.config.FileFaults;
+import brackenbridge.fleet.config.FleetFile;
+import brackenbridge.fleet.node.ControlService;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** Runs a control machine until a signal ends it. */
+public final class ControlCommand implements Extension {
+    private static final int USAGE = 2;
+
+    private static final class Line {
+        @Parameter(names = "--fleet", description = "The fleet's file", required = true)
+        private String fleet;
+        @Parameter(names = "--name", description = "This machine's name in it", required = true)
+        private String name;
+        @Parameter(names = "--json-log", description = "The log lines as JSON")
+        private boolean json;
+    }
+
+    /** For the ServiceLoader. */
+    public ControlCommand() {
+    }
+
+    @Override
+    public String name() {
+        return "control";
+    }
+
+    @Override
+    public int run(String[] args) {
+        Line line = new Line();
+        ControlService service;
+        try {
+            JCommander.newBuilder().programName("brackenbridge control").addObject(line).build().parse(args);
+            if (line.json) {
+                System.setProperty("logback.configurationFile", "logback-json.xml");
+            }
+            service = new ControlService(FleetFile.read(Path.of(line.fleet)), line.name, Clock.system());
+            service.start();
+        } catch (ParameterException | IllegalArgumentException | IOException e) {
+            System.err.println("brackenbridge: " + e.getMessage());
+            return USAGE;
+        } catch (FileFaults e) {
+            System.err.println(String.join("; ", e.faults()));
+            return USAGE;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            service.close();
+            // A signal would exit with 143; a stop that ends well ends with 0.
+            Runtime.getRuntime().halt(0);
+        }, "stop"));
+        System.out.println("control machine " + line.name + " serves nodes at "
+                + service.address().getAddress().getHostAddress() + ":" + service.address().getPort());
+        try {
+            Thread.currentThread().join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return 0;
+    }
+}
--- a/fleet/src/main/java/brackenbridge/fleet/cli/NodeCommand.java
+++ b/fleet/src/main/java/brackenbridge/fleet/cli/NodeCommand.java
@@ -4,19 +4,24 @@
 import brackenbridge.cli.Main;
 import brackenbridge.fleet.config.FileFaults;
 import brackenbridge.fleet.config.FleetFile;
+import brackenbridge.fleet.node.NodeSubscription;
 import brackenbridge.fleet.node.Together;
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
 
-/** Serves as a node with its part of the fleet in the same process. */
+/** Serves as a node with its part of the fleet in the same process: as a member, or as a subscriber of one. */
 public final class NodeCommand implements Extension {
     private static final class Line {
         @Parameter(names = "--config", description = "The node's configuration; by default $PROXY_CONFIG")
         private String config = System.getenv("PROXY_CONFIG");
-        @Parameter(names = "--fleet", description = "The fleet's file", required = true)
+        @Parameter(names = "--fleet", description = "The fleet's file, of which the node is a member")
         private String fleet;
+        @Parameter(names = "--control", description = "The fleet's file, at whose control machines the node subscribes")
+        private String control;
+        @Parameter(names = "--region", description = "Where the node runs, for --control")
+        private String region = "default";
         @Parameter(names = "--json-log", description = "The fleet's log lines as JSON")
         private boolean json;
     }
@@ -39,7 +44,13 @@
             if (line.json) {
                 System.setProperty("logback.configurationFile", "logback-json.xml");
             }
-            file = FleetFile.read(Path.of(line.fleet));
+            if ((line.fleet == null) == (line.control == null)) {
+                throw new ParameterException("give one of --fleet and --control");
+            }
+            file = FleetFile.read(Path.of(line.fleet == null ? line.control : line.fleet));
+            if (line.control != null && file.control() == null) {
+                throw new ParameterException(line.control + ": names no control machine");
+            }
         } catch (ParameterException e) {
             System.err.println("brackenbridge: " + e.getMessage());
             return 2;
@@ -47,7 +58,8 @@
             System.err.println(String.join("; ", e.faults()));
             return 2;
         }
-        Main.serve(line.config, config -> new Together(file, config));
+        Main.serve(line.config, config -> line.fleet != null ? new Together(file, config)
+                : new NodeSubscription(file, Path.of(line.config), line.region, config));
         // The signal ends the process; what returns here would end it at once.
         try {
             Thread.currentThread().join();
--- a/fleet/src/main/java/brackenbridge/fleet/config/FleetFile.java
+++ b/fleet/src/main/java/brackenbridge/fleet/config/FleetFile.java
@@ -1,5 +1,7 @@
 package brackenbridge.fleet.config;
 
+import brackenbridge.fleet.control.ControlLimits;
+import brackenbridge.fleet.control.ControlMachine;
 import brackenbridge.fleet.peer.Member;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -10,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.regex.Pattern;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
@@ -26,10 +29,13 @@
  * @param replica bounds of replication
  * @param shares tenants' shares; null if they are not shared
  * @param evacuation bounds of rehearsals
+ * @param control distribution to nodes; null if there is none
  * @param page where each member's page of metrics is, by member; absent for none
+ * @param listen where a member listens for its peers, by member; absent where it is its address
  */
 public record FleetFile(String fleet, Path directory, List<Member> members, Links links, Agreement agreed,
-        Replication replica, Shares shares, Evacuation evacuation, Map<String, String> page) {
+        Replication replica, Shares shares, Evacuation evacuation, Control control, Map<String, String> page,
+        Map<String, String> listen) {
 
     /**
      * Bounds of links.
@@ -85,8 +91,29 @@
     public record Evacuation(double part, double stepMs, double bound, double off) {
     }
 
+    /**
+     * Distribution of agreed values to nodes.
+     *
+     * @param machines members that serve subscriptions
+     * @param nodes names of the nodes that may subscribe, or beginnings of names with {@code *} behind them
+     * @param limits limits
+     */
+    public record Control(List<ControlMachine> machines, List<String> nodes, ControlLimits limits) {
+        /** Keeps its own copies. */
+        public Control {
+            machines = List.copyOf(machines);
+            nodes = List.copyOf(nodes);
+        }
+
+        /** The control machine of this name; null if there is none. */
+        public ControlMachine machine(String name) {
+            return machines.stream().filter(machine -> machine.name().equals(name)).findFirst().orElse(null);
+        }
+    }
+
     private static final long LONGEST = 1 << 20;
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+    private static final Pattern NODES = Pattern.compile("[A-Za-z0-9._-]{1,64}\\*?|\\*");
     private static final Pattern ADDRESS = Pattern.compile("[^\\s:]+:[0-9]{1,5}");
     private static final Pattern ANY = Pattern.compile("[^\\p{Cntrl}]+");
 
@@ -94,6 +121,7 @@
     public FleetFile {
         members = List.copyOf(members);
         page = Map.copyOf(page);
+        listen = Map.copyOf(listen);
     }
 
     /** The member of this name; null if there is none. */
@@ -131,7 +159,8 @@
         String fleet = t.text("fleet", null, NAME);
         String directory = t.text("directory", "-", ANY);
         List<Member> members = new ArrayList<>();
-        java.util.TreeMap<String, String> page = new java.util.TreeMap<>();
+        Map<String, String> page = new TreeMap<>();
+        Map<String, String> listen = new TreeMap<>();
         Set<String> names = new HashSet<>();
         Set<String> addresses = new HashSet<>();
         for (Table m : t.tables("member")) {
@@ -141,6 +170,10 @@
             if (!at.equals("-")) {
                 page.put(member.name(), at);
             }
+            String listens = m.text("listen", "-", ADDRESS);
+            if (!listens.equals("-")) {
+                listen.put(member.name(), listens);
+            }
             m.end();
             if (!names.add(member.name())) {
                 m.fault("name", "'" + member.name() + "' is another member's");
@@ -190,10 +223,47 @@
         Evacuation evacuation = new Evacuation(e.number("part", 0.2, 0.01, 1), e.span("step", 5000, 500, 600_000),
                 e.number("bound", 0.85, 0.1, 1), e.number("off", 0.25, 0.01, 1));
         e.end();
+        Control control = t.has("control") ? control(t.table("control"), names) : null;
         t.end();
         faults.none();
         return new FleetFile(fleet, directory.equals("-") ? null : Path.of(directory), members, links, agreed, replica,
-                shared ? shares : null, evacuation, page);
+                shared ? shares : null, evacuation, control, page, listen);
+    }
+
+    private static Control control(Table table, Set<String> members) {
+        List<ControlMachine> machines = new ArrayList<>();
+        Set<String> known = new HashSet<>();
+        for (Table entry : table.tables("machine")) {
+            ControlMachine machine = new ControlMachine(entry.text("name", null, NAME),
+                    entry.text("region", null, NAME), entry.text("address", null, ADDRESS));
+            entry.end();
+            if (!members.contains(machine.name())) {
+                entry.fault("name", "'" + machine.name() + "' is no member");
+            }
+            if (!known.add(machine.name()) || !known.add(machine.address())) {
+                entry.fault("name", "'" + machine.name() + "' or its address is used already");
+            }
+            machines.add(machine);
+        }
+        if (machines.isEmpty()) {
+            table.fault("machine", "nobody serves: name one member at least");
+        }
+        ControlLimits usual = ControlLimits.STANDARD;
+        List<String> nodes = table.texts("nodes", NODES);
+        double heartbeat = table.span("heartbeat", usual.heartbeatMs(), 10, 60_000);
+        double silence = table.span("silence", usual.silenceMs(), 30, 600_000);
+        double admissions = table.number("admissions", usual.admissionsPerSecond(), 0.1, 1e6);
+        int maxNodes = table.whole("max_nodes", usual.maxSubscribers(), 1, 100_000);
+        table.end();
+        try {
+            return new Control(machines, nodes.isEmpty() ? List.of("*") : nodes, new ControlLimits(heartbeat, silence,
+                    silence, usual.coalesceMs(), Math.max(silence, usual.slowReaderMs()), usual.connectMs(),
+                    usual.retryBaseMs(), usual.retryMaxMs(), usual.startSpreadMs(), usual.homeMinMs(),
+                    usual.homeMaxMs(), admissions, usual.admissionBurst(), maxNodes, usual.maxUnsubscribed()));
+        } catch (IllegalArgumentException e) {
+            table.fault("silence", e.getMessage());
+            return null;
+        }
     }
 
     private static int odd(int n) {
--- a/fleet/src/main/java/brackenbridge/fleet/config/Table.java
+++ b/fleet/src/main/java/brackenbridge/fleet/config/Table.java
@@ -97,6 +97,28 @@
         return absent == null ? "" : absent;
     }
 
+    /** Whether the key is there. */
+    boolean has(String key) {
+        return value(key) != null;
+    }
+
+    /** A list of texts; an absent one is empty. */
+    List<String> texts(String key, Pattern form) {
+        Object v = value(key);
+        List<String> all = new ArrayList<>();
+        if (v != null && !(v instanceof TomlArray)) {
+            fault(key, "is not a list of texts");
+        }
+        for (int i = 0; v instanceof TomlArray a && i < a.size(); i++) {
+            if (a.get(i) instanceof String text && form.matcher(text).matches()) {
+                all.add(text);
+            } else {
+                faults.add(a.inputPositionOf(i), name(key) + "[" + i + "]", "does not have the form " + form);
+            }
+        }
+        return all;
+    }
+
     double number(String key, double absent, double least, double most) {
         Object v = value(key);
         if (v == null) {
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ControlServer.java
@@ -0,0 +1,508 @@
+package brackenbridge.fleet.control;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.fleet.control.ControlMessage.Acknowledge;
+import brackenbridge.fleet.control.ControlMessage.MachineHeartbeat;
+import brackenbridge.fleet.control.ControlMessage.NodeHeartbeat;
+import brackenbridge.fleet.control.ControlMessage.Refuse;
+import brackenbridge.fleet.control.ControlMessage.Subscribe;
+import brackenbridge.fleet.control.ControlMessage.Update;
+import brackenbridge.fleet.control.ControlMessage.Welcome;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.TooLongFrameException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Serves the subscriptions of nodes at a control machine. All of it runs on one event loop; there is no lock and no
+ * thread for each connection. A resource is serialized once for all nodes that it goes to.
+ */
+public final class ControlServer implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(ControlServer.class);
+    private static final int BACKLOG = 1024;
+    /** Above the high mark a connection is not written to until it has fallen below the low one; in bytes. */
+    private static final WriteBufferWaterMark WRITE_MARKS = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
+    /** What a refused connection still sends is dropped for so long, so that it can read why. */
+    private static final long LINGER_MS = 500;
+    private static final long STOP_MS = 2000;
+    /** Log lines for refusals in a second at most; the counters have all of them. */
+    private static final int LOGGED_PER_SECOND = 20;
+
+    /**
+     * What a control machine serves.
+     *
+     * @param fleet the fleet's name
+     * @param machine the machine's name
+     * @param address where nodes reach it
+     * @param nodes who may subscribe
+     * @param limits limits
+     */
+    public record Settings(String fleet, String machine, InetSocketAddress address, NodeNames nodes,
+            ControlLimits limits) {
+    }
+
+    private final Settings settings;
+    private final ControlLimits limits;
+    private final Clock clock;
+    private final BooleanSupplier confirmed;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Map<Refusal, Counter> refusals = new EnumMap<>(Refusal.class);
+    private final Counter subscriptions;
+    private final Counter updates;
+    private final Counter bytesOut;
+    private final Counter bytesIn;
+    private final Counter rejectedVersions;
+    private volatile MachineReport report;
+    private Channel listening;
+
+    // The event loop's only, from here on.
+    private final ResourceTable table = new ResourceTable();
+    private final Map<String, byte[]> frames = new HashMap<>();
+    private final AdmissionLimiter admissions;
+    private final Set<NodeConnection> connections = new LinkedHashSet<>();
+    private final Map<String, NodeConnection> byNode = new HashMap<>();
+    private final Map<String, Set<NodeConnection>> byResource = new HashMap<>();
+    private final Set<NodeConnection> dirty = new LinkedHashSet<>();
+    private boolean flushScheduled;
+    private boolean stopping;
+    private long heartbeats;
+    private long loggedInSecond;
+    private double loggedSinceMs = Double.NEGATIVE_INFINITY;
+
+    /**
+     * A server that is not started.
+     *
+     * @param confirmed whether this machine holds a lease of the agreement now; asked on the event loop
+     */
+    public ControlServer(Settings settings, Clock clock, BooleanSupplier confirmed, MeterRegistry metrics) {
+        this.settings = settings;
+        this.limits = settings.limits();
+        this.clock = clock;
+        this.confirmed = confirmed;
+        this.admissions = new AdmissionLimiter(limits.admissionsPerSecond(), limits.admissionBurst());
+        this.report = new MachineReport(settings.machine(), false, List.of());
+        for (Refusal refusal : Refusal.values()) {
+            refusals.put(refusal, Counter.builder("control.refused").tag("reason", refusal.name().toLowerCase(
+                    java.util.Locale.ROOT)).description("Connections refused or ended").register(metrics));
+        }
+        subscriptions = counter(metrics, "control.subscriptions", "Subscriptions begun");
+        updates = counter(metrics, "control.updates", "Resources written to nodes");
+        bytesOut = counter(metrics, "control.bytes.out", "Bytes written to nodes");
+        bytesIn = counter(metrics, "control.bytes.in", "Bytes read from nodes");
+        rejectedVersions = counter(metrics, "control.versions.rejected", "Versions that a node could not use");
+        Gauge.builder("control.nodes", () -> report.regions().stream().mapToInt(MachineReport.RegionReport::nodes)
+                .sum()).description("Nodes that subscribe here").register(metrics);
+        Gauge.builder("control.nodes.behind", () -> report.regions().stream()
+                .mapToInt(region -> region.nodes() - region.current()).sum())
+                .description("Nodes that do not act by the newest versions").register(metrics);
+        Gauge.builder("control.confirmed", () -> report.confirmed() ? 1 : 0)
+                .description("1 while this machine holds a lease of the agreement").register(metrics);
+    }
+
+    private static Counter counter(MeterRegistry metrics, String name, String description) {
+        return Counter.builder(name).description(description).register(metrics);
+    }
+
+    /**
+     * Begins to listen.
+     *
+     * @throws IOException if the address is not to be had
+     */
+    public void start() throws IOException {
+        try {
+            listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
+                    .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_MARKS)
+                    .childHandler(new ChannelInitializer<>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline().addLast(ControlFrames.decoder(), new NodeConnection(channel));
+                        }
+                    }).bind(settings.address()).syncUninterruptibly().channel();
+        } catch (Exception e) {
+            // Netty throws a failed bind as it is, and that is no RuntimeException.
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            throw new IOException("can't listen on " + settings.address() + ": " + e.getMessage(), e);
+        }
+        loop.scheduleAtFixedRate(this::tick, (long) limits.heartbeatMs(), (long) limits.heartbeatMs(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listening.localAddress();
+    }
+
+    /** A version is in force: nodes that subscribe to it are sent it, unless a newer one is known. From any thread. */
+    public void publish(Resource resource) {
+        loop.execute(() -> {
+            if (!table.offer(resource)) {
+                return;
+            }
+            frames.remove(resource.name());
+            for (NodeConnection connection : byResource.getOrDefault(resource.name(), Set.of())) {
+                if (connection.subscription.changed(resource.name(), table)) {
+                    dirty.add(connection);
+                }
+            }
+            if (!dirty.isEmpty() && !flushScheduled) {
+                flushScheduled = true;
+                loop.schedule(this::flush, (long) limits.coalesceMs(), TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    /** What it last knew of its nodes; a heartbeat old at most. */
+    public MachineReport report() {
+        return report;
+    }
+
+    private void flush() {
+        flushScheduled = false;
+        List<NodeConnection> now = new ArrayList<>(dirty);
+        dirty.clear();
+        now.forEach(NodeConnection::sendPending);
+    }
+
+    private byte[] frame(Resource resource) {
+        return frames.computeIfAbsent(resource.name(), name -> ControlFrames.bytes(new Update(resource)));
+    }
+
+    private void tick() {
+        try {
+            boolean holdsLease = confirmed.getAsBoolean();
+            byte[] heartbeat = ControlFrames.bytes(new MachineHeartbeat(++heartbeats, holdsLease));
+            double now = clock.nowMs();
+            for (NodeConnection connection : List.copyOf(connections)) {
+                connection.tick(now, heartbeat);
+            }
+            report = currentReport(holdsLease);
+        } catch (RuntimeException e) {
+            // Guards the next tick: a schedule ends with the first exception.
+            LOG.error("control server {}: a tick failed", settings.machine(), e);
+        }
+    }
+
+    private MachineReport currentReport(boolean holdsLease) {
+        Map<String, RegionCount> regions = new TreeMap<>();
+        byNode.values().forEach(connection -> regions.computeIfAbsent(connection.region, name -> new RegionCount())
+                .add(connection));
+        List<MachineReport.RegionReport> reports = new ArrayList<>();
+        regions.forEach((name, count) -> {
+            if (reports.size() < MachineReport.MAX_REGIONS) {
+                reports.add(count.report(name));
+            }
+        });
+        return new MachineReport(settings.machine(), holdsLease, reports);
+    }
+
+    /** Adds up the nodes of one region. */
+    private final class RegionCount {
+        private final Map<String, Map<Long, Integer>> versions = new TreeMap<>();
+        private final List<MachineReport.NodeBehind> behind = new ArrayList<>();
+        private int nodes;
+        private int current;
+
+        void add(NodeConnection connection) {
+            nodes++;
+            List<Subscription.Lag> lags = connection.subscription.behind(table);
+            current += lags.isEmpty() ? 1 : 0;
+            lags.stream().limit(Math.max(0, MachineReport.MAX_NAMED - behind.size()))
+                    .forEach(lag -> behind.add(new MachineReport.NodeBehind(connection.node, lag.name(),
+                            lag.applied(), lag.newest(), lag.reason())));
+            connection.subscription.names().forEach(name -> versions.computeIfAbsent(name, key -> new TreeMap<>())
+                    .merge(connection.subscription.applied(name), 1, Integer::sum));
+        }
+
+        MachineReport.RegionReport report(String region) {
+            List<MachineReport.VersionCount> counts = new ArrayList<>();
+            versions.forEach((name, byVersion) -> byVersion.forEach((version, count) -> {
+                if (counts.size() < MachineReport.MAX_VERSIONS) {
+                    counts.add(new MachineReport.VersionCount(name, version, count));
+                }
+            }));
+            return new MachineReport.RegionReport(region, nodes, current, counts, behind);
+        }
+    }
+
+    private void count(Refusal refusal, String who, String why) {
+        refusals.get(refusal).increment();
+        double now = clock.nowMs();
+        if (now >= loggedSinceMs + 1000) {
+            loggedSinceMs = now;
+            loggedInSecond = 0;
+        }
+        if (loggedInSecond++ < LOGGED_PER_SECOND) {
+            LOG.info("control server {}: refused {} reason={} {}", settings.machine(), who, refusal, why);
+        }
+    }
+
+    /** One connection, from its accept on; a node's subscription once it has sent one. */
+    private final class NodeConnection extends ChannelInboundHandlerAdapter {
+        private final Channel channel;
+        private final double acceptedMs = clock.nowMs();
+        private double lastReadMs = acceptedMs;
+        private double blockedSinceMs = Double.NaN;
+        /** The oldest heartbeat that the node has not answered, and when it was sent; NaN if none. */
+        private long unansweredHeartbeat;
+        private double unansweredSinceMs = Double.NaN;
+        private Subscription subscription;
+        private String node = "";
+        private String region = "";
+        private long number;
+        private boolean ended;
+
+        NodeConnection(Channel channel) {
+            this.channel = channel;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            connections.add(this);
+            if (stopping) {
+                refuse(Refusal.STOPPING, 0, "");
+            } else if (connections.size() - byNode.size() > limits.maxUnsubscribed()) {
+                refuse(Refusal.BUSY, limits.retryMaxMs(), "too many connections without a subscription");
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            forget();
+        }
+
+        private void forget() {
+            connections.remove(this);
+            dirty.remove(this);
+            byNode.remove(node, this);
+            if (subscription != null) {
+                subscription.names().forEach(name -> byResource.computeIfPresent(name, (key, interested) -> {
+                    interested.remove(this);
+                    return interested.isEmpty() ? null : interested;
+                }));
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object received) {
+            ByteBuf frame = (ByteBuf) received;
+            try {
+                if (!ended) {
+                    bytesIn.increment(frame.readableBytes() + (double) ControlFrames.LENGTH_BYTES);
+                    lastReadMs = clock.nowMs();
+                    received(ControlFrames.read(frame));
+                }
+            } catch (ProtocolException e) {
+                refuse(e.refusal(), 0, e.getMessage());
+            } finally {
+                frame.release();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof TooLongFrameException) {
+                refuse(Refusal.FRAME_TOO_LONG, 0, String.valueOf(cause.getMessage()));
+            } else if (cause instanceof DecoderException) {
+                refuse(Refusal.UNREADABLE, 0, String.valueOf(cause.getMessage()));
+            } else {
+                channel.close();
+            }
+        }
+
+        private void received(ControlMessage message) throws ProtocolException {
+            if (message instanceof Subscribe subscribe && subscription == null) {
+                subscribe(subscribe);
+            } else if (message instanceof Acknowledge acknowledge && subscription != null) {
+                subscription.acknowledged(acknowledge);
+                if (!acknowledge.accepted()) {
+                    rejectedVersions.increment();
+                    LOG.warn("control server {}: {} can't use version {} of {}: {}", settings.machine(), node,
+                            acknowledge.version(), acknowledge.name(), acknowledge.reason());
+                }
+            } else if (message instanceof NodeHeartbeat heartbeat && subscription != null) {
+                if (heartbeat.sequence() >= unansweredHeartbeat) {
+                    unansweredSinceMs = Double.NaN;
+                }
+            } else {
+                throw new ProtocolException(Refusal.UNREADABLE, message.getClass().getSimpleName()
+                        + " is not expected here");
+            }
+        }
+
+        private void subscribe(Subscribe request) {
+            if (!request.fleet().equals(settings.fleet())) {
+                refuse(Refusal.OTHER_FLEET, 0, request.node() + " of fleet " + request.fleet());
+                return;
+            }
+            if (!settings.nodes().contains(request.node())) {
+                refuse(Refusal.UNKNOWN_NODE, 0, request.node());
+                return;
+            }
+            if (request.resources().size() > ControlMessage.MAX_RESOURCES) {
+                refuse(Refusal.TOO_MANY_RESOURCES, 0, request.node() + ": " + request.resources().size());
+                return;
+            }
+            NodeConnection before = byNode.get(request.node());
+            if (before != null && before.number >= request.connection()) {
+                refuse(Refusal.REPLACED, 0, request.node() + ": a later connection is here");
+                return;
+            }
+            if (before == null && byNode.size() >= limits.maxSubscribers()) {
+                refuse(Refusal.FULL, 0, request.node());
+                return;
+            }
+            OptionalDouble retryAfterMs = admissions.admit(clock.nowMs());
+            if (retryAfterMs.isPresent()) {
+                refuse(Refusal.BUSY, retryAfterMs.getAsDouble(), request.node());
+                return;
+            }
+            if (before != null) {
+                before.refuse(Refusal.REPLACED, 0, request.node() + ": a later connection has come");
+            }
+            admitted(request);
+        }
+
+        private void admitted(Subscribe request) {
+            node = request.node();
+            region = request.region();
+            number = request.connection();
+            subscription = new Subscription(request, table);
+            byNode.put(node, this);
+            subscription.names().forEach(name -> byResource.computeIfAbsent(name, key -> new HashSet<>()).add(this));
+            subscriptions.increment();
+            write(ControlFrames.bytes(new Welcome(settings.machine(), limits.heartbeatMs())));
+            sendPending();
+        }
+
+        private void write(byte[] frame) {
+            bytesOut.increment(frame.length);
+            channel.write(Unpooled.wrappedBuffer(frame));
+        }
+
+        /** Writes what is pending, as far as the connection takes it. */
+        void sendPending() {
+            if (ended || subscription == null) {
+                return;
+            }
+            while (channel.isWritable()) {
+                Optional<Resource> next = subscription.next(table);
+                if (next.isEmpty()) {
+                    break;
+                }
+                write(frame(next.get()));
+                updates.increment();
+            }
+            channel.flush();
+            noteWritability();
+        }
+
+        private void noteWritability() {
+            if (channel.isWritable()) {
+                blockedSinceMs = Double.NaN;
+            } else if (Double.isNaN(blockedSinceMs)) {
+                blockedSinceMs = clock.nowMs();
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            noteWritability();
+            if (channel.isWritable()) {
+                sendPending();
+            }
+        }
+
+        void tick(double nowMs, byte[] heartbeat) {
+            if (ended) {
+                return;
+            }
+            if (subscription == null) {
+                if (nowMs - acceptedMs > limits.silenceMs()) {
+                    refuse(Refusal.NO_SUBSCRIPTION, 0, "");
+                }
+            } else if (nowMs - lastReadMs > limits.silenceMs()) {
+                refuse(Refusal.SILENT, 0, node);
+            } else if (nowMs - blockedSinceMs > limits.slowReaderMs()
+                    || nowMs - unansweredSinceMs > limits.slowReaderMs()) {
+                refuse(Refusal.SLOW_READER, 0, node);
+            } else if (channel.isWritable()) {
+                write(heartbeat);
+                channel.flush();
+                noteWritability();
+                if (Double.isNaN(unansweredSinceMs)) {
+                    unansweredHeartbeat = heartbeats;
+                    unansweredSinceMs = nowMs;
+                }
+            }
+        }
+
+        /** Tells why, and closes; what still comes in is dropped for a moment, else it would reset the connection. */
+        void refuse(Refusal refusal, double retryAfterMs, String why) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            count(refusal, String.valueOf(channel.remoteAddress()), why);
+            forget();
+            channel.pipeline().remove(io.netty.handler.codec.LengthFieldBasedFrameDecoder.class);
+            write(ControlFrames.bytes(new Refuse(refusal, retryAfterMs)));
+            channel.flush();
+            ((DuplexChannel) channel).shutdownOutput();
+            loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Refuses whoever is connected, so that nodes go elsewhere at once, and ends. */
+    @Override
+    public void close() {
+        if (group.isShuttingDown()) {
+            return;
+        }
+        try {
+            loop.submit(() -> {
+                stopping = true;
+                List.copyOf(connections).forEach(connection -> connection.refuse(Refusal.STOPPING, 0, ""));
+                if (listening != null) {
+                    listening.close();
+                }
+            }).await(STOP_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        group.shutdownGracefully(0, STOP_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(STOP_MS);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/control/FleetStatus.java
@@ -0,0 +1,70 @@
+package brackenbridge.fleet.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The reports of all control machines, added up by region, as text for operators. */
+public final class FleetStatus {
+    /** A report that is older is left out of the sums, and named. */
+    private static final double STALE_MS = 5000;
+
+    private static final class Region {
+        private int nodes;
+        private int current;
+        private final Map<String, Map<Long, Integer>> versions = new TreeMap<>();
+        private final List<MachineReport.NodeBehind> behind = new ArrayList<>();
+
+        void add(MachineReport.RegionReport report) {
+            nodes += report.nodes();
+            current += report.current();
+            report.versions().forEach(count -> versions.computeIfAbsent(count.resource(), name -> new TreeMap<>())
+                    .merge(count.version(), count.nodes(), Integer::sum));
+            behind.addAll(report.behind());
+        }
+    }
+
+    private FleetStatus() {
+    }
+
+    /** The text: each machine, then each region with the versions that differ and some of the nodes behind. */
+    public static String text(List<ReportExchange.Dated> reports) {
+        Map<String, Region> regions = new TreeMap<>();
+        StringBuilder text = new StringBuilder();
+        for (ReportExchange.Dated dated : reports) {
+            MachineReport report = dated.report();
+            int nodes = report.regions().stream().mapToInt(MachineReport.RegionReport::nodes).sum();
+            boolean stale = dated.ageMs() > STALE_MS;
+            line(text, "machine " + report.machine(), String.format(Locale.ROOT, "%d nodes, %s%s", nodes,
+                    report.confirmed() ? "confirmed" : "not confirmed by a majority",
+                    stale ? String.format(Locale.ROOT, "; last heard of %.0f s ago, not counted",
+                            dated.ageMs() / 1000) : ""));
+            if (!stale) {
+                report.regions().forEach(region -> regions.computeIfAbsent(region.region(), name -> new Region())
+                        .add(region));
+            }
+        }
+        regions.forEach((name, region) -> append(text, name, region));
+        return text.toString();
+    }
+
+    private static void append(StringBuilder text, String name, Region region) {
+        line(text, "region " + name, region.nodes + " nodes, " + region.current + " act by the newest versions");
+        region.versions.forEach((resource, counts) -> {
+            if (counts.size() > 1) {
+                List<String> parts = new ArrayList<>();
+                counts.forEach((version, nodes) -> parts.add(nodes + " by version " + version));
+                line(text, "  " + resource, String.join(", ", parts));
+            }
+        });
+        region.behind.forEach(node -> line(text, "  behind", node.node() + ": " + node.resource() + " at version "
+                + node.applied() + ", newest " + node.newest()
+                + (node.reason().isEmpty() ? "" : ", refused: " + node.reason())));
+    }
+
+    private static void line(StringBuilder text, String key, String value) {
+        text.append(String.format(Locale.ROOT, "%-20s %s%n", key, value));
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/control/HeldResources.java
@@ -0,0 +1,73 @@
+package brackenbridge.fleet.control;
+
+import brackenbridge.fleet.control.ControlMessage.Acknowledge;
+import brackenbridge.fleet.control.ControlMessage.HeldVersion;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * What a node has of the resources that it subscribes to. A version is taken only if it is newer than every version
+ * received before, whichever machine sent it; one that the node can't use leaves the version before in place.
+ */
+final class HeldResources {
+    /** Tries to act by a version. */
+    @FunctionalInterface
+    interface Applier {
+        /** Returns why the version can't be used; empty if the node acts by it now. */
+        Optional<String> apply(Resource resource);
+    }
+
+    private static final class Held {
+        private long received;
+        private long applied;
+    }
+
+    private final Map<String, Held> resources = new TreeMap<>();
+
+    HeldResources(Collection<String> names) {
+        names.forEach(name -> {
+            Resource.checkName(name);
+            resources.put(name, new Held());
+        });
+        if (resources.size() > ControlMessage.MAX_RESOURCES) {
+            throw new IllegalArgumentException(resources.size() + " resources of at most "
+                    + ControlMessage.MAX_RESOURCES);
+        }
+    }
+
+    /** Takes a version; returns what to tell the machine, or nothing for one that is old or was not asked for. */
+    Optional<Acknowledge> offer(Resource resource, Applier applier) {
+        Held held = resources.get(resource.name());
+        if (held == null || resource.version() <= held.received) {
+            return Optional.empty();
+        }
+        held.received = resource.version();
+        Optional<String> fault = applier.apply(resource);
+        if (fault.isEmpty()) {
+            held.applied = resource.version();
+        }
+        return Optional.of(new Acknowledge(resource.name(), resource.version(), fault.isEmpty(),
+                fault.map(HeldResources::shortened).orElse("")));
+    }
+
+    private static String shortened(String reason) {
+        return reason.substring(0, Math.min(reason.length(), ControlMessage.MAX_REASON));
+    }
+
+    /** The versions to resume from. */
+    List<HeldVersion> versions() {
+        List<HeldVersion> versions = new ArrayList<>();
+        resources.forEach((name, held) -> versions.add(new HeldVersion(name, held.received, held.applied)));
+        return versions;
+    }
+
+    /** The version of a resource that the node acts by; 0 if none. */
+    long applied(String name) {
+        Held held = resources.get(name);
+        return held == null ? 0 : held.applied;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ProtocolException.java
@@ -0,0 +1,22 @@
+package brackenbridge.fleet.control;
+
+import java.io.IOException;
+
+/** Bytes from the other side that break the protocol. */
+public final class ProtocolException extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    /** What is refused. */
+    private final Refusal refusal;
+
+    /** With the reason to tell and to count, and a text for the log. */
+    public ProtocolException(Refusal refusal, String text) {
+        super(text);
+        this.refusal = refusal;
+    }
+
+    /** The reason. */
+    public Refusal refusal() {
+        return refusal;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/control/Refusal.java
@@ -0,0 +1,42 @@
+package brackenbridge.fleet.control;
+
+/** Why a control machine does not serve a connection, or ends one. Counted and logged by this name. */
+public enum Refusal {
+    /** A frame that is no message of this protocol, or one that is not allowed at this point. */
+    UNREADABLE(false),
+    /** A frame longer than the limit. */
+    FRAME_TOO_LONG(false),
+    /** A version of the protocol that this machine does not speak. */
+    UNKNOWN_PROTOCOL_VERSION(false),
+    /** A node of another fleet. */
+    OTHER_FLEET(false),
+    /** A node whose name is not in the fleet's file. */
+    UNKNOWN_NODE(false),
+    /** More resources than one node may subscribe to. */
+    TOO_MANY_RESOURCES(false),
+    /** No subscription within the time allowed for it. */
+    NO_SUBSCRIPTION(false),
+    /** More subscriptions begin at the moment than this machine admits; it says when to come back. */
+    BUSY(true),
+    /** This machine serves as many nodes as it may. */
+    FULL(true),
+    /** The node has not read what was sent to it for too long. */
+    SLOW_READER(true),
+    /** Nothing was heard of the node for too long. */
+    SILENT(true),
+    /** A newer connection of the same node has taken this one's place. */
+    REPLACED(true),
+    /** This machine is being stopped. */
+    STOPPING(true);
+
+    private final boolean transientFault;
+
+    Refusal(boolean transientFault) {
+        this.transientFault = transientFault;
+    }
+
+    /** Whether the same node may succeed later without a change of its configuration. */
+    public boolean isTransient() {
+        return transientFault;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/control/package-info.java
@@ -0,0 +1,13 @@
+/**
+ * Distribution of agreed values from a few control machines to many nodes.
+ *
+ * <p>A control machine keeps what the majority agreed ({@link brackenbridge.fleet.agreed}) and serves subscriptions
+ * ({@link brackenbridge.fleet.control.ControlServer}). A node holds one connection to one control machine
+ * ({@link brackenbridge.fleet.control.ControlClient}) and receives the newest version of each resource that it
+ * subscribed to. The cost of a node does not depend on the number of nodes. The design, its deadline and what was
+ * weighed against it are in {@code docs/design/control.md}.
+ *
+ * <p>{@code ResourceTable}, {@code Subscription}, {@code HeldResources}, {@code MachineSelector} and
+ * {@code AdmissionLimiter} decide and do no I/O; {@code ControlServer} and {@code ControlClient} own the sockets.
+ */
+package brackenbridge.fleet.control;
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/node/ControlService.java
@@ -0,0 +1,87 @@
+package brackenbridge.fleet.node;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.fleet.agreed.AgreedNode;
+import brackenbridge.fleet.config.FleetFile;
+import brackenbridge.fleet.control.ControlMachine;
+import brackenbridge.fleet.control.ControlServer;
+import brackenbridge.fleet.control.FleetStatus;
+import brackenbridge.fleet.control.NodeNames;
+import brackenbridge.fleet.control.ReportExchange;
+import brackenbridge.fleet.control.Resource;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A control machine in a process: a member of the agreement that passes agreed values on to the nodes. */
+public final class ControlService implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(ControlService.class);
+    private static final long REPORT_MS = 1000;
+
+    private final FleetNode member;
+    private final ControlServer server;
+    private final ReportExchange exchange;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "control-reports");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /**
+     * A control machine that is not started; its disk is read.
+     *
+     * @throws IllegalArgumentException if the file does not name it
+     * @throws IOException if its disk can't be used
+     */
+    public ControlService(FleetFile file, String name, Clock clock) throws IOException {
+        ControlMachine machine = file.control() == null ? null : file.control().machine(name);
+        if (machine == null) {
+            throw new IllegalArgumentException("the fleet's file names no control machine '" + name + "'");
+        }
+        member = new FleetNode(file, name, clock);
+        AgreedNode agreed = member.agreed();
+        int colon = machine.address().lastIndexOf(':');
+        InetSocketAddress address = new InetSocketAddress(machine.address().substring(0, colon),
+                Integer.parseInt(machine.address().substring(colon + 1)));
+        server = new ControlServer(new ControlServer.Settings(file.fleet(), name, address,
+                new NodeNames(file.control().nodes()), file.control().limits()), clock, agreed::confirmed,
+                member.metrics());
+        exchange = new ReportExchange(member.links(), clock);
+        member.statusOfNodes(() -> FleetStatus.text(exchange.all()));
+        agreed.listen(value -> agreed.known(value).ifPresent(known -> server.publish(
+                new Resource(known.name(), known.generation(), known.content()))));
+    }
+
+    /** Begins; fails if an address is not to be had. */
+    public void start() throws IOException {
+        member.start();
+        server.start();
+        timer.scheduleWithFixedDelay(this::report, REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS);
+        LOG.info("control machine {} serves nodes at {}", member.me().name(), server.address());
+    }
+
+    private void report() {
+        try {
+            exchange.send(server.report());
+        } catch (RuntimeException e) {
+            // Guards the next report: a schedule ends with the first exception.
+            LOG.error("a report failed", e);
+        }
+    }
+
+    /** Where nodes reach it. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        server.close();
+        member.close();
+    }
+}
--- a/fleet/src/main/java/brackenbridge/fleet/node/FleetNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/FleetNode.java
@@ -22,6 +22,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,6 +37,11 @@
     /** How long staff wait for a majority. */
     private static final double PATIENCE_MS = 10_000;
 
+    /** Counts of the links that come into being only with their first event. */
+    private static final List<String> LINK_COUNTS = List.of("bytes_in", "bytes_out", "frames_in", "frames_out",
+            "links_made", "links_lost", "dials_failed", "unsent_no_link", "unsent_queue_full", "beats_unsent",
+            "frames_unreadable");
+
     private final FleetFile file;
     private final Member me;
     private final Disk disk;
@@ -43,6 +51,7 @@
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<String, StaffPage.Calls> rooms = new LinkedHashMap<>();
     private StaffPage page;
+    private Supplier<String> statusOfNodes = () -> "";
 
     /**
      * A member that is not started; its disk is read.
@@ -62,16 +71,19 @@
         PeerLimits usual = PeerLimits.standard();
         FleetFile.Links l = file.links();
         List<Member> peers = file.members().stream().filter(m -> !m.name().equals(name)).toList();
-        links = new TcpLinks(me, life, file.fleet(), peers, clock, new PeerLimits(l.frameBytes(), l.queueBytes(),
-                usual.queueMessages(), l.beatMs(), l.suspectMs(), l.goneMs(), usual.handshakeMs(), usual.dialMinMs(),
-                usual.dialMaxMs(), usual.strangers(), usual.asked()));
+        String listenAddress = file.listen().getOrDefault(name, me.address());
+        links = new TcpLinks(me, listenAddress, life, file.fleet(), peers, clock, new PeerLimits(l.frameBytes(),
+                l.queueBytes(), usual.queueMessages(), l.beatMs(), l.suspectMs(), l.goneMs(), usual.handshakeMs(),
+                usual.dialMinMs(), usual.dialMaxMs(), usual.strangers(), usual.asked()));
         replica = new ReplicaNode(links, disk, clock,
                 brackenbridge.fleet.replica.Terms.DEFAULT.sending(file.replica().bytesPerSecond()));
         FleetFile.Agreement a = file.agreed();
         agreed = new AgreedNode(links, directory, clock, new AgreedSettings(file.fleet(),
                 file.members().stream().map(Member::name).limit(a.voters()).toList(), new Terms(a.leaseMs(), a.drift()),
                 AGREED_BEAT_MS, AGREED_PATIENCE, LONGEST_ROLE_MS, life));
-        links.figures().keySet().forEach(k -> Gauge.builder("fleet.links." + k,
+        Set<String> shown = new TreeSet<>(links.figures().keySet());
+        shown.addAll(LINK_COUNTS);
+        shown.forEach(k -> Gauge.builder("fleet.links." + k,
                 () -> links.figures().getOrDefault(k, 0.0)).register(metrics));
         Gauge.builder("fleet.replica.behind", () -> replica.level().behind()).register(metrics);
         Gauge.builder("fleet.replica.differing", () -> replica.level().differing()).register(metrics);
@@ -81,7 +93,8 @@
         SettingsCalls settings = new SettingsCalls(agreed, PATIENCE_MS);
         rooms.put("settings", (words, body, json) -> {
             SettingsCalls.Reply r = settings(settings, words, new String(body, StandardCharsets.UTF_8));
-            return new StaffPage.Answer(r.done(), r.text());
+            return new StaffPage.Answer(r.done(), words.equals(List.of("status")) ? r.text() + statusOfNodes.get()
+                    : r.text());
         });
     }
 
@@ -137,6 +150,11 @@
         return metrics;
     }
 
+    /** What {@code settings status} says of nodes beside the agreement; before {@link #start}. */
+    public void statusOfNodes(Supplier<String> status) {
+        statusOfNodes = status;
+    }
+
     /** A room of this member that staff may call; before {@link #start}. */
     public void room(String name, StaffPage.Calls calls) {
         rooms.put(name, calls);
--- /dev/null
+++ b/fleet/src/main/java/brackenbridge/fleet/node/NodeSubscription.java
@@ -0,0 +1,158 @@
+package brackenbridge.fleet.node;
+
+import brackenbridge.cli.Main;
+import brackenbridge.clock.Clock;
+import brackenbridge.config.Config;
+import brackenbridge.discovery.StrictJson;
+import brackenbridge.fleet.config.FleetFile;
+import brackenbridge.fleet.control.ControlClient;
+import brackenbridge.fleet.control.Resource;
+import brackenbridge.net.Node;
+import com.eclipsesource.json.JsonObject;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A node's subscription to its settings and its list of servers. What arrives takes the way of a checked reload: it
+ * stands in the configuration's place of the same kind, the whole is checked, and only then does the node go by it. One
+ * that can't be used is refused whole and reported back; the one before stays. Without a control machine the node goes
+ * by what it was told last, and before the first answer by its file.
+ */
+public final class NodeSubscription implements Main.Beside {
+    private static final Logger LOG = LoggerFactory.getLogger(NodeSubscription.class);
+    private static final long RECONCILE_MS = 1000;
+    private static final String APPLIED_FIGURE = "proxy.config_applied:";
+
+    private final FleetFile file;
+    private final Path configFile;
+    private final String region;
+    private final Config started;
+    /** By resource: the key of the configuration that its content stands for. */
+    private final Map<String, String> keys = new TreeMap<>();
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private Node node;
+    private ControlClient client;
+
+    // The event loop's only.
+    private final Map<String, String> contents = new TreeMap<>();
+    private long ownReloads;
+    private long reloadsSeen;
+
+    /**
+     * The subscription of the node that this configuration names.
+     *
+     * @param file the fleet's file
+     * @param configFile the node's configuration file
+     * @param region where the node runs
+     * @param started the configuration that the node starts with
+     * @throws IllegalArgumentException if the fleet's file names no control machine
+     */
+    public NodeSubscription(FleetFile file, Path configFile, String region, Config started) {
+        if (file.control() == null) {
+            throw new IllegalArgumentException("the fleet's file names no control machine");
+        }
+        this.file = file;
+        this.configFile = configFile;
+        this.region = region;
+        this.started = started;
+        keys.put("settings/tier-" + started.settings().tier(), "settings");
+        keys.put("list/tier-" + started.settings().tier(), "known");
+    }
+
+    @Override
+    public void begin(Node served) {
+        node = served;
+        client = new ControlClient(new ControlClient.Settings(file.fleet(), started.name(), region,
+                file.control().machines(), List.copyOf(keys.keySet()), file.control().limits()), loop, Clock.system(),
+                new SplittableRandom(), this::apply);
+        client.start();
+        loop.scheduleWithFixedDelay(this::reconcile, RECONCILE_MS, RECONCILE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** How the subscription stands. */
+    public ControlClient.Status status() {
+        return client.status();
+    }
+
+    private Optional<String> apply(Resource resource) {
+        Map<String, String> next = new TreeMap<>(contents);
+        next.put(keys.get(resource.name()), new String(resource.content(), StandardCharsets.UTF_8));
+        try {
+            reload(merged(next));
+        } catch (IllegalArgumentException | IOException e) {
+            LOG.warn("version {} of {} can't be used, the one before stays: {}", resource.version(), resource.name(),
+                    e.getMessage());
+            return Optional.of(String.valueOf(e.getMessage()));
+        }
+        contents.clear();
+        contents.putAll(next);
+        LOG.info("acts by version {} of {}", resource.version(), resource.name());
+        return Optional.empty();
+    }
+
+    /** The file's configuration with these contents in their places; checked as a reload is. */
+    private Config merged(Map<String, String> with) throws IOException {
+        JsonObject whole = StrictJson.parse(Files.readString(configFile)).asObject();
+        with.forEach((key, content) -> whole.set(key, StrictJson.parse(content)));
+        Config config = Config.parse(whole.toString()).withManagement(System.getenv("PROXY_MGMT"));
+        started.shape().requireOf(config.shape());
+        return config;
+    }
+
+    private void reload(Config config) {
+        node.reconfigure(() -> config);
+        ownReloads++;
+    }
+
+    /** After a SIGHUP the file's settings hold: what was agreed is put back in its place. */
+    private void reconcile() {
+        try {
+            long reloads = reloads(node.figures());
+            long others = reloads - reloadsSeen - ownReloads;
+            if (reloads <= reloadsSeen) {
+                return;
+            }
+            reloadsSeen = reloads;
+            ownReloads = Math.max(0, -others);
+            if (others > 0 && !contents.isEmpty()) {
+                LOG.info("the file was read anew; agreed values are put back in their place");
+                reload(merged(contents));
+            }
+        } catch (IllegalArgumentException | IOException e) {
+            LOG.warn("agreed values can't be put back: {}", e.getMessage());
+        }
+    }
+
+    private static long reloads(String figures) {
+        int at = figures.indexOf(APPLIED_FIGURE);
+        if (at < 0) {
+            return 0;
+        }
+        int end = at + APPLIED_FIGURE.length();
+        int begin = end;
+        while (end < figures.length() && Character.isDigit(figures.charAt(end))) {
+            end++;
+        }
+        return end == begin ? 0 : Long.parseLong(figures.substring(begin, end));
+    }
+
+    @Override
+    public void end() {
+        client.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- a/fleet/src/test/java/brackenbridge/fleet/config/FleetFileTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/config/FleetFileTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brackenbridge.fleet.control.ControlLimits;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** The file is checked whole, and what is at fault is said with its place. */
@@ -68,4 +70,32 @@
         List<String> faults = assertThrows(FileFaults.class, () -> FleetFile.parse("f", "fleet = \n")).faults();
         assertTrue(faults.get(0).startsWith("f:1:9: syntax: "), faults.toString());
     }
+
+    @Test
+    void theControlExampleNamesWhatHoldsWhereNothingIsSaid() throws FileFaults {
+        FleetFile example = FleetFile.read(Path.of("../deploy/control.toml"));
+        assertEquals(ControlLimits.STANDARD, example.control().limits());
+        assertEquals(List.of("*"), example.control().nodes());
+        assertEquals("south", example.control().machine("c2").region());
+        assertEquals(3, example.control().machines().size());
+        assertEquals(Map.of("c1", "127.0.0.1:9700"), example.listen());
+    }
+
+    @Test
+    void controlMachinesAreMembersEachOnceAndLimitsCanBeKept() {
+        String fleet = "fleet = \"f\"\n[[member]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n[control]\n";
+        String machine = "[[control.machine]]\nname = \"%s\"\nregion = \"r\"\naddress = \"127.0.0.1:2\"\n";
+        String a = String.format(machine, "a");
+        assertFault("control.machine: nobody serves", fleet);
+        assertFault("'b' is no member", fleet + String.format(machine, "b"));
+        assertFault("is used already", fleet + a + a);
+        assertFault("control.silence: ", fleet + "heartbeat = \"1s\"\nsilence = \"2s\"\n" + a);
+        assertFault("control.nodes[0]: does not have the form", fleet + "nodes = [\"a b\"]\n" + a);
+        assertFault("control.node: is unknown; did you mean 'nodes'?", fleet + "node = [\"a\"]\n" + a);
+    }
+
+    private static void assertFault(String expected, String text) {
+        List<String> faults = assertThrows(FileFaults.class, () -> FleetFile.parse("f", text)).faults();
+        assertTrue(faults.stream().anyMatch(fault -> fault.contains(expected)), faults.toString());
+    }
 }
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/control/ControlCodecTest.java
@@ -0,0 +1,102 @@
+package brackenbridge.fleet.control;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.fleet.control.ControlMessage.Acknowledge;
+import brackenbridge.fleet.control.ControlMessage.HeldVersion;
+import brackenbridge.fleet.control.ControlMessage.MachineHeartbeat;
+import brackenbridge.fleet.control.ControlMessage.NodeHeartbeat;
+import brackenbridge.fleet.control.ControlMessage.Refuse;
+import brackenbridge.fleet.control.ControlMessage.Subscribe;
+import brackenbridge.fleet.control.ControlMessage.Update;
+import brackenbridge.fleet.control.ControlMessage.Welcome;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Messages survive their way; whatever else comes is one kind of exception with a named reason. */
+class ControlCodecTest {
+    private static final List<ControlMessage> ALL = List.of(
+            new Subscribe("fleet", "n1", "north", 7, List.of(new HeldVersion("settings/tier-1", 4, 3))),
+            new Acknowledge("settings/tier-1", 5, false, "no settings.classes"), new NodeHeartbeat(12),
+            new Welcome("c1", 750), new MachineHeartbeat(13, true), new Refuse(Refusal.BUSY, 1250));
+
+    @Test
+    void everyMessageIsTheSameAfterItsWay() throws ProtocolException {
+        for (ControlMessage message : ALL) {
+            assertEquals(message, ControlCodec.read(ControlCodec.write(message)));
+        }
+        byte[] content = new byte[Resource.MAX_CONTENT];
+        Arrays.fill(content, (byte) 7);
+        byte[] longest = ControlCodec.write(new Update(new Resource("x".repeat(Resource.MAX_NAME), 9, content)));
+        assertTrue(longest.length <= ControlCodec.MAX_MESSAGE, longest.length + " bytes");
+        Update back = (Update) ControlCodec.read(longest);
+        assertArrayEquals(content, back.resource().content());
+    }
+
+    @Test
+    void heartbeatsAreShort() {
+        assertTrue(ControlFrames.bytes(new MachineHeartbeat(1_000_000, true)).length <= 16);
+        assertTrue(ControlFrames.bytes(new NodeHeartbeat(1_000_000)).length <= 16);
+    }
+
+    private static Refusal refusalOf(byte[] bytes) {
+        return assertThrows(ProtocolException.class, () -> ControlCodec.read(bytes)).refusal();
+    }
+
+    @Test
+    void anUnknownVersionOrKindOrACutMessageHasItsOwnReason() {
+        byte[] whole = ControlCodec.write(ALL.get(0));
+        byte[] other = whole.clone();
+        other[0] = 2;
+        assertEquals(Refusal.UNKNOWN_PROTOCOL_VERSION, refusalOf(other));
+        byte[] kind = whole.clone();
+        kind[1] = 99;
+        assertEquals(Refusal.UNREADABLE, refusalOf(kind));
+        assertEquals(Refusal.UNREADABLE, refusalOf(new byte[] {1}));
+        assertEquals(Refusal.UNREADABLE, refusalOf(Arrays.copyOf(whole, whole.length - 3)));
+        assertEquals(Refusal.UNREADABLE, refusalOf(Arrays.copyOf(whole, whole.length + 3)));
+    }
+
+    @Test
+    void valuesOutOfBoundsAreRejected() {
+        assertThrows(IllegalArgumentException.class, () -> new Resource("a", 0, new byte[0]));
+        assertThrows(IllegalArgumentException.class, () -> new Resource("", 1, new byte[0]));
+        assertThrows(IllegalArgumentException.class, () -> new Resource("a", 1,
+                new byte[Resource.MAX_CONTENT + 1]));
+        assertThrows(IllegalArgumentException.class, () -> new HeldVersion("a", 1, 2));
+    }
+
+    @Property(tries = 2000)
+    void randomBytesAreNeverAnythingButAProtocolException(@ForAll @Size(max = 200) byte[] bytes) {
+        byte[] headed = bytes.clone();
+        if (headed.length > 1) {
+            headed[0] = ControlCodec.VERSION;
+            headed[1] = (byte) (headed[1] & 7);
+        }
+        for (byte[] candidate : List.of(bytes, headed)) {
+            try {
+                ControlCodec.read(candidate);
+            } catch (ProtocolException e) {
+                assertTrue(e.getMessage() != null);
+            }
+        }
+    }
+
+    @Property(tries = 1000)
+    void changedMessagesAreReadOrRefused(@ForAll int which, @ForAll int at, @ForAll byte value) {
+        byte[] bytes = ControlCodec.write(ALL.get(Math.floorMod(which, ALL.size())));
+        bytes[Math.floorMod(at, bytes.length)] = value;
+        try {
+            ControlCodec.read(bytes);
+        } catch (ProtocolException e) {
+            assertTrue(e.refusal() == Refusal.UNREADABLE || e.refusal() == Refusal.UNKNOWN_PROTOCOL_VERSION);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/control/ControlServerTest.java
@@ -0,0 +1,341 @@
+package brackenbridge.fleet.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.fleet.control.ControlMessage.HeldVersion;
+import brackenbridge.fleet.control.ControlMessage.NodeHeartbeat;
+import brackenbridge.fleet.control.ControlMessage.Refuse;
+import brackenbridge.fleet.control.ControlMessage.Subscribe;
+import brackenbridge.fleet.control.ControlMessage.Welcome;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Control machines and nodes over real sockets: what goes wrong at one connection is noticed at no other. */
+class ControlServerTest {
+    private static final ControlLimits FAST = new ControlLimits(50, 150, 150, 5, 300, 300, 20, 200, 10, 300, 600,
+            1000, 100, 50, 20);
+    private static final String SETTINGS = "settings/tier-1";
+
+    /** A machine whose lease the test decides on. */
+    private static final class Machine implements AutoCloseable {
+        private final SimpleMeterRegistry metrics = new SimpleMeterRegistry();
+        private final ControlServer server;
+        private final String name;
+        private final String region;
+        private volatile boolean confirmed = true;
+
+        Machine(String name, String region, ControlLimits limits) throws IOException {
+            this.name = name;
+            this.region = region;
+            server = new ControlServer(new ControlServer.Settings("fleet", name,
+                    new InetSocketAddress("127.0.0.1", 0), new NodeNames(List.of("n*", "exact")), limits),
+                    Clock.system(), () -> confirmed, metrics);
+            server.start();
+        }
+
+        ControlMachine address() {
+            return new ControlMachine(name, region, "127.0.0.1:" + server.address().getPort());
+        }
+
+        void publish(long version, String content) {
+            server.publish(new Resource(SETTINGS, version, content.getBytes(StandardCharsets.UTF_8)));
+        }
+
+        double refused(Refusal refusal) {
+            return metrics.get("control.refused").tag("reason", refusal.name().toLowerCase(Locale.ROOT)).counter()
+                    .count();
+        }
+
+        int nodes() {
+            return server.report().regions().stream().mapToInt(MachineReport.RegionReport::nodes).sum();
+        }
+
+        @Override
+        public void close() {
+            server.close();
+        }
+    }
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final Map<String, Long> applied = new ConcurrentHashMap<>();
+
+    private Machine machine(String name, String region, ControlLimits limits) throws IOException {
+        Machine machine = new Machine(name, region, limits);
+        opened.add(machine);
+        return machine;
+    }
+
+    private ControlClient node(String name, String region, ControlLimits limits, Machine... machines) {
+        List<ControlMachine> addresses = java.util.Arrays.stream(machines).map(Machine::address).toList();
+        ControlClient client = new ControlClient(new ControlClient.Settings("fleet", name, region, addresses,
+                List.of(SETTINGS), limits), group.next(), Clock.system(), new SplittableRandom(name.hashCode()),
+                resource -> {
+                    if (new String(resource.content(), StandardCharsets.UTF_8).startsWith("bad")) {
+                        return Optional.of("it is bad");
+                    }
+                    applied.merge(name, resource.version(), Math::max);
+                    return Optional.empty();
+                });
+        opened.add(client);
+        client.start();
+        return client;
+    }
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable closeable : opened) {
+            closeable.close();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(2000);
+    }
+
+    private static void await(java.util.concurrent.Callable<Boolean> condition) {
+        Awaitility.await().atMost(Duration.ofSeconds(20)).pollInterval(Duration.ofMillis(5)).until(condition);
+    }
+
+    @Test
+    void aNodeGetsWhatIsInForceAndEachChange() throws IOException {
+        Machine machine = machine("c1", "north", FAST);
+        machine.publish(3, "first");
+        ControlClient node = node("n1", "north", FAST, machine);
+        await(() -> applied.getOrDefault("n1", 0L) == 3);
+        machine.publish(4, "second");
+        await(() -> applied.get("n1") == 4);
+        machine.publish(2, "late");
+        await(() -> machine.server.report().regions().stream().anyMatch(region -> region.current() == 1));
+        assertEquals(4, applied.get("n1"));
+        assertEquals(1, node.status().connections());
+    }
+
+    @Test
+    void aVersionThatANodeCannotUseIsReportedAndTheNextOneIsTaken() throws IOException {
+        Machine machine = machine("c1", "north", FAST);
+        machine.publish(1, "good");
+        ControlClient node = node("n1", "north", FAST, machine);
+        await(() -> applied.getOrDefault("n1", 0L) == 1);
+        machine.publish(2, "bad settings");
+        await(() -> FleetStatus.text(List.of(new ReportExchange.Dated(machine.server.report(), 0)))
+                .contains("n1: " + SETTINGS + " at version 1, newest 2, refused: it is bad"));
+        assertEquals(1, applied.get("n1"));
+        assertEquals(1, node.status().rejected());
+        machine.publish(3, "good again");
+        await(() -> applied.get("n1") == 3);
+        await(() -> machine.server.report().regions().stream().allMatch(region -> region.current() == 1));
+    }
+
+    @Test
+    void theNodesOfAMachineThatEndsGoToAnotherAndMissNothing() throws IOException {
+        Machine home = machine("c1", "north", FAST);
+        Machine away = machine("c2", "south", FAST);
+        ControlClient node = node("n1", "north", FAST, home, away);
+        home.publish(1, "one");
+        away.publish(1, "one");
+        await(() -> node.status().machine().equals("c1") && applied.getOrDefault("n1", 0L) == 1);
+        home.close();
+        away.publish(2, "two");
+        await(() -> applied.get("n1") == 2);
+        assertEquals("c2", node.status().machine());
+    }
+
+    @Test
+    void aMachineWithoutALeaseIsLeftForOneThatHasIt() throws IOException {
+        Machine home = machine("c1", "north", FAST);
+        Machine away = machine("c2", "south", FAST);
+        ControlClient node = node("n1", "north", FAST, home, away);
+        away.publish(2, "newer");
+        await(() -> node.status().machine().equals("c1"));
+        home.confirmed = false;
+        await(() -> applied.getOrDefault("n1", 0L) == 2);
+        home.confirmed = true;
+        await(() -> node.status().machine().equals("c1"));
+        assertEquals(2, applied.get("n1"), "a machine that lags takes nothing back");
+    }
+
+    @Test
+    void aNodeThatDoesNotReadIsDisconnectedAndResumes() throws IOException {
+        Machine machine = machine("c1", "north", FAST);
+        ControlClient slow = node("n1", "north", FAST, machine);
+        node("n2", "north", FAST, machine);
+        machine.publish(1, "one");
+        await(() -> applied.size() == 2);
+        slow.pauseReading(true);
+        await(() -> machine.refused(Refusal.SLOW_READER) >= 1);
+        machine.publish(2, "two");
+        await(() -> applied.get("n2") == 2);
+        assertEquals(1, applied.get("n1"));
+        slow.pauseReading(false);
+        await(() -> applied.get("n1") == 2);
+    }
+
+    @Test
+    void whoeverComesTooFastIsToldWhenToComeBackAndIsServedThen() throws IOException {
+        ControlLimits narrow = new ControlLimits(50, 150, 150, 5, 300, 300, 20, 200, 10, 300, 600, 40, 2, 50, 20);
+        Machine machine = machine("c1", "north", narrow);
+        for (int i = 0; i < 12; i++) {
+            node("n" + i, "north", narrow, machine);
+        }
+        await(() -> machine.nodes() == 12);
+        assertTrue(machine.refused(Refusal.BUSY) >= 1);
+    }
+
+    @Test
+    void aMachineThatIsFullSendsNodesToTheNext() throws IOException {
+        ControlLimits two = new ControlLimits(50, 150, 150, 5, 300, 300, 20, 200, 10, 60_000, 60_000, 1000, 100, 2,
+                20);
+        Machine home = machine("c1", "north", two);
+        Machine away = machine("c2", "south", FAST);
+        for (int i = 0; i < 5; i++) {
+            node("n" + i, "north", two, home, away);
+        }
+        await(() -> home.nodes() == 2 && away.nodes() == 3);
+        assertTrue(home.refused(Refusal.FULL) >= 3);
+    }
+
+    /** A connection that speaks the protocol by hand. */
+    private static final class Raw implements AutoCloseable {
+        private final Socket socket;
+        private final DataInputStream in;
+
+        Raw(Machine machine) throws IOException {
+            socket = new Socket("127.0.0.1", machine.server.address().getPort());
+            socket.setSoTimeout(10_000);
+            in = new DataInputStream(socket.getInputStream());
+        }
+
+        void send(byte[] bytes) throws IOException {
+            socket.getOutputStream().write(bytes);
+            socket.getOutputStream().flush();
+        }
+
+        void send(ControlMessage message) throws IOException {
+            send(ControlFrames.bytes(message));
+        }
+
+        ControlMessage read() throws IOException {
+            byte[] body = new byte[in.readInt()];
+            in.readFully(body);
+            return ControlCodec.read(body);
+        }
+
+        /** The reason that it is told, before the connection ends. */
+        Refusal refusal() throws IOException {
+            ControlMessage message = read();
+            while (!(message instanceof Refuse)) {
+                message = read();
+            }
+            try {
+                in.readInt();
+                throw new AssertionError("the connection goes on behind a refusal");
+            } catch (EOFException e) {
+                return ((Refuse) message).refusal();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static Subscribe subscribe(String fleet, String node, int resources) {
+        List<HeldVersion> versions = new ArrayList<>();
+        for (int i = 0; i < resources; i++) {
+            versions.add(new HeldVersion("r" + i, 0, 0));
+        }
+        return new Subscribe(fleet, node, "north", 1, versions);
+    }
+
+    private void isRefused(Machine machine, byte[] bytes, Refusal expected) throws IOException {
+        double before = machine.refused(expected);
+        try (Raw raw = new Raw(machine)) {
+            raw.send(bytes);
+            assertEquals(expected, raw.refusal());
+        }
+        assertEquals(before + 1, machine.refused(expected), expected + " is counted once");
+    }
+
+    @Test
+    void badInputIsOneNamedRefusalAndNobodyElseNotices() throws IOException {
+        Machine machine = machine("c1", "north", FAST);
+        ControlClient bystander = node("n1", "north", FAST, machine);
+        await(() -> bystander.status().machine().equals("c1"));
+        byte[] good = ControlFrames.bytes(subscribe("fleet", "n9", 1));
+        byte[] otherVersion = good.clone();
+        otherVersion[ControlFrames.LENGTH_BYTES] = 9;
+        isRefused(machine, otherVersion, Refusal.UNKNOWN_PROTOCOL_VERSION);
+        isRefused(machine, new byte[] {0x7f, 0, 0, 0, 1}, Refusal.FRAME_TOO_LONG);
+        isRefused(machine, new byte[] {-1, -1, -1, -1, 1}, Refusal.FRAME_TOO_LONG);
+        isRefused(machine, new byte[] {0, 0, 0, 3, 1, 0, 0}, Refusal.UNREADABLE);
+        isRefused(machine, "GET / HTTP/1.1\r\nHost: c1\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
+                Refusal.FRAME_TOO_LONG);
+        isRefused(machine, ControlFrames.bytes(new NodeHeartbeat(1)), Refusal.UNREADABLE);
+        isRefused(machine, ControlFrames.bytes(subscribe("other", "n9", 1)), Refusal.OTHER_FLEET);
+        isRefused(machine, ControlFrames.bytes(subscribe("fleet", "stranger", 1)), Refusal.UNKNOWN_NODE);
+        isRefused(machine, ControlFrames.bytes(subscribe("fleet", "n9", ControlMessage.MAX_RESOURCES + 1)),
+                Refusal.TOO_MANY_RESOURCES);
+        isRefused(machine, new byte[0], Refusal.NO_SUBSCRIPTION);
+        isRefused(machine, java.util.Arrays.copyOf(good, good.length / 2), Refusal.NO_SUBSCRIPTION);
+        try (Raw silent = new Raw(machine)) {
+            silent.send(good);
+            assertTrue(silent.read() instanceof Welcome);
+            assertEquals(Refusal.SILENT, silent.refusal());
+        }
+        machine.publish(5, "after all that");
+        await(() -> applied.getOrDefault("n1", 0L) == 5);
+        assertEquals(1, bystander.status().connections(), "the bystander's connection is the first one still");
+    }
+
+    @Test
+    void aLaterConnectionOfTheSameNodeTakesThePlaceOfTheEarlierAndNeverTheOtherWay() throws IOException {
+        Machine machine = machine("c1", "north", FAST);
+        try (Raw first = new Raw(machine); Raw second = new Raw(machine); Raw late = new Raw(machine)) {
+            first.send(new Subscribe("fleet", "exact", "north", 5, List.of()));
+            assertTrue(first.read() instanceof Welcome);
+            second.send(new Subscribe("fleet", "exact", "north", 6, List.of()));
+            assertTrue(second.read() instanceof Welcome);
+            assertEquals(Refusal.REPLACED, first.refusal());
+            late.send(new Subscribe("fleet", "exact", "north", 4, List.of()));
+            assertEquals(Refusal.REPLACED, late.refusal());
+        }
+    }
+
+    @Test
+    void connectionsWithoutASubscriptionAreBounded() throws IOException {
+        Machine machine = machine("c1", "north", FAST);
+        List<Raw> idle = new ArrayList<>();
+        try {
+            for (int i = 0; i < FAST.maxUnsubscribed() + 5; i++) {
+                idle.add(new Raw(machine));
+            }
+            await(() -> machine.refused(Refusal.BUSY) >= 5);
+        } finally {
+            for (Raw raw : idle) {
+                raw.close();
+            }
+        }
+        ControlClient node = node("n1", "north", FAST, machine);
+        await(() -> node.status().machine().equals("c1"));
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/control/DistributionModel.java
@@ -0,0 +1,199 @@
+package brackenbridge.fleet.control;
+
+import brackenbridge.fleet.control.ControlMessage.Acknowledge;
+import brackenbridge.fleet.control.ControlMessage.Subscribe;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A node, control machines that learn decided versions at their own pace, and connections whose messages are still on
+ * their way; for tests. The decisions are those of the real classes, only the sockets are not there. Each step checks
+ * what must hold at every moment.
+ */
+final class DistributionModel {
+    /** What takes a version at the node; the real one, or one with a deliberate mistake. */
+    interface Receiver {
+        Optional<Acknowledge> offer(Resource resource);
+
+        long applied(String name);
+
+        List<ControlMessage.HeldVersion> versions();
+    }
+
+    /** The real one; refuses the versions that the test names. */
+    static final class RealReceiver implements Receiver {
+        private final HeldResources held;
+        private final List<Long> refused;
+
+        RealReceiver(List<String> names, List<Long> refused) {
+            held = new HeldResources(names);
+            this.refused = refused;
+        }
+
+        @Override
+        public Optional<Acknowledge> offer(Resource resource) {
+            return held.offer(resource, offered -> refused.contains(offered.version()) ? Optional.of("refused")
+                    : Optional.empty());
+        }
+
+        @Override
+        public long applied(String name) {
+            return held.applied(name);
+        }
+
+        @Override
+        public List<ControlMessage.HeldVersion> versions() {
+            return held.versions();
+        }
+    }
+
+    /** A heartbeat on its way, with the versions that the machine had when it sent it. */
+    private record SentHeartbeat(long[] versions) {
+    }
+
+    private final class Connection {
+        private final int machine;
+        private final Subscription subscription;
+        private final Deque<Object> toNode = new ArrayDeque<>();
+
+        Connection(int machine) {
+            this.machine = machine;
+            subscription = new Subscription(new Subscribe("fleet", "node", "region", ++connectionNumber,
+                    receiver.versions()), tables.get(machine));
+        }
+
+        void pump() {
+            Optional<Resource> next = subscription.next(tables.get(machine));
+            while (next.isPresent()) {
+                toNode.add(next.get());
+                next = subscription.next(tables.get(machine));
+            }
+        }
+    }
+
+    private final List<String> names;
+    private final List<ResourceTable> tables = new ArrayList<>();
+    private final long[] decided;
+    private final Receiver receiver;
+    private final List<Connection> old = new ArrayList<>();
+    private Connection current;
+    private long connectionNumber;
+
+    DistributionModel(List<String> names, int machines, Receiver receiver) {
+        this.names = names;
+        this.receiver = receiver;
+        decided = new long[names.size()];
+        for (int i = 0; i < machines; i++) {
+            tables.add(new ResourceTable());
+        }
+    }
+
+    /** The majority decides on the next version of a name. */
+    void decide(int name) {
+        decided[name]++;
+    }
+
+    /** A machine learns the newest version of a name; it pushes it if the node is connected to it. */
+    void learn(int machine, int name) {
+        if (decided[name] == 0) {
+            return;
+        }
+        tables.get(machine).offer(new Resource(names.get(name), decided[name], new byte[0]));
+        if (current != null && current.machine == machine) {
+            current.subscription.changed(names.get(name), tables.get(machine));
+            current.pump();
+        }
+    }
+
+    /** The node connects to a machine; what was on its way on the connection before may still arrive late. */
+    void connect(int machine) {
+        if (current != null) {
+            old.add(current);
+        }
+        current = new Connection(machine);
+        current.pump();
+    }
+
+    /** The machine sends a heartbeat, behind all that is pending. */
+    void heartbeat() {
+        if (current != null) {
+            current.pump();
+            long[] versions = new long[names.size()];
+            for (int i = 0; i < versions.length; i++) {
+                versions[i] = tables.get(current.machine).version(names.get(i));
+            }
+            current.toNode.add(new SentHeartbeat(versions));
+        }
+    }
+
+    /** The next message of the connection arrives. */
+    void deliver() {
+        if (current == null || current.toNode.isEmpty()) {
+            return;
+        }
+        Object message = current.toNode.poll();
+        if (message instanceof SentHeartbeat heartbeat) {
+            for (int i = 0; i < heartbeat.versions().length; i++) {
+                long received = receiver.versions().get(i).received();
+                require(received >= heartbeat.versions()[i], "a heartbeat came before version "
+                        + heartbeat.versions()[i] + " that was in force when it was sent; received " + received);
+            }
+        } else {
+            take((Resource) message).ifPresent(current.subscription::acknowledged);
+        }
+    }
+
+    /** A message of a connection that was given up arrives late; its acknowledgement goes nowhere. */
+    void deliverLate() {
+        for (Connection connection : old) {
+            Object message = connection.toNode.poll();
+            if (message instanceof Resource resource) {
+                take(resource);
+                return;
+            }
+        }
+    }
+
+    private Optional<Acknowledge> take(Resource resource) {
+        int name = names.indexOf(resource.name());
+        long before = receiver.applied(resource.name());
+        Optional<Acknowledge> acknowledge = receiver.offer(resource);
+        long after = receiver.applied(resource.name());
+        require(after >= before, resource.name() + " went back from " + before + " to " + after);
+        require(after <= decided[name], resource.name() + " acts by " + after + ", decided " + decided[name]);
+        return acknowledge;
+    }
+
+    /** All machines learn all, the node connects once more and everything arrives: then it acts by the newest. */
+    void settle(List<Long> refused) {
+        for (int name = 0; name < names.size(); name++) {
+            for (int machine = 0; machine < tables.size(); machine++) {
+                learn(machine, name);
+            }
+        }
+        connect(0);
+        heartbeat();
+        while (!current.toNode.isEmpty()) {
+            deliver();
+        }
+        for (int name = 0; name < names.size(); name++) {
+            long applied = receiver.applied(names.get(name));
+            boolean newestRefused = refused.contains(decided[name]);
+            require(newestRefused || applied == decided[name], names.get(name) + " stays at " + applied
+                    + ", decided " + decided[name]);
+            require(newestRefused || current.subscription.applied(names.get(name)) == applied,
+                    "the machine believes " + current.subscription.applied(names.get(name)) + ", the node acts by "
+                            + applied);
+        }
+        require(!current.subscription.hasPending(), "something is pending still");
+    }
+
+    private static void require(boolean holds, String otherwise) {
+        if (!holds) {
+            throw new AssertionError(otherwise);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/control/DistributionTest.java
@@ -0,0 +1,127 @@
+package brackenbridge.fleet.control;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.fleet.control.ControlMessage.Acknowledge;
+import brackenbridge.fleet.control.ControlMessage.HeldVersion;
+import brackenbridge.fleet.control.DistributionModel.RealReceiver;
+import brackenbridge.fleet.control.DistributionModel.Receiver;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Every short history of one node, two control machines of which each may lag, reconnections and late messages; and
+ * long random ones of three names and three machines. No version goes back, a heartbeat never overtakes what was in
+ * force when it was sent, and whatever happened, one more connection brings the node up to date.
+ */
+class DistributionTest {
+    private static final String NAME = "settings/tier-1";
+    private static final int DEPTH = 7;
+    private static final int ACTIONS = 9;
+
+    private static void act(DistributionModel model, int action) {
+        switch (action) {
+            case 0, 1 -> {
+                model.decide(0);
+                model.learn(action, 0);
+            }
+            case 2 -> model.learn(0, 0);
+            case 3 -> model.learn(1, 0);
+            case 4 -> model.connect(0);
+            case 5 -> model.connect(1);
+            case 6 -> model.deliver();
+            case 7 -> model.deliverLate();
+            default -> model.heartbeat();
+        }
+    }
+
+    /** Plays every history of this length; each is settled at its end. */
+    private static int explore(Supplier<Receiver> receiver) {
+        int histories = 1;
+        for (int i = 0; i < DEPTH; i++) {
+            histories *= ACTIONS;
+        }
+        for (int history = 0; history < histories; history++) {
+            DistributionModel model = new DistributionModel(List.of(NAME), 2, receiver.get());
+            for (int step = 0, rest = history; step < DEPTH; step++, rest /= ACTIONS) {
+                act(model, rest % ACTIONS);
+            }
+            model.settle(List.of());
+        }
+        return histories;
+    }
+
+    @Test
+    void everyShortHistoryKeepsTheNewestVersion() {
+        assertTrue(explore(() -> new RealReceiver(List.of(NAME), List.of())) > 4_000_000);
+    }
+
+    /** A node that acts by whatever comes last. */
+    private static final class TakesAnything implements Receiver {
+        private final Function<Resource, HeldVersion> remembers;
+        private HeldVersion held = new HeldVersion(NAME, 0, 0);
+
+        TakesAnything(Function<Resource, HeldVersion> remembers) {
+            this.remembers = remembers;
+        }
+
+        @Override
+        public Optional<Acknowledge> offer(Resource resource) {
+            held = remembers.apply(resource);
+            return Optional.of(new Acknowledge(NAME, resource.version(), true, ""));
+        }
+
+        @Override
+        public long applied(String name) {
+            return held.applied();
+        }
+
+        @Override
+        public List<HeldVersion> versions() {
+            return List.of(held);
+        }
+    }
+
+    @Test
+    void aNodeThatTakesALateMessageIsFound() {
+        assertThrows(AssertionError.class, () -> explore(() -> new TakesAnything(
+                resource -> new HeldVersion(NAME, resource.version(), resource.version()))));
+    }
+
+    @Test
+    void aNodeThatDoesNotRememberWhatItHoldsIsFound() {
+        assertThrows(AssertionError.class, () -> explore(() -> new TakesAnything(
+                resource -> new HeldVersion(NAME, 0, 0))));
+    }
+
+    @Property(tries = 400)
+    void longRandomHistoriesKeepTheNewestVersions(
+            @ForAll @Size(max = 300) List<@IntRange(max = 35) Integer> actions,
+            @ForAll @Size(max = 3) List<@IntRange(min = 1, max = 6) Integer> refused) {
+        List<String> names = List.of("a", "b", "c");
+        List<Long> refusedVersions = refused.stream().map(Integer::longValue).toList();
+        DistributionModel model = new DistributionModel(names, 3, new RealReceiver(names, refusedVersions));
+        for (int action : actions) {
+            int which = action % 3;
+            switch (action / 3) {
+                case 0 -> model.decide(which);
+                case 1, 2 -> model.learn(which, 0);
+                case 3, 4 -> model.learn(which, 1);
+                case 5 -> model.learn(which, 2);
+                case 6 -> model.connect(which);
+                case 7 -> model.deliverLate();
+                case 8 -> model.heartbeat();
+                default -> model.deliver();
+            }
+        }
+        model.settle(refusedVersions);
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/control/MachineSelectorTest.java
@@ -0,0 +1,121 @@
+package brackenbridge.fleet.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Which machine a node tries next, when, and how a fleet of nodes spreads over them. */
+class MachineSelectorTest {
+    private static final ControlLimits LIMITS = ControlLimits.STANDARD;
+
+    /** Nine machines in six regions: two each in the first three. */
+    private static List<ControlMachine> nine() {
+        List<ControlMachine> machines = new ArrayList<>();
+        String regions = "aabbccdef";
+        for (int i = 0; i < 9; i++) {
+            machines.add(new ControlMachine("m" + i, regions.substring(i, i + 1), "127.0.0.1:" + (9000 + i)));
+        }
+        return machines;
+    }
+
+    private static MachineSelector selector(String region, long seed) {
+        return new MachineSelector(nine(), region, LIMITS, new SplittableRandom(seed));
+    }
+
+    @Test
+    void itsOwnRegionComesFirstThenEveryOtherMachineOnce() {
+        MachineSelector selector = selector("b", 1);
+        Set<String> tried = new HashSet<>();
+        for (int i = 0; i < 9; i++) {
+            ControlMachine machine = selector.next().machine();
+            assertEquals(i < 2, machine.region().equals("b"), "attempt " + i);
+            assertTrue(tried.add(machine.name()), "tried twice in a round: " + machine);
+            selector.failed();
+        }
+        assertEquals("b", selector.next().machine().region(), "the next round begins at home");
+    }
+
+    @Test
+    void theNodesOfALostMachineSpreadOverAllOthers() {
+        Map<String, Integer> load = new HashMap<>();
+        for (int seed = 0; seed < 800; seed++) {
+            MachineSelector selector = selector("d", seed);
+            assertEquals("m6", selector.next().machine().name());
+            selector.confirmed();
+            selector.failed();
+            load.merge(selector.next().machine().name(), 1, Integer::sum);
+        }
+        assertEquals(8, load.size());
+        load.forEach((machine, nodes) -> assertTrue(nodes > 70 && nodes < 130, machine + " gets " + nodes));
+    }
+
+    @Test
+    void waitsHaveFullJitterUnderABoundThatDoublesUpToTheLongest() {
+        double longestFirst = 0;
+        double longestLate = 0;
+        double shortestLate = Double.POSITIVE_INFINITY;
+        for (int seed = 0; seed < 300; seed++) {
+            MachineSelector selector = selector("a", seed);
+            assertTrue(selector.next().delayMs() <= LIMITS.startSpreadMs());
+            selector.failed();
+            longestFirst = Math.max(longestFirst, selector.next().delayMs());
+            for (int i = 0; i < 12; i++) {
+                selector.failed();
+            }
+            double late = selector.next().delayMs();
+            longestLate = Math.max(longestLate, late);
+            shortestLate = Math.min(shortestLate, late);
+        }
+        assertTrue(longestFirst <= LIMITS.retryBaseMs() && longestFirst > 0.9 * LIMITS.retryBaseMs());
+        assertTrue(longestLate <= LIMITS.retryMaxMs() && longestLate > 0.9 * LIMITS.retryMaxMs());
+        assertTrue(shortestLate < 0.1 * LIMITS.retryMaxMs());
+    }
+
+    @Test
+    void whoIsAskedToWaitComesBackToTheSameMachineNotSooner() {
+        MachineSelector selector = selector("d", 3);
+        ControlMachine asked = selector.next().machine();
+        selector.askedToWait(700);
+        MachineSelector.Attempt next = selector.next();
+        assertEquals(asked, next.machine());
+        assertTrue(next.delayMs() >= 700 && next.delayMs() <= 700 + LIMITS.heartbeatMs());
+    }
+
+    @Test
+    void patienceWithUnconfirmedMachinesDoublesByTheRoundAndEndsWithAConfirmedOne() {
+        MachineSelector selector = selector("a", 4);
+        selector.next();
+        assertEquals(LIMITS.unconfirmedMs(), selector.patienceMs());
+        for (int i = 0; i < 9; i++) {
+            selector.failed();
+            selector.next();
+        }
+        assertEquals(2 * LIMITS.unconfirmedMs(), selector.patienceMs());
+        for (int i = 0; i < 200; i++) {
+            selector.failed();
+            selector.next();
+        }
+        assertEquals(LIMITS.homeMaxMs(), selector.patienceMs());
+        selector.confirmed();
+        assertEquals(LIMITS.unconfirmedMs(), selector.patienceMs());
+    }
+
+    @Test
+    void aNodeOfARegionWithoutAMachineIsServedByTheOthers() {
+        Set<String> first = new HashSet<>();
+        for (int seed = 0; seed < 100; seed++) {
+            first.add(selector("nowhere", seed).next().machine().name());
+        }
+        assertEquals(9, first.size());
+        assertNotEquals(selector("a", 1).homeAfterMs(), selector("a", 2).homeAfterMs());
+    }
+}
