lab scale: control machines as processes and hollow nodes, measured; lab hop: what a node adds

Change: lab scale FILE.toml starts control machines and processes with hollow nodes, a relay on every link, kills, cuts, one-way loss, slow readers and restarts by script and seed, and measures for each change the time until the last reachable node acts by it, with bytes, processor time, memory, threads and descriptors; slopes with straight lines by Commons Math and a plot. lab hop measures calls straight, through a bare relay and through a node in turns, with a client and a server that never sleep. What Capacity and it share is PinnedProcesses.

--- a/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
@@ -6,6 +6,7 @@
 import brackenbridge.lab.experiment.Theory;
 import brackenbridge.lab.live.Bare;
 import brackenbridge.lab.live.Capacity;
+import brackenbridge.lab.live.HopCost;
 import brackenbridge.lab.live.LiveRunner;
 import brackenbridge.lab.live.LoadRunner;
 import brackenbridge.lab.live.Rehearsal;
@@ -134,6 +135,18 @@
         private double seconds = 3;
     }
 
+    @Parameters(commandDescription = "Measure what a node adds to a call, beside a bare relay and no hop at all")
+    private static final class HopOptions {
+        @Parameter(names = "--out", description = "The folder of what is left over")
+        private String out = "target/hop";
+        @Parameter(names = "--rounds", description = "How often each way is measured at each rate, by turns")
+        private int rounds = 3;
+        @Parameter(names = "--seconds", description = "How long each way is measured at each rate, in each round")
+        private double seconds = 10;
+        @Parameter(names = "--compiler", description = "Also measure with the compiler's usual levels")
+        private boolean compiler;
+    }
+
     @Parameters(commandDescription = "Benchmark the hot paths of decisions and decoders (JMH)")
     private static final class BenchOptions {
         @Parameter(description = "PATTERN of the benchmarks' names")
@@ -190,6 +203,7 @@
         Servers servers = new Servers();
         Load load = new Load();
         CapacityOptions capacity = new CapacityOptions();
+        HopOptions hop = new HopOptions();
         BenchOptions bench = new BenchOptions();
         EchoOptions echo = new EchoOptions();
         RelayOptions relay = new RelayOptions();
@@ -200,14 +214,16 @@
         Replicate replicate = new Replicate();
         Fleets fleet = new Fleets();
         Evacuate evacuate = new Evacuate();
+        Scale scale = new Scale();
         JCommander line = JCommander.newBuilder().programName("brackenbridge lab").addCommand("demo", demo)
                 .addCommand("operate", operate)
                 .addCommand("sim", sim).addCommand("live", live).addCommand("servers", servers)
                 .addCommand("load", load).addCommand("report", report).addCommand("compare", comparison)
                 .addCommand("theory", check).addCommand("capacity", capacity).addCommand("bench", bench)
+                .addCommand("hop", hop)
                 .addCommand("echo", echo).addCommand("relay", relay)
                 .addCommand("agree", agree).addCommand("replicate", replicate).addCommand("fleet", fleet)
-                .addCommand("evacuate", evacuate).build();
+                .addCommand("evacuate", evacuate).addCommand("scale", scale).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -242,7 +258,9 @@
                 case "replicate" -> replicate.run();
                 case "fleet" -> fleet.run();
                 case "evacuate" -> evacuate.run();
+                case "scale" -> scale.run();
                 case "capacity" -> capacity(capacity);
+                case "hop" -> hop(hop);
                 case "bench" -> bench(bench);
                 case "echo" -> stand(Bare.echo(echo.addresses));
                 case "relay" -> {
@@ -391,6 +409,20 @@
         return 0;
     }
 
+    private static int hop(HopOptions o) throws FileFault, IOException, InterruptedException {
+        if (o.rounds < 1 || o.rounds > 100 || !(o.seconds > 0 && o.seconds <= 600)) {
+            return usage("--rounds must be within 1 to 100, --seconds above 0 and at most 600");
+        }
+        Deployment deployment = Deployment.read();
+        Experiment e = ExperimentFile.parse("hop", plainLoad("call"), Path.of("."), Policies.names());
+        HopCost cost = new HopCost(deployment.home(), Path.of(o.out), e, o.seconds, o.rounds, System.out::println);
+        cost.measure("as deployed", deployment.run());
+        if (o.compiler) {
+            cost.measure("all compiler levels", deployment.run().replace(" -XX:TieredStopAtLevel=1", ""));
+        }
+        return 0;
+    }
+
     private static int bench(BenchOptions o) throws IOException {
         OptionsBuilder options = new OptionsBuilder();
         options.include(o.include).forks(1).warmupIterations(o.quick ? 1 : 3).measurementIterations(o.quick ? 1 : 5)
--- a/lab/src/main/java/brackenbridge/lab/live/Capacity.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Capacity.java
@@ -5,18 +5,14 @@
 import brackenbridge.core.TargetGroup;
 import brackenbridge.lab.experiment.Results;
 import brackenbridge.lab.world.Experiment;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -36,7 +32,7 @@
     private final Path out;
     private final Experiment experiment;
     private final double seconds;
-    private final List<Process> processes = new ArrayList<>();
+    private final PinnedProcesses processes = new PinnedProcesses();
 
     /**
      * Prepares it.
@@ -51,27 +47,6 @@
         this.seconds = seconds;
     }
 
-    private static List<String> pinned(String core, List<String> command) {
-        List<String> all = new ArrayList<>();
-        if (Files.isExecutable(Path.of("/usr/bin/taskset"))) {
-            all.addAll(List.of("/usr/bin/taskset", "-c", core));
-        }
-        all.addAll(command);
-        return all;
-    }
-
-    /** Starts a command of the laboratory in a process of its own and reads the one line that it says. */
-    private String child(String core, List<String> flags, String... words) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString()));
-        command.addAll(flags);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "brackenbridge.cli.Main", "lab"));
-        command.addAll(List.of(words));
-        Process p = new ProcessBuilder(pinned(core, command)).redirectError(ProcessBuilder.Redirect.INHERIT).start();
-        processes.add(p);
-        return new BufferedReader(new InputStreamReader(p.getInputStream(), StandardCharsets.UTF_8)).readLine();
-    }
-
     private static InetSocketAddress address(String dial) {
         int colon = dial.lastIndexOf(':');
         return new InetSocketAddress(dial.substring(0, colon), Integer.parseInt(dial.substring(colon + 1)));
@@ -87,14 +62,9 @@
     public Map<String, List<Double>> measure(String run, int rounds, Consumer<String> said)
             throws IOException, InterruptedException {
         Files.createDirectories(out);
-        List<String> flags = new ArrayList<>();
-        for (String word : run.split(" +")) {
-            if (word.startsWith("-X") || word.startsWith("-D")) {
-                flags.add(word);
-            }
-        }
-        String[] echoes = child("2,3", List.of(), "echo", "--addresses", Integer.toString(ECHOES)).split(" ");
-        String relay = child("1", flags, "relay", "--to", echoes[0]);
+        List<String> flags = PinnedProcesses.flags(run);
+        String[] echoes = processes.lab("2,3", List.of(), "echo", "--addresses", Integer.toString(ECHOES)).split(" ");
+        String relay = processes.lab("1", flags, "relay", "--to", echoes[0]);
         InetSocketAddress node = LiveRunner.freePort();
         List<Target> targets = new ArrayList<>();
         for (int i = 0; i < echoes.length; i++) {
@@ -103,10 +73,7 @@
         Path config = out.resolve("node.json");
         Files.writeString(config, SettingsJson.config("n0", node.getHostString() + ":" + node.getPort(), "127.0.0.1:1",
                 4096, experiment.world().settings(0, 0, 1), new TargetGroup(1, true, targets)).toString());
-        ProcessBuilder b = new ProcessBuilder(pinned("1", List.of("/bin/sh", "-c", run))).directory(home.toFile())
-                .redirectErrorStream(true).redirectOutput(out.resolve("node.log").toFile());
-        b.environment().put("PROXY_CONFIG", config.toAbsolutePath().toString());
-        processes.add(b.start());
+        processes.node("1", run, home, config, out.resolve("node.log"));
         Thread.sleep(2000);
         Map<String, InetSocketAddress> ways = new LinkedHashMap<>();
         ways.put("load tool, straight", address(echoes[0]));
@@ -160,13 +127,6 @@
 
     @Override
     public void close() {
-        for (Process p : processes) {
-            p.destroyForcibly();
-            try {
-                p.waitFor(2, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
+        processes.close();
     }
 }
