--- a/core/src/main/java/brackenbridge/BalancerApi.java
+++ b/core/src/main/java/brackenbridge/BalancerApi.java
@@ -42,8 +42,16 @@
      * @param worth the worth of one request answered in time
      * @param lateShare the part of the worth left to an answer after the aim
      */
-    record RequestClass(String name, long aim, long deadline, Effect effect, DedupScope dedupScope,
-            long keyTtl, boolean stream, double worth, double lateShare) {
+    record RequestClass(
+            String name,
+            long aim,
+            long deadline,
+            Effect effect,
+            DedupScope dedupScope,
+            long keyTtl,
+            boolean stream,
+            double worth,
+            double lateShare) {
         /** A class that could not be served or ranked is rejected; its name stands in paths and in figures. */
         public RequestClass {
             Settings.require(name.matches("[^\\s\\p{Cntrl}/?#:|]+"), "name of a class", name);
@@ -66,8 +74,8 @@
         /** A share or a quota that no rate can have is rejected. */
         public Tenant {
             Settings.require(share >= 0 && share <= Settings.MOST, "share of tenant " + name, share);
-            Settings.require(quotaPerSecond >= 0 && quotaPerSecond <= Settings.MOST, "quota of tenant " + name,
-                    quotaPerSecond);
+            Settings.require(
+                    quotaPerSecond >= 0 && quotaPerSecond <= Settings.MOST, "quota of tenant " + name, quotaPerSecond);
         }
     }
 
@@ -117,10 +125,28 @@
      * @param fall ... for this time, a starting endpoint falls over; 0 if it can not, or is not told
      * @param network what the node round the module must keep to
      */
-    record Settings(long seed, int me, int peers, int tier, String zone, List<RequestClass> classes,
-            List<Tenant> tenants, double overShareWorth, boolean askDiscovery, long mustAskWithin,
-            int maxAttempts, int maxOpen, long maxRetryAfter, boolean mayCancel, boolean mayProbe,
-            boolean secondCopies, long idleClose, double coldFrom, long warmAfter, double fallMultiple, long fall,
+    record Settings(
+            long seed,
+            int me,
+            int peers,
+            int tier,
+            String zone,
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            double overShareWorth,
+            boolean askDiscovery,
+            long mustAskWithin,
+            int maxAttempts,
+            int maxOpen,
+            long maxRetryAfter,
+            boolean mayCancel,
+            boolean mayProbe,
+            boolean secondCopies,
+            long idleClose,
+            double coldFrom,
+            long warmAfter,
+            double fallMultiple,
+            long fall,
             Network network) {
         /** The longest time within which something is to happen: guards sums of times against running over. */
         static final long DAY = 86_400_000_000L;
@@ -136,12 +162,16 @@
             require(!classes.isEmpty(), "no classes", classes);
             for (int i = 0; i < classes.size(); i++) {
                 RequestClass c = classes.get(i);
-                require(classes.stream().filter(o -> o.name().equals(c.name())).count() == 1,
-                        "class given twice", c.name());
+                require(
+                        classes.stream().filter(o -> o.name().equals(c.name())).count() == 1,
+                        "class given twice",
+                        c.name());
             }
             for (Tenant t : tenants) {
-                require(tenants.stream().filter(o -> o.name().equals(t.name())).count() == 1,
-                        "tenant given twice", t.name());
+                require(
+                        tenants.stream().filter(o -> o.name().equals(t.name())).count() == 1,
+                        "tenant given twice",
+                        t.name());
             }
             require(overShareWorth >= 0 && overShareWorth <= MOST, "overShareWorth", overShareWorth);
             require(peers >= 1, "peers", peers);
@@ -161,27 +191,104 @@
         }
 
         /** The settings of a deployment that tells of no endpoint that falls over. */
-        public Settings(long seed, int me, int peers, int tier, String zone, List<RequestClass> classes,
-                List<Tenant> tenants, double overShareWorth, boolean askDiscovery, long mustAskWithin,
-                int maxAttempts, int maxOpen, long maxRetryAfter, boolean mayCancel, boolean mayProbe,
-                boolean secondCopies, long idleClose, double coldFrom, long warmAfter, Network network) {
-            this(seed, me, peers, tier, zone, classes, tenants, overShareWorth, askDiscovery, mustAskWithin,
-                    maxAttempts, maxOpen, maxRetryAfter, mayCancel, mayProbe, secondCopies, idleClose, coldFrom,
-                    warmAfter, 1, 0, network);
+        public Settings(
+                long seed,
+                int me,
+                int peers,
+                int tier,
+                String zone,
+                List<RequestClass> classes,
+                List<Tenant> tenants,
+                double overShareWorth,
+                boolean askDiscovery,
+                long mustAskWithin,
+                int maxAttempts,
+                int maxOpen,
+                long maxRetryAfter,
+                boolean mayCancel,
+                boolean mayProbe,
+                boolean secondCopies,
+                long idleClose,
+                double coldFrom,
+                long warmAfter,
+                Network network) {
+            this(
+                    seed,
+                    me,
+                    peers,
+                    tier,
+                    zone,
+                    classes,
+                    tenants,
+                    overShareWorth,
+                    askDiscovery,
+                    mustAskWithin,
+                    maxAttempts,
+                    maxOpen,
+                    maxRetryAfter,
+                    mayCancel,
+                    mayProbe,
+                    secondCopies,
+                    idleClose,
+                    coldFrom,
+                    warmAfter,
+                    1,
+                    0,
+                    network);
         }
 
         /** The same settings with another seed. */
         public Settings withSeed(long other) {
-            return new Settings(other, me, peers, tier, zone, classes, tenants, overShareWorth, askDiscovery,
-                    mustAskWithin, maxAttempts, maxOpen, maxRetryAfter, mayCancel, mayProbe, secondCopies, idleClose,
-                    coldFrom, warmAfter, fallMultiple, fall, network);
+            return new Settings(
+                    other,
+                    me,
+                    peers,
+                    tier,
+                    zone,
+                    classes,
+                    tenants,
+                    overShareWorth,
+                    askDiscovery,
+                    mustAskWithin,
+                    maxAttempts,
+                    maxOpen,
+                    maxRetryAfter,
+                    mayCancel,
+                    mayProbe,
+                    secondCopies,
+                    idleClose,
+                    coldFrom,
+                    warmAfter,
+                    fallMultiple,
+                    fall,
+                    network);
         }
 
         /** The same settings with another word on the endpoints that fall over while cold. */
         public Settings withFall(double multiple, long time) {
-            return new Settings(seed, me, peers, tier, zone, classes, tenants, overShareWorth, askDiscovery,
-                    mustAskWithin, maxAttempts, maxOpen, maxRetryAfter, mayCancel, mayProbe, secondCopies, idleClose,
-                    coldFrom, warmAfter, multiple, time, network);
+            return new Settings(
+                    seed,
+                    me,
+                    peers,
+                    tier,
+                    zone,
+                    classes,
+                    tenants,
+                    overShareWorth,
+                    askDiscovery,
+                    mustAskWithin,
+                    maxAttempts,
+                    maxOpen,
+                    maxRetryAfter,
+                    mayCancel,
+                    mayProbe,
+                    secondCopies,
+                    idleClose,
+                    coldFrom,
+                    warmAfter,
+                    multiple,
+                    time,
+                    network);
         }
 
         private static void require(boolean holds, String what, Object value) {
@@ -211,15 +318,15 @@
      * @param startedAt when it last started; 0 for long ago
      * @param state what discovery says of it
      */
-    record Endpoint(long id, long cell, String zone, double weight, long startedAt,
-            EndpointState state) {
+    record Endpoint(long id, long cell, String zone, double weight, long startedAt, EndpointState state) {
         /** No server has a capacity so far from the others'. */
         private static final double WIDEST = 1000;
 
         /** Guards turns that go by weights: one that is absurd must not take every turn, or its neighbours theirs. */
         public Endpoint {
             weight = weight > 0 && weight < Double.POSITIVE_INFINITY
-                    ? Math.min(WIDEST, Math.max(1 / WIDEST, weight)) : 1;
+                    ? Math.min(WIDEST, Math.max(1 / WIDEST, weight))
+                    : 1;
         }
     }
 
@@ -244,9 +351,7 @@
      * @param costHint the work expected; -1 if not told
      * @param repeat its caller says that it tried before
      */
-    record Request(long id, String className, String tenant, long key, long timeLeft, long costHint,
-            boolean repeat) {
-    }
+    record Request(long id, String className, String tenant, long key, long timeLeft, long costHint, boolean repeat) {}
 
     /** How an attempt, or a probe, ended. */
     enum Outcome {
@@ -285,9 +390,13 @@
      * @param perSecond requests served a second
      * @param errorsPerSecond errors a second
      */
-    record Report(double inHand, double queued, double utilization, double meanMillis,
-            double perSecond, double errorsPerSecond) {
-    }
+    record Report(
+            double inHand,
+            double queued,
+            double utilization,
+            double meanMillis,
+            double perSecond,
+            double errorsPerSecond) {}
 
     /** What an instance can do. */
     interface Actions {
@@ -329,8 +438,7 @@
     }
 
     /** The last byte of a long request has come. */
-    default void onWhole(long now, long request) {
-    }
+    default void onWhole(long now, long request) {}
 
     /** The response of a streamed request has started; the attempt is the client's from now on. */
     void onFirstByte(long now, long request, int attempt);
@@ -342,8 +450,7 @@
      * @param latency the time since the send
      * @param report the endpoint's load, null if none came
      */
-    void onOutcome(long now, long request, int attempt, boolean ended, Outcome outcome, long latency,
-            Report report);
+    void onOutcome(long now, long request, int attempt, boolean ended, Outcome outcome, long latency, Report report);
 
     /** The request has ended without the instance; nothing is owed. */
     void onGone(long now, long request);
@@ -362,6 +469,5 @@
     }
 
     /** A probe has ended; the report is null if none came. Nothing to an instance that sends none. */
-    default void onProbed(long now, long endpoint, Outcome outcome, long latency, Report report) {
-    }
+    default void onProbed(long now, long endpoint, Outcome outcome, long latency, Report report) {}
 }
--- a/core/src/main/java/brackenbridge/State.java
+++ b/core/src/main/java/brackenbridge/State.java
@@ -12,8 +12,7 @@
 
 /** What an instance of {@link Balancer} keeps in mind: plain data, no decisions. */
 final class State {
-    private State() {
-    }
+    private State() {}
 
     /** A class of request and what was seen of it. */
     static final class Kind {
@@ -26,6 +25,7 @@
         double spread;
         /** The least that the mean was of late. */
         double base;
+
         long answers;
         /** The part of errors among the outcomes at all servers of late. */
         double errors;
@@ -92,13 +92,13 @@
      * together stay near the sum of their parts, and nothing is made good later.
      */
     static final class Budget {
-        private record Charge(long at, double amount) {
-        }
+        private record Charge(long at, double amount) {}
 
         private final ArrayDeque<Charge> charges = new ArrayDeque<>(2);
         private double charged;
         /** A call was won at wonAt and not sent yet; it is good for that instant alone. */
         private boolean won;
+
         private long wonAt;
 
         /** Whether a call may be sent now, if the part is so many calls in each window. */
@@ -133,6 +133,7 @@
         final long sentAt;
         /** It counts among the calls in flight: its request has gone out whole. */
         boolean counted;
+
         boolean ended;
 
         Attempt(Server server, long sentAt) {
@@ -155,17 +156,20 @@
         long dropAt;
         /** The server it waits at; null while there is none. */
         Server bound;
+
         boolean held;
         boolean done;
         /** Its last byte has not come: it holds no server and is not among the open calls yet. */
         boolean coming;
         /** Some attempt may have run, the first sent at ranSince to ranAt. */
         boolean mayHaveRun;
+
         long ranSince;
         Server ranAt;
         int outNow;
         /** As many attempts as were allowed when it came. */
         final int maxAttempts;
+
         final ArrayList<Attempt> attempts = new ArrayList<>(1);
 
         Call(Request r, Kind kind, int maxAttempts, long now, long tau, long left) {
@@ -192,16 +196,19 @@
         final long id;
         /** Its place on the ring of its zone, from 0 to 1; the same at every instance. */
         final double place;
+
         Endpoint is;
         /** When it last started, but no later than it was told: a start in the future would leave it cold for good. */
         long coldSince;
         /** The calls bound to it, by level. */
         ArrayDeque<Call>[] queues;
+
         int inFlight;
         /** Among the endpoints that this instance uses. */
         boolean inReach;
         /** In reach and in order: takes its turns. */
         boolean inRotation;
+
         boolean isIdle;
         /** When its next turn comes, in the rotation's own time. */
         double pass;
@@ -209,14 +216,17 @@
         double pace = 1;
         /** The paper's measured time; 0 before the first response. */
         double latest;
+
         int strikes;
         /** What it may be sent while it is cold. */
         final Budget budget = new Budget();
         /** The part of errors among its outcomes, the newest weighted most. */
         double errors;
+
         private final Map<Kind, Standing> standings = new HashMap<>();
         /** Taken out by its failures, until backAt. */
         boolean out;
+
         long backAt;
 
         Server(Endpoint is, int levels, long now) {
--- a/core/src/main/java/brackenbridge/core/Flow.java
+++ b/core/src/main/java/brackenbridge/core/Flow.java
@@ -11,8 +11,14 @@
  * @param unseenMs it may have waited for so long before the node could see it, at the most; in milliseconds
  * @param message what to forward; nothing in the core looks into it
  */
-public record Flow(String className, String tenant, double timeLeftMs, boolean repeat, boolean whole,
-        double unseenMs, Object message) {
+public record Flow(
+        String className,
+        String tenant,
+        double timeLeftMs,
+        boolean repeat,
+        boolean whole,
+        double unseenMs,
+        Object message) {
 
     /** A request that was seen as soon as it came. */
     public Flow(String className, String tenant, double timeLeftMs, boolean repeat, boolean whole, Object message) {
--- a/core/src/main/java/brackenbridge/core/HostIds.java
+++ b/core/src/main/java/brackenbridge/core/HostIds.java
@@ -12,8 +12,7 @@
     private final Map<String, Long> ids = new HashMap<>();
     private final Map<Long, String> hosts = new HashMap<>();
 
-    HostIds() {
-    }
+    HostIds() {}
 
     /** The number of a name that shares its hash with no other. */
     public static long numberOf(String host) {
--- a/core/src/main/java/brackenbridge/core/LifeCycle.java
+++ b/core/src/main/java/brackenbridge/core/LifeCycle.java
@@ -3,7 +3,12 @@
 /** What a node is to its clients: it starts, serves, may drain and serve again, and stops for good. */
 final class LifeCycle {
     /** Where a node can be. */
-    enum Phase { STARTING, SERVING, DRAINING, STOPPING }
+    enum Phase {
+        STARTING,
+        SERVING,
+        DRAINING,
+        STOPPING
+    }
 
     /** What a drain does one after the other, so many milliseconds after its call. */
     enum Step {
--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -74,9 +74,11 @@
         final RequestClass rules;
         /** As many forwards as were allowed when it opened. */
         final int maxAttempts;
+
         final Object message;
         /** Its tenant; null if none. */
         final String tenant;
+
         final boolean repeat;
         /** How long its client waits, from its last byte on. */
         final double left;
@@ -88,6 +90,7 @@
         double deadline;
         /** It can't be sent again. */
         boolean spent;
+
         int attempts;
         Out out;
         boolean ended;
@@ -128,15 +131,12 @@
         }
     }
 
-    private record Owed(long flow, int attempt, Outcome outcome) {
-    }
+    private record Owed(long flow, int attempt, Outcome outcome) {}
 
     /** A flow whose answer is on its way out, and what it will count as. */
-    private record Leaving(String className, Kind kind) {
-    }
+    private record Leaving(String className, Kind kind) {}
 
-    private record PendingProbe(long endpoint, double since) {
-    }
+    private record PendingProbe(long endpoint, double since) {}
 
     private Settings settings;
     private final Counters counters;
@@ -164,6 +164,7 @@
     private TenantScheduler tenants;
     /** Flows that have ended and whose place nobody has yet. */
     private final ArrayDeque<Long> freed = new ArrayDeque<>();
+
     private double sharesWakeMs = Double.POSITIVE_INFINITY;
     /** Null where nobody wants to know. */
     private Observer observer;
@@ -228,7 +229,8 @@
             return Observer.Snapshot.NONE;
         }
         Map<Observer.Key, Integer> servers = new HashMap<>();
-        targets.values().stream().filter(t -> t.state() == EndpointState.UP)
+        targets.values().stream()
+                .filter(t -> t.state() == EndpointState.UP)
                 .forEach(t -> servers.merge(new Observer.Key(t.zone(), t.weight(), ""), 1, Integer::sum));
         return observer.snapshot(now, servers);
     }
@@ -239,7 +241,9 @@
         for (Target t : targets.values()) {
             listed += t.state() == EndpointState.REMOVED ? 0 : 1;
         }
-        return Figures.lines(counters, classes.keySet(),
+        return Figures.lines(
+                counters,
+                classes.keySet(),
                 new Figures.Gauges(unanswered + leaving.size(), listed, balancer.avoided(), membership.silentMs(now)));
     }
 
@@ -259,11 +263,13 @@
         } else if (event instanceof Event.AnswerLeft e) {
             Leaving l = leaving.remove(e.flow());
             if (l != null) {
-                counters.count(switch (e.how()) {
-                    case WHOLE -> l.kind();
-                    case CUT -> Kind.ANSWERED_FAILED;
-                    case ABANDONED -> Kind.FLOWS_GONE;
-                }, l.className());
+                counters.count(
+                        switch (e.how()) {
+                            case WHOLE -> l.kind();
+                            case CUT -> Kind.ANSWERED_FAILED;
+                            case ABANDONED -> Kind.FLOWS_GONE;
+                        },
+                        l.className());
             }
         } else if (event instanceof Event.FlowWhole e) {
             whole(e.flow());
@@ -295,7 +301,9 @@
         } else if (event instanceof Event.TimerFired e) {
             fired(e.key());
         } else if (event instanceof Event.ProbeEnded e) {
-            probed(e.probe(), e.passed() ? Outcome.OK : e.answered() ? Outcome.ERROR : Outcome.CONNECT_FAILED,
+            probed(
+                    e.probe(),
+                    e.passed() ? Outcome.OK : e.answered() ? Outcome.ERROR : Outcome.CONNECT_FAILED,
                     e.report());
         } else if (event instanceof Event.Reconfigured e) {
             reconfigured(e);
@@ -322,7 +330,12 @@
         RequestClass rules = classes.get(request.className());
         double waits = request.timeLeftMs() >= 0 ? request.timeLeftMs() : ModuleTime.ms(rules.deadline());
         double left = Math.max(0, waits - MARGIN_MS - Math.min(lateness.ms(now), waits * LATE_PART));
-        OpenFlow f = new OpenFlow(id, request, rules, settings.maxAttempts(), left,
+        OpenFlow f = new OpenFlow(
+                id,
+                request,
+                rules,
+                settings.maxAttempts(),
+                left,
                 request.whole() ? now + left : Double.POSITIVE_INFINITY);
         flows.put(id, f);
         unanswered++;
@@ -504,15 +517,17 @@
         f.timedOut = outcome == Outcome.TIMEOUT;
         if (f.spent && !f.ended) {
             // Nobody has its body any more, so the module has nothing to decide: the flow ends at once and truly.
-            fixedResponse(f, f.timedOut ? Effect.Fixed.TIMED_OUT
-                    : f.mayHaveRun ? Effect.Fixed.FAILED : Effect.Fixed.REFUSED, 0);
+            fixedResponse(
+                    f,
+                    f.timedOut ? Effect.Fixed.TIMED_OUT : f.mayHaveRun ? Effect.Fixed.FAILED : Effect.Fixed.REFUSED,
+                    0);
         }
         boolean ended = endedBefore || f.ended;
         if (f.ended) {
             forget(f);
         }
-        balancer.onOutcome(ModuleTime.micros(now), f.id, o.number, ended, outcome,
-                ModuleTime.micros(now - o.since), report);
+        balancer.onOutcome(
+                ModuleTime.micros(now), f.id, o.number, ended, outcome, ModuleTime.micros(now - o.since), report);
     }
 
     private static Kind kind(Outcome outcome) {
@@ -540,8 +555,8 @@
             Owed o = owed.poll();
             OpenFlow f = flows.get(o.flow());
             counters.count(kind(o.outcome()));
-            balancer.onOutcome(ModuleTime.micros(now), o.flow(), o.attempt(), f == null || f.ended, o.outcome(),
-                    0, null);
+            balancer.onOutcome(
+                    ModuleTime.micros(now), o.flow(), o.attempt(), f == null || f.ended, o.outcome(), 0, null);
         }
     }
 
@@ -549,11 +564,16 @@
         if (observer != null && kind == Effect.Fixed.REFUSED) {
             observer.refused(f.className);
         }
-        leaving.put(f.id, new Leaving(f.className, kind == Effect.Fixed.REFUSED ? Kind.ANSWERED_REFUSED
-                : kind == Effect.Fixed.REJECTED ? Kind.ANSWERED_REJECTED : Kind.ANSWERED_FAILED));
+        leaving.put(
+                f.id,
+                new Leaving(
+                        f.className,
+                        kind == Effect.Fixed.REFUSED
+                                ? Kind.ANSWERED_REFUSED
+                                : kind == Effect.Fixed.REJECTED ? Kind.ANSWERED_REJECTED : Kind.ANSWERED_FAILED));
         // A refusal says when to come back, whoever decided it.
-        double advice = kind == Effect.Fixed.REFUSED && retryAfterMs == 0 ? ModuleTime.ms(balancer.retryAfter())
-                : retryAfterMs;
+        double advice =
+                kind == Effect.Fixed.REFUSED && retryAfterMs == 0 ? ModuleTime.ms(balancer.retryAfter()) : retryAfterMs;
         effects.add(new Effect.FixedResponse(f.id, kind, advice));
         end(f);
     }
@@ -691,8 +711,12 @@
 
     /** What is known of the target group, for a process that takes this one's place. */
     public TargetGroup targetGroup() {
-        return new TargetGroup(membership.seq(), true,
-                targets.values().stream().filter(t -> t.state() != EndpointState.REMOVED).toList());
+        return new TargetGroup(
+                membership.seq(),
+                true,
+                targets.values().stream()
+                        .filter(t -> t.state() != EndpointState.REMOVED)
+                        .toList());
     }
 
     /** Another configuration: a newer list in it is taken over, and a moved discovery is asked at once. */
@@ -734,8 +758,8 @@
             told.forEach(t -> named.add(t.host()));
             for (Target t : List.copyOf(targets.values())) {
                 if (!named.contains(t.host()) && t.state() != EndpointState.REMOVED) {
-                    keep(new Target(t.host(), t.dial(), t.zone(), t.cell(), t.weight(), t.bornMs(),
-                            EndpointState.REMOVED));
+                    keep(new Target(
+                            t.host(), t.dial(), t.zone(), t.cell(), t.weight(), t.bornMs(), EndpointState.REMOVED));
                 }
             }
         }
@@ -752,7 +776,11 @@
     private Endpoint weighed(Target t) {
         double part = zones.part(t.zone(), now);
         // One that is to get nothing is told as one that takes nothing new: its weight could only be small.
-        return new Endpoint(ids.of(t.host()), t.cell(), t.zone(), t.weight() * (part > 0 ? part : 1),
+        return new Endpoint(
+                ids.of(t.host()),
+                t.cell(),
+                t.zone(),
+                t.weight() * (part > 0 ? part : 1),
                 ModuleTime.micros(t.bornMs()),
                 part > 0 || t.state() != EndpointState.UP ? t.state() : EndpointState.DRAINING);
     }
@@ -770,8 +798,13 @@
     }
 
     private void tellWeights() {
-        balancer.onList(ModuleTime.micros(now), ListKind.CHANGES, targets.values().stream()
-                .filter(t -> t.state() != EndpointState.REMOVED).map(this::weighed).toList());
+        balancer.onList(
+                ModuleTime.micros(now),
+                ListKind.CHANGES,
+                targets.values().stream()
+                        .filter(t -> t.state() != EndpointState.REMOVED)
+                        .map(this::weighed)
+                        .toList());
     }
 
     /**
@@ -834,8 +867,8 @@
     private void probed(long probe, Outcome outcome, Report report) {
         PendingProbe p = probes.remove(probe);
         if (p != null) {
-            balancer.onProbed(ModuleTime.micros(now), p.endpoint(), outcome, ModuleTime.micros(now - p.since()),
-                    report);
+            balancer.onProbed(
+                    ModuleTime.micros(now), p.endpoint(), outcome, ModuleTime.micros(now - p.since()), report);
         }
     }
 
@@ -919,7 +952,11 @@
             Double cutoff = t == null ? null : noSendAfter.get(t.host());
             // A further attempt must not outlast a client that has waited longer than the node could see.
             double end = number == 0 ? f.deadline : f.deadline - f.unseen;
-            if (f.ended || f.out != null || number >= f.maxAttempts || t == null || now >= end
+            if (f.ended
+                    || f.out != null
+                    || number >= f.maxAttempts
+                    || t == null
+                    || now >= end
                     || cutoff != null && now >= cutoff) {
                 owed.add(new Owed(request, number, Outcome.MOOT));
                 return;
--- a/core/src/main/java/brackenbridge/core/connection/Connections.java
+++ b/core/src/main/java/brackenbridge/core/connection/Connections.java
@@ -38,7 +38,11 @@
     /** How many times as often kept connections must break at once as new ones do, to be distrusted. */
     private static final double BLAME = 2;
 
-    private enum State { OPENING, IDLE, LENT }
+    private enum State {
+        OPENING,
+        IDLE,
+        LENT
+    }
 
     private static final class Connection {
         final long id;
@@ -86,6 +90,7 @@
     private double idleMs;
     /** Kept connections idle for longer are not used, while they break more often than new ones. */
     private double limitMs = Double.POSITIVE_INFINITY;
+
     private double median;
     private double further = FURTHER_AT_ONCE;
     private double keptLent;
@@ -247,7 +252,7 @@
     /** Closes what has been idle for long; trust comes back. */
     public List<Step> sweep(double now) {
         limitMs = limitMs < idleMs ? limitMs * 1.01 + 0.1 : Double.POSITIVE_INFINITY;
-        for (Iterator<Map.Entry<Peer, Group>> i = groups.entrySet().iterator(); i.hasNext();) {
+        for (Iterator<Map.Entry<Peer, Group>> i = groups.entrySet().iterator(); i.hasNext(); ) {
             Group g = i.next().getValue();
             while (!g.idle.isEmpty() && now - g.idle.peekFirst().since >= idleMs) {
                 close(g.idle.pollFirst());
--- a/core/src/main/java/brackenbridge/core/connection/Step.java
+++ b/core/src/main/java/brackenbridge/core/connection/Step.java
@@ -3,24 +3,19 @@
 /** What {@link Connections} wants done. */
 public sealed interface Step {
     /** Open a connection under this number, or a further one beside a late one; it must be up within this time. */
-    record Open(long connection, Peer peer, double withinMs, boolean further) implements Step {
-    }
+    record Open(long connection, Peer peer, double withinMs, boolean further) implements Step {}
 
     /** The wait is over: its forward goes out on this connection, alone. */
-    record Lend(long connection, long ticket) implements Step {
-    }
+    record Lend(long connection, long ticket) implements Step {}
 
     /** Close this connection, which carries nothing. */
-    record Close(long connection) implements Step {
-    }
+    record Close(long connection) implements Step {}
 
     /** The wait is over without a connection, and nothing was sent. */
-    record GiveUp(long ticket, Why why) implements Step {
-    }
+    record GiveUp(long ticket, Why why) implements Step {}
 
     /** Call {@link Connections#due} for this wait at this time or soon after, in milliseconds. */
-    record Wake(double atMs, long ticket) implements Step {
-    }
+    record Wake(double atMs, long ticket) implements Step {}
 
     /** Why a wait got no connection. */
     enum Why {
--- a/core/src/main/java/brackenbridge/core/generation/Authority.java
+++ b/core/src/main/java/brackenbridge/core/generation/Authority.java
@@ -26,8 +26,7 @@
      * @param untilMs until when it may act by it, whatever its clock
      * @param heard the version that it acts by at the least
      */
-    public record Held(double untilMs, long heard) {
-    }
+    public record Held(double untilMs, long heard) {}
 
     /** What came of a proposal. */
     public enum Verdict {
@@ -51,8 +50,9 @@
 
     /** What a proposal against this generation would come to. */
     public Verdict judge(long expected) {
-        return word.staged() != 0 ? Verdict.ANOTHER_STAGED : expected != word.inForce() ? Verdict.OVERTAKEN
-                : Verdict.STAGED;
+        return word.staged() != 0
+                ? Verdict.ANOTHER_STAGED
+                : expected != word.inForce() ? Verdict.OVERTAKEN : Verdict.STAGED;
     }
 
     /** A new generation is staged; its number is {@link #last} from then on. */
--- a/core/src/main/java/brackenbridge/core/generation/Cadence.java
+++ b/core/src/main/java/brackenbridge/core/generation/Cadence.java
@@ -55,7 +55,8 @@
      */
     public double answeredMs(double nowMs, boolean newer) {
         failures = 0;
-        return newer ? hintedMs(nowMs)
+        return newer
+                ? hintedMs(nowMs)
                 : notBefore(lastMs + terms.leaseMs() / AT_REST * (0.75 + random.nextDouble() / 2));
     }
 
--- a/core/src/main/java/brackenbridge/core/generation/Holder.java
+++ b/core/src/main/java/brackenbridge/core/generation/Holder.java
@@ -48,8 +48,9 @@
 
     /** What it may act by at this moment: to be asked before each decision, whatever timer or answer led to it. */
     public Acts acts(double nowMs) {
-        if (!(nowMs < untilMs) || word.inForce() == 0 || refused != 0 && (refused == word.inForce()
-                || refused == word.staged())) {
+        if (!(nowMs < untilMs)
+                || word.inForce() == 0
+                || refused != 0 && (refused == word.inForce() || refused == word.staged())) {
             return Acts.IN_DOUBT;
         }
         return word.staged() == 0 ? Acts.by(word.inForce()) : Acts.byBoth(word.inForce(), word.staged());
--- a/core/src/main/java/brackenbridge/core/generation/Narrower.java
+++ b/core/src/main/java/brackenbridge/core/generation/Narrower.java
@@ -16,20 +16,25 @@
  * its machine tells it are no rules, and are the first's.
  */
 public final class Narrower {
-    private Narrower() {
-    }
+    private Narrower() {}
 
     /** What both allow; empty if they have no class in common, so that nothing may be done. */
     public static Optional<Settings> of(Settings a, Settings b) {
         List<RequestClass> classes = new ArrayList<>();
         for (RequestClass one : a.classes()) {
-            b.classes().stream().filter(o -> o.name().equals(one.name())).findFirst()
+            b.classes().stream()
+                    .filter(o -> o.name().equals(one.name()))
+                    .findFirst()
                     .ifPresent(other -> classes.add(of(one, other)));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (Tenant one : a.tenants()) {
-            b.tenants().stream().filter(o -> o.name().equals(one.name())).findFirst()
-                    .ifPresent(other -> tenants.add(new Tenant(one.name(), Math.min(one.share(), other.share()),
+            b.tenants().stream()
+                    .filter(o -> o.name().equals(one.name()))
+                    .findFirst()
+                    .ifPresent(other -> tenants.add(new Tenant(
+                            one.name(),
+                            Math.min(one.share(), other.share()),
                             told(one.quotaPerSecond(), other.quotaPerSecond()))));
         }
         return classes.isEmpty() ? Optional.empty() : Optional.of(with(a, b, classes, tenants));
@@ -42,28 +47,64 @@
     public static Settings inDoubt(Settings was) {
         List<RequestClass> classes = new ArrayList<>();
         for (RequestClass c : was.classes()) {
-            classes.add(new RequestClass(c.name(), c.aim(), c.deadline(), Effect.UNSAFE, c.dedupScope(), c.keyTtl(),
-                    c.stream(), c.worth(), c.lateShare()));
+            classes.add(new RequestClass(
+                    c.name(),
+                    c.aim(),
+                    c.deadline(),
+                    Effect.UNSAFE,
+                    c.dedupScope(),
+                    c.keyTtl(),
+                    c.stream(),
+                    c.worth(),
+                    c.lateShare()));
         }
-        return new Settings(was.seed(), was.me(), was.peers(), was.tier(), was.zone(), classes, List.of(),
-                was.overShareWorth(), was.askDiscovery(), was.mustAskWithin(), 1, was.maxOpen(), was.maxRetryAfter(),
-                was.mayCancel(), false, false, was.idleClose(), was.coldFrom(), was.warmAfter(),
-                was.fallMultiple(), was.fall(), was.network());
+        return new Settings(
+                was.seed(),
+                was.me(),
+                was.peers(),
+                was.tier(),
+                was.zone(),
+                classes,
+                List.of(),
+                was.overShareWorth(),
+                was.askDiscovery(),
+                was.mustAskWithin(),
+                1,
+                was.maxOpen(),
+                was.maxRetryAfter(),
+                was.mayCancel(),
+                false,
+                false,
+                was.idleClose(),
+                was.coldFrom(),
+                was.warmAfter(),
+                was.fallMultiple(),
+                was.fall(),
+                was.network());
     }
 
     private static RequestClass of(RequestClass a, RequestClass b) {
         // Of a class that is safe in one, the other's group and window alone bind its repeats.
         RequestClass first = a.effect() == Effect.KEYED ? a : b;
         RequestClass second = b.effect() == Effect.KEYED ? b : a;
-        DedupScope scope = first.dedupScope().ordinal() >= second.dedupScope().ordinal() ? first.dedupScope()
+        DedupScope scope = first.dedupScope().ordinal() >= second.dedupScope().ordinal()
+                ? first.dedupScope()
                 : second.dedupScope();
-        return new RequestClass(a.name(), Math.min(a.aim(), b.aim()), Math.min(a.deadline(), b.deadline()),
-                narrower(a.effect(), b.effect()), scope, Math.min(first.keyTtl(), second.keyTtl()), a.stream(),
-                a.worth(), a.lateShare());
+        return new RequestClass(
+                a.name(),
+                Math.min(a.aim(), b.aim()),
+                Math.min(a.deadline(), b.deadline()),
+                narrower(a.effect(), b.effect()),
+                scope,
+                Math.min(first.keyTtl(), second.keyTtl()),
+                a.stream(),
+                a.worth(),
+                a.lateShare());
     }
 
     private static Effect narrower(Effect a, Effect b) {
-        return a == Effect.UNSAFE || b == Effect.UNSAFE ? Effect.UNSAFE
+        return a == Effect.UNSAFE || b == Effect.UNSAFE
+                ? Effect.UNSAFE
                 : a == Effect.KEYED || b == Effect.KEYED ? Effect.KEYED : Effect.SAFE;
     }
 
@@ -73,22 +114,40 @@
     }
 
     private static Settings with(Settings a, Settings b, List<RequestClass> classes, List<Tenant> tenants) {
-        Network net = new Network(Math.min(a.network().connectTimeout(), b.network().connectTimeout()),
-                Math.min(a.network().drainGrace(), b.network().drainGrace()), a.network().reportsInAnswers(),
+        Network net = new Network(
+                Math.min(a.network().connectTimeout(), b.network().connectTimeout()),
+                Math.min(a.network().drainGrace(), b.network().drainGrace()),
+                a.network().reportsInAnswers(),
                 a.network().reportFields());
-        return new Settings(a.seed(), a.me(), a.peers(), a.tier(), a.zone(), classes, tenants,
-                Math.min(a.overShareWorth(), b.overShareWorth()), a.askDiscovery(),
-                Math.min(a.mustAskWithin(), b.mustAskWithin()), Math.min(a.maxAttempts(), b.maxAttempts()),
-                Math.min(a.maxOpen(), b.maxOpen()), Math.min(a.maxRetryAfter(), b.maxRetryAfter()),
-                a.mayCancel() && b.mayCancel(), a.mayProbe() && b.mayProbe(), a.secondCopies() && b.secondCopies(),
-                Math.min(a.idleClose(), b.idleClose()), Math.min(a.coldFrom(), b.coldFrom()),
-                Math.max(a.warmAfter(), b.warmAfter()), fallMultiple(a, b),
-                (long) told(a.fall(), b.fall()), net);
+        return new Settings(
+                a.seed(),
+                a.me(),
+                a.peers(),
+                a.tier(),
+                a.zone(),
+                classes,
+                tenants,
+                Math.min(a.overShareWorth(), b.overShareWorth()),
+                a.askDiscovery(),
+                Math.min(a.mustAskWithin(), b.mustAskWithin()),
+                Math.min(a.maxAttempts(), b.maxAttempts()),
+                Math.min(a.maxOpen(), b.maxOpen()),
+                Math.min(a.maxRetryAfter(), b.maxRetryAfter()),
+                a.mayCancel() && b.mayCancel(),
+                a.mayProbe() && b.mayProbe(),
+                a.secondCopies() && b.secondCopies(),
+                Math.min(a.idleClose(), b.idleClose()),
+                Math.min(a.coldFrom(), b.coldFrom()),
+                Math.max(a.warmAfter(), b.warmAfter()),
+                fallMultiple(a, b),
+                (long) told(a.fall(), b.fall()),
+                net);
     }
 
     /** The smaller multiple of those that are told; a generation in which nothing falls has none. */
     private static double fallMultiple(Settings a, Settings b) {
-        return a.fall() == 0 ? b.fallMultiple() : b.fall() == 0 ? a.fallMultiple()
-                : Math.min(a.fallMultiple(), b.fallMultiple());
+        return a.fall() == 0
+                ? b.fallMultiple()
+                : b.fall() == 0 ? a.fallMultiple() : Math.min(a.fallMultiple(), b.fallMultiple());
     }
 }
--- a/core/src/main/java/brackenbridge/core/membership/Membership.java
+++ b/core/src/main/java/brackenbridge/core/membership/Membership.java
@@ -34,6 +34,7 @@
     private double openAt = Double.POSITIVE_INFINITY;
     /** The one turn that is waited for; guards against timers that were overtaken and would each ask for another. */
     private long turn;
+
     private double turnAt = Double.POSITIVE_INFINITY;
 
     /**
--- a/core/src/main/java/brackenbridge/core/membership/Source.java
+++ b/core/src/main/java/brackenbridge/core/membership/Source.java
@@ -17,11 +17,13 @@
      * see docs/design/membership.md.
      */
     private static final double SERVICE_PAUSE_MS = 400;
+
     private static final double LONGEST_SERVICE_PAUSE_MS = 1600;
     private static final int MOST_DOUBLINGS = 8;
     private static final double AGENT_PAUSE_MS = 50;
     /** Short of the grace of a drain: what an agent has counts as told at once, whether or not a watch is open. */
     private static final double LONGEST_AGENT_PAUSE_MS = 100;
+
     private static final double SILENCE_PAUSE_MS = 250;
     /** A pause is drawn from half of its length to so many times of it. */
     private static final double LONGEST_DRAW = 1.5;
@@ -38,8 +40,11 @@
      */
     double againMs(int failures, RandomGenerator random) {
         double pause = shared
-                ? Math.min(Math.min(SERVICE_PAUSE_MS * (1 << Math.min(failures - 1, MOST_DOUBLINGS)),
-                        LONGEST_SERVICE_PAUSE_MS), mustAskWithinMs / LONGEST_DRAW)
+                ? Math.min(
+                        Math.min(
+                                SERVICE_PAUSE_MS * (1 << Math.min(failures - 1, MOST_DOUBLINGS)),
+                                LONGEST_SERVICE_PAUSE_MS),
+                        mustAskWithinMs / LONGEST_DRAW)
                 : failures > 1 ? LONGEST_AGENT_PAUSE_MS : AGENT_PAUSE_MS;
         return pause / 2 + random.nextDouble() * (LONGEST_DRAW - 0.5) * pause;
     }
--- a/core/src/main/java/brackenbridge/core/observe/Observer.java
+++ b/core/src/main/java/brackenbridge/core/observe/Observer.java
@@ -18,8 +18,7 @@
      * @param weight their capacity beside the others'
      * @param className the class of the calls
      */
-    public record Key(String zone, double weight, String className) {
-    }
+    public record Key(String zone, double weight, String className) {}
 
     /**
      * What was counted; all of it only grows but {@code out}.
@@ -33,18 +32,32 @@
      * @param heldMs the time that calls were at the pool, together; of those that have ended, however they did
      * @param out calls that are there now
      */
-    public record Tally(long first, long attempts, long served, long failed, double sumMs, double sumSquaredMs,
-            double heldMs, int out) {
+    public record Tally(
+            long first,
+            long attempts,
+            long served,
+            long failed,
+            double sumMs,
+            double sumSquaredMs,
+            double heldMs,
+            int out) {
         static final Tally NONE = new Tally(0, 0, 0, 0, 0, 0, 0, 0);
 
         Tally sent(boolean isFirst) {
-            return new Tally(first + (isFirst ? 1 : 0), attempts + 1, served, failed, sumMs, sumSquaredMs, heldMs,
-                    out + 1);
+            return new Tally(
+                    first + (isFirst ? 1 : 0), attempts + 1, served, failed, sumMs, sumSquaredMs, heldMs, out + 1);
         }
 
         Tally ended(boolean ok, boolean counts, double ms) {
-            return new Tally(first, attempts, served + (ok ? 1 : 0), failed + (!ok && counts ? 1 : 0),
-                    sumMs + (ok ? ms : 0), sumSquaredMs + (ok ? ms * ms : 0), heldMs + ms, Math.max(0, out - 1));
+            return new Tally(
+                    first,
+                    attempts,
+                    served + (ok ? 1 : 0),
+                    failed + (!ok && counts ? 1 : 0),
+                    sumMs + (ok ? ms : 0),
+                    sumSquaredMs + (ok ? ms * ms : 0),
+                    heldMs + ms,
+                    Math.max(0, out - 1));
         }
     }
 
--- a/core/src/main/java/brackenbridge/core/share/Allowances.java
+++ b/core/src/main/java/brackenbridge/core/share/Allowances.java
@@ -13,8 +13,13 @@
  * @param untilMs from then on {@code guaranteed} holds instead of {@code tenants} and {@code others}
  * @param guaranteed connections that each tenant may hold here whatever becomes of the rest of the fleet
  */
-public record Allowances(long epoch, Map<String, Double> tenants, double others, Map<String, Double> weights,
-        double untilMs, Map<String, Double> guaranteed) {
+public record Allowances(
+        long epoch,
+        Map<String, Double> tenants,
+        double others,
+        Map<String, Double> weights,
+        double untilMs,
+        Map<String, Double> guaranteed) {
     /** Keeps its own copies. */
     public Allowances {
         tenants = Map.copyOf(tenants);
--- a/core/src/main/java/brackenbridge/core/share/TenantScheduler.java
+++ b/core/src/main/java/brackenbridge/core/share/TenantScheduler.java
@@ -34,6 +34,7 @@
     private static final double UNKNOWN_MS = 50;
     /** How much the newest call counts in a tenant's mean. */
     private static final double NEWEST = 0.1;
+
     private static final double LEAST_ALLOWANCE = 0.01;
     private static final double LEAST_RATE = 0.05;
     private static final double LONGEST_RETRY_MS = 60_000;
@@ -54,8 +55,8 @@
         /** Limits that can't be kept are rejected. */
         public Limits {
             if (!(burstMs >= 0) || !(returnMs >= 0) || mostWaiting < 0 || mostTenants < 1) {
-                throw new IllegalArgumentException("limits: " + burstMs + ", " + returnMs + ", " + mostWaiting + ", "
-                        + mostTenants);
+                throw new IllegalArgumentException(
+                        "limits: " + burstMs + ", " + returnMs + ", " + mostWaiting + ", " + mostTenants);
             }
         }
     }
@@ -87,6 +88,7 @@
         private final double expectedMs;
         /** The last moment at which it may begin. */
         private final double latestMs;
+
         private double beganMs = Double.NaN;
         private boolean gone;
 
@@ -118,6 +120,7 @@
         private int refused;
         /** Its tag among the tenants of one share. */
         private double tag;
+
         private boolean queued;
 
         private Tenant(String name, long number, double nowMs) {
@@ -141,8 +144,8 @@
     /** What has an allowance: one named tenant, or all others together. */
     private static final class Share {
         private final long number;
-        private final TreeSet<Tenant> queue = new TreeSet<>(Comparator.<Tenant>comparingDouble(t -> t.tag)
-                .thenComparingLong(t -> t.number));
+        private final TreeSet<Tenant> queue =
+                new TreeSet<>(Comparator.<Tenant>comparingDouble(t -> t.tag).thenComparingLong(t -> t.number));
         private double allowance;
         private double weight = 1;
         private int running;
@@ -155,6 +158,7 @@
         private double lentTag;
         /** Virtual time among its tenants. */
         private double inner;
+
         private double key;
         private double refillKey;
         private TreeSet<Share> in;
@@ -178,8 +182,8 @@
         }
     }
 
-    private static final Comparator<Share> BY_KEY = Comparator.<Share>comparingDouble(s -> s.key)
-            .thenComparingLong(s -> s.number);
+    private static final Comparator<Share> BY_KEY =
+            Comparator.<Share>comparingDouble(s -> s.key).thenComparingLong(s -> s.number);
 
     private final Limits limits;
     private final Map<Long, Call> calls = new HashMap<>();
@@ -190,8 +194,9 @@
     /** Shares that may be lent to. */
     private final TreeSet<Share> over = new TreeSet<>(BY_KEY);
     /** Shares that hold less than they may, once virtual time is that far. */
-    private final TreeSet<Share> later = new TreeSet<>(Comparator.<Share>comparingDouble(s -> s.refillKey)
-            .thenComparingLong(s -> s.number));
+    private final TreeSet<Share> later =
+            new TreeSet<>(Comparator.<Share>comparingDouble(s -> s.refillKey).thenComparingLong(s -> s.number));
+
     private final PriorityQueue<Call> latest = new PriorityQueue<>(Comparator.comparingDouble(c -> c.latestMs));
     private Allowances told;
     private boolean byGuarantee;
@@ -243,8 +248,12 @@
         Share s = t.share;
         // Guards against a call that overtakes those that waited before it: a place is free for it only if no share
         // that holds less than it may has one waiting.
-        if (told == null || running < total && under.isEmpty() && t.waiting == 0 && fits(t, nowMs)
-                && (mayClaim(s, nowMs) || over.isEmpty() && mayBorrow(s, nowMs))) {
+        if (told == null
+                || running < total
+                        && under.isEmpty()
+                        && t.waiting == 0
+                        && fits(t, nowMs)
+                        && (mayClaim(s, nowMs) || over.isEmpty() && mayBorrow(s, nowMs))) {
             begin(c, nowMs);
             place(s, nowMs);
             return Decision.GO;
@@ -359,8 +368,15 @@
             double waited = measured ? t.waitedArea / over : t.waiting;
             double refused = measured ? t.refused / over : 0;
             if (used > 0 || waited > 0 || t.refused > 0) {
-                found.add(new TenantUse(t.name, used + waited + refused * hold, used, t.running, refused * 1000, hold,
-                        t.share.allowance, creditMs(t.share, nowMs)));
+                found.add(new TenantUse(
+                        t.name,
+                        used + waited + refused * hold,
+                        used,
+                        t.running,
+                        refused * 1000,
+                        hold,
+                        t.share.allowance,
+                        creditMs(t.share, nowMs)));
             }
             boolean forgotten = idle(t);
             t.usedArea = 0;
@@ -374,7 +390,8 @@
     }
 
     private boolean idle(Tenant t) {
-        return t.running == 0 && t.waiting == 0
+        return t.running == 0
+                && t.waiting == 0
                 && (t.share == rest ? t.tag <= rest.inner : t.share.tag <= virtual - limits.burstMs());
     }
 
@@ -480,8 +497,7 @@
 
     /** Its allowance, with what its burst credit adds. */
     private double most(Share s, double nowMs) {
-        return limits.burstMs() == 0 ? s.allowance
-                : s.allowance * (1 + creditMs(s, nowMs) / limits.burstMs());
+        return limits.burstMs() == 0 ? s.allowance : s.allowance * (1 + creditMs(s, nowMs) / limits.burstMs());
     }
 
     private boolean mayBorrow(Share s, double nowMs) {
@@ -490,7 +506,9 @@
 
     /** Guards against an unnamed tenant of long calls that takes all that is for others. */
     private boolean fits(Tenant t, double nowMs) {
-        return t.share != rest || t.running == 0 || t.holdMs(nowMs) <= limits.returnMs()
+        return t.share != rest
+                || t.running == 0
+                || t.holdMs(nowMs) <= limits.returnMs()
                 || t.running + 1 <= rest.allowance / Math.max(2, rest.queue.size() + 1);
     }
 
@@ -578,7 +596,9 @@
     }
 
     private double weight(Tenant t) {
-        return t.share == rest && told != null ? Math.max(ROUNDING, told.weights().getOrDefault(t.name, 1.0)) : 1;
+        return t.share == rest && told != null
+                ? Math.max(ROUNDING, told.weights().getOrDefault(t.name, 1.0))
+                : 1;
     }
 
     private void end(Call c, double nowMs) {
@@ -627,8 +647,8 @@
 
     private Turn turn(double nowMs) {
         List<Turn.Refused> refused = null;
-        while (!latest.isEmpty() && (latest.peek().gone || latest.peek().running()
-                || latest.peek().latestMs <= nowMs)) {
+        while (!latest.isEmpty()
+                && (latest.peek().gone || latest.peek().running() || latest.peek().latestMs <= nowMs)) {
             Call c = latest.poll();
             if (!c.gone && !c.running()) {
                 calls.remove(c.flow);
@@ -656,8 +676,9 @@
             begin = begin == null ? new ArrayList<>() : begin;
             begin.add(c.flow);
         }
-        return begin == null && refused == null ? Turn.NONE : new Turn(begin == null ? List.of() : begin,
-                refused == null ? List.of() : refused);
+        return begin == null && refused == null
+                ? Turn.NONE
+                : new Turn(begin == null ? List.of() : begin, refused == null ? List.of() : refused);
     }
 
     private Share next(double nowMs) {
--- a/core/src/main/java/brackenbridge/core/share/TenantUse.java
+++ b/core/src/main/java/brackenbridge/core/share/TenantUse.java
@@ -13,6 +13,12 @@
  * @param allowance connections that it may hold; that of all unnamed tenants together if it has no name there
  * @param creditMs burst credit left, in milliseconds of its allowance
  */
-public record TenantUse(String tenant, double wanted, double used, int running, double refused, double meanMs,
-        double allowance, double creditMs) {
-}
+public record TenantUse(
+        String tenant,
+        double wanted,
+        double used,
+        int running,
+        double refused,
+        double meanMs,
+        double allowance,
+        double creditMs) {}
--- a/core/src/main/java/brackenbridge/core/share/Turn.java
+++ b/core/src/main/java/brackenbridge/core/share/Turn.java
@@ -18,6 +18,5 @@
      * @param flow which
      * @param retryAfterMs when its client may come back, in milliseconds from now
      */
-    public record Refused(long flow, double retryAfterMs) {
-    }
+    public record Refused(long flow, double retryAfterMs) {}
 }
--- a/core/src/main/java/brackenbridge/counters/Counters.java
+++ b/core/src/main/java/brackenbridge/counters/Counters.java
@@ -148,10 +148,15 @@
     public String line() {
         StringBuilder line = new StringBuilder();
         for (Map.Entry<Kind, Long> e : counts.entrySet()) {
-            line.append(line.isEmpty() ? "" : " ").append(name(e.getKey())).append('=').append(e.getValue());
+            line.append(line.isEmpty() ? "" : " ")
+                    .append(name(e.getKey()))
+                    .append('=')
+                    .append(e.getValue());
         }
-        refused.forEach((port, reasons) -> reasons.forEach((why, count) ->
-                line.append(line.isEmpty() ? "" : " ").append(name(port, why)).append('=').append(count)));
+        refused.forEach((port, reasons) -> reasons.forEach((why, count) -> line.append(line.isEmpty() ? "" : " ")
+                .append(name(port, why))
+                .append('=')
+                .append(count)));
         return line.toString();
     }
 
--- a/core/src/main/java/brackenbridge/counters/Figures.java
+++ b/core/src/main/java/brackenbridge/counters/Figures.java
@@ -7,11 +7,9 @@
 /** Words the counters as the figures that the operators' staff fetch, one a line: {@code proxy.NAME:VALUE|c}. */
 public final class Figures {
     /** What the figures tell beside the counters; how long discovery has been silent, in milliseconds. */
-    public record Gauges(int active, int poolSize, int poolEjected, double silentMs) {
-    }
+    public record Gauges(int active, int poolSize, int poolEjected, double silentMs) {}
 
-    private Figures() {
-    }
+    private Figures() {}
 
     /** The figures by now; a class that has asked for nothing yet is told with zeros. */
     public static String lines(Counters counters, Collection<String> classes, Gauges gauges) {
@@ -21,7 +19,10 @@
         for (String c : named) {
             line(text, "ok." + c, counters.of(Kind.ANSWERED_SERVED, c), 'c');
             line(text, "shed." + c, counters.of(Kind.ANSWERED_REFUSED, c), 'c');
-            line(text, "errors." + c, counters.of(Kind.ANSWERED_FAILED, c) + counters.of(Kind.ANSWERED_REJECTED, c),
+            line(
+                    text,
+                    "errors." + c,
+                    counters.of(Kind.ANSWERED_FAILED, c) + counters.of(Kind.ANSWERED_REJECTED, c),
                     'c');
         }
         line(text, "tries", counters.of(Kind.FORWARDS_WRITTEN), 'c');
@@ -36,6 +37,12 @@
     }
 
     private static void line(StringBuilder text, String name, long value, char type) {
-        text.append("proxy.").append(name).append(':').append(value).append('|').append(type).append('\n');
+        text.append("proxy.")
+                .append(name)
+                .append(':')
+                .append(value)
+                .append('|')
+                .append(type)
+                .append('\n');
     }
 }
--- a/core/src/test/java/brackenbridge/AbsurdInputTest.java
+++ b/core/src/test/java/brackenbridge/AbsurdInputTest.java
@@ -58,7 +58,8 @@
         long far = s.now + 100L * 365 * 86_400 * SECOND;
         for (int i = 0; i < 25; i++) {
             // The list comes again and again: its word is the same, so the server has not started again.
-            s.list(ListKind.CHANGES, Script.at(9, "here", far, EndpointState.UP)).pass(SECOND);
+            s.list(ListKind.CHANGES, Script.at(9, "here", far, EndpointState.UP))
+                    .pass(SECOND);
         }
         int turns = turns(s, 0, 400).getOrDefault(9L, 0);
         assertTrue(turns > 60, "turns of the server by now: " + turns);
@@ -106,7 +107,8 @@
     }
 
     private static void turnedDown(String key, Supplier<RequestClass> c) {
-        String why = assertThrows(IllegalArgumentException.class, () -> settings(c.get()), key).getMessage();
+        String why = assertThrows(IllegalArgumentException.class, () -> settings(c.get()), key)
+                .getMessage();
         assertTrue(why.contains(key), why);
     }
 
@@ -125,19 +127,56 @@
         }
     }
 
-    private static Settings with(double overShare, Tenant tenant, long askWithin, long retryAfter, long idleClose,
-            double coldFrom, long warmAfter, Network network) {
-        return new Settings(7, 0, 6, 0, "here", List.of(safe("read", 1)), List.of(tenant), overShare, false, askWithin,
-                4, 20000, retryAfter, true, false, true, idleClose, coldFrom, warmAfter, network);
+    private static Settings with(
+            double overShare,
+            Tenant tenant,
+            long askWithin,
+            long retryAfter,
+            long idleClose,
+            double coldFrom,
+            long warmAfter,
+            Network network) {
+        return new Settings(
+                7,
+                0,
+                6,
+                0,
+                "here",
+                List.of(safe("read", 1)),
+                List.of(tenant),
+                overShare,
+                false,
+                askWithin,
+                4,
+                20000,
+                retryAfter,
+                true,
+                false,
+                true,
+                idleClose,
+                coldFrom,
+                warmAfter,
+                network);
     }
 
     private static void turnedDown(String key, double overShare, double quota, long time, double coldFrom) {
-        String why = assertThrows(IllegalArgumentException.class, () -> with(overShare, new Tenant("acme", 0, quota),
-                key.equals("mustAskWithin") ? time : 1, key.equals("maxRetryAfter") ? time : 1,
-                key.equals("idleClose") ? time : 1, coldFrom, key.equals("warmAfter") ? time : 1,
-                key.equals("connectTimeout") ? new Network(time, 0, false, List.of())
-                        : key.equals("drainGrace") ? new Network(1, time, false, List.of()) : Network.UNTOLD),
-                key).getMessage();
+        String why = assertThrows(
+                        IllegalArgumentException.class,
+                        () -> with(
+                                overShare,
+                                new Tenant("acme", 0, quota),
+                                key.equals("mustAskWithin") ? time : 1,
+                                key.equals("maxRetryAfter") ? time : 1,
+                                key.equals("idleClose") ? time : 1,
+                                coldFrom,
+                                key.equals("warmAfter") ? time : 1,
+                                key.equals("connectTimeout")
+                                        ? new Network(time, 0, false, List.of())
+                                        : key.equals("drainGrace")
+                                                ? new Network(1, time, false, List.of())
+                                                : Network.UNTOLD),
+                        key)
+                .getMessage();
         assertTrue(why.contains(key), why);
     }
 
@@ -150,21 +189,24 @@
             turnedDown("coldFrom", 0.1, 1, 1, bad);
         }
         turnedDown("coldFrom", 0.1, 1, 1, 1e-300);
-        for (String key : List.of("mustAskWithin", "maxRetryAfter", "idleClose", "warmAfter", "connectTimeout",
-                "drainGrace")) {
+        for (String key :
+                List.of("mustAskWithin", "maxRetryAfter", "idleClose", "warmAfter", "connectTimeout", "drainGrace")) {
             turnedDown(key, 0.1, 1, -1, 1);
             turnedDown(key, 0.1, 1, Long.MAX_VALUE, 1);
         }
         Settings plain = settings(safe("read", 1));
         for (double bad : new double[] {Double.NaN, Double.POSITIVE_INFINITY, -1, 0, 1e300}) {
-            String why = assertThrows(IllegalArgumentException.class, () -> plain.withFall(bad, SECOND)).getMessage();
+            String why = assertThrows(IllegalArgumentException.class, () -> plain.withFall(bad, SECOND))
+                    .getMessage();
             assertTrue(why.contains("fallMultiple"), why);
         }
         for (long bad : new long[] {-1, Long.MAX_VALUE}) {
-            String why = assertThrows(IllegalArgumentException.class, () -> plain.withFall(3, bad)).getMessage();
+            String why = assertThrows(IllegalArgumentException.class, () -> plain.withFall(3, bad))
+                    .getMessage();
             assertTrue(why.startsWith("fall:"), why);
         }
-        assertThrows(IllegalArgumentException.class, () -> settings(6, false,
-                List.of(new Tenant("acme", 0, 1), new Tenant("acme", 0, 2)), safe("read", 1)));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> settings(6, false, List.of(new Tenant("acme", 0, 1), new Tenant("acme", 0, 2)), safe("read", 1)));
     }
 }
--- a/core/src/test/java/brackenbridge/ColdFleet.java
+++ b/core/src/test/java/brackenbridge/ColdFleet.java
@@ -42,8 +42,7 @@
      * @param served those answered
      * @param coldServed those answered by cold servers
      */
-    record Seen(double worst, int fallen, int lives, int asked, int served, int coldServed) {
-    }
+    record Seen(double worst, int fallen, int lives, int asked, int served, int coldServed) {}
 
     private static final long MS = 1000;
     private static final long SECOND = 1_000_000;
@@ -54,6 +53,7 @@
      * once what finds two waiting: what is turned away weighs as well, and its caller is free for the next.
      */
     private static final int WORKERS = 2;
+
     private static final long WORK = 100 * MS;
     private static final int QUEUE = 2;
     private static final double COLD_FROM = 0.3;
@@ -62,8 +62,7 @@
     private static final long RESTARTS = BEGIN + 12 * SECOND;
     private static final long END = BEGIN + 32 * SECOND;
 
-    private record Due(long at, long order, Runnable what) {
-    }
+    private record Due(long at, long order, Runnable what) {}
 
     private static final class Server {
         final long id;
@@ -97,12 +96,10 @@
         }
 
         @Override
-        public void refuse(long request, long retryAfter) {
-        }
+        public void refuse(long request, long retryAfter) {}
 
         @Override
-        public void fail(long request) {
-        }
+        public void fail(long request) {}
 
         @Override
         public void timer(long at, String token) {
@@ -110,12 +107,11 @@
         }
 
         @Override
-        public void probe(long endpoint) {
-        }
+        public void probe(long endpoint) {}
     }
 
-    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.at() != b.at()
-            ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final PriorityQueue<Due> queue = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
     private final Map<Long, Integer> attempts = new HashMap<>();
     private final List<Server> servers = new ArrayList<>();
     private final List<Node> nodes = new ArrayList<>();
@@ -153,9 +149,29 @@
     }
 
     private Settings settings(int me, int peers) {
-        return new Settings(random.nextLong(), me, peers, 0, "here", List.of(Script.safe("read", 1),
-                Script.unsafe("write", 4)), List.of(), 0.1, false, 10 * SECOND, 3, 20000, 2 * SECOND, true, false,
-                false, 15 * SECOND, COLD_FROM, WARM_AFTER, multiple, fall, BalancerApi.Network.UNTOLD);
+        return new Settings(
+                random.nextLong(),
+                me,
+                peers,
+                0,
+                "here",
+                List.of(Script.safe("read", 1), Script.unsafe("write", 4)),
+                List.of(),
+                0.1,
+                false,
+                10 * SECOND,
+                3,
+                20000,
+                2 * SECOND,
+                true,
+                false,
+                false,
+                15 * SECOND,
+                COLD_FROM,
+                WARM_AFTER,
+                multiple,
+                fall,
+                BalancerApi.Network.UNTOLD);
     }
 
     private Seen play() {
@@ -166,7 +182,8 @@
             });
         }
         for (Node n : nodes) {
-            n.balancer.onList(now, ListKind.SAVED, servers.stream().map(this::entry).toList());
+            n.balancer.onList(
+                    now, ListKind.SAVED, servers.stream().map(this::entry).toList());
             arrivals(n);
         }
         int hit = switch (day) {
@@ -289,8 +306,9 @@
     }
 
     private void answer(Node n, long request, int attempt, Outcome outcome, long sent) {
-        after(MS / 2, () -> n.balancer.onOutcome(now, request, attempt, outcome == Outcome.OK, outcome, now - sent,
-                null));
+        after(
+                MS / 2,
+                () -> n.balancer.onOutcome(now, request, attempt, outcome == Outcome.OK, outcome, now - sent, null));
     }
 
     /** Every attempt that reaches a cold server weighs, whatever becomes of it. */
--- a/core/src/test/java/brackenbridge/ColdServersTest.java
+++ b/core/src/test/java/brackenbridge/ColdServersTest.java
@@ -98,7 +98,8 @@
 
     @Test
     void callThatAColdServerMayNotTakeGoesToAWarmOneThatIsBusy() {
-        Script s = new Script(Script.settings(1, false, List.of(), Script.safe("read", 1)).withFall(0.001, SECOND));
+        Script s = new Script(
+                Script.settings(1, false, List.of(), Script.safe("read", 1)).withFall(0.001, SECOND));
         s.list(ListKind.SAVED, Script.up(1, 1), Script.at(2, "here", s.now, EndpointState.UP));
         s.ask(0, "read");
         for (int i = 1; i <= 40; i++) {
@@ -122,7 +123,8 @@
     @ParameterizedTest
     @EnumSource(Way.class)
     void everyWayToAColdServerIsCounted(Way way) {
-        Script s = new Script(Script.settings(1, false, List.of(), Script.safe("read", 1)).withFall(1, 4 * SECOND));
+        Script s = new Script(
+                Script.settings(1, false, List.of(), Script.safe("read", 1)).withFall(1, 4 * SECOND));
         s.list(ListKind.SAVED, Script.at(1, "here", s.now, EndpointState.UP));
         int answered = 0;
         for (int i = 0; i < 399; i++) {
@@ -133,8 +135,11 @@
             }
             for (; answered < s.of("send").size(); answered++) {
                 long id = s.of("send").get(answered).request();
-                s.answer(id, s.attempts.get(id) - 1, way == Way.TRIAL && answered == 0 ? Outcome.CONNECT_FAILED
-                        : Outcome.CANCELLED, 1);
+                s.answer(
+                        id,
+                        s.attempts.get(id) - 1,
+                        way == Way.TRIAL && answered == 0 ? Outcome.CONNECT_FAILED : Outcome.CANCELLED,
+                        1);
             }
             if (way == Way.TRIAL) {
                 // Guards the trials, which only a new call makes, against calls that fill the room and wait.
--- a/core/src/test/java/brackenbridge/DesignTest.java
+++ b/core/src/test/java/brackenbridge/DesignTest.java
@@ -38,8 +38,7 @@
 
     @Test
     void rotationFollowsTheListsWeights() {
-        Script s = new Script(settings(safe("read", 1)))
-                .list(ListKind.SAVED, Script.up(1, 1), Script.up(2, 3));
+        Script s = new Script(settings(safe("read", 1))).list(ListKind.SAVED, Script.up(1, 1), Script.up(2, 3));
         int heavy = 0;
         for (int i = 0; i < 400; i++) {
             s.ask(i, "read").pass(MS).answer(i, 0, Outcome.OK, MS);
@@ -51,8 +50,7 @@
     /** Lists may tell capacities roughly or wrongly. */
     @Test
     void slowServerGetsTurnsByWhatItShows() {
-        Script s = new Script(settings(safe("read", 1))).servers(5)
-                .list(ListKind.CHANGES, Script.up(6, 2));
+        Script s = new Script(settings(safe("read", 1))).servers(5).list(ListKind.CHANGES, Script.up(6, 2));
         int heavy = 0;
         for (int i = 0; i < 600; i++) {
             s.ask(i, "read");
@@ -69,8 +67,8 @@
         for (boolean marked : new boolean[] {false, true}) {
             Script s = new Script(settings(safe("read", 1), unsafe("write", 5))).servers(2);
             for (int i = 0; i < 40; i++) {
-                s.balancer.onRequest(s.now, new BalancerApi.Request(i, i % 3 == 0 ? "write" : "read", null, -1, SECOND,
-                        -1, marked));
+                s.balancer.onRequest(
+                        s.now, new BalancerApi.Request(i, i % 3 == 0 ? "write" : "read", null, -1, SECOND, -1, marked));
                 s.pass(10 * MS);
             }
             acts.add(s.acts);
@@ -85,7 +83,8 @@
         for (int i = 0; i < 8; i++) {
             s.ask(i, "read");
         }
-        assertEquals(3, s.of("send").stream().map(Script.Act::endpoint).distinct().count());
+        assertEquals(
+                3, s.of("send").stream().map(Script.Act::endpoint).distinct().count());
         assertEquals(3, s.of("send").size());
         s.pass(MS).answer(0, 0, Outcome.OK, MS);
         assertEquals(4, s.of("send").size());
@@ -124,7 +123,11 @@
     void nearestEndAboveHoldsOlderCallsBack() {
         Script s = new Script(settings(safe("low", 1), unsafe("high", 9))).servers(1);
         s.ask(1, "low").pass(100 * MS).answer(1, 0, Outcome.OK, 100 * MS);
-        s.ask(2, "low").ask(3, "low").pass(MS).ask(4, "high", null, -1, 250 * MS).pass(100 * MS);
+        s.ask(2, "low")
+                .ask(3, "low")
+                .pass(MS)
+                .ask(4, "high", null, -1, 250 * MS)
+                .pass(100 * MS);
         // Two of 100 ms are well within the low call's second, but not within the 150 ms that the high one has left.
         s.answer(2, 0, Outcome.OK, 100 * MS);
         assertEquals(4, s.of("send").get(2).request());
@@ -165,8 +168,26 @@
         s.ask(1, "read").pass(5 * SECOND);
         long after = s.of("refuse").get(0).amount();
         assertTrue(after > 0 && after <= 2 * SECOND, "retry-after: " + after);
-        Script untold = new Script(new BalancerApi.Settings(7, 0, 6, 0, "here", List.of(safe("read", 1)), List.of(),
-                0.1, false, 10 * SECOND, 4, 20000, 0, true, false, true, 15 * SECOND, 0.2, 20 * SECOND,
+        Script untold = new Script(new BalancerApi.Settings(
+                7,
+                0,
+                6,
+                0,
+                "here",
+                List.of(safe("read", 1)),
+                List.of(),
+                0.1,
+                false,
+                10 * SECOND,
+                4,
+                20000,
+                0,
+                true,
+                false,
+                true,
+                15 * SECOND,
+                0.2,
+                20 * SECOND,
                 BalancerApi.Network.UNTOLD));
         untold.list(ListKind.SAVED).ask(1, "read").pass(5 * SECOND);
         assertEquals(0, untold.of("refuse").get(0).amount(), "no advice where clients heed none");
@@ -186,7 +207,9 @@
         Script s = new Script(settings(6, false, List.of(t), safe("low", 1), unsafe("high", 9))).servers(1);
         s.ask(1, "high", null, -1, SECOND);
         s.pass(400 * MS).answer(1, 0, Outcome.OK, 400 * MS);
-        s.ask(2, "high", null, -1, 5 * SECOND).ask(3, "low", "t", -1, 3 * SECOND).pass(950 * MS);
+        s.ask(2, "high", null, -1, 5 * SECOND)
+                .ask(3, "low", "t", -1, 3 * SECOND)
+                .pass(950 * MS);
         s.answer(2, 0, Outcome.OK, 950 * MS);
         // Lifted, the low call is exempt from the late test that would have dropped it.
         assertEquals(List.of(1L, 2L, 3L), s.requests("send"));
@@ -260,7 +283,9 @@
         int bad = 0;
         for (int i = 0; i < 200; i++) {
             s.ask(i, "read").pass(2 * MS);
-            while (s.target(i) == 3 && s.attempts.get((long) i) <= 2 && !s.requests("refuse").contains((long) i)) {
+            while (s.target(i) == 3
+                    && s.attempts.get((long) i) <= 2
+                    && !s.requests("refuse").contains((long) i)) {
                 bad++;
                 s.answer(i, s.attempts.get((long) i) - 1, Outcome.ERROR, 2 * MS);
             }
@@ -355,8 +380,8 @@
             s.ask(id, "file");
             long sick = s.target(id);
             s.answer(id++, 0, Outcome.TIMEOUT, 1000);
-            s.list(ListKind.CHANGES, Script.at(sick, "here", 0, EndpointState.REMOVED),
-                    Script.up(100 + round, 1)).pass(2 * Script.SECOND);
+            s.list(ListKind.CHANGES, Script.at(sick, "here", 0, EndpointState.REMOVED), Script.up(100 + round, 1))
+                    .pass(2 * Script.SECOND);
         }
         s.ask(id, "file");
         long sick = s.target(id);
@@ -371,8 +396,8 @@
     @Test
     void dearClassWithAShortAimFindsAsMuchOfAAsTheRest() {
         // nav-lund rough-1: with each class's own tau in A, the dearest class was refused first for its short aim.
-        BalancerApi.RequestClass dear = new BalancerApi.RequestClass("dear", 400 * MS, 3 * SECOND,
-                BalancerApi.Effect.SAFE, BalancerApi.DedupScope.ALL, 0, false, 9, 0);
+        BalancerApi.RequestClass dear = new BalancerApi.RequestClass(
+                "dear", 400 * MS, 3 * SECOND, BalancerApi.Effect.SAFE, BalancerApi.DedupScope.ALL, 0, false, 9, 0);
         Script s = new Script(settings(unsafe("cheap", 1), dear)).servers(9);
         int id = 0;
         for (int i = 0; i < 150; i++) {
@@ -494,7 +519,9 @@
         for (int i = 0; i < 400; i++) {
             // 100 ms at best, then 300 ms; 100 answers a second throughout.
             long latency = i < 200 ? 100 * MS : 300 * MS;
-            s.ask(++id, i % 2 == 0 ? "brief" : "patient").answer(id, 0, Outcome.OK, latency).pass(10 * MS);
+            s.ask(++id, i % 2 == 0 ? "brief" : "patient")
+                    .answer(id, 0, Outcome.OK, latency)
+                    .pass(10 * MS);
         }
         int before = s.of("refuse").size();
         for (int i = 0; i < 400; i++) {
@@ -557,7 +584,10 @@
             s.ask(id, "write");
         }
         long sick = s.target(1);
-        List<Long> there = s.of("send").stream().filter(a -> a.endpoint() == sick).map(Script.Act::request).toList();
+        List<Long> there = s.of("send").stream()
+                .filter(a -> a.endpoint() == sick)
+                .map(Script.Act::request)
+                .toList();
         assertTrue(there.size() >= 3, "calls at one server: " + there);
         for (long id = 1; id <= 8; id++) {
             s.answer(id, 0, there.contains(id) ? Outcome.TIMEOUT : Outcome.OK, 3 * SECOND);
--- a/core/src/test/java/brackenbridge/RulesTest.java
+++ b/core/src/test/java/brackenbridge/RulesTest.java
@@ -30,8 +30,11 @@
 class RulesTest {
     private static final long SLACK = 16_000;
     private static final List<RequestClass> CLASSES = List.of(
-            Script.safe("safe", 2), Script.unsafe("unsafe", 9), Script.keyed("all", 5, DedupScope.ALL),
-            Script.keyed("zone", 4, DedupScope.ZONE), Script.keyed("cell", 3, DedupScope.CELL),
+            Script.safe("safe", 2),
+            Script.unsafe("unsafe", 9),
+            Script.keyed("all", 5, DedupScope.ALL),
+            Script.keyed("zone", 4, DedupScope.ZONE),
+            Script.keyed("cell", 3, DedupScope.CELL),
             new RequestClass("stream", 500_000, 2_000_000, Effect.SAFE, DedupScope.ALL, 0, true, 1, 0.5));
 
     /** What the rules need to know of a request. */
@@ -93,18 +96,25 @@
                 if (t.kind.effect() == Effect.KEYED) {
                     Endpoint a = t.to.get(before);
                     assertTrue(now - t.sentAt.get(before) < t.kind.keyTtl(), "repeat after its window");
-                    assertTrue(switch (t.kind.dedupScope()) {
-                        case ALL -> true;
-                        case ZONE -> a.zone().equals(e.zone());
-                        case CELL -> a.cell() == e.cell();
-                    }, "repeat outside its group");
+                    assertTrue(
+                            switch (t.kind.dedupScope()) {
+                                case ALL -> true;
+                                case ZONE -> a.zone().equals(e.zone());
+                                case CELL -> a.cell() == e.cell();
+                            },
+                            "repeat outside its group");
                 }
             }
             sends++;
             t.to.add(e);
             t.sentAt.add(now);
             t.ended.add(null);
-            log.append('s').append(request).append(' ').append(endpoint).append(' ').append(timeout)
+            log.append('s')
+                    .append(request)
+                    .append(' ')
+                    .append(endpoint)
+                    .append(' ')
+                    .append(timeout)
                     .append('\n');
         }
 
@@ -112,8 +122,10 @@
         public void refuse(long request, long retryAfter) {
             Told t = open(request);
             int risky = t.risky();
-            assertTrue(risky < 0 || t.kind.effect() == Effect.SAFE
-                    || t.kind.effect() == Effect.KEYED && t.kind.dedupScope() == DedupScope.ALL,
+            assertTrue(
+                    risky < 0
+                            || t.kind.effect() == Effect.SAFE
+                            || t.kind.effect() == Effect.KEYED && t.kind.dedupScope() == DedupScope.ALL,
                     "unsafe refusal");
             refusals++;
             close(request, t);
@@ -146,9 +158,27 @@
         SplittableRandom r = new SplittableRandom(seed);
         Judge j = new Judge();
         j.now = 5_000_000_000L;
-        Settings s = new Settings(seed, r.nextInt(3), 3, r.nextInt(2), "z0", CLASSES, List.of(), 0.1,
-                r.nextBoolean(), 10_000_000, 4, 500, 1_000_000, true, r.nextBoolean(), true, 10_000_000, 0.2,
-                20_000_000, Network.UNTOLD);
+        Settings s = new Settings(
+                seed,
+                r.nextInt(3),
+                3,
+                r.nextInt(2),
+                "z0",
+                CLASSES,
+                List.of(),
+                0.1,
+                r.nextBoolean(),
+                10_000_000,
+                4,
+                500,
+                1_000_000,
+                true,
+                r.nextBoolean(),
+                true,
+                10_000_000,
+                0.2,
+                20_000_000,
+                Network.UNTOLD);
         Balancer b = new Balancer(s, j);
         change(r, j, b, ListKind.SAVED, 12);
         long next = 1;
@@ -163,8 +193,16 @@
                 for (int n = r.nextInt(300) == 0 ? 2000 : 1; n > 0; n--) {
                     long left = r.nextInt(10) == 0 ? r.nextInt(3) - 1 : r.nextLong(c.deadline());
                     j.requests.put(next, new Told(c, j.now + Math.max(0, left)));
-                    b.onRequest(j.now, new Request(next, c.name(), null,
-                            r.nextInt(3) == 0 ? r.nextInt(9) : -1, left, r.nextInt(5), r.nextBoolean()));
+                    b.onRequest(
+                            j.now,
+                            new Request(
+                                    next,
+                                    c.name(),
+                                    null,
+                                    r.nextInt(3) == 0 ? r.nextInt(9) : -1,
+                                    left,
+                                    r.nextInt(5),
+                                    r.nextBoolean()));
                     next++;
                 }
             } else if (what < 17) {
@@ -179,7 +217,12 @@
                 }
                 if (!out.isEmpty()) {
                     long id = out.get(r.nextInt(out.size()));
-                    end(r, j, b, id, j.requests.get(id).ended.indexOf(null),
+                    end(
+                            r,
+                            j,
+                            b,
+                            id,
+                            j.requests.get(id).ended.indexOf(null),
                             Outcome.values()[r.nextInt(2) * r.nextInt(8)]);
                 }
             } else if (what == 17) {
@@ -245,8 +288,9 @@
         if (outcome == Outcome.OK) {
             t.closed = true;
         }
-        Report absurd = r != null && r.nextBoolean() ? new Report(Double.NaN, -5, 1e300, 0, Double.NaN,
-                Double.POSITIVE_INFINITY) : null;
+        Report absurd = r != null && r.nextBoolean()
+                ? new Report(Double.NaN, -5, 1e300, 0, Double.NaN, Double.POSITIVE_INFINITY)
+                : null;
         b.onOutcome(j.now, id, attempt, t.closed, outcome, j.now - t.sentAt.get(attempt), absurd);
     }
 
@@ -254,11 +298,11 @@
         List<Endpoint> entries = new ArrayList<>();
         for (int i = 0; i < n; i++) {
             long id = 100 + r.nextInt(30);
-            EndpointState state = r.nextInt(3) > 0 ? EndpointState.UP
+            EndpointState state = r.nextInt(3) > 0
+                    ? EndpointState.UP
                     : kind == ListKind.CHANGES ? EndpointState.REMOVED : EndpointState.DRAINING;
             entries.removeIf(e -> e.id() == id);
-            entries.add(new Endpoint(id, id / 4, "z" + id % 3, r.nextInt(4), r.nextInt(3) > 0 ? 0 : j.now,
-                    state));
+            entries.add(new Endpoint(id, id / 4, "z" + id % 3, r.nextInt(4), r.nextInt(3) > 0 ? 0 : j.now, state));
         }
         if (kind == ListKind.FULL || kind == ListKind.SAVED) {
             j.list.replaceAll((id, e) -> new Endpoint(id, e.cell(), e.zone(), 1, 0, EndpointState.REMOVED));
--- a/core/src/test/java/brackenbridge/Script.java
+++ b/core/src/test/java/brackenbridge/Script.java
@@ -24,18 +24,16 @@
     static final long SECOND = 1_000_000;
 
     /** An action as it was taken; the fields that an action lacks are 0. */
-    record Act(String what, long at, long request, long endpoint, long amount) {
-    }
+    record Act(String what, long at, long request, long endpoint, long amount) {}
 
-    private record Due(long at, long order, String token) {
-    }
+    private record Due(long at, long order, String token) {}
 
     final List<Act> acts = new ArrayList<>();
     final Map<Long, Integer> attempts = new HashMap<>();
     final Balancer balancer;
     long now = 1_000_000_000L;
-    private final PriorityQueue<Due> timers = new PriorityQueue<>((a, b) -> a.at() != b.at()
-            ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final PriorityQueue<Due> timers = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
     private long timersSet;
 
     Script(Settings settings) {
@@ -59,8 +57,27 @@
     }
 
     static Settings settings(int peers, boolean ask, List<Tenant> tenants, RequestClass... classes) {
-        return new Settings(7, 0, peers, 0, "here", List.of(classes), tenants, 0.1, ask, 10 * SECOND, 4,
-                20000, 2 * SECOND, true, false, true, 15 * SECOND, 0.2, 20 * SECOND, Network.UNTOLD);
+        return new Settings(
+                7,
+                0,
+                peers,
+                0,
+                "here",
+                List.of(classes),
+                tenants,
+                0.1,
+                ask,
+                10 * SECOND,
+                4,
+                20000,
+                2 * SECOND,
+                true,
+                false,
+                true,
+                15 * SECOND,
+                0.2,
+                20 * SECOND,
+                Network.UNTOLD);
     }
 
     static Settings settings(RequestClass... classes) {
@@ -125,7 +142,9 @@
 
     /** Where the request's latest attempt went; -1 if it was never sent. */
     long target(long request) {
-        return of("send").stream().filter(a -> a.request() == request).map(Act::endpoint)
+        return of("send").stream()
+                .filter(a -> a.request() == request)
+                .map(Act::endpoint)
                 .reduce(-1L, (a, b) -> b);
     }
 
--- a/core/src/test/java/brackenbridge/core/ChangingSettingsTest.java
+++ b/core/src/test/java/brackenbridge/core/ChangingSettingsTest.java
@@ -28,8 +28,7 @@
     private static final String[] NAMES = {"a", "b", "c", "d"};
 
     /** What a flow was promised when it came. */
-    private record Promise(RequestClass under, int attempts) {
-    }
+    private record Promise(RequestClass under, int attempts) {}
 
     private final Map<Long, Promise> promises = new HashMap<>();
     private final Map<Long, Integer> answers = new HashMap<>();
@@ -47,15 +46,40 @@
         int first = r.nextInt(NAMES.length);
         for (int i = 0, n = 1 + r.nextInt(NAMES.length); i < n; i++) {
             long aim = 100_000 + r.nextInt(300_000);
-            classes.add(new RequestClass(NAMES[(first + i) % NAMES.length], aim, aim + r.nextInt(500_000),
+            classes.add(new RequestClass(
+                    NAMES[(first + i) % NAMES.length],
+                    aim,
+                    aim + r.nextInt(500_000),
                     r.nextBoolean() ? brackenbridge.BalancerApi.Effect.SAFE : brackenbridge.BalancerApi.Effect.UNSAFE,
-                    DedupScope.ALL, 0, false, r.nextInt(4), 0.2));
+                    DedupScope.ALL,
+                    0,
+                    false,
+                    r.nextInt(4),
+                    0.2));
         }
         List<Tenant> tenants = r.nextBoolean() ? List.of() : List.of(new Tenant("acme", 0.5, r.nextInt(3)));
         Settings s = Play.settings(1 + r.nextInt(3), 1 + r.nextInt(5), classes.toArray(new RequestClass[0]));
-        return new Settings(7, 0, s.peers(), 0, r.nextBoolean() ? "room" : "other", classes, tenants, 0.1, true,
-                10_000_000, s.maxAttempts(), 1 + r.nextInt(200), r.nextInt(2) * 1_000_000L, true, true, false,
-                30_000_000, 0.3, 1_000_000, s.network());
+        return new Settings(
+                7,
+                0,
+                s.peers(),
+                0,
+                r.nextBoolean() ? "room" : "other",
+                classes,
+                tenants,
+                0.1,
+                true,
+                10_000_000,
+                s.maxAttempts(),
+                1 + r.nextInt(200),
+                r.nextInt(2) * 1_000_000L,
+                true,
+                true,
+                false,
+                30_000_000,
+                0.3,
+                1_000_000,
+                s.network());
     }
 
     private static boolean isSafe(Promise promise) {
@@ -81,8 +105,9 @@
                 answers.merge(a.flow(), 1, Integer::sum);
             } else if (e instanceof Effect.FixedResponse a) {
                 answers.merge(a.flow(), 1, Integer::sum);
-                assertTrue(a.kind() != Effect.Fixed.REFUSED || !ran.contains(a.flow())
-                        || isSafe(promises.get(a.flow())), "refused, but it may have run");
+                assertTrue(
+                        a.kind() != Effect.Fixed.REFUSED || !ran.contains(a.flow()) || isSafe(promises.get(a.flow())),
+                        "refused, but it may have run");
             } else if (e instanceof Effect.Fault f) {
                 throw new AssertionError("fault", f.cause());
             }
@@ -97,8 +122,15 @@
         if (!whole) {
             coming.add(id);
         }
-        p.tell(new Event.FlowOpened(id, new Flow(c.name(), r.nextBoolean() ? "acme" : null,
-                r.nextInt(3) == 0 ? -1 : r.nextInt(600), false, whole, "m")));
+        p.tell(new Event.FlowOpened(
+                id,
+                new Flow(
+                        c.name(),
+                        r.nextBoolean() ? "acme" : null,
+                        r.nextInt(3) == 0 ? -1 : r.nextInt(600),
+                        false,
+                        whole,
+                        "m")));
     }
 
     private void change(SplittableRandom r, Play p) {
@@ -183,8 +215,9 @@
         coming.forEach(f -> p.tell(new Event.FlowWhole(f)));
         p.pass(9000);
         look(p);
-        promises.keySet().forEach(f -> assertEquals(gone.contains(f) ? 0 : 1, answers.getOrDefault(f, 0),
-                (gone.contains(f) ? "gone " : "") + f));
+        promises.keySet()
+                .forEach(f -> assertEquals(
+                        gone.contains(f) ? 0 : 1, answers.getOrDefault(f, 0), (gone.contains(f) ? "gone " : "") + f));
         assertTrue(out.isEmpty(), "forwards that are still out: " + out);
         freeAgain(p);
     }
--- a/core/src/test/java/brackenbridge/core/LifeCycleTest.java
+++ b/core/src/test/java/brackenbridge/core/LifeCycleTest.java
@@ -38,8 +38,12 @@
     void returnTakesOneEventAndEndsTheDrainsSteps() {
         Play p = new Play(4, 2).tell(DRAIN).pass(700).tell(RETURN);
         assertTrue(p.reducer.ready());
-        assertEquals(List.of(true, false), p.of(Effect.SayClose.class).stream().map(Effect.SayClose::on).toList());
-        assertEquals(List.of(true, false), p.of(Effect.KeepNoClients.class).stream().map(e -> e.on()).toList());
+        assertEquals(
+                List.of(true, false),
+                p.of(Effect.SayClose.class).stream().map(Effect.SayClose::on).toList());
+        assertEquals(
+                List.of(true, false),
+                p.of(Effect.KeepNoClients.class).stream().map(e -> e.on()).toList());
         p.pass(5000);
         assertEquals(List.of(), p.fixed(p.open(Play.FILE, 5000)));
         assertEquals(0, p.of(Effect.EndUnfinished.class).size());
@@ -91,8 +95,12 @@
             long active = Long.parseLong(told.replaceAll("(?s).*proxy.active:([0-9]+)[|]g.*", "$1"));
             long sum = active;
             for (String c : List.of("view", "file")) {
-                for (Kind k : List.of(Kind.ANSWERED_SERVED, Kind.ANSWERED_REFUSED, Kind.ANSWERED_FAILED,
-                        Kind.ANSWERED_REJECTED, Kind.FLOWS_GONE)) {
+                for (Kind k : List.of(
+                        Kind.ANSWERED_SERVED,
+                        Kind.ANSWERED_REFUSED,
+                        Kind.ANSWERED_FAILED,
+                        Kind.ANSWERED_REJECTED,
+                        Kind.FLOWS_GONE)) {
                     sum += p.counters.of(k, c);
                 }
             }
--- a/core/src/test/java/brackenbridge/core/Play.java
+++ b/core/src/test/java/brackenbridge/core/Play.java
@@ -1,8 +1,8 @@
 package brackenbridge.core;
 
 import brackenbridge.BalancerApi.DedupScope;
-import brackenbridge.BalancerApi.EndpointState;
 import brackenbridge.BalancerApi.Effect;
+import brackenbridge.BalancerApi.EndpointState;
 import brackenbridge.BalancerApi.Network;
 import brackenbridge.BalancerApi.RequestClass;
 import brackenbridge.BalancerApi.Settings;
@@ -44,8 +44,26 @@
     }
 
     static Settings settings(int peers, int attempts, RequestClass... classes) {
-        return new Settings(7, 0, peers, 0, "room", List.of(classes), List.of(), 0.1, true, 10_000_000, attempts, 40000,
-                0, true, true, false, 30_000_000, 0.3, 8_500_000,
+        return new Settings(
+                7,
+                0,
+                peers,
+                0,
+                "room",
+                List.of(classes),
+                List.of(),
+                0.1,
+                true,
+                10_000_000,
+                attempts,
+                40000,
+                0,
+                true,
+                true,
+                false,
+                30_000_000,
+                0.3,
+                8_500_000,
                 new Network(120_000, 500_000, false, List.of("depth")));
     }
 
@@ -88,12 +106,16 @@
 
     /** The flow's forwards so far. */
     List<brackenbridge.core.Effect.Forward> forwards(long flow) {
-        return of(brackenbridge.core.Effect.Forward.class).stream().filter(f -> f.flow() == flow).toList();
+        return of(brackenbridge.core.Effect.Forward.class).stream()
+                .filter(f -> f.flow() == flow)
+                .toList();
     }
 
     /** The fixed responses that the flow got. */
     List<brackenbridge.core.Effect.Fixed> fixed(long flow) {
-        return of(brackenbridge.core.Effect.FixedResponse.class).stream().filter(f -> f.flow() == flow)
-                .map(brackenbridge.core.Effect.FixedResponse::kind).toList();
+        return of(brackenbridge.core.Effect.FixedResponse.class).stream()
+                .filter(f -> f.flow() == flow)
+                .map(brackenbridge.core.Effect.FixedResponse::kind)
+                .toList();
     }
 }
--- a/core/src/test/java/brackenbridge/core/RecklessModuleTest.java
+++ b/core/src/test/java/brackenbridge/core/RecklessModuleTest.java
@@ -37,8 +37,7 @@
         }
 
         @Override
-        public void onList(long now, ListKind kind, List<Endpoint> entries) {
-        }
+        public void onList(long now, ListKind kind, List<Endpoint> entries) {}
 
         @Override
         public void onRequest(long now, Request request) {
@@ -46,18 +45,16 @@
         }
 
         @Override
-        public void onFirstByte(long now, long request, int attempt) {
-        }
+        public void onFirstByte(long now, long request, int attempt) {}
 
         @Override
-        public void onOutcome(long now, long request, int attempt, boolean ended, Outcome outcome, long latency,
-                Report report) {
+        public void onOutcome(
+                long now, long request, int attempt, boolean ended, Outcome outcome, long latency, Report report) {
             told.add(outcome);
         }
 
         @Override
-        public void onGone(long now, long request) {
-        }
+        public void onGone(long now, long request) {}
 
         @Override
         public void onTimer(long now, String token) {
@@ -70,10 +67,14 @@
     private final List<Effect> effects = new ArrayList<>();
 
     private void start(BiConsumer<Actions, Long> with) {
-        reducer = new Reducer(Play.settings(1, 3, Play.VIEW, Play.FILE), new Counters(),
+        reducer = new Reducer(
+                Play.settings(1, 3, Play.VIEW, Play.FILE),
+                new Counters(),
                 (settings, actions) -> module = new Reckless(actions, with));
-        tell(NOW, new Event.Started(new TargetGroup(1, true,
-                List.of(Play.target("s-0", EndpointState.UP), Play.target("s-1", EndpointState.UP)))));
+        tell(
+                NOW,
+                new Event.Started(new TargetGroup(
+                        1, true, List.of(Play.target("s-0", EndpointState.UP), Play.target("s-1", EndpointState.UP)))));
         tell(NOW, new Event.FlowOpened(7, new Flow("file", null, 1000, false, true, "message")));
     }
 
@@ -112,15 +113,19 @@
             out.refuse(flow, 1000);
             out.fail(flow);
         });
-        assertEquals(List.of(Fixed.REFUSED), of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList());
+        assertEquals(
+                List.of(Fixed.REFUSED),
+                of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList());
         start((out, flow) -> {
             out.send(flow, id("s-0"), 900_000);
             out.fail(flow);
             out.fail(flow);
             out.refuse(flow, 1000);
         });
-        assertEquals(List.of(Fixed.REFUSED, Fixed.FAILED),
-                of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList(), "also while its forward is out");
+        assertEquals(
+                List.of(Fixed.REFUSED, Fixed.FAILED),
+                of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList(),
+                "also while its forward is out");
         tell(NOW + 1, new Event.ForwardWritten(7, 0));
         tell(NOW + 2, new Event.ForwardAnswered(7, 0, Reply.SERVED, "body", null));
         assertEquals(List.of(), of(Effect.Respond.class), "it has failed already");
@@ -133,7 +138,9 @@
             tell(NOW + i, new Event.ForwardBroken(7, i));
             does(NOW + i, out -> out.send(7, id("s-1"), 900_000));
         }
-        assertEquals(List.of(0, 1, 2), of(Effect.Forward.class).stream().map(Effect.Forward::forward).toList());
+        assertEquals(
+                List.of(0, 1, 2),
+                of(Effect.Forward.class).stream().map(Effect.Forward::forward).toList());
     }
 
     @Test
@@ -153,7 +160,9 @@
         assertEquals(1, of(Effect.Fault.class).size());
         assertTrue(of(Effect.FixedResponse.class).isEmpty());
         tell(NOW + 995, new Event.TimerFired(new TimerKey.Deadline(7)));
-        assertEquals(List.of(Fixed.REFUSED), of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList());
+        assertEquals(
+                List.of(Fixed.REFUSED),
+                of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList());
     }
 
     @Test
@@ -162,21 +171,26 @@
         tell(NOW + 1, new Event.ForwardWritten(7, 0));
         tell(NOW + 2, new Event.ForwardBroken(7, 0));
         tell(NOW + 995, new Event.TimerFired(new TimerKey.Deadline(7)));
-        assertEquals(List.of(Fixed.TIMED_OUT), of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList());
+        assertEquals(
+                List.of(Fixed.TIMED_OUT),
+                of(Effect.FixedResponse.class).stream().map(r -> r.kind()).toList());
     }
 
     @Test
     void hostThatDrainsGetsNothingAfterHalfOfItsGrace() {
-        start((out, flow) -> {
-        });
+        start((out, flow) -> {});
         tell(NOW, new Event.Inherited(new TargetGroup(2, true, List.of(Play.target("s-1", EndpointState.UP)))));
         long watch = of(Effect.Watch.class).get(0).call();
-        tell(NOW + 1, new Event.TargetsTold(watch, new TargetGroup(3, true, List.of(
-                Play.target("s-1", EndpointState.DRAINING)))));
+        tell(
+                NOW + 1,
+                new Event.TargetsTold(
+                        watch, new TargetGroup(3, true, List.of(Play.target("s-1", EndpointState.DRAINING)))));
         tell(NOW + 240, new Event.FlowOpened(8, new Flow("file", null, 1000, false, true, "message")));
         does(NOW + 240, out -> out.send(8, id("s-1"), 900_000));
         does(NOW + 255, out -> out.send(7, id("s-1"), 900_000));
-        assertEquals(List.of(8L), of(Effect.Forward.class).stream().map(Effect.Forward::flow).toList());
+        assertEquals(
+                List.of(8L),
+                of(Effect.Forward.class).stream().map(Effect.Forward::flow).toList());
         assertEquals(List.of(Outcome.MOOT), module.told);
     }
 
--- a/core/src/test/java/brackenbridge/core/ReducerTest.java
+++ b/core/src/test/java/brackenbridge/core/ReducerTest.java
@@ -91,12 +91,21 @@
         p.tell(new Event.TimerFired(new TimerKey.Deadline(f)));
         assertEquals(List.of(Fixed.TIMED_OUT), p.fixed(f));
         long next = p.open(Play.FILE, 5000);
-        assertEquals(p.clock.nowMs() + 5000 - Reducer.MARGIN_MS - 35, p.forwards(next).get(0).giveUpMs(), 1e-6);
+        assertEquals(
+                p.clock.nowMs() + 5000 - Reducer.MARGIN_MS - 35,
+                p.forwards(next).get(0).giveUpMs(),
+                1e-6);
         long brief = p.open(Play.VIEW, 40);
-        assertEquals(p.clock.nowMs() + 40 - Reducer.MARGIN_MS - 10, p.forwards(brief).get(0).giveUpMs(), 1e-6);
+        assertEquals(
+                p.clock.nowMs() + 40 - Reducer.MARGIN_MS - 10,
+                p.forwards(brief).get(0).giveUpMs(),
+                1e-6);
         p.pass(30_000);
         long calm = p.open(Play.FILE, 5000);
-        assertEquals(p.clock.nowMs() + 5000 - Reducer.MARGIN_MS, p.forwards(calm).get(0).giveUpMs(), 0.1);
+        assertEquals(
+                p.clock.nowMs() + 5000 - Reducer.MARGIN_MS,
+                p.forwards(calm).get(0).giveUpMs(),
+                0.1);
     }
 
     @Test
@@ -147,14 +156,12 @@
     void staleListBringsNoServerBack() {
         Play p = new Play(1).pass(4100);
         long call = p.of(Effect.Watch.class).get(0).call();
-        p.tell(new Event.TargetsTold(call, new TargetGroup(50, false,
-                List.of(Play.target("s-0", EndpointState.DRAINING)))));
+        p.tell(new Event.TargetsTold(
+                call, new TargetGroup(50, false, List.of(Play.target("s-0", EndpointState.DRAINING)))));
         assertFalse(p.reducer.ready());
-        p.tell(new Event.TargetsTold(call, new TargetGroup(49, true,
-                List.of(Play.target("s-0", EndpointState.UP)))));
+        p.tell(new Event.TargetsTold(call, new TargetGroup(49, true, List.of(Play.target("s-0", EndpointState.UP)))));
         assertFalse(p.reducer.ready());
-        p.tell(new Event.TargetsTold(call, new TargetGroup(51, false,
-                List.of(Play.target("s-0", EndpointState.UP)))));
+        p.tell(new Event.TargetsTold(call, new TargetGroup(51, false, List.of(Play.target("s-0", EndpointState.UP)))));
         assertTrue(p.reducer.ready());
     }
 
@@ -162,8 +169,10 @@
     void forwardWithoutAConnectionIsCutOffAtADrain() {
         Play p = new Play(1).pass(4100);
         long f = p.open(Play.FILE, 5000);
-        p.tell(new Event.TargetsTold(p.of(Effect.Watch.class).get(0).call(), new TargetGroup(50, false,
-                List.of(Play.target("s-0", EndpointState.REMOVED))))).pass(490);
+        p.tell(new Event.TargetsTold(
+                        p.of(Effect.Watch.class).get(0).call(),
+                        new TargetGroup(50, false, List.of(Play.target("s-0", EndpointState.REMOVED)))))
+                .pass(490);
         assertEquals(List.of(new Effect.CancelForward(f, 0)), p.of(Effect.CancelForward.class));
         assertEquals(1, p.forwards(f).size());
     }
@@ -172,10 +181,12 @@
     void newDialIsUsedFromThenOn() {
         Play p = new Play(1).pass(4100);
         Target moved = new Target("s-0", "127.0.0.9:9", "room", -1, 1, 0, EndpointState.UP);
-        p.tell(new Event.TargetsTold(p.of(Effect.Watch.class).get(0).call(), new TargetGroup(50, false,
-                List.of(moved))));
+        p.tell(new Event.TargetsTold(
+                p.of(Effect.Watch.class).get(0).call(), new TargetGroup(50, false, List.of(moved))));
         assertEquals("127.0.0.9:9", p.forwards(p.open(Play.FILE, 5000)).get(0).dial());
-        assertEquals(List.of(new Effect.CloseIdle("s-0", Play.target("s-0", EndpointState.UP).dial())),
+        assertEquals(
+                List.of(new Effect.CloseIdle(
+                        "s-0", Play.target("s-0", EndpointState.UP).dial())),
                 p.of(Effect.CloseIdle.class));
     }
 
@@ -191,8 +202,8 @@
         p.tell(new Event.DiscoveryEnded(old));
         p.tell(new Event.TargetsTold(old, new TargetGroup(99, true, List.of())));
         assertTrue(p.reducer.ready());
-        p.tell(new Event.TargetsTold(w.call(), new TargetGroup(7, true,
-                List.of(Play.target("s-new", EndpointState.UP)))));
+        p.tell(new Event.TargetsTold(
+                w.call(), new TargetGroup(7, true, List.of(Play.target("s-new", EndpointState.UP)))));
         assertEquals("s-new", p.forwards(p.open(Play.FILE, 5000)).get(0).host());
         p.pass(1000).tell(new Event.DiscoveryBeat(w.call())).pass(2500);
         assertEquals(2, p.of(Effect.Watch.class).size(), "the module's own pause brings no further call");
@@ -201,9 +212,8 @@
     @Test
     void reconfiguredNodeTakesANewerListAndKeepsItsWatch() {
         Play p = new Play(1).pass(4100);
-        p.tell(new Event.Reconfigured(p.settings,
-                new TargetGroup(42, true, List.of(Play.target("s-new", EndpointState.UP))),
-                false));
+        p.tell(new Event.Reconfigured(
+                p.settings, new TargetGroup(42, true, List.of(Play.target("s-new", EndpointState.UP))), false));
         assertEquals("s-new", p.forwards(p.open(Play.FILE, 5000)).get(0).host());
         assertEquals(0, p.of(Effect.EndDiscovery.class).size());
         assertEquals(1, p.counters.of(Kind.RECONFIGURED));
@@ -221,7 +231,8 @@
         assertEquals(20, p.counters.of(Kind.FORWARDS_REJECTED));
         long one = p.open(Play.FILE, 5000);
         long other = p.open(Play.FILE, 5000);
-        assertFalse(p.forwards(one).get(0).host().equals(p.forwards(other).get(0).host()), "both servers are in use");
+        assertFalse(
+                p.forwards(one).get(0).host().equals(p.forwards(other).get(0).host()), "both servers are in use");
     }
 
     /** The front sends no more connections to it; its peers may be stopped by the same release, or only just back. */
@@ -253,7 +264,8 @@
         Play p = new Play(4);
         p.open(Play.FILE, 6000);
         p.tell(new Event.StopAsked()).pass(3420);
-        assertEquals(0, p.of(Effect.Exit.class).stream().filter(Effect.Exit::atOnce).count());
+        assertEquals(
+                0, p.of(Effect.Exit.class).stream().filter(Effect.Exit::atOnce).count());
         long late = p.open(Play.FILE, 6000);
         assertEquals(List.of(Fixed.REFUSED), p.fixed(late));
         assertEquals(0, p.forwards(late).size());
@@ -261,7 +273,11 @@
 
     @Test
     void drainedNodeStopsSoon() {
-        Play p = new Play(4, 2).tell(new Event.DrainAsked(true)).pass(2000).tell(new Event.StopAsked()).pass(600);
+        Play p = new Play(4, 2)
+                .tell(new Event.DrainAsked(true))
+                .pass(2000)
+                .tell(new Event.StopAsked())
+                .pass(600);
         assertEquals(List.of(new Effect.Exit(false)), p.of(Effect.Exit.class));
     }
 
@@ -283,11 +299,16 @@
         long f = p.open(Play.FILE, 5000);
         p.tell(new Event.ForwardWritten(f, 0));
         for (int i = 0; i < 100; i++) {
-            p.tell(new Event.TargetsTold(call, new TargetGroup(50 + 2 * i, false,
-                    List.of(Play.target("n-" + i, EndpointState.UP)))));
-            p.tell(new Event.TargetsTold(call, new TargetGroup(51 + 2 * i, false, List.of(
-                    Play.target("n-" + i, EndpointState.REMOVED),
-                    Play.target(p.forwards(f).get(0).host(), EndpointState.REMOVED)))));
+            p.tell(new Event.TargetsTold(
+                    call, new TargetGroup(50 + 2 * i, false, List.of(Play.target("n-" + i, EndpointState.UP)))));
+            p.tell(new Event.TargetsTold(
+                    call,
+                    new TargetGroup(
+                            51 + 2 * i,
+                            false,
+                            List.of(
+                                    Play.target("n-" + i, EndpointState.REMOVED),
+                                    Play.target(p.forwards(f).get(0).host(), EndpointState.REMOVED)))));
             assertEquals(2, p.reducer.hosts(), "the one that is up and the one that has a forward out");
         }
         p.tell(answer(f, 0, Reply.SERVED));
@@ -318,10 +339,18 @@
     void openFlowsKeepTheRulesTheyBeganUnder() {
         Play p = new Play(8, 2);
         long old = p.open(Play.VIEW, 5000);
-        RequestClass strict = new RequestClass("view", 1_000_000, 2_000_000, BalancerApi.Effect.UNSAFE,
-                BalancerApi.DedupScope.ALL, 0, false, 20, 0.25);
-        RequestClass other = new RequestClass("other", 1_000_000, 3_000_000, BalancerApi.Effect.SAFE,
-                BalancerApi.DedupScope.ALL, 0, false, 5, 0.25);
+        RequestClass strict = new RequestClass(
+                "view",
+                1_000_000,
+                2_000_000,
+                BalancerApi.Effect.UNSAFE,
+                BalancerApi.DedupScope.ALL,
+                0,
+                false,
+                20,
+                0.25);
+        RequestClass other = new RequestClass(
+                "other", 1_000_000, 3_000_000, BalancerApi.Effect.SAFE, BalancerApi.DedupScope.ALL, 0, false, 5, 0.25);
         p.tell(new Event.Reconfigured(Play.settings(2, 2, strict, other), new TargetGroup(41, true, List.of()), false));
         for (int i = 0; i < 4; i++) {
             p.tell(new Event.ForwardWritten(old, i)).tell(new Event.ForwardBroken(old, i));
@@ -354,7 +383,10 @@
                 p.tell(answer(f.flow(), f.forward(), Reply.SERVED));
             }
         }
-        assertEquals(12, p.of(Effect.Respond.class).size() + p.of(Effect.FixedResponse.class).size());
+        assertEquals(
+                12,
+                p.of(Effect.Respond.class).size()
+                        + p.of(Effect.FixedResponse.class).size());
         assertTrue(p.of(Effect.Respond.class).size() > before, "those that waited too");
         assertEquals(0, p.of(Effect.Fault.class).size());
     }
@@ -426,8 +458,10 @@
             p.pass(100);
         }
         long call = p.of(Effect.Watch.class).get(0).call();
-        p.tell(new Event.TargetsTold(call, new TargetGroup(42, true, List.of(Play.target("s-1", EndpointState.UP)),
-                List.of("s-0", "s-never-seen"))));
+        p.tell(new Event.TargetsTold(
+                call,
+                new TargetGroup(
+                        42, true, List.of(Play.target("s-1", EndpointState.UP)), List.of("s-0", "s-never-seen"))));
         assertEquals(2, p.reducer.hosts());
         for (int i = 0; i < 2; i++) {
             assertEquals(1, p.forwards(p.open(Play.FILE, 5000)).size(), "both still serve");
--- a/core/src/test/java/brackenbridge/core/RefusalTest.java
+++ b/core/src/test/java/brackenbridge/core/RefusalTest.java
@@ -17,16 +17,38 @@
     private static Play play(int servers) {
         Play p = new Play(servers, 2);
         Settings s = p.settings;
-        p.tell(new Event.Reconfigured(new Settings(7, 0, 2, 0, "room", s.classes(), List.of(), 0.1, true, 10_000_000, 5,
-                40000, (long) (LONGEST_MS * 1000), true, true, false, 30_000_000, 0.3, 8_500_000, s.network()),
-                new TargetGroup(41, true, List.of()), false));
+        p.tell(new Event.Reconfigured(
+                new Settings(
+                        7,
+                        0,
+                        2,
+                        0,
+                        "room",
+                        s.classes(),
+                        List.of(),
+                        0.1,
+                        true,
+                        10_000_000,
+                        5,
+                        40000,
+                        (long) (LONGEST_MS * 1000),
+                        true,
+                        true,
+                        false,
+                        30_000_000,
+                        0.3,
+                        8_500_000,
+                        s.network()),
+                new TargetGroup(41, true, List.of()),
+                false));
         return p;
     }
 
     /** The one answer that the flow has by now is of this kind; a refusal says when to come back. */
     private static void ended(Play p, long flow, Fixed kind, String how) {
         List<Effect.FixedResponse> got = p.of(Effect.FixedResponse.class).stream()
-                .filter(r -> r.flow() == flow).toList();
+                .filter(r -> r.flow() == flow)
+                .toList();
         assertEquals(List.of(kind), got.stream().map(Effect.FixedResponse::kind).toList(), how);
         double advice = got.get(0).retryAfterMs();
         assertTrue(kind == Fixed.REFUSED ? advice > 0 && advice <= LONGEST_MS : advice == 0, how + ": " + advice);
--- a/core/src/test/java/brackenbridge/core/SharesToldTest.java
+++ b/core/src/test/java/brackenbridge/core/SharesToldTest.java
@@ -22,8 +22,8 @@
     }
 
     private void shares(long epoch, double a, double b, double forMs) {
-        p.tell(new Event.SharesTold(new Allowances(epoch, Map.of("a", a, "b", b), 1, Map.of(),
-                p.clock.nowMs() + forMs, Map.of("a", 1.0, "b", 1.0))));
+        p.tell(new Event.SharesTold(new Allowances(
+                epoch, Map.of("a", a, "b", b), 1, Map.of(), p.clock.nowMs() + forMs, Map.of("a", 1.0, "b", 1.0))));
     }
 
     private void serve(long flow) {
@@ -62,7 +62,8 @@
             open("a", 120);
         }
         assertTrue(p.counters.of(Kind.FLOWS_OVER_SHARE) > 100, "" + p.counters.of(Kind.FLOWS_OVER_SHARE));
-        Effect.FixedResponse last = p.of(Effect.FixedResponse.class).get(p.of(Effect.FixedResponse.class).size() - 1);
+        Effect.FixedResponse last = p.of(Effect.FixedResponse.class)
+                .get(p.of(Effect.FixedResponse.class).size() - 1);
         assertEquals(Fixed.REFUSED, last.kind());
         assertTrue(last.retryAfterMs() > 0);
     }
--- a/core/src/test/java/brackenbridge/core/ZonesWeighedTest.java
+++ b/core/src/test/java/brackenbridge/core/ZonesWeighedTest.java
@@ -33,7 +33,8 @@
             long f = p.open(Play.VIEW, 5000);
             Effect.Forward out = p.forwards(f).get(0);
             a += Character.digit(out.host().charAt(2), 10) % 2 == 0 ? 1 : 0;
-            p.tell(new Event.ForwardWritten(f, 0)).pass(2)
+            p.tell(new Event.ForwardWritten(f, 0))
+                    .pass(2)
                     .tell(new Event.ForwardAnswered(f, 0, Reply.SERVED, "body", null));
         }
         return a;
@@ -85,7 +86,8 @@
         double held = 0;
         long failed = 0;
         int out = 0;
-        for (Map.Entry<Observer.Key, Observer.Tally> e : p.reducer.observed().pools().entrySet()) {
+        for (Map.Entry<Observer.Key, Observer.Tally> e :
+                p.reducer.observed().pools().entrySet()) {
             attempts += e.getValue().attempts();
             served += e.getValue().served();
             held += e.getValue().heldMs();
@@ -97,7 +99,8 @@
         assertEquals(80, held, 1);
         assertEquals(0, failed, "what was never sent says nothing of a server's work");
         assertEquals(1, out);
-        assertEquals(Map.of(new Observer.Key("a", 1, ""), 4, new Observer.Key("b", 1, ""), 4),
+        assertEquals(
+                Map.of(new Observer.Key("a", 1, ""), 4, new Observer.Key("b", 1, ""), 4),
                 p.reducer.observed().servers());
     }
 }
--- a/core/src/test/java/brackenbridge/core/connection/ConnectionsTest.java
+++ b/core/src/test/java/brackenbridge/core/connection/ConnectionsTest.java
@@ -90,7 +90,8 @@
             double at = i * 1000.0;
             pool.ask(at, i, A);
             for (int j = 1; j < 4; j++) {
-                further += of(Step.Open.class, pool.due(at + j * pool.patienceMs(), i)).size();
+                further += of(Step.Open.class, pool.due(at + j * pool.patienceMs(), i))
+                        .size();
             }
             pool.withdraw(i);
         }
--- a/core/src/test/java/brackenbridge/core/membership/ExplorationTest.java
+++ b/core/src/test/java/brackenbridge/core/membership/ExplorationTest.java
@@ -18,18 +18,37 @@
     private static final int EVENTS = 6;
     /** Between two events; three of them are more than the silence that ends a watch. */
     private static final double STEP_MS = 1100;
+
     private static final double SILENCE_MS = 3000;
     private static final double MUST_ASK_MS = 10_000;
     /** When a change counts as told, and how long discovery may take to answer a call. */
     private static final double KNOWN_WITHIN_MS = 6000;
+
     private static final double LINE_MS = 2000;
 
     /** What may happen at discovery, in its words; a list that comes in pieces is beats and then its word. */
-    private enum Happening { NOTHING, BEAT, NEWER, OLDER, RESET, MOVED, WORD_ON_THE_LAST_CALL, DOWN_OR_BACK }
+    private enum Happening {
+        NOTHING,
+        BEAT,
+        NEWER,
+        OLDER,
+        RESET,
+        MOVED,
+        WORD_ON_THE_LAST_CALL,
+        DOWN_OR_BACK
+    }
 
     /** The machine as it is, and with a mistake. */
-    private enum Machine { RIGHT, DEAF_TO_SILENCE, WAKES_LATE, NEVER_ENDS, HEARS_CLOSED_CALLS, HOLDS_OLD_VERSIONS,
-        SPINS, FORGETS_THE_MOVE }
+    private enum Machine {
+        RIGHT,
+        DEAF_TO_SILENCE,
+        WAKES_LATE,
+        NEVER_ENDS,
+        HEARS_CLOSED_CALLS,
+        HOLDS_OLD_VERSIONS,
+        SPINS,
+        FORGETS_THE_MOVE
+    }
 
     /** One history. */
     private static final class History {
@@ -47,12 +66,14 @@
         double dueBy;
         /** And before which it must not be. */
         double notBefore;
+
         int failures;
         double opened;
         boolean down;
         boolean refused;
         /** Since when discovery could be reached and has said nothing, and the calls it has refused since. */
         double could;
+
         int refusals;
         String wrong;
 
@@ -238,6 +259,7 @@
                     run(m.ended(now, call - 1));
                 }
                 default -> {
+                    // Nothing else matters here.
                 }
             }
         }
--- a/core/src/test/java/brackenbridge/core/membership/MembershipTest.java
+++ b/core/src/test/java/brackenbridge/core/membership/MembershipTest.java
@@ -97,7 +97,7 @@
     @Test
     void agentThatEndsEachCallAfterItsListIsNotSpunAt() {
         start(AGENT, 3);
-        for (double from = now; now < from + 20_000;) {
+        for (double from = now; now < from + 20_000; ) {
             long on = call();
             assertTrue(m.told(now, on, 42, true));
             run(m.ended(now, on));
@@ -126,6 +126,7 @@
 
     /** The 6 s of the terms, less the time that discovery's answer may take in its line. */
     private static final double KNOWN_WITHIN_MS = 6000;
+
     private static final double LINE_MS = 2000;
     private static final double LONGEST_PAUSE_MS = 1600;
 
@@ -181,11 +182,11 @@
             pass(900);
             m.beat(now, call());
             double lastWord = now;
-            for (int calls = opened.size(); opened.size() == calls;) {
+            for (int calls = opened.size(); opened.size() == calls; ) {
                 pass(10);
             }
             run(m.ended(now, call()));
-            for (int calls = opened.size(); opened.size() == calls;) {
+            for (int calls = opened.size(); opened.size() == calls; ) {
                 pass(10);
             }
             assertTrue(now + LINE_MS - lastWord < KNOWN_WITHIN_MS, (now - lastWord) + " ms, seed " + seed);
@@ -308,7 +309,8 @@
             pass(step);
         }
         double seconds = (now - began) / 1000;
-        assertTrue(opened.size() < 8 + longSteps + seconds * (shared ? 2 : 10),
+        assertTrue(
+                opened.size() < 8 + longSteps + seconds * (shared ? 2 : 10),
                 opened.size() + " calls in " + seconds + " s");
     }
 }
--- a/core/src/test/java/brackenbridge/core/membership/ReturnFigures.java
+++ b/core/src/test/java/brackenbridge/core/membership/ReturnFigures.java
@@ -14,8 +14,7 @@
     private static final double[] TIME_OUTS_MS = {1000, 2000};
     private static final int STEPS = 14;
 
-    private ReturnFigures() {
-    }
+    private ReturnFigures() {}
 
     /** Prints a row for each. */
     public static void main(String[] args) {
@@ -35,13 +34,22 @@
         double tooSlow = needed;
         for (int i = 0; i < STEPS; i++) {
             double tried = (slowest + tooSlow) / 2;
-            boolean all = ReturningService.play(nodes, new Service(line, timeOutMs, tried)).answered() == nodes;
+            boolean all = ReturningService.play(nodes, new Service(line, timeOutMs, tried))
+                            .answered()
+                    == nodes;
             slowest = all ? tried : slowest;
             tooSlow = all ? tooSlow : tried;
         }
-        return String.format(Locale.ROOT, "%5d nodes, line %3d, time-out %.0f ms: at 20 ms a call %d answered, %d "
-                + "calls refused; all answered up to %.2f ms a call, %s of what is needed", nodes, line, timeOutMs,
-                today.answered(), today.refused(), slowest,
+        return String.format(
+                Locale.ROOT,
+                "%5d nodes, line %3d, time-out %.0f ms: at 20 ms a call %d answered, %d "
+                        + "calls refused; all answered up to %.2f ms a call, %s of what is needed",
+                nodes,
+                line,
+                timeOutMs,
+                today.answered(),
+                today.refused(),
+                slowest,
                 slowest == 0 ? "never" : String.format(Locale.ROOT, "%.2f times the rate", needed / slowest));
     }
 }
--- a/core/src/test/java/brackenbridge/core/membership/ReturningService.java
+++ b/core/src/test/java/brackenbridge/core/membership/ReturningService.java
@@ -13,6 +13,7 @@
 final class ReturningService {
     /** What counts as told, counted from the service's return. */
     static final double TOLD_MS = 6000;
+
     private static final double STEP_MS = 5;
     private static final double DOWN_MS = 12_000;
     private static final double SILENCE_MS = 3000;
@@ -24,8 +25,7 @@
      * @param timeOutMs a call that has waited so long is refused
      * @param serveMs what a call costs it
      */
-    record Service(int line, double timeOutMs, double serveMs) {
-    }
+    record Service(int line, double timeOutMs, double serveMs) {}
 
     /**
      * What came of it within the time that counts.
@@ -34,12 +34,10 @@
      * @param lastMs when the last of them was, counted from the return
      * @param refused calls that were refused or given up after the return
      */
-    record Result(int answered, double lastMs, int refused) {
-    }
+    record Result(int answered, double lastMs, int refused) {}
 
     /** A call at the service. */
-    private record Waiting(Caller caller, long call) {
-    }
+    private record Waiting(Caller caller, long call) {}
 
     /** One node and its call. */
     private static final class Caller {
@@ -106,8 +104,13 @@
             played.ask(now);
             played.serve(now);
         }
-        int answered = (int) played.callers.stream().filter(caller -> caller.answeredAt >= 0).count();
-        double last = played.callers.stream().mapToDouble(caller -> caller.answeredAt).max().orElse(DOWN_MS) - DOWN_MS;
+        int answered = (int)
+                played.callers.stream().filter(caller -> caller.answeredAt >= 0).count();
+        double last = played.callers.stream()
+                        .mapToDouble(caller -> caller.answeredAt)
+                        .max()
+                        .orElse(DOWN_MS)
+                - DOWN_MS;
         return new Result(answered, last, played.refused);
     }
 
--- a/core/src/test/java/brackenbridge/core/share/TenantSchedulerTest.java
+++ b/core/src/test/java/brackenbridge/core/share/TenantSchedulerTest.java
@@ -27,13 +27,12 @@
 
     /** Tenants with arrivals at a steady mean, each call holding its connection for a while; time is played. */
     private static final class World {
-        private record Event(double atMs, long order, Runnable what) {
-        }
+        private record Event(double atMs, long order, Runnable what) {}
 
         private final TenantScheduler s;
         private final Random random = new Random(7);
-        private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingDouble(Event::atMs)
-                .thenComparingLong(Event::order));
+        private final PriorityQueue<Event> events =
+                new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::order));
         private final Map<Long, Runnable> begin = new HashMap<>();
         private final Map<String, Double> used = new HashMap<>();
         private final Map<String, Integer> refused = new HashMap<>();
@@ -73,7 +72,9 @@
                     begin.remove(flow);
                     refused.merge(tenant, 1, Integer::sum);
                 }
-                default -> { }
+                default -> {
+                    // Nothing else matters here.
+                }
             }
         }
 
@@ -149,8 +150,10 @@
     @Test
     void whatIsUnusedIsLentByWeightsAndComesBack() {
         TenantScheduler s = new TenantScheduler(Limits.USUAL);
-        s.told(0, new Allowances(1, Map.of("idle", 6.0, "a", 3.0, "b", 3.0), 0, Map.of("a", 2.0, "b", 1.0),
-                FOREVER, Map.of()));
+        s.told(
+                0,
+                new Allowances(
+                        1, Map.of("idle", 6.0, "a", 3.0, "b", 3.0), 0, Map.of("a", 2.0, "b", 1.0), FOREVER, Map.of()));
         World w = new World(s);
         w.arrivals("a", 500, t -> 50, 300);
         w.arrivals("b", 500, t -> 50, 300);
@@ -217,7 +220,9 @@
         assertEquals(Verdict.REFUSE, late.verdict());
         assertTrue(late.retryAfterMs() >= 200 && late.retryAfterMs() < 1000, late::toString);
         assertEquals(700, s.wakeMs());
-        assertEquals(List.of(3L), s.due(701).refuse().stream().map(Turn.Refused::flow).toList());
+        assertEquals(
+                List.of(3L),
+                s.due(701).refuse().stream().map(Turn.Refused::flow).toList());
         assertEquals(0, s.waiting());
     }
 
@@ -252,8 +257,8 @@
     }
 
     @Property(tries = 200, seed = "29")
-    void whateverHappensNoMoreRunThanMayAndNoFlowIsLost(@ForAll long seed,
-            @ForAll @IntRange(min = 1, max = 8) int names) {
+    void whateverHappensNoMoreRunThanMayAndNoFlowIsLost(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 8) int names) {
         Random r = new Random(seed);
         TenantScheduler s = new TenantScheduler(new Limits(r.nextInt(3) * 100, 200, 20, 5));
         Map<Long, String> state = new HashMap<>();
@@ -264,7 +269,8 @@
             Turn t = Turn.NONE;
             switch (r.nextInt(6)) {
                 case 0, 1, 2 -> {
-                    Verdict v = s.open(now, i, "t" + r.nextInt(names), now + r.nextInt(500), r.nextInt(100)).verdict();
+                    Verdict v = s.open(now, i, "t" + r.nextInt(names), now + r.nextInt(500), r.nextInt(100))
+                            .verdict();
                     state.put((long) i, v.name());
                     assertFalse(v == Verdict.GO && before >= s.total(), "went beyond the total");
                 }
@@ -279,16 +285,20 @@
                     for (int k = 0; k < names; k += 2) {
                         a.put("t" + k, r.nextDouble() * 3);
                     }
-                    t = s.told(now, new Allowances(i, a, r.nextDouble() * 2, Map.of(), now + r.nextInt(400),
-                            Map.of("t0", 1.0)));
+                    t = s.told(
+                            now,
+                            new Allowances(
+                                    i, a, r.nextDouble() * 2, Map.of(), now + r.nextInt(400), Map.of("t0", 1.0)));
                     s.read(now);
                 }
             }
             t.refuse().forEach(f -> assertEquals("WAIT", state.remove(f.flow())));
             t.begin().forEach(f -> assertEquals("WAIT", state.put(f, "GO")));
             assertTrue(t.begin().isEmpty() || s.running() <= s.total(), "began beyond the total");
-            assertEquals(s.running(), state.values().stream().filter("GO"::equals).count());
-            assertEquals(s.waiting(), state.values().stream().filter("WAIT"::equals).count());
+            assertEquals(
+                    s.running(), state.values().stream().filter("GO"::equals).count());
+            assertEquals(
+                    s.waiting(), state.values().stream().filter("WAIT"::equals).count());
         }
     }
 }
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Admission.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Admission.java
@@ -21,8 +21,7 @@
  * </ul>
  */
 final class Admission {
-    private Admission() {
-    }
+    private Admission() {}
 
     /** What to do. */
     enum Step {
@@ -47,13 +46,17 @@
      * @param joining whether it has asked for its old disk's place and is not known to have it yet
      * @param since the change of members by which it became one; 0 for the founding
      */
-    record Self(Endpoint endpoint, long starts, long life, List<String> founding, boolean joining, long since) {
-    }
+    record Self(Endpoint endpoint, long starts, long life, List<String> founding, boolean joining, long since) {}
 
     /** The founding among the answers and on the disk; empty if there is none. */
     static List<String> founding(Self self, Map<String, Note.Facts> answers) {
-        return !self.founding().isEmpty() ? self.founding() : answers.values().stream().map(Note.Facts::founding)
-                .filter(f -> !f.isEmpty()).findFirst().orElse(List.of());
+        return !self.founding().isEmpty()
+                ? self.founding()
+                : answers.values().stream()
+                        .map(Note.Facts::founding)
+                        .filter(f -> !f.isEmpty())
+                        .findFirst()
+                        .orElse(List.of());
     }
 
     /** The next step, by the answers that have come. */
@@ -61,8 +64,9 @@
         String me = self.endpoint().toString();
         List<String> founding = founding(self, answers);
         String id = founding.isEmpty() ? "" : id(founding);
-        boolean torn = answers.values().stream().anyMatch(f -> !f.founding().isEmpty()
-                && !f.founding().equals(founding) || !f.follows().isEmpty() && !f.follows().equals(id));
+        boolean torn = answers.values().stream()
+                .anyMatch(f -> !f.founding().isEmpty() && !f.founding().equals(founding)
+                        || !f.follows().isEmpty() && !f.follows().equals(id));
         if (torn) {
             return Step.TORN;
         }
@@ -71,9 +75,12 @@
             return voters.get(0).equals(self.endpoint().name()) && heard == voters.size() - 1 ? Step.FOUND : Step.WAIT;
         }
         for (Note.Facts f : answers.values()) {
-            boolean later = f.seenDisk().equals(self.endpoint().disk()) && (f.seenStarts() > self.starts()
-                    || f.seenStarts() == self.starts() && f.seenLife() != self.life());
-            boolean replaced = !self.founding().isEmpty() && !self.joining() && f.membersSince() > self.since()
+            boolean later = f.seenDisk().equals(self.endpoint().disk())
+                    && (f.seenStarts() > self.starts()
+                            || f.seenStarts() == self.starts() && f.seenLife() != self.life());
+            boolean replaced = !self.founding().isEmpty()
+                    && !self.joining()
+                    && f.membersSince() > self.since()
                     && !f.members().contains(me);
             if (later || replaced) {
                 return Step.PUT_ASIDE;
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Agreed.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Agreed.java
@@ -37,8 +37,7 @@
      * @param content its content
      * @param by who proposed it
      */
-    record Value(String name, long generation, byte[] content, String by) {
-    }
+    record Value(String name, long generation, byte[] content, String by) {}
 
     /**
      * What a member may act by now.
@@ -46,8 +45,7 @@
      * @param one the generation in force
      * @param other the one that is staged beside it: keep to both; null if none
      */
-    record Acting(Value one, Value other) {
-    }
+    record Acting(Value one, Value other) {}
 
     /**
      * Proposes a value.
@@ -77,8 +75,7 @@
      * @param token greater for each new holder: orders that carry a lower one are passed over
      * @param untilMs until when, by this member's clock, if it is this member
      */
-    record Hold(String holder, long token, double untilMs) {
-    }
+    record Hold(String holder, long token, double untilMs) {}
 
     /** Whether this member holds the role now, by its own clock: to be asked before each act. */
     boolean holds(String role);
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedNode.java
@@ -65,27 +65,27 @@
     private static final int MOST_WAITING = 4096;
     /** Entries on their way into the log, and proposals that are staged at once. */
     private static final int MOST_PENDING = 256;
+
     private static final int MOST_IN_TURN = 256;
     /** How long an election may take, and by how much longer each later voter of the file waits; in beats. */
     private static final double ELECTION_BEATS = 2;
+
     private static final double LATER_BEATS = 1.5;
     /** A snapshot is taken after so many entries, or so many bytes of contents. */
     private static final int SNAPSHOT_EVERY = 1000;
+
     private static final long SNAPSHOT_BYTES = 4 << 20;
     /** A learner this near to the leader's log votes from then on. */
     private static final long NEAR = 50;
 
     /** A proposal of this member that is in force, which this member has not heard of yet. */
-    private record Hearing(String name, long generation, double untilMs, CompletableFuture<Verdict> verdict) {
-    }
+    private record Hearing(String name, long generation, double untilMs, CompletableFuture<Verdict> verdict) {}
 
     /** A proposal whose outcome another member waits for. */
-    private record Waiter(String peer, String name, long life, long number) {
-    }
+    private record Waiter(String peer, String name, long life, long number) {}
 
     /** Questions that are answered once a majority has said that it follows this reign. */
-    private record Turn(Runnable run) {
-    }
+    private record Turn(Runnable run) {}
 
     private final Links links;
     private final Path directory;
@@ -271,7 +271,9 @@
                 proposed(peer, p);
             }
         } else if (note instanceof Note.Claim c) {
-            if (leadsOrSays(peer) && c.forMs() > 0 && c.forMs() <= settings.maxRoleMs()
+            if (leadsOrSays(peer)
+                    && c.forMs() > 0
+                    && c.forMs() <= settings.maxRoleMs()
                     && c.role().length() <= State.MAX_NAME) {
                 turn(now -> claimed(now, peer, c));
             }
@@ -402,8 +404,15 @@
         } catch (IOException e) {
             alarm("disk: " + e.getMessage());
         }
-        return new Note.Facts(endpoint == null ? "" : endpoint.disk(), founded, follows, members, since, seen[0],
-                Long.parseLong(seen[1]), Long.parseLong(seen[2]));
+        return new Note.Facts(
+                endpoint == null ? "" : endpoint.disk(),
+                founded,
+                follows,
+                members,
+                since,
+                seen[0],
+                Long.parseLong(seen[1]),
+                Long.parseLong(seen[2]));
     }
 
     private void admit() {
@@ -411,12 +420,21 @@
             return;
         }
         keep(() -> {
-            Admission.Self self = new Admission.Self(endpoint, store.starts(), links.life(), store.founding(),
-                    joining, store.since());
+            Admission.Self self = new Admission.Self(
+                    endpoint, store.starts(), links.life(), store.founding(), joining, store.since());
             List<String> heard = Admission.founding(self, facts);
             switch (Admission.step(self, settings.voters(), facts)) {
-                case FOUND -> begin(settings.voters().stream().map(v -> new Endpoint(v, v.equals(me)
-                        ? endpoint.disk() : facts.get(v).disk()).toString()).toList(), false);
+                case FOUND ->
+                    begin(
+                            settings.voters().stream()
+                                    .map(v -> new Endpoint(
+                                                    v,
+                                                    v.equals(me)
+                                                            ? endpoint.disk()
+                                                            : facts.get(v).disk())
+                                            .toString())
+                                    .toList(),
+                            false);
                 case START -> begin(heard, false);
                 case JOIN -> begin(heard, true);
                 case PUT_ASIDE -> {
@@ -442,23 +460,37 @@
         founding = Admission.id(founders);
         List<RaftEndpoint> initial = new ArrayList<>();
         founders.forEach(f -> initial.add(Endpoint.parse(f)));
-        RaftNode.RaftNodeBuilder b = RaftNode.newBuilder().setGroupId(founding)
+        RaftNode.RaftNodeBuilder b = RaftNode.newBuilder()
+                .setGroupId(founding)
                 .setConfig(RaftConfig.newBuilder()
                         // The library's own jitter is too small beside a disk's write: voters would split for long.
-                        .setLeaderElectionTimeoutMillis((long) (1000 * (ELECTION_BEATS
-                                + LATER_BEATS * settings.voters().indexOf(me))))
-                        .setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(settings.patienceBeats())
-                        .setAppendEntriesRequestBatchSize(Codec.BATCH).setCommitCountToTakeSnapshot(SNAPSHOT_EVERY)
-                        .setMaxPendingLogEntryCount(MOST_PENDING).setTransferSnapshotsFromFollowersEnabled(false)
+                        .setLeaderElectionTimeoutMillis((long) (1000
+                                * (ELECTION_BEATS
+                                        + LATER_BEATS * settings.voters().indexOf(me))))
+                        .setLeaderHeartbeatPeriodSecs(1)
+                        .setLeaderHeartbeatTimeoutSecs(settings.patienceBeats())
+                        .setAppendEntriesRequestBatchSize(Codec.BATCH)
+                        .setCommitCountToTakeSnapshot(SNAPSHOT_EVERY)
+                        .setMaxPendingLogEntryCount(MOST_PENDING)
+                        .setTransferSnapshotsFromFollowersEnabled(false)
                         .build())
-                .setExecutor(thread).setTransport(new LinkTransport(links)).setStateMachine(new Machine())
-                .setStore(store).setRandom(new Random(settings.seed()))
+                .setExecutor(thread)
+                .setTransport(new LinkTransport(links))
+                .setStateMachine(new Machine())
+                .setStore(store)
+                .setRandom(new Random(settings.seed()))
                 .setClock(new BeatClock(clock, MILLIS_PER_SECOND / settings.beatMs()))
-                .setRaftNodeReportListener(r -> { });
-        raft = (store.restored().isPresent() ? b.setRestoredState(store.restored().get())
-                : b.setLocalEndpoint(endpoint).setInitialGroupMembers(initial)).build();
+                .setRaftNodeReportListener(r -> {});
+        raft = (store.restored().isPresent()
+                        ? b.setRestoredState(store.restored().get())
+                        : b.setLocalEndpoint(endpoint).setInitialGroupMembers(initial))
+                .build();
         raft.start();
-        LOG.info("agreement at {}: takes part as {} in founding {}{}", me, endpoint, founding,
+        LOG.info(
+                "agreement at {}: takes part as {} in founding {}{}",
+                me,
+                endpoint,
+                founding,
                 joining ? ", asks for its old disk's place" : "");
     }
 
@@ -472,29 +504,38 @@
             spoilt.increment();
             return;
         }
-        if (!asks.name().equals(peer) || !settings.voters().contains(peer)
+        if (!asks.name().equals(peer)
+                || !settings.voters().contains(peer)
                 || raft.getEffectiveMembers().getLogIndex() != now.getLogIndex()) {
             return;
         }
         Optional<RaftEndpoint> old = now.getMembers().stream()
-                .filter(e -> ((Endpoint) e).name().equals(peer) && !e.equals(asks)).findFirst();
+                .filter(e -> ((Endpoint) e).name().equals(peer) && !e.equals(asks))
+                .findFirst();
         if (old.isPresent()) {
             change(old.get(), MembershipChangeMode.REMOVE_MEMBER, now);
         } else if (!now.getMembers().contains(asks)) {
             change(asks, MembershipChangeMode.ADD_LEARNER, now);
         } else if (!now.getVotingMembers().contains(asks)) {
-            raft.getReport().whenComplete((r, e) -> later(() -> {
-                if (r != null && lead != null && r.getResult().getLog().getFollowerMatchIndices()
-                        .getOrDefault(asks, -1L) >= r.getResult().getLog().getCommitIndex() - NEAR) {
-                    change(asks, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER, now);
-                }
-            }));
+            raft.getReport()
+                    .whenComplete((r, e) -> later(() -> {
+                        if (r != null
+                                && lead != null
+                                && r.getResult()
+                                                .getLog()
+                                                .getFollowerMatchIndices()
+                                                .getOrDefault(asks, -1L)
+                                        >= r.getResult().getLog().getCommitIndex() - NEAR) {
+                            change(asks, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER, now);
+                        }
+                    }));
         }
     }
 
     private void change(RaftEndpoint e, MembershipChangeMode mode, RaftGroupMembers now) {
-        raft.changeMembership(e, mode, now.getLogIndex()).whenComplete((r, x) -> LOG.info(
-                "agreement at {}: {} {}: {}", me, mode, e, x == null ? "done" : x.toString()));
+        raft.changeMembership(e, mode, now.getLogIndex())
+                .whenComplete((r, x) ->
+                        LOG.info("agreement at {}: {} {}: {}", me, mode, e, x == null ? "done" : x.toString()));
     }
 
     // Leading.
@@ -516,8 +557,8 @@
                 later(() -> raft.takeSnapshot());
             }
             if (operation instanceof Op.Reign r) {
-                boolean mine = r.leader().equals(endpoint.toString()) && r.life() == links.life()
-                        && r.number() == reignNumber;
+                boolean mine =
+                        r.leader().equals(endpoint.toString()) && r.life() == links.life() && r.number() == reignNumber;
                 lead = mine ? new Lead(settings.terms(), state, clock.nowMs()) : null;
                 waiters.clear();
                 turns.clear();
@@ -532,7 +573,11 @@
                 } else if (operation instanceof Op.Activate a) {
                     changed(a.name(), true);
                 } else if (operation instanceof Op.Abandon a) {
-                    LOG.warn("agreement at {}: {} of {} can't be used by {}: abandoned", me, a.version(), a.name(),
+                    LOG.warn(
+                            "agreement at {}: {} of {} can't be used by {}: abandoned",
+                            me,
+                            a.version(),
+                            a.name(),
                             a.by());
                     changed(a.name(), true);
                 }
@@ -609,8 +654,8 @@
                 batch.forEach(b -> thread.safely(() -> b.accept(at)).run());
             }
         });
-        raft.query(t, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()).whenComplete((r, e) ->
-                later(() -> {
+        raft.query(t, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
+                .whenComplete((r, e) -> later(() -> {
                     turnSinceMs = turnSinceMs == now ? Double.NaN : turnSinceMs;
                     if (e instanceof NotLeaderException && lead == of) {
                         lead = null;
@@ -624,16 +669,19 @@
 
     private void write(List<Op> ops) {
         Lead of = lead;
-        ops.forEach(op -> raft.replicate(op).whenComplete((r, e) -> later(() -> {
-            if (e != null && lead == of) {
-                of.notWritten(op);
-            }
-        })));
+        ops.forEach(op -> raft.replicate(op)
+                .whenComplete((r, e) -> later(() -> {
+                    if (e != null && lead == of) {
+                        of.notWritten(op);
+                    }
+                })));
     }
 
     private void proposed(String peer, Note.Propose p) {
         Waiter w = new Waiter(peer, p.name(), p.life(), p.number());
-        if (staging.contains(w) || staging.size() >= MOST_PENDING || p.name().length() > State.MAX_NAME
+        if (staging.contains(w)
+                || staging.size() >= MOST_PENDING
+                || p.name().length() > State.MAX_NAME
                 || p.content().length > State.MAX_CONTENT) {
             return;
         }
@@ -646,30 +694,38 @@
         }
         staging.add(w);
         Op.Stage s = new Op.Stage(p.name(), p.expected(), p.content(), peer, p.life(), p.number());
-        raft.<State.Result>replicate(s).whenComplete((r, e) -> later(() -> {
-            staging.remove(w);
-            Verdict v = e != null ? null : switch (r.getResult()) {
-                case OVERTAKEN -> Verdict.OVERTAKEN;
-                case ANOTHER_STAGED -> Verdict.ANOTHER_STAGED;
-                case FULL -> Verdict.REFUSED;
-                default -> null;
-            };
-            if (v != null) {
-                waiters.remove(w);
-                post(peer, new Note.Outcome(p.life(), p.number(), v, 0));
-            }
-        }));
+        raft.<State.Result>replicate(s)
+                .whenComplete((r, e) -> later(() -> {
+                    staging.remove(w);
+                    Verdict v = e != null
+                            ? null
+                            : switch (r.getResult()) {
+                                case OVERTAKEN -> Verdict.OVERTAKEN;
+                                case ANOTHER_STAGED -> Verdict.ANOTHER_STAGED;
+                                case FULL -> Verdict.REFUSED;
+                                default -> null;
+                            };
+                    if (v != null) {
+                        waiters.remove(w);
+                        post(peer, new Note.Outcome(p.life(), p.number(), v, 0));
+                    }
+                }));
     }
 
     private void outcomes(String name) {
-        for (Iterator<Waiter> i = waiters.iterator(); i.hasNext();) {
+        for (Iterator<Waiter> i = waiters.iterator(); i.hasNext(); ) {
             Waiter w = i.next();
-            Optional<State.Kept> kept = w.name().equals(name)
-                    ? state.proposed(name, w.peer(), w.life(), w.number()) : Optional.empty();
+            Optional<State.Kept> kept =
+                    w.name().equals(name) ? state.proposed(name, w.peer(), w.life(), w.number()) : Optional.empty();
             if (kept.isPresent() && kept.get().came() != State.Came.STAGED) {
                 i.remove();
-                post(w.peer(), new Note.Outcome(w.life(), w.number(), kept.get().came() == State.Came.IN_FORCE
-                        ? Verdict.IN_FORCE : Verdict.REFUSED, kept.get().generation()));
+                post(
+                        w.peer(),
+                        new Note.Outcome(
+                                w.life(),
+                                w.number(),
+                                kept.get().came() == State.Came.IN_FORCE ? Verdict.IN_FORCE : Verdict.REFUSED,
+                                kept.get().generation()));
             }
         }
     }
@@ -683,24 +739,35 @@
             return;
         }
         Lead of = lead;
-        raft.<State.Result>replicate(came.first()).whenComplete((r, e) -> later(() -> {
-            if (lead != of) {
-                return;
-            }
-            if (e == null && r.getResult() == State.Result.DONE) {
-                post(peer, of.taken(clock.nowMs(), c));
-            } else {
-                of.notWritten(came.first());
-            }
-        }));
+        raft.<State.Result>replicate(came.first())
+                .whenComplete((r, e) -> later(() -> {
+                    if (lead != of) {
+                        return;
+                    }
+                    if (e == null && r.getResult() == State.Result.DONE) {
+                        post(peer, of.taken(clock.nowMs(), c));
+                    } else {
+                        of.notWritten(came.first());
+                    }
+                }));
     }
 
     private Note.Looked looked(Note.Look l) {
-        byte[] content = state.kept(l.name(), l.generation()).map(State.Kept::content).orElse(new byte[0]);
-        return new Note.Looked(l.life(), l.number(), state.named(l.name()).stream()
-                .flatMap(n -> n.history().stream().map(k -> new Note.Line(k.generation(), k.by(),
-                        k.content().length, k.came().name().toLowerCase(Locale.ROOT)
-                        + (k.generation() == n.word().inForce() ? ", now" : "")))).toList(), content);
+        byte[] content =
+                state.kept(l.name(), l.generation()).map(State.Kept::content).orElse(new byte[0]);
+        return new Note.Looked(
+                l.life(),
+                l.number(),
+                state.named(l.name()).stream()
+                        .flatMap(n -> n.history().stream()
+                                .map(k -> new Note.Line(
+                                        k.generation(),
+                                        k.by(),
+                                        k.content().length,
+                                        k.came().name().toLowerCase(Locale.ROOT)
+                                                + (k.generation() == n.word().inForce() ? ", now" : ""))))
+                        .toList(),
+                content);
     }
 
     // A member's own questions.
@@ -713,8 +780,12 @@
     /** Whom to ask: the leader as far as known, else one voter after another. */
     private String target() {
         String known = leader();
-        return !known.isEmpty() ? known : !believed.isEmpty() ? believed
-                : settings.voters().get(Math.floorMod(tried, settings.voters().size()));
+        return !known.isEmpty()
+                ? known
+                : !believed.isEmpty()
+                        ? believed
+                        : settings.voters()
+                                .get(Math.floorMod(tried, settings.voters().size()));
     }
 
     private void ask(double now) {
@@ -748,8 +819,10 @@
         believed = peer;
         part = next;
         answeredMs = clock.nowMs();
-        List<String> news = a.told().stream().map(Note.Told::name)
-                .filter(n -> next.word(n).version() > before.word(n).version()).toList();
+        List<String> news = a.told().stream()
+                .map(Note.Told::name)
+                .filter(n -> next.word(n).version() > before.word(n).version())
+                .toList();
         double at = cadence.answeredMs(answeredMs, !news.isEmpty());
         // A hint may have come while the question was on its way: it stays.
         askAtMs = asking ? at : Math.min(askAtMs, at);
@@ -786,7 +859,8 @@
     }
 
     private void elsewhere(String peer, Note.Elsewhere e) {
-        if (!e.leader().isEmpty() && links.peers().stream().anyMatch(p -> p.name().equals(e.leader()))) {
+        if (!e.leader().isEmpty()
+                && links.peers().stream().anyMatch(p -> p.name().equals(e.leader()))) {
             believed = e.leader();
         } else if (believed.equals(peer)) {
             believed = "";
@@ -805,8 +879,8 @@
     }
 
     /** Waits for an answer of the leader's. */
-    private void await(double withinMs, java.util.function.LongFunction<Note> note, Consumer<Note> answer,
-            Runnable over) {
+    private void await(
+            double withinMs, java.util.function.LongFunction<Note> note, Consumer<Note> answer, Runnable over) {
         double untilMs = clock.nowMs() + withinMs;
         later(() -> {
             if (closed) {
@@ -830,23 +904,29 @@
             return CompletableFuture.completedFuture(Verdict.REFUSED);
         }
         CompletableFuture<Verdict> verdict = new CompletableFuture<>();
-        await(withinMs, n -> new Note.Propose(name, expected, content, links.life(), n),
+        await(
+                withinMs,
+                n -> new Note.Propose(name, expected, content, links.life(), n),
                 o -> {
                     Note.Outcome came = (Note.Outcome) o;
                     if (came.verdict() == Verdict.IN_FORCE) {
-                        hearings.add(new Hearing(name, came.generation(), clock.nowMs() + settings.terms().leaseMs(),
+                        hearings.add(new Hearing(
+                                name,
+                                came.generation(),
+                                clock.nowMs() + settings.terms().leaseMs(),
                                 verdict));
                         heard();
                     } else {
                         verdict.complete(came.verdict());
                     }
-                }, () -> verdict.complete(Verdict.UNKNOWN));
+                },
+                () -> verdict.complete(Verdict.UNKNOWN));
         return verdict;
     }
 
     /** Whoever has proposed is told once this member knows it as well, so that the next is made against it. */
     private void heard() {
-        for (Iterator<Hearing> i = hearings.iterator(); i.hasNext();) {
+        for (Iterator<Hearing> i = hearings.iterator(); i.hasNext(); ) {
             Hearing h = i.next();
             if (part.word(h.name()).inForce() >= h.generation() || clock.nowMs() >= h.untilMs()) {
                 i.remove();
@@ -895,27 +975,34 @@
     @Override
     public CompletableFuture<Hold> hold(String role, double forMs) {
         if (role.isEmpty() || role.length() > State.MAX_NAME || !(forMs > 0) || forMs > settings.maxRoleMs()) {
-            throw new IllegalArgumentException("role '" + role + "' for " + forMs + " ms of at most "
-                    + settings.maxRoleMs());
+            throw new IllegalArgumentException(
+                    "role '" + role + "' for " + forMs + " ms of at most " + settings.maxRoleMs());
         }
         // The lease counts from here: before the question leaves.
         double asked = clock.nowMs();
         CompletableFuture<Hold> hold = new CompletableFuture<>();
-        await(Math.max(2 * AGAIN_MS, Math.min(forMs / 2, 5000)),
-                n -> new Note.Claim(role, forMs, links.life(), n), c -> {
+        await(
+                Math.max(2 * AGAIN_MS, Math.min(forMs / 2, 5000)),
+                n -> new Note.Claim(role, forMs, links.life(), n),
+                c -> {
                     Note.Claimed came = (Note.Claimed) c;
-                    Hold h = new Hold(came.holder(), came.token(), came.holder().equals(me) && came.forMs() > 0
-                            ? asked + came.forMs() : Double.NEGATIVE_INFINITY);
+                    Hold h = new Hold(
+                            came.holder(),
+                            came.token(),
+                            came.holder().equals(me) && came.forMs() > 0
+                                    ? asked + came.forMs()
+                                    : Double.NEGATIVE_INFINITY);
                     holdsNow(role, h);
                     hold.complete(h);
-                }, () -> hold.complete(new Hold("", 0, Double.NEGATIVE_INFINITY)));
+                },
+                () -> hold.complete(new Hold("", 0, Double.NEGATIVE_INFINITY)));
         return hold;
     }
 
     private void holdsNow(String role, Hold h) {
         Hold before = held.get(role);
-        if (before != null && (h.token() < before.token() || h.token() == before.token()
-                && h.untilMs() <= before.untilMs())) {
+        if (before != null
+                && (h.token() < before.token() || h.token() == before.token() && h.untilMs() <= before.untilMs())) {
             return;
         }
         Map<String, Hold> next = new HashMap<>(held);
@@ -932,8 +1019,11 @@
     /** The generations of a name that are kept, oldest first; empty if no voter answers within the time. */
     CompletableFuture<Optional<Note.Looked>> look(String name, long generation, double withinMs) {
         CompletableFuture<Optional<Note.Looked>> looked = new CompletableFuture<>();
-        await(withinMs, n -> new Note.Look(name, generation, links.life(), n),
-                l -> looked.complete(Optional.of((Note.Looked) l)), () -> looked.complete(Optional.empty()));
+        await(
+                withinMs,
+                n -> new Note.Look(name, generation, links.life(), n),
+                l -> looked.complete(Optional.of((Note.Looked) l)),
+                () -> looked.complete(Optional.empty()));
         return looked;
     }
 
@@ -942,7 +1032,8 @@
     @Override
     public String status() {
         try {
-            return CompletableFuture.supplyAsync(this::statusNow, thread.executor()).get(1, TimeUnit.SECONDS);
+            return CompletableFuture.supplyAsync(this::statusNow, thread.executor())
+                    .get(1, TimeUnit.SECONDS);
         } catch (TimeoutException | ExecutionException | RejectedExecutionException e) {
             return "member " + me + ": does not answer: " + e;
         } catch (InterruptedException e) {
@@ -955,27 +1046,57 @@
         double now = clock.nowMs();
         StringBuilder s = new StringBuilder();
         String leader = !leader().isEmpty() ? leader() : believed;
-        line(s, "member", me + (lead != null ? ", leads" : votes ? joining ? ", joins" : raft == null
-                ? ", waits for the other voters" : ", votes" : ", does not vote"));
+        line(
+                s,
+                "member",
+                me
+                        + (lead != null
+                                ? ", leads"
+                                : votes
+                                        ? joining
+                                                ? ", joins"
+                                                : raft == null ? ", waits for the other voters" : ", votes"
+                                        : ", does not vote"));
         line(s, "leader", leader.isEmpty() ? "none known" : leader);
-        line(s, "majority", lead != null ? majorityMs == Double.NEGATIVE_INFINITY ? "not yet"
-                : "answered " + ms(now - majorityMs) + " ago" : answeredMs == Double.NEGATIVE_INFINITY
-                ? "never answered" : "answered " + ms(now - answeredMs) + " ago");
+        line(
+                s,
+                "majority",
+                lead != null
+                        ? majorityMs == Double.NEGATIVE_INFINITY
+                                ? "not yet"
+                                : "answered " + ms(now - majorityMs) + " ago"
+                        : answeredMs == Double.NEGATIVE_INFINITY
+                                ? "never answered"
+                                : "answered " + ms(now - answeredMs) + " ago");
         line(s, "lease", part.leaseUntilMs() > now ? ms(part.leaseUntilMs() - now) + " left" : "over: in doubt");
         if (raft != null) {
-            line(s, "voters", raft.getCommittedMembers().getVotingMembers() + ", term " + raft.getTerm().getTerm()
-                    + ", reign " + state.reign());
-            line(s, "disk", (directory == null ? "memory only" : store.bytes() + " bytes") + ", "
-                    + store.forced() + " writes forced");
+            line(
+                    s,
+                    "voters",
+                    raft.getCommittedMembers().getVotingMembers() + ", term "
+                            + raft.getTerm().getTerm() + ", reign " + state.reign());
+            line(
+                    s,
+                    "disk",
+                    (directory == null ? "memory only" : store.bytes() + " bytes") + ", " + store.forced()
+                            + " writes forced");
         }
         for (String n : part.names()) {
             Word w = part.word(n);
-            line(s, n, "generation " + w.inForce() + " in force" + (w.staged() == 0 ? "" : ", " + w.staged()
-                    + " staged" + (lead == null ? "" : ", waits for " + lead.waitsFor(n, now)))
-                    + (part.refused(n) == 0 ? "" : ", " + part.refused(n) + " can't be used here"));
+            line(
+                    s,
+                    n,
+                    "generation " + w.inForce() + " in force"
+                            + (w.staged() == 0
+                                    ? ""
+                                    : ", " + w.staged() + " staged"
+                                            + (lead == null ? "" : ", waits for " + lead.waitsFor(n, now)))
+                            + (part.refused(n) == 0 ? "" : ", " + part.refused(n) + " can't be used here"));
         }
-        held.forEach((r, h) -> line(s, "role " + r, h.holder() + ", token " + h.token()
-                + (holds(r) ? ", " + ms(h.untilMs() - now) + " left" : "")));
+        held.forEach((r, h) -> line(
+                s,
+                "role " + r,
+                h.holder() + ", token " + h.token() + (holds(r) ? ", " + ms(h.untilMs() - now) + " left" : "")));
         line(s, "alarm", alarm.isEmpty() ? "none" : alarm);
         return s.toString();
     }
@@ -997,9 +1118,11 @@
         count(registry, "agreed.spoilt", spoilt, "Messages that could not be read");
         count(registry, "agreed.foreign", foreign, "Messages of another founding");
         Gauge.builder("agreed.lease.left.ms", this, n -> Math.max(0, n.part.leaseUntilMs() - n.clock.nowMs()))
-                .description("What is left of this member's lease").register(registry);
+                .description("What is left of this member's lease")
+                .register(registry);
         Gauge.builder("agreed.alarm", this, n -> n.alarm.isEmpty() ? 0 : 1)
-                .description("1 while status names an alarm").register(registry);
+                .description("1 while status names an alarm")
+                .register(registry);
     }
 
     private static void count(MeterRegistry registry, String name, LongAdder of, String what) {
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedSettings.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedSettings.java
@@ -15,8 +15,8 @@
  * @param maxRoleMs the longest lease of a role, in milliseconds
  * @param seed seeds the jitter of elections and questions
  */
-public record AgreedSettings(String fleet, List<String> voters, Terms terms, double beatMs, int patienceBeats,
-        double maxRoleMs, long seed) {
+public record AgreedSettings(
+        String fleet, List<String> voters, Terms terms, double beatMs, int patienceBeats, double maxRoleMs, long seed) {
     /** Most voters that are taken from a file: more make each decision slower and none safer. */
     public static final int MOST_VOTERS = 5;
 
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Codec.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Codec.java
@@ -47,19 +47,26 @@
     static final int BATCH = 3;
     /** A piece of a snapshot, in bytes. */
     static final int PIECE = 512 * 1024;
+
     private static final int MAX_IMAGE = 64 * 1024 * 1024;
     private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
     private static final ObjectMapper MAPPER = mapper(MAX_MESSAGE);
     private static final ObjectMapper IMAGES = mapper(MAX_IMAGE);
 
-    private Codec() {
-    }
+    private Codec() {}
 
     private static ObjectMapper mapper(long longest) {
-        CBORFactory factory = CBORFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
-                .maxNestingDepth(16).maxDocumentLength(longest).maxNameLength(64).maxNumberLength(40)
-                .maxStringLength(4096).build()).build();
-        return new CBORMapper(factory).enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+        CBORFactory factory = CBORFactory.builder()
+                .streamReadConstraints(StreamReadConstraints.builder()
+                        .maxNestingDepth(16)
+                        .maxDocumentLength(longest)
+                        .maxNameLength(64)
+                        .maxNumberLength(40)
+                        .maxStringLength(4096)
+                        .build())
+                .build();
+        return new CBORMapper(factory)
+                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                 .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
                 .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
                 // A later version may say more.
@@ -67,8 +74,7 @@
     }
 
     /** What a frame carried: one of the two is null. */
-    record Frame(Note note, RaftMessage raft) {
-    }
+    record Frame(Note note, RaftMessage raft) {}
 
     @FunctionalInterface
     private interface Reader<T> {
@@ -114,7 +120,8 @@
         }
         return read(() -> {
             JsonNode n = MAPPER.readTree(body);
-            return n.has("n") ? new Frame(MAPPER.treeToValue(n.get("n"), Note.class), null)
+            return n.has("n")
+                    ? new Frame(MAPPER.treeToValue(n.get("n"), Note.class), null)
                     : new Frame(null, message(some(n, "r")));
         });
     }
@@ -157,64 +164,92 @@
 
     static byte[] term(RaftTermPersistentState t) {
         ObjectNode n = MAPPER.createObjectNode().put("term", t.getTerm());
-        return bytes(t.getVotedFor() == null ? n : n.put("voted", (String) t.getVotedFor().getId()));
+        return bytes(
+                t.getVotedFor() == null
+                        ? n
+                        : n.put("voted", (String) t.getVotedFor().getId()));
     }
 
     static RaftTermPersistentState term(byte[] body) throws IOException {
         return read(() -> {
             JsonNode n = MAPPER.readTree(body);
-            return MODEL.createRaftTermPersistentStateBuilder().setTerm(integer(n, "term"))
-                    .setVotedFor(n.has("voted") ? endpoint(n, "voted") : null).build();
+            return MODEL.createRaftTermPersistentStateBuilder()
+                    .setTerm(integer(n, "term"))
+                    .setVotedFor(n.has("voted") ? endpoint(n, "voted") : null)
+                    .build();
         });
     }
 
     static byte[] self(RaftEndpointPersistentState e) {
-        return bytes(MAPPER.createObjectNode().put("me", (String) e.getLocalEndpoint().getId())
+        return bytes(MAPPER.createObjectNode()
+                .put("me", (String) e.getLocalEndpoint().getId())
                 .put("voting", e.isVoting()));
     }
 
     static RaftEndpointPersistentState self(byte[] body) throws IOException {
         return read(() -> {
             JsonNode n = MAPPER.readTree(body);
-            return MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(endpoint(n, "me"))
-                    .setVoting(some(n, "voting").asBoolean()).build();
+            return MODEL.createRaftEndpointPersistentStateBuilder()
+                    .setLocalEndpoint(endpoint(n, "me"))
+                    .setVoting(some(n, "voting").asBoolean())
+                    .build();
         });
     }
 
     // Trees of what the library defines. Keys are short, for each message carries them.
 
     private static ObjectNode tree(RaftMessage m) {
-        ObjectNode n = MAPPER.createObjectNode().put("g", (String) m.getGroupId())
-                .put("s", (String) m.getSender().getId()).put("t", m.getTerm());
+        ObjectNode n = MAPPER.createObjectNode()
+                .put("g", (String) m.getGroupId())
+                .put("s", (String) m.getSender().getId())
+                .put("t", m.getTerm());
         if (m instanceof AppendEntriesRequest r) {
-            ArrayNode entries = n.put("k", "append").put("pt", r.getPreviousLogTerm())
-                    .put("pi", r.getPreviousLogIndex()).put("c", r.getCommitIndex())
-                    .put("q", r.getQuerySequenceNumber()).put("f", r.getFlowControlSequenceNumber()).putArray("e");
+            ArrayNode entries = n.put("k", "append")
+                    .put("pt", r.getPreviousLogTerm())
+                    .put("pi", r.getPreviousLogIndex())
+                    .put("c", r.getCommitIndex())
+                    .put("q", r.getQuerySequenceNumber())
+                    .put("f", r.getFlowControlSequenceNumber())
+                    .putArray("e");
             r.getLogEntries().forEach(e -> entries.add(tree(e)));
         } else if (m instanceof AppendEntriesSuccessResponse r) {
-            n.put("k", "appended").put("i", r.getLastLogIndex()).put("q", r.getQuerySequenceNumber())
+            n.put("k", "appended")
+                    .put("i", r.getLastLogIndex())
+                    .put("q", r.getQuerySequenceNumber())
                     .put("f", r.getFlowControlSequenceNumber());
         } else if (m instanceof AppendEntriesFailureResponse r) {
-            n.put("k", "not").put("i", r.getExpectedNextIndex()).put("q", r.getQuerySequenceNumber())
+            n.put("k", "not")
+                    .put("i", r.getExpectedNextIndex())
+                    .put("q", r.getQuerySequenceNumber())
                     .put("f", r.getFlowControlSequenceNumber());
         } else if (m instanceof InstallSnapshotRequest r) {
-            n.put("k", "install").put("l", r.isSenderLeader()).put("st", r.getSnapshotTerm())
-                    .put("i", r.getSnapshotIndex()).put("n", r.getTotalSnapshotChunkCount())
-                    .put("q", r.getQuerySequenceNumber()).put("f", r.getFlowControlSequenceNumber());
+            n.put("k", "install")
+                    .put("l", r.isSenderLeader())
+                    .put("st", r.getSnapshotTerm())
+                    .put("i", r.getSnapshotIndex())
+                    .put("n", r.getTotalSnapshotChunkCount())
+                    .put("q", r.getQuerySequenceNumber())
+                    .put("f", r.getFlowControlSequenceNumber());
             if (r.getSnapshotChunk() != null) {
                 n.set("ch", tree(r.getSnapshotChunk()));
             }
             n.set("sm", ids(r.getSnapshottedMembers()));
             n.set("v", tree(r.getGroupMembersView()));
         } else if (m instanceof InstallSnapshotResponse r) {
-            n.put("k", "want").put("i", r.getSnapshotIndex()).put("n", r.getRequestedSnapshotChunkIndex())
-                    .put("q", r.getQuerySequenceNumber()).put("f", r.getFlowControlSequenceNumber());
+            n.put("k", "want")
+                    .put("i", r.getSnapshotIndex())
+                    .put("n", r.getRequestedSnapshotChunkIndex())
+                    .put("q", r.getQuerySequenceNumber())
+                    .put("f", r.getFlowControlSequenceNumber());
         } else if (m instanceof PreVoteRequest r) {
             n.put("k", "may").put("lt", r.getLastLogTerm()).put("i", r.getLastLogIndex());
         } else if (m instanceof PreVoteResponse r) {
             n.put("k", "might").put("y", r.isGranted());
         } else if (m instanceof VoteRequest r) {
-            n.put("k", "vote").put("lt", r.getLastLogTerm()).put("i", r.getLastLogIndex()).put("y", r.isSticky());
+            n.put("k", "vote")
+                    .put("lt", r.getLastLogTerm())
+                    .put("i", r.getLastLogIndex())
+                    .put("y", r.isSticky());
         } else if (m instanceof VoteResponse r) {
             n.put("k", "voted").put("y", r.isGranted());
         } else if (m instanceof TriggerLeaderElectionRequest r) {
@@ -235,45 +270,99 @@
                 for (JsonNode e : some(n, "e")) {
                     entries.add(logEntry(e));
                 }
-                return MODEL.createAppendEntriesRequestBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setPreviousLogTerm(integer(n, "pt")).setPreviousLogIndex(number(n, "pi"))
-                        .setCommitIndex(number(n, "c")).setQuerySequenceNumber(number(n, "q"))
-                        .setFlowControlSequenceNumber(number(n, "f")).setLogEntries(entries).build();
+                return MODEL.createAppendEntriesRequestBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setPreviousLogTerm(integer(n, "pt"))
+                        .setPreviousLogIndex(number(n, "pi"))
+                        .setCommitIndex(number(n, "c"))
+                        .setQuerySequenceNumber(number(n, "q"))
+                        .setFlowControlSequenceNumber(number(n, "f"))
+                        .setLogEntries(entries)
+                        .build();
             case "appended":
-                return MODEL.createAppendEntriesSuccessResponseBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setLastLogIndex(number(n, "i")).setQuerySequenceNumber(number(n, "q"))
-                        .setFlowControlSequenceNumber(number(n, "f")).build();
+                return MODEL.createAppendEntriesSuccessResponseBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setLastLogIndex(number(n, "i"))
+                        .setQuerySequenceNumber(number(n, "q"))
+                        .setFlowControlSequenceNumber(number(n, "f"))
+                        .build();
             case "not":
-                return MODEL.createAppendEntriesFailureResponseBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setExpectedNextIndex(number(n, "i")).setQuerySequenceNumber(number(n, "q"))
-                        .setFlowControlSequenceNumber(number(n, "f")).build();
+                return MODEL.createAppendEntriesFailureResponseBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setExpectedNextIndex(number(n, "i"))
+                        .setQuerySequenceNumber(number(n, "q"))
+                        .setFlowControlSequenceNumber(number(n, "f"))
+                        .build();
             case "install":
-                return MODEL.createInstallSnapshotRequestBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setSenderLeader(some(n, "l").asBoolean()).setSnapshotTerm(integer(n, "st"))
-                        .setSnapshotIndex(number(n, "i")).setTotalSnapshotChunkCount(integer(n, "n"))
+                return MODEL.createInstallSnapshotRequestBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setSenderLeader(some(n, "l").asBoolean())
+                        .setSnapshotTerm(integer(n, "st"))
+                        .setSnapshotIndex(number(n, "i"))
+                        .setTotalSnapshotChunkCount(integer(n, "n"))
                         .setSnapshotChunk(n.has("ch") ? snapshotChunk(n.get("ch")) : null)
-                        .setSnapshottedMembers(endpoints(n, "sm")).setGroupMembersView(view(some(n, "v")))
-                        .setQuerySequenceNumber(number(n, "q")).setFlowControlSequenceNumber(number(n, "f")).build();
+                        .setSnapshottedMembers(endpoints(n, "sm"))
+                        .setGroupMembersView(view(some(n, "v")))
+                        .setQuerySequenceNumber(number(n, "q"))
+                        .setFlowControlSequenceNumber(number(n, "f"))
+                        .build();
             case "want":
-                return MODEL.createInstallSnapshotResponseBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setSnapshotIndex(number(n, "i")).setRequestedSnapshotChunkIndex(integer(n, "n"))
-                        .setQuerySequenceNumber(number(n, "q")).setFlowControlSequenceNumber(number(n, "f")).build();
+                return MODEL.createInstallSnapshotResponseBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setSnapshotIndex(number(n, "i"))
+                        .setRequestedSnapshotChunkIndex(integer(n, "n"))
+                        .setQuerySequenceNumber(number(n, "q"))
+                        .setFlowControlSequenceNumber(number(n, "f"))
+                        .build();
             case "may":
-                return MODEL.createPreVoteRequestBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setLastLogTerm(integer(n, "lt")).setLastLogIndex(number(n, "i")).build();
+                return MODEL.createPreVoteRequestBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setLastLogTerm(integer(n, "lt"))
+                        .setLastLogIndex(number(n, "i"))
+                        .build();
             case "might":
-                return MODEL.createPreVoteResponseBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setGranted(some(n, "y").asBoolean()).build();
+                return MODEL.createPreVoteResponseBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setGranted(some(n, "y").asBoolean())
+                        .build();
             case "vote":
-                return MODEL.createVoteRequestBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setLastLogTerm(integer(n, "lt")).setLastLogIndex(number(n, "i"))
-                        .setSticky(some(n, "y").asBoolean()).build();
+                return MODEL.createVoteRequestBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setLastLogTerm(integer(n, "lt"))
+                        .setLastLogIndex(number(n, "i"))
+                        .setSticky(some(n, "y").asBoolean())
+                        .build();
             case "voted":
-                return MODEL.createVoteResponseBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setGranted(some(n, "y").asBoolean()).build();
+                return MODEL.createVoteResponseBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setGranted(some(n, "y").asBoolean())
+                        .build();
             case "lead":
-                return MODEL.createTriggerLeaderElectionRequestBuilder().setGroupId(g).setSender(s).setTerm(t)
-                        .setLastLogTerm(integer(n, "lt")).setLastLogIndex(number(n, "i")).build();
+                return MODEL.createTriggerLeaderElectionRequestBuilder()
+                        .setGroupId(g)
+                        .setSender(s)
+                        .setTerm(t)
+                        .setLastLogTerm(integer(n, "lt"))
+                        .setLastLogIndex(number(n, "i"))
+                        .build();
             default:
                 throw new IOException("message " + text(n, "k"));
         }
@@ -287,7 +376,9 @@
         } else if (op instanceof byte[] b) {
             n.put("b", b);
         } else if (op instanceof UpdateRaftGroupMembersOp u) {
-            ObjectNode m = n.putObject("m").put("e", (String) u.getEndpoint().getId()).put("y", u.getMode().name());
+            ObjectNode m = n.putObject("m")
+                    .put("e", (String) u.getEndpoint().getId())
+                    .put("y", u.getMode().name());
             m.set("all", ids(u.getMembers()));
             m.set("vote", ids(u.getVotingMembers()));
         } else {
@@ -308,20 +399,31 @@
             return read(() -> n.get("b").binaryValue());
         }
         JsonNode m = some(n, "m");
-        return MODEL.createUpdateRaftGroupMembersOpBuilder().setEndpoint(endpoint(m, "e"))
-                .setMode(MembershipChangeMode.valueOf(text(m, "y"))).setMembers(endpoints(m, "all"))
-                .setVotingMembers(endpoints(m, "vote")).build();
+        return MODEL.createUpdateRaftGroupMembersOpBuilder()
+                .setEndpoint(endpoint(m, "e"))
+                .setMode(MembershipChangeMode.valueOf(text(m, "y")))
+                .setMembers(endpoints(m, "all"))
+                .setVotingMembers(endpoints(m, "vote"))
+                .build();
     }
 
     private static LogEntry logEntry(JsonNode n) throws IOException {
-        return MODEL.createLogEntryBuilder().setIndex(number(n, "i")).setTerm(integer(n, "t"))
-                .setOperation(operation(n)).build();
+        return MODEL.createLogEntryBuilder()
+                .setIndex(number(n, "i"))
+                .setTerm(integer(n, "t"))
+                .setOperation(operation(n))
+                .build();
     }
 
     private static SnapshotChunk snapshotChunk(JsonNode n) throws IOException {
-        return MODEL.createSnapshotChunkBuilder().setIndex(number(n, "i")).setTerm(integer(n, "t"))
-                .setOperation(operation(n)).setSnapshotChunkIndex(integer(n, "ci"))
-                .setSnapshotChunkCount(integer(n, "cn")).setGroupMembersView(view(some(n, "v"))).build();
+        return MODEL.createSnapshotChunkBuilder()
+                .setIndex(number(n, "i"))
+                .setTerm(integer(n, "t"))
+                .setOperation(operation(n))
+                .setSnapshotChunkIndex(integer(n, "ci"))
+                .setSnapshotChunkCount(integer(n, "cn"))
+                .setGroupMembersView(view(some(n, "v")))
+                .build();
     }
 
     private static ObjectNode tree(RaftGroupMembersView v) {
@@ -332,8 +434,11 @@
     }
 
     private static RaftGroupMembersView view(JsonNode n) throws IOException {
-        return MODEL.createRaftGroupMembersViewBuilder().setLogIndex(number(n, "i"))
-                .setMembers(endpoints(n, "all")).setVotingMembers(endpoints(n, "vote")).build();
+        return MODEL.createRaftGroupMembersViewBuilder()
+                .setLogIndex(number(n, "i"))
+                .setMembers(endpoints(n, "all"))
+                .setVotingMembers(endpoints(n, "vote"))
+                .build();
     }
 
     private static ArrayNode ids(Collection<RaftEndpoint> all) {
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Endpoint.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Endpoint.java
@@ -15,8 +15,12 @@
     private static final int LONGEST = 128;
 
     Endpoint {
-        if (name.isEmpty() || disk.isEmpty() || name.length() > LONGEST || disk.length() > LONGEST
-                || name.indexOf('@') >= 0 || disk.indexOf('@') >= 0) {
+        if (name.isEmpty()
+                || disk.isEmpty()
+                || name.length() > LONGEST
+                || disk.length() > LONGEST
+                || name.indexOf('@') >= 0
+                || disk.indexOf('@') >= 0) {
             throw new IllegalArgumentException("voter: " + name + "@" + disk);
         }
     }
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Lead.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Lead.java
@@ -27,11 +27,9 @@
     private static final int ROOM = 600 * 1024;
 
     /** What comes of a claim: an answer, an entry to be written first, or nothing yet. */
-    record Claim(Note.Claimed answer, Op.Take first) {
-    }
+    record Claim(Note.Claimed answer, Op.Take first) {}
 
-    private record RoleLease(double untilMs, boolean inFlight) {
-    }
+    private record RoleLease(double untilMs, boolean inFlight) {}
 
     private final Terms terms;
     private final State state;
@@ -50,8 +48,9 @@
         this.state = state;
         this.reign = state.reign();
         this.settledMs = nowMs + terms.waitMs();
-        state.names().values().forEach(n -> authorities.put(n.name(),
-                Authority.start(terms, nowMs, n.word(), n.last())));
+        state.names()
+                .values()
+                .forEach(n -> authorities.put(n.name(), Authority.start(terms, nowMs, n.word(), n.last())));
         state.roles().values().forEach(r -> roles.put(r.role(), new RoleLease(nowMs + waitMs(r.forMs()), false)));
     }
 
@@ -163,17 +162,32 @@
             // Guards against a lease that is lengthened while the role goes to another.
             return new Claim(null, null);
         }
-        boolean same = role.isPresent() && role.get().holder().equals(member) && role.get().life() == c.life();
+        boolean same = role.isPresent()
+                && role.get().holder().equals(member)
+                && role.get().life() == c.life();
         if (same && c.forMs() <= role.get().forMs()) {
             return new Claim(granted(nowMs, c), null);
         }
         if (same || nowMs >= lease.untilMs()) {
             roles.put(c.role(), new RoleLease(lease.untilMs(), true));
-            return new Claim(null, new Op.Take(c.role(), member, c.life(), c.forMs(),
-                    role.map(State.Role::token).orElse(0L), reign));
+            return new Claim(
+                    null,
+                    new Op.Take(
+                            c.role(),
+                            member,
+                            c.life(),
+                            c.forMs(),
+                            role.map(State.Role::token).orElse(0L),
+                            reign));
         }
-        return new Claim(new Note.Claimed(c.life(), c.number(), role.map(State.Role::holder).orElse(""),
-                role.map(State.Role::token).orElse(0L), 0), null);
+        return new Claim(
+                new Note.Claimed(
+                        c.life(),
+                        c.number(),
+                        role.map(State.Role::holder).orElse(""),
+                        role.map(State.Role::token).orElse(0L),
+                        0),
+                null);
     }
 
     /** The claim's entry was applied in this reign: it is granted. */
@@ -184,8 +198,10 @@
 
     private Note.Claimed granted(double nowMs, Note.Claim c) {
         State.Role role = state.role(c.role()).orElseThrow();
-        double until = Math.max(nowMs + waitMs(c.forMs()),
-                roles.getOrDefault(c.role(), new RoleLease(Double.NEGATIVE_INFINITY, false)).untilMs());
+        double until = Math.max(
+                nowMs + waitMs(c.forMs()),
+                roles.getOrDefault(c.role(), new RoleLease(Double.NEGATIVE_INFINITY, false))
+                        .untilMs());
         roles.put(c.role(), new RoleLease(until, false));
         return new Note.Claimed(c.life(), c.number(), role.holder(), role.token(), c.forMs());
     }
@@ -196,7 +212,10 @@
         List<String> who = new ArrayList<>();
         ids.forEach((member, id) -> {
             Authority.Held h = a == null ? null : a.holders().get(id);
-            if (h != null && a.word().staged() != 0 && nowMs < h.untilMs() && h.heard() < a.word().version()) {
+            if (h != null
+                    && a.word().staged() != 0
+                    && nowMs < h.untilMs()
+                    && h.heard() < a.word().version()) {
                 who.add(member);
             }
         });
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Op.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Op.java
@@ -20,16 +20,14 @@
      * @param life in which of its lives
      * @param number counts its reigns in this life
      */
-    record Reign(String leader, long life, long number) implements Op {
-    }
+    record Reign(String leader, long life, long number) implements Op {}
 
     /**
      * A proposal; repeated ones of the same proposer, life and number count once.
      *
      * @param expected the generation that it was made against
      */
-    record Stage(String name, long expected, byte[] content, String by, long life, long number) implements Op {
-    }
+    record Stage(String name, long expected, byte[] content, String by, long life, long number) implements Op {}
 
     /**
      * Whoever acted by another generation has heard of the staged one or can't act any more.
@@ -37,12 +35,10 @@
      * @param version the word's version for which that was found
      * @param reign the reign that found it: no other knows the leases that it looked at
      */
-    record Activate(String name, long version, long reign) implements Op {
-    }
+    record Activate(String name, long version, long reign) implements Op {}
 
     /** A member can't use what is staged. */
-    record Abandon(String name, long version, long reign, String by) implements Op {
-    }
+    record Abandon(String name, long version, long reign, String by) implements Op {}
 
     /**
      * A role has a new holder, or its holder a longer lease.
@@ -50,6 +46,5 @@
      * @param forMs the lease, milliseconds
      * @param token the token that the reign found there
      */
-    record Take(String role, String holder, long life, double forMs, long token, long reign) implements Op {
-    }
+    record Take(String role, String holder, long life, double forMs, long token, long reign) implements Op {}
 }
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Part.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Part.java
@@ -19,11 +19,11 @@
  */
 final class Part {
     /** A name's holder with the contents that it knows. */
-    private record Known(Holder holder, Map<Long, Value> values) {
-    }
+    private record Known(Holder holder, Map<Long, Value> values) {}
 
     /** Asks as all holders do; the holder of a name that was not heard of before. */
     private final Holder fresh;
+
     private final Map<String, Known> names;
     private final double leaseUntilMs;
 
@@ -47,7 +47,10 @@
 
     Note.Question question() {
         List<Note.Heard> heard = new ArrayList<>();
-        names.forEach((n, k) -> heard.add(new Note.Heard(n, k.holder().word().version(), k.holder().refused(),
+        names.forEach((n, k) -> heard.add(new Note.Heard(
+                n,
+                k.holder().word().version(),
+                k.holder().refused(),
                 List.copyOf(k.values().keySet()))));
         return new Note.Question(fresh.life(), fresh.asked(), heard);
     }
@@ -72,12 +75,12 @@
             Word w = told.word();
             before.values().forEach((g, v) -> keep(values, w, v));
             t.items().forEach(i -> keep(values, w, new Value(t.name(), i.generation(), i.content(), i.by())));
-            long refused = !can(w.staged(), values, usable) ? w.staged()
-                    : !can(w.inForce(), values, usable) ? w.inForce() : 0;
+            long refused =
+                    !can(w.staged(), values, usable) ? w.staged() : !can(w.inForce(), values, usable) ? w.inForce() : 0;
             next.put(t.name(), new Known(told.cannotUse(refused), values));
         }
-        return new Part(fresh, next, a.whole() ? Math.max(leaseUntilMs, fresh.askedAtMs() + a.leaseMs())
-                : leaseUntilMs);
+        return new Part(
+                fresh, next, a.whole() ? Math.max(leaseUntilMs, fresh.askedAtMs() + a.leaseMs()) : leaseUntilMs);
     }
 
     private static void keep(Map<Long, Value> values, Word w, Value v) {
@@ -107,7 +110,8 @@
 
     /** The last value that was in force as far as it was told. */
     Optional<Value> known(String name) {
-        return Optional.ofNullable(names.get(name)).map(k -> k.values().get(k.holder().word().inForce()));
+        return Optional.ofNullable(names.get(name))
+                .map(k -> k.values().get(k.holder().word().inForce()));
     }
 
     Word word(String name) {
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/PendingRequests.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/PendingRequests.java
@@ -60,7 +60,7 @@
 
     /** Sends again what has waited long enough, and gives up what is over. */
     void tick(double nowMs) {
-        for (Iterator<Request> all = requests.values().iterator(); all.hasNext();) {
+        for (Iterator<Request> all = requests.values().iterator(); all.hasNext(); ) {
             Request request = all.next();
             if (nowMs >= request.untilMs) {
                 all.remove();
