--- a/fleet/src/main/java/brackenbridge/fleet/agreed/SettingsCalls.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/SettingsCalls.java
@@ -34,8 +34,7 @@
      * @param done whether what was asked for is done or shown
      * @param text for people
      */
-    public record Reply(boolean done, String text) {
-    }
+    public record Reply(boolean done, String text) {}
 
     /**
      * Proposes a content.
@@ -43,33 +42,39 @@
      * @param against the generation that it was made against; below 0: the one in force as this member knows it
      */
     public Reply propose(String name, String content, long against) {
-        long expected = against >= 0 ? against : node.known(name).map(Value::generation).orElse(0L);
+        long expected =
+                against >= 0 ? against : node.known(name).map(Value::generation).orElse(0L);
         byte[] bytes = content.getBytes(StandardCharsets.UTF_8);
         if (bytes.length > State.MAX_CONTENT) {
             return new Reply(false, bytes.length + " bytes; at most " + State.MAX_CONTENT);
         }
         Optional<Verdict> v = wait(node.propose(name, expected, bytes, withinMs));
-        return new Reply(v.isPresent() && v.get() == Verdict.IN_FORCE, switch (v.orElse(Verdict.UNKNOWN)) {
-            case IN_FORCE -> "in force; nobody acts by generation " + expected + " any more";
-            case OVERTAKEN -> "not taken: it was made against generation " + expected
-                    + ", and another is in force; look at it and propose again";
-            case ANOTHER_STAGED -> "not taken: another proposal is under way";
-            case REFUSED -> "refused: a member can't use it; its status and log say why";
-            case UNKNOWN -> "no majority has answered in " + Math.round(withinMs)
-                    + " ms: it may still come into force, or never; look at the history before you propose again";
-        });
+        return new Reply(
+                v.isPresent() && v.get() == Verdict.IN_FORCE,
+                switch (v.orElse(Verdict.UNKNOWN)) {
+                    case IN_FORCE -> "in force; nobody acts by generation " + expected + " any more";
+                    case OVERTAKEN ->
+                        "not taken: it was made against generation " + expected
+                                + ", and another is in force; look at it and propose again";
+                    case ANOTHER_STAGED -> "not taken: another proposal is under way";
+                    case REFUSED -> "refused: a member can't use it; its status and log say why";
+                    case UNKNOWN ->
+                        "no majority has answered in " + Math.round(withinMs)
+                                + " ms: it may still come into force, or never;"
+                                + " look at the history before you propose again";
+                });
     }
 
     /** What is in force or staged, as this member may act by it. */
     public Reply show(String name) {
         Optional<Acting> acting = node.acting(name);
         if (acting.isEmpty()) {
-            return node.known(name).map(v -> new Reply(false, "in doubt; last known:\n" + text(v)))
+            return node.known(name)
+                    .map(v -> new Reply(false, "in doubt; last known:\n" + text(v)))
                     .orElse(new Reply(false, "nothing is known of " + name));
         }
         Value other = acting.get().other();
-        return new Reply(true, text(acting.get().one()) + (other == null ? "" : "\nstaged beside it:\n"
-                + text(other)));
+        return new Reply(true, text(acting.get().one()) + (other == null ? "" : "\nstaged beside it:\n" + text(other)));
     }
 
     private static String text(Value v) {
@@ -84,8 +89,10 @@
             return silent();
         }
         StringBuilder s = new StringBuilder();
-        l.get().lines().forEach(i -> s.append(String.format(Locale.ROOT, "%6d  %-16s %8d bytes  by %s%n",
-                i.generation(), i.came(), i.bytes(), i.by())));
+        l.get()
+                .lines()
+                .forEach(i -> s.append(String.format(
+                        Locale.ROOT, "%6d  %-16s %8d bytes  by %s%n", i.generation(), i.came(), i.bytes(), i.by())));
         return new Reply(s.length() > 0, s.length() > 0 ? s.toString() : "nothing is known of " + name);
     }
 
@@ -109,9 +116,11 @@
 
     private Reply content(String name, long generation) {
         Optional<Note.Looked> l = look(name, generation);
-        return l.isEmpty() ? silent() : l.get().lines().stream().noneMatch(i -> i.generation() == generation)
-                ? new Reply(false, "generation " + generation + " of " + name + " is not kept")
-                : new Reply(true, new String(l.get().content(), StandardCharsets.UTF_8));
+        return l.isEmpty()
+                ? silent()
+                : l.get().lines().stream().noneMatch(i -> i.generation() == generation)
+                        ? new Reply(false, "generation " + generation + " of " + name + " is not kept")
+                        : new Reply(true, new String(l.get().content(), StandardCharsets.UTF_8));
     }
 
     private Optional<Note.Looked> look(String name, long generation) {
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/State.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/State.java
@@ -22,13 +22,18 @@
     static final int MAX_NAMES = 1024;
     /** Contents that are kept at most, of all names and generations; in bytes. A snapshot has room for them. */
     static final long MAX_BYTES = 48L * 1024 * 1024;
+
     private static final int ROLES = 256;
     private static final int KEEP = 16;
     private static final int KEEP_BYTES = 512 * 1024;
     private static final Terms ANY = new Terms(1, 0);
 
     /** What came of a generation. */
-    enum Came { STAGED, IN_FORCE, ABANDONED }
+    enum Came {
+        STAGED,
+        IN_FORCE,
+        ABANDONED
+    }
 
     /** A generation that is kept. */
     record Kept(long generation, byte[] content, String by, long life, long number, Came came) {
@@ -38,19 +43,25 @@
     }
 
     /** All that is decided of a name. */
-    record Named(String name, Word word, long last, List<Kept> history) {
-    }
+    record Named(String name, Word word, long last, List<Kept> history) {}
 
     /** Who acts in a role, since when by count, and with which longest lease. */
-    record Role(String role, String holder, long life, long token, double forMs) {
-    }
+    record Role(String role, String holder, long life, long token, double forMs) {}
 
     /** A copy of all of it. */
-    record Image(long reign, List<Named> names, List<Role> roles) {
-    }
+    record Image(long reign, List<Named> names, List<Role> roles) {}
 
     /** What came of an entry. */
-    enum Result { STAGED, IN_FORCE, ABANDONED, OVERTAKEN, ANOTHER_STAGED, FULL, DONE, VOID }
+    enum Result {
+        STAGED,
+        IN_FORCE,
+        ABANDONED,
+        OVERTAKEN,
+        ANOTHER_STAGED,
+        FULL,
+        DONE,
+        VOID
+    }
 
     private final Map<String, Named> names = new TreeMap<>();
     private final Map<String, Role> roles = new TreeMap<>();
@@ -79,14 +90,18 @@
 
     /** A generation that is kept. */
     Optional<Kept> kept(String name, long generation) {
-        return named(name).stream().flatMap(n -> n.history().stream()).filter(k -> k.generation() == generation)
+        return named(name).stream()
+                .flatMap(n -> n.history().stream())
+                .filter(k -> k.generation() == generation)
                 .findFirst();
     }
 
     /** The generation that this proposal became, if it did. */
     Optional<Kept> proposed(String name, String by, long life, long number) {
-        return named(name).stream().flatMap(n -> n.history().stream())
-                .filter(k -> k.by().equals(by) && k.life() == life && k.number() == number).findFirst();
+        return named(name).stream()
+                .flatMap(n -> n.history().stream())
+                .filter(k -> k.by().equals(by) && k.life() == life && k.number() == number)
+                .findFirst();
     }
 
     Result apply(Op op) {
@@ -110,7 +125,10 @@
 
     // Guards against a finding of an earlier reign, or of a word that was overtaken on the way.
     private boolean current(Named n, long version, long foundIn) {
-        return n != null && foundIn == reign && n.word().version() == version && n.word().staged() != 0;
+        return n != null
+                && foundIn == reign
+                && n.word().version() == version
+                && n.word().staged() != 0;
     }
 
     private Result stage(Op.Stage s) {
@@ -118,8 +136,10 @@
         if (again.isPresent()) {
             return Result.valueOf(again.get().came().name());
         }
-        if (!names.containsKey(s.name()) && names.size() >= MAX_NAMES || s.content().length > MAX_CONTENT
-                || s.name().length() > MAX_NAME || bytes + s.content().length > MAX_BYTES) {
+        if (!names.containsKey(s.name()) && names.size() >= MAX_NAMES
+                || s.content().length > MAX_CONTENT
+                || s.name().length() > MAX_NAME
+                || bytes + s.content().length > MAX_BYTES) {
             return Result.FULL;
         }
         Named n = names.getOrDefault(s.name(), new Named(s.name(), Word.NONE, 0, List.of()));
@@ -139,7 +159,9 @@
         Authority a = alone(n);
         long settled = n.word().staged();
         Authority next = came == Came.IN_FORCE ? a.activate(0) : a.abandon();
-        List<Kept> history = n.history().stream().map(k -> k.generation() == settled ? k.with(came) : k).toList();
+        List<Kept> history = n.history().stream()
+                .map(k -> k.generation() == settled ? k.with(came) : k)
+                .toList();
         keep(new Named(n.name(), next.word(), n.last(), trimmed(history, next.word())));
         return Result.valueOf(came.name());
     }
@@ -166,7 +188,8 @@
             Kept k = history.get(i);
             count++;
             bytes += k.content().length;
-            if (k.generation() == word.inForce() || k.generation() == word.staged()
+            if (k.generation() == word.inForce()
+                    || k.generation() == word.staged()
                     || count <= KEEP && bytes <= KEEP_BYTES) {
                 kept.add(0, k);
             }
@@ -183,8 +206,14 @@
             return Result.FULL;
         }
         boolean same = r != null && r.holder().equals(t.holder()) && r.life() == t.life();
-        roles.put(t.role(), new Role(t.role(), t.holder(), t.life(), same ? r.token() : t.token() + 1,
-                same ? Math.max(r.forMs(), t.forMs()) : t.forMs()));
+        roles.put(
+                t.role(),
+                new Role(
+                        t.role(),
+                        t.holder(),
+                        t.life(),
+                        same ? r.token() : t.token() + 1,
+                        same ? Math.max(r.forMs(), t.forMs()) : t.forMs()));
         return Result.DONE;
     }
 
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/Store.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/Store.java
@@ -43,11 +43,13 @@
     private static final String MARK = "agreed.mark";
     /** The two places of the mark lie in different sectors, so that a torn write spoils one only. */
     private static final int SECTOR = 4096;
+
     private static final int SLOT = 12;
     /** Chunks that nothing refers to any more are kept so long; each write is forced, so that none needs them. */
     private static final int RETENTION_MS = 5000;
     /** After so many writes what little is alive in old chunks is moved together, so that their space is free. */
     private static final int COMPACT_EACH = 100;
+
     private static final int COMPACT_FILL = 70;
     private static final int COMPACT_BYTES = 4 << 20;
 
@@ -112,14 +114,17 @@
         if (Files.exists(marks) && !Files.exists(file)) {
             throw new Damaged(file + " is gone", null);
         }
-        FileChannel mark = FileChannel.open(marks, StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
+        FileChannel mark =
+                FileChannel.open(marks, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         MVStore opened = null;
         try {
             if (mark.tryLock() == null) {
                 throw new IOException(directory + " is in use by another process");
             }
-            opened = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().open();
+            opened = new MVStore.Builder()
+                    .fileName(file.toString())
+                    .autoCommitDisabled()
+                    .open();
             return ready(new Store(opened, mark, file), fleet, member);
         } catch (OverlappingFileLockException e) {
             close(opened, mark);
@@ -168,7 +173,7 @@
 
     /** Moves what is in the directory to one beside it, whose name is the answer: staff may look at it. */
     static Path putAside(Path directory) throws IOException {
-        for (int i = 1;; i++) {
+        for (int i = 1; ; i++) {
             Path aside = directory.resolveSibling(directory.getFileName() + ".aside-" + i);
             if (!Files.exists(aside)) {
                 return Files.move(directory, aside, StandardCopyOption.ATOMIC_MOVE);
@@ -182,7 +187,10 @@
     // Values with their checksums: the store's own cover its pages' heads only.
 
     private static byte[] sealed(String key, byte[] value) {
-        return ByteBuffer.allocate(value.length + 4).putInt(crc(key, value, 0)).put(value).array();
+        return ByteBuffer.allocate(value.length + 4)
+                .putInt(crc(key, value, 0))
+                .put(value)
+                .array();
     }
 
     private static byte[] unsealed(String key, byte[] sealed) throws Damaged {
@@ -321,9 +329,12 @@
                 }
                 entries.add(entry);
             }
-            return new RestoredRaftState(Codec.self(unsealed("endpoint", meta.get("endpoint"))),
+            return new RestoredRaftState(
+                    Codec.self(unsealed("endpoint", meta.get("endpoint"))),
                     Codec.members(unsealed("initial", meta.get("initial"))),
-                    Codec.term(unsealed("term", meta.get("term"))), snapshot, entries);
+                    Codec.term(unsealed("term", meta.get("term"))),
+                    snapshot,
+                    entries);
         } catch (Damaged e) {
             throw e;
         } catch (IOException e) {
@@ -349,9 +360,13 @@
             return null;
         }
         SnapshotChunk first = whole.get(0);
-        return new DefaultRaftModelFactory().createSnapshotEntryBuilder().setIndex(first.getIndex())
-                .setTerm(first.getTerm()).setSnapshotChunks(whole)
-                .setGroupMembersView(first.getGroupMembersView()).build();
+        return new DefaultRaftModelFactory()
+                .createSnapshotEntryBuilder()
+                .setIndex(first.getIndex())
+                .setTerm(first.getTerm())
+                .setSnapshotChunks(whole)
+                .setGroupMembersView(first.getGroupMembersView())
+                .build();
     }
 
     private long marked() throws IOException {
@@ -424,8 +439,7 @@
 
     @Override
     public void persistLogEntries(List<LogEntry> entries) throws IOException {
-        write(() -> entries.forEach(e -> log.put(e.getIndex(), sealed(String.valueOf(e.getIndex()),
-                Codec.entry(e)))));
+        write(() -> entries.forEach(e -> log.put(e.getIndex(), sealed(String.valueOf(e.getIndex()), Codec.entry(e)))));
     }
 
     @Override
--- a/fleet/src/main/java/brackenbridge/fleet/cli/ControlCommand.java
+++ b/fleet/src/main/java/brackenbridge/fleet/cli/ControlCommand.java
@@ -18,15 +18,16 @@
     private static final class Line {
         @Parameter(names = "--fleet", description = "The fleet's file", required = true)
         private String fleet;
+
         @Parameter(names = "--name", description = "This machine's name in it", required = true)
         private String name;
+
         @Parameter(names = "--json-log", description = "The log lines as JSON")
         private boolean json;
     }
 
     /** For the ServiceLoader. */
-    public ControlCommand() {
-    }
+    public ControlCommand() {}
 
     @Override
     public String name() {
@@ -38,7 +39,11 @@
         Line line = new Line();
         ControlService service;
         try {
-            JCommander.newBuilder().programName("brackenbridge control").addObject(line).build().parse(args);
+            JCommander.newBuilder()
+                    .programName("brackenbridge control")
+                    .addObject(line)
+                    .build()
+                    .parse(args);
             if (line.json) {
                 System.setProperty("logback.configurationFile", "logback-json.xml");
             }
@@ -51,13 +56,17 @@
             System.err.println(String.join("; ", e.faults()));
             return USAGE;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            service.close();
-            // A signal would exit with 143; a stop that ends well ends with 0.
-            Runtime.getRuntime().halt(0);
-        }, "stop"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            service.close();
+                            // A signal would exit with 143; a stop that ends well ends with 0.
+                            Runtime.getRuntime().halt(0);
+                        },
+                        "stop"));
         System.out.println("control machine " + line.name + " serves nodes at "
-                + service.address().getAddress().getHostAddress() + ":" + service.address().getPort());
+                + service.address().getAddress().getHostAddress() + ":"
+                + service.address().getPort());
         try {
             Thread.currentThread().join();
         } catch (InterruptedException e) {
--- a/fleet/src/main/java/brackenbridge/fleet/cli/NodeCommand.java
+++ b/fleet/src/main/java/brackenbridge/fleet/cli/NodeCommand.java
@@ -16,19 +16,22 @@
     private static final class Line {
         @Parameter(names = "--config", description = "The node's configuration; by default $PROXY_CONFIG")
         private String config = System.getenv("PROXY_CONFIG");
+
         @Parameter(names = "--fleet", description = "The fleet's file, of which the node is a member")
         private String fleet;
+
         @Parameter(names = "--control", description = "The fleet's file, at whose control machines the node subscribes")
         private String control;
+
         @Parameter(names = "--region", description = "Where the node runs, for --control")
         private String region = "default";
+
         @Parameter(names = "--json-log", description = "The fleet's log lines as JSON")
         private boolean json;
     }
 
     /** For the ServiceLoader. */
-    public NodeCommand() {
-    }
+    public NodeCommand() {}
 
     @Override
     public String name() {
@@ -40,7 +43,11 @@
         Line line = new Line();
         FleetFile file;
         try {
-            JCommander.newBuilder().programName("brackenbridge node").addObject(line).build().parse(args);
+            JCommander.newBuilder()
+                    .programName("brackenbridge node")
+                    .addObject(line)
+                    .build()
+                    .parse(args);
             if (line.json) {
                 System.setProperty("logback.configurationFile", "logback-json.xml");
             }
@@ -58,8 +65,11 @@
             System.err.println(String.join("; ", e.faults()));
             return 2;
         }
-        Main.serve(line.config, config -> line.fleet != null ? new Together(file, config)
-                : new NodeSubscription(file, Path.of(line.config), line.region, config));
+        Main.serve(
+                line.config,
+                config -> line.fleet != null
+                        ? new Together(file, config)
+                        : new NodeSubscription(file, Path.of(line.config), line.region, config));
         // The signal ends the process; what returns here would end it at once.
         try {
             Thread.currentThread().join();
--- a/fleet/src/main/java/brackenbridge/fleet/cli/StaffCommand.java
+++ b/fleet/src/main/java/brackenbridge/fleet/cli/StaffCommand.java
@@ -28,10 +28,13 @@
     private static final class Line {
         @Parameter(names = "--at", description = "A member's page, address:port; by default $BRACKENBRIDGE_FLEET")
         private String at = System.getenv("BRACKENBRIDGE_FLEET");
+
         @Parameter(names = "--json", description = "For programs")
         private boolean json;
+
         @Parameter(names = "--file", description = "A file that goes with the call")
         private String file;
+
         @Parameter(description = "WORDS")
         private List<String> words = new ArrayList<>();
     }
@@ -54,7 +57,11 @@
         Line line = new Line();
         byte[] body = new byte[0];
         try {
-            JCommander.newBuilder().programName("brackenbridge " + name).addObject(line).build().parse(args);
+            JCommander.newBuilder()
+                    .programName("brackenbridge " + name)
+                    .addObject(line)
+                    .build()
+                    .parse(args);
             if (line.file != null) {
                 body = Files.readAllBytes(Path.of(line.file));
             }
@@ -65,14 +72,22 @@
             return unusable(line.at == null ? "no member: give --at ADDRESS:PORT or set BRACKENBRIDGE_FLEET" : usage);
         }
         try {
-            String path = line.words.stream().map(w -> URLEncoder.encode(w, StandardCharsets.UTF_8))
+            String path = line.words.stream()
+                    .map(w -> URLEncoder.encode(w, StandardCharsets.UTF_8))
                     .collect(Collectors.joining("/"));
-            HttpResponse<String> answer = HttpClient.newHttpClient().send(HttpRequest.newBuilder(
-                    URI.create("http://" + line.at + "/call/" + name + "/" + path + (line.json ? "?json" : "")))
-                    .timeout(PATIENCE).POST(HttpRequest.BodyPublishers.ofByteArray(body)).build(),
-                    HttpResponse.BodyHandlers.ofString());
-            (answer.statusCode() == 200 ? System.out : System.err).println(answer.body().isEmpty()
-                    ? "brackenbridge: " + line.at + " answers " + answer.statusCode() : answer.body().stripTrailing());
+            HttpResponse<String> answer = HttpClient.newHttpClient()
+                    .send(
+                            HttpRequest.newBuilder(URI.create("http://" + line.at + "/call/" + name + "/" + path
+                                            + (line.json ? "?json" : "")))
+                                    .timeout(PATIENCE)
+                                    .POST(HttpRequest.BodyPublishers.ofByteArray(body))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString());
+            (answer.statusCode() == 200 ? System.out : System.err)
+                    .println(
+                            answer.body().isEmpty()
+                                    ? "brackenbridge: " + line.at + " answers " + answer.statusCode()
+                                    : answer.body().stripTrailing());
             return answer.statusCode() == 200 ? 0 : 1;
         } catch (IllegalArgumentException e) {
             return unusable(e.getMessage());
--- a/fleet/src/main/java/brackenbridge/fleet/config/FleetFile.java
+++ b/fleet/src/main/java/brackenbridge/fleet/config/FleetFile.java
@@ -33,8 +33,17 @@
  * @param page where each member's page of metrics is, by member; absent for none
  * @param listen where a member listens for its peers, by member; absent where it is its address
  */
-public record FleetFile(String fleet, Path directory, List<Member> members, Links links, Agreement agreed,
-        Replication replica, Shares shares, Evacuation evacuation, Control control, Map<String, String> page,
+public record FleetFile(
+        String fleet,
+        Path directory,
+        List<Member> members,
+        Links links,
+        Agreement agreed,
+        Replication replica,
+        Shares shares,
+        Evacuation evacuation,
+        Control control,
+        Map<String, String> page,
         Map<String, String> listen) {
 
     /**
@@ -46,8 +55,7 @@
      * @param frameBytes the longest message
      * @param queueBytes what waits at most for one peer in one stream
      */
-    public record Links(double beatMs, double suspectMs, double goneMs, int frameBytes, long queueBytes) {
-    }
+    public record Links(double beatMs, double suspectMs, double goneMs, int frameBytes, long queueBytes) {}
 
     /**
      * Bounds of agreement.
@@ -56,8 +64,7 @@
      * @param leaseMs for how long a member acts by what it was told, in milliseconds
      * @param drift by how much clocks' rates may be off, as a part
      */
-    public record Agreement(int voters, double leaseMs, double drift) {
-    }
+    public record Agreement(int voters, double leaseMs, double drift) {}
 
     /**
      * Bounds of replication.
@@ -66,8 +73,7 @@
      * @param logEntries how many writes of each owner are kept beside its records
      * @param compareMs how often copies are compared at rest, in milliseconds
      */
-    public record Replication(long bytesPerSecond, int logEntries, double compareMs) {
-    }
+    public record Replication(long bytesPerSecond, int logEntries, double compareMs) {}
 
     /**
      * Tenants' shares.
@@ -77,8 +83,7 @@
      * @param guaranteed the part of all connections that stays with the nodes, whatever becomes of the fleet
      * @param hungryMs under its floor with demand for so long, a tenant is reported hungry
      */
-    public record Shares(double connectionsPerServer, double leaseMs, double guaranteed, double hungryMs) {
-    }
+    public record Shares(double connectionsPerServer, double leaseMs, double guaranteed, double hungryMs) {}
 
     /**
      * Bounds of rehearsals.
@@ -88,8 +93,7 @@
      * @param bound use of slots at which a rehearsal halts
      * @param off by which a foretold figure may be off, as a part
      */
-    public record Evacuation(double part, double stepMs, double bound, double off) {
-    }
+    public record Evacuation(double part, double stepMs, double bound, double off) {}
 
     /**
      * Distribution of agreed values to nodes.
@@ -107,7 +111,10 @@
 
         /** The control machine of this name; null if there is none. */
         public ControlMachine machine(String name) {
-            return machines.stream().filter(machine -> machine.name().equals(name)).findFirst().orElse(null);
+            return machines.stream()
+                    .filter(machine -> machine.name().equals(name))
+                    .findFirst()
+                    .orElse(null);
         }
     }
 
@@ -153,7 +160,8 @@
         } catch (StackOverflowError e) {
             throw new FileFaults(List.of(name + ":1:1: syntax: nested too deep"));
         }
-        toml.errors().forEach(e -> faults.add(e.position(), "syntax", e.getMessage().replaceAll("\\s+", " ")));
+        toml.errors()
+                .forEach(e -> faults.add(e.position(), "syntax", e.getMessage().replaceAll("\\s+", " ")));
         faults.none();
         Table t = new Table("", toml, null, faults);
         String fleet = t.text("fleet", null, NAME);
@@ -164,8 +172,8 @@
         Set<String> names = new HashSet<>();
         Set<String> addresses = new HashSet<>();
         for (Table m : t.tables("member")) {
-            Member member = new Member(m.text("name", null, NAME), m.text("address", null, ADDRESS),
-                    m.text("zone", "-", NAME));
+            Member member =
+                    new Member(m.text("name", null, NAME), m.text("address", null, ADDRESS), m.text("zone", "-", NAME));
             String at = m.text("page", "-", ADDRESS);
             if (!at.equals("-")) {
                 page.put(member.name(), at);
@@ -187,8 +195,11 @@
             t.fault("member", "a fleet needs members");
         }
         Table l = t.table("links");
-        Links links = new Links(l.span("beat", 250, 10, 10_000), l.span("suspect", 1250, 20, 60_000),
-                l.span("gone", 4000, 50, 600_000), (int) l.size("frame", 1 << 20, 4096, 16 << 20),
+        Links links = new Links(
+                l.span("beat", 250, 10, 10_000),
+                l.span("suspect", 1250, 20, 60_000),
+                l.span("gone", 4000, 50, 600_000),
+                (int) l.size("frame", 1 << 20, 4096, 16 << 20),
                 l.size("queue", 4 << 20, 65_536, 256 << 20));
         if (links.suspectMs() < 4 * links.beatMs()) {
             l.fault("suspect", "is less than four beats: a few that come late would be a suspicion");
@@ -201,8 +212,10 @@
         }
         l.end();
         Table a = t.table("agreed");
-        Agreement agreed = new Agreement(a.whole("voters", odd(Math.min(5, members.size())), 1, 7),
-                a.span("lease", 1600, 200, 60_000), a.number("drift", 0.01, 0, 0.2));
+        Agreement agreed = new Agreement(
+                a.whole("voters", odd(Math.min(5, members.size())), 1, 7),
+                a.span("lease", 1600, 200, 60_000),
+                a.number("drift", 0.01, 0, 0.2));
         if (agreed.voters() % 2 == 0) {
             a.fault("voters", agreed.voters() + " is even: one less bears as many failures");
         }
@@ -211,31 +224,51 @@
         }
         a.end();
         Table r = t.table("replica");
-        Replication replica = new Replication(r.size("catch_up", 1 << 20, 4096, 1L << 30),
-                r.whole("log", 4096, 16, 1_000_000), r.span("compare", 1000, 50, 600_000));
+        Replication replica = new Replication(
+                r.size("catch_up", 1 << 20, 4096, 1L << 30),
+                r.whole("log", 4096, 16, 1_000_000),
+                r.span("compare", 1000, 50, 600_000));
         r.end();
         Table s = t.table("shares");
         boolean shared = s.flag("on", false);
-        Shares shares = new Shares(s.number("connections_per_server", 4, 0.01, 1e6), s.span("lease", 2000, 200, 60_000),
-                s.number("guaranteed", 0.2, 0, 1), s.span("hungry", 5000, 100, 600_000));
+        Shares shares = new Shares(
+                s.number("connections_per_server", 4, 0.01, 1e6),
+                s.span("lease", 2000, 200, 60_000),
+                s.number("guaranteed", 0.2, 0, 1),
+                s.span("hungry", 5000, 100, 600_000));
         s.end();
         Table e = t.table("evacuation");
-        Evacuation evacuation = new Evacuation(e.number("part", 0.2, 0.01, 1), e.span("step", 5000, 500, 600_000),
-                e.number("bound", 0.85, 0.1, 1), e.number("off", 0.25, 0.01, 1));
+        Evacuation evacuation = new Evacuation(
+                e.number("part", 0.2, 0.01, 1),
+                e.span("step", 5000, 500, 600_000),
+                e.number("bound", 0.85, 0.1, 1),
+                e.number("off", 0.25, 0.01, 1));
         e.end();
         Control control = t.has("control") ? control(t.table("control"), names) : null;
         t.end();
         faults.none();
-        return new FleetFile(fleet, directory.equals("-") ? null : Path.of(directory), members, links, agreed, replica,
-                shared ? shares : null, evacuation, control, page, listen);
+        return new FleetFile(
+                fleet,
+                directory.equals("-") ? null : Path.of(directory),
+                members,
+                links,
+                agreed,
+                replica,
+                shared ? shares : null,
+                evacuation,
+                control,
+                page,
+                listen);
     }
 
     private static Control control(Table table, Set<String> members) {
         List<ControlMachine> machines = new ArrayList<>();
         Set<String> known = new HashSet<>();
         for (Table entry : table.tables("machine")) {
-            ControlMachine machine = new ControlMachine(entry.text("name", null, NAME),
-                    entry.text("region", null, NAME), entry.text("address", null, ADDRESS));
+            ControlMachine machine = new ControlMachine(
+                    entry.text("name", null, NAME),
+                    entry.text("region", null, NAME),
+                    entry.text("address", null, ADDRESS));
             entry.end();
             if (!members.contains(machine.name())) {
                 entry.fault("name", "'" + machine.name() + "' is no member");
@@ -256,10 +289,25 @@
         int maxNodes = table.whole("max_nodes", usual.maxSubscribers(), 1, 100_000);
         table.end();
         try {
-            return new Control(machines, nodes.isEmpty() ? List.of("*") : nodes, new ControlLimits(heartbeat, silence,
-                    silence, usual.coalesceMs(), Math.max(silence, usual.slowReaderMs()), usual.connectMs(),
-                    usual.retryBaseMs(), usual.retryMaxMs(), usual.startSpreadMs(), usual.homeMinMs(),
-                    usual.homeMaxMs(), admissions, usual.admissionBurst(), maxNodes, usual.maxUnsubscribed()));
+            return new Control(
+                    machines,
+                    nodes.isEmpty() ? List.of("*") : nodes,
+                    new ControlLimits(
+                            heartbeat,
+                            silence,
+                            silence,
+                            usual.coalesceMs(),
+                            Math.max(silence, usual.slowReaderMs()),
+                            usual.connectMs(),
+                            usual.retryBaseMs(),
+                            usual.retryMaxMs(),
+                            usual.startSpreadMs(),
+                            usual.homeMinMs(),
+                            usual.homeMaxMs(),
+                            admissions,
+                            usual.admissionBurst(),
+                            maxNodes,
+                            usual.maxUnsubscribed()));
         } catch (IllegalArgumentException e) {
             table.fault("silence", e.getMessage());
             return null;
--- a/fleet/src/main/java/brackenbridge/fleet/config/Table.java
+++ b/fleet/src/main/java/brackenbridge/fleet/config/Table.java
@@ -25,8 +25,7 @@
     private static final Map<String, Long> SIZES = Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20, "GiB", 1L << 30);
 
     /** A fault at its place. */
-    private record Fault(int line, int column, String text) {
-    }
+    private record Fault(int line, int column, String text) {}
 
     /** What all tables of a file share. */
     static final class Faults {
@@ -226,9 +225,11 @@
         }
         for (String key : toml.keySet()) {
             if (!known.contains(key)) {
-                String near = known.stream().min(Comparator.comparingInt(
-                        (String k) -> LevenshteinDistance.getDefaultInstance().apply(key, k))
-                        .thenComparing(k -> k)).orElse("");
+                String near = known.stream()
+                        .min(Comparator.comparingInt((String k) ->
+                                        LevenshteinDistance.getDefaultInstance().apply(key, k))
+                                .thenComparing(k -> k))
+                        .orElse("");
                 fault(key, "is unknown" + (near.isEmpty() ? "" : "; did you mean '" + near + "'?"));
             }
         }
--- a/fleet/src/main/java/brackenbridge/fleet/control/ControlClient.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ControlClient.java
@@ -52,9 +52,13 @@
      * @param resources the names of the resources that it needs
      * @param limits limits
      */
-    public record Settings(String fleet, String node, String region, List<ControlMachine> machines,
-            List<String> resources, ControlLimits limits) {
-    }
+    public record Settings(
+            String fleet,
+            String node,
+            String region,
+            List<ControlMachine> machines,
+            List<String> resources,
+            ControlLimits limits) {}
 
     /**
      * How the subscription stands.
@@ -67,9 +71,14 @@
      * @param bytesIn bytes read
      * @param bytesOut bytes written
      */
-    public record Status(String machine, double confirmedMs, long connections, long accepted, long rejected,
-            long bytesIn, long bytesOut) {
-    }
+    public record Status(
+            String machine,
+            double confirmedMs,
+            long connections,
+            long accepted,
+            long rejected,
+            long bytesIn,
+            long bytesOut) {}
 
     private final Settings settings;
     private final ControlLimits limits;
@@ -115,8 +124,14 @@
     }
 
     private void publishStatus() {
-        status = new Status(session == null || !session.welcomed ? "" : session.machine.name(), confirmedMs,
-                connections, accepted, rejected, bytesIn, bytesOut);
+        status = new Status(
+                session == null || !session.welcomed ? "" : session.machine.name(),
+                confirmedMs,
+                connections,
+                accepted,
+                rejected,
+                bytesIn,
+                bytesOut);
     }
 
     private void connectNext() {
@@ -124,10 +139,13 @@
             return;
         }
         MachineSelector.Attempt attempt = selector.next();
-        pendingDial = loop.schedule(() -> {
-            pendingDial = null;
-            dial(attempt.machine());
-        }, (long) (attempt.delayMs() * 1000), TimeUnit.MICROSECONDS);
+        pendingDial = loop.schedule(
+                () -> {
+                    pendingDial = null;
+                    dial(attempt.machine());
+                },
+                (long) (attempt.delayMs() * 1000),
+                TimeUnit.MICROSECONDS);
     }
 
     private void dial(ControlMachine machine) {
@@ -137,7 +155,9 @@
         Session dialled = new Session(machine);
         session = dialled;
         InetSocketAddress address = addressOf(machine.address());
-        ChannelFuture opened = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture opened = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) limits.connectMs())
                 .handler(new ChannelInitializer<>() {
@@ -145,7 +165,8 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(ControlFrames.decoder(), dialled);
                     }
-                }).connect(address);
+                })
+                .connect(address);
         dialled.channel = opened.channel();
         opened.addListener(done -> {
             if (!done.isSuccess()) {
@@ -207,10 +228,9 @@
             if (paused) {
                 channel.config().setAutoRead(false);
             }
-            send(new Subscribe(settings.fleet(), settings.node(), settings.region(), lastConnection,
-                    held.versions()));
-            timer = loop.scheduleAtFixedRate(this::check, (long) limits.heartbeatMs(), (long) limits.heartbeatMs(),
-                    TimeUnit.MILLISECONDS);
+            send(new Subscribe(settings.fleet(), settings.node(), settings.region(), lastConnection, held.versions()));
+            timer = loop.scheduleAtFixedRate(
+                    this::check, (long) limits.heartbeatMs(), (long) limits.heartbeatMs(), TimeUnit.MILLISECONDS);
         }
 
         private void send(ControlMessage message) {
@@ -270,8 +290,8 @@
                     selector.confirmed();
                 }
             } else {
-                throw new ProtocolException(Refusal.UNREADABLE, message.getClass().getSimpleName()
-                        + " is not expected here");
+                throw new ProtocolException(
+                        Refusal.UNREADABLE, message.getClass().getSimpleName() + " is not expected here");
             }
         }
 
@@ -282,7 +302,10 @@
             } else if (refuse.refusal().isTransient()) {
                 end(this, refuse.refusal().name());
             } else {
-                LOG.warn("{}: control machine {} refuses this node: {}", settings.node(), machine.name(),
+                LOG.warn(
+                        "{}: control machine {} refuses this node: {}",
+                        settings.node(),
+                        machine.name(),
                         refuse.refusal());
                 selector.askedToWait(selector.homeAfterMs());
                 leave(this, refuse.refusal().name());
--- a/fleet/src/main/java/brackenbridge/fleet/control/ControlCodec.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ControlCodec.java
@@ -19,27 +19,41 @@
     static final int VERSION = 1;
     /** Longest message, in bytes: a resource of the longest content and what stands around it. */
     static final int MAX_MESSAGE = Resource.MAX_CONTENT + 1024;
+
     private static final int HEAD = 2;
     private static final int MAX_NESTING = 6;
-    private static final List<Class<? extends ControlMessage>> KINDS = List.of(ControlMessage.Subscribe.class,
-            ControlMessage.Acknowledge.class, ControlMessage.NodeHeartbeat.class, ControlMessage.Welcome.class,
-            ControlMessage.Update.class, ControlMessage.MachineHeartbeat.class, ControlMessage.Refuse.class);
+    private static final List<Class<? extends ControlMessage>> KINDS = List.of(
+            ControlMessage.Subscribe.class,
+            ControlMessage.Acknowledge.class,
+            ControlMessage.NodeHeartbeat.class,
+            ControlMessage.Welcome.class,
+            ControlMessage.Update.class,
+            ControlMessage.MachineHeartbeat.class,
+            ControlMessage.Refuse.class);
     private static final ObjectMapper MAPPER = mapper();
-    private static final List<ObjectReader> READERS = KINDS.stream().map(MAPPER::readerFor).toList();
+    private static final List<ObjectReader> READERS =
+            KINDS.stream().map(MAPPER::readerFor).toList();
     private static final ObjectWriter WRITER = MAPPER.writer();
 
-    private ControlCodec() {
-    }
+    private ControlCodec() {}
 
     private static ObjectMapper mapper() {
-        CBORFactory factory = CBORFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
-                .maxNestingDepth(MAX_NESTING).maxDocumentLength(MAX_MESSAGE).maxStringLength(1024).maxNameLength(64)
-                .maxNumberLength(32).build()).build();
-        return CBORMapper.builder(factory).enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+        CBORFactory factory = CBORFactory.builder()
+                .streamReadConstraints(StreamReadConstraints.builder()
+                        .maxNestingDepth(MAX_NESTING)
+                        .maxDocumentLength(MAX_MESSAGE)
+                        .maxStringLength(1024)
+                        .maxNameLength(64)
+                        .maxNumberLength(32)
+                        .build())
+                .build();
+        return CBORMapper.builder(factory)
+                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                 .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
                 .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
                 .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-                .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT).build();
+                .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                .build();
     }
 
     static byte[] write(ControlMessage message) {
--- a/fleet/src/main/java/brackenbridge/fleet/control/ControlFrames.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ControlFrames.java
@@ -9,13 +9,12 @@
     /** Bytes before each message. */
     static final int LENGTH_BYTES = 4;
 
-    private ControlFrames() {
-    }
+    private ControlFrames() {}
 
     /** Cuts what is received into messages; a longer one than allowed is an exception as soon as its length is read. */
     static LengthFieldBasedFrameDecoder decoder() {
-        return new LengthFieldBasedFrameDecoder(ControlCodec.MAX_MESSAGE + LENGTH_BYTES, 0, LENGTH_BYTES, 0,
-                LENGTH_BYTES);
+        return new LengthFieldBasedFrameDecoder(
+                ControlCodec.MAX_MESSAGE + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
     }
 
     /** A message as it is written; the same bytes may be written to any number of connections. */
--- a/fleet/src/main/java/brackenbridge/fleet/control/ControlLimits.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ControlLimits.java
@@ -19,23 +19,40 @@
  * @param maxSubscribers how many nodes a machine serves at most
  * @param maxUnsubscribed how many connections without a subscription a machine bears at most
  */
-public record ControlLimits(double heartbeatMs, double silenceMs, double unconfirmedMs, double coalesceMs,
-        double slowReaderMs, double connectMs, double retryBaseMs, double retryMaxMs, double startSpreadMs,
-        double homeMinMs, double homeMaxMs, double admissionsPerSecond, int admissionBurst, int maxSubscribers,
+public record ControlLimits(
+        double heartbeatMs,
+        double silenceMs,
+        double unconfirmedMs,
+        double coalesceMs,
+        double slowReaderMs,
+        double connectMs,
+        double retryBaseMs,
+        double retryMaxMs,
+        double startSpreadMs,
+        double homeMinMs,
+        double homeMaxMs,
+        double admissionsPerSecond,
+        int admissionBurst,
+        int maxSubscribers,
         int maxUnsubscribed) {
 
     /** The limits for 1,600 nodes and nine machines; {@code docs/design/control.md} has the reason of each. */
-    public static final ControlLimits STANDARD = new ControlLimits(750, 2250, 2250, 50, 3000, 1000, 250, 4000, 1000,
-            30_000, 90_000, 200, 100, 800, 256);
+    public static final ControlLimits STANDARD =
+            new ControlLimits(750, 2250, 2250, 50, 3000, 1000, 250, 4000, 1000, 30_000, 90_000, 200, 100, 800, 256);
 
     /** Rejects limits that can't be kept. */
     public ControlLimits {
         if (!(heartbeatMs >= 10) || !(silenceMs >= 3 * heartbeatMs) || !(unconfirmedMs >= 2 * heartbeatMs)) {
-            throw new IllegalArgumentException("heartbeat " + heartbeatMs + ", silence " + silenceMs
-                    + ", unconfirmed " + unconfirmedMs + " ms: silence takes three heartbeats, unconfirmed two");
+            throw new IllegalArgumentException("heartbeat " + heartbeatMs + ", silence " + silenceMs + ", unconfirmed "
+                    + unconfirmedMs + " ms: silence takes three heartbeats, unconfirmed two");
         }
-        if (!(coalesceMs >= 0) || !(slowReaderMs > 0) || !(connectMs > 0) || !(retryBaseMs > 0)
-                || !(retryMaxMs >= retryBaseMs) || !(startSpreadMs >= 0) || !(homeMinMs > 0)
+        if (!(coalesceMs >= 0)
+                || !(slowReaderMs > 0)
+                || !(connectMs > 0)
+                || !(retryBaseMs > 0)
+                || !(retryMaxMs >= retryBaseMs)
+                || !(startSpreadMs >= 0)
+                || !(homeMinMs > 0)
                 || !(homeMaxMs >= homeMinMs)) {
             throw new IllegalArgumentException("times must be above 0, a longest not below its least");
         }
--- a/fleet/src/main/java/brackenbridge/fleet/control/ControlMachine.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ControlMachine.java
@@ -7,5 +7,4 @@
  * @param region where it stands
  * @param address where nodes reach it, {@code address:port}
  */
-public record ControlMachine(String name, String region, String address) {
-}
+public record ControlMachine(String name, String region, String address) {}
--- a/fleet/src/main/java/brackenbridge/fleet/control/ControlMessage.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ControlMessage.java
@@ -77,8 +77,7 @@
      * @param sequence the machine's last heartbeat that the node has read; 0 if none
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record NodeHeartbeat(long sequence) implements ControlMessage {
-    }
+    record NodeHeartbeat(long sequence) implements ControlMessage {}
 
     /**
      * The subscription is accepted.
@@ -87,13 +86,11 @@
      * @param heartbeatMs how often it says that it lives, in milliseconds
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Welcome(String machine, double heartbeatMs) implements ControlMessage {
-    }
+    record Welcome(String machine, double heartbeatMs) implements ControlMessage {}
 
     /** The newest version of a resource that the node has subscribed to. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Update(Resource resource) implements ControlMessage {
-    }
+    record Update(Resource resource) implements ControlMessage {}
 
     /**
      * The control machine lives.
@@ -103,8 +100,7 @@
      *     {@code IN_FORCE} up to a lease before has been written to this connection before this message
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record MachineHeartbeat(long sequence, boolean confirmed) implements ControlMessage {
-    }
+    record MachineHeartbeat(long sequence, boolean confirmed) implements ControlMessage {}
 
     /**
      * The machine ends the connection.
@@ -113,6 +109,5 @@
      * @param retryAfterMs when to come back to this machine, in milliseconds; 0 if it makes no difference
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Refuse(Refusal refusal, double retryAfterMs) implements ControlMessage {
-    }
+    record Refuse(Refusal refusal, double retryAfterMs) implements ControlMessage {}
 }
--- a/fleet/src/main/java/brackenbridge/fleet/control/ControlServer.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ControlServer.java
@@ -56,6 +56,7 @@
     private static final WriteBufferWaterMark WRITE_MARKS = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
     /** What a refused connection still sends is dropped for so long, so that it can read why. */
     private static final long LINGER_MS = 500;
+
     private static final long STOP_MS = 2000;
     /** Log lines for refusals in a second at most; the counters have all of them. */
     private static final int LOGGED_PER_SECOND = 20;
@@ -69,9 +70,8 @@
      * @param nodes who may subscribe
      * @param limits limits
      */
-    public record Settings(String fleet, String machine, InetSocketAddress address, NodeNames nodes,
-            ControlLimits limits) {
-    }
+    public record Settings(
+            String fleet, String machine, InetSocketAddress address, NodeNames nodes, ControlLimits limits) {}
 
     private final Settings settings;
     private final ControlLimits limits;
@@ -115,21 +115,35 @@
         this.admissions = new AdmissionLimiter(limits.admissionsPerSecond(), limits.admissionBurst());
         this.report = new MachineReport(settings.machine(), false, List.of());
         for (Refusal refusal : Refusal.values()) {
-            refusals.put(refusal, Counter.builder("control.refused").tag("reason", refusal.name().toLowerCase(
-                    java.util.Locale.ROOT)).description("Connections refused or ended").register(metrics));
+            refusals.put(
+                    refusal,
+                    Counter.builder("control.refused")
+                            .tag("reason", refusal.name().toLowerCase(java.util.Locale.ROOT))
+                            .description("Connections refused or ended")
+                            .register(metrics));
         }
         subscriptions = counter(metrics, "control.subscriptions", "Subscriptions begun");
         updates = counter(metrics, "control.updates", "Resources written to nodes");
         bytesOut = counter(metrics, "control.bytes.out", "Bytes written to nodes");
         bytesIn = counter(metrics, "control.bytes.in", "Bytes read from nodes");
         rejectedVersions = counter(metrics, "control.versions.rejected", "Versions that a node could not use");
-        Gauge.builder("control.nodes", () -> report.regions().stream().mapToInt(MachineReport.RegionReport::nodes)
-                .sum()).description("Nodes that subscribe here").register(metrics);
-        Gauge.builder("control.nodes.behind", () -> report.regions().stream()
-                .mapToInt(region -> region.nodes() - region.current()).sum())
-                .description("Nodes that do not act by the newest versions").register(metrics);
+        Gauge.builder(
+                        "control.nodes",
+                        () -> report.regions().stream()
+                                .mapToInt(MachineReport.RegionReport::nodes)
+                                .sum())
+                .description("Nodes that subscribe here")
+                .register(metrics);
+        Gauge.builder(
+                        "control.nodes.behind",
+                        () -> report.regions().stream()
+                                .mapToInt(region -> region.nodes() - region.current())
+                                .sum())
+                .description("Nodes that do not act by the newest versions")
+                .register(metrics);
         Gauge.builder("control.confirmed", () -> report.confirmed() ? 1 : 0)
-                .description("1 while this machine holds a lease of the agreement").register(metrics);
+                .description("1 while this machine holds a lease of the agreement")
+                .register(metrics);
     }
 
     private static Counter counter(MeterRegistry metrics, String name, String description) {
@@ -143,22 +157,28 @@
      */
     public void start() throws IOException {
         try {
-            listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
+            listening = new ServerBootstrap()
+                    .group(group)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
                     .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_MARKS)
                     .childHandler(new ChannelInitializer<>() {
                         @Override
                         protected void initChannel(Channel channel) {
                             channel.pipeline().addLast(ControlFrames.decoder(), new NodeConnection(channel));
                         }
-                    }).bind(settings.address()).syncUninterruptibly().channel();
+                    })
+                    .bind(settings.address())
+                    .syncUninterruptibly()
+                    .channel();
         } catch (Exception e) {
             // Netty throws a failed bind as it is, and that is no RuntimeException.
             group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
             throw new IOException("can't listen on " + settings.address() + ": " + e.getMessage(), e);
         }
-        loop.scheduleAtFixedRate(this::tick, (long) limits.heartbeatMs(), (long) limits.heartbeatMs(),
-                TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                this::tick, (long) limits.heartbeatMs(), (long) limits.heartbeatMs(), TimeUnit.MILLISECONDS);
     }
 
     /** Where it listens. */
@@ -218,8 +238,9 @@
 
     private MachineReport currentReport(boolean holdsLease) {
         Map<String, RegionCount> regions = new TreeMap<>();
-        byNode.values().forEach(connection -> regions.computeIfAbsent(connection.region, name -> new RegionCount())
-                .add(connection));
+        byNode.values()
+                .forEach(connection -> regions.computeIfAbsent(connection.region, name -> new RegionCount())
+                        .add(connection));
         List<MachineReport.RegionReport> reports = new ArrayList<>();
         regions.forEach((name, count) -> {
             if (reports.size() < MachineReport.MAX_REGIONS) {
@@ -240,11 +261,15 @@
             nodes++;
             List<Subscription.Lag> lags = connection.subscription.behind(table);
             current += lags.isEmpty() ? 1 : 0;
-            lags.stream().limit(Math.max(0, MachineReport.MAX_NAMED - behind.size()))
-                    .forEach(lag -> behind.add(new MachineReport.NodeBehind(connection.node, lag.name(),
-                            lag.applied(), lag.newest(), lag.reason())));
-            connection.subscription.names().forEach(name -> versions.computeIfAbsent(name, key -> new TreeMap<>())
-                    .merge(connection.subscription.applied(name), 1, Integer::sum));
+            lags.stream()
+                    .limit(Math.max(0, MachineReport.MAX_NAMED - behind.size()))
+                    .forEach(lag -> behind.add(new MachineReport.NodeBehind(
+                            connection.node, lag.name(), lag.applied(), lag.newest(), lag.reason())));
+            connection
+                    .subscription
+                    .names()
+                    .forEach(name -> versions.computeIfAbsent(name, key -> new TreeMap<>())
+                            .merge(connection.subscription.applied(name), 1, Integer::sum));
         }
 
         MachineReport.RegionReport report(String region) {
@@ -278,6 +303,7 @@
         private double blockedSinceMs = Double.NaN;
         /** The oldest heartbeat that the node has not answered, and when it was sent; NaN if none. */
         private long unansweredHeartbeat;
+
         private double unansweredSinceMs = Double.NaN;
         private Subscription subscription;
         private String node = "";
@@ -309,10 +335,12 @@
             dirty.remove(this);
             byNode.remove(node, this);
             if (subscription != null) {
-                subscription.names().forEach(name -> byResource.computeIfPresent(name, (key, interested) -> {
-                    interested.remove(this);
-                    return interested.isEmpty() ? null : interested;
-                }));
+                subscription
+                        .names()
+                        .forEach(name -> byResource.computeIfPresent(name, (key, interested) -> {
+                            interested.remove(this);
+                            return interested.isEmpty() ? null : interested;
+                        }));
             }
         }
 
@@ -350,16 +378,21 @@
                 subscription.acknowledged(acknowledge);
                 if (!acknowledge.accepted()) {
                     rejectedVersions.increment();
-                    LOG.warn("control server {}: {} can't use version {} of {}: {}", settings.machine(), node,
-                            acknowledge.version(), acknowledge.name(), acknowledge.reason());
+                    LOG.warn(
+                            "control server {}: {} can't use version {} of {}: {}",
+                            settings.machine(),
+                            node,
+                            acknowledge.version(),
+                            acknowledge.name(),
+                            acknowledge.reason());
                 }
             } else if (message instanceof NodeHeartbeat heartbeat && subscription != null) {
                 if (heartbeat.sequence() >= unansweredHeartbeat) {
                     unansweredSinceMs = Double.NaN;
                 }
             } else {
-                throw new ProtocolException(Refusal.UNREADABLE, message.getClass().getSimpleName()
-                        + " is not expected here");
+                throw new ProtocolException(
+                        Refusal.UNREADABLE, message.getClass().getSimpleName() + " is not expected here");
             }
         }
 
@@ -373,7 +406,10 @@
                 return;
             }
             if (request.resources().size() > ControlMessage.MAX_RESOURCES) {
-                refuse(Refusal.TOO_MANY_RESOURCES, 0, request.node() + ": " + request.resources().size());
+                refuse(
+                        Refusal.TOO_MANY_RESOURCES,
+                        0,
+                        request.node() + ": " + request.resources().size());
                 return;
             }
             NodeConnection before = byNode.get(request.node());
@@ -402,7 +438,11 @@
             number = request.connection();
             subscription = new Subscription(request, table);
             byNode.put(node, this);
-            subscription.names().forEach(name -> byResource.computeIfAbsent(name, key -> new HashSet<>()).add(this));
+            subscription
+                    .names()
+                    .forEach(name -> byResource
+                            .computeIfAbsent(name, key -> new HashSet<>())
+                            .add(this));
             subscriptions.increment();
             write(ControlFrames.bytes(new Welcome(settings.machine(), limits.heartbeatMs())));
             sendPending();
@@ -494,12 +534,13 @@
         }
         try {
             loop.submit(() -> {
-                stopping = true;
-                List.copyOf(connections).forEach(connection -> connection.refuse(Refusal.STOPPING, 0, ""));
-                if (listening != null) {
-                    listening.close();
-                }
-            }).await(STOP_MS);
+                        stopping = true;
+                        List.copyOf(connections).forEach(connection -> connection.refuse(Refusal.STOPPING, 0, ""));
+                        if (listening != null) {
+                            listening.close();
+                        }
+                    })
+                    .await(STOP_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/fleet/src/main/java/brackenbridge/fleet/control/FleetStatus.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/FleetStatus.java
@@ -20,14 +20,14 @@
         void add(MachineReport.RegionReport report) {
             nodes += report.nodes();
             current += report.current();
-            report.versions().forEach(count -> versions.computeIfAbsent(count.resource(), name -> new TreeMap<>())
-                    .merge(count.version(), count.nodes(), Integer::sum));
+            report.versions()
+                    .forEach(count -> versions.computeIfAbsent(count.resource(), name -> new TreeMap<>())
+                            .merge(count.version(), count.nodes(), Integer::sum));
             behind.addAll(report.behind());
         }
     }
 
-    private FleetStatus() {
-    }
+    private FleetStatus() {}
 
     /** The text: each machine, then each region with the versions that differ and some of the nodes behind. */
     public static String text(List<ReportExchange.Dated> reports) {
@@ -35,15 +35,28 @@
         StringBuilder text = new StringBuilder();
         for (ReportExchange.Dated dated : reports) {
             MachineReport report = dated.report();
-            int nodes = report.regions().stream().mapToInt(MachineReport.RegionReport::nodes).sum();
+            int nodes = report.regions().stream()
+                    .mapToInt(MachineReport.RegionReport::nodes)
+                    .sum();
             boolean stale = dated.ageMs() > STALE_MS;
-            line(text, "machine " + report.machine(), String.format(Locale.ROOT, "%d nodes, %s%s", nodes,
-                    report.confirmed() ? "confirmed" : "not confirmed by a majority",
-                    stale ? String.format(Locale.ROOT, "; last heard of %.0f s ago, not counted",
-                            dated.ageMs() / 1000) : ""));
+            line(
+                    text,
+                    "machine " + report.machine(),
+                    String.format(
+                            Locale.ROOT,
+                            "%d nodes, %s%s",
+                            nodes,
+                            report.confirmed() ? "confirmed" : "not confirmed by a majority",
+                            stale
+                                    ? String.format(
+                                            Locale.ROOT,
+                                            "; last heard of %.0f s ago, not counted",
+                                            dated.ageMs() / 1000)
+                                    : ""));
             if (!stale) {
-                report.regions().forEach(region -> regions.computeIfAbsent(region.region(), name -> new Region())
-                        .add(region));
+                report.regions()
+                        .forEach(region -> regions.computeIfAbsent(region.region(), name -> new Region())
+                                .add(region));
             }
         }
         regions.forEach((name, region) -> append(text, name, region));
@@ -59,9 +72,12 @@
                 line(text, "  " + resource, String.join(", ", parts));
             }
         });
-        region.behind.forEach(node -> line(text, "  behind", node.node() + ": " + node.resource() + " at version "
-                + node.applied() + ", newest " + node.newest()
-                + (node.reason().isEmpty() ? "" : ", refused: " + node.reason())));
+        region.behind.forEach(node -> line(
+                text,
+                "  behind",
+                node.node() + ": " + node.resource() + " at version "
+                        + node.applied() + ", newest " + node.newest()
+                        + (node.reason().isEmpty() ? "" : ", refused: " + node.reason())));
     }
 
     private static void line(StringBuilder text, String key, String value) {
--- a/fleet/src/main/java/brackenbridge/fleet/control/HeldResources.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/HeldResources.java
@@ -34,8 +34,8 @@
             resources.put(name, new Held());
         });
         if (resources.size() > ControlMessage.MAX_RESOURCES) {
-            throw new IllegalArgumentException(resources.size() + " resources of at most "
-                    + ControlMessage.MAX_RESOURCES);
+            throw new IllegalArgumentException(
+                    resources.size() + " resources of at most " + ControlMessage.MAX_RESOURCES);
         }
     }
 
@@ -50,7 +50,10 @@
         if (fault.isEmpty()) {
             held.applied = resource.version();
         }
-        return Optional.of(new Acknowledge(resource.name(), resource.version(), fault.isEmpty(),
+        return Optional.of(new Acknowledge(
+                resource.name(),
+                resource.version(),
+                fault.isEmpty(),
                 fault.map(HeldResources::shortened).orElse("")));
     }
 
--- a/fleet/src/main/java/brackenbridge/fleet/control/MachineReport.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/MachineReport.java
@@ -38,8 +38,8 @@
      * @param behind nodes that don't act by the newest version, some of them
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    public record RegionReport(String region, int nodes, int current, List<VersionCount> versions,
-            List<NodeBehind> behind) {
+    public record RegionReport(
+            String region, int nodes, int current, List<VersionCount> versions, List<NodeBehind> behind) {
         /** Keeps its own copies, within bounds. */
         public RegionReport {
             versions = List.copyOf(versions);
@@ -58,8 +58,7 @@
      * @param nodes how many
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    public record VersionCount(String resource, long version, int nodes) {
-    }
+    public record VersionCount(String resource, long version, int nodes) {}
 
     /**
      * A node that does not act by the newest version of a resource.
@@ -71,6 +70,5 @@
      * @param reason why the node refused a version; empty if it did not
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    public record NodeBehind(String node, String resource, long applied, long newest, String reason) {
-    }
+    public record NodeBehind(String node, String resource, long applied, long newest, String reason) {}
 }
--- a/fleet/src/main/java/brackenbridge/fleet/control/MachineSelector.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/MachineSelector.java
@@ -14,8 +14,7 @@
     private static final int MAX_DOUBLINGS = 16;
 
     /** The next connection: to whom, and after how many milliseconds. */
-    record Attempt(ControlMachine machine, double delayMs) {
-    }
+    record Attempt(ControlMachine machine, double delayMs) {}
 
     private final List<ControlMachine> machines;
     private final String region;
--- a/fleet/src/main/java/brackenbridge/fleet/control/NodeNames.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/NodeNames.java
@@ -14,8 +14,10 @@
     /** From the entries of the fleet's file. */
     public NodeNames(List<String> entries) {
         entries.stream().filter(entry -> !entry.endsWith(ANY_END)).forEach(names::add);
-        beginnings = entries.stream().filter(entry -> entry.endsWith(ANY_END))
-                .map(entry -> entry.substring(0, entry.length() - ANY_END.length())).toList();
+        beginnings = entries.stream()
+                .filter(entry -> entry.endsWith(ANY_END))
+                .map(entry -> entry.substring(0, entry.length() - ANY_END.length()))
+                .toList();
     }
 
     /** Whether a node of this name may subscribe. */
--- a/fleet/src/main/java/brackenbridge/fleet/control/ReportExchange.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ReportExchange.java
@@ -25,11 +25,17 @@
     private static final Logger LOG = LoggerFactory.getLogger(ReportExchange.class);
     /** Longest report; bytes. */
     private static final int MAX_BYTES = 512 * 1024;
-    private static final ObjectMapper MAPPER = CBORMapper.builder(CBORFactory.builder().streamReadConstraints(
-            StreamReadConstraints.builder().maxNestingDepth(10).maxDocumentLength(MAX_BYTES).maxStringLength(1024)
-                    .build()).build())
+
+    private static final ObjectMapper MAPPER = CBORMapper.builder(CBORFactory.builder()
+                    .streamReadConstraints(StreamReadConstraints.builder()
+                            .maxNestingDepth(10)
+                            .maxDocumentLength(MAX_BYTES)
+                            .maxStringLength(1024)
+                            .build())
+                    .build())
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES).build();
+            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+            .build();
 
     /**
      * A report with its age.
@@ -37,11 +43,9 @@
      * @param report the report
      * @param ageMs how long ago it came, in milliseconds
      */
-    public record Dated(MachineReport report, double ageMs) {
-    }
+    public record Dated(MachineReport report, double ageMs) {}
 
-    private record Received(MachineReport report, double atMs) {
-    }
+    private record Received(MachineReport report, double atMs) {}
 
     private final Links links;
     private final Clock clock;
--- a/fleet/src/main/java/brackenbridge/fleet/control/Subscription.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/Subscription.java
@@ -76,7 +76,8 @@
     /** The node has taken or refused a version. One that was not sent, or that is older, changes nothing. */
     void acknowledged(Acknowledge acknowledge) {
         Progress progress = resources.get(acknowledge.name());
-        if (progress == null || acknowledge.version() > progress.received
+        if (progress == null
+                || acknowledge.version() > progress.received
                 || acknowledge.version() <= progress.applied) {
             return;
         }
@@ -112,6 +113,5 @@
      * @param newest the newest that the machine knows
      * @param reason why the node refused a version; empty if it did not
      */
-    record Lag(String name, long applied, long newest, String reason) {
-    }
+    record Lag(String name, long applied, long newest, String reason) {}
 }
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Driver.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Driver.java
@@ -38,9 +38,8 @@
      * @param failing the part of tries that fails
      * @param heardMs the age of it
      */
-    public record Seen(PoolName pool, int servers, double attempts, double utilisation, double failing,
-            double heardMs) {
-    }
+    public record Seen(
+            PoolName pool, int servers, double attempts, double utilisation, double failing, double heardMs) {}
 
     /**
      * What a rehearsal has shown of the load that moves to a pool.
@@ -49,8 +48,7 @@
      * @param factor what came as a multiple of what was foretold
      * @param weight what that is worth, 0 to 1
      */
-    public record Correction(PoolName pool, double factor, double weight) {
-    }
+    public record Correction(PoolName pool, double factor, double weight) {}
 
     /**
      * What is to be done.
@@ -72,6 +70,7 @@
     private static final double COMPARED_MS = 2500;
     /** A bound is passed once it was for so long: one second's figure is noise. */
     private static final double PASSED_MS = 1400;
+
     private static final double LEAST_LOAD = 1;
 
     private final String me;
@@ -111,7 +110,8 @@
         lastMs = nowMs;
         if (state.status() == Status.EVACUATED) {
             return state.plan().backAfterMs() > 0 && held >= state.plan().backAfterMs()
-                    ? next(state.to(Status.RETURNING, 0, token, me, "its time is over")) : Turn.STAY;
+                    ? next(state.to(Status.RETURNING, 0, token, me, "its time is over"))
+                    : Turn.STAY;
         }
         if (state.status() == Status.RETURNING) {
             return returning(state, token, held);
@@ -122,15 +122,18 @@
             return new Turn(state.to(Status.HALTED, state.step(), token, me, why), learnt);
         }
         if (state.status() == Status.REHEARSING) {
-            return held < state.plan().rehearsalMs() ? Turn.STAY
+            return held < state.plan().rehearsalMs()
+                    ? Turn.STAY
                     : new Turn(state.to(Status.PASSED, 0, token, me, "as foretold"), corrections(state, held));
         }
         List<Plan.Step> steps = state.plan().steps();
         if (held < steps.get(Math.min(state.step(), steps.size() - 1)).pauseMs()) {
             return Turn.STAY;
         }
-        return next(state.step() + 1 < steps.size() ? state.to(Status.EVACUATING, state.step() + 1, token, me, "")
-                : state.to(Status.EVACUATED, 0, token, me, ""));
+        return next(
+                state.step() + 1 < steps.size()
+                        ? state.to(Status.EVACUATING, state.step() + 1, token, me, "")
+                        : state.to(Status.EVACUATED, 0, token, me, ""));
     }
 
     private Turn returning(PlanState state, long token, double held) {
@@ -138,8 +141,10 @@
         if (state.step() < back.size() && held < back.get(state.step()).pauseMs()) {
             return Turn.STAY;
         }
-        return next(state.step() + 1 < back.size() ? state.to(Status.RETURNING, state.step() + 1, token, me, "")
-                : state.to(Status.CLOSED, 0, token, me, "all load is back"));
+        return next(
+                state.step() + 1 < back.size()
+                        ? state.to(Status.RETURNING, state.step() + 1, token, me, "")
+                        : state.to(Status.CLOSED, 0, token, me, "all load is back"));
     }
 
     private static Turn next(PlanState state) {
@@ -177,8 +182,9 @@
             Within expected = expected(state, f);
             double mean = sum.loadMs > 0 ? sum.load / sum.loadMs : 0;
             if (expected != null && sum.loadMs >= COMPARED_MS && off(expected, mean, f, s)) {
-                return text("%s has %.1f tries a second, foretold were %.1f (%.1f to %.1f)", f.pool(), mean,
-                        expected.expected(), expected.low(), expected.high());
+                return text(
+                        "%s has %.1f tries a second, foretold were %.1f (%.1f to %.1f)",
+                        f.pool(), mean, expected.expected(), expected.low(), expected.high());
             }
         }
         return null;
@@ -187,7 +193,8 @@
     private boolean off(Within expected, double mean, Foretold f, Seen s) {
         // More servers than were foretold take more of what moves; that is no fault while load is carried.
         boolean more = s.servers() > f.servers() && mean > expected.expected();
-        return !more && !expected.holds(mean)
+        return !more
+                && !expected.holds(mean)
                 && Math.abs(mean - expected.expected()) > limits.partOff() * Math.max(LEAST_LOAD, expected.expected());
     }
 
@@ -209,8 +216,8 @@
             }
             double came = sum.load / sum.loadMs - f.before();
             // Chance of arrivals while it was held, and that of the load it is compared with.
-            double noise = f.rehearsal().expected() / (sum.loadMs / 1000) + Math.pow(
-                    (f.rehearsal().high() - f.rehearsal().low()) / 2.56, 2);
+            double noise = f.rehearsal().expected() / (sum.loadMs / 1000)
+                    + Math.pow((f.rehearsal().high() - f.rehearsal().low()) / 2.56, 2);
             double weight = moved * moved / (moved * moved + noise);
             if (came > 0 && weight > 0.01) {
                 out.add(new Correction(f.pool(), came / moved, weight));
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/DriverTask.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/DriverTask.java
@@ -32,6 +32,7 @@
 public final class DriverTask {
     /** The role of the one who drives. */
     public static final String ROLE = "evacuation";
+
     private static final Logger LOG = LoggerFactory.getLogger(DriverTask.class);
 
     /**
@@ -68,8 +69,14 @@
      * @param learns takes what rehearsals have shown
      * @param local takes the orders for this member's own node
      */
-    public DriverTask(Agreed agreed, Links links, Driver driver, Times times, Supplier<List<Seen>> seen,
-            Consumer<Correction> learns, Consumer<Order> local) {
+    public DriverTask(
+            Agreed agreed,
+            Links links,
+            Driver driver,
+            Times times,
+            Supplier<List<Seen>> seen,
+            Consumer<Correction> learns,
+            Consumer<Order> local) {
         this.agreed = agreed;
         this.links = links;
         this.driver = driver;
@@ -86,14 +93,18 @@
             return;
         }
         PlanState one = read(acting.get().one());
-        PlanState other = acting.get().other() == null ? null : read(acting.get().other());
+        PlanState other =
+                acting.get().other() == null ? null : read(acting.get().other());
         if (one == null || acting.get().other() != null && other == null) {
             return;
         }
-        boolean wanted = one.status().driven() || other != null && other.status().driven();
+        boolean wanted =
+                one.status().driven() || other != null && other.status().driven();
         if (!wanted) {
             // Orders of a plan that is over end by themselves; the last one says that all is as usual.
-            if (token > 0 && agreed.holds(ROLE) && orderedEpoch != acting.get().one().generation()) {
+            if (token > 0
+                    && agreed.holds(ROLE)
+                    && orderedEpoch != acting.get().one().generation()) {
                 order(nowMs, one.parts(), acting.get().one().generation());
             }
             return;
@@ -107,9 +118,16 @@
             Turn turn = driver.turn(nowMs, one, epoch, token, seen.get());
             turn.corrections().forEach(learns);
             if (turn.next() != null) {
-                LOG.atInfo().addKeyValue("plan", one.plan().name()).addKeyValue("step", turn.next().step())
-                        .log("evacuation becomes {}: {}", PlanState.name(turn.next().status()),
-                                turn.next().history().get(turn.next().history().size() - 1).why());
+                LOG.atInfo()
+                        .addKeyValue("plan", one.plan().name())
+                        .addKeyValue("step", turn.next().step())
+                        .log(
+                                "evacuation becomes {}: {}",
+                                PlanState.name(turn.next().status()),
+                                turn.next()
+                                        .history()
+                                        .get(turn.next().history().size() - 1)
+                                        .why());
                 proposed = agreed.propose(Agreed.EVACUATION, epoch, turn.next().bytes(), times.withinMs());
             }
         }
@@ -159,8 +177,9 @@
         try {
             return PlanState.read(v.content());
         } catch (IOException e) {
-            LOG.atWarn().addKeyValue("generation", v.generation()).log("the agreed plan can't be read: {}",
-                    e.getMessage());
+            LOG.atWarn()
+                    .addKeyValue("generation", v.generation())
+                    .log("the agreed plan can't be read: {}", e.getMessage());
             return null;
         }
     }
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Fluid.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Fluid.java
@@ -23,6 +23,7 @@
     private static final double STEP_S = STEP_MS / 1000;
     /** Before the plan: long enough that what lies in the pools is what their load puts there. */
     private static final double BEFORE_MS = 10_000;
+
     private static final int GRID = 400;
     private static final double TOP = 0.9975;
     /** Noise holds for so many steps. */
@@ -31,6 +32,7 @@
     private static final int LATE_STEPS = 4;
     /** How fast the part that fails makes clients and nodes try again. */
     private static final double REACTION = 0.1;
+
     private static final double SLOW_AFTER_MS = 2000;
     private static final double RESTED_AFTER_MS = 3500;
 
@@ -95,6 +97,7 @@
     private final double[] endsMs;
     /** By tier: its pools. */
     private final List<int[]> tiers = new ArrayList<>();
+
     private final int[] zoneOf;
     /** Part of the zone's load of its tier that a pool takes. */
     private final double[] split;
@@ -102,6 +105,7 @@
     private final double[][][] usual;
     /** By flow: origin and whether it is of the first tier. */
     private final int[] originOf;
+
     private final int[] poolOf;
     private final double[][] rhoAt;
     private final double[][] plainAt;
@@ -137,7 +141,9 @@
             }
             tiers.add(of.stream().mapToInt(Integer::intValue).toArray());
         }
-        originOf = picture.flows().stream().mapToInt(f -> zones.indexOf(f.origin())).toArray();
+        originOf = picture.flows().stream()
+                .mapToInt(f -> zones.indexOf(f.origin()))
+                .toArray();
         poolOf = picture.flows().stream().mapToInt(f -> indexOf(f.to())).toArray();
         split = new double[pools.size()];
         usual = new double[tiers.size()][zones.size()][zones.size()];
@@ -186,8 +192,10 @@
 
     private void usual(int t) {
         for (int f = 0; f < poolOf.length; f++) {
-            if (poolOf[f] >= 0 && pools.get(poolOf[f]).name().tier().equals(terms.tiers().get(t))) {
-                usual[t][originOf[f]][zoneOf[poolOf[f]]] += picture.flows().get(f).rate();
+            if (poolOf[f] >= 0
+                    && pools.get(poolOf[f]).name().tier().equals(terms.tiers().get(t))) {
+                usual[t][originOf[f]][zoneOf[poolOf[f]]] +=
+                        picture.flows().get(f).rate();
             }
         }
         for (int o = 0; o < zones.size(); o++) {
@@ -286,7 +294,8 @@
         }
         double[] first = new double[zones.size()];
         for (int f = 0; f < poolOf.length; f++) {
-            if (poolOf[f] >= 0 && pools.get(poolOf[f]).name().tier().equals(terms.tiers().get(0))) {
+            if (poolOf[f] >= 0
+                    && pools.get(poolOf[f]).name().tier().equals(terms.tiers().get(0))) {
                 first[originOf[f]] += picture.flows().get(f).rate() * draw.flow[f];
             }
         }
@@ -308,8 +317,7 @@
                     scale[i] = servers / Math.max(1, p.servers());
                     if (draw.noise != null && k % NOISE_STEPS == 0) {
                         double calls = Math.max(0.1, inflow[i] * STEP_S * NOISE_STEPS);
-                        noise[i] = Math.max(0, 1 + draw.noise.nextGaussian()
-                                * Math.sqrt(chance[i] / calls));
+                        noise[i] = Math.max(0, 1 + draw.noise.nextGaussian() * Math.sqrt(chance[i] / calls));
                     }
                     double again = again(i, t, failing[i], refusing[i]);
                     double attempts = inflow[i] * again * noise[i];
@@ -340,7 +348,13 @@
                         late[i] = late(p, queueMs, ownMs, callMs);
                     }
                     leave(i, p, attempts, waiting, working, calling);
-                    slow(i, p, at, (waiting[i] + working[i] + calling[i]) / Math.max(1, servers), slow, slowSince,
+                    slow(
+                            i,
+                            p,
+                            at,
+                            (waiting[i] + working[i] + calling[i]) / Math.max(1, servers),
+                            slow,
+                            slowSince,
                             restSince);
                     next[zoneOf[i]] += workRate * rateCalls;
                     double fails = refused + late[i] * (in - refused);
@@ -360,7 +374,9 @@
                     double slotShare = (working[i] + calling[i]) / Math.max(1, slotsAll);
                     double connectionShare = (waiting[i] + working[i] + calling[i]) / limit;
                     if (at >= 0) {
-                        if (Double.isNaN(out.saturatesMs[i]) && k >= window && cameSum[i] > 1e-6
+                        if (Double.isNaN(out.saturatesMs[i])
+                                && k >= window
+                                && cameSum[i] > 1e-6
                                 && failedSum[i] / cameSum[i] >= terms.failing()) {
                             out.saturatesMs[i] = at;
                             out.resource[i] = largest(causes[i]);
@@ -375,7 +391,8 @@
                             out.responseMs[step][i] += (response[i] - out.responseMs[step][i]) / (c + 1);
                             out.failing[step][i] += (part - out.failing[step][i]) / (c + 1);
                             out.utilisation[step][i] += (Math.min(1, attempts / Math.max(1e-9, speed))
-                                    - out.utilisation[step][i]) / (c + 1);
+                                            - out.utilisation[step][i])
+                                    / (c + 1);
                         }
                     }
                 }
@@ -427,7 +444,8 @@
         double servers = p.servers();
         for (Plan.Comes c : plan.comes()) {
             if (c.pool().equals(p.name()) && at >= c.afterMs()) {
-                double warm = p.coldMs() <= 0 ? 1
+                double warm = p.coldMs() <= 0
+                        ? 1
                         : Math.min(1, p.coldFrom() + (1 - p.coldFrom()) * (at - c.afterMs()) / p.coldMs());
                 servers += c.servers() * warm;
             }
@@ -511,7 +529,8 @@
 
     /** Nobody stays longer than the longest deadline. */
     private void leave(int i, Pool p, double attempts, double[] waiting, double[] working, double[] calling) {
-        double most = p.mix().keySet().stream().mapToDouble(terms::deadlineMs).max().orElse(10_000) / 1000;
+        double most =
+                p.mix().keySet().stream().mapToDouble(terms::deadlineMs).max().orElse(10_000) / 1000;
         double over = waiting[i] + working[i] + calling[i] - Math.max(1, attempts * most);
         if (over > 0) {
             double gone = Math.min(over, waiting[i]);
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Forecast.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Forecast.java
@@ -30,10 +30,12 @@
     static final int COURSES = 80;
     /** A pool saturates if it does in so many of the courses; it is tight if it does in so many. */
     private static final double LIKELY = 0.5;
+
     private static final double POSSIBLE = 0.1;
     private static final double TIGHT_SHARE = 0.9;
     /** The interval's ends, in percent: it holds in eight cases of ten. */
     private static final double LOW = 10;
+
     private static final double HIGH = 90;
     private static final double HALF = 50;
     private static final double SERVED = 0.995;
@@ -88,10 +90,17 @@
      * @param amplification tries for a first try
      * @param refusedTenants tenants that shares would not give all that they want, with the part that is refused
      */
-    public record StepForecast(int step, Within load, double utilisation, double slots, double connections,
-            double waitMs, double responseMs, double late, double amplification,
-            Map<String, Double> refusedTenants) {
-    }
+    public record StepForecast(
+            int step,
+            Within load,
+            double utilisation,
+            double slots,
+            double connections,
+            double waitMs,
+            double responseMs,
+            double late,
+            double amplification,
+            Map<String, Double> refusedTenants) {}
 
     /**
      * A pool.
@@ -107,9 +116,16 @@
      * @param steps step by step
      */
     @JsonInclude(JsonInclude.Include.NON_NULL)
-    public record PoolForecast(PoolName pool, Verdict verdict, String why, double part, Within atMs, int step,
-            Resource resource, PoolName next, List<StepForecast> steps) {
-    }
+    public record PoolForecast(
+            PoolName pool,
+            Verdict verdict,
+            String why,
+            double part,
+            Within atMs,
+            int step,
+            Resource resource,
+            PoolName next,
+            List<StepForecast> steps) {}
 
     /** Forecasts a plan that has no faults; the same seed gives the same forecast. */
     public static Forecast of(Picture picture, Plan plan, Shares shares, long seed) {
@@ -129,7 +145,8 @@
     static Forecast of(Picture picture, Plan plan, double[] moved, Shares shares, long seed, int courses) {
         Fluid fluid = new Fluid(picture, plan, moved);
         RandomGenerator random = new Well19937c(seed);
-        Course central = fluid.run(new Draw(picture.pools().size(), picture.flows().size(), null));
+        Course central =
+                fluid.run(new Draw(picture.pools().size(), picture.flows().size(), null));
         List<Course> drawn = new ArrayList<>();
         for (int i = 0; i < courses; i++) {
             drawn.add(fluid.run(draw(picture, random)));
@@ -172,8 +189,15 @@
         return Math.exp(sigma * z - sigma * sigma / 2);
     }
 
-    private static PoolForecast pool(Picture picture, Plan plan, double[] moved, Fluid fluid, Shares shares, int i,
-            Course central, List<Course> drawn) {
+    private static PoolForecast pool(
+            Picture picture,
+            Plan plan,
+            double[] moved,
+            Fluid fluid,
+            Shares shares,
+            int i,
+            Course central,
+            List<Course> drawn) {
         Pool p = picture.pools().get(i);
         String why = why(picture, plan, p);
         int fell = 0;
@@ -200,28 +224,34 @@
             fullest = Math.max(fullest, Math.max(f.utilisation(), Math.max(f.slots(), f.connections())));
             steps.add(f);
         }
-        Verdict verdict = why != null ? Verdict.UNKNOWN : part >= LIKELY ? Verdict.SATURATES
-                : part >= POSSIBLE || fullest >= TIGHT_SHARE ? Verdict.TIGHT : Verdict.HOLDS;
+        Verdict verdict = why != null
+                ? Verdict.UNKNOWN
+                : part >= LIKELY
+                        ? Verdict.SATURATES
+                        : part >= POSSIBLE || fullest >= TIGHT_SHARE ? Verdict.TIGHT : Verdict.HOLDS;
         PoolName next = null;
         for (Map.Entry<Integer, Integer> e : nexts.entrySet()) {
             if (e.getValue() * 2 >= fell) {
                 next = picture.pools().get(e.getKey()).name();
             }
         }
-        Resource first = resources.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey)
+        Resource first = resources.entrySet().stream()
+                .max(Map.Entry.comparingByValue())
+                .map(Map.Entry::getKey)
                 .orElse(null);
         if (why != null) {
             return new PoolForecast(p.name(), verdict, why, 0, null, -1, null, null, List.of());
         }
-        return new PoolForecast(p.name(), verdict, null, part, at, at == null ? -1 : fluid.stepAt(at.expected()),
-                first, next, steps);
+        return new PoolForecast(
+                p.name(), verdict, null, part, at, at == null ? -1 : fluid.stepAt(at.expected()), first, next, steps);
     }
 
     /** The pool that saturates next after this one in a course; -1 if none does. */
     private static int next(Course c, int i) {
         int next = -1;
         for (int j = 0; j < c.saturatesMs.length; j++) {
-            if (j != i && c.saturatesMs[j] >= c.saturatesMs[i]
+            if (j != i
+                    && c.saturatesMs[j] >= c.saturatesMs[i]
                     && (next < 0 || c.saturatesMs[j] < c.saturatesMs[next])) {
                 next = j;
             }
@@ -245,7 +275,8 @@
         }
         // What flows from an unknown pool of a tier before it comes here, and nobody knows how much.
         for (Pool q : picture.pools()) {
-            if (q.unknown() != null && !q.name().zone().equals(plan.zone())
+            if (q.unknown() != null
+                    && !q.name().zone().equals(plan.zone())
                     && q.name().zone().equals(p.name().zone())
                     && picture.terms().tiers().indexOf(q.name().tier())
                             < picture.terms().tiers().indexOf(p.name().tier())) {
@@ -262,8 +293,8 @@
         return new Within(p.evaluate(HALF), p.evaluate(LOW), p.evaluate(HIGH));
     }
 
-    private static StepForecast step(Picture picture, Pool p, Shares shares, int s, int i, Course central,
-            List<Course> drawn) {
+    private static StepForecast step(
+            Picture picture, Pool p, Shares shares, int s, int i, Course central, List<Course> drawn) {
         List<Double> loads = new ArrayList<>();
         for (Course c : drawn) {
             loads.add(c.load[s][i]);
@@ -272,13 +303,24 @@
         Within within = loads.isEmpty() ? new Within(load, load, load) : within(loads);
         int c = Math.max(1, (int) Math.round(p.parallel()));
         double workS = c / Math.max(1e-9, p.capacity());
-        double shortest = p.mix().keySet().stream().mapToDouble(picture.terms()::deadlineMs).min().orElse(10_000);
+        double shortest = p.mix().keySet().stream()
+                .mapToDouble(picture.terms()::deadlineMs)
+                .min()
+                .orElse(10_000);
         double wait = Queues.allenCunneen(c, load, workS, 1, p.variation());
         double late = Queues.waitsLonger(c, load, workS, p.variation(), Math.max(0, shortest - p.workMs()) / 1000);
         double first = central.firstTries[s][i];
-        return new StepForecast(s, within, central.utilisation[s][i], central.slots[s][i],
-                central.connections[s][i], Double.isFinite(wait) ? wait * 1000 : -1, central.responseMs[s][i], late,
-                first > 0 ? load / first : 1, refused(picture, p, shares, load));
+        return new StepForecast(
+                s,
+                within,
+                central.utilisation[s][i],
+                central.slots[s][i],
+                central.connections[s][i],
+                Double.isFinite(wait) ? wait * 1000 : -1,
+                central.responseMs[s][i],
+                late,
+                first > 0 ? load / first : 1,
+                refused(picture, p, shares, load));
     }
 
     private static Map<String, Double> refused(Picture picture, Pool p, Shares shares, double load) {
@@ -291,8 +333,8 @@
         }
         Map<String, Double> out = new TreeMap<>();
         if (!wanted.isEmpty()) {
-            Map<String, Double> granted = shares.granted(p.name(),
-                    p.servers() * Math.min(p.slots(), p.connections()), wanted);
+            Map<String, Double> granted =
+                    shares.granted(p.name(), p.servers() * Math.min(p.slots(), p.connections()), wanted);
             wanted.forEach((t, w) -> {
                 double gets = granted.getOrDefault(t, 0.0);
                 if (w > 0 && gets < w * SERVED) {
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Model.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Model.java
@@ -23,17 +23,20 @@
 public final class Model {
     /** Nodes, pools and classes together that are kept: what comes from peers must not fill the memory. */
     private static final int MOST = 200_000;
+
     private static final double FORGOTTEN_MS = 600_000;
     /** Capacity and calls change more slowly than load. */
     private static final double SLOWER = 4;
     /** Less than this says nothing of what a server can do. */
     private static final double LEAST_UTILISATION = 0.02;
+
     private static final double LEAST_ATTEMPTS = 0.5;
     private static final double ENOUGH = 3;
     /** A capacity known worse than this is not known. */
     private static final double WORST_SPREAD = 0.35;
     /** How far moved load may go otherwise than by slots, as long as no rehearsal has shown how it goes. */
     private static final double UNREHEARSED = 0.06;
+
     private static final double REHEARSED = 0.02;
     private static final double MOST_CORRECTION = 3;
 
@@ -48,18 +51,20 @@
      * @param seen its content
      * @param heardMs how long ago its owner was last known to hold it so
      */
-    public record Observation(String node, String zone, PoolName pool, String className, Version version,
-            PoolSeen seen, double heardMs) {
-    }
+    public record Observation(
+            String node,
+            String zone,
+            PoolName pool,
+            String className,
+            Version version,
+            PoolSeen seen,
+            double heardMs) {}
 
-    private record Key(String node, PoolName pool, String className) {
-    }
+    private record Key(String node, PoolName pool, String className) {}
 
-    private record Origin(String zone, PoolName pool) {
-    }
+    private record Origin(String zone, PoolName pool) {}
 
-    private record Caller(String tier, String zone) {
-    }
+    private record Caller(String tier, String zone) {}
 
     private static final class Kept {
         String zone;
@@ -160,11 +165,27 @@
 
     /** Guards against figures that a faulty node sends: they must not spoil what others see. */
     private static boolean sane(PoolSeen s) {
-        return s != null && fine(s.arrivals()) && fine(s.attempts()) && fine(s.refused()) && s.servers() >= 0
-                && s.servers() <= 1_000_000 && fine(s.slots()) && fine(s.busy()) && fine(s.serviceMs())
-                && fine(s.latencyMs()) && fine(s.squaredVariation()) && s.failed() >= 0 && s.failed() <= 1
-                && s.utilisation() <= 1.01 && fine(s.connections()) && s.coldFrom() > 0 && s.coldFrom() <= 1
-                && fine(s.coldMs()) && s.slowPart() > 0 && s.slowPart() <= 1 && fine(s.slowAt());
+        return s != null
+                && fine(s.arrivals())
+                && fine(s.attempts())
+                && fine(s.refused())
+                && s.servers() >= 0
+                && s.servers() <= 1_000_000
+                && fine(s.slots())
+                && fine(s.busy())
+                && fine(s.serviceMs())
+                && fine(s.latencyMs())
+                && fine(s.squaredVariation())
+                && s.failed() >= 0
+                && s.failed() <= 1
+                && s.utilisation() <= 1.01
+                && fine(s.connections())
+                && s.coldFrom() > 0
+                && s.coldFrom() <= 1
+                && fine(s.coldMs())
+                && s.slowPart() > 0
+                && s.slowPart() <= 1
+                && fine(s.slowAt());
     }
 
     private static boolean fine(double v) {
@@ -213,7 +234,8 @@
             from.merge(new Origin(k.zone, e.getKey().pool()), s.arrivals(), Double::sum);
         }
         sums.forEach((name, sum) -> learn(nowMs, pools.computeIfAbsent(name, n -> new Learning()), sum));
-        from.forEach((o, rate) -> origins.computeIfAbsent(o, n -> new Learnt(terms.halfLifeMs())).take(nowMs, rate));
+        from.forEach((o, rate) ->
+                origins.computeIfAbsent(o, n -> new Learnt(terms.halfLifeMs())).take(nowMs, rate));
         calls(nowMs, sums, from);
         if (!terms.tiers().isEmpty()) {
             Map<String, Double> first = new HashMap<>();
@@ -240,8 +262,9 @@
             l.serviceMs.take(nowMs, sum.service / sum.serviced);
             l.variation.take(nowMs, sum.variation / sum.serviced);
         }
-        sum.classes.forEach((c, rate) ->
-                l.classes.computeIfAbsent(c, k -> new Learnt(terms.halfLifeMs() * SLOWER)).take(nowMs, rate));
+        sum.classes.forEach((c, rate) -> l.classes
+                .computeIfAbsent(c, k -> new Learnt(terms.halfLifeMs() * SLOWER))
+                .take(nowMs, rate));
     }
 
     private void calls(double nowMs, Map<PoolName, Sum> sums, Map<Origin, Double> from) {
@@ -302,7 +325,10 @@
             double factor = startDayMs < 0 ? 1 : swing.factor(o.zone(), dayMs, startDayMs);
             double wait = startDayMs < 0 ? 0 : swing.spread(o.zone(), dayMs, startDayMs);
             double spread = l.spread(nowMs);
-            flows.add(new Flow(o.zone(), o.pool(), l.mean() * factor,
+            flows.add(new Flow(
+                    o.zone(),
+                    o.pool(),
+                    l.mean() * factor,
                     Math.sqrt(spread * spread + terms.drift() * terms.drift() + wait * wait)));
         });
         List<Missing> missing = new ArrayList<>();
@@ -311,8 +337,10 @@
             if (at == null) {
                 missing.add(new Missing(node, zone, node + " was never heard"));
             } else if (nowMs - at > terms.freshMs()) {
-                missing.add(new Missing(node, zone, String.format(Locale.ROOT, "%s was last heard %.0f s ago", node,
-                        (nowMs - at) / 1000)));
+                missing.add(new Missing(
+                        node,
+                        zone,
+                        String.format(Locale.ROOT, "%s was last heard %.0f s ago", node, (nowMs - at) / 1000)));
             }
         });
         return new Picture(terms, out, flows, missing, wants);
@@ -338,10 +366,27 @@
         double parallel = Math.max(l.servers, capacity * work / 1000);
         PoolSeen s = l.last;
         double variation = l.variation.known() ? l.variation.mean() : 1;
-        return new Pool(name, l.servers, s.slots(), s.connections() > 0 ? s.connections() : s.slots(), capacity,
-                Math.sqrt(spread * spread + terms.drift() * terms.drift()), work, variation, parallel, calls,
-                callsSpread, mix, s.coldFrom(), s.coldMs(), s.slowPart(), s.slowAt(), l.correction,
-                l.correctionSpread, l.now.mean(), unknown);
+        return new Pool(
+                name,
+                l.servers,
+                s.slots(),
+                s.connections() > 0 ? s.connections() : s.slots(),
+                capacity,
+                Math.sqrt(spread * spread + terms.drift() * terms.drift()),
+                work,
+                variation,
+                parallel,
+                calls,
+                callsSpread,
+                mix,
+                s.coldFrom(),
+                s.coldMs(),
+                s.slowPart(),
+                s.slowAt(),
+                l.correction,
+                l.correctionSpread,
+                l.now.mean(),
+                unknown);
     }
 
     private double nextServiceMs(PoolName name) {
@@ -379,7 +424,8 @@
         if (l.last.slots() <= 0) {
             return "its slots are not known";
         }
-        return spread > WORST_SPREAD ? String.format(Locale.ROOT, "its capacity is known to %.0f%% only", 100 * spread)
+        return spread > WORST_SPREAD
+                ? String.format(Locale.ROOT, "its capacity is known to %.0f%% only", 100 * spread)
                 : null;
     }
 
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Order.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Order.java
@@ -40,7 +40,8 @@
      */
     public static Order read(byte[] bytes) throws IOException {
         Order o = bytes.length > MOST_BYTES ? null : JSON.readValue(bytes, Order.class);
-        if (o == null || !(o.forMs() > 0 && o.forMs() <= LONGEST_MS)
+        if (o == null
+                || !(o.forMs() > 0 && o.forMs() <= LONGEST_MS)
                 || o.parts().values().stream().anyMatch(p -> !(p >= 0 && p <= 1))) {
             throw new IOException("not an order");
         }
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Picture.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Picture.java
@@ -38,10 +38,27 @@
      * @param attempts tries a second of late
      * @param unknown why nothing can be said of it; null if something can
      */
-    public record Pool(PoolName name, int servers, double slots, double connections, double capacity,
-            double capacitySpread, double workMs, double variation, double parallel, double calls, double callsSpread,
-            Map<String, Double> mix, double coldFrom, double coldMs, double slowPart, double slowAt,
-            double correction, double correctionSpread, double attempts, String unknown) {
+    public record Pool(
+            PoolName name,
+            int servers,
+            double slots,
+            double connections,
+            double capacity,
+            double capacitySpread,
+            double workMs,
+            double variation,
+            double parallel,
+            double calls,
+            double callsSpread,
+            Map<String, Double> mix,
+            double coldFrom,
+            double coldMs,
+            double slowPart,
+            double slowAt,
+            double correction,
+            double correctionSpread,
+            double attempts,
+            String unknown) {
         /** What one server can do, tries a second. */
         double capacityEach() {
             return capacity / Math.max(1, servers);
@@ -50,9 +67,27 @@
         /** The same pool with so many servers of the same sort more. */
         Pool with(int more) {
             double grown = (servers + more) / (double) Math.max(1, servers);
-            return new Pool(name, servers + more, slots, connections, capacity * grown, capacitySpread, workMs,
-                    variation, parallel * grown, calls, callsSpread, mix, coldFrom, coldMs, slowPart, slowAt,
-                    correction, correctionSpread, attempts, unknown);
+            return new Pool(
+                    name,
+                    servers + more,
+                    slots,
+                    connections,
+                    capacity * grown,
+                    capacitySpread,
+                    workMs,
+                    variation,
+                    parallel * grown,
+                    calls,
+                    callsSpread,
+                    mix,
+                    coldFrom,
+                    coldMs,
+                    slowPart,
+                    slowAt,
+                    correction,
+                    correctionSpread,
+                    attempts,
+                    unknown);
         }
     }
 
@@ -64,8 +99,7 @@
      * @param rate first tries a second
      * @param spread its spread
      */
-    public record Flow(String origin, PoolName to, double rate, double spread) {
-    }
+    public record Flow(String origin, PoolName to, double rate, double spread) {}
 
     /**
      * A node that is not heard.
@@ -74,8 +108,7 @@
      * @param zone its zone
      * @param why the reason
      */
-    public record Missing(String node, String zone, String why) {
-    }
+    public record Missing(String node, String zone, String why) {}
 
     /**
      * What a tenant wants of a pool.
@@ -84,8 +117,7 @@
      * @param tenant the tenant
      * @param wanted connections that it would use now
      */
-    public record Want(PoolName pool, String tenant, double wanted) {
-    }
+    public record Want(PoolName pool, String tenant, double wanted) {}
 
     /** Keeps its own copies. */
     public Picture {
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Plan.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Plan.java
@@ -21,10 +21,19 @@
  * @param comes servers that come to pools meanwhile
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
-public record Plan(String name, String zone, double startDayMs, List<Step> steps, double rehearsalPart,
-        double rehearsalMs, List<Step> back, double backAfterMs, List<Comes> comes) {
+public record Plan(
+        String name,
+        String zone,
+        double startDayMs,
+        List<Step> steps,
+        double rehearsalPart,
+        double rehearsalMs,
+        List<Step> back,
+        double backAfterMs,
+        List<Comes> comes) {
     /** Steps and pools that a plan may name: it travels in an agreed record. */
     public static final int MOST = 64;
+
     private static final double LONGEST_MS = 24 * 3_600_000.0;
     private static final double ROUNDING = 1e-6;
 
@@ -34,8 +43,7 @@
      * @param part the part of the zone's usual load that it moves
      * @param pauseMs how long it is held before the next
      */
-    public record Step(double part, double pauseMs) {
-    }
+    public record Step(double part, double pauseMs) {}
 
     /**
      * Servers that come.
@@ -44,8 +52,7 @@
      * @param servers how many, of the pool's sort, cold
      * @param afterMs after the first step's begin
      */
-    public record Comes(PoolName pool, int servers, double afterMs) {
-    }
+    public record Comes(PoolName pool, int servers, double afterMs) {}
 
     /** Keeps its own copies; what is absent is empty. */
     public Plan {
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/PlanState.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/PlanState.java
@@ -26,15 +26,27 @@
  * @param token of whoever wrote it last as its driver; 0 if staff did
  * @param history what became of it, the latest last; bounded
  */
-public record PlanState(Plan plan, Status status, int step, List<Foretold> foretold, Verdict verdict,
-        boolean override, long token, List<Entry> history) {
+public record PlanState(
+        Plan plan,
+        Status status,
+        int step,
+        List<Foretold> foretold,
+        Verdict verdict,
+        boolean override,
+        long token,
+        List<Entry> history) {
     /** Pools whose figures an agreed record carries. */
     public static final int MOST_POOLS = 128;
+
     private static final int MOST_HISTORY = 100;
     private static final int MOST_BYTES = 4 << 20;
     private static final ObjectMapper JSON = new ObjectMapper(JsonFactory.builder()
-            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(20).maxStringLength(10_000)
-                    .maxDocumentLength(MOST_BYTES).build()).build())
+                    .streamReadConstraints(StreamReadConstraints.builder()
+                            .maxNestingDepth(20)
+                            .maxStringLength(10_000)
+                            .maxDocumentLength(MOST_BYTES)
+                            .build())
+                    .build())
             .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true);
 
     /**
@@ -46,8 +58,7 @@
      * @param rehearsal tries a second while the rehearsal holds
      * @param steps tries a second while each step holds
      */
-    public record Foretold(PoolName pool, int servers, double before, Within rehearsal, List<Within> steps) {
-    }
+    public record Foretold(PoolName pool, int servers, double before, Within rehearsal, List<Within> steps) {}
 
     /**
      * What has happened.
@@ -57,20 +68,20 @@
      * @param by who did it
      * @param why the reason
      */
-    public record Entry(Status status, int step, String by, String why) {
-    }
+    public record Entry(Status status, int step, String by, String why) {}
 
     /** Keeps its own copies, and the latest of its history. */
     public PlanState {
         foretold = foretold == null ? List.of() : List.copyOf(foretold);
-        history = history == null ? List.of()
+        history = history == null
+                ? List.of()
                 : List.copyOf(history.subList(Math.max(0, history.size() - MOST_HISTORY), history.size()));
     }
 
     /** A new plan. */
     public static PlanState drafted(Plan plan, String by) {
-        return new PlanState(plan, Status.DRAFTED, 0, List.of(), null, false, 0,
-                List.of(new Entry(Status.DRAFTED, 0, by, "")));
+        return new PlanState(
+                plan, Status.DRAFTED, 0, List.of(), null, false, 0, List.of(new Entry(Status.DRAFTED, 0, by, "")));
     }
 
     /**
@@ -80,8 +91,8 @@
      */
     public PlanState to(Status next, int nextStep, long byToken, String by, String why) {
         if (!status.next().contains(next)) {
-            throw new IllegalStateException(plan.name() + " is " + name(status) + "; it can't be " + name(next)
-                    + " next");
+            throw new IllegalStateException(
+                    plan.name() + " is " + name(status) + "; it can't be " + name(next) + " next");
         }
         if (next == Status.EVACUATING && status == Status.FORECAST && !override) {
             throw new IllegalStateException(plan.name() + " has not passed a rehearsal; staff may override that");
@@ -141,8 +152,13 @@
      */
     public static PlanState read(byte[] bytes) throws IOException {
         PlanState s = bytes.length > MOST_BYTES ? null : JSON.readValue(bytes, PlanState.class);
-        if (s == null || s.plan() == null || s.status() == null || s.plan().zone() == null || s.step() < 0
-                || s.step() > Plan.MOST || s.plan().steps().size() > Plan.MOST
+        if (s == null
+                || s.plan() == null
+                || s.status() == null
+                || s.plan().zone() == null
+                || s.step() < 0
+                || s.step() > Plan.MOST
+                || s.plan().steps().size() > Plan.MOST
                 || s.foretold().size() > MOST_POOLS) {
             throw new IOException("not a plan's record");
         }
@@ -155,8 +171,15 @@
         for (Forecast.PoolForecast p : all.pools()) {
             Forecast.PoolForecast r = rehearsal.of(p.pool());
             Picture.Pool now = picture.pool(p.pool());
-            if (out.size() < MOST_POOLS && now != null && r != null && !r.steps().isEmpty()) {
-                out.add(new Foretold(p.pool(), now.servers(), now.attempts(), r.steps().get(0).load(),
+            if (out.size() < MOST_POOLS
+                    && now != null
+                    && r != null
+                    && !r.steps().isEmpty()) {
+                out.add(new Foretold(
+                        p.pool(),
+                        now.servers(),
+                        now.attempts(),
+                        r.steps().get(0).load(),
                         p.steps().stream().map(Forecast.StepForecast::load).toList()));
             }
         }
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/PoolName.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/PoolName.java
@@ -12,8 +12,8 @@
  * @param kind what tells its servers from others of the tier and zone
  */
 public record PoolName(String tier, String zone, String kind) implements Comparable<PoolName> {
-    private static final Comparator<PoolName> ORDER = Comparator.comparing(PoolName::tier)
-            .thenComparing(PoolName::zone).thenComparing(PoolName::kind);
+    private static final Comparator<PoolName> ORDER =
+            Comparator.comparing(PoolName::tier).thenComparing(PoolName::zone).thenComparing(PoolName::kind);
 
     /**
      * Reads a name.
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/PoolSeen.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/PoolSeen.java
@@ -23,7 +23,21 @@
  * @param slowPart the part of its speed that was left to a server after a backlog; 1 if none was ever seen
  * @param slowAt calls at a server from which on that was so; 0 if none was ever seen
  */
-public record PoolSeen(double arrivals, double attempts, double refused, int servers, double slots, double busy,
-        double serviceMs, double latencyMs, double squaredVariation, double failed, double overMs, double utilisation,
-        double connections, double coldFrom, double coldMs, double slowPart, double slowAt) {
-}
+public record PoolSeen(
+        double arrivals,
+        double attempts,
+        double refused,
+        int servers,
+        double slots,
+        double busy,
+        double serviceMs,
+        double latencyMs,
+        double squaredVariation,
+        double failed,
+        double overMs,
+        double utilisation,
+        double connections,
+        double coldFrom,
+        double coldMs,
+        double slowPart,
+        double slowAt) {}
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Proposer.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Proposer.java
@@ -13,6 +13,7 @@
     private static final int COURSES = 40;
     /** A step order is taken only if no pool saturates in more of the courses. */
     private static final double MOST_PART = 0.1;
+
     private static final int[] STEPS = {1, 2, 3, 4, 6, 8, 12, 16};
     private static final double[] FIRST = {0.9, 0.8, 0.7, 0.6, 0.5, 0.4, 0.3, 0.2, 0.1};
     private static final int ROUNDS = 60;
@@ -26,11 +27,9 @@
      * @param missing servers by pool with which one step would do; empty if there is a plan or nothing can be said
      * @param why why there is none; null if there is
      */
-    public record Proposal(Plan plan, Forecast forecast, Map<PoolName, Integer> missing, String why) {
-    }
+    public record Proposal(Plan plan, Forecast forecast, Map<PoolName, Integer> missing, String why) {}
 
-    private Proposer() {
-    }
+    private Proposer() {}
 
     /**
      * Looks for a plan.
@@ -56,8 +55,13 @@
             return new Proposal(later, forecast(picture, later, shares, seed), Map.of(), null);
         }
         Map<PoolName, Integer> missing = missing(picture, wanted.with(even(1, 1, pauseMs)), shares, seed);
-        return new Proposal(null, atOnce, missing, missing.isEmpty() ? "no number of servers was found that would do"
-                : "no order of steps does it without more servers");
+        return new Proposal(
+                null,
+                atOnce,
+                missing,
+                missing.isEmpty()
+                        ? "no number of servers was found that would do"
+                        : "no order of steps does it without more servers");
     }
 
     private static Forecast forecast(Picture picture, Plan p, Shares shares, long seed) {
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Queues.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Queues.java
@@ -9,8 +9,7 @@
  * Approximations for the GI/G/m queue, 1993, compares them.
  */
 final class Queues {
-    private Queues() {
-    }
+    private Queues() {}
 
     /** The part of arrivals that must wait in M/M/c with this offered load (arrivals times mean work). */
     static double erlangC(int c, double offered) {
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Swing.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Swing.java
@@ -12,9 +12,11 @@
     private static final double QUARTER_MS = 15 * 60_000.0;
     /** A new day's part of a quarter's mean. */
     private static final double NEWEST = 0.3;
+
     private static final int DAYS = 2;
     /** Relative spread of the load after an hour of which nothing is known, and of one that was seen. */
     private static final double AN_HOUR_UNKNOWN = 0.15;
+
     private static final double AN_HOUR_KNOWN = 0.04;
 
     private static final class Day {
@@ -55,7 +57,8 @@
     /** The load at a time of the day as a multiple of that at another; 1 if not known. */
     double factor(String origin, double fromDayMs, double toDayMs) {
         return known(origin, fromDayMs, toDayMs)
-                ? days.get(origin).means[quarter(toDayMs)] / days.get(origin).means[quarter(fromDayMs)] : 1;
+                ? days.get(origin).means[quarter(toDayMs)] / days.get(origin).means[quarter(fromDayMs)]
+                : 1;
     }
 
     boolean known(String origin, double fromDayMs, double toDayMs) {
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/Terms.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/Terms.java
@@ -17,23 +17,38 @@
  * @param drift the part by which clocks' rates may be off
  * @param halfLifeMs after what time an observation counts half
  */
-public record Terms(List<String> tiers, Map<String, ClassTerms> classes, int attempts, double budget, int clientTries,
-        double failing, double windowMs, double freshMs, double drift, double halfLifeMs) {
+public record Terms(
+        List<String> tiers,
+        Map<String, ClassTerms> classes,
+        int attempts,
+        double budget,
+        int clientTries,
+        double failing,
+        double windowMs,
+        double freshMs,
+        double drift,
+        double halfLifeMs) {
     /**
      * A class.
      *
      * @param deadlineMs the time that a try of its client waits
      * @param repeatable whether it may be tried again after it may have run
      */
-    public record ClassTerms(double deadlineMs, boolean repeatable) {
-    }
+    public record ClassTerms(double deadlineMs, boolean repeatable) {}
 
     /** Keeps its own copies; rejects what no fleet could be. */
     public Terms {
         tiers = List.copyOf(tiers);
         classes = Map.copyOf(classes);
-        if (tiers.isEmpty() || attempts < 1 || clientTries < 1 || !(budget >= 0) || !(failing > 0 && failing < 1)
-                || !(windowMs > 0) || !(freshMs > 0) || !(drift >= 0 && drift < 0.5) || !(halfLifeMs > 0)) {
+        if (tiers.isEmpty()
+                || attempts < 1
+                || clientTries < 1
+                || !(budget >= 0)
+                || !(failing > 0 && failing < 1)
+                || !(windowMs > 0)
+                || !(freshMs > 0)
+                || !(drift >= 0 && drift < 0.5)
+                || !(halfLifeMs > 0)) {
             throw new IllegalArgumentException("terms out of bounds");
         }
     }
@@ -46,8 +61,12 @@
     /** The time that a try of this class waits; a class that is not named waits as long as the longest. */
     double deadlineMs(String className) {
         ClassTerms c = classes.get(className);
-        return c != null ? c.deadlineMs()
-                : classes.values().stream().mapToDouble(ClassTerms::deadlineMs).max().orElse(10_000);
+        return c != null
+                ? c.deadlineMs()
+                : classes.values().stream()
+                        .mapToDouble(ClassTerms::deadlineMs)
+                        .max()
+                        .orElse(10_000);
     }
 
     boolean repeatable(String className) {
--- a/fleet/src/main/java/brackenbridge/fleet/node/ControlService.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/ControlService.java
@@ -45,15 +45,23 @@
         member = new FleetNode(file, name, clock);
         AgreedNode agreed = member.agreed();
         int colon = machine.address().lastIndexOf(':');
-        InetSocketAddress address = new InetSocketAddress(machine.address().substring(0, colon),
+        InetSocketAddress address = new InetSocketAddress(
+                machine.address().substring(0, colon),
                 Integer.parseInt(machine.address().substring(colon + 1)));
-        server = new ControlServer(new ControlServer.Settings(file.fleet(), name, address,
-                new NodeNames(file.control().nodes()), file.control().limits()), clock, agreed::confirmed,
+        server = new ControlServer(
+                new ControlServer.Settings(
+                        file.fleet(),
+                        name,
+                        address,
+                        new NodeNames(file.control().nodes()),
+                        file.control().limits()),
+                clock,
+                agreed::confirmed,
                 member.metrics());
         exchange = new ReportExchange(member.links(), clock);
         member.statusOfNodes(() -> FleetStatus.text(exchange.all()));
-        agreed.listen(value -> agreed.known(value).ifPresent(known -> server.publish(
-                new Resource(known.name(), known.generation(), known.content()))));
+        agreed.listen(value -> agreed.known(value)
+                .ifPresent(known -> server.publish(new Resource(known.name(), known.generation(), known.content()))));
     }
 
     /** Begins; fails if an address is not to be had. */
--- a/fleet/src/main/java/brackenbridge/fleet/node/FleetNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/FleetNode.java
@@ -38,8 +38,17 @@
     private static final double PATIENCE_MS = 10_000;
 
     /** Counts of the links that come into being only with their first event. */
-    private static final List<String> LINK_COUNTS = List.of("bytes_in", "bytes_out", "frames_in", "frames_out",
-            "links_made", "links_lost", "dials_failed", "unsent_no_link", "unsent_queue_full", "beats_unsent",
+    private static final List<String> LINK_COUNTS = List.of(
+            "bytes_in",
+            "bytes_out",
+            "frames_in",
+            "frames_out",
+            "links_made",
+            "links_lost",
+            "dials_failed",
+            "unsent_no_link",
+            "unsent_queue_full",
+            "beats_unsent",
             "frames_unreadable");
 
     private final FleetFile file;
@@ -70,31 +79,66 @@
         long life = disk == null ? Disk.lifeWithout(clock.nowMs()) : disk.life();
         PeerLimits usual = PeerLimits.standard();
         FleetFile.Links l = file.links();
-        List<Member> peers = file.members().stream().filter(m -> !m.name().equals(name)).toList();
+        List<Member> peers =
+                file.members().stream().filter(m -> !m.name().equals(name)).toList();
         String listenAddress = file.listen().getOrDefault(name, me.address());
-        links = new TcpLinks(me, listenAddress, life, file.fleet(), peers, clock, new PeerLimits(l.frameBytes(),
-                l.queueBytes(), usual.queueMessages(), l.beatMs(), l.suspectMs(), l.goneMs(), usual.handshakeMs(),
-                usual.dialMinMs(), usual.dialMaxMs(), usual.strangers(), usual.asked()));
-        replica = new ReplicaNode(links, disk, clock,
+        links = new TcpLinks(
+                me,
+                listenAddress,
+                life,
+                file.fleet(),
+                peers,
+                clock,
+                new PeerLimits(
+                        l.frameBytes(),
+                        l.queueBytes(),
+                        usual.queueMessages(),
+                        l.beatMs(),
+                        l.suspectMs(),
+                        l.goneMs(),
+                        usual.handshakeMs(),
+                        usual.dialMinMs(),
+                        usual.dialMaxMs(),
+                        usual.strangers(),
+                        usual.asked()));
+        replica = new ReplicaNode(
+                links,
+                disk,
+                clock,
                 brackenbridge.fleet.replica.Terms.DEFAULT.sending(file.replica().bytesPerSecond()));
         FleetFile.Agreement a = file.agreed();
-        agreed = new AgreedNode(links, directory, clock, new AgreedSettings(file.fleet(),
-                file.members().stream().map(Member::name).limit(a.voters()).toList(), new Terms(a.leaseMs(), a.drift()),
-                AGREED_BEAT_MS, AGREED_PATIENCE, LONGEST_ROLE_MS, life));
+        agreed = new AgreedNode(
+                links,
+                directory,
+                clock,
+                new AgreedSettings(
+                        file.fleet(),
+                        file.members().stream()
+                                .map(Member::name)
+                                .limit(a.voters())
+                                .toList(),
+                        new Terms(a.leaseMs(), a.drift()),
+                        AGREED_BEAT_MS,
+                        AGREED_PATIENCE,
+                        LONGEST_ROLE_MS,
+                        life));
         Set<String> shown = new TreeSet<>(links.figures().keySet());
         shown.addAll(LINK_COUNTS);
-        shown.forEach(k -> Gauge.builder("fleet.links." + k,
-                () -> links.figures().getOrDefault(k, 0.0)).register(metrics));
+        shown.forEach(k -> Gauge.builder(
+                        "fleet.links." + k, () -> links.figures().getOrDefault(k, 0.0))
+                .register(metrics));
         Gauge.builder("fleet.replica.behind", () -> replica.level().behind()).register(metrics);
-        Gauge.builder("fleet.replica.differing", () -> replica.level().differing()).register(metrics);
-        Gauge.builder("fleet.replica.level", () -> replica.level().level() ? 1 : 0).register(metrics);
+        Gauge.builder("fleet.replica.differing", () -> replica.level().differing())
+                .register(metrics);
+        Gauge.builder("fleet.replica.level", () -> replica.level().level() ? 1 : 0)
+                .register(metrics);
         agreed.bind(metrics);
         rooms.put("state", new StateCalls(replica));
         SettingsCalls settings = new SettingsCalls(agreed, PATIENCE_MS);
         rooms.put("settings", (words, body, json) -> {
             SettingsCalls.Reply r = settings(settings, words, new String(body, StandardCharsets.UTF_8));
-            return new StaffPage.Answer(r.done(), words.equals(List.of("status")) ? r.text() + statusOfNodes.get()
-                    : r.text());
+            return new StaffPage.Answer(
+                    r.done(), words.equals(List.of("status")) ? r.text() + statusOfNodes.get() : r.text());
         });
     }
 
@@ -106,8 +150,9 @@
             case "history" -> calls.history(name);
             case "withdraw" -> calls.withdraw(Agreed.SETTINGS, generation(words));
             case "status" -> calls.status();
-            default -> throw new IllegalArgumentException(
-                    "settings propose --file FILE | show | history | withdraw GENERATION | status");
+            default ->
+                throw new IllegalArgumentException(
+                        "settings propose --file FILE | show | history | withdraw GENERATION | status");
         };
     }
 
@@ -115,8 +160,8 @@
         try {
             return Long.parseLong(words.size() > 1 ? words.get(1) : "");
         } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("settings withdraw GENERATION: the generation whose content is to hold "
-                    + "again", e);
+            throw new IllegalArgumentException(
+                    "settings withdraw GENERATION: the generation whose content is to hold " + "again", e);
         }
     }
 
@@ -168,11 +213,18 @@
         String at = file.page().get(me.name());
         if (at != null) {
             int colon = at.lastIndexOf(':');
-            page = new StaffPage(new InetSocketAddress(at.substring(0, colon),
-                    Integer.parseInt(at.substring(colon + 1))), metrics, rooms);
+            page = new StaffPage(
+                    new InetSocketAddress(at.substring(0, colon), Integer.parseInt(at.substring(colon + 1))),
+                    metrics,
+                    rooms);
         }
-        LOG.info("member {} of fleet {}, life {}, {} peers, {} disk", me.name(), file.fleet(), links.life(),
-                links.peers().size(), disk == null ? "no" : "with a");
+        LOG.info(
+                "member {} of fleet {}, life {}, {} peers, {} disk",
+                me.name(),
+                file.fleet(),
+                links.life(),
+                links.peers().size(),
+                disk == null ? "no" : "with a");
     }
 
     /** Where its page is; null if it has none. */
--- a/fleet/src/main/java/brackenbridge/fleet/node/NodeSubscription.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/NodeSubscription.java
@@ -42,6 +42,7 @@
     private final Config started;
     /** By resource: the key of the configuration that its content stands for. */
     private final Map<String, String> keys = new TreeMap<>();
+
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private Node node;
@@ -76,9 +77,18 @@
     @Override
     public void begin(Node served) {
         node = served;
-        client = new ControlClient(new ControlClient.Settings(file.fleet(), started.name(), region,
-                file.control().machines(), List.copyOf(keys.keySet()), file.control().limits()), loop, Clock.system(),
-                new SplittableRandom(), this::apply);
+        client = new ControlClient(
+                new ControlClient.Settings(
+                        file.fleet(),
+                        started.name(),
+                        region,
+                        file.control().machines(),
+                        List.copyOf(keys.keySet()),
+                        file.control().limits()),
+                loop,
+                Clock.system(),
+                new SplittableRandom(),
+                this::apply);
         client.start();
         loop.scheduleWithFixedDelay(this::reconcile, RECONCILE_MS, RECONCILE_MS, TimeUnit.MILLISECONDS);
     }
@@ -94,7 +104,10 @@
         try {
             reload(merged(next));
         } catch (IllegalArgumentException | IOException e) {
-            LOG.warn("version {} of {} can't be used, the one before stays: {}", resource.version(), resource.name(),
+            LOG.warn(
+                    "version {} of {} can't be used, the one before stays: {}",
+                    resource.version(),
+                    resource.name(),
                     e.getMessage());
             return Optional.of(String.valueOf(e.getMessage()));
         }
--- a/fleet/src/main/java/brackenbridge/fleet/node/PoolReports.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/PoolReports.java
@@ -56,15 +56,25 @@
             Map<String, Double> refused = new HashMap<>();
             now.refused().forEach((c, n) -> refused.put(c, (n - before.refused().getOrDefault(c, 0L)) / seconds));
             Map<String, Long> firstOfClass = new HashMap<>();
-            now.pools().forEach((k, t) -> firstOfClass.merge(k.className(),
-                    t.first() - before.pools().getOrDefault(k, NONE).first(), Long::sum));
+            now.pools()
+                    .forEach((k, t) -> firstOfClass.merge(
+                            k.className(),
+                            t.first() - before.pools().getOrDefault(k, NONE).first(),
+                            Long::sum));
             now.pools().forEach((k, t) -> {
                 Tally was = before.pools().getOrDefault(k, NONE);
                 // What was turned away went nowhere: it counts with each pool by its part of what did go.
-                double part = firstOfClass.get(k.className()) == 0 ? 0
+                double part = firstOfClass.get(k.className()) == 0
+                        ? 0
                         : (t.first() - was.first()) / (double) firstOfClass.get(k.className());
-                all.put(name(k) + "/" + k.className(),
-                        one(k, t, was, seconds, refused.getOrDefault(k.className(), 0.0) * part,
+                all.put(
+                        name(k) + "/" + k.className(),
+                        one(
+                                k,
+                                t,
+                                was,
+                                seconds,
+                                refused.getOrDefault(k.className(), 0.0) * part,
                                 now.servers().getOrDefault(new Key(k.zone(), k.weight(), ""), 0)));
             });
         }
@@ -87,10 +97,23 @@
         if (served >= ENOUGH) {
             leastMs.merge(k, mean, (old, m) -> Math.min(old * RISE, m));
         }
-        return new PoolSeen((now.first() - was.first()) / seconds, (now.attempts() - was.attempts()) / seconds, refused,
-                servers, 0, (now.heldMs() - was.heldMs()) / (seconds * 1000), leastMs.getOrDefault(k, 0.0), mean,
+        return new PoolSeen(
+                (now.first() - was.first()) / seconds,
+                (now.attempts() - was.attempts()) / seconds,
+                refused,
+                servers,
+                0,
+                (now.heldMs() - was.heldMs()) / (seconds * 1000),
+                leastMs.getOrDefault(k, 0.0),
+                mean,
                 mean == 0 ? 0 : Math.max(0, square / (mean * mean) - 1),
-                ended == 0 ? 0 : (now.failed() - was.failed()) / (double) ended, seconds * 1000, -1,
-                connections * k.weight(), coldFrom, coldMs, 1, 0);
+                ended == 0 ? 0 : (now.failed() - was.failed()) / (double) ended,
+                seconds * 1000,
+                -1,
+                connections * k.weight(),
+                coldFrom,
+                coldMs,
+                1,
+                0);
     }
 }
--- a/fleet/src/main/java/brackenbridge/fleet/node/StaffPage.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/StaffPage.java
@@ -24,6 +24,7 @@
 public final class StaffPage implements AutoCloseable {
     /** The longest body of a call: a plan or settings. */
     private static final int LONGEST = 1 << 20;
+
     private static final int THREADS = 4;
     private static final int WAITING = 16;
     private static final Logger LOG = LoggerFactory.getLogger(StaffPage.class);
@@ -34,8 +35,7 @@
      * @param done whether it did what it was told; a command exits with 1 where it is false
      * @param text for people, or JSON where that was asked for
      */
-    public record Answer(boolean done, String text) {
-    }
+    public record Answer(boolean done, String text) {}
 
     /** A room's calls. */
     @FunctionalInterface
@@ -60,12 +60,18 @@
         System.setProperty("sun.net.httpserver.maxReqTime", "10");
         System.setProperty("sun.net.httpserver.maxRspTime", "10");
         server = HttpServer.create(at, WAITING);
-        threads = new ThreadPoolExecutor(THREADS, THREADS, 1, TimeUnit.MINUTES, new ArrayBlockingQueue<>(WAITING),
+        threads = new ThreadPoolExecutor(
+                THREADS,
+                THREADS,
+                1,
+                TimeUnit.MINUTES,
+                new ArrayBlockingQueue<>(WAITING),
                 r -> {
                     Thread t = new Thread(r, "fleet-page");
                     t.setDaemon(true);
                     return t;
-                }, new ThreadPoolExecutor.CallerRunsPolicy());
+                },
+                new ThreadPoolExecutor.CallerRunsPolicy());
         server.setExecutor(threads);
         server.createContext("/metrics", x -> {
             try (x) {
@@ -91,7 +97,8 @@
             body = in.readNBytes(LONGEST + 1);
         }
         List<String> words = new ArrayList<>();
-        for (String part : x.getRequestURI().getRawPath().substring("/call/".length()).split("/")) {
+        for (String part :
+                x.getRequestURI().getRawPath().substring("/call/".length()).split("/")) {
             words.add(URLDecoder.decode(part, StandardCharsets.UTF_8));
         }
         Calls room = rooms.get(words.remove(0));
--- a/fleet/src/main/java/brackenbridge/fleet/node/StateCalls.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/StateCalls.java
@@ -38,13 +38,31 @@
             out.put("figures", replica.figures());
             return new StaffPage.Answer(true, json(out));
         }
-        StringBuilder s = new StringBuilder(String.format(Locale.ROOT,
+        StringBuilder s = new StringBuilder(String.format(
+                Locale.ROOT,
                 "level %s, behind %d, differing %d, out of decision %s%n%-16s %16s %10s %10s %9s %-8s %s%n",
-                level.level(), level.behind(), level.differing(), level.outOfDecision(), "member", "life", "wrote",
-                "have", "heard ms", "standing", "put aside"));
+                level.level(),
+                level.behind(),
+                level.differing(),
+                level.outOfDecision(),
+                "member",
+                "life",
+                "wrote",
+                "have",
+                "heard ms",
+                "standing",
+                "put aside"));
         for (ReplicaNode.Status m : all) {
-            s.append(String.format(Locale.ROOT, "%-16s %16d %10d %10d %9.0f %-8s %s%n", m.member(), m.life(),
-                    m.wrote(), m.have(), m.heardMs(), m.standing(), m.aside() == null ? "" : m.aside()));
+            s.append(String.format(
+                    Locale.ROOT,
+                    "%-16s %16d %10d %10d %9.0f %-8s %s%n",
+                    m.member(),
+                    m.life(),
+                    m.wrote(),
+                    m.have(),
+                    m.heardMs(),
+                    m.standing(),
+                    m.aside() == null ? "" : m.aside()));
         }
         return new StaffPage.Answer(true, s.toString());
     }
--- a/fleet/src/main/java/brackenbridge/fleet/node/StateMember.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/StateMember.java
@@ -52,6 +52,7 @@
 public final class StateMember implements AutoCloseable {
     /** Own records of this space are written and told of. */
     private static final Space OWN = Space.SERVERS;
+
     private static final Space COUNTED = Space.ATTEMPTS;
     private static final double PROPOSED_WITHIN_MS = 5000;
     private static final long SAMPLE_MS = 10;
@@ -63,15 +64,22 @@
     static final class Options {
         @Parameter(names = "--name", description = "Its name", required = true)
         String name;
+
         @Parameter(names = "--zone", description = "Its zone")
         String zone = "a";
+
         @Parameter(names = "--listen", description = "ADDRESS:PORT for its peers", required = true)
         String listen;
-        @Parameter(names = "--peers", description = "NAME=ADDRESS:PORT/ZONE of each other member, with commas",
+
+        @Parameter(
+                names = "--peers",
+                description = "NAME=ADDRESS:PORT/ZONE of each other member, with commas",
                 required = true)
         List<String> peers = List.of();
+
         @Parameter(names = "--disk", description = "Its directory", required = true)
         String disk;
+
         @Parameter(names = "--fleet", description = "The fleet's name")
         String fleet = "laboratory";
 
@@ -181,8 +189,12 @@
         if (space != OWN || owner.equals(links.me().name())) {
             return;
         }
-        say(now(), "saw", now == null ? Map.of("owner", owner, "key", key, "gone", true)
-                : Map.of("owner", owner, "key", key, "n", number(now.value())));
+        say(
+                now(),
+                "saw",
+                now == null
+                        ? Map.of("owner", owner, "key", key, "gone", true)
+                        : Map.of("owner", owner, "key", key, "n", number(now.value())));
     }
 
     private static long number(byte[] value) {
@@ -208,8 +220,25 @@
             while (true) {
                 double before = now();
                 Replica.Level l = replica.level();
-                span(level, l, before, () -> { }, () -> say(now(), "level", Map.of("level", l.level(), "behind",
-                        l.behind(), "differing", l.differing(), "out", l.outOfDecision(), "have", have())));
+                span(
+                        level,
+                        l,
+                        before,
+                        () -> {},
+                        () -> say(
+                                now(),
+                                "level",
+                                Map.of(
+                                        "level",
+                                        l.level(),
+                                        "behind",
+                                        l.behind(),
+                                        "differing",
+                                        l.differing(),
+                                        "out",
+                                        l.outOfDecision(),
+                                        "have",
+                                        have())));
                 watched.forEach((name, s) -> sampleActs(name, s));
                 roles.forEach((role, s) -> sampleHolds(role, s));
                 Thread.sleep(SAMPLE_MS);
@@ -231,12 +260,28 @@
         List<Long> generations = values.stream().map(Agreed.Value::generation).toList();
         Runnable tell = () -> {
             if (!((List<?>) s.state).isEmpty()) {
-                say(now(), "acts", Map.of("name", name, "generations", s.state, "contents", contents.get(name), "from",
-                        s.from, "until", s.until));
+                say(
+                        now(),
+                        "acts",
+                        Map.of(
+                                "name",
+                                name,
+                                "generations",
+                                s.state,
+                                "contents",
+                                contents.get(name),
+                                "from",
+                                s.from,
+                                "until",
+                                s.until));
             }
         };
         span(s, generations, before, tell, tell);
-        contents.put(name, values.stream().map(v -> new String(v.content(), StandardCharsets.UTF_8)).toList());
+        contents.put(
+                name,
+                values.stream()
+                        .map(v -> new String(v.content(), StandardCharsets.UTF_8))
+                        .toList());
     }
 
     private void sampleHolds(String role, Span s) {
@@ -290,16 +335,47 @@
                 case "sum" -> say(now(), "sum", Map.of("key", w[1], "sum", replica.sum(COUNTED, w[1])));
                 case "seen" -> say(now(), "seen", Map.of("have", have()));
                 case "level" -> level.said = 0;
-                case "diff" -> say(now(), "diff", Map.of("behind", replica.level().behind(), "differing",
-                        replica.level().differing()));
-                case "status" -> say(now(), "status", Map.of("agreed", agreed.status(), "peers", peers(), "level",
-                        replica.level().level(), "links", links instanceof TcpLinks t ? t.figures() : Map.of(),
-                        "replica", replica instanceof ReplicaNode n ? n.figures() : Map.of()));
+                case "diff" ->
+                    say(
+                            now(),
+                            "diff",
+                            Map.of(
+                                    "behind",
+                                    replica.level().behind(),
+                                    "differing",
+                                    replica.level().differing()));
+                case "status" ->
+                    say(
+                            now(),
+                            "status",
+                            Map.of(
+                                    "agreed",
+                                    agreed.status(),
+                                    "peers",
+                                    peers(),
+                                    "level",
+                                    replica.level().level(),
+                                    "links",
+                                    links instanceof TcpLinks t ? t.figures() : Map.of(),
+                                    "replica",
+                                    replica instanceof ReplicaNode n ? n.figures() : Map.of()));
                 case "propose" -> propose(w[1], w[2]);
                 case "watch" -> put(watched, w[1]);
-                case "acting" -> say(now(), "acting", Map.of("name", w[1], "generations", agreed.acting(w[1])
-                        .map(a -> a.other() == null ? List.of(a.one().generation())
-                                : List.of(a.one().generation(), a.other().generation())).orElse(List.of())));
+                case "acting" ->
+                    say(
+                            now(),
+                            "acting",
+                            Map.of(
+                                    "name",
+                                    w[1],
+                                    "generations",
+                                    agreed.acting(w[1])
+                                            .map(a -> a.other() == null
+                                                    ? List.of(a.one().generation())
+                                                    : List.of(
+                                                            a.one().generation(),
+                                                            a.other().generation()))
+                                            .orElse(List.of())));
                 case "known" -> say(now(), "known", Map.of("name", w[1], "value", known(w[1])));
                 case "hold" -> hold(w[1], Double.parseDouble(w[2]));
                 case "holds" -> say(now(), "asked", Map.of("role", w[1], "holds", agreed.holds(w[1])));
@@ -321,22 +397,39 @@
 
     private Map<String, String> peers() {
         Map<String, String> all = new LinkedHashMap<>();
-        links.peers().forEach(p -> all.put(p.name(), links.standing(p.name()).name().toLowerCase(Locale.ROOT)));
+        links.peers()
+                .forEach(p -> all.put(p.name(), links.standing(p.name()).name().toLowerCase(Locale.ROOT)));
         return all;
     }
 
     private Map<String, Object> known(String name) {
         Optional<Agreed.Value> v = agreed.known(name);
-        return v.isEmpty() ? Map.of() : Map.of("generation", v.get().generation(), "content",
-                new String(v.get().content(), StandardCharsets.UTF_8));
+        return v.isEmpty()
+                ? Map.of()
+                : Map.of(
+                        "generation",
+                        v.get().generation(),
+                        "content",
+                        new String(v.get().content(), StandardCharsets.UTF_8));
     }
 
     private void propose(String name, String content) {
         long expected = agreed.known(name).map(Agreed.Value::generation).orElse(0L);
         agreed.propose(name, expected, content.getBytes(StandardCharsets.UTF_8), PROPOSED_WITHIN_MS)
-                .whenComplete((verdict, fault) -> say(now(), "proposed", Map.of("name", name, "content", content,
-                        "expected", expected, "verdict", fault == null ? verdict.name().toLowerCase(Locale.ROOT)
-                                : "failed: " + fault.getMessage())));
+                .whenComplete((verdict, fault) -> say(
+                        now(),
+                        "proposed",
+                        Map.of(
+                                "name",
+                                name,
+                                "content",
+                                content,
+                                "expected",
+                                expected,
+                                "verdict",
+                                fault == null
+                                        ? verdict.name().toLowerCase(Locale.ROOT)
+                                        : "failed: " + fault.getMessage())));
     }
 
     private void hold(String role, double forMs) {
@@ -369,7 +462,11 @@
         Options o = new Options();
         List<Member> members;
         try {
-            JCommander.newBuilder().programName("state-member").addObject(o).build().parse(args);
+            JCommander.newBuilder()
+                    .programName("state-member")
+                    .addObject(o)
+                    .build()
+                    .parse(args);
             members = o.members();
         } catch (ParameterException e) {
             System.err.println("brackenbridge: " + e.getMessage());
@@ -388,15 +485,16 @@
         }
     }
 
-    private static void run(Options o, List<Member> members, PrintStream to)
-            throws IOException, InterruptedException {
+    private static void run(Options o, List<Member> members, PrintStream to) throws IOException, InterruptedException {
         Clock clock = Clock.system();
         Path disk = Path.of(o.disk);
         try (Disk records = Disk.open(disk.resolve("replica"), o.fleet, o.name, clock.nowMs());
-                TcpLinks links = new TcpLinks(o.me(), records.life(), o.fleet, members, clock,
-                        PeerLimits.standard());
+                TcpLinks links = new TcpLinks(o.me(), records.life(), o.fleet, members, clock, PeerLimits.standard());
                 ReplicaNode replica = new ReplicaNode(links, records, clock, Terms.DEFAULT);
-                AgreedNode agreed = new AgreedNode(links, disk.resolve("agreed"), clock,
+                AgreedNode agreed = new AgreedNode(
+                        links,
+                        disk.resolve("agreed"),
+                        clock,
                         AgreedSettings.of(o.fleet, members, records.life() ^ o.name.hashCode()));
                 StateMember member = new StateMember(links, replica, agreed, to)) {
             agreed.start();
--- a/fleet/src/main/java/brackenbridge/fleet/node/Together.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/Together.java
@@ -60,8 +60,8 @@
         Clock clock = Clock.system();
         fleet = new FleetNode(file, config.name(), clock);
         double slots = file.shares() == null ? 0 : file.shares().connectionsPerServer();
-        PoolReports reports = new PoolReports(pool, slots, config.settings().coldFrom(),
-                config.settings().warmAfter() / 1000.0);
+        PoolReports reports = new PoolReports(
+                pool, slots, config.settings().coldFrom(), config.settings().warmAfter() / 1000.0);
         OrdersTaken orders = new OrdersTaken(file.agreed().drift());
         fleet.links().receive(Stream.EVACUATION, (peer, life, body) -> {
             try {
@@ -76,8 +76,8 @@
         every(DEMAND_MS, () -> {
             List<TenantUse> all = node.tenantUse().join();
             Map<String, PoolUse> uses = new TreeMap<>();
-            all.forEach(u -> uses.put(pool + "/" + u.tenant(),
-                    new PoolUse(u.wanted(), u.used(), u.refused(), u.meanMs())));
+            all.forEach(
+                    u -> uses.put(pool + "/" + u.tenant(), new PoolUse(u.wanted(), u.used(), u.refused(), u.meanMs())));
             publish(Space.DEMAND, uses, wanted);
         });
     }
@@ -98,20 +98,26 @@
                 throw new IllegalStateException(e);
             }
         });
-        before.stream().filter(k -> !now.containsKey(k)).forEach(k -> fleet.replica().remove(space, k));
+        before.stream()
+                .filter(k -> !now.containsKey(k))
+                .forEach(k -> fleet.replica().remove(space, k));
         before.clear();
         before.addAll(now.keySet());
     }
 
     private void every(long ms, Runnable work) {
-        timer.scheduleWithFixedDelay(() -> {
-            try {
-                work.run();
-            } catch (RuntimeException e) {
-                // Guards the next turn: a scheduler drops what has failed once.
-                LOG.error("a turn failed", e);
-            }
-        }, ms, ms, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        work.run();
+                    } catch (RuntimeException e) {
+                        // Guards the next turn: a scheduler drops what has failed once.
+                        LOG.error("a turn failed", e);
+                    }
+                },
+                ms,
+                ms,
+                TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Beat.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Beat.java
@@ -23,6 +23,7 @@
     static final int ANSWER = 2;
     /** The sender ends. */
     static final int FAREWELL = 4;
+
     static final int ENTRIES = 64;
     static final int ASKS = 32;
     private static final Standing[] STANDINGS = Standing.values();
@@ -38,9 +39,8 @@
      * @param left whether it has said farewell
      * @param ageMs how long ago it was surely alive; negative if that is not known
      */
-    record Entry(String name, long life, long instance, int incarnation, Standing standing, boolean left,
-            double ageMs) {
-    }
+    record Entry(
+            String name, long life, long instance, int incarnation, Standing standing, boolean left, double ageMs) {}
 
     boolean has(int flag) {
         return (flags & flag) != 0;
@@ -49,7 +49,11 @@
     byte[] bytes() {
         int most = 24 + entries.size() * (27 + PeerLimits.NAME_BYTES) + asks.size() * (1 + PeerLimits.NAME_BYTES);
         ByteBuffer out = ByteBuffer.allocate(most);
-        out.put((byte) flags).putInt(sequence).putInt(echo).putFloat((float) heldMs).putInt(incarnation);
+        out.put((byte) flags)
+                .putInt(sequence)
+                .putInt(echo)
+                .putFloat((float) heldMs)
+                .putInt(incarnation);
         out.put((byte) entries.size()).put((byte) asks.size());
         for (Entry e : entries) {
             Wire.text(out, e.name());
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Connection.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Connection.java
@@ -27,6 +27,7 @@
     private double deadline;
     /** The other side's hello, once it was read. */
     Handshake.Hello hello;
+
     String peer = "";
     double linkedMs;
     volatile double lastReadMs;
@@ -34,6 +35,7 @@
     volatile double writingMs;
     /** Since when a receiver has a message in work; 0 if none has. */
     volatile double receivingMs;
+
     volatile boolean closed;
     volatile String why = "";
 
@@ -48,31 +50,34 @@
         deadline = begunMs + limits.handshakeMs();
         outbox = new Outbox(limits.queueBytes(), limits.queueMessages());
         InputStream raw = socket.getInputStream();
-        in = new BufferedInputStream(new InputStream() {
-            @Override
-            public int read() throws IOException {
-                byte[] one = new byte[1];
-                return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
-            }
+        in = new BufferedInputStream(
+                new InputStream() {
+                    @Override
+                    public int read() throws IOException {
+                        byte[] one = new byte[1];
+                        return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+                    }
 
-            @Override
-            public int read(byte[] bytes, int from, int length) throws IOException {
-                if (deadline > 0) {
-                    // Guards against a stranger that sends a byte at a time: the whole handshake has one deadline.
-                    double left = deadline - clock.nowMs();
-                    if (left < 1) {
-                        throw new SocketTimeoutException("no whole handshake in time");
+                    @Override
+                    public int read(byte[] bytes, int from, int length) throws IOException {
+                        if (deadline > 0) {
+                            // Guards against a stranger that sends a byte at a time: the whole handshake has one
+                            // deadline.
+                            double left = deadline - clock.nowMs();
+                            if (left < 1) {
+                                throw new SocketTimeoutException("no whole handshake in time");
+                            }
+                            socket.setSoTimeout((int) left);
+                        }
+                        int count = raw.read(bytes, from, length);
+                        if (count > 0) {
+                            lastReadMs = clock.nowMs();
+                            figures.count("bytes_in", count);
+                        }
+                        return count;
                     }
-                    socket.setSoTimeout((int) left);
-                }
-                int count = raw.read(bytes, from, length);
-                if (count > 0) {
-                    lastReadMs = clock.nowMs();
-                    figures.count("bytes_in", count);
-                }
-                return count;
-            }
-        }, CHUNK);
+                },
+                CHUNK);
         out = socket.getOutputStream();
     }
 
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Detector.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Detector.java
@@ -29,6 +29,7 @@
     static final double ASK_BEATS = 3;
     /** Greatest doubt of oneself: times of suspicion are multiplied by one more than it at most. */
     static final int DOUBT_MOST = 4;
+
     private static final int SENT = 256;
     private static final int NEWS_BEATS = 6;
     private static final int CONFIRMERS = 3;
@@ -62,16 +63,13 @@
     private long deaths;
 
     /** A peer's standing is another. */
-    record Change(String peer, Standing standing, long life) {
-    }
+    record Change(String peer, Standing standing, long life) {}
 
     /** A beat that is to be sent. */
-    record Out(String to, Beat beat) {
-    }
+    record Out(String to, Beat beat) {}
 
     /** Two processes live under one name; it may be this member's own. */
-    record Conflict(String name, long life, long instance, long otherLife, long otherInstance) {
-    }
+    record Conflict(String name, long life, long instance, long otherLife, long otherInstance) {}
 
     private static final class Peer {
         final String name;
@@ -122,7 +120,7 @@
 
     /** These are the others from now on; who is no longer among them is gone, and forgotten. */
     void update(Collection<String> names) {
-        for (Iterator<Peer> i = order.iterator(); i.hasNext();) {
+        for (Iterator<Peer> i = order.iterator(); i.hasNext(); ) {
             Peer p = i.next();
             if (!names.contains(p.name)) {
                 if (p.standing != Standing.GONE && p.standing != Standing.UNKNOWN) {
@@ -517,8 +515,11 @@
                 reportedInstance = e.instance();
                 conflicts.add(new Conflict(me, life, instance, e.life(), e.instance()));
             }
-        } else if (e.life() == life && e.standing() != Standing.ALIVE && e.standing() != Standing.UNKNOWN
-                && e.incarnation() >= incarnation && e.incarnation() < Integer.MAX_VALUE) {
+        } else if (e.life() == life
+                && e.standing() != Standing.ALIVE
+                && e.standing() != Standing.UNKNOWN
+                && e.incarnation() >= incarnation
+                && e.incarnation() < Integer.MAX_VALUE) {
             incarnation = e.incarnation() + 1;
             refutations++;
         }
@@ -668,8 +669,14 @@
         if (now - to.conflictMs < 4 * NEWS_BEATS * limits.beatMs()) {
             Conflict c = to.conflict;
             boolean first = to.linkInstance == c.instance();
-            entries.add(new Beat.Entry(to.name, first ? c.otherLife() : c.life(),
-                    first ? c.otherInstance() : c.instance(), 0, Standing.ALIVE, false, -1));
+            entries.add(new Beat.Entry(
+                    to.name,
+                    first ? c.otherLife() : c.life(),
+                    first ? c.otherInstance() : c.instance(),
+                    0,
+                    Standing.ALIVE,
+                    false,
+                    -1));
         } else if (to.known && (to.standing == Standing.SUSPECT || to.standing == Standing.GONE)) {
             // The one that is doubted hears of it first, and can refute.
             entries.add(entryOf(now, to));
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Frames.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Frames.java
@@ -14,12 +14,10 @@
     static final int HEAD = 13;
     private static final Stream[] STREAMS = Stream.values();
 
-    private Frames() {
-    }
+    private Frames() {}
 
     /** One message. */
-    record Frame(Stream stream, byte[] body) {
-    }
+    record Frame(Stream stream, byte[] body) {}
 
     /** The bytes that go before the body. */
     static byte[] head(Stream stream, byte[] body) {
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Handshake.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Handshake.java
@@ -17,16 +17,15 @@
     static final int HIGHEST = 1;
     /** Longest handshake: bounds what a stranger makes this side allocate. */
     static final int MOST = 1024;
+
     private static final int MAGIC = 0x42425031;
     private static final int HEAD = 9;
     private static final Refusal[] REFUSALS = Refusal.values();
 
-    private Handshake() {
-    }
+    private Handshake() {}
 
     /** One part of a handshake. */
-    sealed interface Part permits Hello, Ready, Refuse, Foreign {
-    }
+    sealed interface Part permits Hello, Ready, Refuse, Foreign {}
 
     /**
      * Who speaks.
@@ -40,13 +39,12 @@
      * @param instance drawn at each start: tells two processes of one name and life apart
      * @param dial counts the speaker's dials, so that an old one that arrives late does not replace a newer
      */
-    record Hello(boolean welcome, String fleet, String from, String to, String address, long life, long instance,
-            long dial) implements Part {
-    }
+    record Hello(
+            boolean welcome, String fleet, String from, String to, String address, long life, long instance, long dial)
+            implements Part {}
 
     /** The link stands. */
-    record Ready() implements Part {
-    }
+    record Ready() implements Part {}
 
     /**
      * No link.
@@ -55,12 +53,10 @@
      * @param life a life that the refusing side knows, for {@link Refusal#OLD_LIFE}
      * @param text what staff should read
      */
-    record Refuse(Refusal why, long life, String text) implements Part {
-    }
+    record Refuse(Refusal why, long life, String text) implements Part {}
 
     /** A part whose versions have none in common with ours: its fields are not read. */
-    record Foreign(int lowest, int highest) implements Part {
-    }
+    record Foreign(int lowest, int highest) implements Part {}
 
     static byte[] bytes(Part part) {
         ByteBuffer out = ByteBuffer.allocate(MOST);
@@ -129,8 +125,15 @@
         switch (kind) {
             case 1:
             case 2:
-                return new Hello(kind == 2, Wire.name(in), Wire.name(in), Wire.name(in), Wire.text(in), in.getLong(),
-                        in.getLong(), in.getLong());
+                return new Hello(
+                        kind == 2,
+                        Wire.name(in),
+                        Wire.name(in),
+                        Wire.name(in),
+                        Wire.text(in),
+                        in.getLong(),
+                        in.getLong(),
+                        in.getLong());
             case 3:
                 return new Ready();
             case 4:
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Member.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Member.java
@@ -7,5 +7,4 @@
  * @param address where its peers reach it, {@code address:port}
  * @param zone the zone it is in
  */
-public record Member(String name, String address, String zone) {
-}
+public record Member(String name, String address, String zone) {}
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Outbox.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Outbox.java
@@ -10,6 +10,7 @@
 final class Outbox {
     /** What a stream may write in one turn; a longer message waits for several turns. */
     static final int QUANTUM = 32 << 10;
+
     private static final Stream[] STREAMS = Stream.values();
 
     private final long bytesMost;
--- a/fleet/src/main/java/brackenbridge/fleet/peer/PeerLimits.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/PeerLimits.java
@@ -16,8 +16,18 @@
  * @param strangers connections that may stand before the end of their handshake
  * @param asked how many others are asked at a time whether they hear a silent peer
  */
-public record PeerLimits(int frameBytes, long queueBytes, int queueMessages, double beatMs, double suspectMs,
-        double goneMs, int handshakeMs, double dialMinMs, double dialMaxMs, int strangers, int asked) {
+public record PeerLimits(
+        int frameBytes,
+        long queueBytes,
+        int queueMessages,
+        double beatMs,
+        double suspectMs,
+        double goneMs,
+        int handshakeMs,
+        double dialMinMs,
+        double dialMaxMs,
+        int strangers,
+        int asked) {
     /** Bytes of a member's, a zone's or a fleet's name, in UTF-8. */
     public static final int NAME_BYTES = 64;
 
@@ -42,8 +52,18 @@
 
     /** The same with other times of liveness. */
     public PeerLimits beating(double beat, double suspect, double gone) {
-        return new PeerLimits(frameBytes, queueBytes, queueMessages, beat, suspect, gone, handshakeMs, dialMinMs,
-                dialMaxMs, strangers, asked);
+        return new PeerLimits(
+                frameBytes,
+                queueBytes,
+                queueMessages,
+                beat,
+                suspect,
+                gone,
+                handshakeMs,
+                dialMinMs,
+                dialMaxMs,
+                strangers,
+                asked);
     }
 
     private static void demand(boolean holds, String fault) {
--- a/fleet/src/main/java/brackenbridge/fleet/peer/TcpLinks.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/TcpLinks.java
@@ -55,6 +55,7 @@
     private final Map<Refusal, Double> logged = new EnumMap<>(Refusal.class);
     /** Guards all that follows, the detector too. */
     private final Object lock = new Object();
+
     private final Map<String, Peer> peers = new ConcurrentHashMap<>();
     private final Detector detector;
     private final Set<Connection> strangers = new LinkedHashSet<>();
@@ -127,7 +128,13 @@
      * @param clock the source of time
      * @param limits what the links are granted
      */
-    public TcpLinks(Member me, String listenAddress, long life, String fleet, List<Member> peers, Clock clock,
+    public TcpLinks(
+            Member me,
+            String listenAddress,
+            long life,
+            String fleet,
+            List<Member> peers,
+            Clock clock,
             PeerLimits limits) {
         this.me = checked(me);
         address(listenAddress);
@@ -250,7 +257,8 @@
     public Map<String, Double> figures() {
         Map<String, Double> all = figures.snapshot();
         synchronized (lock) {
-            all.put("links", (double) peers.values().stream().filter(p -> p.connection != null).count());
+            all.put("links", (double)
+                    peers.values().stream().filter(p -> p.connection != null).count());
             all.put("strangers", (double) strangers.size());
             all.put("threads", (double) threads.size());
             all.put("peers_alive", (double) detector.count(Standing.ALIVE));
@@ -309,7 +317,7 @@
             if (closing) {
                 return;
             }
-            for (Iterator<Peer> i = peers.values().iterator(); i.hasNext();) {
+            for (Iterator<Peer> i = peers.values().iterator(); i.hasNext(); ) {
                 Peer peer = i.next();
                 Member now = wanted.get(peer.member.name());
                 if (now == null || !now.address().equals(peer.member.address())) {
@@ -378,7 +386,8 @@
         double until = clock.nowMs() + (farewell ? FAREWELL_MS : 0);
         for (Connection connection : open) {
             synchronized (lock) {
-                for (double left = until - clock.nowMs(); left >= 1 && !connection.closed;
+                for (double left = until - clock.nowMs();
+                        left >= 1 && !connection.closed;
                         left = until - clock.nowMs()) {
                     pause(left);
                 }
@@ -425,15 +434,17 @@
 
     /** With the lock. */
     private Thread thread(String name, Runnable work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } finally {
-                synchronized (lock) {
-                    threads.remove(Thread.currentThread());
-                }
-            }
-        }, me.name() + "-" + name);
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        work.run();
+                    } finally {
+                        synchronized (lock) {
+                            threads.remove(Thread.currentThread());
+                        }
+                    }
+                },
+                me.name() + "-" + name);
         thread.setDaemon(true);
         threads.add(thread);
         thread.start();
@@ -540,8 +551,12 @@
     private boolean welcomed(Connection connection) throws IOException {
         Handshake.Part part = Handshake.read(connection.in);
         if (part instanceof Handshake.Foreign foreign) {
-            return refuse(connection, Refusal.VERSION, 0, "speaks " + foreign.lowest() + " to " + foreign.highest()
-                    + ", we " + Handshake.LOWEST + " to " + Handshake.HIGHEST);
+            return refuse(
+                    connection,
+                    Refusal.VERSION,
+                    0,
+                    "speaks " + foreign.lowest() + " to " + foreign.highest() + ", we " + Handshake.LOWEST + " to "
+                            + Handshake.HIGHEST);
         }
         if (!(part instanceof Handshake.Hello hello) || hello.welcome()) {
             throw new WireException("no hello");
@@ -671,9 +686,13 @@
                 peer.lastDialInstance = hello.instance();
                 quietly(peer.dialling);
             }
-            if (!hello.address().equals(peer.member.address()) && !hello.address().equals(peer.toldAddress)) {
+            if (!hello.address().equals(peer.member.address())
+                    && !hello.address().equals(peer.toldAddress)) {
                 figures.count("address_differs");
-                LOG.warn("{} is listed at {} and says it listens on {}", hello.from(), peer.member.address(),
+                LOG.warn(
+                        "{} is listed at {} and says it listens on {}",
+                        hello.from(),
+                        peer.member.address(),
                         hello.address());
             }
             peer.toldAddress = hello.address();
@@ -688,7 +707,11 @@
             LockSupport.unpark(peer.keeper);
             lock.notifyAll();
         }
-        LOG.info("linked with {} at {}, life {}, {}", hello.from(), hello.address(), hello.life(),
+        LOG.info(
+                "linked with {} at {}, life {}, {}",
+                hello.from(),
+                hello.address(),
+                hello.life(),
                 connection.dialled ? "dialled" : "accepted");
         return true;
     }
@@ -728,8 +751,12 @@
         }
         if (loud || why == Refusal.UNREADABLE) {
             LOG.atLevel(loud ? Level.WARN : Level.DEBUG)
-                    .log("refused {} from {}: {}: {}", connection.peer, connection.socket.getRemoteSocketAddress(),
-                            why.text(), text);
+                    .log(
+                            "refused {} from {}: {}: {}",
+                            connection.peer,
+                            connection.socket.getRemoteSocketAddress(),
+                            why.text(),
+                            text);
         }
     }
 
@@ -749,7 +776,11 @@
             peer.failures = Math.max(peer.failures, 16);
             if (peer.lastRefusal != refuse.why()) {
                 peer.lastRefusal = refuse.why();
-                LOG.warn("{} at {} refuses this member: {}: {}", name, peer.member.address(), refuse.why().text(),
+                LOG.warn(
+                        "{} at {} refuses this member: {}: {}",
+                        name,
+                        peer.member.address(),
+                        refuse.why().text(),
                         refuse.text());
                 boolean own = refuse.why() == Refusal.DUPLICATE || refuse.why() == Refusal.OLD_LIFE;
                 raise(own ? me.name() : name, refuse.why(), refuse.text());
@@ -825,15 +856,15 @@
             // The address a peer has told of itself is tried in turn with the one in the list.
             boolean told = peer.toldAddress != null && peer.dialCount % 2 == 0;
             target = told ? peer.toldAddress : peer.member.address();
-            hello = new Handshake.Hello(false, fleet, me.name(), peer.member.name(), me.address(), life, instance,
-                    ++dials);
+            hello = new Handshake.Hello(
+                    false, fleet, me.name(), peer.member.name(), me.address(), life, instance, ++dials);
         }
         boolean linked = false;
         Connection connection = null;
         try {
             InetSocketAddress unresolved = address(target);
-            socket.connect(new InetSocketAddress(unresolved.getHostString(), unresolved.getPort()),
-                    limits.handshakeMs());
+            socket.connect(
+                    new InetSocketAddress(unresolved.getHostString(), unresolved.getPort()), limits.handshakeMs());
             connection = new Connection(socket, true, limits, clock, figures);
             connection.peer = peer.member.name();
             synchronized (lock) {
@@ -1028,16 +1059,21 @@
         dispatch(out);
         for (Detector.Change change : detector.changes()) {
             // Not here but on the watchers' thread: a log that blocks holds no lock.
-            watcherCalls.add(change.peer(), () -> LOG.info("{} holds {} for {}, life {}", me.name(), change.peer(),
-                    change.standing(), change.life()));
+            watcherCalls.add(
+                    change.peer(),
+                    () -> LOG.info(
+                            "{} holds {} for {}, life {}", me.name(), change.peer(), change.standing(), change.life()));
             for (Watcher watcher : watchers) {
                 watcherCalls.add(change.peer(), () -> watcher.changed(change.peer(), change.standing(), change.life()));
             }
         }
         for (Detector.Conflict c : detector.conflicts()) {
             figures.count("conflicts");
-            raise(c.name(), Refusal.DUPLICATE, "lives " + c.life() + " and " + c.otherLife() + ", processes "
-                    + Long.toHexString(c.instance()) + " and " + Long.toHexString(c.otherInstance()));
+            raise(
+                    c.name(),
+                    Refusal.DUPLICATE,
+                    "lives " + c.life() + " and " + c.otherLife() + ", processes " + Long.toHexString(c.instance())
+                            + " and " + Long.toHexString(c.otherInstance()));
         }
     }
 
@@ -1045,15 +1081,18 @@
         for (Detector.Out beat : out) {
             Peer peer = peers.get(beat.to());
             Connection connection = peer == null ? null : peer.connection;
-            if (connection != null && !connection.outbox.offer(Stream.LIVENESS, beat.beat().bytes())) {
+            if (connection != null
+                    && !connection.outbox.offer(Stream.LIVENESS, beat.beat().bytes())) {
                 figures.count("beats_unsent");
             }
         }
     }
 
     private void raise(String name, Refusal why, String text) {
-        watcherCalls.add(name, () -> LOG.error("{}: {}: {}", name.equals(me.name()) ? "this member, " + name : name,
-                why.text(), text));
+        watcherCalls.add(
+                name,
+                () -> LOG.error(
+                        "{}: {}: {}", name.equals(me.name()) ? "this member, " + name : name, why.text(), text));
         for (Alarm alarm : alarms) {
             watcherCalls.add(name, () -> alarm.raised(name, why, text));
         }
--- a/fleet/src/main/java/brackenbridge/fleet/peer/WatcherQueue.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/WatcherQueue.java
@@ -13,8 +13,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(WatcherQueue.class);
     private static final int MAX_CALLS = 4096;
 
-    private record Call(String peer, Runnable run) {
-    }
+    private record Call(String peer, Runnable run) {}
 
     private final ArrayDeque<Call> calls = new ArrayDeque<>();
     private final Figures figures;
@@ -28,7 +27,9 @@
     /** Adds a call about this peer. */
     synchronized void add(String peer, Runnable run) {
         if (calls.size() >= MAX_CALLS) {
-            calls.remove(calls.stream().filter(call -> Objects.equals(call.peer(), peer)).findFirst()
+            calls.remove(calls.stream()
+                    .filter(call -> Objects.equals(call.peer(), peer))
+                    .findFirst()
                     .orElse(calls.peek()));
             figures.count("events_lost");
         }
--- a/fleet/src/main/java/brackenbridge/fleet/peer/Wire.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/Wire.java
@@ -8,8 +8,7 @@
 
 /** Small parts of the wire that several readers share. */
 final class Wire {
-    private Wire() {
-    }
+    private Wire() {}
 
     /** A reader's body: faults of the bytes come as {@link WireException} only. */
     @FunctionalInterface
@@ -50,7 +49,10 @@
         byte[] bytes = new byte[in.get() & 0xff];
         in.get(bytes);
         try {
-            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+            return StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
         } catch (CharacterCodingException e) {
             throw new WireException("a text that is not UTF-8");
         }
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Codec.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Codec.java
@@ -1,14 +1,14 @@
 package brackenbridge.fleet.replica;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.ObjectWriter;
 import com.fasterxml.jackson.databind.SerializationFeature;
-import com.fasterxml.jackson.annotation.JsonFormat;
-import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
@@ -20,25 +20,38 @@
 public final class Codec {
     /** Bytes of a message, at the most. */
     public static final int MOST_BYTES = 256 << 10;
-    private static final List<Class<? extends Message>> KINDS = List.of(Message.Marks.class, Message.Wants.class,
-            Message.Chunk.class, Message.Digests.class, Message.Ranges.class, Message.Copies.class);
+
+    private static final List<Class<? extends Message>> KINDS = List.of(
+            Message.Marks.class,
+            Message.Wants.class,
+            Message.Chunk.class,
+            Message.Digests.class,
+            Message.Ranges.class,
+            Message.Copies.class);
     private static final ObjectMapper MAPPER = mapper();
-    private static final List<ObjectReader> READERS = KINDS.stream().map(k -> MAPPER.readerFor(k)).toList();
+    private static final List<ObjectReader> READERS =
+            KINDS.stream().map(k -> MAPPER.readerFor(k)).toList();
     private static final ObjectReader ENTRY = MAPPER.readerFor(Entry.class);
     private static final ObjectWriter WRITER = MAPPER.writer();
 
-    private Codec() {
-    }
+    private Codec() {}
 
     private static ObjectMapper mapper() {
-        CBORFactory factory = CBORFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
-                .maxNestingDepth(6).maxDocumentLength(MOST_BYTES).maxStringLength(2 * Entry.MOST_VALUE)
-                .maxNameLength(64).maxNumberLength(32).build()).build();
+        CBORFactory factory = CBORFactory.builder()
+                .streamReadConstraints(StreamReadConstraints.builder()
+                        .maxNestingDepth(6)
+                        .maxDocumentLength(MOST_BYTES)
+                        .maxStringLength(2 * Entry.MOST_VALUE)
+                        .maxNameLength(64)
+                        .maxNumberLength(32)
+                        .build())
+                .build();
         ObjectMapper m = CBORMapper.builder(factory)
                 .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                 .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                 .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
-                .enable(SerializationFeature.WRITE_ENUMS_USING_INDEX).build();
+                .enable(SerializationFeature.WRITE_ENUMS_USING_INDEX)
+                .build();
         m.configOverride(Entry.class).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
         m.configOverride(Version.class).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
         return m;
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Differences.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Differences.java
@@ -23,6 +23,7 @@
 public final class Differences {
     /** Comparisons with the owner that still find a difference after the rule, until the copy is given up. */
     static final int STRIKES = 3;
+
     private static final int MOST_KEPT = 256;
     private static final int MOST_LIVES = 256;
     private static final int PIECE_BYTES = 64 << 10;
@@ -50,9 +51,16 @@
      * @param theirs the other, as text
      * @param verdict what became of it
      */
-    public record Difference(double atMs, String owner, long life, Space space, String key, String peer, String mine,
-            String theirs, Verdict verdict) {
-    }
+    public record Difference(
+            double atMs,
+            String owner,
+            long life,
+            Space space,
+            String key,
+            String peer,
+            String mine,
+            String theirs,
+            Verdict verdict) {}
 
     private final Store store;
     private final ArrayDeque<Difference> found = new ArrayDeque<>();
@@ -87,8 +95,8 @@
         for (CatchUp.Of o : of) {
             long[] d = store.digests(o.owner(), o.life());
             if (d != null) {
-                digests.add(new Message.Digest(o.owner(), o.life(), store.have(o.owner(), o.life()).orElse(0),
-                        Part.digest(d)));
+                digests.add(new Message.Digest(
+                        o.owner(), o.life(), store.have(o.owner(), o.life()).orElse(0), Part.digest(d)));
             }
         }
         return new Message.Digests(digests);
@@ -164,8 +172,8 @@
         if (peer.equals(owner) && strikes.merge(of, 1, Integer::sum) >= STRIKES) {
             strikes.remove(of);
             givenUp.add(of);
-            alarm("the copy of " + owner + " in life " + life + " still differs from its owner's after "
-                    + STRIKES + " times: out of decision, fetched whole");
+            alarm("the copy of " + owner + " in life " + life + " still differs from its owner's after " + STRIKES
+                    + " times: out of decision, fetched whole");
             store.again(owner, life);
         }
     }
@@ -192,15 +200,21 @@
         if (store.have(m.owner(), m.life()).orElse(0) != m.have() || store.digests(m.owner(), m.life()) == null) {
             return List.of();
         }
-        List<Message> answer = m.ask() && m.last() ? copies(m.owner(), m.life(), m.have(), m.range(), false)
-                : List.of();
+        List<Message> answer =
+                m.ask() && m.last() ? copies(m.owner(), m.life(), m.have(), m.range(), false) : List.of();
         Map<Item, Entry> theirs = new TreeMap<>();
         m.entries().forEach(e -> theirs.put(e.item(), e));
         Set<Item> items = new TreeSet<>(theirs.keySet());
-        Item first = m.part() == 0 || theirs.isEmpty() ? null : m.entries().get(0).item();
-        Item last = m.last() ? null : m.entries().isEmpty() ? first : m.entries().get(m.entries().size() - 1).item();
+        Item first =
+                m.part() == 0 || theirs.isEmpty() ? null : m.entries().get(0).item();
+        Item last = m.last()
+                ? null
+                : m.entries().isEmpty()
+                        ? first
+                        : m.entries().get(m.entries().size() - 1).item();
         for (Entry e : store.range(m.owner(), m.life(), m.range())) {
-            if ((first == null || e.item().compareTo(first) >= 0) && (last == null || e.item().compareTo(last) <= 0)) {
+            if ((first == null || e.item().compareTo(first) >= 0)
+                    && (last == null || e.item().compareTo(last) <= 0)) {
                 items.add(e.item());
             }
         }
@@ -209,8 +223,10 @@
         }
         for (Item i : items) {
             Entry t = theirs.get(i);
-            if (t == null || t.item().range() == m.range() && t.version().life() == m.life()
-                    && t.version().sequence() <= m.have()) {
+            if (t == null
+                    || t.item().range() == m.range()
+                            && t.version().life() == m.life()
+                            && t.version().sequence() <= m.have()) {
                 rule(peer, m.owner(), m.life(), i, t, nowMs);
             }
         }
@@ -224,8 +240,12 @@
         Entry mine = store.entry(owner, life, item);
         boolean goneHere = mine == null || mine.gone();
         boolean goneThere = theirs == null || theirs.gone();
-        if (goneHere && goneThere || mine != null && theirs != null && mine.sum() == theirs.sum()
-                && mine.intact(owner) && theirs.intact(owner)) {
+        if (goneHere && goneThere
+                || mine != null
+                        && theirs != null
+                        && mine.sum() == theirs.sum()
+                        && mine.intact(owner)
+                        && theirs.intact(owner)) {
             return;
         }
         boolean own = owner.equals(store.me()) && life == store.life();
@@ -244,12 +264,16 @@
         } else {
             v = theirs.version().compareTo(mine.version()) > 0 ? Verdict.TOOK_THEIRS : Verdict.KEPT_MINE;
         }
-        if (own && mine != null && theirs != null && mine.intact(owner) && theirs.intact(owner)
+        if (own
+                && mine != null
+                && theirs != null
+                && mine.intact(owner)
+                && theirs.intact(owner)
                 && mine.version().equals(theirs.version())) {
             v = Verdict.TWO_WRITERS;
         }
-        found(new Difference(nowMs, owner, life, item.space(), item.key(), peer, text(owner, mine),
-                text(owner, theirs), v));
+        found(new Difference(
+                nowMs, owner, life, item.space(), item.key(), peer, text(owner, mine), text(owner, theirs), v));
         if (v == Verdict.TOOK_THEIRS) {
             store.mend(owner, life, item, theirs != null && !theirs.intact(owner) ? null : theirs, nowMs);
         } else if (v == Verdict.TWO_WRITERS) {
@@ -296,7 +320,8 @@
 
     /** Lives of owners that were found to differ and were not found equal since. */
     public int open() {
-        open.removeIf(o -> o.life() < store.newest(o.owner()) && store.have(o.owner(), o.life()).isEmpty());
+        open.removeIf(o -> o.life() < store.newest(o.owner())
+                && store.have(o.owner(), o.life()).isEmpty());
         return open.size();
     }
 
