--- a/fleet/src/main/java/brackenbridge/fleet/replica/Disk.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Disk.java
@@ -12,10 +12,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.zip.CRC32C;
+import org.h2.mvstore.DataUtils;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
-import org.h2.mvstore.DataUtils;
 import org.h2.mvstore.type.ByteArrayDataType;
 import org.h2.mvstore.type.StringDataType;
 import org.slf4j.Logger;
@@ -28,6 +28,7 @@
 public final class Disk implements AutoCloseable {
     /** The way of writing; another one is not read. */
     static final int SCHEMA = 1;
+
     private static final Logger LOG = LoggerFactory.getLogger(Disk.class);
     private static final String FILE = "replica.mv";
 
@@ -41,8 +42,7 @@
      * @param entries records that changed
      * @param gone records that are gone
      */
-    record Batch(String owner, long life, Long have, long floor, List<Entry> entries, List<Item> gone) {
-    }
+    record Batch(String owner, long life, Long have, long floor, List<Entry> entries, List<Item> gone) {}
 
     private final Path file;
     private final String fleet;
@@ -69,12 +69,19 @@
     }
 
     private static MVMap<String, byte[]> map(MVStore store, String name) {
-        return store.openMap(name, new MVMap.Builder<String, byte[]>().keyType(StringDataType.INSTANCE)
-                .valueType(ByteArrayDataType.INSTANCE));
+        return store.openMap(
+                name,
+                new MVMap.Builder<String, byte[]>()
+                        .keyType(StringDataType.INSTANCE)
+                        .valueType(ByteArrayDataType.INSTANCE));
     }
 
     private static MVStore open(Path file) {
-        return new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(4).open();
+        return new MVStore.Builder()
+                .fileName(file.toString())
+                .autoCommitDisabled()
+                .cacheSize(4)
+                .open();
     }
 
     /**
@@ -124,9 +131,10 @@
         String wrong = !header.isEmpty() && !text(header, "schema").equals(Integer.toString(SCHEMA))
                 ? "is written in another way, " + text(header, "schema")
                 : !header.isEmpty() && !text(header, "fleet").equals(fleet)
-                ? "belongs to the fleet " + text(header, "fleet") + ", not to " + fleet
-                : !header.isEmpty() && !text(header, "member").equals(member)
-                ? "belongs to the member " + text(header, "member") + ", not to " + member : null;
+                        ? "belongs to the fleet " + text(header, "fleet") + ", not to " + fleet
+                        : !header.isEmpty() && !text(header, "member").equals(member)
+                                ? "belongs to the member " + text(header, "member") + ", not to " + member
+                                : null;
         if (wrong != null) {
             store.closeImmediately();
             throw new IOException(file + " " + wrong);
@@ -223,10 +231,16 @@
             String owner = e.getKey().substring(0, cut);
             long of = Long.parseLong(e.getKey().substring(cut + 1));
             List<Entry> of1 = entries.getOrDefault(e.getKey(), List.of());
-            if (b == null || b.length != 20 || bad.containsKey(e.getKey())
+            if (b == null
+                    || b.length != 20
+                    || bad.containsKey(e.getKey())
                     || ByteBuffer.wrap(b).getInt(16) != of1.size()) {
-                LOG.error("{}: {} life {} is not whole on disk ({} of its records can't be read): fetched from peers",
-                        file, owner, of, bad.getOrDefault(e.getKey(), 0));
+                LOG.error(
+                        "{}: {} life {} is not whole on disk ({} of its records can't be read): fetched from peers",
+                        file,
+                        owner,
+                        of,
+                        bad.getOrDefault(e.getKey(), 0));
                 drop(e.getKey());
                 continue;
             }
@@ -240,7 +254,7 @@
     private void drop(String of) {
         heads.remove(of);
         List<String> keys = new ArrayList<>();
-        for (java.util.Iterator<String> i = records.keyIterator(of + '\0'); i.hasNext();) {
+        for (java.util.Iterator<String> i = records.keyIterator(of + '\0'); i.hasNext(); ) {
             String k = i.next();
             if (!k.startsWith(of + '\0')) {
                 break;
@@ -272,8 +286,13 @@
                 }
                 b.gone().forEach(i -> records.remove(key(of, i)));
                 b.entries().forEach(e -> records.put(key(of, e.item()), checked(Codec.write(e))));
-                heads.put(of, checked(ByteBuffer.allocate(20).putLong(b.have()).putLong(b.floor())
-                        .putInt(sizes.get(new CatchUp.Of(b.owner(), b.life()))).array()));
+                heads.put(
+                        of,
+                        checked(ByteBuffer.allocate(20)
+                                .putLong(b.have())
+                                .putLong(b.floor())
+                                .putInt(sizes.get(new CatchUp.Of(b.owner(), b.life())))
+                                .array()));
             }
             store.commit();
         } catch (RuntimeException e) {
@@ -299,7 +318,10 @@
     private static byte[] checked(byte[] b) {
         CRC32C c = new CRC32C();
         c.update(b, 0, b.length);
-        return ByteBuffer.allocate(b.length + 4).put(b).putInt((int) c.getValue()).array();
+        return ByteBuffer.allocate(b.length + 4)
+                .put(b)
+                .putInt((int) c.getValue())
+                .array();
     }
 
     private static byte[] unchecked(byte[] b) {
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Entry.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Entry.java
@@ -25,19 +25,27 @@
 
     /** Checks what can be checked without the owner's name. */
     public Entry {
-        if (space == null || key == null || key.length() > MOST_KEY || !text(key) || version == null
-                || version.life() < 0 || version.sequence() < 1
-                || value != null && value.length > MOST_VALUE || count < 0 || below < 0
-                || below > version.life() || space.kind() == Space.Kind.COUNTED && value != null) {
+        if (space == null
+                || key == null
+                || key.length() > MOST_KEY
+                || !text(key)
+                || version == null
+                || version.life() < 0
+                || version.sequence() < 1
+                || value != null && value.length > MOST_VALUE
+                || count < 0
+                || below < 0
+                || below > version.life()
+                || space.kind() == Space.Kind.COUNTED && value != null) {
             throw new IllegalArgumentException("not a record");
         }
     }
 
     /** A record with its checksum. */
-    public static Entry of(String owner, Space space, String key, Version version, byte[] value, long count,
-            long below) {
-        return new Entry(space, key, version, value, count, below,
-                sum(owner, space, key, version, value, count, below));
+    public static Entry of(
+            String owner, Space space, String key, Version version, byte[] value, long count, long below) {
+        return new Entry(
+                space, key, version, value, count, below, sum(owner, space, key, version, value, count, below));
     }
 
     /** Whether this can be written as UTF-8 and read again: half a surrogate pair can't. */
@@ -72,13 +80,21 @@
     }
 
     /** Two cyclic checksums of different polynomials side by side: 64 bits against accidents, not against intent. */
-    private static long sum(String owner, Space space, String key, Version version, byte[] value, long count,
-            long below) {
+    private static long sum(
+            String owner, Space space, String key, Version version, byte[] value, long count, long below) {
         byte[] o = owner.getBytes(StandardCharsets.UTF_8);
         byte[] k = key.getBytes(StandardCharsets.UTF_8);
         ByteBuffer b = ByteBuffer.allocate(o.length + k.length + (value == null ? 0 : value.length) + 48);
-        b.putInt(o.length).put(o).putInt(space.ordinal()).putInt(k.length).put(k).putLong(version.life())
-                .putLong(version.sequence()).putLong(count).putLong(below).putInt(value == null ? -1 : value.length);
+        b.putInt(o.length)
+                .put(o)
+                .putInt(space.ordinal())
+                .putInt(k.length)
+                .put(k)
+                .putLong(version.life())
+                .putLong(version.sequence())
+                .putLong(count)
+                .putLong(below)
+                .putInt(value == null ? -1 : value.length);
         if (value != null) {
             b.put(value);
         }
@@ -92,8 +108,13 @@
 
     @Override
     public String toString() {
-        return space + "/" + key + "@" + version.life() + "." + version.sequence() + "=" + (gone() ? "gone"
-                : value == null ? count + (below == 0 ? "" : " with all below " + below)
-                : value.length > 64 ? value.length + " bytes" : new String(value, StandardCharsets.UTF_8));
+        return space + "/" + key + "@" + version.life() + "." + version.sequence() + "="
+                + (gone()
+                        ? "gone"
+                        : value == null
+                                ? count + (below == 0 ? "" : " with all below " + below)
+                                : value.length > 64
+                                        ? value.length + " bytes"
+                                        : new String(value, StandardCharsets.UTF_8));
     }
 }
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Exchange.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Exchange.java
@@ -28,8 +28,7 @@
      * @param peer to whom
      * @param body the message
      */
-    public record Out(String peer, byte[] body) {
-    }
+    public record Out(String peer, byte[] body) {}
 
     private static final class Peer {
         long life;
@@ -238,7 +237,8 @@
             }
             for (String o : of) {
                 Message.Chunk c = advanced.containsKey(o)
-                        ? store.after(o, store.newest(o), advanced.get(o), terms.pieceBytes()) : null;
+                        ? store.after(o, store.newest(o), advanced.get(o), terms.pieceBytes())
+                        : null;
                 if (c != null) {
                     messages.add(c);
                 }
@@ -254,8 +254,14 @@
     }
 
     private void ask(double nowMs, List<Out> out) {
-        catchUp.due(nowMs).forEach((peer, of) -> send(peer, new Message.Wants(of.stream()
-                .map(o -> store.want(o.owner(), o.life())).toList()), nowMs, out));
+        catchUp.due(nowMs)
+                .forEach((peer, of) -> send(
+                        peer,
+                        new Message.Wants(of.stream()
+                                .map(o -> store.want(o.owner(), o.life()))
+                                .toList()),
+                        nowMs,
+                        out));
     }
 
     /** Answers to wants, as far as bytes allow: each peer gets a piece in turn. */
@@ -283,7 +289,8 @@
         Map<Long, Long> ended = store.endedOfMine();
         long below = 0;
         for (Map.Entry<Long, Long> e : ended.entrySet()) {
-            if (!configured.stream().allMatch(p -> e.getValue().equals(peers.get(p).mineEnded.get(e.getKey())))) {
+            if (!configured.stream()
+                    .allMatch(p -> e.getValue().equals(peers.get(p).mineEnded.get(e.getKey())))) {
                 break;
             }
             below = e.getKey() + 1;
@@ -422,7 +429,10 @@
 
     /** How far this member is. */
     public Replica.Level level(double nowMs) {
-        return new Replica.Level(catchUp.level(listened, nowMs), catchUp.behind(), differences.open(),
+        return new Replica.Level(
+                catchUp.level(listened, nowMs),
+                catchUp.behind(),
+                differences.open(),
                 differences.outOfDecision() || store.aside(store.me()) != null);
     }
 
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Message.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Message.java
@@ -111,8 +111,8 @@
      * @param entries the writes, earliest first
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Chunk(String owner, long life, long newest, long from, long to, long base, long floor,
-            List<Entry> entries) implements Message {
+    record Chunk(String owner, long life, long newest, long from, long to, long base, long floor, List<Entry> entries)
+            implements Message {
         /** Checks bounds and order. */
         public Chunk {
             name(owner);
@@ -120,7 +120,9 @@
             most(entries);
             long last = from;
             for (Entry e : entries) {
-                if (e.version().life() != life || e.version().sequence() <= last || e.version().sequence() > to) {
+                if (e.version().life() != life
+                        || e.version().sequence() <= last
+                        || e.version().sequence() > to) {
                     throw new IllegalArgumentException("a write out of order");
                 }
                 last = e.version().sequence();
@@ -175,7 +177,9 @@
         public Ranges {
             name(owner);
             notNegative(life, have);
-            if (digests == null || digests.size() != Item.RANGES || digests.stream().anyMatch(Objects::isNull)) {
+            if (digests == null
+                    || digests.size() != Item.RANGES
+                    || digests.stream().anyMatch(Objects::isNull)) {
                 throw new IllegalArgumentException("not as many ranges as there are");
             }
         }
@@ -194,8 +198,9 @@
      * @param entries the records in the order of their keys, complete from the first one's key to the last one's
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Copies(String owner, long life, long have, int range, int part, boolean last, boolean ask,
-            List<Entry> entries) implements Message {
+    record Copies(
+            String owner, long life, long have, int range, int part, boolean last, boolean ask, List<Entry> entries)
+            implements Message {
         /** Checks bounds. */
         public Copies {
             name(owner);
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Part.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Part.java
@@ -18,8 +18,7 @@
     /** Removals that are remembered, at the most. */
     static final int MOST_REMOVALS = 1024;
 
-    private record Removal(long sequence, double atMs) {
-    }
+    private record Removal(long sequence, double atMs) {}
 
     final String owner;
     final long life;
@@ -31,6 +30,7 @@
     long base;
     /** The snapshot is taken up to this write. */
     long cursor;
+
     private final TreeMap<Long, Entry> bySequence = new TreeMap<>();
     private final Map<Item, Entry> byItem = new HashMap<>();
     private final ArrayDeque<Removal> removals = new ArrayDeque<>();
@@ -139,7 +139,8 @@
      */
     List<Item> forget(double nowMs, double afterMs) {
         List<Item> forgotten = new ArrayList<>();
-        while (!removals.isEmpty() && (removals.size() > MOST_REMOVALS || removals.peek().atMs() <= nowMs - afterMs)
+        while (!removals.isEmpty()
+                && (removals.size() > MOST_REMOVALS || removals.peek().atMs() <= nowMs - afterMs)
                 && removals.peek().sequence() <= have) {
             Removal r = removals.poll();
             Entry e = bySequence.get(r.sequence());
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Replica.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Replica.java
@@ -32,8 +32,7 @@
      * @param differing how many copies were found to differ and were not made one yet
      * @param outOfDecision whether it differs after the rule was applied: nobody acts on its copies
      */
-    record Level(boolean level, long behind, long differing, boolean outOfDecision) {
-    }
+    record Level(boolean level, long behind, long differing, boolean outOfDecision) {}
 
     /** Hears of records that have changed. */
     @FunctionalInterface
--- a/fleet/src/main/java/brackenbridge/fleet/replica/ReplicaNode.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/ReplicaNode.java
@@ -41,9 +41,8 @@
      * @param standing what links say of it
      * @param aside why its present life was put aside; null if it was not
      */
-    public record Status(String member, long life, long wrote, long have, double heardMs, Standing standing,
-            String aside) {
-    }
+    public record Status(
+            String member, long life, long wrote, long have, double heardMs, Standing standing, String aside) {}
 
     /**
      * What a member's exchange has done.
@@ -56,12 +55,16 @@
      * @param records records that are held
      * @param onDisk whether the disk takes what is written; false without a disk
      */
-    public record Figures(long sentBytes, long dropped, long unsent, long unreadable, long differences, long records,
-            boolean onDisk) {
-    }
+    public record Figures(
+            long sentBytes,
+            long dropped,
+            long unsent,
+            long unreadable,
+            long differences,
+            long records,
+            boolean onDisk) {}
 
-    private record Key(Space space, String owner, String key) {
-    }
+    private record Key(Space space, String owner, String key) {}
 
     private final Links links;
     private final Disk disk;
@@ -151,7 +154,9 @@
             lock.unlock();
         }
         alarms.forEach(LOG::error);
-        long lost = out.stream().filter(o -> !links.send(o.peer(), Stream.REPLICA, o.body())).count();
+        long lost = out.stream()
+                .filter(o -> !links.send(o.peer(), Stream.REPLICA, o.body()))
+                .count();
         if (lost > 0) {
             lock.lock();
             try {
@@ -166,7 +171,8 @@
     private List<String> settle() {
         boolean listens = !listeners.isEmpty();
         for (Store.Touched t : store.touched()) {
-            LinkedHashSet<Item> items = disk == null ? null
+            LinkedHashSet<Item> items = disk == null
+                    ? null
                     : toWrite.computeIfAbsent(new CatchUp.Of(t.owner(), t.life()), k -> new LinkedHashSet<>());
             if (t.item() != null) {
                 if (items != null) {
@@ -189,7 +195,11 @@
                 if (peersChanged) {
                     peersChanged = false;
                     List<String> all = links.peers().stream().map(Member::name).toList();
-                    exchange.peers(all, all.stream().filter(p -> links.standing(p) != Standing.GONE).toList());
+                    exchange.peers(
+                            all,
+                            all.stream()
+                                    .filter(p -> links.standing(p) != Standing.GONE)
+                                    .toList());
                 }
                 return exchange.tick(clock.nowMs());
             });
@@ -294,9 +304,13 @@
                 }
                 boolean there = store.lives(of.owner()).contains(of.life());
                 sizes.put(of, store.size(of.owner(), of.life()));
-                batches.add(new Disk.Batch(of.owner(), of.life(),
+                batches.add(new Disk.Batch(
+                        of.owner(),
+                        of.life(),
                         there ? store.have(of.owner(), of.life()).orElse(0) : null,
-                        store.floor(of.owner(), of.life()), entries, gone));
+                        store.floor(of.owner(), of.life()),
+                        entries,
+                        gone));
             });
         } finally {
             lock.unlock();
@@ -322,7 +336,8 @@
             onDisk = ok;
             writing = false;
             if (!ok) {
-                taken.forEach((of, items) -> toWrite.computeIfAbsent(of, k -> new LinkedHashSet<>()).addAll(items));
+                taken.forEach((of, items) ->
+                        toWrite.computeIfAbsent(of, k -> new LinkedHashSet<>()).addAll(items));
             }
             changed.signalAll();
         } finally {
@@ -402,7 +417,8 @@
 
     /** This member's last write. */
     public Version version() {
-        return locked(() -> new Version(store.life(), store.have(store.me(), store.life()).orElse(0)));
+        return locked(() ->
+                new Version(store.life(), store.have(store.me(), store.life()).orElse(0)));
     }
 
     /** The last differences that were found, with both values; what {@code state diff} shows. */
@@ -421,8 +437,13 @@
             names.addAll(store.owners());
             for (String n : names) {
                 long newest = store.newest(n);
-                all.add(new Status(n, newest, store.said(n), store.have(n, newest).orElse(0),
-                        store.heardMs(n, clock.nowMs()), standings.getOrDefault(n, Standing.UNKNOWN),
+                all.add(new Status(
+                        n,
+                        newest,
+                        store.said(n),
+                        store.have(n, newest).orElse(0),
+                        store.heardMs(n, clock.nowMs()),
+                        standings.getOrDefault(n, Standing.UNKNOWN),
                         store.aside(n)));
             }
             return all;
@@ -431,8 +452,14 @@
 
     /** What it has done. */
     public Figures figures() {
-        return locked(() -> new Figures(exchange.sentBytes(), exchange.dropped(), unsent, exchange.unreadable(),
-                exchange.differences().total(), store.size(), onDisk));
+        return locked(() -> new Figures(
+                exchange.sentBytes(),
+                exchange.dropped(),
+                unsent,
+                exchange.unreadable(),
+                exchange.differences().total(),
+                store.size(),
+                onDisk));
     }
 
     /** How many peers have said that they hold all writes of this member up to this one. */
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Store.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Store.java
@@ -46,8 +46,7 @@
      * @param life of which life
      * @param item which one; null: how far the copy is, the life itself
      */
-    record Touched(String owner, long life, Item item) {
-    }
+    record Touched(String owner, long life, Item item) {}
 
     private static final class Owner {
         long life;
@@ -81,6 +80,7 @@
     private final TreeMap<String, Owner> owners = new TreeMap<>();
     /** The same by hash: with a thousand owners, names are looked up for each mark of each message. */
     private final Map<String, Owner> byName = new HashMap<>();
+
     private final boolean tracks;
     private final Set<Touched> touched = new LinkedHashSet<>();
     private final List<String> alarms = new ArrayList<>();
@@ -195,8 +195,13 @@
         }
         Entry e = mine().get(new Item(space, key));
         long count = e == null ? 0 : e.count();
-        return write(space, key, null, by > Long.MAX_VALUE - count ? Long.MAX_VALUE : count + by,
-                e == null ? 0 : e.below(), nowMs);
+        return write(
+                space,
+                key,
+                null,
+                by > Long.MAX_VALUE - count ? Long.MAX_VALUE : count + by,
+                e == null ? 0 : e.below(),
+                nowMs);
     }
 
     private boolean write(Space space, String key, byte[] value, long count, long below, double nowMs) {
@@ -283,8 +288,15 @@
                 long have = p == null ? 0 : p.have;
                 boolean self = n.equals(me) && o.life == life;
                 double age = self ? 0 : Math.min(1e15, Math.max(0, nowMs - o.heardAtMs));
-                marks.add(new Message.Mark(n, o.life, o.nonce, self ? beat : o.beat, self ? have : o.said, have,
-                        (long) Math.ceil(age), o.aside != null));
+                marks.add(new Message.Mark(
+                        n,
+                        o.life,
+                        o.nonce,
+                        self ? beat : o.beat,
+                        self ? have : o.said,
+                        have,
+                        (long) Math.ceil(age),
+                        o.aside != null));
             }
         }
         return marks;
@@ -318,8 +330,11 @@
         if (o.nonce == 0) {
             o.nonce = m.nonce();
         } else if (m.nonce() != 0 && m.nonce() != o.nonce) {
-            news |= aside(m.owner(), o, "two processes write as " + m.owner() + " in life " + m.life() + ": "
-                    + Long.toHexString(o.nonce) + " and " + Long.toHexString(m.nonce()));
+            news |= aside(
+                    m.owner(),
+                    o,
+                    "two processes write as " + m.owner() + " in life " + m.life() + ": " + Long.toHexString(o.nonce)
+                            + " and " + Long.toHexString(m.nonce()));
         }
         if (m.aside()) {
             news |= aside(m.owner(), o, "put aside by another member in life " + m.life());
@@ -339,9 +354,9 @@
         Owner o = byName.get(me);
         if (m.life() == life && (m.nonce() == nonce || m.nonce() == 0)) {
             hasBeenHeard = true;
-            return m.aside() && aside(me, o, "put aside by another member in life " + life)
-                    | m.have() > mine().have && aside(me, o, "a peer has write " + m.have() + " of this life, "
-                    + mine().have + " were made");
+            return m.aside()
+                    && aside(me, o, "put aside by another member in life " + life) | m.have() > mine().have
+                    && aside(me, o, "a peer has write " + m.have() + " of this life, " + mine().have + " were made");
         }
         if (m.life() < life || m.life() == 0) {
             return false;
@@ -352,8 +367,12 @@
             relive(m.life() + 1);
             return true;
         }
-        return aside(me, o, m.life() == life ? "another process writes as " + me + " in life " + life
-                : "another process writes as " + me + " in a later life, " + m.life());
+        return aside(
+                me,
+                o,
+                m.life() == life
+                        ? "another process writes as " + me + " in life " + life
+                        : "another process writes as " + me + " in a later life, " + m.life());
     }
 
     private void relive(long next) {
@@ -446,8 +465,9 @@
     public OptionalLong have(String owner, long of) {
         Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
-        return p != null ? OptionalLong.of(p.have) : o != null && of < o.life ? OptionalLong.empty()
-                : OptionalLong.of(0);
+        return p != null
+                ? OptionalLong.of(p.have)
+                : o != null && of < o.life ? OptionalLong.empty() : OptionalLong.of(0);
     }
 
     /** The newest life of this owner that was heard of; 0 if none. */
@@ -481,7 +501,8 @@
         }
         // A snapshot that another began goes on only if no removal after its end was forgotten since.
         boolean goesOn = w.base() > w.have() && w.base() <= p.have && w.cursor() < w.base();
-        return goesOn ? p.piece(w.cursor(), w.base(), w.base(), o.life, mostBytes)
+        return goesOn
+                ? p.piece(w.cursor(), w.base(), w.base(), o.life, mostBytes)
                 : p.piece(0, p.have, p.have, o.life, mostBytes);
     }
 
@@ -590,7 +611,8 @@
         }
         if (p.apply(e, nowMs)) {
             touch(p.owner, p.life, e.item());
-            for (Part earlier : List.copyOf(o.parts.headMap(Math.min(e.below(), p.life)).values())) {
+            for (Part earlier :
+                    List.copyOf(o.parts.headMap(Math.min(e.below(), p.life)).values())) {
                 earlier.drop(e.item());
                 touch(p.owner, earlier.life, e.item());
                 tidy(p.owner, o, earlier);
@@ -637,8 +659,12 @@
     public List<Entry> range(String owner, long of, int range) {
         Owner o = byName.get(owner);
         Part p = o == null ? null : o.parts.get(of);
-        return p == null ? List.of() : p.all().stream().filter(e -> e.item().range() == range)
-                .sorted((a, b) -> a.item().compareTo(b.item())).toList();
+        return p == null
+                ? List.of()
+                : p.all().stream()
+                        .filter(e -> e.item().range() == range)
+                        .sorted((a, b) -> a.item().compareTo(b.item()))
+                        .toList();
     }
 
     /** All records of one life, removals that are not forgotten among them, in the order of writes. */
@@ -742,8 +768,8 @@
             return null;
         }
         byte[] value = own ? e.value() : Long.toString(e.count()).getBytes(java.nio.charset.StandardCharsets.US_ASCII);
-        return new Replica.Seen(name, e.key(), e.version(), value,
-                name.equals(me) ? 0 : Math.max(0, nowMs - o.heldAtMs));
+        return new Replica.Seen(
+                name, e.key(), e.version(), value, name.equals(me) ? 0 : Math.max(0, nowMs - o.heldAtMs));
     }
 
     /** How long ago this owner last gave a sign of life, in milliseconds; infinite if it never did. */
@@ -760,7 +786,10 @@
 
     /** How many records are here. */
     public long size() {
-        return owners.values().stream().flatMap(o -> o.parts.values().stream()).mapToLong(Part::size).sum();
+        return owners.values().stream()
+                .flatMap(o -> o.parts.values().stream())
+                .mapToLong(Part::size)
+                .sum();
     }
 
     // ---- disk ----
@@ -797,7 +826,10 @@
     @Override
     public String toString() {
         StringBuilder s = new StringBuilder(me).append(life);
-        owners.forEach((n, o) -> s.append(' ').append(n).append(o.life).append(o.aside == null ? "" : "!")
+        owners.forEach((n, o) -> s.append(' ')
+                .append(n)
+                .append(o.life)
+                .append(o.aside == null ? "" : "!")
                 .append(o.parts.values()));
         return s.toString();
     }
--- a/fleet/src/main/java/brackenbridge/fleet/replica/Terms.java
+++ b/fleet/src/main/java/brackenbridge/fleet/replica/Terms.java
@@ -14,15 +14,32 @@
  * @param fanOut to how many news are passed on, above that
  * @param pieceBytes the size of a piece of a log, about
  */
-public record Terms(double bytesASecond, double pushMs, double beatMs, double digestMs, double againMs, double lagMs,
-        double removalMs, int mesh, int fanOut, int pieceBytes) {
+public record Terms(
+        double bytesASecond,
+        double pushMs,
+        double beatMs,
+        double digestMs,
+        double againMs,
+        double lagMs,
+        double removalMs,
+        int mesh,
+        int fanOut,
+        int pieceBytes) {
     /** What holds without a word in the file. */
     public static final Terms DEFAULT = new Terms(1_000_000, 20, 1000, 2000, 300, 2000, 60_000, 32, 4, 32 << 10);
 
     /** Checks bounds. */
     public Terms {
-        if (!(pushMs >= 1 && beatMs >= pushMs && digestMs >= pushMs && againMs >= pushMs && lagMs >= againMs
-                && removalMs >= beatMs) || mesh < 1 || fanOut < 1 || pieceBytes < 1024 || pieceBytes > 128 << 10) {
+        if (!(pushMs >= 1
+                        && beatMs >= pushMs
+                        && digestMs >= pushMs
+                        && againMs >= pushMs
+                        && lagMs >= againMs
+                        && removalMs >= beatMs)
+                || mesh < 1
+                || fanOut < 1
+                || pieceBytes < 1024
+                || pieceBytes > 128 << 10) {
             throw new IllegalArgumentException("terms out of bounds");
         }
     }
--- a/fleet/src/main/java/brackenbridge/fleet/share/Allocation.java
+++ b/fleet/src/main/java/brackenbridge/fleet/share/Allocation.java
@@ -23,8 +23,7 @@
      * @param floor its floor, or less where it wants less
      * @param weight its weight within its group
      */
-    public record Part(double given, double wanted, double entitled, double floor, double weight) {
-    }
+    public record Part(double given, double wanted, double entitled, double floor, double weight) {}
 
     /**
      * Connections that one tenant does not use of its part and another has.
@@ -33,12 +32,13 @@
      * @param to who has them
      * @param connections how many
      */
-    public record Loan(String from, String to, double connections) {
-    }
+    public record Loan(String from, String to, double connections) {}
 
     /** Who lends to whom: what is lent is taken by each borrower in proportion to what it has over its own. */
     public List<Loan> loans() {
-        double borrowed = tenants.values().stream().mapToDouble(p -> Math.max(0, p.given() - p.entitled())).sum();
+        double borrowed = tenants.values().stream()
+                .mapToDouble(p -> Math.max(0, p.given() - p.entitled()))
+                .sum();
         List<Loan> loans = new ArrayList<>();
         tenants.forEach((from, f) -> tenants.forEach((to, t) -> {
             double lent = f.entitled() - f.given();
@@ -53,6 +53,8 @@
 
     /** Connections of a node over all its tenants. */
     public int total(String node) {
-        return (int) Math.round(nodes.getOrDefault(node, Map.of()).values().stream().mapToDouble(d -> d).sum());
+        return (int) Math.round(nodes.getOrDefault(node, Map.of()).values().stream()
+                .mapToDouble(d -> d)
+                .sum());
     }
 }
--- a/fleet/src/main/java/brackenbridge/fleet/share/Allocator.java
+++ b/fleet/src/main/java/brackenbridge/fleet/share/Allocator.java
@@ -23,6 +23,7 @@
 public final class Allocator {
     /** What is believed to be wanted beyond the mean: a part of it, and a part of its root. */
     private static final double HEADROOM = 0.05;
+
     private static final double HEADROOM_ROOT = 0.25;
     private static final double LEAST = 1e-9;
 
@@ -70,11 +71,12 @@
         Map<String, Map<String, Double>> exact = new TreeMap<>();
         Map<String, Allocation.Part> parts = new LinkedHashMap<>();
         for (Place p : leaves) {
-            parts.put(p.key, new Allocation.Part(p.given, p.wanted, p.entitled, Math.min(p.floor, p.wanted),
-                    p.rule.weight()));
+            parts.put(
+                    p.key,
+                    new Allocation.Part(p.given, p.wanted, p.entitled, Math.min(p.floor, p.wanted), p.rule.weight()));
             double sum = p.demand.values().stream().mapToDouble(d -> d).sum();
-            p.demand.forEach((node, d) -> exact.computeIfAbsent(node, k -> new HashMap<>())
-                    .put(p.key, p.given * d / sum));
+            p.demand.forEach((node, d) ->
+                    exact.computeIfAbsent(node, k -> new HashMap<>()).put(p.key, p.given * d / sum));
         }
         return new Allocation(whole(capacity, exact), parts);
     }
@@ -108,10 +110,12 @@
         demand.forEach((node, tenants) -> tenants.forEach((key, d) -> {
             if (d > 0) {
                 leaves.computeIfAbsent(key, k -> {
-                    Place p = new Place(k, new Rule(k, 1, 0, Double.POSITIVE_INFINITY, List.of()));
-                    others.under.add(p);
-                    return p;
-                }).demand.put(node, d * (1 + HEADROOM) + HEADROOM_ROOT * Math.sqrt(d));
+                            Place p = new Place(k, new Rule(k, 1, 0, Double.POSITIVE_INFINITY, List.of()));
+                            others.under.add(p);
+                            return p;
+                        })
+                        .demand
+                        .put(node, d * (1 + HEADROOM) + HEADROOM_ROOT * Math.sqrt(d));
             }
         }));
         others.under.sort(Comparator.comparing(p -> p.key));
@@ -169,9 +173,11 @@
 
     private Map<String, Map<String, Double>> whole(int capacity, Map<String, Map<String, Double>> exact) {
         Map<String, Double> sums = new TreeMap<>();
-        exact.forEach((node, tenants) -> sums.put(node, tenants.values().stream().mapToDouble(d -> d).sum()));
+        exact.forEach((node, tenants) ->
+                sums.put(node, tenants.values().stream().mapToDouble(d -> d).sum()));
         carried.keySet().retainAll(sums.keySet());
-        double all = Math.min(capacity, sums.values().stream().mapToDouble(d -> d).sum());
+        double all =
+                Math.min(capacity, sums.values().stream().mapToDouble(d -> d).sum());
         int left = (int) Math.floor(all + 1e-6);
         Map<String, Integer> totals = new TreeMap<>();
         boolean one = left >= sums.size();
@@ -182,8 +188,9 @@
             left -= t;
         }
         List<String> byRemainder = new ArrayList<>(sums.keySet());
-        byRemainder.sort(Comparator.comparingDouble((String k) -> totals.get(k) - sums.get(k)
-                - carried.getOrDefault(k, 0.0)).thenComparing(k -> k));
+        byRemainder.sort(
+                Comparator.comparingDouble((String k) -> totals.get(k) - sums.get(k) - carried.getOrDefault(k, 0.0))
+                        .thenComparing(k -> k));
         for (int i = 0; left > 0 && i < byRemainder.size(); i++, left--) {
             totals.merge(byRemainder.get(i), 1, Integer::sum);
         }
@@ -191,8 +198,8 @@
         while (left < 0) {
             String most = null;
             for (String k : byRemainder) {
-                if (totals.get(k) > (one ? 1 : 0) && (most == null || totals.get(k) - sums.get(k)
-                        > totals.get(most) - sums.get(most))) {
+                if (totals.get(k) > (one ? 1 : 0)
+                        && (most == null || totals.get(k) - sums.get(k) > totals.get(most) - sums.get(most))) {
                     most = k;
                 }
             }
--- a/fleet/src/main/java/brackenbridge/fleet/share/LeaseTerms.java
+++ b/fleet/src/main/java/brackenbridge/fleet/share/LeaseTerms.java
@@ -17,10 +17,12 @@
 
     /** Terms that can't be kept are rejected. */
     public LeaseTerms {
-        if (!(leaseMs >= 100 && leaseMs <= 60_000) || !(drift >= 0 && drift < 0.5) || !(drainMs >= 0)
+        if (!(leaseMs >= 100 && leaseMs <= 60_000)
+                || !(drift >= 0 && drift < 0.5)
+                || !(drainMs >= 0)
                 || !(guaranteed >= 0 && guaranteed <= 0.5)) {
-            throw new IllegalArgumentException("lease terms: " + leaseMs + ", " + drift + ", " + drainMs + ", "
-                    + guaranteed);
+            throw new IllegalArgumentException(
+                    "lease terms: " + leaseMs + ", " + drift + ", " + drainMs + ", " + guaranteed);
         }
     }
 
--- a/fleet/src/main/java/brackenbridge/fleet/share/Lessee.java
+++ b/fleet/src/main/java/brackenbridge/fleet/share/Lessee.java
@@ -42,6 +42,7 @@
     private int capacity;
     /** The smallest that the pool was since the last question. */
     private int lowest;
+
     private int members;
     private int leased;
     private int leasedOf = 1;
@@ -83,8 +84,10 @@
         demand.forEach((t, u) -> now.putIfAbsent(t, new PoolUse(0, 0, 0, u.meanMs())));
         now.replaceAll((t, u) -> {
             PoolUse before = demand.get(t);
-            return before == null ? u : new PoolUse(before.wanted() + part * (u.wanted() - before.wanted()), u.used(),
-                    u.refused(), u.meanMs());
+            return before == null
+                    ? u
+                    : new PoolUse(
+                            before.wanted() + part * (u.wanted() - before.wanted()), u.used(), u.refused(), u.meanMs());
         });
         // A tenant that is new here can't wait for its turn.
         nudged |= now.keySet().stream().anyMatch(t -> !demand.containsKey(t) && !lease.containsKey(t));
@@ -114,8 +117,17 @@
         lowest = capacity;
         nudged = false;
         toAck = false;
-        return new Message.Ask(pool, life, asked, acting, token, heard, nowMs < untilMs ? leased : 0,
-                Math.max(0, untilMs - nowMs), busy, named());
+        return new Message.Ask(
+                pool,
+                life,
+                asked,
+                acting,
+                token,
+                heard,
+                nowMs < untilMs ? leased : 0,
+                Math.max(0, untilMs - nowMs),
+                busy,
+                named());
     }
 
     /** What is to be said of connections given back; empty if nothing. */
@@ -131,7 +143,10 @@
     public void took(double nowMs, Message.Grant g) {
         // Guards against answers to another life or an older question, whose lease runs from another moment, and
         // against a lessor that was replaced.
-        if (g.life() != life || g.number() != asked || g.number() == acting || g.token() < heard
+        if (g.life() != life
+                || g.number() != asked
+                || g.number() == acting
+                || g.token() < heard
                 || g.leaseMs() > terms.leaseMs()) {
             return;
         }
@@ -170,15 +185,17 @@
             return allow(leased, untilMs, between);
         }
         tellAtMs = nowMs < lentUntil ? lentUntil : Double.POSITIVE_INFINITY;
-        return nowMs < lentUntil ? allow(between, lentUntil, guaranteed)
+        return nowMs < lentUntil
+                ? allow(between, lentUntil, guaranteed)
                 : allow(guaranteed, Double.POSITIVE_INFINITY, guaranteed);
     }
 
     /** Connections that it may use now. */
     public int mayUse(double nowMs) {
         int guaranteed = terms.guaranteed(capacity, members);
-        return nowMs < untilMs ? leased : nowMs < answeredAtMs + terms.lentMs() ? Math.min(leased, guaranteed)
-                : guaranteed;
+        return nowMs < untilMs
+                ? leased
+                : nowMs < answeredAtMs + terms.lentMs() ? Math.min(leased, guaranteed) : guaranteed;
     }
 
     /** Whether calls that outlast the lease are to be given up now. */
@@ -222,7 +239,8 @@
             return demand;
         }
         List<Map.Entry<String, PoolUse>> all = new ArrayList<>(demand.entrySet());
-        all.sort(Comparator.comparingDouble((Map.Entry<String, PoolUse> e) -> -e.getValue().wanted())
+        all.sort(Comparator.comparingDouble(
+                        (Map.Entry<String, PoolUse> e) -> -e.getValue().wanted())
                 .thenComparing(Map.Entry::getKey));
         Map<String, PoolUse> named = new HashMap<>();
         double wanted = 0;
--- a/fleet/src/main/java/brackenbridge/fleet/share/Lessor.java
+++ b/fleet/src/main/java/brackenbridge/fleet/share/Lessor.java
@@ -34,6 +34,7 @@
     private static final double BELIEVED_LEASES = 1.5;
     /** A lease is worth another answer if a tenant's part of it is off by this part and this many connections. */
     private static final double OFF = 0.02;
+
     private static final double OFF_LEAST = 0.2;
 
     private final String pool;
@@ -58,8 +59,7 @@
      * @param to the node
      * @param message what
      */
-    public record Out(String to, Message message) {
-    }
+    public record Out(String to, Message message) {}
 
     /**
      * A tenant that is under its floor though it wants more: an alarm.
@@ -70,8 +70,7 @@
      * @param forMs for how long already
      * @param cause why, as far as known
      */
-    public record Hungry(String tenant, double floor, double used, double forMs, String cause) {
-    }
+    public record Hungry(String tenant, double floor, double used, double forMs, String cause) {}
 
     /**
      * A node as the lessor sees it; for staff.
@@ -81,23 +80,26 @@
      * @param busy connections that it said it uses
      * @param heardMs how long ago it asked last
      */
-    public record NodeState(String node, int leased, int most, int busy, double heardMs) {
-    }
+    public record NodeState(String node, int leased, int most, int busy, double heardMs) {}
 
     /**
      * All that the lessor knows; for staff.
      *
      * @param waits whether it still waits for another's leases to run out
      */
-    public record State(boolean acts, long token, boolean waits, int capacity, int most, List<NodeState> nodes,
-            Allocation allocation, List<Hungry> hungry) {
-    }
+    public record State(
+            boolean acts,
+            long token,
+            boolean waits,
+            int capacity,
+            int most,
+            List<NodeState> nodes,
+            Allocation allocation,
+            List<Hungry> hungry) {}
 
-    private record Granted(long number, int total, double atMs, Map<String, Double> tenants) {
-    }
+    private record Granted(long number, int total, double atMs, Map<String, Double> tenants) {}
 
-    private record Hunger(double sinceMs, double floor, double used) {
-    }
+    private record Hunger(double sinceMs, double floor, double used) {}
 
     private static final class Node {
         private long life = Long.MIN_VALUE;
@@ -142,8 +144,8 @@
                 List<Granted> before = new ArrayList<>(n.out);
                 n.out.clear();
                 for (Granted g : before) {
-                    Granted less = new Granted(g.number(), cut(g.total(), capacity, connections), g.atMs(),
-                            g.tenants());
+                    Granted less =
+                            new Granted(g.number(), cut(g.total(), capacity, connections), g.atMs(), g.tenants());
                     n.out.add(less);
                     n.acting = g == n.acting ? less : n.acting;
                 }
@@ -229,7 +231,9 @@
         int left = capacity - most(nowMs);
         for (Map.Entry<String, Node> e : nodes.entrySet()) {
             Node n = e.getValue();
-            if (n.number > 0 && nowMs >= n.nudgedMs + terms.leastMs() && nowMs < n.heardMs + terms.leaseMs()
+            if (n.number > 0
+                    && nowMs >= n.nudgedMs + terms.leastMs()
+                    && nowMs < n.heardMs + terms.leaseMs()
                     && worth(e.getKey(), n, left)) {
                 n.nudgedMs = nowMs;
                 out.add(new Out(e.getKey(), new Message.Nudge(pool, token)));
@@ -255,8 +259,8 @@
     /** For staff. */
     public State state(double nowMs) {
         List<NodeState> found = new ArrayList<>();
-        nodes.forEach((name, n) -> found.add(new NodeState(name, n.out.isEmpty() ? 0 : n.out.getLast().total(),
-                most(n, nowMs), n.busy, nowMs - n.heardMs)));
+        nodes.forEach((name, n) -> found.add(new NodeState(
+                name, n.out.isEmpty() ? 0 : n.out.getLast().total(), most(n, nowMs), n.busy, nowMs - n.heardMs)));
         List<Hungry> hungry = new ArrayList<>();
         hungers.forEach((t, h) -> {
             if (nowMs - h.sinceMs() > rules.hungerMs()) {
@@ -305,16 +309,19 @@
             n.base = a.token() < token ? Math.max(0, a.held()) : 0;
             // Its last answer came a lease less what is left before this question at the earliest, and that question
             // was asked after the takeover.
-            n.lendsUntilMs = n.base > 0 ? tookOverAtMs + Math.min(a.leftMs(), terms.leaseMs()) * (1 - terms.drift())
-                    / (1 + terms.drift()) : Double.NEGATIVE_INFINITY;
+            n.lendsUntilMs = n.base > 0
+                    ? tookOverAtMs + Math.min(a.leftMs(), terms.leaseMs()) * (1 - terms.drift()) / (1 + terms.drift())
+                    : Double.NEGATIVE_INFINITY;
         }
         Map<String, Double> give = waits(nowMs) ? renewed(nowMs, n) : fresh(nowMs, from, n);
         List<Out> out = new ArrayList<>();
         if (give != null) {
-            int total = (int) Math.round(give.values().stream().mapToDouble(d -> d).sum());
+            int total =
+                    (int) Math.round(give.values().stream().mapToDouble(d -> d).sum());
             n.out.add(new Granted(a.number(), total, nowMs, give));
-            out.add(new Out(from, new Message.Grant(pool, n.life, a.number(), token, terms.leaseMs(), capacity,
-                    membersNow, give)));
+            out.add(new Out(
+                    from,
+                    new Message.Grant(pool, n.life, a.number(), token, terms.leaseMs(), capacity, membersNow, give)));
         }
         out.addAll(due(nowMs));
         return out;
@@ -359,8 +366,8 @@
     private Map<String, Double> split(int total, Map<String, PoolUse> demand) {
         Map<String, Double> wanted = new HashMap<>();
         demand.forEach((t, u) -> wanted.put(t, bounded(u.wanted())));
-        return scaled(new Allocator().divide(total, rules, Map.of("", wanted)).nodes().getOrDefault("", Map.of()),
-                total);
+        return scaled(
+                new Allocator().divide(total, rules, Map.of("", wanted)).nodes().getOrDefault("", Map.of()), total);
     }
 
     /** It has said that it acts by this answer: those before it count no more. */
@@ -491,9 +498,9 @@
             Node n = e.getValue();
             int total = current.total(e.getKey());
             if (most(n, nowMs) > total + 1) {
-                return nowMs - n.heardMs > terms.askMs() * 2 ? "node " + e.getKey() + " is not heard of and may use "
-                        + most(n, nowMs) + " connections" : "node " + e.getKey() + " has " + n.busy
-                        + " connections in use and " + total + " for it";
+                return nowMs - n.heardMs > terms.askMs() * 2
+                        ? "node " + e.getKey() + " is not heard of and may use " + most(n, nowMs) + " connections"
+                        : "node " + e.getKey() + " has " + n.busy + " connections in use and " + total + " for it";
             }
         }
         return "its lease is granted and not used";
--- a/fleet/src/main/java/brackenbridge/fleet/share/Message.java
+++ b/fleet/src/main/java/brackenbridge/fleet/share/Message.java
@@ -10,10 +10,12 @@
 
 /** What a lessor and the nodes say to each other, over a stream of their own; each may be lost, late or repeated. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "is")
-@JsonSubTypes({@JsonSubTypes.Type(value = Message.Ask.class, name = "ask"),
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = Message.Ask.class, name = "ask"),
     @JsonSubTypes.Type(value = Message.Grant.class, name = "grant"),
     @JsonSubTypes.Type(value = Message.Ack.class, name = "ack"),
-    @JsonSubTypes.Type(value = Message.Nudge.class, name = "nudge")})
+    @JsonSubTypes.Type(value = Message.Nudge.class, name = "nudge")
+})
 public sealed interface Message {
     /** The longest message; bytes. */
     int MOST_BYTES = 1 << 18;
@@ -34,8 +36,18 @@
      * @param busy connections that it uses
      * @param demand what each tenant wants and uses there
      */
-    record Ask(String pool, long life, long number, long acting, long token, long heard, int held,
-            double leftMs, int busy, Map<String, PoolUse> demand) implements Message {
+    record Ask(
+            String pool,
+            long life,
+            long number,
+            long acting,
+            long token,
+            long heard,
+            int held,
+            double leftMs,
+            int busy,
+            Map<String, PoolUse> demand)
+            implements Message {
         /** Keeps its own copy. */
         public Ask {
             demand = Map.copyOf(demand);
@@ -53,8 +65,16 @@
      * @param members members of the fleet, for the guaranteed part
      * @param tenants connections for each tenant; together a whole number
      */
-    record Grant(String pool, long life, long number, long token, double leaseMs, int capacity, int members,
-            Map<String, Double> tenants) implements Message {
+    record Grant(
+            String pool,
+            long life,
+            long number,
+            long token,
+            double leaseMs,
+            int capacity,
+            int members,
+            Map<String, Double> tenants)
+            implements Message {
         /** Keeps its own copy. */
         public Grant {
             tenants = Map.copyOf(tenants);
@@ -62,7 +82,8 @@
 
         /** Connections over all tenants. */
         int total() {
-            return (int) Math.round(tenants.values().stream().mapToDouble(d -> d).sum());
+            return (int)
+                    Math.round(tenants.values().stream().mapToDouble(d -> d).sum());
         }
     }
 
@@ -73,16 +94,14 @@
      * @param number the question
      * @param busy connections that it uses: those beyond the lease are still to be given back
      */
-    record Ack(String pool, long life, long number, int busy) implements Message {
-    }
+    record Ack(String pool, long life, long number, int busy) implements Message {}
 
     /**
      * There is another lease to be had: ask now. It carries no promise.
      *
      * @param token the lessor's
      */
-    record Nudge(String pool, long token) implements Message {
-    }
+    record Nudge(String pool, long token) implements Message {}
 
     /** As bytes. */
     static byte[] bytes(Message m) {
@@ -111,10 +130,13 @@
 
     /** The library's mapper, within bounds. */
     final class Codec {
-        private static final ObjectMapper CBOR = new ObjectMapper(CBORFactory.builder().streamReadConstraints(
-                StreamReadConstraints.builder().maxNestingDepth(10).maxStringLength(1000).build()).build());
+        private static final ObjectMapper CBOR = new ObjectMapper(CBORFactory.builder()
+                .streamReadConstraints(StreamReadConstraints.builder()
+                        .maxNestingDepth(10)
+                        .maxStringLength(1000)
+                        .build())
+                .build());
 
-        private Codec() {
-        }
+        private Codec() {}
     }
 }
--- a/fleet/src/main/java/brackenbridge/fleet/share/PoolUse.java
+++ b/fleet/src/main/java/brackenbridge/fleet/share/PoolUse.java
@@ -8,5 +8,4 @@
  * @param refused calls a second that were turned away for want of its share
  * @param meanMs how long one of its calls holds a connection, in milliseconds
  */
-public record PoolUse(double wanted, double used, double refused, double meanMs) {
-}
+public record PoolUse(double wanted, double used, double refused, double meanMs) {}
--- a/fleet/src/main/java/brackenbridge/fleet/share/ShareRules.java
+++ b/fleet/src/main/java/brackenbridge/fleet/share/ShareRules.java
@@ -24,10 +24,12 @@
  */
 public record ShareRules(List<Rule> groups, Rule others, double hungerMs) {
     /** No groups: all tenants alike. */
-    public static final ShareRules NONE = new ShareRules(List.of(), new Rule("", 1, 0, Double.POSITIVE_INFINITY,
-            List.of()), 2000);
+    public static final ShareRules NONE =
+            new ShareRules(List.of(), new Rule("", 1, 0, Double.POSITIVE_INFINITY, List.of()), 2000);
+
     private static final ObjectMapper JSON = JsonMapper.builder()
-            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
     private static final int MOST_RULES = 100_000;
     private static final double MOST_WEIGHT = 1e6;
     private static final String[] LEVELS = {"groups", "tenants", "classes"};
@@ -68,7 +70,8 @@
             for (Rule t : g.under()) {
                 if (t.name().equals(tenant)) {
                     return t.under().stream().anyMatch(c -> c.name().equals(className))
-                            ? tenant + "/" + className : tenant;
+                            ? tenant + "/" + className
+                            : tenant;
                 }
             }
         }
@@ -194,8 +197,8 @@
         return new Rule(name, weight, floor, ceiling, under);
     }
 
-    private static double number(JsonNode o, String name, String place, double otherwise, double least, double most,
-            List<String> faults) {
+    private static double number(
+            JsonNode o, String name, String place, double otherwise, double least, double most, List<String> faults) {
         JsonNode n = o.path(name);
         if (n.isMissingNode()) {
             return otherwise;
--- a/fleet/src/main/java/brackenbridge/fleet/share/WaterFilling.java
+++ b/fleet/src/main/java/brackenbridge/fleet/share/WaterFilling.java
@@ -7,8 +7,7 @@
  * its floor nor over what it wants (Bertsekas and Gallager, Data Networks, 1992, section 6.5).
  */
 final class WaterFilling {
-    private WaterFilling() {
-    }
+    private WaterFilling() {}
 
     /**
      * Divides an amount.
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/AdmissionTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/AdmissionTest.java
@@ -13,8 +13,14 @@
     private static final List<String> FOUNDING = List.of("a@1", "b@1", "c@1");
     private static final Note.Facts EMPTY = facts(List.of(), "", List.of(), 0, "", 0, 0);
 
-    private static Note.Facts facts(List<String> founding, String follows, List<String> members, long since,
-            String seenDisk, long seenStarts, long seenLife) {
+    private static Note.Facts facts(
+            List<String> founding,
+            String follows,
+            List<String> members,
+            long since,
+            String seenDisk,
+            long seenStarts,
+            long seenLife) {
         return new Note.Facts("1", founding, follows, members, since, seenDisk, seenStarts, seenLife);
     }
 
@@ -32,8 +38,11 @@
         assertEquals(Step.WAIT, step(empty("a", "1"), Map.of("b", EMPTY, "not a voter", EMPTY)));
         assertEquals(Step.FOUND, step(empty("a", "1"), Map.of("b", EMPTY, "c", EMPTY)));
         assertEquals(Step.WAIT, step(empty("b", "1"), Map.of("a", EMPTY, "c", EMPTY)));
-        assertEquals(Step.TORN, step(empty("a", "1"), Map.of("b", EMPTY, "c", EMPTY, "d",
-                facts(List.of(), "other", List.of(), 0, "", 0, 0))));
+        assertEquals(
+                Step.TORN,
+                step(
+                        empty("a", "1"),
+                        Map.of("b", EMPTY, "c", EMPTY, "d", facts(List.of(), "other", List.of(), 0, "", 0, 0))));
     }
 
     @Test
@@ -44,8 +53,9 @@
         assertEquals(Step.PUT_ASIDE, step(empty("b", "1"), Map.of("a", facts(FOUNDING, "", List.of(), 0, "1", 2, 8))));
         assertEquals(Step.JOIN, step(empty("b", "2"), Map.of("a", founded)));
         assertEquals(Step.JOIN, step(empty("a", "2"), Map.of("b", founded, "c", EMPTY)));
-        assertEquals(Step.TORN, step(empty("b", "2"), Map.of("a", founded, "c",
-                facts(List.of("x@1"), "", List.of(), 0, "", 0, 0))));
+        assertEquals(
+                Step.TORN,
+                step(empty("b", "2"), Map.of("a", founded, "c", facts(List.of("x@1"), "", List.of(), 0, "", 0, 0))));
     }
 
     @Test
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedFigures.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedFigures.java
@@ -34,8 +34,8 @@
 
     private void start(String name) throws Exception {
         Links l = net.links(name);
-        AgreedNode n = new AgreedNode(l, root.resolve(name), Clock.system(),
-                AgreedSettings.of("f", net.members(), name.hashCode()));
+        AgreedNode n = new AgreedNode(
+                l, root.resolve(name), Clock.system(), AgreedSettings.of("f", net.members(), name.hashCode()));
         n.start();
         nodes.put(name, n);
         links.put(name, l);
@@ -55,8 +55,10 @@
     private String leader() {
         String[] who = new String[1];
         until(() -> {
-            List<String> l = nodes.entrySet().stream().filter(e -> e.getValue().leads())
-                    .map(Map.Entry::getKey).toList();
+            List<String> l = nodes.entrySet().stream()
+                    .filter(e -> e.getValue().leads())
+                    .map(Map.Entry::getKey)
+                    .toList();
             who[0] = l.size() == 1 ? l.get(0) : null;
             return who[0] != null;
         });
@@ -64,12 +66,17 @@
     }
 
     private long inForce(String at) {
-        return nodes.get(at).known(Agreed.SETTINGS).map(Agreed.Value::generation).orElse(0L);
+        return nodes.get(at)
+                .known(Agreed.SETTINGS)
+                .map(Agreed.Value::generation)
+                .orElse(0L);
     }
 
     private double propose(String at, int bytes) throws Exception {
         long from = System.nanoTime();
-        Verdict v = nodes.get(at).propose(Agreed.SETTINGS, inForce(at), new byte[bytes], 20_000).get();
+        Verdict v = nodes.get(at)
+                .propose(Agreed.SETTINGS, inForce(at), new byte[bytes], 20_000)
+                .get();
         if (v != Verdict.IN_FORCE) {
             throw new IllegalStateException(v.toString());
         }
@@ -78,13 +85,23 @@
 
     private static void say(String what, List<Double> ms) {
         List<Double> s = ms.stream().sorted().toList();
-        System.out.printf(Locale.ROOT, "%s: n %d, p50 %.0f, p99 %.0f, max %.0f ms%n", what, s.size(),
-                s.get(s.size() / 2), s.get(Math.min(s.size() - 1, s.size() * 99 / 100)), s.get(s.size() - 1));
+        System.out.printf(
+                Locale.ROOT,
+                "%s: n %d, p50 %.0f, p99 %.0f, max %.0f ms%n",
+                what,
+                s.size(),
+                s.get(s.size() / 2),
+                s.get(Math.min(s.size() - 1, s.size() * 99 / 100)),
+                s.get(s.size() - 1));
     }
 
     private boolean all(long g, String but) {
-        return nodes.entrySet().stream().allMatch(e -> e.getKey().equals(but) || e.getValue()
-                .acting(Agreed.SETTINGS).map(a -> a.other() == null && a.one().generation() == g).orElse(false));
+        return nodes.entrySet().stream()
+                .allMatch(e -> e.getKey().equals(but)
+                        || e.getValue()
+                                .acting(Agreed.SETTINGS)
+                                .map(a -> a.other() == null && a.one().generation() == g)
+                                .orElse(false));
     }
 
     private void run() throws Exception {
@@ -110,8 +127,10 @@
             net.cut("m9");
             force.add(propose("m10", 4096));
             net.cut();
-            until(() -> nodes.values().stream().allMatch(n -> n.acting(Agreed.SETTINGS)
-                    .map(a -> a.other() == null && a.one().generation() == inForce("m10")).orElse(false)));
+            until(() -> nodes.values().stream()
+                    .allMatch(n -> n.acting(Agreed.SETTINGS)
+                            .map(a -> a.other() == null && a.one().generation() == inForce("m10"))
+                            .orElse(false)));
         }
         say("in force, one out of reach", force);
         flood(leader);
@@ -149,8 +168,8 @@
         AtomicLong answers = new AtomicLong();
         nodes.remove("m8").halt();
         l.receive(Stream.AGREED, (p, life, b) -> answers.incrementAndGet());
-        byte[] q = Codec.frame(new Note.Question(l.life(), 1, List.of(new Note.Heard(Agreed.SETTINGS, 1000, 0,
-                List.of(inForce("m10"))))));
+        byte[] q = Codec.frame(new Note.Question(
+                l.life(), 1, List.of(new Note.Heard(Agreed.SETTINGS, 1000, 0, List.of(inForce("m10"))))));
         long from = System.nanoTime();
         long sent = 0;
         while (System.nanoTime() - from < 5_000_000_000L) {
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedNodeTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedNodeTest.java
@@ -29,6 +29,7 @@
 class AgreedNodeTest {
     @TempDir
     Path root;
+
     private Members members;
 
     private static byte[] bytes(String s) {
@@ -52,7 +53,8 @@
     }
 
     private boolean acts(AgreedNode n, long generation) {
-        return n.acting(Agreed.SETTINGS).map(a -> a.other() == null && a.one().generation() == generation)
+        return n.acting(Agreed.SETTINGS)
+                .map(a -> a.other() == null && a.one().generation() == generation)
                 .orElse(false);
     }
 
@@ -61,7 +63,9 @@
     }
 
     private String known(String at) {
-        return members.node(at).known(Agreed.SETTINGS).map(v -> new String(v.content(), StandardCharsets.UTF_8))
+        return members.node(at)
+                .known(Agreed.SETTINGS)
+                .map(v -> new String(v.content(), StandardCharsets.UTF_8))
                 .orElse("");
     }
 
@@ -98,9 +102,11 @@
         assertEquals(Verdict.IN_FORCE, propose("m0", 1, "b"));
         awaitActs(3);
         SettingsCalls calls = new SettingsCalls(members.node("m1"), 3000);
-        assertTrue(calls.history(Agreed.SETTINGS).text().matches(
-                "(?s).*1  in_force .*2  abandoned .*3  in_force, now.*"), calls.history(Agreed.SETTINGS).text());
-        assertEquals("from line 1\n- a\n+ b\n", calls.diff(Agreed.SETTINGS, 1, 3).text());
+        assertTrue(
+                calls.history(Agreed.SETTINGS).text().matches("(?s).*1  in_force .*2  abandoned .*3  in_force, now.*"),
+                calls.history(Agreed.SETTINGS).text());
+        assertEquals(
+                "from line 1\n- a\n+ b\n", calls.diff(Agreed.SETTINGS, 1, 3).text());
         assertTrue(calls.withdraw(Agreed.SETTINGS, 1).done());
         awaitActs(4);
         assertTrue(calls.show(Agreed.SETTINGS).text().startsWith("generation 4 by m1\na"));
@@ -164,17 +170,20 @@
         // So much that the log's beginning is gone: the new disk starts from a snapshot of several pieces.
         for (int g = 1; g < 20; g++) {
             byte[] large = new byte[State.MAX_CONTENT];
-            assertEquals(Verdict.IN_FORCE, members.node("m0").propose(Agreed.SETTINGS, g, large, 8000)
-                    .get(10, TimeUnit.SECONDS));
+            assertEquals(
+                    Verdict.IN_FORCE,
+                    members.node("m0").propose(Agreed.SETTINGS, g, large, 8000).get(10, TimeUnit.SECONDS));
         }
         members.kill(lost);
         lose(lost);
         members.start(lost, 1);
-        soon().until(() -> members.node(lost).status().contains("votes") && !members.node(lost).status()
-                .contains("joins"));
+        soon().until(() -> members.node(lost).status().contains("votes")
+                && !members.node(lost).status().contains("joins"));
         // With the third one gone, nothing is decided but by the new disk's vote.
-        String third = List.of("m0", "m1", "m2").stream().filter(m -> !m.equals(lost) && !m.equals(leader))
-                .findFirst().orElseThrow();
+        String third = List.of("m0", "m1", "m2").stream()
+                .filter(m -> !m.equals(lost) && !m.equals(leader))
+                .findFirst()
+                .orElseThrow();
         members.kill(third);
         assertEquals(Verdict.IN_FORCE, propose(lost, 20, "b"));
         assertEquals("b", known(lost));
@@ -199,8 +208,8 @@
         Files.move(copy, members.disk(name));
         members.start(name, 1);
         soon().until(() -> Files.exists(root.resolve(name + ".aside-1")));
-        soon().until(() -> members.node(name).status().contains("votes") && !members.node(name).status()
-                .contains("joins"));
+        soon().until(() -> members.node(name).status().contains("votes")
+                && !members.node(name).status().contains("joins"));
         awaitActs(1);
     }
 
@@ -256,10 +265,16 @@
             } else {
                 members.net.cut(struck, also);
             }
-            String at = names.stream().filter(n -> !n.equals(struck) && !n.equals(also)).findFirst().orElseThrow();
+            String at = names.stream()
+                    .filter(n -> !n.equals(struck) && !n.equals(also))
+                    .findFirst()
+                    .orElseThrow();
             List<CompletableFuture<Hold>> claims = new ArrayList<>();
             members.all().forEach(n -> claims.add(n.hold("driver", 300)));
-            long expected = members.node(at).known(Agreed.SETTINGS).map(Agreed.Value::generation).orElse(0L);
+            long expected = members.node(at)
+                    .known(Agreed.SETTINGS)
+                    .map(Agreed.Value::generation)
+                    .orElse(0L);
             String content = "round " + round;
             if (proposing(at, expected, content, 4000).get(8, TimeUnit.SECONDS) == Verdict.IN_FORCE) {
                 acknowledged.put((long) round, content);
@@ -275,12 +290,18 @@
         assertTrue(acknowledged.size() >= 4, "acknowledged " + acknowledged);
         members.net.faults(0, 0, 300);
         SettingsCalls calls = new SettingsCalls(members.node("m0"), 5000);
-        String all = soon().until(() -> calls.history(Agreed.SETTINGS), SettingsCalls.Reply::done).text();
+        String all = soon().until(() -> calls.history(Agreed.SETTINGS), SettingsCalls.Reply::done)
+                .text();
         List<String> kept = new ArrayList<>();
         for (String line : all.split("\n")) {
             long g = Long.parseLong(line.trim().split(" ")[0]);
-            kept.add(new String(members.node("m0").look(Agreed.SETTINGS, g, 5000).get(8, TimeUnit.SECONDS)
-                    .orElseThrow().content(), StandardCharsets.UTF_8));
+            kept.add(new String(
+                    members.node("m0")
+                            .look(Agreed.SETTINGS, g, 5000)
+                            .get(8, TimeUnit.SECONDS)
+                            .orElseThrow()
+                            .content(),
+                    StandardCharsets.UTF_8));
         }
         assertTrue(kept.containsAll(acknowledged.values()), kept + " of " + acknowledged);
     }
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedProcessesTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/AgreedProcessesTest.java
@@ -33,8 +33,7 @@
     Path root;
 
     /** What a process saw between two moments of the machine's one monotonic clock. */
-    private record Seen(int by, long before, long after, long token, long low, long high) {
-    }
+    private record Seen(int by, long before, long after, long token, long low, long high) {}
 
     private final Process[] processes = new Process[3];
     private final String[] who = new String[3];
@@ -44,11 +43,19 @@
     private final Map<Long, String> kept = new ConcurrentHashMap<>();
 
     private void start(int i) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-Xmx128m", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                MemberMain.class.getName(), String.valueOf(i), root.resolve("m" + i).toString()));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx128m",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                MemberMain.class.getName(),
+                String.valueOf(i),
+                root.resolve("m" + i).toString()));
         ports.forEach(p -> command.add(String.valueOf(p)));
-        Process p = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+        Process p = new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.DISCARD)
+                .start();
         processes[i] = p;
         Thread reader = new Thread(() -> read(i, p), "reads " + i);
         reader.setDaemon(true);
@@ -56,8 +63,8 @@
     }
 
     private void read(int i, Process p) {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(p.getInputStream(),
-                StandardCharsets.UTF_8))) {
+        try (BufferedReader in =
+                new BufferedReader(new InputStreamReader(p.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = in.readLine(); line != null; line = in.readLine()) {
                 String[] w = line.split(" ");
                 switch (w[0]) {
@@ -65,8 +72,13 @@
                         synchronized (log) {
                             // The last line of a process that was killed may be cut off.
                             if (w.length == 6) {
-                                log.add(new Seen(i, Long.parseLong(w[1]), Long.parseLong(w[2]),
-                                        Long.parseLong(w[3]), Long.parseLong(w[4]), Long.parseLong(w[5])));
+                                log.add(new Seen(
+                                        i,
+                                        Long.parseLong(w[1]),
+                                        Long.parseLong(w[2]),
+                                        Long.parseLong(w[3]),
+                                        Long.parseLong(w[4]),
+                                        Long.parseLong(w[5])));
                             }
                         }
                     }
@@ -92,7 +104,11 @@
     }
 
     private void signal(String which, int i) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + which, String.valueOf(processes[i].pid())).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + which, String.valueOf(processes[i].pid()))
+                        .start()
+                        .waitFor());
     }
 
     private static ConditionFactory soon() {
@@ -101,20 +117,24 @@
 
     private int leader() {
         // One try takes 2 s at most; a process that is not up by then is asked again, for as long as the wait allows.
-        return soon().ignoreException(ConditionTimeoutException.class).until(() -> {
-            Arrays.fill(who, "");
-            for (int i = 0; i < 3; i++) {
-                say(i, "who");
-            }
-            await().atMost(Duration.ofSeconds(2)).until(() -> Arrays.stream(who).noneMatch(String::isEmpty));
-            List<Integer> leads = new ArrayList<>();
-            for (int i = 0; i < 3; i++) {
-                if (who[i].startsWith("true")) {
-                    leads.add(i);
-                }
-            }
-            return leads.size() == 1 ? leads.get(0) : -1;
-        }, l -> l >= 0);
+        return soon().ignoreException(ConditionTimeoutException.class)
+                .until(
+                        () -> {
+                            Arrays.fill(who, "");
+                            for (int i = 0; i < 3; i++) {
+                                say(i, "who");
+                            }
+                            await().atMost(Duration.ofSeconds(2))
+                                    .until(() -> Arrays.stream(who).noneMatch(String::isEmpty));
+                            List<Integer> leads = new ArrayList<>();
+                            for (int i = 0; i < 3; i++) {
+                                if (who[i].startsWith("true")) {
+                                    leads.add(i);
+                                }
+                            }
+                            return leads.size() == 1 ? leads.get(0) : -1;
+                        },
+                        l -> l >= 0);
     }
 
     private Seen lastHeld() {
@@ -198,12 +218,15 @@
         }
         for (Seen s : all) {
             if (s.token() > 0) {
-                tokenBy.tailMap(s.token(), false).values().forEach(at -> assertTrue(s.before() <= at,
-                        s + ": another held it before"));
+                tokenBy.tailMap(s.token(), false)
+                        .values()
+                        .forEach(at -> assertTrue(s.before() <= at, s + ": another held it before"));
             }
             if (s.low() > 0) {
-                lowBy.tailMap(s.high(), false).values().forEach(at -> assertTrue(s.before() <= at,
-                        s + ": another acted by a later one before, and by none of these"));
+                lowBy.tailMap(s.high(), false)
+                        .values()
+                        .forEach(at -> assertTrue(
+                                s.before() <= at, s + ": another acted by a later one before, and by none of these"));
             }
         }
     }
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/CodecTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/CodecTest.java
@@ -31,8 +31,11 @@
     private static final DefaultRaftModelFactory MODEL = new DefaultRaftModelFactory();
     private static final Endpoint A = new Endpoint("a", "1");
     private static final Set<RaftEndpoint> ALL = Set.of(A);
-    private static final RaftGroupMembersView VIEW = MODEL.createRaftGroupMembersViewBuilder().setLogIndex(4)
-            .setMembers(ALL).setVotingMembers(ALL).build();
+    private static final RaftGroupMembersView VIEW = MODEL.createRaftGroupMembersViewBuilder()
+            .setLogIndex(4)
+            .setMembers(ALL)
+            .setVotingMembers(ALL)
+            .build();
 
     @Provide
     Arbitrary<Object> operations() {
@@ -40,50 +43,132 @@
         Arbitrary<Long> number = Arbitraries.longs().between(0, Long.MAX_VALUE);
         return Arbitraries.oneOf(
                 Combinators.combine(bytes, number, number).as((b, n, m) -> new Op.Stage("s", n, b, "a", m, n)),
-                number.map(n -> new Op.Reign("a@1", n, n)), number.map(n -> new Op.Activate("s", n, n)),
-                number.map(n -> new Op.Abandon("s", n, n, "b")), number.map(n -> new Op.Take("r", "a", n, 1.5, n, n)),
-                Arbitraries.of(MembershipChangeMode.class).map(m -> MODEL.createUpdateRaftGroupMembersOpBuilder()
-                        .setMembers(ALL).setVotingMembers(ALL).setEndpoint(A).setMode(m).build()));
+                number.map(n -> new Op.Reign("a@1", n, n)),
+                number.map(n -> new Op.Activate("s", n, n)),
+                number.map(n -> new Op.Abandon("s", n, n, "b")),
+                number.map(n -> new Op.Take("r", "a", n, 1.5, n, n)),
+                Arbitraries.of(MembershipChangeMode.class)
+                        .map(m -> MODEL.createUpdateRaftGroupMembersOpBuilder()
+                                .setMembers(ALL)
+                                .setVotingMembers(ALL)
+                                .setEndpoint(A)
+                                .setMode(m)
+                                .build()));
     }
 
     @Provide
     Arbitrary<RaftMessage> messages() {
         Arbitrary<Integer> term = Arbitraries.integers().between(0, Integer.MAX_VALUE);
         Arbitrary<Long> number = Arbitraries.longs().between(0, Long.MAX_VALUE);
-        Arbitrary<LogEntry> entry = Combinators.combine(operations(), number, term).as((o, i, t) ->
-                MODEL.createLogEntryBuilder().setIndex(i).setTerm(t).setOperation(o).build());
+        Arbitrary<LogEntry> entry = Combinators.combine(operations(), number, term)
+                .as((o, i, t) -> MODEL.createLogEntryBuilder()
+                        .setIndex(i)
+                        .setTerm(t)
+                        .setOperation(o)
+                        .build());
         return Arbitraries.oneOf(
-                Combinators.combine(entry.list().ofMaxSize(3), number, term).as((e, n, t) ->
-                        MODEL.createAppendEntriesRequestBuilder().setGroupId("g").setSender(A).setTerm(t)
-                                .setPreviousLogTerm(t).setPreviousLogIndex(n).setCommitIndex(n)
-                                .setQuerySequenceNumber(n).setFlowControlSequenceNumber(n).setLogEntries(e).build()),
-                Combinators.combine(number, term).as((n, t) -> MODEL.createAppendEntriesSuccessResponseBuilder()
-                        .setGroupId("g").setSender(A).setTerm(t).setLastLogIndex(n).setQuerySequenceNumber(n)
-                        .setFlowControlSequenceNumber(n).build()),
-                Combinators.combine(number, term).as((n, t) -> MODEL.createAppendEntriesFailureResponseBuilder()
-                        .setGroupId("g").setSender(A).setTerm(t).setExpectedNextIndex(n).setQuerySequenceNumber(n)
-                        .setFlowControlSequenceNumber(n).build()),
-                Combinators.combine(number, term, Arbitraries.bytes().array(byte[].class).ofMaxSize(300))
-                        .as((n, t, b) -> MODEL.createInstallSnapshotRequestBuilder().setGroupId("g").setSender(A)
-                                .setTerm(t).setSenderLeader(true).setSnapshotTerm(t).setSnapshotIndex(n)
-                                .setTotalSnapshotChunkCount(2).setSnapshotChunk(MODEL.createSnapshotChunkBuilder()
-                                        .setIndex(n).setTerm(t).setOperation(b).setSnapshotChunkIndex(1)
-                                        .setSnapshotChunkCount(2).setGroupMembersView(VIEW).build())
-                                .setSnapshottedMembers(ALL).setGroupMembersView(VIEW).setQuerySequenceNumber(n)
-                                .setFlowControlSequenceNumber(n).build()),
-                Combinators.combine(number, term).as((n, t) -> MODEL.createInstallSnapshotResponseBuilder()
-                        .setGroupId("g").setSender(A).setTerm(t).setSnapshotIndex(n).setRequestedSnapshotChunkIndex(t)
-                        .setQuerySequenceNumber(n).setFlowControlSequenceNumber(n).build()),
-                Combinators.combine(number, term).as((n, t) -> MODEL.createPreVoteRequestBuilder().setGroupId("g")
-                        .setSender(A).setTerm(t).setLastLogTerm(t).setLastLogIndex(n).build()),
-                term.map(t -> MODEL.createPreVoteResponseBuilder().setGroupId("g").setSender(A).setTerm(t)
-                        .setGranted(t % 2 == 0).build()),
-                Combinators.combine(number, term).as((n, t) -> MODEL.createVoteRequestBuilder().setGroupId("g")
-                        .setSender(A).setTerm(t).setLastLogTerm(t).setLastLogIndex(n).setSticky(t % 2 == 0).build()),
-                term.map(t -> MODEL.createVoteResponseBuilder().setGroupId("g").setSender(A).setTerm(t)
-                        .setGranted(t % 2 == 0).build()),
-                Combinators.combine(number, term).as((n, t) -> MODEL.createTriggerLeaderElectionRequestBuilder()
-                        .setGroupId("g").setSender(A).setTerm(t).setLastLogTerm(t).setLastLogIndex(n).build()));
+                Combinators.combine(entry.list().ofMaxSize(3), number, term)
+                        .as((e, n, t) -> MODEL.createAppendEntriesRequestBuilder()
+                                .setGroupId("g")
+                                .setSender(A)
+                                .setTerm(t)
+                                .setPreviousLogTerm(t)
+                                .setPreviousLogIndex(n)
+                                .setCommitIndex(n)
+                                .setQuerySequenceNumber(n)
+                                .setFlowControlSequenceNumber(n)
+                                .setLogEntries(e)
+                                .build()),
+                Combinators.combine(number, term)
+                        .as((n, t) -> MODEL.createAppendEntriesSuccessResponseBuilder()
+                                .setGroupId("g")
+                                .setSender(A)
+                                .setTerm(t)
+                                .setLastLogIndex(n)
+                                .setQuerySequenceNumber(n)
+                                .setFlowControlSequenceNumber(n)
+                                .build()),
+                Combinators.combine(number, term)
+                        .as((n, t) -> MODEL.createAppendEntriesFailureResponseBuilder()
+                                .setGroupId("g")
+                                .setSender(A)
+                                .setTerm(t)
+                                .setExpectedNextIndex(n)
+                                .setQuerySequenceNumber(n)
+                                .setFlowControlSequenceNumber(n)
+                                .build()),
+                Combinators.combine(
+                                number,
+                                term,
+                                Arbitraries.bytes().array(byte[].class).ofMaxSize(300))
+                        .as((n, t, b) -> MODEL.createInstallSnapshotRequestBuilder()
+                                .setGroupId("g")
+                                .setSender(A)
+                                .setTerm(t)
+                                .setSenderLeader(true)
+                                .setSnapshotTerm(t)
+                                .setSnapshotIndex(n)
+                                .setTotalSnapshotChunkCount(2)
+                                .setSnapshotChunk(MODEL.createSnapshotChunkBuilder()
+                                        .setIndex(n)
+                                        .setTerm(t)
+                                        .setOperation(b)
+                                        .setSnapshotChunkIndex(1)
+                                        .setSnapshotChunkCount(2)
+                                        .setGroupMembersView(VIEW)
+                                        .build())
+                                .setSnapshottedMembers(ALL)
+                                .setGroupMembersView(VIEW)
+                                .setQuerySequenceNumber(n)
+                                .setFlowControlSequenceNumber(n)
+                                .build()),
+                Combinators.combine(number, term)
+                        .as((n, t) -> MODEL.createInstallSnapshotResponseBuilder()
+                                .setGroupId("g")
+                                .setSender(A)
+                                .setTerm(t)
+                                .setSnapshotIndex(n)
+                                .setRequestedSnapshotChunkIndex(t)
+                                .setQuerySequenceNumber(n)
+                                .setFlowControlSequenceNumber(n)
+                                .build()),
+                Combinators.combine(number, term)
+                        .as((n, t) -> MODEL.createPreVoteRequestBuilder()
+                                .setGroupId("g")
+                                .setSender(A)
+                                .setTerm(t)
+                                .setLastLogTerm(t)
+                                .setLastLogIndex(n)
+                                .build()),
+                term.map(t -> MODEL.createPreVoteResponseBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(t)
+                        .setGranted(t % 2 == 0)
+                        .build()),
+                Combinators.combine(number, term)
+                        .as((n, t) -> MODEL.createVoteRequestBuilder()
+                                .setGroupId("g")
+                                .setSender(A)
+                                .setTerm(t)
+                                .setLastLogTerm(t)
+                                .setLastLogIndex(n)
+                                .setSticky(t % 2 == 0)
+                                .build()),
+                term.map(t -> MODEL.createVoteResponseBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(t)
+                        .setGranted(t % 2 == 0)
+                        .build()),
+                Combinators.combine(number, term)
+                        .as((n, t) -> MODEL.createTriggerLeaderElectionRequestBuilder()
+                                .setGroupId("g")
+                                .setSender(A)
+                                .setTerm(t)
+                                .setLastLogTerm(t)
+                                .setLastLogIndex(n)
+                                .build()));
     }
 
     @Property(tries = 400, seed = "5")
@@ -95,8 +180,10 @@
     }
 
     @Property(tries = 600, seed = "6")
-    void whatWasChangedOnTheWayIsReadOrRefusedAndNothingElse(@ForAll("messages") RaftMessage m,
-            @ForAll @Size(min = 1, max = 6) List<@IntRange(max = 1 << 20) Integer> at, @ForAll byte with,
+    void whatWasChangedOnTheWayIsReadOrRefusedAndNothingElse(
+            @ForAll("messages") RaftMessage m,
+            @ForAll @Size(min = 1, max = 6) List<@IntRange(max = 1 << 20) Integer> at,
+            @ForAll byte with,
             @ForAll boolean cut) {
         byte[] b = Codec.frame(m);
         for (int i : at) {
@@ -122,8 +209,13 @@
 
     @Example
     void notesAreTheSameAfterTheirWayAndWithoutAFieldTheyAreRefused() throws IOException {
-        Note.Answer a = new Note.Answer(3, 4, "f", 1600, List.of(new Note.Told("s", new Word(5, 2, 3), List.of(
-                new Note.Item(3, new byte[] {7}, "m")))), true);
+        Note.Answer a = new Note.Answer(
+                3,
+                4,
+                "f",
+                1600,
+                List.of(new Note.Told("s", new Word(5, 2, 3), List.of(new Note.Item(3, new byte[] {7}, "m")))),
+                true);
         Note.Answer back = (Note.Answer) Codec.frame(Codec.frame(a)).note();
         assertEquals(a.told().get(0).word(), back.told().get(0).word());
         assertArrayEquals(new byte[] {7}, back.told().get(0).items().get(0).content());
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/MemberMain.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/MemberMain.java
@@ -22,8 +22,7 @@
  * what it acts by and holds, each with the monotonic time before and after it looked.
  */
 final class MemberMain {
-    private MemberMain() {
-    }
+    private MemberMain() {}
 
     public static void main(String[] args) throws Exception {
         List<Member> members = new ArrayList<>();
@@ -33,8 +32,18 @@
         Member me = members.get(Integer.parseInt(args[0]));
         Clock clock = Clock.system();
         TcpLinks links = new TcpLinks(me, System.currentTimeMillis(), "f", members, clock, PeerLimits.standard());
-        AgreedNode node = new AgreedNode(links, Path.of(args[1]), clock, new AgreedSettings("f",
-                AgreedSettings.voters(members), new Terms(400, 0.01), 40, 5, 2000, me.name().hashCode()));
+        AgreedNode node = new AgreedNode(
+                links,
+                Path.of(args[1]),
+                clock,
+                new AgreedSettings(
+                        "f",
+                        AgreedSettings.voters(members),
+                        new Terms(400, 0.01),
+                        40,
+                        5,
+                        2000,
+                        me.name().hashCode()));
         node.start();
         links.start();
         Thread talk = new Thread(() -> talk(node), "talk");
@@ -51,12 +60,15 @@
             } else if (words[0].equals("history")) {
                 for (long g = 1; g < 100; g++) {
                     long at = g;
-                    node.look(Agreed.SETTINGS, g, 4000).thenAccept(l -> l.ifPresent(k -> say("kept " + at + " "
-                            + new String(k.content(), StandardCharsets.UTF_8))));
+                    node.look(Agreed.SETTINGS, g, 4000)
+                            .thenAccept(l -> l.ifPresent(
+                                    k -> say("kept " + at + " " + new String(k.content(), StandardCharsets.UTF_8))));
                 }
             } else if (words[0].equals("who")) {
-                say("who " + node.leads() + " " + node.known(Agreed.SETTINGS).map(Agreed.Value::generation)
-                        .orElse(0L));
+                say("who " + node.leads() + " "
+                        + node.known(Agreed.SETTINGS)
+                                .map(Agreed.Value::generation)
+                                .orElse(0L));
             }
         }
         // Its parent is gone.
@@ -69,8 +81,8 @@
     }
 
     private static void claim(AgreedNode node) {
-        node.hold("driver", 300).thenRunAsync(() -> claim(node),
-                CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
+        node.hold("driver", 300)
+                .thenRunAsync(() -> claim(node), CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
     }
 
     private static void talk(AgreedNode node) {
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/Members.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/Members.java
@@ -42,8 +42,8 @@
     }
 
     AgreedSettings settings(String name) {
-        return new AgreedSettings("f", AgreedSettings.voters(net.members()), new Terms(LEASE_MS, DRIFT), 40, 5, 2000,
-                name.hashCode());
+        return new AgreedSettings(
+                "f", AgreedSettings.voters(net.members()), new Terms(LEASE_MS, DRIFT), 40, 5, 2000, name.hashCode());
     }
 
     Path disk(String name) {
@@ -53,12 +53,16 @@
     /** Starts a member whose clock has this rate. */
     AgreedNode start(String name, double rate) throws IOException {
         Links l = net.links(name);
-        AgreedNode n = new AgreedNode(l, disk(name), new Clock() {
-            @Override
-            public double nowMs() {
-                return base.nowMs() * rate;
-            }
-        }, settings(name));
+        AgreedNode n = new AgreedNode(
+                l,
+                disk(name),
+                new Clock() {
+                    @Override
+                    public double nowMs() {
+                        return base.nowMs() * rate;
+                    }
+                },
+                settings(name));
         n.usable(Agreed.SETTINGS, c -> !new String(c, StandardCharsets.UTF_8).contains("bad at " + name));
         n.start();
         l.start();
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/MemoryNet.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/MemoryNet.java
@@ -43,7 +43,8 @@
 
     /** Links of a member's new life. */
     Links links(String name) {
-        Ends e = new Ends(members.stream().filter(m -> m.name().equals(name)).findFirst().orElseThrow());
+        Ends e = new Ends(
+                members.stream().filter(m -> m.name().equals(name)).findFirst().orElseThrow());
         ends.put(name, e);
         return e;
     }
@@ -133,12 +134,10 @@
         }
 
         @Override
-        public void watch(Watcher watcher) {
-        }
+        public void watch(Watcher watcher) {}
 
         @Override
-        public void start() {
-        }
+        public void start() {}
 
         @Override
         public void close() {
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/StoreTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/StoreTest.java
@@ -26,35 +26,57 @@
 
     @TempDir
     Path root;
+
     private Path disk;
 
     @BeforeEach
     void fill() throws IOException {
         disk = root.resolve("m");
         try (Store s = Store.open(disk, "f", "m")) {
-            RaftGroupMembersView one = MODEL.createRaftGroupMembersViewBuilder().setLogIndex(0)
-                    .setMembers(Set.of(ME)).setVotingMembers(Set.of(ME)).build();
-            s.persistAndFlushLocalEndpoint(MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(ME)
-                    .setVoting(true).build());
+            RaftGroupMembersView one = MODEL.createRaftGroupMembersViewBuilder()
+                    .setLogIndex(0)
+                    .setMembers(Set.of(ME))
+                    .setVotingMembers(Set.of(ME))
+                    .build();
+            s.persistAndFlushLocalEndpoint(MODEL.createRaftEndpointPersistentStateBuilder()
+                    .setLocalEndpoint(ME)
+                    .setVoting(true)
+                    .build());
             s.persistAndFlushInitialGroupMembers(one);
-            s.persistSnapshotChunk(MODEL.createSnapshotChunkBuilder().setIndex(3).setTerm(1)
-                    .setOperation(new byte[] {1, 2, 3}).setSnapshotChunkIndex(0).setSnapshotChunkCount(1)
-                    .setGroupMembersView(one).build());
+            s.persistSnapshotChunk(MODEL.createSnapshotChunkBuilder()
+                    .setIndex(3)
+                    .setTerm(1)
+                    .setOperation(new byte[] {1, 2, 3})
+                    .setSnapshotChunkIndex(0)
+                    .setSnapshotChunkCount(1)
+                    .setGroupMembersView(one)
+                    .build());
             // The first of two pieces only: a snapshot that was being taken.
-            s.persistSnapshotChunk(MODEL.createSnapshotChunkBuilder().setIndex(5).setTerm(1)
-                    .setOperation(new byte[] {4}).setSnapshotChunkIndex(0).setSnapshotChunkCount(2)
-                    .setGroupMembersView(one).build());
+            s.persistSnapshotChunk(MODEL.createSnapshotChunkBuilder()
+                    .setIndex(5)
+                    .setTerm(1)
+                    .setOperation(new byte[] {4})
+                    .setSnapshotChunkIndex(0)
+                    .setSnapshotChunkCount(2)
+                    .setGroupMembersView(one)
+                    .build());
             s.persistLogEntries(List.of(entry(2), entry(3), entry(4), entry(5), entry(6)));
             s.truncateLogEntriesFrom(6);
             s.truncateLogEntriesUntil(2);
-            s.persistAndFlushTerm(MODEL.createRaftTermPersistentStateBuilder().setTerm(7).setVotedFor(ME).build());
+            s.persistAndFlushTerm(MODEL.createRaftTermPersistentStateBuilder()
+                    .setTerm(7)
+                    .setVotedFor(ME)
+                    .build());
             s.persistLogEntries(List.of(entry(6)));
         }
     }
 
     private static LogEntry entry(long index) {
-        return MODEL.createLogEntryBuilder().setIndex(index).setTerm(1)
-                .setOperation(new Op.Stage("settings", index, new byte[3000], "m", 1, index)).build();
+        return MODEL.createLogEntryBuilder()
+                .setIndex(index)
+                .setTerm(1)
+                .setOperation(new Op.Stage("settings", index, new byte[3000], "m", 1, index))
+                .build();
     }
 
     @Test
@@ -64,7 +86,9 @@
             assertEquals(7, r.getTermPersistentState().getTerm());
             assertEquals(ME, r.getTermPersistentState().getVotedFor());
             assertEquals(3, r.getSnapshotEntry().getIndex());
-            assertEquals(List.of(4L, 5L), r.getLogEntries().stream().map(LogEntry::getIndex).toList());
+            assertEquals(
+                    List.of(4L, 5L),
+                    r.getLogEntries().stream().map(LogEntry::getIndex).toList());
             assertEquals(2, s.starts());
         }
     }
@@ -74,8 +98,11 @@
         assertThrows(Store.Foreign.class, () -> Store.open(disk, "g", "m"));
         assertThrows(Store.Foreign.class, () -> Store.open(disk, "f", "n"));
         try (Store s = Store.open(disk, "f", "m")) {
-            assertTrue(assertThrows(IOException.class, () -> Store.open(disk, "f", "m")).getMessage()
-                    .contains("in use"), () -> "forced " + s.forced());
+            assertTrue(
+                    assertThrows(IOException.class, () -> Store.open(disk, "f", "m"))
+                            .getMessage()
+                            .contains("in use"),
+                    () -> "forced " + s.forced());
         }
     }
 
@@ -120,7 +147,9 @@
             try (Store s = Store.open(disk, "f", "m")) {
                 RestoredRaftState r = s.restored().orElseThrow();
                 assertEquals(7, r.getTermPersistentState().getTerm(), "round " + i);
-                assertEquals(List.of(4L, 5L), r.getLogEntries().stream().map(LogEntry::getIndex).toList());
+                assertEquals(
+                        List.of(4L, 5L),
+                        r.getLogEntries().stream().map(LogEntry::getIndex).toList());
                 for (LogEntry e : r.getLogEntries()) {
                     assertEquals(new String(Codec.entry(entry(e.getIndex()))), new String(Codec.entry(e)));
                 }
--- a/fleet/src/test/java/brackenbridge/fleet/cli/NodeCommandTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/cli/NodeCommandTest.java
@@ -27,19 +27,32 @@
             case "directory" -> Files.createDirectory(file);
             case "missing" -> assertTrue(Files.notExists(file));
             case "binary" -> Files.write(file, new byte[] {'f', (byte) 0xff, (byte) 0xfe});
-            default -> Files.writeString(file, Map.of(
-                    "long", "#".repeat(5 << 20),
-                    "cut", "fleet = \"f\"\n" + member + "zone = \"",
-                    "twice", "fleet = \"f\"\nfleet = \"g\"\n" + member,
-                    "two faults", "fleet = \"a b\"\n" + member + "colour = 3\n",
-                    "deep", "fleet = " + "[".repeat(1_000_000),
-                    "number", "fleet = 3\n" + member).get(what));
+            default ->
+                Files.writeString(
+                        file,
+                        Map.of(
+                                        "long", "#".repeat(5 << 20),
+                                        "cut", "fleet = \"f\"\n" + member + "zone = \"",
+                                        "twice", "fleet = \"f\"\nfleet = \"g\"\n" + member,
+                                        "two faults", "fleet = \"a b\"\n" + member + "colour = 3\n",
+                                        "deep", "fleet = " + "[".repeat(1_000_000),
+                                        "number", "fleet = 3\n" + member)
+                                .get(what));
         }
         Path errors = directory.resolve("errors");
-        Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                "brackenbridge.cli.Main", "node", "--fleet", file.toString()).redirectError(errors.toFile())
-                .redirectOutput(directory.resolve("output").toFile()).start();
+        Process p = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "brackenbridge.cli.Main",
+                        "node",
+                        "--fleet",
+                        file.toString())
+                .redirectError(errors.toFile())
+                .redirectOutput(directory.resolve("output").toFile())
+                .start();
         try {
             assertTrue(p.waitFor(60, TimeUnit.SECONDS), "it ends by itself");
         } finally {
--- a/fleet/src/test/java/brackenbridge/fleet/config/FleetFileTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/config/FleetFileTest.java
@@ -38,7 +38,8 @@
 
     @Test
     void allFaultsAreReportedAtOnceEachWithItsPlace() {
-        List<String> faults = assertThrows(FileFaults.class, () -> FleetFile.parse("f", """
+        List<String> faults =
+                assertThrows(FileFaults.class, () -> FleetFile.parse("f", """
                 fleet = "a b"
                 [[member]]
                 name = "n0"
@@ -67,7 +68,8 @@
 
     @Test
     void textThatIsNoTomlIsOneFaultWithItsPlace() {
-        List<String> faults = assertThrows(FileFaults.class, () -> FleetFile.parse("f", "fleet = \n")).faults();
+        List<String> faults = assertThrows(FileFaults.class, () -> FleetFile.parse("f", "fleet = \n"))
+                .faults();
         assertTrue(faults.get(0).startsWith("f:1:9: syntax: "), faults.toString());
     }
 
@@ -95,7 +97,8 @@
     }
 
     private static void assertFault(String expected, String text) {
-        List<String> faults = assertThrows(FileFaults.class, () -> FleetFile.parse("f", text)).faults();
+        List<String> faults =
+                assertThrows(FileFaults.class, () -> FleetFile.parse("f", text)).faults();
         assertTrue(faults.stream().anyMatch(fault -> fault.contains(expected)), faults.toString());
     }
 }
--- a/fleet/src/test/java/brackenbridge/fleet/control/ControlCodecTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/control/ControlCodecTest.java
@@ -24,8 +24,11 @@
 class ControlCodecTest {
     private static final List<ControlMessage> ALL = List.of(
             new Subscribe("fleet", "n1", "north", 7, List.of(new HeldVersion("settings/tier-1", 4, 3))),
-            new Acknowledge("settings/tier-1", 5, false, "no settings.classes"), new NodeHeartbeat(12),
-            new Welcome("c1", 750), new MachineHeartbeat(13, true), new Refuse(Refusal.BUSY, 1250));
+            new Acknowledge("settings/tier-1", 5, false, "no settings.classes"),
+            new NodeHeartbeat(12),
+            new Welcome("c1", 750),
+            new MachineHeartbeat(13, true),
+            new Refuse(Refusal.BUSY, 1250));
 
     @Test
     void everyMessageIsTheSameAfterItsWay() throws ProtocolException {
@@ -47,7 +50,8 @@
     }
 
     private static Refusal refusalOf(byte[] bytes) {
-        return assertThrows(ProtocolException.class, () -> ControlCodec.read(bytes)).refusal();
+        return assertThrows(ProtocolException.class, () -> ControlCodec.read(bytes))
+                .refusal();
     }
 
     @Test
@@ -68,8 +72,7 @@
     void valuesOutOfBoundsAreRejected() {
         assertThrows(IllegalArgumentException.class, () -> new Resource("a", 0, new byte[0]));
         assertThrows(IllegalArgumentException.class, () -> new Resource("", 1, new byte[0]));
-        assertThrows(IllegalArgumentException.class, () -> new Resource("a", 1,
-                new byte[Resource.MAX_CONTENT + 1]));
+        assertThrows(IllegalArgumentException.class, () -> new Resource("a", 1, new byte[Resource.MAX_CONTENT + 1]));
         assertThrows(IllegalArgumentException.class, () -> new HeldVersion("a", 1, 2));
     }
 
--- a/fleet/src/test/java/brackenbridge/fleet/control/ControlLimitsTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/control/ControlLimitsTest.java
@@ -13,6 +13,7 @@
 class ControlLimitsTest {
     /** The target, the time of an agreement with its leader in place, and its lease; docs/design/control.md. */
     private static final double TARGET_MS = 13_000;
+
     private static final double AGREED_MS = 2000;
     private static final double LEASE_MS = 1600;
 
@@ -20,19 +21,54 @@
     void aChangeIsInForceInTimeWithTwoMachinesInARowThatDoNotAnswer() {
         double worst = AGREED_MS + ControlLimits.STANDARD.worstCaseMs(2, LEASE_MS);
         assertTrue(worst <= TARGET_MS, worst + " ms");
-        assertTrue(AGREED_MS + ControlLimits.STANDARD.worstCaseMs(4, LEASE_MS) > TARGET_MS,
+        assertTrue(
+                AGREED_MS + ControlLimits.STANDARD.worstCaseMs(4, LEASE_MS) > TARGET_MS,
                 "with four it is not promised");
     }
 
     @Test
     void limitsThatCannotBeKeptAreRejected() {
         ControlLimits usual = ControlLimits.STANDARD;
-        assertThrows(IllegalArgumentException.class, () -> new ControlLimits(1000, 2000, 2000, 50, 3000, 1000, 250,
-                4000, 1000, 30_000, 90_000, 200, 100, 800, 256));
-        assertThrows(IllegalArgumentException.class, () -> new ControlLimits(usual.heartbeatMs(), usual.silenceMs(),
-                usual.unconfirmedMs(), 50, 3000, 1000, 250, 100, 1000, 30_000, 90_000, 200, 100, 800, 256));
-        assertThrows(IllegalArgumentException.class, () -> new ControlLimits(usual.heartbeatMs(), usual.silenceMs(),
-                usual.unconfirmedMs(), 50, 3000, 1000, 250, 4000, 1000, 30_000, 90_000, 200, 0, 800, 256));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new ControlLimits(
+                        1000, 2000, 2000, 50, 3000, 1000, 250, 4000, 1000, 30_000, 90_000, 200, 100, 800, 256));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new ControlLimits(
+                        usual.heartbeatMs(),
+                        usual.silenceMs(),
+                        usual.unconfirmedMs(),
+                        50,
+                        3000,
+                        1000,
+                        250,
+                        100,
+                        1000,
+                        30_000,
+                        90_000,
+                        200,
+                        100,
+                        800,
+                        256));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new ControlLimits(
+                        usual.heartbeatMs(),
+                        usual.silenceMs(),
+                        usual.unconfirmedMs(),
+                        50,
+                        3000,
+                        1000,
+                        250,
+                        4000,
+                        1000,
+                        30_000,
+                        90_000,
+                        200,
+                        0,
+                        800,
+                        256));
     }
 
     @Test
--- a/fleet/src/test/java/brackenbridge/fleet/control/ControlServerTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/control/ControlServerTest.java
@@ -33,8 +33,8 @@
 
 /** Control machines and nodes over real sockets: what goes wrong at one connection is noticed at no other. */
 class ControlServerTest {
-    private static final ControlLimits FAST = new ControlLimits(50, 150, 150, 5, 300, 300, 20, 200, 10, 300, 600,
-            1000, 100, 50, 20);
+    private static final ControlLimits FAST =
+            new ControlLimits(50, 150, 150, 5, 300, 300, 20, 200, 10, 300, 600, 1000, 100, 50, 20);
     private static final String SETTINGS = "settings/tier-1";
 
     /** A machine whose lease the test decides on. */
@@ -48,14 +48,22 @@
         Machine(String name, String region, ControlLimits limits) throws IOException {
             this.name = name;
             this.region = region;
-            server = new ControlServer(new ControlServer.Settings("fleet", name,
-                    new InetSocketAddress("127.0.0.1", 0), new NodeNames(List.of("n*", "exact")), limits),
-                    Clock.system(), () -> confirmed, metrics);
+            server = new ControlServer(
+                    new ControlServer.Settings(
+                            "fleet",
+                            name,
+                            new InetSocketAddress("127.0.0.1", 0),
+                            new NodeNames(List.of("n*", "exact")),
+                            limits),
+                    Clock.system(),
+                    () -> confirmed,
+                    metrics);
             server.start();
         }
 
         ControlMachine address() {
-            return new ControlMachine(name, region, "127.0.0.1:" + server.address().getPort());
+            return new ControlMachine(
+                    name, region, "127.0.0.1:" + server.address().getPort());
         }
 
         void publish(long version, String content) {
@@ -63,12 +71,16 @@
         }
 
         double refused(Refusal refusal) {
-            return metrics.get("control.refused").tag("reason", refusal.name().toLowerCase(Locale.ROOT)).counter()
+            return metrics.get("control.refused")
+                    .tag("reason", refusal.name().toLowerCase(Locale.ROOT))
+                    .counter()
                     .count();
         }
 
         int nodes() {
-            return server.report().regions().stream().mapToInt(MachineReport.RegionReport::nodes).sum();
+            return server.report().regions().stream()
+                    .mapToInt(MachineReport.RegionReport::nodes)
+                    .sum();
         }
 
         @Override
@@ -88,9 +100,13 @@
     }
 
     private ControlClient node(String name, String region, ControlLimits limits, Machine... machines) {
-        List<ControlMachine> addresses = java.util.Arrays.stream(machines).map(Machine::address).toList();
-        ControlClient client = new ControlClient(new ControlClient.Settings("fleet", name, region, addresses,
-                List.of(SETTINGS), limits), group.next(), Clock.system(), new SplittableRandom(name.hashCode()),
+        List<ControlMachine> addresses =
+                java.util.Arrays.stream(machines).map(Machine::address).toList();
+        ControlClient client = new ControlClient(
+                new ControlClient.Settings("fleet", name, region, addresses, List.of(SETTINGS), limits),
+                group.next(),
+                Clock.system(),
+                new SplittableRandom(name.hashCode()),
                 resource -> {
                     if (new String(resource.content(), StandardCharsets.UTF_8).startsWith("bad")) {
                         return Optional.of("it is bad");
@@ -112,7 +128,10 @@
     }
 
     private static void await(java.util.concurrent.Callable<Boolean> condition) {
-        Awaitility.await().atMost(Duration.ofSeconds(20)).pollInterval(Duration.ofMillis(5)).until(condition);
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(20))
+                .pollInterval(Duration.ofMillis(5))
+                .until(condition);
     }
 
     @Test
@@ -202,8 +221,7 @@
 
     @Test
     void aMachineThatIsFullSendsNodesToTheNext() throws IOException {
-        ControlLimits two = new ControlLimits(50, 150, 150, 5, 300, 300, 20, 200, 10, 60_000, 60_000, 1000, 100, 2,
-                20);
+        ControlLimits two = new ControlLimits(50, 150, 150, 5, 300, 300, 20, 200, 10, 60_000, 60_000, 1000, 100, 2, 20);
         Machine home = machine("c1", "north", two);
         Machine away = machine("c2", "south", FAST);
         for (int i = 0; i < 5; i++) {
@@ -288,12 +306,16 @@
         isRefused(machine, new byte[] {0x7f, 0, 0, 0, 1}, Refusal.FRAME_TOO_LONG);
         isRefused(machine, new byte[] {-1, -1, -1, -1, 1}, Refusal.FRAME_TOO_LONG);
         isRefused(machine, new byte[] {0, 0, 0, 3, 1, 0, 0}, Refusal.UNREADABLE);
-        isRefused(machine, "GET / HTTP/1.1\r\nHost: c1\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
+        isRefused(
+                machine,
+                "GET / HTTP/1.1\r\nHost: c1\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
                 Refusal.FRAME_TOO_LONG);
         isRefused(machine, ControlFrames.bytes(new NodeHeartbeat(1)), Refusal.UNREADABLE);
         isRefused(machine, ControlFrames.bytes(subscribe("other", "n9", 1)), Refusal.OTHER_FLEET);
         isRefused(machine, ControlFrames.bytes(subscribe("fleet", "stranger", 1)), Refusal.UNKNOWN_NODE);
-        isRefused(machine, ControlFrames.bytes(subscribe("fleet", "n9", ControlMessage.MAX_RESOURCES + 1)),
+        isRefused(
+                machine,
+                ControlFrames.bytes(subscribe("fleet", "n9", ControlMessage.MAX_RESOURCES + 1)),
                 Refusal.TOO_MANY_RESOURCES);
         isRefused(machine, new byte[0], Refusal.NO_SUBSCRIPTION);
         isRefused(machine, java.util.Arrays.copyOf(good, good.length / 2), Refusal.NO_SUBSCRIPTION);
@@ -310,7 +332,9 @@
     @Test
     void aLaterConnectionOfTheSameNodeTakesThePlaceOfTheEarlierAndNeverTheOtherWay() throws IOException {
         Machine machine = machine("c1", "north", FAST);
-        try (Raw first = new Raw(machine); Raw second = new Raw(machine); Raw late = new Raw(machine)) {
+        try (Raw first = new Raw(machine);
+                Raw second = new Raw(machine);
+                Raw late = new Raw(machine)) {
             first.send(new Subscribe("fleet", "exact", "north", 5, List.of()));
             assertTrue(first.read() instanceof Welcome);
             second.send(new Subscribe("fleet", "exact", "north", 6, List.of()));
--- a/fleet/src/test/java/brackenbridge/fleet/control/DistributionModel.java
+++ b/fleet/src/test/java/brackenbridge/fleet/control/DistributionModel.java
@@ -35,8 +35,9 @@
 
         @Override
         public Optional<Acknowledge> offer(Resource resource) {
-            return held.offer(resource, offered -> refused.contains(offered.version()) ? Optional.of("refused")
-                    : Optional.empty());
+            return held.offer(
+                    resource,
+                    offered -> refused.contains(offered.version()) ? Optional.of("refused") : Optional.empty());
         }
 
         @Override
@@ -51,8 +52,7 @@
     }
 
     /** A heartbeat on its way, with the versions that the machine had when it sent it. */
-    private record SentHeartbeat(long[] versions) {
-    }
+    private record SentHeartbeat(long[] versions) {}
 
     private final class Connection {
         private final int machine;
@@ -61,8 +61,9 @@
 
         Connection(int machine) {
             this.machine = machine;
-            subscription = new Subscription(new Subscribe("fleet", "node", "region", ++connectionNumber,
-                    receiver.versions()), tables.get(machine));
+            subscription = new Subscription(
+                    new Subscribe("fleet", "node", "region", ++connectionNumber, receiver.versions()),
+                    tables.get(machine));
         }
 
         void pump() {
@@ -138,8 +139,10 @@
         if (message instanceof SentHeartbeat heartbeat) {
             for (int i = 0; i < heartbeat.versions().length; i++) {
                 long received = receiver.versions().get(i).received();
-                require(received >= heartbeat.versions()[i], "a heartbeat came before version "
-                        + heartbeat.versions()[i] + " that was in force when it was sent; received " + received);
+                require(
+                        received >= heartbeat.versions()[i],
+                        "a heartbeat came before version " + heartbeat.versions()[i]
+                                + " that was in force when it was sent; received " + received);
             }
         } else {
             take((Resource) message).ifPresent(current.subscription::acknowledged);
@@ -182,9 +185,11 @@
         for (int name = 0; name < names.size(); name++) {
             long applied = receiver.applied(names.get(name));
             boolean newestRefused = refused.contains(decided[name]);
-            require(newestRefused || applied == decided[name], names.get(name) + " stays at " + applied
-                    + ", decided " + decided[name]);
-            require(newestRefused || current.subscription.applied(names.get(name)) == applied,
+            require(
+                    newestRefused || applied == decided[name],
+                    names.get(name) + " stays at " + applied + ", decided " + decided[name]);
+            require(
+                    newestRefused || current.subscription.applied(names.get(name)) == applied,
                     "the machine believes " + current.subscription.applied(names.get(name)) + ", the node acts by "
                             + applied);
         }
--- a/fleet/src/test/java/brackenbridge/fleet/control/DistributionTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/control/DistributionTest.java
@@ -92,14 +92,16 @@
 
     @Test
     void aNodeThatTakesALateMessageIsFound() {
-        assertThrows(AssertionError.class, () -> explore(() -> new TakesAnything(
-                resource -> new HeldVersion(NAME, resource.version(), resource.version()))));
+        assertThrows(
+                AssertionError.class,
+                () -> explore(() ->
+                        new TakesAnything(resource -> new HeldVersion(NAME, resource.version(), resource.version()))));
     }
 
     @Test
     void aNodeThatDoesNotRememberWhatItHoldsIsFound() {
-        assertThrows(AssertionError.class, () -> explore(() -> new TakesAnything(
-                resource -> new HeldVersion(NAME, 0, 0))));
+        assertThrows(
+                AssertionError.class, () -> explore(() -> new TakesAnything(resource -> new HeldVersion(NAME, 0, 0))));
     }
 
     @Property(tries = 400)
--- a/fleet/src/test/java/brackenbridge/fleet/control/FleetSimulation.java
+++ b/fleet/src/test/java/brackenbridge/fleet/control/FleetSimulation.java
@@ -16,8 +16,7 @@
     private static final double WAY_MS = 20;
 
     /** Something that happens at a node; an older visit than the node's own is void. */
-    private record Event(double atMs, long order, Node node, long visit, Runnable run) {
-    }
+    private record Event(double atMs, long order, Node node, long visit, Runnable run) {}
 
     /** A control machine. */
     private static final class Machine {
@@ -41,8 +40,8 @@
 
         Node(String region, long seed) {
             this.region = region;
-            selector = new MachineSelector(machines.stream().map(machine -> machine.is).toList(), region, limits,
-                    new SplittableRandom(seed));
+            selector = new MachineSelector(
+                    machines.stream().map(machine -> machine.is).toList(), region, limits, new SplittableRandom(seed));
         }
 
         void connectNext() {
@@ -117,8 +116,8 @@
     private final List<Machine> machines = new ArrayList<>();
     private final Map<String, Machine> byName = new HashMap<>();
     private final List<Node> nodes = new ArrayList<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.atMs() != b.atMs()
-            ? Double.compare(a.atMs(), b.atMs()) : Long.compare(a.order(), b.order()));
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+            (a, b) -> a.atMs() != b.atMs() ? Double.compare(a.atMs(), b.atMs()) : Long.compare(a.order(), b.order()));
     private final Map<Long, Integer> attempts = new HashMap<>();
     private double nowMs;
     private long order;
@@ -165,26 +164,34 @@
 
     /** Nodes that a confirmed machine serves; of this region, or of all but it. */
     long confirmed(String region, boolean inside) {
-        return nodes.stream().filter(node -> node.region.equals(region) == inside
-                && !Double.isNaN(node.confirmedSinceMs)).count();
+        return nodes.stream()
+                .filter(node -> node.region.equals(region) == inside && !Double.isNaN(node.confirmedSinceMs))
+                .count();
     }
 
     /** Nodes that their own region's machine serves. */
     long atHome() {
-        return nodes.stream().filter(node -> node.served != null
-                && node.served.is.region().equals(node.region)).count();
+        return nodes.stream()
+                .filter(node -> node.served != null && node.served.is.region().equals(node.region))
+                .count();
     }
 
     /** When the last node was served by a confirmed machine; infinite if one is not. */
     double allConfirmedMs() {
-        return nodes.stream().mapToDouble(node -> Double.isNaN(node.confirmedSinceMs) ? Double.POSITIVE_INFINITY
-                : node.confirmedSinceMs).max().orElse(0);
+        return nodes.stream()
+                .mapToDouble(
+                        node -> Double.isNaN(node.confirmedSinceMs) ? Double.POSITIVE_INFINITY : node.confirmedSinceMs)
+                .max()
+                .orElse(0);
     }
 
     /** The most connections that all nodes together began in a second of this time. */
     int mostAttempts(double fromMs, double untilMs) {
-        return attempts.entrySet().stream().filter(entry -> entry.getKey() * 1000 >= fromMs
-                && entry.getKey() * 1000 < untilMs).mapToInt(Map.Entry::getValue).max().orElse(0);
+        return attempts.entrySet().stream()
+                .filter(entry -> entry.getKey() * 1000 >= fromMs && entry.getKey() * 1000 < untilMs)
+                .mapToInt(Map.Entry::getValue)
+                .max()
+                .orElse(0);
     }
 
     long refused() {
--- a/fleet/src/test/java/brackenbridge/fleet/control/FleetSimulationTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/control/FleetSimulationTest.java
@@ -52,8 +52,9 @@
             double backMs = 10_000 + TEN_MINUTES_MS;
             fleet.cut("");
             fleet.runUntil(backMs + DEADLINE_MS);
-            assertTrue(fleet.allConfirmedMs() - backMs < DEADLINE_MS, "the last after "
-                    + (fleet.allConfirmedMs() - backMs) + " ms");
+            assertTrue(
+                    fleet.allConfirmedMs() - backMs < DEADLINE_MS,
+                    "the last after " + (fleet.allConfirmedMs() - backMs) + " ms");
             fleet.runUntil(backMs + 4 * ControlLimits.STANDARD.homeMaxMs());
             assertEquals(NODES, fleet.atHome(), "all are at home again");
         }
--- a/fleet/src/test/java/brackenbridge/fleet/evacuation/ForecastTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/evacuation/ForecastTest.java
@@ -43,8 +43,11 @@
         PoolForecast p = forecast(observed.learnt(60), plan()).of(FRONT_B);
         assertEquals(Verdict.SATURATES, p.verdict());
         assertEquals(Forecast.Resource.SLOTS, p.resource());
-        assertTrue(p.atMs().expected() > 20_000 && p.atMs().expected() < 40_000, () -> p.atMs().toString());
-        assertTrue(p.atMs().low() <= p.atMs().expected() && p.atMs().expected() <= p.atMs().high());
+        assertTrue(
+                p.atMs().expected() > 20_000 && p.atMs().expected() < 40_000,
+                () -> p.atMs().toString());
+        assertTrue(p.atMs().low() <= p.atMs().expected()
+                && p.atMs().expected() <= p.atMs().high());
     }
 
     @Test
@@ -54,7 +57,8 @@
         Forecast f = forecast(observed.learnt(60), plan());
         PoolForecast behind = f.of(PARCEL_B);
         assertEquals(Verdict.SATURATES, behind.verdict());
-        assertTrue(f.of(FRONT_B).steps().get(3).slots() > 2 * f.of(FRONT_B).steps().get(0).slots());
+        assertTrue(f.of(FRONT_B).steps().get(3).slots()
+                > 2 * f.of(FRONT_B).steps().get(0).slots());
         assertTrue(behind.steps().get(3).amplification() > 1.02);
     }
 
@@ -83,8 +87,12 @@
     }
 
     private static double width(Forecast f) {
-        return f.pools().stream().filter(p -> !p.steps().isEmpty()).mapToDouble(p -> p.steps().get(0).load().high()
-                - p.steps().get(0).load().low()).average().orElse(0);
+        return f.pools().stream()
+                .filter(p -> !p.steps().isEmpty())
+                .mapToDouble(p ->
+                        p.steps().get(0).load().high() - p.steps().get(0).load().low())
+                .average()
+                .orElse(0);
     }
 
     @Test
@@ -100,7 +108,8 @@
     void namesTheTenantsThatSharesWouldRefuse() {
         Model m = observed.learnt(60);
         m.wanted(List.of(new Picture.Want(FRONT_B, "large", 120), new Picture.Want(FRONT_B, "small", 5)));
-        Map<String, Double> refused = forecast(m, plan()).of(FRONT_B).steps().get(3).refusedTenants();
+        Map<String, Double> refused =
+                forecast(m, plan()).of(FRONT_B).steps().get(3).refusedTenants();
         assertEquals(List.of("large"), List.copyOf(refused.keySet()));
         // 130 slots, 7.5 for the small one; the large one wants 180.
         assertEquals(1 - 122.5 / 180, refused.get("large"), 0.05);
@@ -122,13 +131,25 @@
     void checksAPlanWhole() {
         List<PoolName> pools = observed.learnt(5).names();
         assertEquals(List.of(), plan().faults(pools));
-        Plan bad = new Plan("no name", "z", -1, List.of(new Plan.Step(0.5, 10_000), new Plan.Step(0.2, 5)), 0.9, 8000,
-                null, 0, List.of(new Plan.Comes(PoolName.parse("front/a/gone"), 1, 0)));
+        Plan bad = new Plan(
+                "no name",
+                "z",
+                -1,
+                List.of(new Plan.Step(0.5, 10_000), new Plan.Step(0.2, 5)),
+                0.9,
+                8000,
+                null,
+                0,
+                List.of(new Plan.Comes(PoolName.parse("front/a/gone"), 1, 0)));
         List<String> faults = bad.faults(pools);
         assertEquals(6, faults.size(), faults::toString);
-        assertTrue(Plan.even("p", "a", 2, 5000).faults(List.of(PoolName.parse("front/a/std"))).get(0)
+        assertTrue(Plan.even("p", "a", 2, 5000)
+                .faults(List.of(PoolName.parse("front/a/std")))
+                .get(0)
                 .contains("last one"));
-        assertTrue(Plan.even("p", "a", 2, 5000).faults(List.of(PoolName.parse("front/a/std"), PARCEL_B)).get(0)
+        assertTrue(Plan.even("p", "a", 2, 5000)
+                .faults(List.of(PoolName.parse("front/a/std"), PARCEL_B))
+                .get(0)
                 .contains("last one with [front]"));
     }
 }
--- a/fleet/src/test/java/brackenbridge/fleet/evacuation/Observed.java
+++ b/fleet/src/test/java/brackenbridge/fleet/evacuation/Observed.java
@@ -10,12 +10,14 @@
 
 /** Records as nodes of three zones would write them: front servers that call parcel servers, in each zone. */
 final class Observed {
-    static final Terms TERMS = Terms.of(List.of("front", "parcel"),
+    static final Terms TERMS = Terms.of(
+            List.of("front", "parcel"),
             Map.of("view", new Terms.ClassTerms(8000, true), "file", new Terms.ClassTerms(7500, false)));
     static final List<String> ZONES = List.of("a", "b", "c");
 
     /** First tries a second of each zone, evenly over its two nodes. */
     final Map<String, Double> rates = new TreeMap<>(Map.of("a", 60.0, "b", 60.0, "c", 60.0));
+
     final Map<String, Integer> fronts = new TreeMap<>(Map.of("a", 5, "b", 5, "c", 5));
     final Map<String, Integer> parcels = new TreeMap<>(Map.of("a", 4, "b", 4, "c", 4));
     final Map<String, Double> heardMs = new TreeMap<>();
@@ -24,6 +26,7 @@
 
     /** Tries a second that a front server and a parcel server can do. */
     static final double FRONT = 33;
+
     static final double PARCEL = 100;
     static final double CALLS = 2;
 
@@ -50,14 +53,44 @@
         return out;
     }
 
-    private void add(List<Observation> out, String node, String zone, String tier, double rate, int servers,
-            double each, double slots, double serviceMs) {
+    private void add(
+            List<Observation> out,
+            String node,
+            String zone,
+            String tier,
+            double rate,
+            int servers,
+            double each,
+            double slots,
+            double serviceMs) {
         double u = Math.min(1, rate * 2 * clocks.getOrDefault(node, 1.0) / (servers * each));
         for (String c : List.of("view", "file")) {
             double mine = rate * ("view".equals(c) ? 0.7 : 0.3);
-            out.add(new Observation(node, zone, new PoolName(tier, zone, "std"), c, new Version(1, sequence),
-                    new PoolSeen(mine, mine, 0, servers, slots, mine * serviceMs / 1000, serviceMs, serviceMs, 1, 0,
-                            1000, u, slots + 6, 0.4, 6000, 1, 0), heardMs.getOrDefault(node, 300.0)));
+            out.add(new Observation(
+                    node,
+                    zone,
+                    new PoolName(tier, zone, "std"),
+                    c,
+                    new Version(1, sequence),
+                    new PoolSeen(
+                            mine,
+                            mine,
+                            0,
+                            servers,
+                            slots,
+                            mine * serviceMs / 1000,
+                            serviceMs,
+                            serviceMs,
+                            1,
+                            0,
+                            1000,
+                            u,
+                            slots + 6,
+                            0.4,
+                            6000,
+                            1,
+                            0),
+                    heardMs.getOrDefault(node, 300.0)));
         }
     }
 
--- a/fleet/src/test/java/brackenbridge/fleet/evacuation/QueuesTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/evacuation/QueuesTest.java
@@ -20,7 +20,8 @@
     }
 
     @Property(tries = 300)
-    void allenCunneenIsExactForOneServerAndGrowsWithLoad(@ForAll @IntRange(min = 1, max = 60) int c,
+    void allenCunneenIsExactForOneServerAndGrowsWithLoad(
+            @ForAll @IntRange(min = 1, max = 60) int c,
             @ForAll @DoubleRange(min = 0.05, max = 0.95) double rho,
             @ForAll @DoubleRange(min = 0, max = 9) double variation) {
         // Pollaczek and Khinchin.
--- a/fleet/src/test/java/brackenbridge/fleet/node/NodeSubscriptionTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/node/NodeSubscriptionTest.java
@@ -37,6 +37,7 @@
 
     @TempDir
     private Path directory;
+
     private Path configFile;
     private ControlServer server;
     private Node node;
@@ -61,8 +62,15 @@
         configFile = directory.resolve("config.json");
         Files.writeString(configFile, config(settings(requestClass("view", 900_000))));
         FleetFile any = fleet(1);
-        server = new ControlServer(new ControlServer.Settings("f", "c1", new InetSocketAddress("127.0.0.1", 0),
-                new NodeNames(List.of("n*")), any.control().limits()), Clock.system(), () -> true,
+        server = new ControlServer(
+                new ControlServer.Settings(
+                        "f",
+                        "c1",
+                        new InetSocketAddress("127.0.0.1", 0),
+                        new NodeNames(List.of("n*")),
+                        any.control().limits()),
+                Clock.system(),
+                () -> true,
                 new SimpleMeterRegistry());
         server.start();
         Config config = Config.read(configFile);
@@ -73,9 +81,12 @@
     }
 
     private static FleetFile fleet(int port) throws FileFaults {
-        return FleetFile.parse("f", "fleet = \"f\"\n[[member]]\nname = \"c1\"\naddress = \"127.0.0.1:1\"\n[control]\n"
-                + "heartbeat = \"50ms\"\nsilence = \"150ms\"\n[[control.machine]]\nname = \"c1\"\nregion = \"r\"\n"
-                + "address = \"127.0.0.1:" + port + "\"\n");
+        return FleetFile.parse(
+                "f",
+                "fleet = \"f\"\n[[member]]\nname = \"c1\"\naddress = \"127.0.0.1:1\"\n[control]\n"
+                        + "heartbeat = \"50ms\"\nsilence = \"150ms\"\n[[control.machine]]\n"
+                        + "name = \"c1\"\nregion = \"r\"\n"
+                        + "address = \"127.0.0.1:" + port + "\"\n");
     }
 
     @AfterEach
@@ -90,7 +101,10 @@
     }
 
     private static void await(java.util.concurrent.Callable<Boolean> condition) {
-        Awaitility.await().atMost(Duration.ofSeconds(20)).pollInterval(Duration.ofMillis(10)).until(condition);
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(20))
+                .pollInterval(Duration.ofMillis(10))
+                .until(condition);
     }
 
     private boolean hasClass(String name) {
@@ -118,9 +132,14 @@
 
     @Test
     void anAgreedListIsTakenOver() {
-        server.publish(new Resource("list/tier-0", 1, ("{\"seq\":7,\"whole\":true,\"hosts\":[{\"host\":\"s1\",\"dial\":"
-                + "\"127.0.0.1:1\",\"site\":\"a\",\"class\":\"m\",\"block\":1,\"health\":\"active\",\"share\":1.0,"
-                + "\"born_ms\":0}]}").getBytes(StandardCharsets.UTF_8)));
+        server.publish(new Resource(
+                "list/tier-0",
+                1,
+                ("{\"seq\":7,\"whole\":true,\"hosts\":[{\"host\":\"s1\",\"dial\":"
+                                + "\"127.0.0.1:1\",\"site\":\"a\",\"class\":\"m\",\"block\":1,"
+                                + "\"health\":\"active\",\"share\":1.0,"
+                                + "\"born_ms\":0}]}")
+                        .getBytes(StandardCharsets.UTF_8)));
         await(() -> node.figures().contains("proxy.pool_size:1|"));
     }
 
@@ -141,7 +160,11 @@
     @Test
     void aFleetWithoutControlMachinesIsRejected() throws FileFaults {
         FleetFile none = FleetFile.parse("f", "fleet = \"f\"\n[[member]]\nname = \"c1\"\naddress = \"127.0.0.1:1\"\n");
-        assertEquals("the fleet's file names no control machine", assertThrows(IllegalArgumentException.class,
-                () -> new NodeSubscription(none, configFile, "r", Config.read(configFile))).getMessage());
+        assertEquals(
+                "the fleet's file names no control machine",
+                assertThrows(
+                                IllegalArgumentException.class,
+                                () -> new NodeSubscription(none, configFile, "r", Config.read(configFile)))
+                        .getMessage());
     }
 }
--- a/fleet/src/test/java/brackenbridge/fleet/node/PoolReportsTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/node/PoolReportsTest.java
@@ -29,8 +29,7 @@
             observer.refused("view");
         }
         now += 1000;
-        return reports.report(observer.snapshot(now,
-                Map.of(new Key("a", 1, ""), 3, new Key("b", 2, ""), 5)));
+        return reports.report(observer.snapshot(now, Map.of(new Key("a", 1, ""), 3, new Key("b", 2, ""), 5)));
     }
 
     @Test
--- a/fleet/src/test/java/brackenbridge/fleet/node/StaffPageTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/node/StaffPageTest.java
@@ -31,7 +31,9 @@
     void open() throws Exception {
         PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         metrics.counter("fleet.tests", "kind", "page").increment(3);
-        page = new StaffPage(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), metrics,
+        page = new StaffPage(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                metrics,
                 Map.of("state", (words, body, json) -> {
                     if (words.get(0).equals("fault")) {
                         throw new IllegalStateException("broken");
@@ -80,10 +82,19 @@
     @Test
     void metricsArePublishedAndOtherRoomsAreNone() throws Exception {
         HttpClient client = HttpClient.newHttpClient();
-        String metrics = client.send(HttpRequest.newBuilder(URI.create("http://" + at() + "/metrics")).build(),
-                HttpResponse.BodyHandlers.ofString()).body();
+        String metrics = client.send(
+                        HttpRequest.newBuilder(URI.create("http://" + at() + "/metrics"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .body();
         assertTrue(metrics.contains("fleet_tests_total{kind=\"page\"} 3.0"), metrics);
-        assertEquals(404, client.send(HttpRequest.newBuilder(URI.create("http://" + at() + "/call/none/x"))
-                .POST(HttpRequest.BodyPublishers.noBody()).build(), HttpResponse.BodyHandlers.ofString()).statusCode());
+        assertEquals(
+                404,
+                client.send(
+                                HttpRequest.newBuilder(URI.create("http://" + at() + "/call/none/x"))
+                                        .POST(HttpRequest.BodyPublishers.noBody())
+                                        .build(),
+                                HttpResponse.BodyHandlers.ofString())
+                        .statusCode());
     }
 }
--- a/fleet/src/test/java/brackenbridge/fleet/peer/DetectorTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/DetectorTest.java
@@ -25,14 +25,14 @@
         final PriorityQueue<Event> events = new PriorityQueue<>();
         /** Each change: who holds it, of whom, what, when. */
         final List<Seen> seen = new ArrayList<>();
+
         double now;
         double loss;
         double delayMs = 1;
         BiPredicate<Integer, Integer> cut = (from, to) -> false;
         long order;
 
-        record Seen(int by, int of, Standing standing, double at) {
-        }
+        record Seen(int by, int of, Standing standing, double at) {}
 
         record Event(double at, long order, Runnable work) implements Comparable<Event> {
             @Override
@@ -190,8 +190,13 @@
             }
         }
         double[] sorted = took.stream().mapToDouble(d -> d).sorted().toArray();
-        System.out.printf("dead: %d sightings, p50 %.0f, p99 %.0f, max %.0f ms; suspected wrongly %d%n", sorted.length,
-                sorted[sorted.length / 2], sorted[sorted.length * 99 / 100], sorted[sorted.length - 1], wrong);
+        System.out.printf(
+                "dead: %d sightings, p50 %.0f, p99 %.0f, max %.0f ms; suspected wrongly %d%n",
+                sorted.length,
+                sorted[sorted.length / 2],
+                sorted[sorted.length * 99 / 100],
+                sorted[sorted.length - 1],
+                wrong);
         assertTrue(sorted[0] > LIMITS.goneMs() - 4 * LIMITS.beatMs(), "too soon: " + sorted[0]);
         assertTrue(sorted[sorted.length / 2] < LIMITS.goneMs() + 2 * LIMITS.beatMs(), "p50 of " + sorted.length);
         assertEquals(0, wrong);
--- a/fleet/src/test/java/brackenbridge/fleet/peer/MeshCost.java
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/MeshCost.java
@@ -15,8 +15,7 @@
     private final List<TcpLinks> all = new ArrayList<>();
     private final Map<String, Double> gone = new ConcurrentHashMap<>();
 
-    private MeshCost() {
-    }
+    private MeshCost() {}
 
     /** Members, seconds at rest, deaths. */
     public static void main(String[] args) throws Exception {
@@ -25,8 +24,8 @@
     }
 
     private TcpLinks begin(int i, long life) throws Exception {
-        TcpLinks links = new TcpLinks(new Member("node-" + i, "127.0.0.1:0", "zone"), life, "fleet", List.of(), clock,
-                PeerLimits.standard());
+        TcpLinks links = new TcpLinks(
+                new Member("node-" + i, "127.0.0.1:0", "zone"), life, "fleet", List.of(), clock, PeerLimits.standard());
         links.watch((peer, standing, its) -> {
             if (standing == Standing.GONE) {
                 gone.put(links.me().name() + " " + peer + " " + its, clock.nowMs());
@@ -39,12 +38,17 @@
     private void meet() {
         List<Member> members = all.stream().map(TcpLinks::me).toList();
         all.forEach(l -> l.update(members));
-        Awaitility.await().atMost(java.time.Duration.ofMinutes(1)).until(() -> all.stream()
-                .allMatch(l -> l.figures().get("peers_alive") == all.size() - 1 && l.links().size() == all.size() - 1));
+        Awaitility.await()
+                .atMost(java.time.Duration.ofMinutes(1))
+                .until(() -> all.stream()
+                        .allMatch(l -> l.figures().get("peers_alive") == all.size() - 1
+                                && l.links().size() == all.size() - 1));
     }
 
     private double sum(String figure) {
-        return all.stream().mapToDouble(l -> l.figures().getOrDefault(figure, 0.0)).sum();
+        return all.stream()
+                .mapToDouble(l -> l.figures().getOrDefault(figure, 0.0))
+                .sum();
     }
 
     private void run(int members, int seconds, int deaths) throws Exception {
@@ -66,8 +70,10 @@
         from = clock.nowMs();
         Thread.sleep(seconds * 1000L);
         double passed = (clock.nowMs() - from) / 1000;
-        System.out.printf("at rest, a member: %.0f threads, %.0f beats/s and %.0f bytes/s out, %.2f%% of a core%n",
-                sum("threads") / members, (sum("frames_out") - frames) / passed / members,
+        System.out.printf(
+                "at rest, a member: %.0f threads, %.0f beats/s and %.0f bytes/s out, %.2f%% of a core%n",
+                sum("threads") / members,
+                (sum("frames_out") - frames) / passed / members,
                 (sum("bytes_out") - bytes) / passed / members,
                 (system.getProcessCpuTime() - cpu) / 1e7 / passed / members);
         List<Double> took = new ArrayList<>();
@@ -76,16 +82,22 @@
             double died = clock.nowMs();
             victim.halt();
             String key = " " + victim.me().name() + " " + victim.life();
-            Awaitility.await().atMost(java.time.Duration.ofMinutes(1)).until(
-                    () -> all.stream().allMatch(l -> gone.containsKey(l.me().name() + key)));
+            Awaitility.await()
+                    .atMost(java.time.Duration.ofMinutes(1))
+                    .until(() -> all.stream().allMatch(l -> gone.containsKey(l.me().name() + key)));
             all.forEach(l -> took.add(gone.get(l.me().name() + key) - died));
             all.add(d % members, begin(d % members, victim.life() + 1));
             meet();
         }
         double[] sorted = took.stream().mapToDouble(t -> t).sorted().toArray();
         if (sorted.length > 0) {
-            System.out.printf("%d deaths: found after p50 %.0f, max %.0f ms; false suspicions %.0f, of %d%n", deaths,
-                    sorted[sorted.length / 2], sorted[sorted.length - 1], sum("suspicions_false"), sorted.length);
+            System.out.printf(
+                    "%d deaths: found after p50 %.0f, max %.0f ms; false suspicions %.0f, of %d%n",
+                    deaths,
+                    sorted[sorted.length / 2],
+                    sorted[sorted.length - 1],
+                    sum("suspicions_false"),
+                    sorted.length);
         }
         all.forEach(TcpLinks::close);
     }
--- a/fleet/src/test/java/brackenbridge/fleet/peer/PeerProcess.java
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/PeerProcess.java
@@ -11,13 +11,17 @@
 final class PeerProcess {
     static final PeerLimits LIMITS = TcpLinksTest.QUICK.beating(50, 400, 1200);
 
-    private PeerProcess() {
-    }
+    private PeerProcess() {}
 
     /** Name and life. Each line on standard input is the whole list of members: name=address, in between blanks. */
     public static void main(String[] args) throws IOException {
-        TcpLinks links = new TcpLinks(new Member(args[0], "127.0.0.1:0", "z"), Long.parseLong(args[1]), "f", List.of(),
-                Clock.system(), LIMITS);
+        TcpLinks links = new TcpLinks(
+                new Member(args[0], "127.0.0.1:0", "z"),
+                Long.parseLong(args[1]),
+                "f",
+                List.of(),
+                Clock.system(),
+                LIMITS);
         links.watch((peer, standing, life) -> System.out.println(peer + " " + standing + " " + life));
         links.start();
         System.out.println("at " + links.me().address());
--- a/fleet/src/test/java/brackenbridge/fleet/peer/PeerProcessTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/PeerProcessTest.java
@@ -23,9 +23,16 @@
 
         Child(String name, long life) throws IOException {
             this.name = name;
-            ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
-                    "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
-                    PeerProcess.class.getName(), name, Long.toString(life));
+            ProcessBuilder builder = new ProcessBuilder(
+                    System.getProperty("java.home") + "/bin/java",
+                    "-Xmx64m",
+                    "-XX:TieredStopAtLevel=1",
+                    "-XX:+UseSerialGC",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    PeerProcess.class.getName(),
+                    name,
+                    Long.toString(life));
             process = builder.redirectError(ProcessBuilder.Redirect.DISCARD).start();
             children.add(this);
             Thread reader = new Thread(() -> {
@@ -52,7 +59,11 @@
         }
 
         void signal(String signal) throws IOException, InterruptedException {
-            assertEquals(0, new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor());
+            assertEquals(
+                    0,
+                    new ProcessBuilder("kill", signal, Long.toString(process.pid()))
+                            .start()
+                            .waitFor());
         }
 
         long count(String standing) {
--- a/fleet/src/test/java/brackenbridge/fleet/peer/TcpLinksTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/TcpLinksTest.java
@@ -39,13 +39,16 @@
         }
         open.forEach(TcpLinks::close);
         for (TcpLinks links : open) {
-            assertEquals(0, links.figures().get("threads"), "threads of " + links.me().name());
+            assertEquals(
+                    0,
+                    links.figures().get("threads"),
+                    "threads of " + links.me().name());
         }
     }
 
     private TcpLinks links(String name, long life, String fleet, PeerLimits limits) throws Exception {
-        TcpLinks links = new TcpLinks(new Member(name, "127.0.0.1:0", "z"), life, fleet, List.of(), Clock.system(),
-                limits);
+        TcpLinks links =
+                new TcpLinks(new Member(name, "127.0.0.1:0", "z"), life, fleet, List.of(), Clock.system(), limits);
         open.add(links);
         links.receive(Stream.REPLICA, (peer, from, body) -> heard.add(name + "<" + peer + from + new String(body)));
         links.alarm((who, why, text) -> alarms.add(name + ":" + who + ":" + why));
@@ -83,7 +86,9 @@
 
         private void pump(Socket from, Socket to, boolean up) throws IOException {
             byte[] bytes = new byte[4096];
-            for (int n = from.getInputStream().read(bytes); n > 0; n = from.getInputStream().read(bytes)) {
+            for (int n = from.getInputStream().read(bytes);
+                    n > 0;
+                    n = from.getInputStream().read(bytes)) {
                 synchronized (this) {
                     while (up ? holdToListener : holdToDialler) {
                         try {
@@ -231,7 +236,8 @@
         TcpLinks copy = links("b", 6, "f", QUICK);
         copy.update(List.of(a.me()));
         await().until(() -> alarms.contains("a:b:DUPLICATE"));
-        await().until(() -> alarms.stream().filter(t -> t.equals("b:b:DUPLICATE")).count() >= 2);
+        await().until(() ->
+                alarms.stream().filter(t -> t.equals("b:b:DUPLICATE")).count() >= 2);
         assertTrue(b.links().contains("a") && copy.links().isEmpty(), "the first one keeps its link");
     }
 
@@ -310,8 +316,8 @@
         TcpLinks[] members = all.toArray(new TcpLinks[0]);
         meet(members);
         awaitLinks(7, members);
-        await().until(() -> all.stream().allMatch(m -> figure(m, "threads") == 3 + 2 * 7
-                && figure(m, "peers_alive") == 7));
+        await().until(() ->
+                all.stream().allMatch(m -> figure(m, "threads") == 3 + 2 * 7 && figure(m, "peers_alive") == 7));
         for (TcpLinks from : members) {
             for (TcpLinks to : members) {
                 assertTrue(from == to || from.send(to.me().name(), Stream.REPLICA, "!".getBytes()));
--- a/fleet/src/test/java/brackenbridge/fleet/peer/WireTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/WireTest.java
@@ -24,8 +24,14 @@
 class WireTest {
     private static final int MOST = 4096;
     private static final Handshake.Hello HELLO = new Handshake.Hello(false, "fleet", "a", "b", "127.0.0.1:9", 3, 5, 7);
-    private static final Beat BEAT = new Beat(Beat.NOW, 9, 8, 12.5, 2,
-            List.of(new Beat.Entry("b", 4, 5, 6, Standing.SUSPECT, true, 17)), List.of("c", "d"));
+    private static final Beat BEAT = new Beat(
+            Beat.NOW,
+            9,
+            8,
+            12.5,
+            2,
+            List.of(new Beat.Entry("b", 4, 5, 6, Standing.SUSPECT, true, 17)),
+            List.of("c", "d"));
 
     /** Hands out whole requests and notes the greatest that was asked for at once. */
     private static final class Asked extends InputStream {
@@ -79,14 +85,22 @@
     }
 
     @Property(tries = 2000, seed = "29")
-    void fieldsBehindRightSumsAreReadOrRefused(@ForAll @Size(max = 120) byte[] fields, @ForAll byte kind,
-            @ForAll int length, @ForAll byte stream) {
+    void fieldsBehindRightSumsAreReadOrRefused(
+            @ForAll @Size(max = 120) byte[] fields, @ForAll byte kind, @ForAll int length, @ForAll byte stream) {
         ByteBuffer shake = ByteBuffer.allocate(9 + fields.length + 4);
-        shake.putInt(0x42425031).putShort((short) fields.length).put((byte) (kind & 7)).put((byte) 1).put((byte) 1);
+        shake.putInt(0x42425031)
+                .putShort((short) fields.length)
+                .put((byte) (kind & 7))
+                .put((byte) 1)
+                .put((byte) 1);
         shake.put(fields).putInt(Wire.crc(shake.array(), 0, 9 + fields.length));
         bounded(shake.array(), Handshake::read);
         ByteBuffer head = ByteBuffer.allocate(Frames.HEAD + fields.length);
-        head.putInt(length).put(stream).putInt(0).putInt(Wire.crc(head.array(), 0, 9)).put(fields);
+        head.putInt(length)
+                .put(stream)
+                .putInt(0)
+                .putInt(Wire.crc(head.array(), 0, 9))
+                .put(fields);
         bounded(head.array(), in -> Frames.read(in, MOST));
     }
 
--- a/fleet/src/test/java/brackenbridge/fleet/replica/CodecTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/replica/CodecTest.java
@@ -24,32 +24,47 @@
         Arbitrary<Message.Mark> mark = Combinators.combine(NAME, COUNT, Arbitraries.longs(), COUNT, COUNT, COUNT, COUNT)
                 .as((n, l, x, b, s, h, a) -> new Message.Mark(n, l, x, b, s, h, a, h % 2 == 0));
         Arbitrary<Message.Have> have = Combinators.combine(NAME, COUNT, COUNT).as(Message.Have::new);
-        Arbitrary<Message.Want> want = Combinators.combine(NAME, COUNT, COUNT, COUNT, COUNT).as(Message.Want::new);
-        Arbitrary<Message.Digest> digest = Combinators.combine(NAME, COUNT, COUNT, Arbitraries.longs())
-                .as(Message.Digest::new);
+        Arbitrary<Message.Want> want =
+                Combinators.combine(NAME, COUNT, COUNT, COUNT, COUNT).as(Message.Want::new);
+        Arbitrary<Message.Digest> digest =
+                Combinators.combine(NAME, COUNT, COUNT, Arbitraries.longs()).as(Message.Digest::new);
         return Arbitraries.oneOf(
                 Combinators.combine(mark.list().ofMaxSize(20), have.list().ofMaxSize(5))
                         .as((m, h) -> new Message.Marks(m.isEmpty(), true, m, h)),
                 want.list().ofMaxSize(20).map(Message.Wants::new),
                 digest.list().ofMaxSize(20).map(Message.Digests::new),
-                Combinators.combine(NAME, COUNT, COUNT, Arbitraries.longs().list().ofSize(Item.RANGES))
+                Combinators.combine(
+                                NAME, COUNT, COUNT, Arbitraries.longs().list().ofSize(Item.RANGES))
                         .as(Message.Ranges::new),
                 Combinators.combine(NAME, entries(9)).as((n, e) -> new Message.Chunk(n, 9, 9, 0, 100, 0, 0, e)),
                 Combinators.combine(NAME, entries(9)).as((n, e) -> new Message.Copies(n, 9, 100, 3, 0, true, true, e)));
     }
 
     private static Arbitrary<List<Entry>> entries(long life) {
-        Arbitrary<byte[]> value = Arbitraries.bytes().array(byte[].class).ofMaxSize(40).injectNull(0.2);
-        return Combinators.combine(Arbitraries.of(Space.values()),
-                Arbitraries.strings().withCharRange(' ', '\ud7ff').ofMaxLength(40), value,
-                COUNT).as((s, k, v, c) -> new Object[] {s, k, v, c}).list().ofMaxSize(20).map(list -> {
+        Arbitrary<byte[]> value =
+                Arbitraries.bytes().array(byte[].class).ofMaxSize(40).injectNull(0.2);
+        return Combinators.combine(
+                        Arbitraries.of(Space.values()),
+                        Arbitraries.strings().withCharRange(' ', '\ud7ff').ofMaxLength(40),
+                        value,
+                        COUNT)
+                .as((s, k, v, c) -> new Object[] {s, k, v, c})
+                .list()
+                .ofMaxSize(20)
+                .map(list -> {
                     Entry[] all = new Entry[list.size()];
                     for (int i = 0; i < all.length; i++) {
                         Object[] o = list.get(i);
                         Space s = (Space) o[0];
                         boolean own = s.kind() == Space.Kind.OWN;
-                        all[i] = Entry.of("o", s, (String) o[1], new Version(life, i + 1), own ? (byte[]) o[2] : null,
-                                own ? 0 : (Long) o[3], own ? 0 : life - 1);
+                        all[i] = Entry.of(
+                                "o",
+                                s,
+                                (String) o[1],
+                                new Version(life, i + 1),
+                                own ? (byte[]) o[2] : null,
+                                own ? 0 : (Long) o[3],
+                                own ? 0 : life - 1);
                     }
                     return Arrays.asList(all);
                 });
@@ -67,12 +82,16 @@
 
     /** Bytes changed, cut or added in any place: another message of the same bounds, or refused; nothing else. */
     @Property(tries = 3000, seed = "12")
-    void bytesFromOutsideAreReadWithinBoundsOrRefused(@ForAll("messages") Message m, @ForAll long where,
-            @ForAll byte with, @ForAll byte[] tail) throws IOException {
+    void bytesFromOutsideAreReadWithinBoundsOrRefused(
+            @ForAll("messages") Message m, @ForAll long where, @ForAll byte with, @ForAll byte[] tail)
+            throws IOException {
         byte[] b = Codec.write(m);
         b[(int) Long.remainderUnsigned(where, b.length)] ^= with;
-        byte[] all = Arrays.copyOf(b, where % 3 == 0 ? (int) Long.remainderUnsigned(where >> 8, b.length) + 1
-                : b.length + (where % 3 == 1 ? tail.length : 0));
+        byte[] all = Arrays.copyOf(
+                b,
+                where % 3 == 0
+                        ? (int) Long.remainderUnsigned(where >> 8, b.length) + 1
+                        : b.length + (where % 3 == 1 ? tail.length : 0));
         if (all.length > b.length) {
             System.arraycopy(tail, 0, all, b.length, tail.length);
         }
@@ -101,7 +120,9 @@
         assertThrows(IOException.class, () -> Codec.read(deep));
         assertThrows(IOException.class, () -> Codec.read(new byte[Codec.MOST_BYTES + 1]));
         // A text whose length is said to be two thousand million bytes.
-        assertThrows(IOException.class, () -> Codec.read(new byte[] {1, (byte) 0x81, (byte) 0x81, (byte) 0x85, 0x7a,
-            0x7f, 0x7f, 0x7f, 0x7f, 1}));
+        assertThrows(
+                IOException.class,
+                () -> Codec.read(
+                        new byte[] {1, (byte) 0x81, (byte) 0x81, (byte) 0x85, 0x7a, 0x7f, 0x7f, 0x7f, 0x7f, 1}));
     }
 }
--- a/fleet/src/test/java/brackenbridge/fleet/replica/DiskTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/replica/DiskTest.java
@@ -20,6 +20,7 @@
 class DiskTest {
     @TempDir
     private Path folder;
+
     private final Store full = new Store("b", 1, 7, false);
 
     @BeforeEach
@@ -36,7 +37,8 @@
     }
 
     private void write(Disk d) throws IOException {
-        d.write(List.of(new Disk.Batch("a", 3, 300L, 0, full.all("a", 3), List.of())),
+        d.write(
+                List.of(new Disk.Batch("a", 3, 300L, 0, full.all("a", 3), List.of())),
                 Map.of(new CatchUp.Of("a", 3), 100));
     }
 
@@ -59,7 +61,8 @@
             assertEquals(full.all("a", 3).toString(), s.all("a", 3).toString());
             assertEquals(300, s.have("a", 3).orElseThrow());
             assertTrue(s.seen(Space.SERVERS, 0).stream().noneMatch(e -> e.fresh(Space.SERVERS)));
-            assertTrue(assertThrows(IOException.class, () -> open(0)).getMessage().contains("another process"));
+            assertTrue(
+                    assertThrows(IOException.class, () -> open(0)).getMessage().contains("another process"));
         }
         try (Disk d = open(1e12)) {
             assertEquals(1_000_000_000_000L, d.life());
@@ -69,9 +72,14 @@
     @Test
     void anotherFleetsOrMembersDiskIsRefusedInOneLine() throws IOException {
         open(1).close();
-        String fleet = assertThrows(IOException.class, () -> Disk.open(folder, "other", "b", 1)).getMessage();
-        String member = assertThrows(IOException.class, () -> Disk.open(folder, "fleet", "x", 1)).getMessage();
-        assertTrue(fleet.contains("belongs to the fleet fleet, not to other") && fleet.lines().count() == 1, fleet);
+        String fleet = assertThrows(IOException.class, () -> Disk.open(folder, "other", "b", 1))
+                .getMessage();
+        String member = assertThrows(IOException.class, () -> Disk.open(folder, "fleet", "x", 1))
+                .getMessage();
+        assertTrue(
+                fleet.contains("belongs to the fleet fleet, not to other")
+                        && fleet.lines().count() == 1,
+                fleet);
         assertTrue(member.contains("belongs to the member b, not to x"), member);
     }
 
--- a/fleet/src/test/java/brackenbridge/fleet/replica/ReplicaNodeTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/replica/ReplicaNodeTest.java
@@ -20,8 +20,10 @@
 
 class ReplicaNodeTest {
     private static final Terms FAST = new Terms(10_000_000, 5, 50, 60, 30, 500, 60_000, 32, 4, 4096);
+
     @TempDir
     private Path folder;
+
     private final Wires wires = new Wires("a", "b", "c");
     private final Map<String, ReplicaNode> nodes = new LinkedHashMap<>();
     private final Clock clock = Clock.system();
@@ -86,7 +88,8 @@
         }
         allHold(Space.SERVERS, Map.of("a/h0", "v180", "a/h1", "v181"));
         await().untilAsserted(() -> nodes.values().forEach(n -> assertEquals(600, n.sum(Space.ATTEMPTS, "pool"))));
-        await().untilAsserted(() -> nodes.values().forEach(n -> assertTrue(n.level().level(), n.level()::toString)));
+        await().untilAsserted(
+                        () -> nodes.values().forEach(n -> assertTrue(n.level().level(), n.level()::toString)));
         assertEquals(0, a.figures().differences());
     }
 
--- a/fleet/src/test/java/brackenbridge/fleet/replica/StoreTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/replica/StoreTest.java
@@ -126,7 +126,8 @@
         pull(late, a);
         pull(other, a);
         for (Store s : List.of(late, other)) {
-            assertEquals(a.seen(Space.SERVERS, 0).stream().map(Replica.Seen::key).toList(),
+            assertEquals(
+                    a.seen(Space.SERVERS, 0).stream().map(Replica.Seen::key).toList(),
                     s.seen(Space.SERVERS, 0).stream().map(Replica.Seen::key).toList());
         }
     }
@@ -164,7 +165,11 @@
             pull(b, a);
             // Values are shared in memory here: b gets its own, as it would from a wire.
             for (Entry e : b.all("a", 1)) {
-                b.mend("a", 1, e.item(), new Entry(e.space(), e.key(), e.version(), e.value().clone(), 0, 0, e.sum()),
+                b.mend(
+                        "a",
+                        1,
+                        e.item(),
+                        new Entry(e.space(), e.key(), e.version(), e.value().clone(), 0, 0, e.sum()),
                         0);
             }
             Entry hit = b.all("a", 1).get(random.nextInt(50));
@@ -204,7 +209,12 @@
             assertFalse(db.outOfDecision());
             // What the rule mends, something breaks again.
             b.mend("a", 1, ITEM, null, 0);
-            db.took("a", da.took("b", db.next("a")).stream().map(m -> (Message.Ranges) m).findFirst().orElseThrow());
+            db.took(
+                    "a",
+                    da.took("b", db.next("a")).stream()
+                            .map(m -> (Message.Ranges) m)
+                            .findFirst()
+                            .orElseThrow());
         }
         assertTrue(db.outOfDecision());
         assertEquals(0, b.have("a", 1).orElseThrow());
--- a/fleet/src/test/java/brackenbridge/fleet/replica/Wires.java
+++ b/fleet/src/test/java/brackenbridge/fleet/replica/Wires.java
@@ -86,7 +86,10 @@
 
         @Override
         public List<Member> peers() {
-            return names.stream().filter(n -> !n.equals(name)).map(n -> new Member(n, "127.0.0.1:1", "z")).toList();
+            return names.stream()
+                    .filter(n -> !n.equals(name))
+                    .map(n -> new Member(n, "127.0.0.1:1", "z"))
+                    .toList();
         }
 
         @Override
--- a/fleet/src/test/java/brackenbridge/fleet/share/AllocatorTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/share/AllocatorTest.java
@@ -22,12 +22,18 @@
 
     @Test
     void fillsByWeightsWithFloorsAndCeilings() {
-        assertArrayEquals(new double[] {2, 4, 4}, WaterFilling.fill(10, new double[] {1, 1, 1}, new double[3],
-                new double[] {2, 9, 9}), 1e-9);
-        assertArrayEquals(new double[] {6, 1, 3}, WaterFilling.fill(10, new double[] {1, 1, 3},
-                new double[] {6, 0, 0}, new double[] {9, 9, 9}), 1e-9);
-        assertArrayEquals(new double[] {2, 8}, WaterFilling.fill(10, new double[] {1, 1}, new double[] {4, 16},
-                new double[] {9, 20}), 1e-9);
+        assertArrayEquals(
+                new double[] {2, 4, 4},
+                WaterFilling.fill(10, new double[] {1, 1, 1}, new double[3], new double[] {2, 9, 9}),
+                1e-9);
+        assertArrayEquals(
+                new double[] {6, 1, 3},
+                WaterFilling.fill(10, new double[] {1, 1, 3}, new double[] {6, 0, 0}, new double[] {9, 9, 9}),
+                1e-9);
+        assertArrayEquals(
+                new double[] {2, 8},
+                WaterFilling.fill(10, new double[] {1, 1}, new double[] {4, 16}, new double[] {9, 20}),
+                1e-9);
     }
 
     @Property(tries = 500, seed = "29")
@@ -36,10 +42,13 @@
         int n = 1 + r.nextInt(8);
         double[] w = r.doubles(n, 0.1, 5).toArray();
         double[] wanted = r.doubles(n, 0, 20).toArray();
-        double[] floors = Arrays.stream(wanted).map(d -> r.nextBoolean() ? 0 : d * r.nextDouble() / n).toArray();
+        double[] floors = Arrays.stream(wanted)
+                .map(d -> r.nextBoolean() ? 0 : d * r.nextDouble() / n)
+                .toArray();
         double amount = r.nextDouble() * 60;
         double[] x = WaterFilling.fill(amount, w, floors, wanted);
-        assertEquals(Math.min(amount, Arrays.stream(wanted).sum()), Arrays.stream(x).sum(), 1e-6);
+        assertEquals(
+                Math.min(amount, Arrays.stream(wanted).sum()), Arrays.stream(x).sum(), 1e-6);
         if (Arrays.stream(floors).sum() >= amount) {
             return;
         }
@@ -47,8 +56,7 @@
             assertTrue(x[i] <= wanted[i] + 1e-9 && x[i] >= floors[i] - 1e-9);
             for (int j = 0; j < n; j++) {
                 // One that wants more is no lower than one that is above its floor.
-                assertTrue(x[i] >= wanted[i] - 1e-6 || x[j] <= floors[j] + 1e-6
-                        || x[i] / w[i] >= x[j] / w[j] - 1e-6);
+                assertTrue(x[i] >= wanted[i] - 1e-6 || x[j] <= floors[j] + 1e-6 || x[i] / w[i] >= x[j] / w[j] - 1e-6);
             }
         }
     }
@@ -57,16 +65,17 @@
     void groupsComeBeforeTenantsAndWhatIsUnusedIsLent() throws ShareRules.Unusable {
         ShareRules r = rules("{'groups':[{'name':'gold','weight':3,'tenants':[{'name':'a'},{'name':'b','weight':2}]},"
                 + "{'name':'free','ceiling':30,'tenants':[{'name':'c','floor':5},{'name':'d'}]}]}");
-        Allocation all = new Allocator().divide(120, r, Map.of("n0", Map.of("a", 500.0, "b", 500.0, "c", 500.0,
-                "d", 500.0)));
+        Allocation all =
+                new Allocator().divide(120, r, Map.of("n0", Map.of("a", 500.0, "b", 500.0, "c", 500.0, "d", 500.0)));
         assertEquals(30, all.tenants().get("a").given(), 1e-6);
         assertEquals(60, all.tenants().get("b").given(), 1e-6);
         assertEquals(15, all.tenants().get("c").given(), 1e-6);
         Allocation some = new Allocator().divide(120, r, Map.of("n0", Map.of("a", 500.0, "b", 4.0, "c", 500.0)));
         assertEquals(30, some.tenants().get("c").given(), 1e-6);
         assertTrue(some.tenants().get("a").given() > 84, some::toString);
-        assertTrue(some.loans().stream().anyMatch(l -> l.from().equals("b") && l.to().equals("a")
-                && l.connections() > 50), some.loans()::toString);
+        assertTrue(
+                some.loans().stream().anyMatch(l -> l.from().equals("b") && l.to().equals("a") && l.connections() > 50),
+                some.loans()::toString);
     }
 
     @Test
@@ -97,14 +106,18 @@
         for (int turn = 0; turn < 5; turn++) {
             Map<String, Map<String, Double>> demand = new HashMap<>();
             for (int i = 0; i < 1 + r.nextInt(12); i++) {
-                demand.put("n" + i, new HashMap<>(Map.of("t" + r.nextInt(4), r.nextDouble() * 30, "x",
-                        r.nextDouble())));
+                demand.put(
+                        "n" + i, new HashMap<>(Map.of("t" + r.nextInt(4), r.nextDouble() * 30, "x", r.nextDouble())));
             }
             int capacity = r.nextInt(40);
             Allocation x = a.divide(capacity, ShareRules.NONE, demand);
             assertTrue(demand.keySet().stream().mapToInt(x::total).sum() <= capacity);
-            x.nodes().values().forEach(m -> assertEquals(Math.rint(m.values().stream().mapToDouble(d -> d).sum()),
-                    m.values().stream().mapToDouble(d -> d).sum(), 1e-6));
+            x.nodes()
+                    .values()
+                    .forEach(m -> assertEquals(
+                            Math.rint(m.values().stream().mapToDouble(d -> d).sum()),
+                            m.values().stream().mapToDouble(d -> d).sum(),
+                            1e-6));
         }
     }
 
@@ -116,13 +129,16 @@
         assertEquals("a", r.key("a", "file"));
         assertEquals("z", r.key("z", "view"));
         assertEquals(r, ShareRules.parse(r.content()));
-        ShareRules.Unusable u = assertThrows(ShareRules.Unusable.class, () -> rules("{'groups':[{'name':'g','wait':2,"
-                + "'ceiling':1,'tenants':[{'name':'a','weight':-1},{'name':'a','floor':2}]}]}"));
-        for (String part : new String[] {"groups[0].wait: unknown", "tenants[0].weight", "tenants[1].name",
-            "groups[0].ceiling"}) {
+        ShareRules.Unusable u = assertThrows(
+                ShareRules.Unusable.class,
+                () -> rules("{'groups':[{'name':'g','wait':2,"
+                        + "'ceiling':1,'tenants':[{'name':'a','weight':-1},{'name':'a','floor':2}]}]}"));
+        for (String part :
+                new String[] {"groups[0].wait: unknown", "tenants[0].weight", "tenants[1].name", "groups[0].ceiling"}) {
             assertTrue(u.getMessage().contains(part), u.getMessage());
         }
-        assertTrue(assertThrows(ShareRules.Unusable.class, () -> rules("{'groups':[,]}")).getMessage()
+        assertTrue(assertThrows(ShareRules.Unusable.class, () -> rules("{'groups':[,]}"))
+                .getMessage()
                 .contains("line 1, column 12"));
     }
 
--- a/lab/src/main/java/brackenbridge/lab/agree/Explorer.java
+++ b/lab/src/main/java/brackenbridge/lab/agree/Explorer.java
@@ -19,15 +19,12 @@
      * @param history the steps that led to it
      * @param whole whether all histories were gone through
      */
-    public record Found(long states, long steps, int depth, long reached, String breach, List<String> history,
-            boolean whole) {
-    }
+    public record Found(
+            long states, long steps, int depth, long reached, String breach, List<String> history, boolean whole) {}
 
-    private record From(Model.State state, String by) {
-    }
+    private record From(Model.State state, String by) {}
 
-    private Explorer() {
-    }
+    private Explorer() {}
 
     /** Goes through histories until so many moments were seen. */
     public static Found explore(Model model, long most) {
--- a/lab/src/main/java/brackenbridge/lab/agree/Fleet.java
+++ b/lab/src/main/java/brackenbridge/lab/agree/Fleet.java
@@ -40,8 +40,7 @@
      * @param terms the terms of leases
      * @param seed the seed
      */
-    public record Plan(int nodes, double outOfReach, int proposals, boolean takeover, Terms terms, long seed) {
-    }
+    public record Plan(int nodes, double outOfReach, int proposals, boolean takeover, Terms terms, long seed) {}
 
     /**
      * What came of it; times in milliseconds.
@@ -54,9 +53,14 @@
      * @param most the most questions in any second after the warm-up
      * @param mostWithoutWord the longest time that a node out of reach acted on after its links went dark
      */
-    public record Outcome(List<Double> inForceMs, Histogram nodesMs, double contradictionMs, double doubtMs,
-            double atRest, long most, double mostWithoutWord) {
-    }
+    public record Outcome(
+            List<Double> inForceMs,
+            Histogram nodesMs,
+            double contradictionMs,
+            double doubtMs,
+            double atRest,
+            long most,
+            double mostWithoutWord) {}
 
     private final class Node {
         final int id;
@@ -272,7 +276,10 @@
         queue.runUntil(end);
         int from = (int) (WARM_MS / 1000);
         long most = seconds.stream().skip(from).mapToLong(Long::longValue).max().orElse(0);
-        double atRest = seconds.subList(from - 3, from).stream().mapToLong(Long::longValue).average().orElse(0);
+        double atRest = seconds.subList(from - 3, from).stream()
+                .mapToLong(Long::longValue)
+                .average()
+                .orElse(0);
         return new Outcome(inForceMs, nodesMs, contradictionMs, doubtMs, atRest, most, lastDarkMs);
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/agree/Model.java
+++ b/lab/src/main/java/brackenbridge/lab/agree/Model.java
@@ -27,17 +27,22 @@
     private static final Terms TERMS = new Terms(Bounds.LEASE, 0.2);
 
     /** A holder's process, with its clock. */
-    record Node(Holder holder, int lag, int laggedAt, int seenAt, int starts) {
-    }
+    record Node(Holder holder, int lag, int laggedAt, int seenAt, int starts) {}
 
     /** A grant on its way. */
-    record Sent(int to, Grant grant) {
-    }
+    record Sent(int to, Grant grant) {}
 
     /** One moment. */
-    record State(int time, List<Node> nodes, Authority authority, Authority deposed, Word before, Set<Ask> asks,
-            Set<Sent> grants, int proposals, int takeovers) {
-    }
+    record State(
+            int time,
+            List<Node> nodes,
+            Authority authority,
+            Authority deposed,
+            Word before,
+            Set<Ask> asks,
+            Set<Sent> grants,
+            int proposals,
+            int takeovers) {}
 
     private final Bounds bounds;
     private final Mistake mistake;
@@ -50,8 +55,12 @@
 
     /** The first moment: one generation is in force, and nobody has heard of it. */
     State first() {
-        Authority a = new Authority(mistake == Mistake.DRIFT_FORGOTTEN ? new Terms(Bounds.LEASE, 0) : TERMS,
-                new Word(1, 1, 0), 1, 0, Map.of());
+        Authority a = new Authority(
+                mistake == Mistake.DRIFT_FORGOTTEN ? new Terms(Bounds.LEASE, 0) : TERMS,
+                new Word(1, 1, 0),
+                1,
+                0,
+                Map.of());
         List<Node> nodes = new ArrayList<>();
         for (int i = 0; i < bounds.holders(); i++) {
             nodes.add(new Node(Holder.start(i, 0), 0, -Bounds.LAG_EVERY, 0, 0));
@@ -73,7 +82,8 @@
         for (int i = 0; i < s.nodes().size(); i++) {
             Acts acts = acts(s, i);
             if (!acts.keeps(s.authority().word().inForce())) {
-                return "node " + i + " acts by " + text(acts) + ", in force is " + s.authority().word().inForce();
+                return "node " + i + " acts by " + text(acts) + ", in force is "
+                        + s.authority().word().inForce();
             }
             for (int j = 0; j < i; j++) {
                 if (acts.contradicts(acts(s, j))) {
@@ -113,8 +123,18 @@
             if (a.mayActivate(s.time())) {
                 next.put("activate", decided(s, a.activate(s.time()), s.proposals()));
             } else if (mistake == Mistake.NOBODY_WAITED_FOR) {
-                next.put("activate", decided(s, new Authority(a.terms(), new Word(a.word().version() + 1,
-                        a.word().staged(), 0), a.last(), a.settledMs(), a.holders()), s.proposals()));
+                next.put(
+                        "activate",
+                        decided(
+                                s,
+                                new Authority(
+                                        a.terms(),
+                                        new Word(
+                                                a.word().version() + 1, a.word().staged(), 0),
+                                        a.last(),
+                                        a.settledMs(),
+                                        a.holders()),
+                                s.proposals()));
             }
         }
         if (s.takeovers() < bounds.takeovers()) {
@@ -138,8 +158,18 @@
                 nodes.add(lags ? new Node(n.holder(), n.lag() + 1, s.time(), n.seenAt(), n.starts()) : n);
             }
             if (may) {
-                next.put("tick, missed by " + which, new State(s.time() + 1, nodes, s.authority(), s.deposed(),
-                        s.before(), s.asks(), s.grants(), s.proposals(), s.takeovers()));
+                next.put(
+                        "tick, missed by " + which,
+                        new State(
+                                s.time() + 1,
+                                nodes,
+                                s.authority(),
+                                s.deposed(),
+                                s.before(),
+                                s.asks(),
+                                s.grants(),
+                                s.proposals(),
+                                s.takeovers()));
             }
         }
     }
@@ -153,14 +183,33 @@
             asks.addAll(s.asks());
             asks.add(h.ask());
             State moved = with(s, i, h, clock, n.starts());
-            next.put("node " + i + " asks", new State(moved.time(), moved.nodes(), moved.authority(), moved.deposed(),
-                    moved.before(), asks, without(s.grants(), i), moved.proposals(), moved.takeovers()));
+            next.put(
+                    "node " + i + " asks",
+                    new State(
+                            moved.time(),
+                            moved.nodes(),
+                            moved.authority(),
+                            moved.deposed(),
+                            moved.before(),
+                            asks,
+                            without(s.grants(), i),
+                            moved.proposals(),
+                            moved.takeovers()));
         }
         if (n.starts() < bounds.starts()) {
             State moved = with(s, i, Holder.start(i, n.holder().life() + 1), clock, n.starts() + 1);
-            next.put("node " + i + " starts again", new State(moved.time(), moved.nodes(), moved.authority(),
-                    moved.deposed(), moved.before(), moved.asks(), without(s.grants(), i), moved.proposals(),
-                    moved.takeovers()));
+            next.put(
+                    "node " + i + " starts again",
+                    new State(
+                            moved.time(),
+                            moved.nodes(),
+                            moved.authority(),
+                            moved.deposed(),
+                            moved.before(),
+                            moved.asks(),
+                            without(s.grants(), i),
+                            moved.proposals(),
+                            moved.takeovers()));
         }
     }
 
@@ -175,7 +224,8 @@
     }
 
     private static int order(Ask a, Ask b) {
-        return a.holder() != b.holder() ? Integer.compare(a.holder(), b.holder())
+        return a.holder() != b.holder()
+                ? Integer.compare(a.holder(), b.holder())
                 : a.life() != b.life() ? Long.compare(a.life(), b.life()) : Long.compare(a.number(), b.number());
     }
 
@@ -184,7 +234,15 @@
         Node n = nodes.get(i);
         int seen = mistake == Mistake.LEASE_NOT_LOOKED_AT ? clock : 0;
         nodes.set(i, new Node(h, n.lag(), n.laggedAt(), seen, starts));
-        return new State(s.time(), nodes, s.authority(), s.deposed(), s.before(), s.asks(), s.grants(), s.proposals(),
+        return new State(
+                s.time(),
+                nodes,
+                s.authority(),
+                s.deposed(),
+                s.before(),
+                s.asks(),
+                s.grants(),
+                s.proposals(),
                 s.takeovers());
     }
 
@@ -195,19 +253,28 @@
             Authority.Held before = by.holders().get(a.holder());
             Authority.Held after = next.holders().get(a.holder());
             Map<Integer, Authority.Held> holders = new TreeMap<>(next.holders());
-            holders.put(a.holder(), mistake == Mistake.HEARD_WHEN_SAID
-                    ? new Authority.Held(after.untilMs(), next.word().version())
-                    : new Authority.Held(before == null ? after.untilMs() : before.untilMs(), after.heard()));
+            holders.put(
+                    a.holder(),
+                    mistake == Mistake.HEARD_WHEN_SAID
+                            ? new Authority.Held(after.untilMs(), next.word().version())
+                            : new Authority.Held(before == null ? after.untilMs() : before.untilMs(), after.heard()));
             next = new Authority(next.terms(), next.word(), next.last(), next.settledMs(), holders);
         }
         Set<Sent> sent = new LinkedHashSet<>(s.grants());
         Holder asker = s.nodes().get(a.holder()).holder();
-        if (a.life() == asker.life() && a.number() == asker.asked()
-                || mistake == Mistake.ANY_ANSWER_TAKEN) {
+        if (a.life() == asker.life() && a.number() == asker.asked() || mistake == Mistake.ANY_ANSWER_TAKEN) {
             sent.add(new Sent(a.holder(), g));
         }
-        return new State(s.time(), s.nodes(), current ? next : s.authority(), current ? s.deposed() : next, s.before(),
-                s.asks(), sent, s.proposals(), s.takeovers());
+        return new State(
+                s.time(),
+                s.nodes(),
+                current ? next : s.authority(),
+                current ? s.deposed() : next,
+                s.before(),
+                s.asks(),
+                sent,
+                s.proposals(),
+                s.takeovers());
     }
 
     private State told(State s, Sent sent) {
@@ -220,14 +287,22 @@
         }
         Holder after = h.told(g);
         if (after != h && mistake == Mistake.LEASE_FROM_ANSWER) {
-            after = new Holder(h.id(), h.life(), h.asked(), h.askedAtMs(), after.word(), clock + g.leaseMs(),
-                    h.refused());
+            after = new Holder(
+                    h.id(), h.life(), h.asked(), h.askedAtMs(), after.word(), clock + g.leaseMs(), h.refused());
         }
         return with(s, sent.to(), after, clock, n.starts());
     }
 
     private static State decided(State s, Authority a, int proposals) {
-        return new State(s.time(), s.nodes(), a, s.deposed(), s.authority().word(), s.asks(), s.grants(), proposals,
+        return new State(
+                s.time(),
+                s.nodes(),
+                a,
+                s.deposed(),
+                s.authority().word(),
+                s.asks(),
+                s.grants(),
+                proposals,
                 s.takeovers());
     }
 
@@ -238,8 +313,16 @@
         if (mistake == Mistake.TAKEOVER_WITHOUT_WAIT) {
             next = new Authority(next.terms(), next.word(), next.last(), s.time(), Map.of());
         }
-        return new State(s.time(), s.nodes(), next, mistake == Mistake.DEPOSED_GRANTS ? old : null, s.before(),
-                s.asks(), s.grants(), s.proposals(), s.takeovers() + 1);
+        return new State(
+                s.time(),
+                s.nodes(),
+                next,
+                mistake == Mistake.DEPOSED_GRANTS ? old : null,
+                s.before(),
+                s.asks(),
+                s.grants(),
+                s.proposals(),
+                s.takeovers() + 1);
     }
 
     /** Whether all nodes act by a generation that was proposed. */
--- a/lab/src/main/java/brackenbridge/lab/agree/Search.java
+++ b/lab/src/main/java/brackenbridge/lab/agree/Search.java
@@ -2,8 +2,7 @@
 
 /** Bounds within which each mistake shows, as small as they can be: the shortest history that breaks the promise. */
 public final class Search {
-    private Search() {
-    }
+    private Search() {}
 
     /** Bounds for a search for this mistake. */
     public static Bounds bounds(Mistake mistake) {
--- a/lab/src/main/java/brackenbridge/lab/bench/CodecBench.java
+++ b/lab/src/main/java/brackenbridge/lab/bench/CodecBench.java
@@ -24,11 +24,14 @@
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.NANOSECONDS)
 public class CodecBench {
-    private final ByteBuf request = Unpooled.copiedBuffer("POST /claim-file HTTP/1.1\r\nHost: api.internal\r\n"
-            + "X-Correlation-Id: 9b1f03aa5c7e2d41\r\nX-Service-Class: claim-file\r\nX-Account: polje-zav\r\n"
-            + "X-Time-Left-Ms: 4800\r\nContent-Length: 64\r\n\r\n" + "x".repeat(64), StandardCharsets.ISO_8859_1);
-    private final ByteBuf answer = Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-            + "X-Backend-Load: inflight=7,queue=2,util=0.61\r\nContent-Length: 128\r\n\r\n" + "y".repeat(128),
+    private final ByteBuf request = Unpooled.copiedBuffer(
+            "POST /claim-file HTTP/1.1\r\nHost: api.internal\r\n"
+                    + "X-Correlation-Id: 9b1f03aa5c7e2d41\r\nX-Service-Class: claim-file\r\nX-Account: polje-zav\r\n"
+                    + "X-Time-Left-Ms: 4800\r\nContent-Length: 64\r\n\r\n" + "x".repeat(64),
+            StandardCharsets.ISO_8859_1);
+    private final ByteBuf answer = Unpooled.copiedBuffer(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                    + "X-Backend-Load: inflight=7,queue=2,util=0.61\r\nContent-Length: 128\r\n\r\n" + "y".repeat(128),
             StandardCharsets.ISO_8859_1);
     private final RequestDecoder requests = new RequestDecoder();
     private final ResponseDecoder answers = new ResponseDecoder();
--- a/lab/src/main/java/brackenbridge/lab/bench/ReducerBench.java
+++ b/lab/src/main/java/brackenbridge/lab/bench/ReducerBench.java
@@ -55,13 +55,33 @@
     /** A node that has learned its servers, with a few flows open. */
     @Setup
     public void start() {
-        RequestClass view = new RequestClass("view", 4_000_000, 8_000_000, BalancerApiEffects.SAFE, DedupScope.ALL, 0,
-                false, 2, 0.25);
-        RequestClass file = new RequestClass("file", 3_000_000, 6_000_000, BalancerApiEffects.UNSAFE, DedupScope.ALL,
-                0, false, 10, 0.25);
-        reducer = new Reducer(new Settings(7, 0, 10, 0, "room", List.of(view, file), List.of(), 0.1, true, 10_000_000,
-                5, 40_000, 3_000_000, true, true, false, 30_000_000, 0.3, 8_500_000,
-                new Network(120_000, 500_000, false, List.of("depth"))), new Counters());
+        RequestClass view = new RequestClass(
+                "view", 4_000_000, 8_000_000, BalancerApiEffects.SAFE, DedupScope.ALL, 0, false, 2, 0.25);
+        RequestClass file = new RequestClass(
+                "file", 3_000_000, 6_000_000, BalancerApiEffects.UNSAFE, DedupScope.ALL, 0, false, 10, 0.25);
+        reducer = new Reducer(
+                new Settings(
+                        7,
+                        0,
+                        10,
+                        0,
+                        "room",
+                        List.of(view, file),
+                        List.of(),
+                        0.1,
+                        true,
+                        10_000_000,
+                        5,
+                        40_000,
+                        3_000_000,
+                        true,
+                        true,
+                        false,
+                        30_000_000,
+                        0.3,
+                        8_500_000,
+                        new Network(120_000, 500_000, false, List.of("depth"))),
+                new Counters());
         now = 1_000_000;
         timers.clear();
         out.clear();
--- a/lab/src/main/java/brackenbridge/lab/cli/Evacuate.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/Evacuate.java
@@ -17,17 +17,21 @@
 final class Evacuate {
     @Parameter(description = "EXPERIMENT.toml ...")
     private List<String> files = new ArrayList<>();
+
     @Parameter(names = "--seeds", description = "Seeds")
     private List<Long> seeds = new ArrayList<>(List.of(1L, 2L, 3L, 4L, 5L, 6L, 7L, 8L, 9L, 10L));
+
     @Parameter(names = "--draws", description = "Evacuations of each experiment and seed")
     private int draws = 4;
+
     @Parameter(names = "--threads", description = "Evacuations at once; by default one for each core")
     private int threads = Runtime.getRuntime().availableProcessors();
+
     @Parameter(names = "--each", description = "Say what became of each pool")
     private boolean each;
 
-    private static final List<String> USUAL = List.of("zones", "lasting-choke", "retry-storm", "overload-many",
-            "tries-early");
+    private static final List<String> USUAL =
+            List.of("zones", "lasting-choke", "retry-storm", "overload-many", "tries-early");
 
     /** The exit status: 0, or 1 where the aims were not met. */
     int run() throws FileFault, InterruptedException {
@@ -35,7 +39,8 @@
             throw new ParameterException("--draws must be within 1 to 1000, --threads within 1 to 256");
         }
         List<Experiment> experiments = new ArrayList<>();
-        List<String> paths = files.isEmpty() ? USUAL.stream().map(n -> "lab/experiments/" + n + ".toml").toList()
+        List<String> paths = files.isEmpty()
+                ? USUAL.stream().map(n -> "lab/experiments/" + n + ".toml").toList()
                 : files;
         for (String f : paths) {
             experiments.add(ExperimentFile.read(Path.of(f), Policies.names()));
--- a/lab/src/main/java/brackenbridge/lab/cli/Fleets.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/Fleets.java
@@ -25,12 +25,16 @@
 final class Fleets {
     @Parameter(description = "FLEET.toml", required = true)
     private String file;
+
     @Parameter(names = "--seed", description = "The first seed")
     private long seed = 1;
+
     @Parameter(names = "--seeds", description = "How many seeds, one after the other")
     private int seeds = 1;
+
     @Parameter(names = "--out", description = "The folder of results")
     private String out = "target/fleet";
+
     @Parameter(names = "--shrink", description = "Where a promise breaks: plays to spend on a shorter script")
     private int shrink;
 
@@ -69,11 +73,20 @@
     }
 
     private static void tell(long seed, FleetRunner.Outcome o) {
-        System.out.printf(Locale.ROOT, "seed %d: %d faults, %d first tries, served %.4f, worst 10 s %.4f, %d rules "
-                        + "broken; links: %d connections, %d reset, %.1f MB there, %.1f MB back%n", seed,
-                o.faults().size(), o.run().board().first(), o.run().board().servedPart(),
-                o.run().board().worstTenSeconds(), o.run().ledger().broken(), o.counts().connections(),
-                o.counts().resets(), o.counts().bytesThere() / 1e6, o.counts().bytesBack() / 1e6);
+        System.out.printf(
+                Locale.ROOT,
+                "seed %d: %d faults, %d first tries, served %.4f, worst 10 s %.4f, %d rules "
+                        + "broken; links: %d connections, %d reset, %.1f MB there, %.1f MB back%n",
+                seed,
+                o.faults().size(),
+                o.run().board().first(),
+                o.run().board().servedPart(),
+                o.run().board().worstTenSeconds(),
+                o.run().ledger().broken(),
+                o.counts().connections(),
+                o.counts().resets(),
+                o.counts().bytesThere() / 1e6,
+                o.counts().bytesBack() / 1e6);
     }
 
     /** The first breach, and the lines that led to it. */
@@ -82,8 +95,12 @@
             Ledger.Breach first = o.run().ledger().breaches().get(0);
             System.out.println("seed " + seed + ": " + first.text());
         } else {
-            System.out.printf(Locale.ROOT, "seed %d: served %.4f of at least %.4f%n", seed,
-                    o.run().board().servedPart(), plan.servedLeast());
+            System.out.printf(
+                    Locale.ROOT,
+                    "seed %d: served %.4f of at least %.4f%n",
+                    seed,
+                    o.run().board().servedPart(),
+                    plan.servedLeast());
         }
         o.log().forEach(l -> System.out.println("  " + l));
     }
@@ -95,19 +112,24 @@
         }
         List<IOException> failed = new ArrayList<>();
         try (Results results = new Results(folder.resolve("shrinking"))) {
-            List<Fault> least = Shrinking.shrink(o.faults(), faults -> {
-                try {
-                    return broken(plan, FleetRunner.play(plan, s, faults, program, folder.resolve("shrinking"),
-                            results));
-                } catch (IOException e) {
-                    failed.add(e);
-                    return false;
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                    return false;
-                }
-            }, shrink);
-            System.out.println("fails still with " + least.size() + " of " + o.faults().size() + " faults:");
+            List<Fault> least = Shrinking.shrink(
+                    o.faults(),
+                    faults -> {
+                        try {
+                            return broken(
+                                    plan,
+                                    FleetRunner.play(plan, s, faults, program, folder.resolve("shrinking"), results));
+                        } catch (IOException e) {
+                            failed.add(e);
+                            return false;
+                        } catch (InterruptedException e) {
+                            Thread.currentThread().interrupt();
+                            return false;
+                        }
+                    },
+                    shrink);
+            System.out.println(
+                    "fails still with " + least.size() + " of " + o.faults().size() + " faults:");
             least.forEach(f -> System.out.println("  " + f.text()));
         }
         if (!failed.isEmpty()) {
