--- a/lab/src/main/java/brackenbridge/lab/cli/FleetsOfMembers.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/FleetsOfMembers.java
@@ -19,8 +19,8 @@
 final class FleetsOfMembers {
     private static final int LINES_TOLD = 60;
     /** What members say all the time. */
-    private static final Set<String> USUAL = Set.of("tries", "wrote", "saw", "tries_add", "added", "acts", "holds",
-            "level");
+    private static final Set<String> USUAL =
+            Set.of("tries", "wrote", "saw", "tries_add", "added", "acts", "holds", "level");
 
     private final MembersPlan plan;
     private final Path folder;
@@ -54,14 +54,23 @@
     }
 
     private void tell(long seed, MembersRunner.Outcome o) {
-        StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
-                "seed %d: %d faults, %d lines, %.1f kB/s on all links", seed, o.faults().size(), o.log().size(),
+        StringBuilder line = new StringBuilder(String.format(
+                Locale.ROOT,
+                "seed %d: %d faults, %d lines, %.1f kB/s on all links",
+                seed,
+                o.faults().size(),
+                o.log().size(),
                 o.bytesPerSecond() / 1000));
         o.findings().forEach((name, f) -> {
             line.append("; ").append(name).append(f.breaches().isEmpty() ? "" : " BROKEN");
-            new TreeMap<>(f.figures()).forEach((k, v) -> line.append(String.format(Locale.ROOT, " %s %s", k,
-                    v == Math.rint(v) ? String.format(Locale.ROOT, "%.0f", v)
-                            : String.format(Locale.ROOT, "%.1f", v))));
+            new TreeMap<>(f.figures())
+                    .forEach((k, v) -> line.append(String.format(
+                            Locale.ROOT,
+                            " %s %s",
+                            k,
+                            v == Math.rint(v)
+                                    ? String.format(Locale.ROOT, "%.0f", v)
+                                    : String.format(Locale.ROOT, "%.1f", v))));
         });
         System.out.println(line);
         longest = Math.max(longest, figure(o, "converges", "longest_ms"));
@@ -79,10 +88,14 @@
 
     /** The first breach of each promise, and the lines that led to the first of all. */
     private static void breach(long seed, MembersRunner.Outcome o) {
-        o.findings().forEach((name, f) -> f.breaches().stream().limit(3).forEach(b -> System.out.printf(Locale.ROOT,
-                "seed %d: %s broken at %.0f ms: %s%n", seed, name, b.t(), b.text())));
-        List<Entry> before = new ArrayList<>(o.log().stream().filter(e -> e.t() <= o.first().t()
-                && !USUAL.contains(e.what())).toList());
+        o.findings()
+                .forEach((name, f) -> f.breaches().stream()
+                        .limit(3)
+                        .forEach(b -> System.out.printf(
+                                Locale.ROOT, "seed %d: %s broken at %.0f ms: %s%n", seed, name, b.t(), b.text())));
+        List<Entry> before = new ArrayList<>(o.log().stream()
+                .filter(e -> e.t() <= o.first().t() && !USUAL.contains(e.what()))
+                .toList());
         before.subList(Math.max(0, before.size() - LINES_TOLD), before.size())
                 .forEach(e -> System.out.println("  " + e.line()));
     }
@@ -92,18 +105,24 @@
             return;
         }
         List<Exception> failed = new ArrayList<>();
-        List<Fault> least = Shrinking.shrink(o.faults(), faults -> {
-            try {
-                return MembersRunner.play(plan, s, faults, folder.resolve("shrinking")).first() != null;
-            } catch (IOException e) {
-                failed.add(e);
-                return false;
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return false;
-            }
-        }, shrink);
-        System.out.println("fails still with " + least.size() + " of " + o.faults().size() + " faults:");
+        List<Fault> least = Shrinking.shrink(
+                o.faults(),
+                faults -> {
+                    try {
+                        return MembersRunner.play(plan, s, faults, folder.resolve("shrinking"))
+                                        .first()
+                                != null;
+                    } catch (IOException e) {
+                        failed.add(e);
+                        return false;
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                        return false;
+                    }
+                },
+                shrink);
+        System.out.println(
+                "fails still with " + least.size() + " of " + o.faults().size() + " faults:");
         least.forEach(f -> System.out.println("  " + f.text()));
         failed.forEach(f -> System.out.println("  a shorter one could not be played: " + f.getMessage()));
     }
@@ -113,9 +132,16 @@
             System.out.printf(Locale.ROOT, "shares: pool capacity passed by %.0f connections%n", over);
         }
         if (plan.promises().get("converges") instanceof brackenbridge.lab.fleet.check.Converges c) {
-            System.out.printf(Locale.ROOT, "replication: longest difference %.0f ms of %.0f ms, %.0f of %.0f returns "
-                    + "level after at most %.1f s, %.0f acknowledged records lost%n", longest, c.boundMs(), level,
-                    returns, levelAfter / 1000, lost);
+            System.out.printf(
+                    Locale.ROOT,
+                    "replication: longest difference %.0f ms of %.0f ms, %.0f of %.0f returns "
+                            + "level after at most %.1f s, %.0f acknowledged records lost%n",
+                    longest,
+                    c.boundMs(),
+                    level,
+                    returns,
+                    levelAfter / 1000,
+                    lost);
         }
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
@@ -47,18 +47,23 @@
     static final int BROKEN = 1;
     /** A command line or a file that can't be used. */
     static final int USAGE = 2;
+
     private static final Pattern ADDRESS = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:.]+]):([0-9]{1,5})");
 
     @Parameters(commandDescription = "Play an experiment in simulated time")
     private static final class Sim {
         @Parameter(description = "EXPERIMENT.toml", required = true)
         private String file;
+
         @Parameter(names = "--out", description = "The folder of results", required = true)
         private String out;
+
         @Parameter(names = "--seed", description = "This seed alone, instead of the file's")
         private Long seed;
+
         @Parameter(names = "--threads", description = "Runs at once; by default one for each core")
         private int threads = Runtime.getRuntime().availableProcessors();
+
         @Parameter(names = "--policy", description = "This policy alone, instead of the file's")
         private String policy;
     }
@@ -67,8 +72,10 @@
     private static final class Demo {
         @Parameter(names = "--seconds", description = "How long requests arrive")
         private int seconds = 20;
+
         @Parameter(names = "--out", description = "The folder of results")
         private String out = "target/demo";
+
         @Parameter(names = "--seed", description = "The seed")
         private long seed = 1;
     }
@@ -83,8 +90,10 @@
     private static final class Live {
         @Parameter(description = "EXPERIMENT.toml", required = true)
         private String file;
+
         @Parameter(names = "--out", description = "The folder of results", required = true)
         private String out;
+
         @Parameter(names = "--seed", description = "This seed alone, instead of the file's")
         private Long seed;
     }
@@ -93,10 +102,13 @@
     private static final class Servers {
         @Parameter(description = "WORLD.toml", required = true)
         private String file;
+
         @Parameter(names = "--out", description = "The folder of the nodes' configurations")
         private String out = "target/servers";
+
         @Parameter(names = "--seconds", description = "How long; until interrupted by default")
         private double seconds = Double.POSITIVE_INFINITY;
+
         @Parameter(names = "--seed", description = "The seed")
         private long seed = 1;
     }
@@ -105,22 +117,31 @@
     private static final class Load {
         @Parameter(names = "--target", description = "HOST:PORT", required = true)
         private String target;
+
         @Parameter(names = "--rate", description = "First tries a second", required = true)
         private double rate;
+
         @Parameter(names = "--seconds", description = "How long requests arrive", required = true)
         private double seconds;
+
         @Parameter(names = "--warmup", description = "Seconds before these, at a rising rate, that no figure counts")
         private double warmup = 3;
+
         @Parameter(names = "--out", description = "The folder of results", required = true)
         private String out;
+
         @Parameter(names = "--like", description = "An experiment's file, for classes, tenants, habits and shape")
         private String like;
+
         @Parameter(names = "--class", description = "The class of all requests, where no file names any")
         private String className = "call";
+
         @Parameter(names = "--connections", description = "The most connections at once")
         private int connections = 4000;
+
         @Parameter(names = "--any-body", description = "The servers are not the laboratory's: take any body")
         private boolean anyBody;
+
         @Parameter(names = "--seed", description = "The seed")
         private long seed = 1;
     }
@@ -129,8 +150,10 @@
     private static final class CapacityOptions {
         @Parameter(names = "--out", description = "The folder of what is left over")
         private String out = "target/capacity";
+
         @Parameter(names = "--rounds", description = "How often each is measured, by turns")
         private int rounds = 3;
+
         @Parameter(names = "--seconds", description = "How long each rate is tried")
         private double seconds = 3;
     }
@@ -139,10 +162,13 @@
     private static final class HopOptions {
         @Parameter(names = "--out", description = "The folder of what is left over")
         private String out = "target/hop";
+
         @Parameter(names = "--rounds", description = "How often each way is measured at each rate, by turns")
         private int rounds = 3;
+
         @Parameter(names = "--seconds", description = "How long each way is measured at each rate, in each round")
         private double seconds = 10;
+
         @Parameter(names = "--compiler", description = "Also measure with the compiler's usual levels")
         private boolean compiler;
     }
@@ -151,8 +177,10 @@
     private static final class BenchOptions {
         @Parameter(description = "PATTERN of the benchmarks' names")
         private String include = "brackenbridge";
+
         @Parameter(names = "--quick", description = "One short iteration of each")
         private boolean quick;
+
         @Parameter(names = "--stacks", description = "Say where the time goes")
         private boolean stacks;
     }
@@ -185,6 +213,7 @@
     private static final class Check {
         @Parameter(names = "--requests", description = "Requests for each queue")
         private int requests = 4_000_000;
+
         @Parameter(names = "--seed", description = "The seed")
         private long seed = 7;
     }
@@ -215,15 +244,28 @@
         Fleets fleet = new Fleets();
         Evacuate evacuate = new Evacuate();
         Scale scale = new Scale();
-        JCommander line = JCommander.newBuilder().programName("brackenbridge lab").addCommand("demo", demo)
+        JCommander line = JCommander.newBuilder()
+                .programName("brackenbridge lab")
+                .addCommand("demo", demo)
                 .addCommand("operate", operate)
-                .addCommand("sim", sim).addCommand("live", live).addCommand("servers", servers)
-                .addCommand("load", load).addCommand("report", report).addCommand("compare", comparison)
-                .addCommand("theory", check).addCommand("capacity", capacity).addCommand("bench", bench)
+                .addCommand("sim", sim)
+                .addCommand("live", live)
+                .addCommand("servers", servers)
+                .addCommand("load", load)
+                .addCommand("report", report)
+                .addCommand("compare", comparison)
+                .addCommand("theory", check)
+                .addCommand("capacity", capacity)
+                .addCommand("bench", bench)
                 .addCommand("hop", hop)
-                .addCommand("echo", echo).addCommand("relay", relay)
-                .addCommand("agree", agree).addCommand("replicate", replicate).addCommand("fleet", fleet)
-                .addCommand("evacuate", evacuate).addCommand("scale", scale).build();
+                .addCommand("echo", echo)
+                .addCommand("relay", relay)
+                .addCommand("agree", agree)
+                .addCommand("replicate", replicate)
+                .addCommand("fleet", fleet)
+                .addCommand("evacuate", evacuate)
+                .addCommand("scale", scale)
+                .build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -249,8 +291,8 @@
                     if (comparison.folders.size() != 2) {
                         throw new ParameterException("compare wants two folders");
                     }
-                    System.out.print(Compare.text(Path.of(comparison.folders.get(0)),
-                            Path.of(comparison.folders.get(1))));
+                    System.out.print(
+                            Compare.text(Path.of(comparison.folders.get(0)), Path.of(comparison.folders.get(1))));
                     yield 0;
                 }
                 case "theory" -> theory(check);
@@ -293,8 +335,12 @@
         // A shorter or longer demo has its troubles at the same places.
         String fitted = text.replace("length = \"20s\"", "length = \"" + o.seconds + "s\"");
         for (int at : new int[] {5, 6, 8, 9}) {
-            fitted = fitted.replace("= \"" + at + "s\"", String.format(Locale.ROOT, "= \"%.2fs\"",
-                    at * o.seconds / e.world().seconds()));
+            fitted = fitted.replace(
+                    "= \"" + at + "s\"",
+                    String.format(
+                            Locale.ROOT,
+                            "= \"%.2fs\"",
+                            at * o.seconds / e.world().seconds()));
         }
         e = ExperimentFile.parse("demo.toml", fitted, Path.of("."), Policies.names());
         return live(e.withSeed(o.seed), fitted, Path.of(o.out));
@@ -303,8 +349,8 @@
     private static int operate(Operate o) throws FileFault, IOException, InterruptedException {
         Deployment deployment = Deployment.read();
         Experiment e = ExperimentFile.parse("operate", plainLoad("call"), Path.of("."), Policies.names());
-        try (Rehearsal r = new Rehearsal(deployment.home(), Path.of(o.out), deployment.run(), e.world(),
-                System.out::println)) {
+        try (Rehearsal r =
+                new Rehearsal(deployment.home(), Path.of(o.out), deployment.run(), e.world(), System.out::println)) {
             return r.play() ? 0 : BROKEN;
         }
     }
@@ -326,8 +372,13 @@
             results.keep("experiment.toml", toml);
             for (Experiment.Run run : e.runs()) {
                 String jar = jars.contains(run.policy()) ? run.policy() : "";
-                LiveRunner.Outcome r = LiveRunner.play(e, run, deployment.home(), jar.isEmpty() ? deployment.run()
-                        : deployment.runWith(jar), out.resolve("run-" + run.number()), results);
+                LiveRunner.Outcome r = LiveRunner.play(
+                        e,
+                        run,
+                        deployment.home(),
+                        jar.isEmpty() ? deployment.run() : deployment.runWith(jar),
+                        out.resolve("run-" + run.number()),
+                        results);
                 broken += r.ledger().broken();
                 breaches.addAll(r.ledger().breaches());
                 overrun(r);
@@ -341,20 +392,24 @@
 
     private static void overrun(LiveRunner.Outcome r) {
         if (r.overrun()) {
-            System.out.printf(Locale.ROOT, "MARKED: more was due than the load tool could send: %d of %d first tries "
-                    + "went out over 10 ms late%n", r.late(), r.sent());
+            System.out.printf(
+                    Locale.ROOT,
+                    "MARKED: more was due than the load tool could send: %d of %d first tries "
+                            + "went out over 10 ms late%n",
+                    r.late(),
+                    r.sent());
         }
     }
 
     private static int servers(Servers o) throws FileFault, IOException, InterruptedException {
         Experiment e = ExperimentFile.read(Path.of(o.file), Policies.names());
         Deployment deployment = Deployment.read();
-        try (brackenbridge.lab.live.Servers s = new brackenbridge.lab.live.Servers(e.world(), o.seed,
-                Path.of(o.out))) {
+        try (brackenbridge.lab.live.Servers s = new brackenbridge.lab.live.Servers(e.world(), o.seed, Path.of(o.out))) {
             System.out.println("servers: " + String.join(" ", s.dials()));
             for (int i = 0; i < s.configs().size(); i++) {
                 System.out.println("node at " + s.addresses().get(i).getHostString() + ":"
-                        + s.addresses().get(i).getPort() + ": PROXY_CONFIG=" + s.configs().get(i).toAbsolutePath()
+                        + s.addresses().get(i).getPort() + ": PROXY_CONFIG="
+                        + s.configs().get(i).toAbsolutePath()
                         + " sh -c '" + deployment.run() + "'");
             }
             System.out.println("running; interrupt to end");
@@ -376,7 +431,8 @@
         }
         String world = o.like != null ? Files.readString(Path.of(o.like)) : plainLoad(o.className);
         Experiment e = ExperimentFile.parse(o.like == null ? "load" : o.like, world, Path.of("."), Policies.names())
-                .withSeed(o.seed).withLoad(o.rate, o.seconds, o.warmup);
+                .withSeed(o.seed)
+                .withLoad(o.rate, o.seconds, o.warmup);
         Path out = Path.of(o.out);
         LiveRunner.Outcome r;
         try (Results results = new Results(out)) {
@@ -397,13 +453,16 @@
 
     private static int capacity(CapacityOptions o) throws FileFault, IOException, InterruptedException {
         Deployment deployment = Deployment.read();
-        Experiment e = ExperimentFile.parse("capacity", plainLoad("call") + "[clients]\nkeep_alive = 1.0\n",
-                Path.of("."), Policies.names());
+        Experiment e = ExperimentFile.parse(
+                "capacity", plainLoad("call") + "[clients]\nkeep_alive = 1.0\n", Path.of("."), Policies.names());
         Map<String, List<Double>> best;
         try (Capacity c = new Capacity(deployment.home(), Path.of(o.out), e, o.seconds)) {
             best = c.measure(deployment.run(), o.rounds, System.out::println);
         }
-        best.forEach((name, rates) -> System.out.printf(Locale.ROOT, "%-20s %s, median %.0f a second%n", name,
+        best.forEach((name, rates) -> System.out.printf(
+                Locale.ROOT,
+                "%-20s %s, median %.0f a second%n",
+                name,
                 rates.stream().map(r -> String.format(Locale.ROOT, "%.0f", r)).toList(),
                 rates.stream().sorted().toList().get(rates.size() / 2)));
         return 0;
@@ -425,8 +484,12 @@
 
     private static int bench(BenchOptions o) throws IOException {
         OptionsBuilder options = new OptionsBuilder();
-        options.include(o.include).forks(1).warmupIterations(o.quick ? 1 : 3).measurementIterations(o.quick ? 1 : 5)
-                .warmupTime(TimeValue.seconds(1)).measurementTime(TimeValue.seconds(o.quick ? 1 : 2))
+        options.include(o.include)
+                .forks(1)
+                .warmupIterations(o.quick ? 1 : 3)
+                .measurementIterations(o.quick ? 1 : 5)
+                .warmupTime(TimeValue.seconds(1))
+                .measurementTime(TimeValue.seconds(o.quick ? 1 : 2))
                 .addProfiler("gc");
         if (o.stacks) {
             options.addProfiler("stack", "lines=3;top=12");
@@ -458,26 +521,32 @@
     }
 
     private static int theory(Check o) {
-        System.out.printf(Locale.ROOT, "%-22s %5s %12s %12s %8s%n", "queue", "load", "expected ms", "measured ms",
-                "error");
+        System.out.printf(
+                Locale.ROOT, "%-22s %5s %12s %12s %8s%n", "queue", "load", "expected ms", "measured ms", "error");
         Distribution work = Distribution.exponential(10);
         Distribution uneven = new Distribution(Distribution.Shape.LOGNORMAL, 10, 1.5);
         boolean all = true;
         for (double load : new double[] {0.5, 0.8, 0.95}) {
-            for (Theory.Row r : List.of(Theory.wait("M/M/1", 1, work, load, o.requests, o.seed),
+            for (Theory.Row r : List.of(
+                    Theory.wait("M/M/1", 1, work, load, o.requests, o.seed),
                     Theory.wait("M/M/8", 8, work, load, o.requests, o.seed),
                     Theory.wait("M/G/1 lognormal cv 1.5", 1, uneven, load, o.requests, o.seed),
                     Theory.wait("M/D/1", 1, Distribution.fixed(10), load, o.requests, o.seed))) {
-                System.out.printf(Locale.ROOT, "%-22s %5.2f %12.4f %12.4f %+7.2f%%%n", r.name(), r.load(),
-                        r.expectedMs(), r.measuredMs(), 100 * r.relativeError());
+                System.out.printf(
+                        Locale.ROOT,
+                        "%-22s %5.2f %12.4f %12.4f %+7.2f%%%n",
+                        r.name(),
+                        r.load(),
+                        r.expectedMs(),
+                        r.measuredMs(),
+                        100 * r.relativeError());
                 all &= Math.abs(r.relativeError()) <= 0.03;
             }
         }
         Theory.Tail tail = Theory.twoChoices(1000, 0.9, o.requests, o.seed);
         System.out.println("two choices, 1000 servers, load 0.9: part of servers with so many requests at least");
         for (int i = 0; i <= 6; i++) {
-            System.out.printf(Locale.ROOT, "%22d %5s %12.6f %12.6f%n", i, "", tail.expected()[i],
-                    tail.measured()[i]);
+            System.out.printf(Locale.ROOT, "%22d %5s %12.6f %12.6f%n", i, "", tail.expected()[i], tail.measured()[i]);
         }
         System.out.println(all ? "all waits within 3%" : "some waits beyond 3%");
         return all ? 0 : BROKEN;
@@ -506,8 +575,8 @@
         double took = (System.nanoTime() - began) / 1e9;
         System.out.print(Tables.outcomes(out));
         System.out.println("report: " + HtmlReport.write(out));
-        System.out.printf(Locale.ROOT, "%d runs, %d requests, %d events in %.1f s%n", s.runs(), s.requests(),
-                s.events(), took);
+        System.out.printf(
+                Locale.ROOT, "%d runs, %d requests, %d events in %.1f s%n", s.runs(), s.requests(), s.events(), took);
         return rules(s.broken(), s.breaches());
     }
 
--- a/lab/src/main/java/brackenbridge/lab/cli/Replicate.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/Replicate.java
@@ -20,22 +20,31 @@
 
     @Parameter(names = "--nodes", description = "Members of the fleet")
     private int nodes = 100;
+
     @Parameter(names = "--keys", description = "Records of each member")
     private int keys = 20;
+
     @Parameter(names = "--writes", description = "Writes a second of each member under change")
     private double writes = 1;
+
     @Parameter(names = "--lost", description = "The part of messages that are lost")
     private double lost = 0.001;
+
     @Parameter(names = "--change", description = "How long is written, in milliseconds")
     private double change = 5000;
+
     @Parameter(names = "--budget", description = "Bytes a second that a member sends, at the most")
     private double budget = 1_000_000;
+
     @Parameter(names = "--seed", description = "The seed")
     private long seed = 1;
+
     @Parameter(names = "--explore", description = "Go through every history instead, and look for each mistake")
     private boolean explore;
+
     @Parameter(names = "--most", description = "With --explore: moments to look at, at the most")
     private long most = 1_000_000;
+
     @Parameter(names = "--bounds", description = "With --explore: writes,wants,pieces,ends,saves,forgets,folds")
     private List<Integer> bounds = new ArrayList<>(List.of(3, 1, 2, 1, 0, 1, 0));
 
@@ -44,8 +53,14 @@
         if (bounds.size() != 7 || bounds.stream().anyMatch(b -> b < 0 || b > 20)) {
             throw new ParameterException("--bounds wants seven numbers within 0 to 20");
         }
-        if (nodes < 2 || nodes > 2000 || keys < 1 || keys > 1000 || !(writes > 0 && writes <= 1000)
-                || !(lost >= 0 && lost < 0.9) || !(change >= 100 && change <= 600_000) || !(budget >= 1000)) {
+        if (nodes < 2
+                || nodes > 2000
+                || keys < 1
+                || keys > 1000
+                || !(writes > 0 && writes <= 1000)
+                || !(lost >= 0 && lost < 0.9)
+                || !(change >= 100 && change <= 600_000)
+                || !(budget >= 1000)) {
             throw new ParameterException("--nodes must be within 2 to 2000, --keys 1 to 1000, --writes above 0 to "
                     + "1000, --lost 0 to 0.9, --change 100 to 600000, --budget 1000 and more");
         }
@@ -56,44 +71,87 @@
         Terms terms = Terms.DEFAULT.sending(budget);
         Fleet f = new Fleet(new Fleet.Plan(nodes, keys, writes, lost, change, terms, seed));
         Fleet.Outcome o = f.run();
-        System.out.printf(Locale.ROOT, "%d members of %d records, %s, %d level after the warm-up%n", nodes, keys,
-                nodes - 1 > terms.mesh() ? "each passes news on to " + terms.fanOut() : "each tells all", o.level());
-        System.out.printf(Locale.ROOT, "write to one member  p50 %d ms, p99 %d ms, max %d ms%n",
-                o.each().getValueAtPercentile(50), o.each().getValueAtPercentile(99), o.each().getMaxValue());
-        System.out.printf(Locale.ROOT, "write to all members p50 %d ms, p99 %d ms, max %d ms, %d writes%n",
-                o.all().getValueAtPercentile(50), o.all().getValueAtPercentile(99), o.all().getMaxValue(),
+        System.out.printf(
+                Locale.ROOT,
+                "%d members of %d records, %s, %d level after the warm-up%n",
+                nodes,
+                keys,
+                nodes - 1 > terms.mesh() ? "each passes news on to " + terms.fanOut() : "each tells all",
+                o.level());
+        System.out.printf(
+                Locale.ROOT,
+                "write to one member  p50 %d ms, p99 %d ms, max %d ms%n",
+                o.each().getValueAtPercentile(50),
+                o.each().getValueAtPercentile(99),
+                o.each().getMaxValue());
+        System.out.printf(
+                Locale.ROOT,
+                "write to all members p50 %d ms, p99 %d ms, max %d ms, %d writes%n",
+                o.all().getValueAtPercentile(50),
+                o.all().getValueAtPercentile(99),
+                o.all().getMaxValue(),
                 o.all().getTotalCount());
-        System.out.printf(Locale.ROOT, "bytes a second a member: %.0f at rest, %.0f at %.1f writes a second of each%n",
-                o.atRest(), o.underChange(), writes);
+        System.out.printf(
+                Locale.ROOT,
+                "bytes a second a member: %.0f at rest, %.0f at %.1f writes a second of each%n",
+                o.atRest(),
+                o.underChange(),
+                writes);
         System.out.printf(Locale.ROOT, "oldest sign of life of anyone at anyone: %.0f ms%n", o.oldestMs());
         boolean broken = o.level() < nodes;
         for (double away : AWAY_MS) {
             Fleet.Returned r = f.away(away);
-            System.out.printf(Locale.ROOT, "away for %.0f s: behind by %d, %s after %.0f ms, all sent %d bytes%n",
-                    away / 1000, r.behind(), r.right() ? "level" : "NOT AS THE OTHERS", r.levelMs(), r.bytes());
+            System.out.printf(
+                    Locale.ROOT,
+                    "away for %.0f s: behind by %d, %s after %.0f ms, all sent %d bytes%n",
+                    away / 1000,
+                    r.behind(),
+                    r.right() ? "level" : "NOT AS THE OTHERS",
+                    r.levelMs(),
+                    r.bytes());
             broken |= !r.right();
         }
         return broken ? LabCommand.BROKEN : 0;
     }
 
     private int explore() {
-        Explorer.Found all = Explorer.explore(new Model(new Bounds(bounds.get(0), bounds.get(1), bounds.get(2),
-                bounds.get(3), bounds.get(4), bounds.get(5), bounds.get(6)), Mistake.NONE), most);
-        System.out.printf(Locale.ROOT, "%d moments, %d steps, %d deep, %s%n", all.states(), all.steps(), all.depth(),
+        Explorer.Found all = Explorer.explore(
+                new Model(
+                        new Bounds(
+                                bounds.get(0),
+                                bounds.get(1),
+                                bounds.get(2),
+                                bounds.get(3),
+                                bounds.get(4),
+                                bounds.get(5),
+                                bounds.get(6)),
+                        Mistake.NONE),
+                most);
+        System.out.printf(
+                Locale.ROOT,
+                "%d moments, %d steps, %d deep, %s%n",
+                all.states(),
+                all.steps(),
+                all.depth(),
                 all.whole() ? "all there are" : "and more");
         boolean failed = tell("as it is", all, false);
         for (Mistake m : Mistake.values()) {
             if (m != Mistake.NONE) {
-                failed |= tell(m.name().toLowerCase(Locale.ROOT), Explorer.explore(new Model(Bounds.of(m), m), most),
-                        true);
+                failed |= tell(
+                        m.name().toLowerCase(Locale.ROOT), Explorer.explore(new Model(Bounds.of(m), m), most), true);
             }
         }
         return failed ? LabCommand.BROKEN : 0;
     }
 
     private static boolean tell(String name, Explorer.Found f, boolean wanted) {
-        System.out.printf(Locale.ROOT, "%-22s %s%n", name, f.breach() == null
-                ? "no breach in " + f.states() + " moments" : f.breach() + ", after " + String.join("; ", f.history()));
+        System.out.printf(
+                Locale.ROOT,
+                "%-22s %s%n",
+                name,
+                f.breach() == null
+                        ? "no breach in " + f.states() + " moments"
+                        : f.breach() + ", after " + String.join("; ", f.history()));
         return f.breach() == null == wanted;
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/cli/Scale.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/Scale.java
@@ -22,12 +22,16 @@
 
     @Parameter(description = "SCALE.toml", required = true)
     private String file;
+
     @Parameter(names = "--seed", description = "The first seed")
     private long seed = 1;
+
     @Parameter(names = "--seeds", description = "How many seeds, one after the other")
     private int seeds = 1;
+
     @Parameter(names = "--nodes", description = "Numbers of nodes, in place of the file's; fits a line through them")
     private List<Integer> nodes = List.of();
+
     @Parameter(names = "--out", description = "The folder of results")
     private String out = "target/scale";
 
--- a/lab/src/main/java/brackenbridge/lab/evacuation/Drawn.java
+++ b/lab/src/main/java/brackenbridge/lab/evacuation/Drawn.java
@@ -26,8 +26,17 @@
  * @param slowKnown whether nodes have seen what a backlog does to servers
  * @param seed of the run
  */
-record Drawn(World world, List<String> zones, int[][][] servers, int[][] cores, double[] rates, double elsewhere,
-        double[] tilt, Plan plan, boolean slowKnown, long seed) {
+record Drawn(
+        World world,
+        List<String> zones,
+        int[][][] servers,
+        int[][] cores,
+        double[] rates,
+        double elsewhere,
+        double[] tilt,
+        Plan plan,
+        boolean slowKnown,
+        long seed) {
     static final int NODES_A_ZONE = 4;
     private static final double LEAST_FINAL = 0.6;
     private static final double MOST_FINAL = 1.6;
@@ -67,8 +76,7 @@
         for (int z = 0; z < zones; z++) {
             if (z != leaves) {
                 double room = Math.max(0.05, wanted * capacity(world, servers, cores, z) / rates[z] - 1) * rates[z];
-                least = Math.min(least, room * beside(world, servers, cores, leaves)
-                        / slots(world, servers, cores, z));
+                least = Math.min(least, room * beside(world, servers, cores, leaves) / slots(world, servers, cores, z));
             }
         }
         rates[leaves] = least;
@@ -91,8 +99,17 @@
             steps.add(new Plan.Step(parts[i] / sum, pause));
         }
         Plan plan = new Plan("drawn-" + number, names.get(leaves), -1, steps, 0.1, 8000, List.of(), 0, List.of());
-        return new Drawn(world, names, servers, cores, rates, r.nextDouble() < 0.5 ? 0 : 0.1, tilt, plan,
-                r.nextDouble() < 0.7, own * 1_000_003);
+        return new Drawn(
+                world,
+                names,
+                servers,
+                cores,
+                rates,
+                r.nextDouble() < 0.5 ? 0 : 0.1,
+                tilt,
+                plan,
+                r.nextDouble() < 0.7,
+                own * 1_000_003);
     }
 
     /** First tries a second that a zone can do, by its narrowest tier. */
@@ -114,7 +131,9 @@
     private static double slots(World world, int[][][] servers, int[][] cores, int zone) {
         double all = 0;
         for (int k = 0; k < cores[0].length; k++) {
-            all += servers[0][zone][k] * cores[0][k] * (double) world.tiers().get(0).profile().slots();
+            all += servers[0][zone][k]
+                    * cores[0][k]
+                    * (double) world.tiers().get(0).profile().slots();
         }
         return all;
     }
@@ -134,7 +153,16 @@
         for (ClassSpec c : world.classes()) {
             classes.put(c.name(), new Terms.ClassTerms(c.deadlineMs() * waits, !c.unsafe()));
         }
-        return new Terms(world.tiers().stream().map(TierSpec::name).toList(), classes, world.limits().maxAttempts(),
-                0.2, world.clients().retries() + 1, 0.05, 2000, 15_000, 0.01, 20_000);
+        return new Terms(
+                world.tiers().stream().map(TierSpec::name).toList(),
+                classes,
+                world.limits().maxAttempts(),
+                0.2,
+                world.clients().retries() + 1,
+                0.05,
+                2000,
+                15_000,
+                0.01,
+                20_000);
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/evacuation/Evacuations.java
+++ b/lab/src/main/java/brackenbridge/lab/evacuation/Evacuations.java
@@ -43,9 +43,17 @@
      * @param peakMs when its load passes its last peak; NaN if it does not
      * @param loads measured tries a second by step
      */
-    public record PoolResult(String experiment, long seed, PoolName pool, double lengthMs, double truthMs,
-            PoolForecast foretold, Verdict unrehearsed, double proportionalMs, double peakMs, List<Double> loads) {
-    }
+    public record PoolResult(
+            String experiment,
+            long seed,
+            PoolName pool,
+            double lengthMs,
+            double truthMs,
+            PoolForecast foretold,
+            Verdict unrehearsed,
+            double proportionalMs,
+            double peakMs,
+            List<Double> loads) {}
 
     /**
      * What became of an evacuation.
@@ -55,11 +63,9 @@
      * @param surprised whether something struck in the rehearsal by which a pool would saturate
      * @param inTime whether it halted before a pool was saturated for long
      */
-    public record Result(List<PoolResult> pools, String halted, boolean surprised, boolean inTime) {
-    }
+    public record Result(List<PoolResult> pools, String halted, boolean surprised, boolean inTime) {}
 
-    private Evacuations() {
-    }
+    private Evacuations() {}
 
     /** Plays one; with a surprise in its rehearsal, it ends there. */
     static Result play(String experiment, Drawn drawn, long seed, boolean surprise) {
@@ -85,10 +91,14 @@
         double rehearsalAt = world.nowMs();
         state = rehearse(world, model, state, surprise);
         String halted = state.status() == Status.HALTED
-                ? state.history().get(state.history().size() - 1).why() : null;
+                ? state.history().get(state.history().size() - 1).why()
+                : null;
         if (surprise) {
             double saturates = unhalted(drawn, terms);
-            return new Result(List.of(), halted, Double.isFinite(saturates),
+            return new Result(
+                    List.of(),
+                    halted,
+                    Double.isFinite(saturates),
                     halted != null && world.nowMs() - rehearsalAt <= saturates + IN_TIME_MS);
         }
         learn(world, model, world.nowMs() + 3000, world.nowMs() + REST_MS);
@@ -101,15 +111,25 @@
         }
         double end = world.nowMs();
         // What came within the plan may fail for want of time after it.
-        double longest = drawn.world().classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0);
+        double longest = drawn.world().classes().stream()
+                .mapToDouble(c -> c.deadlineMs())
+                .max()
+                .orElse(0);
         world.runUntil(end + longest);
         List<PoolResult> out = new ArrayList<>();
         for (ZoneWorld.Pool p : world.pools()) {
             if (!p.name.zone().equals(plan.zone())) {
-                out.add(new PoolResult(experiment, seed, p.name, plan.lengthMs(),
-                        ZoneWorld.saturatesMs(p, start, end, terms.failing(), terms.windowMs()), forecast.of(p.name),
-                        first.of(p.name).verdict(), proportional(drawn, world, picture, p, plan, false),
-                        proportional(drawn, world, picture, p, plan, true), loads(p, plan, start)));
+                out.add(new PoolResult(
+                        experiment,
+                        seed,
+                        p.name,
+                        plan.lengthMs(),
+                        ZoneWorld.saturatesMs(p, start, end, terms.failing(), terms.windowMs()),
+                        forecast.of(p.name),
+                        first.of(p.name).verdict(),
+                        proportional(drawn, world, picture, p, plan, false),
+                        proportional(drawn, world, picture, p, plan, true),
+                        loads(p, plan, start)));
             }
         }
         return new Result(out, halted, false, false);
@@ -118,7 +138,10 @@
     /** When a first pool saturates in the same rehearsal that nobody halts, from its begin; infinite if none does. */
     private static double unhalted(Drawn drawn, Terms terms) {
         Plan plan = drawn.plan();
-        double longest = drawn.world().classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0);
+        double longest = drawn.world().classes().stream()
+                .mapToDouble(c -> c.deadlineMs())
+                .max()
+                .orElse(0);
         ZoneWorld world = new ZoneWorld(drawn, LEARN_MS + plan.rehearsalMs() + longest);
         world.runUntil(LEARN_MS);
         world.part(plan.zone(), 1 - plan.rehearsalPart());
@@ -129,8 +152,8 @@
         world.runUntil(LEARN_MS + plan.rehearsalMs() + longest);
         double first = Double.POSITIVE_INFINITY;
         for (ZoneWorld.Pool p : world.pools()) {
-            double at = ZoneWorld.saturatesMs(p, LEARN_MS, LEARN_MS + plan.rehearsalMs(), terms.failing(),
-                    terms.windowMs());
+            double at = ZoneWorld.saturatesMs(
+                    p, LEARN_MS, LEARN_MS + plan.rehearsalMs(), terms.failing(), terms.windowMs());
             first = Double.isNaN(at) ? first : Math.min(first, at);
         }
         return first;
@@ -167,7 +190,9 @@
 
     /** A surge of a zone's clients as the step begins, or a pool that turns slow. */
     private static void strike(ZoneWorld world, Plan plan) {
-        List<ZoneWorld.Pool> others = world.pools().stream().filter(p -> !p.name.zone().equals(plan.zone())).toList();
+        List<ZoneWorld.Pool> others = world.pools().stream()
+                .filter(p -> !p.name.zone().equals(plan.zone()))
+                .toList();
         ZoneWorld.Pool p = others.get((int) (Math.abs(plan.name().hashCode()) % (long) others.size()));
         if (Math.abs(plan.name().hashCode()) / others.size() % 2 == 0) {
             world.surge(p.zone, SURGE);
@@ -177,8 +202,8 @@
     }
 
     /** Every pool's load grows as the others' part of the whole shrinks; against what it can do, or its last peak. */
-    private static double proportional(Drawn drawn, ZoneWorld world, Picture picture, ZoneWorld.Pool p, Plan plan,
-            boolean peak) {
+    private static double proportional(
+            Drawn drawn, ZoneWorld world, Picture picture, ZoneWorld.Pool p, Plan plan, boolean peak) {
         double all = 0;
         double leaves = 0;
         for (int z = 0; z < drawn.zones().size(); z++) {
--- a/lab/src/main/java/brackenbridge/lab/evacuation/Measure.java
+++ b/lab/src/main/java/brackenbridge/lab/evacuation/Measure.java
@@ -18,8 +18,7 @@
 public final class Measure {
     private static final int SURPRISES_EVERY = 4;
 
-    private Measure() {
-    }
+    private Measure() {}
 
     /**
      * Plays them and prints.
@@ -27,8 +26,9 @@
      * @param draws evacuations of each experiment and seed
      * @return whether the aims were met
      */
-    public static boolean run(List<Experiment> experiments, List<Long> seeds, int draws, int threads, boolean each,
-            PrintStream out) throws InterruptedException {
+    public static boolean run(
+            List<Experiment> experiments, List<Long> seeds, int draws, int threads, boolean each, PrintStream out)
+            throws InterruptedException {
         ExecutorService pool = Executors.newFixedThreadPool(threads);
         List<Result> results = new ArrayList<>();
         try {
@@ -60,31 +60,69 @@
         results.forEach(r -> all.addAll(r.pools()));
         if (each) {
             for (PoolResult r : all) {
-                out.printf(Locale.ROOT, "%-14s %4d %-26s truth %8.0f  %-9s p=%.2f at %s %s of %.0f%n", r.experiment(),
-                        r.seed(), r.pool(), r.truthMs(), r.foretold().verdict(), r.foretold().part(),
-                        r.foretold().atMs(), r.foretold().resource(), r.lengthMs());
+                out.printf(
+                        Locale.ROOT,
+                        "%-14s %4d %-26s truth %8.0f  %-9s p=%.2f at %s %s of %.0f%n",
+                        r.experiment(),
+                        r.seed(),
+                        r.pool(),
+                        r.truthMs(),
+                        r.foretold().verdict(),
+                        r.foretold().part(),
+                        r.foretold().atMs(),
+                        r.foretold().resource(),
+                        r.lengthMs());
             }
-            results.stream().filter(r -> r.halted() != null || r.surprised())
-                    .forEach(r -> out.println((r.surprised() ? "surprise " : "halted ") + r.inTime() + " "
-                            + r.halted()));
+            results.stream()
+                    .filter(r -> r.halted() != null || r.surprised())
+                    .forEach(r ->
+                            out.println((r.surprised() ? "surprise " : "halted ") + r.inTime() + " " + r.halted()));
         }
-        out.printf(Locale.ROOT, "%-22s %5s %9s %9s %7s %8s %9s %8s%n", "", "pools", "saturated", "foretold", "false",
-                "unknown", "time off", "in 10%");
+        out.printf(
+                Locale.ROOT,
+                "%-22s %5s %9s %9s %7s %8s %9s %8s%n",
+                "",
+                "pools",
+                "saturated",
+                "foretold",
+                "false",
+                "unknown",
+                "time off",
+                "in 10%");
         for (Experiment e : experiments) {
-            out.println(Score.of(all.stream().filter(r -> r.experiment().equals(e.name())).toList(), Score::forecast)
+            out.println(Score.of(
+                            all.stream()
+                                    .filter(r -> r.experiment().equals(e.name()))
+                                    .toList(),
+                            Score::forecast)
                     .line(e.name()));
         }
         Score s = Score.of(all, Score::forecast);
         out.println(s.line("all"));
-        out.println(Score.of(all, r -> r.unrehearsed() == Verdict.SATURATES && r.foretold().atMs() != null
-                ? r.foretold().atMs().expected() : Double.NaN).line("before rehearsal"));
+        out.println(Score.of(
+                        all,
+                        r -> r.unrehearsed() == Verdict.SATURATES
+                                        && r.foretold().atMs() != null
+                                ? r.foretold().atMs().expected()
+                                : Double.NaN)
+                .line("before rehearsal"));
         out.println(Score.of(all, PoolResult::proportionalMs).line("proportional scaling"));
         out.println(Score.of(all, PoolResult::peakMs).line("last peak"));
         double[] held = Score.coverage(all);
-        out.printf(Locale.ROOT, "intervals of 80%% held: times %.2f of %.0f, loads %.2f of %.0f%n", held[0], held[1],
-                held[2], held[3]);
-        long halted = results.stream().filter(r -> !r.surprised() && r.halted() != null).count();
-        out.printf(Locale.ROOT, "rehearsals without a surprise that halted: %d of %d%n", halted,
+        out.printf(
+                Locale.ROOT,
+                "intervals of 80%% held: times %.2f of %.0f, loads %.2f of %.0f%n",
+                held[0],
+                held[1],
+                held[2],
+                held[3]);
+        long halted = results.stream()
+                .filter(r -> !r.surprised() && r.halted() != null)
+                .count();
+        out.printf(
+                Locale.ROOT,
+                "rehearsals without a surprise that halted: %d of %d%n",
+                halted,
                 results.stream().filter(r -> !r.surprised()).count());
         out.println(Score.last(s, results));
         return s.good();
--- a/lab/src/main/java/brackenbridge/lab/evacuation/Score.java
+++ b/lab/src/main/java/brackenbridge/lab/evacuation/Score.java
@@ -19,8 +19,8 @@
  * @param within how many times were off by a tenth at the most
  * @param timed times that were compared
  */
-public record Score(int pools, int saturated, int foretold, int falsely, int unknown, double offPart, int within,
-        int timed) {
+public record Score(
+        int pools, int saturated, int foretold, int falsely, int unknown, double offPart, int within, int timed) {
     /** What is allowed: of saturating pools foretold, of foretold ones false, of the plan's length off. */
     public static final double LEAST_FORETOLD = 0.95;
     /** Of those foretold. */
@@ -53,8 +53,8 @@
                 }
             }
         }
-        return new Score(all.size(), saturated, foretold, falsely, unknown, timed == 0 ? 0 : off / timed, within,
-                timed);
+        return new Score(
+                all.size(), saturated, foretold, falsely, unknown, timed == 0 ? 0 : off / timed, within, timed);
     }
 
     /** The forecast's own word. */
@@ -63,13 +63,24 @@
     }
 
     boolean good() {
-        return foretold >= LEAST_FORETOLD * saturated && falsely <= MOST_FALSE * (foretold + falsely)
+        return foretold >= LEAST_FORETOLD * saturated
+                && falsely <= MOST_FALSE * (foretold + falsely)
                 && offPart <= MOST_OFF;
     }
 
     String line(String name) {
-        return String.format(Locale.ROOT, "%-22s %5d %9d %9d %7d %8d %9.3f %8d of %d", name, pools, saturated, foretold,
-                falsely, unknown, offPart, within, timed);
+        return String.format(
+                Locale.ROOT,
+                "%-22s %5d %9d %9d %7d %8d %9.3f %8d of %d",
+                name,
+                pools,
+                saturated,
+                foretold,
+                falsely,
+                unknown,
+                offPart,
+                within,
+                timed);
     }
 
     /** How often intervals held: of times, and of loads. */
@@ -86,7 +97,8 @@
             if (r.foretold().verdict() != Verdict.UNKNOWN) {
                 for (int i = 0; i < r.loads().size(); i++) {
                     loads++;
-                    loadsHeld += r.foretold().steps().get(i).load().holds(r.loads().get(i)) ? 1 : 0;
+                    loadsHeld +=
+                            r.foretold().steps().get(i).load().holds(r.loads().get(i)) ? 1 : 0;
                 }
             }
         }
@@ -97,8 +109,16 @@
     static String last(Score s, List<Result> results) {
         long surprised = results.stream().filter(Result::surprised).count();
         long inTime = results.stream().filter(r -> r.surprised() && r.inTime()).count();
-        return String.format(Locale.ROOT, "evacuation: %d of %d saturating pools foretold, %d false, "
-                + "time off by %.3f of %.3f, rehearsals halted in time %d of %d", s.foretold, s.saturated, s.falsely,
-                s.offPart, MOST_OFF, inTime, surprised);
+        return String.format(
+                Locale.ROOT,
+                "evacuation: %d of %d saturating pools foretold, %d false, "
+                        + "time off by %.3f of %.3f, rehearsals halted in time %d of %d",
+                s.foretold,
+                s.saturated,
+                s.falsely,
+                s.offPart,
+                MOST_OFF,
+                inTime,
+                surprised);
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/evacuation/ZoneWorld.java
+++ b/lab/src/main/java/brackenbridge/lab/evacuation/ZoneWorld.java
@@ -150,15 +150,27 @@
     private void pool(int t, int z, int k, TierSpec spec, Streams streams) {
         ServerProfile p = spec.profile();
         int factor = drawn.cores()[t][k];
-        ServerProfile sized = new ServerProfile(p.cores() * factor, p.speed(), p.slots() * factor, p.room(),
-                p.errorRate(), p.cancel(), p.dropsExpired(), p.cold(), p.crowd(), p.choke(), p.pauses(),
-                p.connections(), p.reports(), p.probes());
+        ServerProfile sized = new ServerProfile(
+                p.cores() * factor,
+                p.speed(),
+                p.slots() * factor,
+                p.room(),
+                p.errorRate(),
+                p.cancel(),
+                p.dropsExpired(),
+                p.cold(),
+                p.crowd(),
+                p.choke(),
+                p.pauses(),
+                p.connections(),
+                p.reports(),
+                p.probes());
         Pool pool = new Pool(t, z, k, spec, sized);
         int n = drawn.servers()[t][z][k];
         for (int i = 0; i < n; i++) {
             double place = n == 1 ? 0 : 2.0 * i / (n - 1) - 1;
-            pool.servers.add(new ServerModel(sized.withSpeed(p.speed() * (1 + spec.speedSpread() * place)), queue,
-                    streams.take()));
+            pool.servers.add(new ServerModel(
+                    sized.withSpeed(p.speed() * (1 + spec.speedSpread() * place)), queue, streams.take()));
             pool.out.add(new int[drawn.zones().size() * Drawn.NODES_A_ZONE]);
         }
         pools.add(pool);
@@ -202,7 +214,8 @@
     }
 
     private int drawClass() {
-        double u = random.nextDouble() * drawn.world().classes().stream().mapToDouble(ClassSpec::share).sum();
+        double u = random.nextDouble()
+                * drawn.world().classes().stream().mapToDouble(ClassSpec::share).sum();
         for (int i = 0; i < drawn.world().classes().size(); i++) {
             u -= drawn.world().classes().get(i).share();
             if (u < 0) {
@@ -226,26 +239,31 @@
         void go() {
             tries++;
             ClientSpec c = drawn.world().clients();
-            double waits = c.tryLeast() >= 1 ? 1
-                    : c.tryLeast() + (c.tryMost() - c.tryLeast()) * random.nextDouble();
-            new Call(0, zone, ofClass, Math.min(deadlineMs, queue.nowMs() + waits * spec.deadlineMs()),
-                    this::answered).go();
+            double waits = c.tryLeast() >= 1 ? 1 : c.tryLeast() + (c.tryMost() - c.tryLeast()) * random.nextDouble();
+            new Call(0, zone, ofClass, Math.min(deadlineMs, queue.nowMs() + waits * spec.deadlineMs()), this::answered)
+                    .go();
         }
 
         private void answered(Ending how) {
-            if (how == Ending.SERVED || how != Ending.REFUSED && spec.unsafe()
+            if (how == Ending.SERVED
+                    || how != Ending.REFUSED && spec.unsafe()
                     || tries > drawn.world().clients().retries()) {
                 return;
             }
-            double wait = drawn.world().clients().backoffMs() * (1 << Math.min(10, tries - 1))
-                    * (0.5 + random.nextDouble());
+            double wait =
+                    drawn.world().clients().backoffMs() * (1 << Math.min(10, tries - 1)) * (0.5 + random.nextDouble());
             if (queue.nowMs() + wait < deadlineMs) {
                 queue.at(queue.nowMs() + wait, this::go);
             }
         }
     }
 
-    private enum Ending { SERVED, REFUSED, FAILED, LATE }
+    private enum Ending {
+        SERVED,
+        REFUSED,
+        FAILED,
+        LATE
+    }
 
     /** A call at a node, with its tries. */
     private final class Call {
@@ -270,7 +288,8 @@
             this.done = done;
             this.node = nodes.get(origin).get(random.nextInt(Drawn.NODES_A_ZONE));
             TierSpec t = drawn.world().tiers().get(tier);
-            int calls = tier + 1 >= drawn.world().tiers().size() ? 0
+            int calls = tier + 1 >= drawn.world().tiers().size()
+                    ? 0
                     : t.callsLeast() + random.nextInt(t.callsMost() - t.callsLeast() + 1);
             double all = ZoneWorld.this.work.get(tier).sample();
             work = new double[calls + 1];
@@ -310,8 +329,14 @@
             boolean ease = server.load() < server.profile().cores();
             String name = drawn.world().classes().get(ofClass).name();
             int from = pool.zone;
-            job = server.begin(name, work, deadlineMs, (number, back) -> new Call(tier + 1, from, ofClass, deadlineMs,
-                    how -> back.accept(how == Ending.SERVED)).go(), verdict -> ended(verdict, at, ease));
+            job = server.begin(
+                    name,
+                    work,
+                    deadlineMs,
+                    (number, back) -> new Call(
+                                    tier + 1, from, ofClass, deadlineMs, how -> back.accept(how == Ending.SERVED))
+                            .go(),
+                    verdict -> ended(verdict, at, ease));
         }
 
         private Count count() {
@@ -341,7 +366,9 @@
                 c.refused++;
                 fails();
             }
-            if ((refused || !unsafe) && attempts < drawn.world().limits().maxAttempts() && node.budget >= 1
+            if ((refused || !unsafe)
+                    && attempts < drawn.world().limits().maxAttempts()
+                    && node.budget >= 1
                     && queue.nowMs() < deadlineMs) {
                 node.budget--;
                 attempt();
@@ -449,14 +476,32 @@
         for (int c = 0; c < n.counts[at].length; c++) {
             Count k = n.counts[at][c];
             n.counts[at][c] = new Count();
-            PoolSeen seen = new PoolSeen(k.arrivals, k.attempts, k.refused, p.servers.size(), p.profile.slots(),
-                    c == 0 ? busy : 0, p.serviceMs, k.answers > 0 ? k.latency / k.answers : 0,
+            PoolSeen seen = new PoolSeen(
+                    k.arrivals,
+                    k.attempts,
+                    k.refused,
+                    p.servers.size(),
+                    p.profile.slots(),
+                    c == 0 ? busy : 0,
+                    p.serviceMs,
+                    k.answers > 0 ? k.latency / k.answers : 0,
                     p.serviceMs > 0 ? p.serviceSquares / (p.serviceMs * p.serviceMs) : 1,
-                    k.attempts > 0 ? Math.min(1, k.failed / k.attempts) : 0, SECOND_MS, u,
-                    p.profile.slots() + p.profile.room(), p.profile.cold().from(), p.profile.cold().ms(),
-                    slows ? choke.part() : 1, slows ? choke.at() : 0);
-            told.add(new Observation(n.name, drawn.zones().get(n.zone), p.name,
-                    drawn.world().classes().get(c).name(), new Version(1, second), seen, 100));
+                    k.attempts > 0 ? Math.min(1, k.failed / k.attempts) : 0,
+                    SECOND_MS,
+                    u,
+                    p.profile.slots() + p.profile.room(),
+                    p.profile.cold().from(),
+                    p.profile.cold().ms(),
+                    slows ? choke.part() : 1,
+                    slows ? choke.at() : 0);
+            told.add(new Observation(
+                    n.name,
+                    drawn.zones().get(n.zone),
+                    p.name,
+                    drawn.world().classes().get(c).name(),
+                    new Version(1, second),
+                    seen,
+                    100));
         }
     }
 
@@ -472,8 +517,8 @@
                     refused += o.seen().refused();
                 }
             }
-            out.add(new Seen(p.name, p.servers.size(), attempts, p.utilisation,
-                    attempts > 0 ? refused / attempts : 0, 500));
+            out.add(new Seen(
+                    p.name, p.servers.size(), attempts, p.utilisation, attempts > 0 ? refused / attempts : 0, 500));
         }
         return out;
     }
--- a/lab/src/main/java/brackenbridge/lab/experiment/Results.java
+++ b/lab/src/main/java/brackenbridge/lab/experiment/Results.java
@@ -27,6 +27,7 @@
 public final class Results implements AutoCloseable {
     /** The lines of results. */
     public static final String LINES = "results.jsonl";
+
     private static final String HISTOGRAMS = "latency.hlog";
     private static final String BREACHES = "breaches.txt";
 
@@ -48,16 +49,24 @@
     }
 
     /** One run's line. */
-    public static JsonObject line(Experiment experiment, Experiment.Run run, String mode, Scoreboard board,
-            Ledger ledger) {
+    public static JsonObject line(
+            Experiment experiment, Experiment.Run run, String mode, Scoreboard board, Ledger ledger) {
         JsonObject rules = Json.object();
         for (Ledger.Rule rule : Ledger.Rule.values()) {
             rules.add(rule.name().toLowerCase(Locale.ROOT), ledger.broken(rule));
         }
-        return Json.object().add("experiment", experiment.name()).add("run", run.number()).add("mode", mode)
-                .add("policy", run.label()).add("servers", run.servers()).add("nodes", run.world().nodes(0))
-                .add("load", Scoreboard.round(run.load())).add("seed", run.seed())
-                .add("figures", board.json()).add("rules", rules).add("checked", ledger.checked());
+        return Json.object()
+                .add("experiment", experiment.name())
+                .add("run", run.number())
+                .add("mode", mode)
+                .add("policy", run.label())
+                .add("servers", run.servers())
+                .add("nodes", run.world().nodes(0))
+                .add("load", Scoreboard.round(run.load()))
+                .add("seed", run.seed())
+                .add("figures", board.json())
+                .add("rules", rules)
+                .add("checked", ledger.checked());
     }
 
     /** Adds a run's line, its histogram and its breaches. */
@@ -72,8 +81,15 @@
             log.outputIntervalHistogram(latency);
             histograms.flush();
             for (Ledger.Breach b : ledger.breaches()) {
-                breaches.append("run ").append(run).append(' ').append(line.getString("policy", "")).append(" seed ")
-                        .append(line.getLong("seed", 0)).append(": ").append(b.text()).append("\n\n");
+                breaches.append("run ")
+                        .append(run)
+                        .append(' ')
+                        .append(line.getString("policy", ""))
+                        .append(" seed ")
+                        .append(line.getLong("seed", 0))
+                        .append(": ")
+                        .append(b.text())
+                        .append("\n\n");
             }
             if (!breaches.isEmpty()) {
                 Files.writeString(folder.resolve(BREACHES), breaches);
--- a/lab/src/main/java/brackenbridge/lab/experiment/SimRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/experiment/SimRunner.java
@@ -27,11 +27,9 @@
      * @param requests requests checked
      * @param events events that reducers took in
      */
-    public record Summary(int runs, long broken, List<Ledger.Breach> breaches, long requests, long events) {
-    }
+    public record Summary(int runs, long broken, List<Ledger.Breach> breaches, long requests, long events) {}
 
-    private SimRunner() {
-    }
+    private SimRunner() {}
 
     /**
      * Plays all runs on so many threads; results are written in the order of the runs, whichever ends first, so that
@@ -52,16 +50,23 @@
         int played = 0;
         List<Ledger.Breach> breaches = new ArrayList<>();
         try (Results results = new Results(out);
-                ProgressBar progress = bar ? new ProgressBarBuilder().setTaskName(experiment.name())
-                        .setInitialMax(runs.size()).setStyle(ProgressBarStyle.ASCII).build() : null) {
+                ProgressBar progress = bar
+                        ? new ProgressBarBuilder()
+                                .setTaskName(experiment.name())
+                                .setInitialMax(runs.size())
+                                .setStyle(ProgressBarStyle.ASCII)
+                                .build()
+                        : null) {
             List<Future<Simulation.Result>> pending = new ArrayList<>();
             for (Experiment.Run run : runs) {
-                pending.add(pool.submit(() -> new Simulation(run.world(), run.seed(), Policies.of(run.policy()))
-                        .run()));
+                pending.add(
+                        pool.submit(() -> new Simulation(run.world(), run.seed(), Policies.of(run.policy())).run()));
             }
             for (int i = 0; i < runs.size(); i++) {
                 Simulation.Result r = pending.set(i, null).get();
-                results.add(Results.line(experiment, runs.get(i), "sim", r.board(), r.ledger()), r.board().latency(),
+                results.add(
+                        Results.line(experiment, runs.get(i), "sim", r.board(), r.ledger()),
+                        r.board().latency(),
                         r.ledger());
                 broken += r.ledger().broken();
                 requests += r.ledger().checked();
@@ -76,8 +81,10 @@
             Thread.currentThread().interrupt();
         } catch (ExecutionException e) {
             if (e.getCause() instanceof OutOfMemoryError) {
-                throw new IOException("out of memory: raise it by BRACKENBRIDGE_JAVA_OPTS=-Xmx..., or play fewer runs "
-                        + "at once by --threads", e);
+                throw new IOException(
+                        "out of memory: raise it by BRACKENBRIDGE_JAVA_OPTS=-Xmx..., or play fewer runs "
+                                + "at once by --threads",
+                        e);
             }
             throw new IllegalStateException(e.getCause());
         } finally {
--- a/lab/src/main/java/brackenbridge/lab/experiment/Theory.java
+++ b/lab/src/main/java/brackenbridge/lab/experiment/Theory.java
@@ -14,8 +14,7 @@
 
 /** Holds the server's model against what queueing theory says of it. */
 public final class Theory {
-    private Theory() {
-    }
+    private Theory() {}
 
     /**
      * A mean wait, measured and expected.
@@ -132,8 +131,8 @@
         arrive[0] = () -> {
             ServerModel a = all.get(choice.nextInt(servers));
             ServerModel b = all.get(choice.nextInt(servers));
-            (b.load() < a.load() ? b : a).begin("call", new double[] {works.sample()}, Double.POSITIVE_INFINITY,
-                    null, verdict -> { });
+            (b.load() < a.load() ? b : a)
+                    .begin("call", new double[] {works.sample()}, Double.POSITIVE_INFINITY, null, verdict -> {});
             if (++sent[0] < requests) {
                 queue.at(queue.nowMs() + gaps.sample(), arrive[0]);
             }
--- a/lab/src/main/java/brackenbridge/lab/fleet/Disks.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/Disks.java
@@ -13,8 +13,7 @@
 
 /** What happens to a member's disk while it does not run. */
 final class Disks {
-    private Disks() {
-    }
+    private Disks() {}
 
     /** Leaves nothing. */
     static void wipe(Path disk) throws IOException {
@@ -76,7 +75,9 @@
 
     private static List<Path> files(Path disk) throws IOException {
         try (Stream<Path> all = Files.walk(disk)) {
-            return all.filter(p -> Files.isRegularFile(p) && p.toFile().length() > 0).sorted().toList();
+            return all.filter(p -> Files.isRegularFile(p) && p.toFile().length() > 0)
+                    .sorted()
+                    .toList();
         }
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/fleet/Fault.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/Fault.java
@@ -83,8 +83,9 @@
             }
             at = found + parts[i].length();
         }
-        return at == name.length() || parts[parts.length - 1].isEmpty() || parts.length > 1
-                && name.endsWith(parts[parts.length - 1]);
+        return at == name.length()
+                || parts[parts.length - 1].isEmpty()
+                || parts.length > 1 && name.endsWith(parts[parts.length - 1]);
     }
 
     /** One line on it. */
@@ -92,7 +93,7 @@
         String what = link == null ? blow.name() : link.kind().name();
         String how = link == null || link.amount() == 0 ? "" : String.format(Locale.ROOT, " %.0f", link.amount());
         String where = groups.isEmpty() ? "on " + on : "between " + groups;
-        return String.format(Locale.ROOT, "%s%s %s at %.0f ms for %.0f ms", what.toLowerCase(Locale.ROOT), how, where,
-                atMs, forMs);
+        return String.format(
+                Locale.ROOT, "%s%s %s at %.0f ms for %.0f ms", what.toLowerCase(Locale.ROOT), how, where, atMs, forMs);
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/fleet/FleetFile.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/FleetFile.java
@@ -19,13 +19,15 @@
 
 /** Reads a fleet's file; docs/operations/fleet-lab.md has every key. */
 public final class FleetFile {
-    private FleetFile() {
-    }
+    private FleetFile() {}
 
     /** Reads it, and the experiment that it names. */
     public static FleetPlan read(Path path) throws FileFault {
         try {
-            return parse(path.toString(), Files.readString(path), path.toAbsolutePath().getParent());
+            return parse(
+                    path.toString(),
+                    Files.readString(path),
+                    path.toAbsolutePath().getParent());
         } catch (IOException e) {
             throw new FileFault(path.toString(), "can't be read: " + e.getMessage());
         }
@@ -35,13 +37,17 @@
     public static FleetPlan parse(String file, String text, Path folder) throws FileFault {
         TomlParseResult toml = Toml.parse(text);
         for (TomlParseError e : toml.errors()) {
-            throw new FileFault(file, e.position().line(), e.position().column(),
+            throw new FileFault(
+                    file,
+                    e.position().line(),
+                    e.position().column(),
                     e.getMessage().replaceAll("\\s+", " "));
         }
         Section root = new Section(file, toml, "", TomlPosition.positionAt(1, 1));
         String name = root.text("name", null);
         String about = root.text("about", "-");
-        Experiment world = ExperimentFile.read(folder.resolve(root.text("world", null)).normalize(), Policies.names());
+        Experiment world =
+                ExperimentFile.read(folder.resolve(root.text("world", null)).normalize(), Policies.names());
         double least = root.number("served_least", 0, 0, 1);
         List<Fault> faults = new ArrayList<>();
         for (Section s : root.sections("fault")) {
@@ -80,11 +86,11 @@
         }
         Fault f;
         if (s.has("process")) {
-            f = new Fault(null, s.choice("kind", Fault.Blow.class, null), s.text("process", null), List.of(), at,
-                    lasts);
+            f = new Fault(
+                    null, s.choice("kind", Fault.Blow.class, null), s.text("process", null), List.of(), at, lasts);
         } else {
-            LinkFault.Kind kind = s.choice("kind", LinkFault.Kind.class,
-                    groups.isEmpty() ? null : LinkFault.Kind.BLACK_HOLE);
+            LinkFault.Kind kind =
+                    s.choice("kind", LinkFault.Kind.class, groups.isEmpty() ? null : LinkFault.Kind.BLACK_HOLE);
             LinkFault link = new LinkFault(kind, s.number("amount", kind.usual(), 0, 1e9), s.time("jitter", 0));
             f = new Fault(link, null, groups.isEmpty() ? s.text("links", null) : null, groups, at, lasts);
         }
@@ -96,8 +102,14 @@
     static FleetPlan.Drawn drawn(Section s) throws FileFault {
         List<LinkFault.Kind> kinds = names(s, "kinds", LinkFault.Kind.class);
         List<Fault.Blow> blows = names(s, "blows", Fault.Blow.class);
-        FleetPlan.Drawn d = new FleetPlan.Drawn(s.whole("faults", 5, 1, 1000), s.text("links", "*"), kinds,
-                s.text("processes", "*"), blows, s.time("from", 5000), s.time("until", 20_000),
+        FleetPlan.Drawn d = new FleetPlan.Drawn(
+                s.whole("faults", 5, 1, 1000),
+                s.text("links", "*"),
+                kinds,
+                s.text("processes", "*"),
+                blows,
+                s.time("from", 5000),
+                s.time("until", 20_000),
                 s.time("longest", 3000));
         if (kinds.isEmpty() && blows.isEmpty()) {
             throw s.fault(null, "give kinds or blows to draw from");
--- a/lab/src/main/java/brackenbridge/lab/fleet/FleetPlan.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/FleetPlan.java
@@ -16,8 +16,8 @@
  * @param drawn what is drawn by the seed beside it; null if nothing is
  * @param servedLeast the part of the worth that must be served at the least
  */
-public record FleetPlan(String name, String about, Experiment experiment, List<Fault> faults, Drawn drawn,
-        double servedLeast) {
+public record FleetPlan(
+        String name, String about, Experiment experiment, List<Fault> faults, Drawn drawn, double servedLeast) {
     /**
      * Faults drawn by the seed.
      *
@@ -30,8 +30,15 @@
      * @param untilMs the latest
      * @param longestMs the longest time
      */
-    public record Drawn(int count, String links, List<LinkFault.Kind> kinds, String processes,
-            List<Fault.Blow> blows, double fromMs, double untilMs, double longestMs) {
+    public record Drawn(
+            int count,
+            String links,
+            List<LinkFault.Kind> kinds,
+            String processes,
+            List<Fault.Blow> blows,
+            double fromMs,
+            double untilMs,
+            double longestMs) {
         /** What this seed draws, for these links ({@code a>b}) and processes. */
         List<Fault> faults(long seed, List<String> open, List<String> names) {
             List<Fault> all = new ArrayList<>();
@@ -41,15 +48,22 @@
                 double lasts = (0.1 + 0.9 * random.nextDouble()) * longestMs;
                 int which = random.nextInt(kinds.size() + blows.size());
                 if (which < kinds.size()) {
-                    LinkFault fault = new LinkFault(kinds.get(which), kinds.get(which).usual(), 0);
+                    LinkFault fault =
+                            new LinkFault(kinds.get(which), kinds.get(which).usual(), 0);
                     Fault any = new Fault(fault, null, links, List.of(), at, lasts);
-                    one(random, open.stream().filter(l -> any.strikes(l.substring(0, l.indexOf('>')),
-                            l.substring(l.indexOf('>') + 1))).toList(),
+                    one(
+                            random,
+                            open.stream()
+                                    .filter(l -> any.strikes(
+                                            l.substring(0, l.indexOf('>')), l.substring(l.indexOf('>') + 1)))
+                                    .toList(),
                             l -> all.add(new Fault(fault, null, l, List.of(), at, lasts)));
                 } else {
                     Fault.Blow blow = blows.get(which - kinds.size());
                     Fault any = new Fault(null, blow, processes, List.of(), at, lasts);
-                    one(random, names.stream().filter(any::strikes).toList(),
+                    one(
+                            random,
+                            names.stream().filter(any::strikes).toList(),
                             n -> all.add(new Fault(null, blow, n, List.of(), at, lasts)));
                 }
             }
--- a/lab/src/main/java/brackenbridge/lab/fleet/FleetRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/FleetRunner.java
@@ -26,12 +26,10 @@
      * @param log what happened, a line each, in order
      * @param counts what all links passed
      */
-    public record Outcome(LiveRunner.Outcome run, List<Fault> faults, List<String> log, Relay.Counts counts) {
-    }
+    public record Outcome(LiveRunner.Outcome run, List<Fault> faults, List<String> log, Relay.Counts counts) {}
 
     /** Where a node's program is and how it is started. */
-    public record Program(Path home, String command) {
-    }
+    public record Program(Path home, String command) {}
 
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private final Scheduler scheduler;
@@ -51,16 +49,24 @@
      *
      * @param faults what goes wrong; null for the script with what the seed draws
      */
-    public static Outcome play(FleetPlan plan, long seed, List<Fault> faults, Program program, Path folder,
-            Results results) throws IOException, InterruptedException {
+    public static Outcome play(
+            FleetPlan plan, long seed, List<Fault> faults, Program program, Path folder, Results results)
+            throws IOException, InterruptedException {
         Clock clock = Clock.system();
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Experiment.Run run = plan.experiment().withSeed(seed).runs().get(0);
         List<Fault> played = new ArrayList<>();
         FleetRunner[] runner = new FleetRunner[1];
         try (Relays relays = new Relays(group.next(), clock, seed)) {
-            LiveRunner.Outcome r = LiveRunner.play(plan.experiment(), run, program.home(), program.command(), folder,
-                    results, relays, (scheduler, nodes) -> {
+            LiveRunner.Outcome r = LiveRunner.play(
+                    plan.experiment(),
+                    run,
+                    program.home(),
+                    program.command(),
+                    folder,
+                    results,
+                    relays,
+                    (scheduler, nodes) -> {
                         List<String> names = nodes.stream().map(Control::name).toList();
                         played.addAll(faults != null ? faults : plan.faults(seed, relays.names(), names));
                         runner[0] = new FleetRunner(scheduler, relays, nodes);
--- a/lab/src/main/java/brackenbridge/lab/fleet/Journal.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/Journal.java
@@ -47,8 +47,10 @@
         if (full) {
             throw new IllegalStateException("more than " + MOST + " lines: ask for less, or for a shorter time");
         }
-        return entries.stream().map(e -> new Entry(e.t() - origin, e.who(), e.what(), shifted(e)))
-                .sorted(Comparator.comparingDouble(Entry::t)).toList();
+        return entries.stream()
+                .map(e -> new Entry(e.t() - origin, e.who(), e.what(), shifted(e)))
+                .sorted(Comparator.comparingDouble(Entry::t))
+                .toList();
     }
 
     /** How many lines tell of this. */
--- a/lab/src/main/java/brackenbridge/lab/fleet/MemberProcess.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/MemberProcess.java
@@ -103,8 +103,14 @@
      * @param readied hears its name, on a thread of its own, each time that it is ready
      * @param refused hears its name when it has ended without ever being ready
      */
-    MemberProcess(String name, List<String> command, Path disk, Path errors, Journal journal,
-            Consumer<String> readied, Consumer<String> refused) {
+    MemberProcess(
+            String name,
+            List<String> command,
+            Path disk,
+            Path errors,
+            Journal journal,
+            Consumer<String> readied,
+            Consumer<String> refused) {
         this.name = name;
         this.command = command;
         this.disk = disk;
@@ -129,7 +135,8 @@
     synchronized void start() throws IOException {
         Files.createDirectories(disk);
         run = new Run(new ProcessBuilder(command)
-                .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile())).start());
+                .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()))
+                .start());
         stalled = false;
         journal.lab("started", Json.object().add("member", name).add("pid", run.process.pid()));
         thread("read", run::read);
@@ -172,7 +179,9 @@
 
     private void signal(String which) {
         try {
-            new ProcessBuilder("kill", which, Long.toString(run.process.pid())).start().waitFor();
+            new ProcessBuilder("kill", which, Long.toString(run.process.pid()))
+                    .start()
+                    .waitFor();
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         } catch (InterruptedException e) {
--- a/lab/src/main/java/brackenbridge/lab/fleet/MembersFile.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/MembersFile.java
@@ -29,11 +29,15 @@
             + "--peers {peers} --disk {disk}";
 
     private enum Kind {
-        CONVERGES, NEVER_LOST, ONE_HOLDER, NO_CONTRADICTION, CAPACITY, LEVEL_AFTER
+        CONVERGES,
+        NEVER_LOST,
+        ONE_HOLDER,
+        NO_CONTRADICTION,
+        CAPACITY,
+        LEVEL_AFTER
     }
 
-    private MembersFile() {
-    }
+    private MembersFile() {}
 
     /** Whether a file is one of these; one that can't be read is not. */
     public static boolean is(Path path) {
@@ -57,7 +61,10 @@
     public static MembersPlan parse(String file, String text) throws FileFault {
         TomlParseResult toml = Toml.parse(text);
         for (TomlParseError e : toml.errors()) {
-            throw new FileFault(file, e.position().line(), e.position().column(),
+            throw new FileFault(
+                    file,
+                    e.position().line(),
+                    e.position().column(),
                     e.getMessage().replaceAll("\\s+", " "));
         }
         Section root = new Section(file, toml, "", TomlPosition.positionAt(1, 1));
@@ -87,14 +94,28 @@
             throw root.fault("promise", "is missing: nothing would be checked");
         }
         root.end();
-        return new MembersPlan(name, about, count, zones.isEmpty() ? List.of("a") : zones, command, load, settle,
-                faults, drawn, promises);
+        return new MembersPlan(
+                name,
+                about,
+                count,
+                zones.isEmpty() ? List.of("a") : zones,
+                command,
+                load,
+                settle,
+                faults,
+                drawn,
+                promises);
     }
 
     private static MembersPlan.Load load(Section s) throws FileFault {
-        MembersPlan.Load load = new MembersPlan.Load(s.time("length", 20_000), s.number("writes", 10, 0, 1000),
-                s.whole("keys", 8, 1, 10_000), s.number("adds", 0, 0, 1000), s.whole("sums", 2, 1, 100),
-                s.number("proposals", 0, 0, 100), s.has("role") ? s.text("role", null) : "",
+        MembersPlan.Load load = new MembersPlan.Load(
+                s.time("length", 20_000),
+                s.number("writes", 10, 0, 1000),
+                s.whole("keys", 8, 1, 10_000),
+                s.number("adds", 0, 0, 1000),
+                s.whole("sums", 2, 1, 100),
+                s.number("proposals", 0, 0, 100),
+                s.has("role") ? s.text("role", null) : "",
                 s.list("lines", String.class, "a text"));
         s.end();
         return load;
--- a/lab/src/main/java/brackenbridge/lab/fleet/MembersPlan.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/MembersPlan.java
@@ -19,8 +19,17 @@
  * @param drawn what is drawn by the seed beside it; null if nothing is
  * @param promises what is checked, by kind
  */
-public record MembersPlan(String name, String about, int count, List<String> zones, List<String> command, Load load,
-        double settleMs, List<Fault> faults, FleetPlan.Drawn drawn, Map<String, Promise> promises) {
+public record MembersPlan(
+        String name,
+        String about,
+        int count,
+        List<String> zones,
+        List<String> command,
+        Load load,
+        double settleMs,
+        List<Fault> faults,
+        FleetPlan.Drawn drawn,
+        Map<String, Promise> promises) {
     /**
      * What is asked of the members.
      *
@@ -33,9 +42,15 @@
      * @param role a role that all ask for; empty if none is asked for
      * @param lines further lines that each member is told at the beginning
      */
-    public record Load(double lengthMs, double writes, int keys, double adds, int sums, double proposals, String role,
-            List<String> lines) {
-    }
+    public record Load(
+            double lengthMs,
+            double writes,
+            int keys,
+            double adds,
+            int sums,
+            double proposals,
+            String role,
+            List<String> lines) {}
 
     /** Keeps its own copies. */
     public MembersPlan {
@@ -51,7 +66,8 @@
 
     /** The names of all links between them. */
     public List<String> links() {
-        return members().stream().flatMap(a -> members().stream().filter(b -> !b.equals(a)).map(b -> a + ">" + b))
+        return members().stream()
+                .flatMap(a -> members().stream().filter(b -> !b.equals(a)).map(b -> a + ">" + b))
                 .toList();
     }
 
--- a/lab/src/main/java/brackenbridge/lab/fleet/MembersRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/MembersRunner.java
@@ -52,18 +52,19 @@
      * @param log all lines, in order of time
      * @param bytesPerSecond what all links passed in a second of the load
      */
-    public record Outcome(Map<String, Promise.Finding> findings, List<Fault> faults, List<Entry> log,
-            double bytesPerSecond) {
+    public record Outcome(
+            Map<String, Promise.Finding> findings, List<Fault> faults, List<Entry> log, double bytesPerSecond) {
         /** The first breach; null if there is none. */
         public Promise.Breach first() {
-            return findings.values().stream().flatMap(f -> f.breaches().stream())
-                    .min(java.util.Comparator.comparingDouble(Promise.Breach::t)).orElse(null);
+            return findings.values().stream()
+                    .flatMap(f -> f.breaches().stream())
+                    .min(java.util.Comparator.comparingDouble(Promise.Breach::t))
+                    .orElse(null);
         }
     }
 
     /** A relay with what is wrong with it. */
-    private record Wrong(Relay relay, LinkFault fault) {
-    }
+    private record Wrong(Relay relay, LinkFault fault) {}
 
     private final MembersPlan plan;
     private final SplittableRandom random;
@@ -78,6 +79,7 @@
     private final ScheduledExecutorService blows = Executors.newScheduledThreadPool(4, r -> daemon(r, "blows"));
     /** By member: faults that are over once it is ready again. */
     private final Map<String, List<Long>> open = Collections.synchronizedMap(new HashMap<>());
+
     private final Set<String> struck = Collections.synchronizedSet(new LinkedHashSet<>());
     private final List<IOException> failed = Collections.synchronizedList(new ArrayList<>());
     private long faultIds;
@@ -97,7 +99,9 @@
         }
         for (String m : plan.members()) {
             Map<String, String> w = new HashMap<>();
-            w.put("java", Path.of(System.getProperty("java.home"), "bin", "java").toString());
+            w.put(
+                    "java",
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString());
             w.put("classes", classes());
             w.put("name", m);
             w.put("zone", zone(m));
@@ -118,8 +122,14 @@
             }
             command.add(whole);
         }
-        return new MemberProcess(name, command, Path.of(w.get("disk")), folder.resolve(name + ".log"), journal,
-                this::readied, this::refused);
+        return new MemberProcess(
+                name,
+                command,
+                Path.of(w.get("disk")),
+                folder.resolve(name + ".log"),
+                journal,
+                this::readied,
+                this::refused);
     }
 
     private static Thread daemon(Runnable r, String name) {
@@ -132,7 +142,8 @@
     private static String classes() {
         StringBuilder all = new StringBuilder();
         for (String p : System.getProperty("java.class.path").split(File.pathSeparator)) {
-            all.append(all.length() == 0 ? "" : File.pathSeparator).append(Path.of(p).toAbsolutePath());
+            all.append(all.length() == 0 ? "" : File.pathSeparator)
+                    .append(Path.of(p).toAbsolutePath());
         }
         return all.toString();
     }
@@ -251,11 +262,15 @@
     private void every(double perSecond, Runnable task) {
         if (perSecond > 0) {
             long ns = (long) (1e9 / perSecond);
-            load.scheduleAtFixedRate(() -> {
-                if (!over) {
-                    task.run();
-                }
-            }, random.nextLong(ns), ns, TimeUnit.NANOSECONDS);
+            load.scheduleAtFixedRate(
+                    () -> {
+                        if (!over) {
+                            task.run();
+                        }
+                    },
+                    random.nextLong(ns),
+                    ns,
+                    TimeUnit.NANOSECONDS);
         }
     }
 
@@ -269,7 +284,13 @@
         long n = ++numbers;
         // Before it is told: what it may have taken is known even if it never says so.
         if (m.ready() && !m.stalled()) {
-            journal.lab("tries", Json.object().add("member", m.name()).add("key", key).add("n", n).add("gone", gone));
+            journal.lab(
+                    "tries",
+                    Json.object()
+                            .add("member", m.name())
+                            .add("key", key)
+                            .add("n", n)
+                            .add("gone", gone));
             m.tell((gone ? "remove " : "put ") + key + " " + n);
         }
     }
@@ -278,7 +299,9 @@
         String key = "u" + random.nextInt(plan.load().sums());
         int by = 1 + random.nextInt(9);
         if (m.ready() && !m.stalled()) {
-            journal.lab("tries_add", Json.object().add("member", m.name()).add("key", key).add("by", by));
+            journal.lab(
+                    "tries_add",
+                    Json.object().add("member", m.name()).add("key", key).add("by", by));
             m.tell("add " + key + " " + by);
         }
     }
@@ -290,24 +313,32 @@
             sums.append(" u").append(i);
         }
         members.values().forEach(m -> m.tell("final" + sums));
-        await(FINAL_MS, () -> journal.count("final") >= members.values().stream().filter(MemberProcess::ready).count());
+        await(
+                FINAL_MS,
+                () -> journal.count("final")
+                        >= members.values().stream()
+                                .filter(MemberProcess::ready)
+                                .count());
     }
 
     private void schedule(Fault f) {
-        blows.schedule(() -> {
-            if (over && f.blow() != null) {
-                return;
-            }
-            if (f.link() != null) {
-                strikeLinks(f);
-                return;
-            }
-            for (MemberProcess m : members.values()) {
-                if (f.strikes(m.name()) && m.ready() && struck.add(m.name())) {
-                    strike(f, m);
-                }
-            }
-        }, (long) (f.atMs() * 1000), TimeUnit.MICROSECONDS);
+        blows.schedule(
+                () -> {
+                    if (over && f.blow() != null) {
+                        return;
+                    }
+                    if (f.link() != null) {
+                        strikeLinks(f);
+                        return;
+                    }
+                    for (MemberProcess m : members.values()) {
+                        if (f.strikes(m.name()) && m.ready() && struck.add(m.name())) {
+                            strike(f, m);
+                        }
+                    }
+                },
+                (long) (f.atMs() * 1000),
+                TimeUnit.MICROSECONDS);
     }
 
     private void later(Fault f, Task task) {
@@ -346,7 +377,8 @@
             String from = link.substring(0, link.indexOf('>'));
             String to = link.substring(link.indexOf('>') + 1);
             if (f.strikes(from, to)) {
-                ids.add(begins(f.link().kind().name().toLowerCase(java.util.Locale.ROOT),
+                ids.add(begins(
+                        f.link().kind().name().toLowerCase(java.util.Locale.ROOT),
                         Json.object().add("from", from).add("to", to)));
                 wrong.add(new Wrong(byLink.get(link), f.link()));
                 LinkFault.Kind other = switch (f.link().kind()) {
@@ -356,7 +388,8 @@
                     default -> null;
                 };
                 if (other != null) {
-                    wrong.add(new Wrong(byLink.get(to + ">" + from),
+                    wrong.add(new Wrong(
+                            byLink.get(to + ">" + from),
                             new LinkFault(other, f.link().amount(), f.link().jitterMs())));
                 }
             }
@@ -370,8 +403,11 @@
 
     private void strike(Fault f, MemberProcess m) {
         run(() -> {
-            long id = begins(f.blow() == Fault.Blow.AGED || f.blow() == Fault.Blow.TWIN ? "stop"
-                    : f.blow().name().toLowerCase(java.util.Locale.ROOT), Json.object().add("member", m.name()));
+            long id = begins(
+                    f.blow() == Fault.Blow.AGED || f.blow() == Fault.Blow.TWIN
+                            ? "stop"
+                            : f.blow().name().toLowerCase(java.util.Locale.ROOT),
+                    Json.object().add("member", m.name()));
             switch (f.blow()) {
                 case STALL -> {
                     m.stall(true);
@@ -400,7 +436,8 @@
                         default -> "";
                     };
                     if (!file.isEmpty()) {
-                        journal.lab("disk", Json.object().add("member", m.name()).add("file", file));
+                        journal.lab(
+                                "disk", Json.object().add("member", m.name()).add("file", file));
                     }
                     later(f, () -> again(m, id));
                 }
@@ -446,12 +483,14 @@
         m.stop();
         Disks.copy(m.disk(), copy);
         again(m, id);
-        later(f, () -> alone(m, () -> {
-            long second = begins("aged", Json.object().add("member", m.name()));
-            m.kill();
-            Disks.copy(copy, m.disk());
-            again(m, second);
-        }));
+        later(
+                f,
+                () -> alone(m, () -> {
+                    long second = begins("aged", Json.object().add("member", m.name()));
+                    m.kill();
+                    Disks.copy(copy, m.disk());
+                    again(m, second);
+                }));
     }
 
     /** As soon as nothing else strikes this member: two blows at its disk at once would be neither. */
@@ -464,7 +503,8 @@
     }
 
     private void swapped(Fault f, MemberProcess m, long id) throws IOException {
-        List<MemberProcess> others = members.values().stream().filter(o -> o != m && o.ready()).toList();
+        List<MemberProcess> others =
+                members.values().stream().filter(o -> o != m && o.ready()).toList();
         MemberProcess other = others.isEmpty() ? m : others.get(random.split().nextInt(others.size()));
         m.kill();
         if (other == m || !struck.add(other.name())) {
@@ -490,8 +530,14 @@
         Disks.copy(m.disk(), disk);
         again(m, id);
         long second = begins("twin", Json.object().add("member", m.name()));
-        MemberProcess twin = new MemberProcess(m.name() + ".twin", member(m.name(), w).command(), disk,
-                folder.resolve(m.name() + ".twin.log"), journal, n -> { }, n -> { });
+        MemberProcess twin = new MemberProcess(
+                m.name() + ".twin",
+                member(m.name(), w).command(),
+                disk,
+                folder.resolve(m.name() + ".twin.log"),
+                journal,
+                n -> {},
+                n -> {});
         twin.start();
         later(f, () -> {
             twin.kill();
--- a/lab/src/main/java/brackenbridge/lab/fleet/Relay.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/Relay.java
@@ -32,6 +32,7 @@
 public final class Relay implements AutoCloseable {
     /** Bytes held in one direction of a connection before its sender is not read from. */
     private static final int MOST_HELD = 256 * 1024;
+
     private static final int CONNECT_MS = 2000;
     private static final int BIND_AGAIN_MS = 20;
 
@@ -43,11 +44,9 @@
      * @param bytesThere bytes passed there
      * @param bytesBack bytes passed back
      */
-    public record Counts(long connections, long resets, long bytesThere, long bytesBack) {
-    }
+    public record Counts(long connections, long resets, long bytesThere, long bytesBack) {}
 
-    private record Piece(ByteBuf bytes, double dueMs) {
-    }
+    private record Piece(ByteBuf bytes, double dueMs) {}
 
     /** A connection to the relay and the one that it makes in turn. */
     private final class Pair {
@@ -57,6 +56,7 @@
         SocketChannel far;
         /** The far side is lost; what the near side sends goes nowhere. */
         boolean deaf;
+
         boolean over;
         long passedBack;
 
@@ -68,9 +68,16 @@
             if (over || far != null || silent(true) || silent(false)) {
                 return;
             }
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.AUTO_READ, false)
-                    .option(ChannelOption.ALLOW_HALF_CLOSURE, true).handler(back).connect(to).addListener(f -> {
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                    .option(ChannelOption.AUTO_READ, false)
+                    .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                    .handler(back)
+                    .connect(to)
+                    .addListener(f -> {
                         if (!f.isSuccess()) {
                             reset();
                             return;
@@ -253,10 +260,13 @@
         private void later(double atMs) {
             if (!waits) {
                 waits = true;
-                loop.schedule(() -> {
-                    waits = false;
-                    flush();
-                }, (long) (Math.max(0, atMs - clock.nowMs()) * 1e6) + 1, TimeUnit.NANOSECONDS);
+                loop.schedule(
+                        () -> {
+                            waits = false;
+                            flush();
+                        },
+                        (long) (Math.max(0, atMs - clock.nowMs()) * 1e6) + 1,
+                        TimeUnit.NANOSECONDS);
             }
         }
 
@@ -289,21 +299,28 @@
         this.clock = clock;
         this.to = to;
         this.random = new SplittableRandom(seed);
-        listening = listen(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
+        listening = listen(new InetSocketAddress("127.0.0.1", 0))
+                .syncUninterruptibly()
+                .channel();
         address = (InetSocketAddress) listening.localAddress();
     }
 
     private ChannelFuture listen(InetSocketAddress at) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.AUTO_READ, false)
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel near) {
                         accepted(near);
                     }
-                }).bind(at);
+                })
+                .bind(at);
     }
 
     private void accepted(SocketChannel near) {
@@ -390,7 +407,11 @@
 
     /** The least amount of the faults of this kind; 0 if there is none. */
     private double amount(LinkFault.Kind kind) {
-        return faults.stream().filter(f -> f.kind() == kind).mapToDouble(LinkFault::amount).min().orElse(0);
+        return faults.stream()
+                .filter(f -> f.kind() == kind)
+                .mapToDouble(LinkFault::amount)
+                .min()
+                .orElse(0);
     }
 
     private double delayMs(boolean there) {
--- a/lab/src/main/java/brackenbridge/lab/fleet/Relays.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/Relays.java
@@ -11,8 +11,7 @@
 
 /** A relay on every link, made when the link is first asked for. */
 final class Relays implements Links, AutoCloseable {
-    private record Link(String from, String to, Relay relay) {
-    }
+    private record Link(String from, String to, Relay relay) {}
 
     private final EventLoop loop;
     private final Clock clock;
@@ -30,8 +29,16 @@
         String name = from + ">" + to;
         Link l = links.computeIfAbsent(name + "@" + dial, k -> {
             int colon = dial.lastIndexOf(':');
-            return new Link(from, to, new Relay(name, loop, clock, new InetSocketAddress(dial.substring(0, colon),
-                    Integer.parseInt(dial.substring(colon + 1))), seed * 31 + links.size()));
+            return new Link(
+                    from,
+                    to,
+                    new Relay(
+                            name,
+                            loop,
+                            clock,
+                            new InetSocketAddress(
+                                    dial.substring(0, colon), Integer.parseInt(dial.substring(colon + 1))),
+                            seed * 31 + links.size()));
         });
         InetSocketAddress at = l.relay().address();
         return at.getAddress().getHostAddress() + ":" + at.getPort();
@@ -39,7 +46,11 @@
 
     /** The relay of a link that was asked for. */
     synchronized Relay of(String link) {
-        return links.values().stream().map(Link::relay).filter(r -> r.name().equals(link)).findFirst().orElseThrow();
+        return links.values().stream()
+                .map(Link::relay)
+                .filter(r -> r.name().equals(link))
+                .findFirst()
+                .orElseThrow();
     }
 
     synchronized List<String> names() {
@@ -60,19 +71,21 @@
     synchronized Relay.Counts counts() {
         List<Relay> all = links.values().stream().map(Link::relay).toList();
         return loop.submit(() -> {
-            long connections = 0;
-            long resets = 0;
-            long there = 0;
-            long back = 0;
-            for (Relay r : all) {
-                Relay.Counts c = r.counts();
-                connections += c.connections();
-                resets += c.resets();
-                there += c.bytesThere();
-                back += c.bytesBack();
-            }
-            return new Relay.Counts(connections, resets, there, back);
-        }).syncUninterruptibly().getNow();
+                    long connections = 0;
+                    long resets = 0;
+                    long there = 0;
+                    long back = 0;
+                    for (Relay r : all) {
+                        Relay.Counts c = r.counts();
+                        connections += c.connections();
+                        resets += c.resets();
+                        there += c.bytesThere();
+                        back += c.bytesBack();
+                    }
+                    return new Relay.Counts(connections, resets, there, back);
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     @Override
--- a/lab/src/main/java/brackenbridge/lab/fleet/Shrinking.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/Shrinking.java
@@ -9,8 +9,7 @@
  * Failure-Inducing Input, 2002. What is found does not fail with any one element less, unless the trials run out.
  */
 public final class Shrinking {
-    private Shrinking() {
-    }
+    private Shrinking() {}
 
     /**
      * Shrinks a list that fails.
--- a/lab/src/main/java/brackenbridge/lab/fleet/check/Capacity.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/Capacity.java
@@ -13,8 +13,7 @@
  * @param most connections that a pool has, by its name
  */
 public record Capacity(Map<String, Long> most) implements Promise {
-    private record Part(String member, String pool, String tenant) {
-    }
+    private record Part(String member, String pool, String tenant) {}
 
     /** Keeps its own copy. */
     public Capacity {
@@ -33,12 +32,20 @@
             } else if (e.what().equals("uses")) {
                 used.put(new Part(e.who(), e.text("pool"), e.text("tenant")), e.whole("n"));
                 Long has = most.get(e.text("pool"));
-                long sum = used.entrySet().stream().filter(u -> u.getKey().pool().equals(e.text("pool")))
-                        .mapToLong(Map.Entry::getValue).sum();
+                long sum = used.entrySet().stream()
+                        .filter(u -> u.getKey().pool().equals(e.text("pool")))
+                        .mapToLong(Map.Entry::getValue)
+                        .sum();
                 if (has != null && sum > has) {
                     over = Math.max(over, sum - has);
-                    breaches.add(new Breach(e.t(), String.format(Locale.ROOT,
-                            "%d connections of %s are used, it has %d", sum, e.text("pool"), has)));
+                    breaches.add(new Breach(
+                            e.t(),
+                            String.format(
+                                    Locale.ROOT,
+                                    "%d connections of %s are used, it has %d",
+                                    sum,
+                                    e.text("pool"),
+                                    has)));
                 }
                 if (has != null) {
                     fullest = Math.max(fullest, (double) sum / has);
--- a/lab/src/main/java/brackenbridge/lab/fleet/check/Converges.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/Converges.java
@@ -29,8 +29,8 @@
                 if (owner.equals(reader)) {
                     continue;
                 }
-                List<Troubles.Trouble> way = between.computeIfAbsent(owner,
-                        o -> troubles.like(t -> t.between(o, reader)));
+                List<Troubles.Trouble> way =
+                        between.computeIfAbsent(owner, o -> troubles.like(t -> t.between(o, reader)));
                 double due = Troubles.due(w.t(), boundMs, way);
                 double at = records.seenAt(reader, w);
                 if (at > due && way.stream().anyMatch(t -> t.ends() && t.a().equals(owner) && t.at(w.t(), due))) {
@@ -38,9 +38,17 @@
                     continue;
                 }
                 if (at > due && due <= end) {
-                    breaches.add(new Breach(due, String.format(java.util.Locale.ROOT,
-                            "%s does not hold %s/%s number %d of %.0f ms by %.0f ms", reader, owner, w.id().key(),
-                            w.n(), w.t(), due)));
+                    breaches.add(new Breach(
+                            due,
+                            String.format(
+                                    java.util.Locale.ROOT,
+                                    "%s does not hold %s/%s number %d of %.0f ms by %.0f ms",
+                                    reader,
+                                    owner,
+                                    w.id().key(),
+                                    w.n(),
+                                    w.t(),
+                                    due)));
                     longest = Math.max(longest, Troubles.took(w.t(), Math.min(at, end), way));
                 } else if (at <= end) {
                     double took = Troubles.took(w.t(), at, way);
@@ -50,8 +58,19 @@
             }
         }
         all.sort(null);
-        return new Finding(breaches, Map.of("longest_ms", longest, "bound_ms", boundMs, "compared", (double) all.size(),
-                "p50_ms", quantile(all, 0.5), "p99_ms", quantile(all, 0.99)));
+        return new Finding(
+                breaches,
+                Map.of(
+                        "longest_ms",
+                        longest,
+                        "bound_ms",
+                        boundMs,
+                        "compared",
+                        (double) all.size(),
+                        "p50_ms",
+                        quantile(all, 0.5),
+                        "p99_ms",
+                        quantile(all, 0.99)));
     }
 
     private static double quantile(List<Double> sorted, double q) {
--- a/lab/src/main/java/brackenbridge/lab/fleet/check/Entry.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/Entry.java
@@ -35,7 +35,10 @@
 
     /** The line as it stands in the file. */
     public String line() {
-        JsonObject o = Json.object().add("t", Math.round(t * 1000) / 1000.0).add("who", who).add("what", what);
+        JsonObject o = Json.object()
+                .add("t", Math.round(t * 1000) / 1000.0)
+                .add("who", who)
+                .add("what", what);
         for (JsonObject.Member m : more) {
             o.add(m.getName(), m.getValue());
         }
--- a/lab/src/main/java/brackenbridge/lab/fleet/check/Firm.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/Firm.java
@@ -2,8 +2,7 @@
 
 /** Whether what a member has taken is owed after its end. */
 final class Firm {
-    private Firm() {
-    }
+    private Firm() {}
 
     /**
      * Whether it is: its disk had the time to keep it, or, where the disk was lost, all others had the time to hear of
--- a/lab/src/main/java/brackenbridge/lab/fleet/check/LevelAfter.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/LevelAfter.java
@@ -41,15 +41,29 @@
             returns++;
             double at = levelAt(log, who, back);
             if (at > due) {
-                breaches.add(new Breach(due, String.format(Locale.ROOT,
-                        "%s is not level by %.0f ms after it returned at %.0f ms", who, due, back)));
+                breaches.add(new Breach(
+                        due,
+                        String.format(
+                                Locale.ROOT,
+                                "%s is not level by %.0f ms after it returned at %.0f ms",
+                                who,
+                                due,
+                                back)));
                 continue;
             }
             Records.Wrote missing = missing(log, records, troubles, who, away, at);
             if (missing != null) {
-                breaches.add(new Breach(at, String.format(Locale.ROOT,
-                        "%s says level at %.0f ms and lacks %s/%s number %d of %.0f ms", who, at,
-                        missing.id().owner(), missing.id().key(), missing.n(), missing.t())));
+                breaches.add(new Breach(
+                        at,
+                        String.format(
+                                Locale.ROOT,
+                                "%s says level at %.0f ms and lacks %s/%s number %d of %.0f ms",
+                                who,
+                                at,
+                                missing.id().owner(),
+                                missing.id().key(),
+                                missing.n(),
+                                missing.t())));
                 continue;
             }
             level++;
@@ -59,29 +73,35 @@
     }
 
     private static double levelAt(List<Entry> log, String who, double fromMs) {
-        return log.stream().filter(e -> e.t() >= fromMs && e.who().equals(who) && e.what().equals("level")
-                && e.is("level")).mapToDouble(Entry::t).findFirst().orElse(Double.POSITIVE_INFINITY);
+        return log.stream()
+                .filter(e -> e.t() >= fromMs && e.who().equals(who) && e.what().equals("level") && e.is("level"))
+                .mapToDouble(Entry::t)
+                .findFirst()
+                .orElse(Double.POSITIVE_INFINITY);
     }
 
     /** A write that it should hold: of an owner that was not in trouble with it, well before it went away. */
-    private Records.Wrote missing(List<Entry> log, Records records, Troubles troubles, String who,
-            Troubles.Trouble away, double at) {
+    private Records.Wrote missing(
+            List<Entry> log, Records records, Troubles troubles, String who, Troubles.Trouble away, double at) {
         if (!away.ends()) {
             // It may say level for a moment after it stood still: it has not heard yet that time has passed.
             return null;
         }
-        Entry said = log.stream().filter(e -> e.t() == at && e.who().equals(who) && e.what().equals("level"))
-                .findFirst().orElseThrow();
+        Entry said = log.stream()
+                .filter(e -> e.t() == at && e.who().equals(who) && e.what().equals("level"))
+                .findFirst()
+                .orElseThrow();
         Map<Records.Id, Long> have = Records.have(said);
         for (Records.Wrote w : records.wrote()) {
             String owner = w.id().owner();
-            if (owner.equals(who) || w.gone() || w.t() > away.from() - firmMs
-                    || troubles.all().stream().anyMatch(t -> t != away && t.between(owner, who)
-                            && t.at(w.t(), at))) {
+            if (owner.equals(who)
+                    || w.gone()
+                    || w.t() > away.from() - firmMs
+                    || troubles.all().stream().anyMatch(t -> t != away && t.between(owner, who) && t.at(w.t(), at))) {
                 continue;
             }
-            boolean removedLater = records.wrote().stream().anyMatch(x -> x.gone() && x.id().equals(w.id())
-                    && x.n() > w.n() && x.t() < at + boundMs);
+            boolean removedLater = records.wrote().stream()
+                    .anyMatch(x -> x.gone() && x.id().equals(w.id()) && x.n() > w.n() && x.t() < at + boundMs);
             if (!removedLater && have.getOrDefault(w.id(), 0L) < w.n()) {
                 return w;
             }
--- a/lab/src/main/java/brackenbridge/lab/fleet/check/NeverLost.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/NeverLost.java
@@ -23,7 +23,8 @@
         Troubles troubles = new Troubles(log);
         List<Entry> finals = log.stream().filter(e -> e.what().equals("final")).toList();
         List<Breach> breaches = new ArrayList<>();
-        double owed = own(log, troubles, finals, breaches) + counted(log, troubles, finals, breaches)
+        double owed = own(log, troubles, finals, breaches)
+                + counted(log, troubles, finals, breaches)
                 + agreed(log, finals, breaches);
         for (String m : Records.members(log)) {
             if (finals.stream().noneMatch(f -> f.who().equals(m))) {
@@ -59,15 +60,30 @@
                 Long n = have.get(id);
                 boolean mayBeGone = removals.getOrDefault(id, 0L) >= w.n();
                 if (n == null ? !mayBeGone : n < w.n()) {
-                    breaches.add(new Breach(f.t(), String.format(Locale.ROOT, "%s holds number %s of %s/%s at the end, "
-                            + "%s was taken at %.0f ms", f.who(), n, id.owner(), id.key(),
-                            w.gone() ? "its removal" : w.n(), w.t())));
+                    breaches.add(new Breach(
+                            f.t(),
+                            String.format(
+                                    Locale.ROOT,
+                                    "%s holds number %s of %s/%s at the end, " + "%s was taken at %.0f ms",
+                                    f.who(),
+                                    n,
+                                    id.owner(),
+                                    id.key(),
+                                    w.gone() ? "its removal" : w.n(),
+                                    w.t())));
                 }
             });
             have.forEach((id, n) -> {
                 if (!tried.getOrDefault(id, Set.of()).contains(n)) {
-                    breaches.add(new Breach(f.t(), String.format(Locale.ROOT,
-                            "%s holds number %d of %s/%s, which nobody wrote", f.who(), n, id.owner(), id.key())));
+                    breaches.add(new Breach(
+                            f.t(),
+                            String.format(
+                                    Locale.ROOT,
+                                    "%s holds number %d of %s/%s, which nobody wrote",
+                                    f.who(),
+                                    n,
+                                    id.owner(),
+                                    id.key())));
                 }
             });
         }
@@ -75,11 +91,23 @@
             Map<Records.Id, Long> one = Records.have(finals.get(0));
             Map<Records.Id, Long> other = Records.have(f);
             if (!one.equals(other)) {
-                one.entrySet().stream().filter(e -> !e.getValue().equals(other.get(e.getKey()))).findFirst()
-                        .or(() -> other.entrySet().stream().filter(e -> !one.containsKey(e.getKey())).findFirst())
-                        .ifPresent(e -> breaches.add(new Breach(f.t(), String.format(Locale.ROOT,
-                                "%s and %s differ at the end: %s/%s is %s and %s", finals.get(0).who(), f.who(),
-                                e.getKey().owner(), e.getKey().key(), one.get(e.getKey()), other.get(e.getKey())))));
+                one.entrySet().stream()
+                        .filter(e -> !e.getValue().equals(other.get(e.getKey())))
+                        .findFirst()
+                        .or(() -> other.entrySet().stream()
+                                .filter(e -> !one.containsKey(e.getKey()))
+                                .findFirst())
+                        .ifPresent(e -> breaches.add(new Breach(
+                                f.t(),
+                                String.format(
+                                        Locale.ROOT,
+                                        "%s and %s differ at the end: %s/%s is %s and %s",
+                                        finals.get(0).who(),
+                                        f.who(),
+                                        e.getKey().owner(),
+                                        e.getKey().key(),
+                                        one.get(e.getKey()),
+                                        other.get(e.getKey())))));
             }
         }
         return last.size();
@@ -97,13 +125,22 @@
         }
         for (Entry f : finals) {
             for (Map.Entry<String, Long> m : most.entrySet()) {
-                JsonObject sums = f.more().get("sums") == null ? new JsonObject() : f.more().get("sums").asObject();
+                JsonObject sums = f.more().get("sums") == null
+                        ? new JsonObject()
+                        : f.more().get("sums").asObject();
                 long sum = sums.getLong(m.getKey(), 0);
                 long low = least.getOrDefault(m.getKey(), 0L);
                 if (sum < low || sum > m.getValue()) {
-                    breaches.add(new Breach(f.t(), String.format(Locale.ROOT,
-                            "%s has the sum %d of %s at the end: %d was taken and %d was tried", f.who(), sum,
-                            m.getKey(), low, m.getValue())));
+                    breaches.add(new Breach(
+                            f.t(),
+                            String.format(
+                                    Locale.ROOT,
+                                    "%s has the sum %d of %s at the end: %d was taken and %d was tried",
+                                    f.who(),
+                                    sum,
+                                    m.getKey(),
+                                    low,
+                                    m.getValue())));
                 }
             }
         }
@@ -116,7 +153,9 @@
         for (Entry e : log) {
             if (e.what().equals("acts")) {
                 for (int i = 0; i < e.more().get("generations").asArray().size(); i++) {
-                    generations.put(e.text("name") + "/" + e.more().get("contents").asArray().get(i).asString(),
+                    generations.put(
+                            e.text("name") + "/"
+                                    + e.more().get("contents").asArray().get(i).asString(),
                             e.more().get("generations").asArray().get(i).asLong());
                 }
             } else if (e.what().equals("final") && e.more().get("known") != null) {
@@ -134,19 +173,30 @@
             owed++;
             Long generation = generations.get(e.text("name") + "/" + e.text("content"));
             if (generation == null) {
-                breaches.add(new Breach(e.t(), "nobody ever held " + e.text("name") + " '" + e.text("content")
-                        + "', which was in force by the answer to " + e.who()));
+                breaches.add(new Breach(
+                        e.t(),
+                        "nobody ever held " + e.text("name") + " '" + e.text("content")
+                                + "', which was in force by the answer to " + e.who()));
                 continue;
             }
             for (Entry f : finals) {
-                JsonObject known = f.more().get("known") == null ? new JsonObject()
+                JsonObject known = f.more().get("known") == null
+                        ? new JsonObject()
                         : f.more().get("known").asObject();
-                long holds = known.get(e.text("name")) == null ? 0
+                long holds = known.get(e.text("name")) == null
+                        ? 0
                         : known.get(e.text("name")).asObject().getLong("generation", 0);
                 if (holds < generation) {
-                    breaches.add(new Breach(f.t(), String.format(Locale.ROOT,
-                            "%s knows generation %d of %s at the end, %d was in force at %.0f ms", f.who(), holds,
-                            e.text("name"), generation, e.t())));
+                    breaches.add(new Breach(
+                            f.t(),
+                            String.format(
+                                    Locale.ROOT,
+                                    "%s knows generation %d of %s at the end, %d was in force at %.0f ms",
+                                    f.who(),
+                                    holds,
+                                    e.text("name"),
+                                    generation,
+                                    e.t())));
                 }
             }
         }
--- a/lab/src/main/java/brackenbridge/lab/fleet/check/NoContradiction.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/NoContradiction.java
@@ -15,8 +15,7 @@
  * moment at which it was still to ask again and then acted so: what lies between is certain, so no breach is in doubt.
  */
 public record NoContradiction() implements Promise {
-    private record Least(long generation, double from, String who) {
-    }
+    private record Least(long generation, double from, String who) {}
 
     @Override
     public Finding check(List<Entry> log) {
@@ -30,22 +29,37 @@
                 String content = e.more().get("contents").asArray().get(i).asString();
                 String known = contents.putIfAbsent(e.text("name") + "/" + generations.get(i), content);
                 if (known != null && !known.equals(content)) {
-                    breaches.add(new Breach(e.t(), e.who() + " acts by generation " + generations.get(i) + " of "
-                            + e.text("name") + " as '" + content + "', others as '" + known + "'"));
+                    breaches.add(new Breach(
+                            e.t(),
+                            e.who() + " acts by generation " + generations.get(i) + " of " + e.text("name") + " as '"
+                                    + content + "', others as '" + known + "'"));
                 }
             }
-            generations.stream().mapToLong(JsonValue::asLong).min().ifPresent(least -> acted
-                    .computeIfAbsent(e.text("name"), n -> new ArrayList<>())
-                    .add(new Least(least, e.number("from"), e.who())));
+            generations.stream()
+                    .mapToLong(JsonValue::asLong)
+                    .min()
+                    .ifPresent(least -> acted.computeIfAbsent(e.text("name"), n -> new ArrayList<>())
+                            .add(new Least(least, e.number("from"), e.who())));
         }
         for (Entry e : acts) {
-            long most = e.more().get("generations").asArray().values().stream().mapToLong(JsonValue::asLong).max()
+            long most = e.more().get("generations").asArray().values().stream()
+                    .mapToLong(JsonValue::asLong)
+                    .max()
                     .orElse(Long.MAX_VALUE);
             for (Least l : acted.getOrDefault(e.text("name"), List.of())) {
                 if (l.generation() > most && e.number("until") > l.from()) {
-                    breaches.add(new Breach(e.number("until"), String.format(Locale.ROOT,
-                            "%s acts by generation %d of %s at %.1f ms, %s by none before %d at %.1f ms", e.who(), most,
-                            e.text("name"), e.number("until"), l.who(), l.generation(), l.from())));
+                    breaches.add(new Breach(
+                            e.number("until"),
+                            String.format(
+                                    Locale.ROOT,
+                                    "%s acts by generation %d of %s at %.1f ms, %s by none before %d at %.1f ms",
+                                    e.who(),
+                                    most,
+                                    e.text("name"),
+                                    e.number("until"),
+                                    l.who(),
+                                    l.generation(),
+                                    l.from())));
                     break;
                 }
             }
--- a/lab/src/main/java/brackenbridge/lab/fleet/check/OneHolder.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/OneHolder.java
@@ -20,18 +20,28 @@
             String token = e.text("role") + "/" + e.whole("token");
             String other = owners.putIfAbsent(token, e.who());
             if (other != null && !other.equals(e.who())) {
-                breaches.add(new Breach(e.t(), e.who() + " and " + other + " hold " + e.text("role")
-                        + " by one token, " + e.whole("token")));
+                breaches.add(new Breach(
+                        e.t(),
+                        e.who() + " and " + other + " hold " + e.text("role") + " by one token, " + e.whole("token")));
             }
         }
         for (Entry e : holds) {
             for (Entry later : holds) {
-                if (later.text("role").equals(e.text("role")) && later.whole("token") > e.whole("token")
+                if (later.text("role").equals(e.text("role"))
+                        && later.whole("token") > e.whole("token")
                         && e.number("until") > later.number("from")) {
-                    breaches.add(new Breach(e.number("until"), String.format(Locale.ROOT,
-                            "%s holds %s by token %d at %.1f ms, %s by %d at %.1f ms", e.who(), e.text("role"),
-                            e.whole("token"), e.number("until"), later.who(), later.whole("token"),
-                            later.number("from"))));
+                    breaches.add(new Breach(
+                            e.number("until"),
+                            String.format(
+                                    Locale.ROOT,
+                                    "%s holds %s by token %d at %.1f ms, %s by %d at %.1f ms",
+                                    e.who(),
+                                    e.text("role"),
+                                    e.whole("token"),
+                                    e.number("until"),
+                                    later.who(),
+                                    later.whole("token"),
+                                    later.number("from"))));
                     break;
                 }
             }
--- a/lab/src/main/java/brackenbridge/lab/fleet/check/Promise.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/check/Promise.java
@@ -12,8 +12,7 @@
      * @param t at which moment of the log
      * @param text one line on it
      */
-    record Breach(double t, String text) {
-    }
+    record Breach(double t, String text) {}
 
     /**
      * What was found.
--- a/lab/src/main/java/brackenbridge/lab/live/Bare.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Bare.java
@@ -20,8 +20,7 @@
 
 /** What a node is measured beside: servers that answer at once, and a relay that only passes bytes on. */
 public final class Bare {
-    private Bare() {
-    }
+    private Bare() {}
 
     private static EventLoop loop() {
         return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
@@ -52,13 +51,17 @@
     /** Passes bytes on between each client's connection and one of its own to the address; returns where it listens. */
     public static String relay(InetSocketAddress to) {
         EventLoop loop = loop();
-        Channel listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 4096).childOption(ChannelOption.TCP_NODELAY, true)
+        Channel listening = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 4096)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel client) {
-                        ChannelFuture opened = Wire.bootstrap(loop).handler(new Pass(client)).connect(to);
+                        ChannelFuture opened =
+                                Wire.bootstrap(loop).handler(new Pass(client)).connect(to);
                         client.pipeline().addLast(new Pass(opened.channel()));
                         opened.addListener(f -> {
                             if (f.isSuccess()) {
@@ -68,7 +71,10 @@
                             }
                         });
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
+                })
+                .bind(new InetSocketAddress("127.0.0.1", 0))
+                .syncUninterruptibly()
+                .channel();
         return Wire.dial(listening);
     }
 
--- a/lab/src/main/java/brackenbridge/lab/live/Capacity.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Capacity.java
@@ -63,7 +63,9 @@
             throws IOException, InterruptedException {
         Files.createDirectories(out);
         List<String> flags = PinnedProcesses.flags(run);
-        String[] echoes = processes.lab("2,3", List.of(), "echo", "--addresses", Integer.toString(ECHOES)).split(" ");
+        String[] echoes = processes
+                .lab("2,3", List.of(), "echo", "--addresses", Integer.toString(ECHOES))
+                .split(" ");
         String relay = processes.lab("1", flags, "relay", "--to", echoes[0]);
         InetSocketAddress node = LiveRunner.freePort();
         List<Target> targets = new ArrayList<>();
@@ -71,8 +73,16 @@
             targets.add(new Target("echo-" + i, echoes[i], "room", -1, 1, 0, EndpointState.UP));
         }
         Path config = out.resolve("node.json");
-        Files.writeString(config, SettingsJson.config("n0", node.getHostString() + ":" + node.getPort(), "127.0.0.1:1",
-                4096, experiment.world().settings(0, 0, 1), new TargetGroup(1, true, targets)).toString());
+        Files.writeString(
+                config,
+                SettingsJson.config(
+                                "n0",
+                                node.getHostString() + ":" + node.getPort(),
+                                "127.0.0.1:1",
+                                4096,
+                                experiment.world().settings(0, 0, 1),
+                                new TargetGroup(1, true, targets))
+                        .toString());
         processes.node("1", run, home, config, out.resolve("node.log"));
         Thread.sleep(2000);
         Map<String, InetSocketAddress> ways = new LinkedHashMap<>();
@@ -84,8 +94,8 @@
             for (Map.Entry<String, InetSocketAddress> way : ways.entrySet()) {
                 double rate = highest(way.getKey(), way.getValue(), said);
                 best.computeIfAbsent(way.getKey(), k -> new ArrayList<>()).add(rate);
-                said.accept(String.format(java.util.Locale.ROOT, "round %d: %s: %.0f a second", round + 1,
-                        way.getKey(), rate));
+                said.accept(String.format(
+                        java.util.Locale.ROOT, "round %d: %s: %.0f a second", round + 1, way.getKey(), rate));
             }
         }
         return best;
@@ -118,9 +128,16 @@
         }
         double p99 = r.board().latency().getValueAtPercentile(99) / 1000.0;
         boolean well = !r.overrun() && r.board().servedPart() >= LEAST_SERVED && p99 <= MOST_P99_MS;
-        said.accept(String.format(java.util.Locale.ROOT, "  %s at %.0f: served %.4f, p50 %.2f ms, p99 %.1f ms, late "
-                + "sends %d of %d%s", name, rate, r.board().servedPart(),
-                r.board().latency().getValueAtPercentile(50) / 1000.0, p99, r.late(), r.sent(),
+        said.accept(String.format(
+                java.util.Locale.ROOT,
+                "  %s at %.0f: served %.4f, p50 %.2f ms, p99 %.1f ms, late " + "sends %d of %d%s",
+                name,
+                rate,
+                r.board().servedPart(),
+                r.board().latency().getValueAtPercentile(50) / 1000.0,
+                p99,
+                r.late(),
+                r.sent(),
                 well ? "" : ": too much"));
         return well;
     }
--- a/lab/src/main/java/brackenbridge/lab/live/HopCost.java
+++ b/lab/src/main/java/brackenbridge/lab/live/HopCost.java
@@ -30,7 +30,11 @@
     private static final double[] QUANTILES = {50, 99, 99.9};
 
     /** A way to the server. */
-    private enum Way { STRAIGHT, RELAY, NODE }
+    private enum Way {
+        STRAIGHT,
+        RELAY,
+        NODE
+    }
 
     private final Path home;
     private final Path out;
@@ -62,7 +66,8 @@
     public void measure(String name, String run) throws IOException, InterruptedException {
         Files.createDirectories(out);
         String className = experiment.world().settings(0, 0, 1).classes().get(0).name();
-        try (SpinEcho echo = new SpinEcho(); PinnedProcesses processes = new PinnedProcesses()) {
+        try (SpinEcho echo = new SpinEcho();
+                PinnedProcesses processes = new PinnedProcesses()) {
             Map<Way, InetSocketAddress> addresses = new LinkedHashMap<>();
             addresses.put(Way.STRAIGHT, echo.address());
             String relay = processes.lab(NODE_CORE, PinnedProcesses.flags(run), "relay", "--to", dial(echo.address()));
@@ -88,13 +93,22 @@
         for (int round = 0; round < rounds; round++) {
             for (Map.Entry<Way, SpinClient> way : clients.entrySet()) {
                 Histogram latencies = way.getValue().pace(rate, seconds);
-                tell(name, way.getKey(), String.format(Locale.ROOT, "round %d, %.0f a second", round + 1, rate),
-                        latencies, way.getValue().late());
-                sums.computeIfAbsent(way.getKey(), key -> SpinClient.histogram()).add(latencies);
+                tell(
+                        name,
+                        way.getKey(),
+                        String.format(Locale.ROOT, "round %d, %.0f a second", round + 1, rate),
+                        latencies,
+                        way.getValue().late());
+                sums.computeIfAbsent(way.getKey(), key -> SpinClient.histogram())
+                        .add(latencies);
             }
         }
-        said.accept(String.format(Locale.ROOT, "%s: %.0f a second: relay adds %s, node adds %s; straight p99 %.3f ms",
-                name, rate, added(sums.get(Way.RELAY), sums.get(Way.STRAIGHT)),
+        said.accept(String.format(
+                Locale.ROOT,
+                "%s: %.0f a second: relay adds %s, node adds %s; straight p99 %.3f ms",
+                name,
+                rate,
+                added(sums.get(Way.RELAY), sums.get(Way.STRAIGHT)),
                 added(sums.get(Way.NODE), sums.get(Way.STRAIGHT)),
                 sums.get(Way.STRAIGHT).getValueAtPercentile(99) / NS_PER_MS));
     }
@@ -102,18 +116,27 @@
     private static String added(Histogram through, Histogram straight) {
         List<String> parts = new ArrayList<>();
         for (double quantile : QUANTILES) {
-            parts.add(String.format(Locale.ROOT, "p%s %.3f ms", quantile == 99.9 ? "99.9" : String.format(Locale.ROOT,
-                    "%.0f", quantile), (through.getValueAtPercentile(quantile)
-                    - straight.getValueAtPercentile(quantile)) / NS_PER_MS));
+            parts.add(String.format(
+                    Locale.ROOT,
+                    "p%s %.3f ms",
+                    quantile == 99.9 ? "99.9" : String.format(Locale.ROOT, "%.0f", quantile),
+                    (through.getValueAtPercentile(quantile) - straight.getValueAtPercentile(quantile)) / NS_PER_MS));
         }
         return String.join(", ", parts);
     }
 
     private void tell(String name, Way way, String what, Histogram latencies, long late) {
-        said.accept(String.format(Locale.ROOT, "%s: %-8s %s: p50 %.3f, p99 %.3f, p99.9 %.3f, max %.3f ms%s", name,
-                way.name().toLowerCase(Locale.ROOT), what, latencies.getValueAtPercentile(50) / NS_PER_MS,
-                latencies.getValueAtPercentile(99) / NS_PER_MS, latencies.getValueAtPercentile(99.9) / NS_PER_MS,
-                latencies.getMaxValue() / NS_PER_MS, late > 0 ? ", " + late + " began late" : ""));
+        said.accept(String.format(
+                Locale.ROOT,
+                "%s: %-8s %s: p50 %.3f, p99 %.3f, p99.9 %.3f, max %.3f ms%s",
+                name,
+                way.name().toLowerCase(Locale.ROOT),
+                what,
+                latencies.getValueAtPercentile(50) / NS_PER_MS,
+                latencies.getValueAtPercentile(99) / NS_PER_MS,
+                latencies.getValueAtPercentile(99.9) / NS_PER_MS,
+                latencies.getMaxValue() / NS_PER_MS,
+                late > 0 ? ", " + late + " began late" : ""));
     }
 
     private InetSocketAddress startNode(PinnedProcesses processes, String run, InetSocketAddress echo)
@@ -121,8 +144,16 @@
         InetSocketAddress node = LiveRunner.freePort();
         List<Target> targets = List.of(new Target("echo", dial(echo), "room", -1, 1, 0, EndpointState.UP));
         Path config = out.resolve("node.json");
-        Files.writeString(config, SettingsJson.config("n0", dial(node), "127.0.0.1:1", 1024,
-                experiment.world().settings(0, 0, 1), new TargetGroup(1, true, targets)).toString());
+        Files.writeString(
+                config,
+                SettingsJson.config(
+                                "n0",
+                                dial(node),
+                                "127.0.0.1:1",
+                                1024,
+                                experiment.world().settings(0, 0, 1),
+                                new TargetGroup(1, true, targets))
+                        .toString());
         processes.node(NODE_CORE, run, home, config, out.resolve("node.log"));
         long end = System.currentTimeMillis() + LISTENS_WITHIN_MS;
         while (!listens(node)) {
--- a/lab/src/main/java/brackenbridge/lab/live/LiveRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LiveRunner.java
@@ -37,11 +37,9 @@
      * @param late first tries that the load tool wrote late
      * @param overrun whether so many that the run is marked
      */
-    public record Outcome(Scoreboard board, Ledger ledger, long sent, long late, boolean overrun) {
-    }
+    public record Outcome(Scoreboard board, Ledger ledger, long sent, long late, boolean overrun) {}
 
-    private LiveRunner() {
-    }
+    private LiveRunner() {}
 
     /**
      * Plays one run and adds it to the results; an interruption adds what there is, marked as partial.
@@ -49,9 +47,10 @@
      * @param home the root of the repository, where the deployment's command runs
      * @param run what the deployment starts a node with
      */
-    public static Outcome play(Experiment experiment, Experiment.Run run, Path home, String command, Path folder,
-            Results results) throws IOException, InterruptedException {
-        return play(experiment, run, home, command, folder, results, Links.DIRECT, (scheduler, nodes) -> { });
+    public static Outcome play(
+            Experiment experiment, Experiment.Run run, Path home, String command, Path folder, Results results)
+            throws IOException, InterruptedException {
+        return play(experiment, run, home, command, folder, results, Links.DIRECT, (scheduler, nodes) -> {});
     }
 
     /** Hears that the load begins: the time, and the processes that may be struck. */
@@ -65,8 +64,16 @@
      *
      * @param begun hears when the load begins, on the event loop of the stand-ins
      */
-    public static Outcome play(Experiment experiment, Experiment.Run run, Path home, String command, Path folder,
-            Results results, Links links, Begun begun) throws IOException, InterruptedException {
+    public static Outcome play(
+            Experiment experiment,
+            Experiment.Run run,
+            Path home,
+            String command,
+            Path folder,
+            Results results,
+            Links links,
+            Begun begun)
+            throws IOException, InterruptedException {
         World world = run.world();
         Files.createDirectories(folder);
         Clock clock = Clock.system();
@@ -82,8 +89,16 @@
                 InetSocketAddress at = freePort();
                 String name = "n0-" + i;
                 InetSocketAddress front = Wire.address(links.through("clients", name, Wire.dial(at)));
-                nodes.add(new NodeProcess(name, at, front, folder, List.of("/bin/sh", "-c", command), home,
-                        live.nodeConfig(name, i, Wire.dial(at)), loop, scheduler,
+                nodes.add(new NodeProcess(
+                        name,
+                        at,
+                        front,
+                        folder,
+                        List.of("/bin/sh", "-c", command),
+                        home,
+                        live.nodeConfig(name, i, Wire.dial(at)),
+                        loop,
+                        scheduler,
                         died -> live.registry().nodeDied(died, clock.nowMs())));
             }
             live.nodes(nodes);
@@ -93,18 +108,24 @@
             for (NodeProcess n : nodes) {
                 n.awaitReady();
             }
-            LoadClient load = new LoadClient(world, run.seed(), loop, clock, nodes, board, live.ledger(),
-                    live.registry(), true, CONNECTIONS);
+            LoadClient load = new LoadClient(
+                    world, run.seed(), loop, clock, nodes, board, live.ledger(), live.registry(), true, CONNECTIONS);
             AtomicBoolean written = new AtomicBoolean();
-            interrupted = new Thread(() -> {
-                loop.submit(() -> {
-                    if (written.compareAndSet(false, true)) {
-                        results.add(line(experiment, run, board, live.ledger(), load).add("partial", true),
-                                board.latency(), live.ledger());
-                    }
-                }).awaitUninterruptibly(LoadRunner.LAST_MS);
-                nodes.forEach(NodeProcess::tellToEnd);
-            }, "interrupted");
+            interrupted = new Thread(
+                    () -> {
+                        loop.submit(() -> {
+                                    if (written.compareAndSet(false, true)) {
+                                        results.add(
+                                                line(experiment, run, board, live.ledger(), load)
+                                                        .add("partial", true),
+                                                board.latency(),
+                                                live.ledger());
+                                    }
+                                })
+                                .awaitUninterruptibly(LoadRunner.LAST_MS);
+                        nodes.forEach(NodeProcess::tellToEnd);
+                    },
+                    "interrupted");
             Runtime.getRuntime().addShutdownHook(interrupted);
             loop.execute(() -> {
                 new Troubles(live).schedule(world.troubles(), clock.nowMs());
@@ -139,10 +160,12 @@
         }
     }
 
-    private static JsonObject line(Experiment experiment, Experiment.Run run, Scoreboard board, Ledger ledger,
-            LoadClient load) {
-        return Results.line(experiment, run, "live", board, ledger).add("overrun", load.overrun())
-                .add("late", load.late()).add("sent", load.sent())
+    private static JsonObject line(
+            Experiment experiment, Experiment.Run run, Scoreboard board, Ledger ledger, LoadClient load) {
+        return Results.line(experiment, run, "live", board, ledger)
+                .add("overrun", load.overrun())
+                .add("late", load.late())
+                .add("sent", load.sent())
                 .add("send_lag_p99_ms", Scoreboard.round(load.lag().getValueAtPercentile(99) / 1000.0));
     }
 
--- a/lab/src/main/java/brackenbridge/lab/live/LiveWorld.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LiveWorld.java
@@ -51,6 +51,7 @@
     private static final double SLACK_MS = 58;
     /** Sends are told late by the time that word is under way on a busy machine. */
     private static final double GRACE_SLACK_MS = 50;
+
     private static final int SOCKETS = 1024;
     private static final Pattern FACTS = Pattern.compile("work=[0-9]{1,7}(\\.[0-9]{1,6})?");
 
@@ -72,11 +73,17 @@
         }
 
         void start() {
-            JsonObject json = SettingsJson.config(name, "127.0.0.1:0", discovery, SOCKETS,
+            JsonObject json = SettingsJson.config(
+                    name,
+                    "127.0.0.1:0",
+                    discovery,
+                    SOCKETS,
                     spec.settings(tier, index, seed * 31 + index),
                     seenFrom(name, discoveries.get(tier).list().whole()));
-            Node n = new Node(Config.parse(json.toString()), clock, new Log(clock,
-                    new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8)));
+            Node n = new Node(
+                    Config.parse(json.toString()),
+                    clock,
+                    new Log(clock, new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8)));
             n.start();
             node = n;
             address = Wire.address(links.through("callers", name, Wire.dial(n.address())));
@@ -113,7 +120,12 @@
             this.to = to;
         }
 
-        void send(String sentId, Ledger.Entry sent, String className, boolean unsafe, double leftMs,
+        void send(
+                String sentId,
+                Ledger.Entry sent,
+                String className,
+                boolean unsafe,
+                double leftMs,
                 Consumer<Boolean> whenDone) {
             id = sentId;
             entry = sent;
@@ -138,8 +150,11 @@
             try {
                 while (in.isReadable() && decoder.decode(in)) {
                     HttpResponse r = decoder.take();
-                    entry.answered(clock.nowMs(), r.status() == 200 ? Ledger.Answer.SERVED
-                            : r.status() == 503 ? Ledger.Answer.REFUSED : Ledger.Answer.FAILED);
+                    entry.answered(
+                            clock.nowMs(),
+                            r.status() == 200
+                                    ? Ledger.Answer.SERVED
+                                    : r.status() == 503 ? Ledger.Answer.REFUSED : Ledger.Answer.FAILED);
                     if (r.keepAlive() && channel.isActive()) {
                         to.idle.add(this);
                     } else {
@@ -183,8 +198,8 @@
         @Override
         public double[] parts(HttpRequest r) {
             TierSpec t = spec.tiers().get(tier);
-            int calls = t.callsLeast() + (t.callsMost() > t.callsLeast()
-                    ? random.nextInt(t.callsMost() - t.callsLeast() + 1) : 0);
+            int calls = t.callsLeast()
+                    + (t.callsMost() > t.callsLeast() ? random.nextInt(t.callsMost() - t.callsLeast() + 1) : 0);
             double all = told(r.headers());
             double[] parts = new double[calls + 1];
             java.util.Arrays.fill(parts, all / (calls + 1));
@@ -202,9 +217,11 @@
         @Override
         public void call(StandInServer from, HttpRequest r, double deadlineMs, int number, Consumer<Boolean> done) {
             List<Inner> next = inner.get(tier + 1);
-            Inner to = spec.tiers().get(tier + 1).nodes() == 0 ? next.get(from.index)
+            Inner to = spec.tiers().get(tier + 1).nodes() == 0
+                    ? next.get(from.index)
                     : next.get(random.nextInt(next.size()));
-            String named = spec.tiers().get(tier).callClass() == null ? r.firstPart()
+            String named = spec.tiers().get(tier).callClass() == null
+                    ? r.firstPart()
                     : spec.tiers().get(tier).callClass();
             double now = clock.nowMs();
             if (to.node == null || deadlineMs - now < 1) {
@@ -231,8 +248,10 @@
         @Override
         public double wayMs(StandInServer at, String node) {
             // Nodes are named n0-0, n0-1 and so on; one that is not of this world is everywhere.
-            boolean crosses = node.startsWith("n") && node.indexOf('-') > 0
-                    && !spec.zone(Integer.parseInt(node.substring(node.indexOf('-') + 1))).equals(at.zone());
+            boolean crosses = node.startsWith("n")
+                    && node.indexOf('-') > 0
+                    && !spec.zone(Integer.parseInt(node.substring(node.indexOf('-') + 1)))
+                            .equals(at.zone());
             board.sent(crosses);
             return crosses ? spec.net().crossMs() : 0;
         }
@@ -256,6 +275,7 @@
     private final Links links;
     /** Servers' places by their addresses. */
     private final Map<String, String> places = new HashMap<>();
+
     private final long seed;
     private final EventLoop loop;
     private final Clock clock;
@@ -279,8 +299,8 @@
         this.ledger = new Ledger(SLACK_MS, spec.limits().drainGraceMs() + GRACE_SLACK_MS);
         Streams streams = new Streams(seed);
         for (int t = 0; t < spec.tiers().size(); t++) {
-            StandInDiscovery d = new StandInDiscovery(loop, scheduler, spec.discovery(), ledger, this::moveNode,
-                    this::seenFrom);
+            StandInDiscovery d =
+                    new StandInDiscovery(loop, scheduler, spec.discovery(), ledger, this::moveNode, this::seenFrom);
             discoveries.add(d);
             tiers.add(servers(t, d, streams));
         }
@@ -313,10 +333,10 @@
         Behave behave = new Behave(tier, streams.take());
         List<StandInServer> of = new ArrayList<>();
         for (int i = 0; i < t.servers(); i++) {
-            ServerModel model = new ServerModel(t.profile().withSpeed(t.profile().speed() * spread.get(i)), scheduler,
-                    streams.take());
-            StandInServer s = new StandInServer(tier, i, loop, scheduler, model, ledger, registry, behave, d,
-                    spec.zone(i), spec.limits());
+            ServerModel model = new ServerModel(
+                    t.profile().withSpeed(t.profile().speed() * spread.get(i)), scheduler, streams.take());
+            StandInServer s = new StandInServer(
+                    tier, i, loop, scheduler, model, ledger, registry, behave, d, spec.zone(i), spec.limits());
             of.add(s);
             places.put(s.dial(), s.place());
             d.list().begin(s.target(EndpointState.UP));
@@ -332,8 +352,14 @@
     private TargetGroup seenFrom(String node, TargetGroup g) {
         List<Target> targets = new ArrayList<>();
         for (Target t : g.targets()) {
-            targets.add(new Target(t.host(), links.through(node, places.getOrDefault(t.dial(), t.host()), t.dial()),
-                    t.zone(), t.cell(), t.weight(), t.bornMs(), t.state()));
+            targets.add(new Target(
+                    t.host(),
+                    links.through(node, places.getOrDefault(t.dial(), t.host()), t.dial()),
+                    t.zone(),
+                    t.cell(),
+                    t.weight(),
+                    t.bornMs(),
+                    t.state()));
         }
         return new TargetGroup(g.seq(), g.whole(), targets);
     }
@@ -345,23 +371,39 @@
                 n.discoveryAt(dial);
             }
         }
-        inner.values().forEach(of -> of.forEach(n -> {
-            if (n.name.equals(name)) {
-                n.discovery = dial;
-                Node running = n.node;
-                if (running != null) {
-                    n.aside(() -> running.reconfigure(() -> Config.parse(SettingsJson.config(name, "127.0.0.1:0", dial,
-                            SOCKETS, spec.settings(n.tier, n.index, seed * 31 + n.index),
-                            seenFrom(name, discoveries.get(n.tier).list().whole())).toString())));
-                }
-            }
-        }));
+        inner.values()
+                .forEach(of -> of.forEach(n -> {
+                    if (n.name.equals(name)) {
+                        n.discovery = dial;
+                        Node running = n.node;
+                        if (running != null) {
+                            n.aside(() -> running.reconfigure(() -> Config.parse(SettingsJson.config(
+                                            name,
+                                            "127.0.0.1:0",
+                                            dial,
+                                            SOCKETS,
+                                            spec.settings(n.tier, n.index, seed * 31 + n.index),
+                                            seenFrom(
+                                                    name,
+                                                    discoveries
+                                                            .get(n.tier)
+                                                            .list()
+                                                            .whole()))
+                                    .toString())));
+                        }
+                    }
+                }));
     }
 
     /** The configuration of a node before the first tier. */
     JsonObject nodeConfig(String name, int index, String listen) {
-        return SettingsJson.config(name, listen, discoveryFor(0, name), SOCKETS,
-                spec.settings(0, index, seed * 17 + index), seenFrom(name, discoveries.get(0).list().whole()));
+        return SettingsJson.config(
+                name,
+                listen,
+                discoveryFor(0, name),
+                SOCKETS,
+                spec.settings(0, index, seed * 17 + index),
+                seenFrom(name, discoveries.get(0).list().whole()));
     }
 
     /** The nodes before the first tier, which troubles may strike. */
@@ -401,10 +443,11 @@
     void close() throws IOException {
         tiers.forEach(of -> of.forEach(StandInServer::close));
         discoveries.forEach(StandInDiscovery::close);
-        inner.values().forEach(of -> of.forEach(n -> {
-            if (n.node != null) {
-                n.node.kill();
-            }
-        }));
+        inner.values()
+                .forEach(of -> of.forEach(n -> {
+                    if (n.node != null) {
+                        n.node.kill();
+                    }
+                }));
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/live/LoadClient.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LoadClient.java
@@ -41,6 +41,7 @@
     private static final double LATE_MS = 10;
     /** The part of late first tries from which a run is marked. */
     private static final double LATE_PART = 0.01;
+
     private static final double SLACK_MS = 58;
     private static final double END_MS = 500;
 
@@ -258,18 +259,30 @@
         ByteBuf bytes(Channel to) {
             double left = Math.max(1, tryEndsMs - clock.nowMs());
             StringBuilder head = new StringBuilder(256);
-            head.append(spec.unsafe() ? "POST /" : "GET /").append(spec.name()).append(" HTTP/1.1\r\n")
-                    .append("Host: lab\r\nX-Correlation-Id: ").append(id).append("\r\nX-Service-Class: ")
-                    .append(spec.name()).append("\r\nX-Time-Left-Ms: ").append((long) left).append("\r\n");
+            head.append(spec.unsafe() ? "POST /" : "GET /")
+                    .append(spec.name())
+                    .append(" HTTP/1.1\r\n")
+                    .append("Host: lab\r\nX-Correlation-Id: ")
+                    .append(id)
+                    .append("\r\nX-Service-Class: ")
+                    .append(spec.name())
+                    .append("\r\nX-Time-Left-Ms: ")
+                    .append((long) left)
+                    .append("\r\n");
             if (tenant >= 0) {
-                head.append("X-Account: ").append(world.tenants().get(tenant).name()).append("\r\n");
+                head.append("X-Account: ")
+                        .append(world.tenants().get(tenant).name())
+                        .append("\r\n");
             }
             if (tries > 1) {
                 head.append("X-Repeat: 1\r\n");
             }
             long tenths = Math.round(work * 1e4);
-            head.append("X-Facts: work=").append(tenths / 10_000).append('.')
-                    .append(Long.toString(10_000 + tenths % 10_000), 1, 5).append("\r\n");
+            head.append("X-Facts: work=")
+                    .append(tenths / 10_000)
+                    .append('.')
+                    .append(Long.toString(10_000 + tenths % 10_000), 1, 5)
+                    .append("\r\n");
             if (spec.unsafe()) {
                 head.append("Content-Length: 9\r\n\r\nsignature");
             } else {
@@ -280,12 +293,14 @@
 
         void answered(HttpResponse r) {
             double now = clock.nowMs();
-            Answer how = r.status() == 200 ? Answer.SERVED
+            Answer how = r.status() == 200
+                    ? Answer.SERVED
                     : r.status() == 503 || r.status() == 429 ? Answer.REFUSED : Answer.FAILED;
             String body = new String(r.body(), StandardCharsets.ISO_8859_1);
             if (how == Answer.SERVED && checkBodies && !body.startsWith("served " + id + " by ")) {
-                entry.forged(now, "answered with a body of its own: '" + body.substring(0, Math.min(60,
-                        body.length())) + "'");
+                entry.forged(
+                        now,
+                        "answered with a body of its own: '" + body.substring(0, Math.min(60, body.length())) + "'");
             }
             entry.answered(now, how);
             if (over) {
@@ -331,8 +346,8 @@
 
         private void failed(Answer how, boolean taken, double retryAfterMs) {
             double now = clock.nowMs();
-            Habits.Next next = habits.afterFailure(how, taken, spec.unsafe(), tries, heeds, retryAfterMs, now,
-                    deadline());
+            Habits.Next next =
+                    habits.afterFailure(how, taken, spec.unsafe(), tries, heeds, retryAfterMs, now, deadline());
             if (next.end() != null) {
                 end(next.end());
             } else {
@@ -420,8 +435,17 @@
     private long openFirst;
     private int connections;
 
-    LoadClient(World world, long seed, EventLoop loop, Clock clock, List<? extends Gate> gates, Scoreboard board,
-            Ledger ledger, Registry registry, boolean checkBodies, int mostConnections) {
+    LoadClient(
+            World world,
+            long seed,
+            EventLoop loop,
+            Clock clock,
+            List<? extends Gate> gates,
+            Scoreboard board,
+            Ledger ledger,
+            Registry registry,
+            boolean checkBodies,
+            int mostConnections) {
         this.world = world;
         this.loop = loop;
         this.clock = clock;
--- a/lab/src/main/java/brackenbridge/lab/live/LoadRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LoadRunner.java
@@ -20,8 +20,7 @@
 public final class LoadRunner {
     private static final double SLACK_MS = 58;
 
-    private LoadRunner() {
-    }
+    private LoadRunner() {}
 
     private record Fixed(InetSocketAddress address) implements LoadClient.Gate {
         @Override
@@ -43,20 +42,43 @@
      *
      * @param checkBodies whether answers must be those of the laboratory's own servers
      */
-    public static LiveRunner.Outcome play(Experiment experiment, Experiment.Run run, InetSocketAddress target,
-            int connections, boolean checkBodies, Results results) throws IOException, InterruptedException {
+    public static LiveRunner.Outcome play(
+            Experiment experiment,
+            Experiment.Run run,
+            InetSocketAddress target,
+            int connections,
+            boolean checkBodies,
+            Results results)
+            throws IOException, InterruptedException {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Scoreboard board = new Scoreboard(run.world());
         Ledger ledger = new Ledger(SLACK_MS, 0);
-        LoadClient load = new LoadClient(run.world(), run.seed(), group.next(), Clock.system(),
-                List.of(new Fixed(target)), board, ledger, new Registry(), checkBodies, connections);
+        LoadClient load = new LoadClient(
+                run.world(),
+                run.seed(),
+                group.next(),
+                Clock.system(),
+                List.of(new Fixed(target)),
+                board,
+                ledger,
+                new Registry(),
+                checkBodies,
+                connections);
         AtomicBoolean written = new AtomicBoolean();
         // The board is the event loop's: guards the figures against being read in the middle of an answer.
-        Thread hook = new Thread(() -> group.next().submit(() -> {
-            if (written.compareAndSet(false, true)) {
-                results.add(line(experiment, run, board, ledger, load).add("partial", true), board.latency(), ledger);
-            }
-        }).awaitUninterruptibly(LAST_MS), "interrupted");
+        Thread hook = new Thread(
+                () -> group.next()
+                        .submit(() -> {
+                            if (written.compareAndSet(false, true)) {
+                                results.add(
+                                        line(experiment, run, board, ledger, load)
+                                                .add("partial", true),
+                                        board.latency(),
+                                        ledger);
+                            }
+                        })
+                        .awaitUninterruptibly(LAST_MS),
+                "interrupted");
         Runtime.getRuntime().addShutdownHook(hook);
         try {
             CompletableFuture<Void> done = load.start();
@@ -72,10 +94,12 @@
         }
     }
 
-    private static JsonObject line(Experiment experiment, Experiment.Run run, Scoreboard board, Ledger ledger,
-            LoadClient load) {
-        return Results.line(experiment, run, "load", board, ledger).add("overrun", load.overrun())
-                .add("late", load.late()).add("sent", load.sent())
+    private static JsonObject line(
+            Experiment experiment, Experiment.Run run, Scoreboard board, Ledger ledger, LoadClient load) {
+        return Results.line(experiment, run, "load", board, ledger)
+                .add("overrun", load.overrun())
+                .add("late", load.late())
+                .add("sent", load.sent())
                 .add("send_lag_p99_ms", Scoreboard.round(load.lag().getValueAtPercentile(99) / 1000.0));
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/live/LoopScheduler.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LoopScheduler.java
@@ -26,12 +26,15 @@
         if (Double.isInfinite(wait)) {
             return;
         }
-        loop.schedule(() -> {
-            if (clock.nowMs() < atMs) {
-                at(atMs, task);
-            } else {
-                task.run();
-            }
-        }, (long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
+        loop.schedule(
+                () -> {
+                    if (clock.nowMs() < atMs) {
+                        at(atMs, task);
+                    } else {
+                        task.run();
+                    }
+                },
+                (long) (Math.max(0, wait) * 1e6),
+                TimeUnit.NANOSECONDS);
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/live/NodeProcess.java
+++ b/lab/src/main/java/brackenbridge/lab/live/NodeProcess.java
@@ -22,6 +22,7 @@
     private final InetSocketAddress address;
     /** Where clients find it. */
     private final InetSocketAddress front;
+
     private final Path folder;
     private final List<String> command;
     private final Path home;
@@ -42,8 +43,17 @@
      * @param front where clients find it
      * @param died hears the node's name once its process has ended, and when it goes on after it stood still
      */
-    NodeProcess(String name, InetSocketAddress address, InetSocketAddress front, Path folder, List<String> command,
-            Path home, JsonObject config, EventLoop loop, LoopScheduler scheduler, Consumer<String> died) {
+    NodeProcess(
+            String name,
+            InetSocketAddress address,
+            InetSocketAddress front,
+            Path folder,
+            List<String> command,
+            Path home,
+            JsonObject config,
+            EventLoop loop,
+            LoopScheduler scheduler,
+            Consumer<String> died) {
         this.name = name;
         this.address = address;
         this.front = front;
@@ -63,8 +73,11 @@
     /** Starts the process; it is ready some time later. */
     void launch() throws IOException {
         Files.writeString(configFile(), config.toString());
-        ProcessBuilder b = new ProcessBuilder(command).directory(home.toFile()).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+        ProcessBuilder b = new ProcessBuilder(command)
+                .directory(home.toFile())
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve(name + ".log").toFile()));
         b.environment().put("PROXY_NAME", name);
         b.environment().put("PROXY_CONFIG", configFile().toAbsolutePath().toString());
         b.environment().put("PROXY_LISTEN", address.getHostString() + ":" + address.getPort());
@@ -92,8 +105,9 @@
         try (Socket s = new Socket()) {
             s.connect(address, 200);
             s.setSoTimeout(500);
-            s.getOutputStream().write("GET /health/ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n"
-                    .getBytes(StandardCharsets.ISO_8859_1));
+            s.getOutputStream()
+                    .write("GET /health/ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.ISO_8859_1));
             byte[] head = s.getInputStream().readNBytes(12);
             return new String(head, StandardCharsets.ISO_8859_1).equals("HTTP/1.1 200");
         } catch (IOException e) {
@@ -174,26 +188,29 @@
         goneMs = scheduler.nowMs();
         noticedMs = goneMs + STOP_NOTICED_MS;
         process.destroy();
-        process.onExit().thenRun(() -> loop.execute(() -> {
-            died.accept(name);
-            ended.run();
-        }));
+        process.onExit()
+                .thenRun(() -> loop.execute(() -> {
+                    died.accept(name);
+                    ended.run();
+                }));
     }
 
     @Override
     public void start() {
         ready = false;
-        Thread t = new Thread(() -> {
-            try {
-                launch();
-                awaitReady();
-                loop.execute(() -> goneMs = 0);
-            } catch (IOException e) {
-                System.err.println("brackenbridge: " + e.getMessage());
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "start " + name);
+        Thread t = new Thread(
+                () -> {
+                    try {
+                        launch();
+                        awaitReady();
+                        loop.execute(() -> goneMs = 0);
+                    } catch (IOException e) {
+                        System.err.println("brackenbridge: " + e.getMessage());
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                "start " + name);
         t.setDaemon(true);
         t.start();
     }
--- a/lab/src/main/java/brackenbridge/lab/live/PinnedProcesses.java
+++ b/lab/src/main/java/brackenbridge/lab/live/PinnedProcesses.java
@@ -39,13 +39,14 @@
 
     /** Starts a command of the laboratory and reads the one line that it says. */
     String lab(String cores, List<String> flags, String... words) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString()));
+        List<String> command = new ArrayList<>(
+                List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(flags);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "brackenbridge.cli.Main", "lab"));
         command.addAll(List.of(words));
         Process process = new ProcessBuilder(pinned(cores, command))
-                .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         processes.add(process);
         return new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8)).readLine();
     }
@@ -53,7 +54,9 @@
     /** Starts a node by the deployment's command, with this configuration. */
     void node(String cores, String run, Path home, Path config, Path log) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(pinned(cores, List.of("/bin/sh", "-c", run)))
-                .directory(home.toFile()).redirectErrorStream(true).redirectOutput(log.toFile());
+                .directory(home.toFile())
+                .redirectErrorStream(true)
+                .redirectOutput(log.toFile());
         builder.environment().put("PROXY_CONFIG", config.toAbsolutePath().toString());
         processes.add(builder.start());
     }
--- a/lab/src/main/java/brackenbridge/lab/live/Registry.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Registry.java
@@ -23,8 +23,7 @@
         }
     }
 
-    private record Old(String id, double untilMs) {
-    }
+    private record Old(String id, double untilMs) {}
 
     private final Map<String, Known> known = new HashMap<>();
     private final ArrayDeque<Old> old = new ArrayDeque<>();
--- a/lab/src/main/java/brackenbridge/lab/live/Rehearsal.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Rehearsal.java
@@ -72,10 +72,21 @@
         Files.createDirectories(out.resolve("tmp"));
         List<Target> targets = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            targets.add(new Target("s-" + i, Wire.dial(Wire.listen(group.next(), new InetSocketAddress("127.0.0.1", 0),
-                    Server::new)), "room", -1, 1, 0, EndpointState.UP));
+            targets.add(new Target(
+                    "s-" + i,
+                    Wire.dial(Wire.listen(group.next(), new InetSocketAddress("127.0.0.1", 0), Server::new)),
+                    "room",
+                    -1,
+                    1,
+                    0,
+                    EndpointState.UP));
         }
-        config = SettingsJson.config("n0", dial(address), "127.0.0.1:1", SOCKETS, world.settings(0, 0, 1),
+        config = SettingsJson.config(
+                "n0",
+                dial(address),
+                "127.0.0.1:1",
+                SOCKETS,
+                world.settings(0, 0, 1),
                 new TargetGroup(1, true, targets));
         config.get("limits").asObject().set("memory_mb", MEMORY_MB);
     }
@@ -89,8 +100,10 @@
         @Override
         void request(HttpRequest r) {
             if (r.target().endsWith("?long")) {
-                write(Unpooled.wrappedBuffer(("HTTP/1.1 200 OK\r\nContent-Length: " + LONG + "\r\n\r\n")
-                        .getBytes(StandardCharsets.US_ASCII)), false);
+                write(
+                        Unpooled.wrappedBuffer(("HTTP/1.1 200 OK\r\nContent-Length: " + LONG + "\r\n\r\n")
+                                .getBytes(StandardCharsets.US_ASCII)),
+                        false);
                 write(Unpooled.wrappedBuffer(LONG_BODY), true);
             } else {
                 answer(200, new Headers(), "done".getBytes(StandardCharsets.US_ASCII));
@@ -161,7 +174,8 @@
 
     private byte[] request(String target) {
         return ("GET " + target + " HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: r" + ids.incrementAndGet()
-                + "\r\nX-Time-Left-Ms: 4000\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+                        + "\r\nX-Time-Left-Ms: 4000\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
     }
 
     private static String head(InputStream in) throws IOException {
@@ -181,9 +195,12 @@
     private Process launch(String name) throws IOException, InterruptedException {
         management = dial(LiveRunner.freePort());
         Files.writeString(out.resolve("config.json"), config.toString());
-        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run).directory(home.toFile()).redirectErrorStream(true)
+        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run)
+                .directory(home.toFile())
+                .redirectErrorStream(true)
                 .redirectOutput(out.resolve(name + ".log").toFile());
-        b.environment().put("PROXY_CONFIG", out.resolve("config.json").toAbsolutePath().toString());
+        b.environment()
+                .put("PROXY_CONFIG", out.resolve("config.json").toAbsolutePath().toString());
         b.environment().put("PROXY_MGMT", management);
         b.environment().put("TMPDIR", out.resolve("tmp").toAbsolutePath().toString());
         long began = System.nanoTime();
@@ -205,8 +222,9 @@
     private boolean ready() {
         try (Socket s = new Socket(address.getAddress(), address.getPort())) {
             s.setSoTimeout(2000);
-            s.getOutputStream().write("GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII));
+            s.getOutputStream()
+                    .write("GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
             return head(s.getInputStream()).startsWith("HTTP/1.1 200");
         } catch (IOException e) {
             return false;
@@ -226,7 +244,8 @@
     private long figure(String name) {
         String told = call("INFO");
         return told.contains(name + ":")
-                ? Long.parseLong(told.replaceAll("(?s).*" + name + ":([0-9]+)[|].*", "$1")) : -1;
+                ? Long.parseLong(told.replaceAll("(?s).*" + name + ":([0-9]+)[|].*", "$1"))
+                : -1;
     }
 
     /** Adds up what all running processes hold. */
@@ -241,7 +260,8 @@
                 try {
                     String status = Files.readString(proc.resolve("status"));
                     kb += status.contains("VmRSS")
-                            ? Long.parseLong(status.replaceAll("(?s).*VmRSS:\\s*([0-9]+).*", "$1")) : 0;
+                            ? Long.parseLong(status.replaceAll("(?s).*VmRSS:\\s*([0-9]+).*", "$1"))
+                            : 0;
                 } catch (IOException e) {
                     // It has just ended: it holds nothing.
                     continue;
@@ -262,8 +282,14 @@
     }
 
     private void peaks(String when) {
-        say.accept(String.format(Locale.ROOT, "%s: at most %.0f of %d MB and %d of %d descriptors", when,
-                peakKb / 1024.0, MEMORY_MB, peakDescriptors, SOCKETS));
+        say.accept(String.format(
+                Locale.ROOT,
+                "%s: at most %.0f of %d MB and %d of %d descriptors",
+                when,
+                peakKb / 1024.0,
+                MEMORY_MB,
+                peakDescriptors,
+                SOCKETS));
         peakKb = 0;
         peakDescriptors = 0;
     }
@@ -315,14 +341,14 @@
         call("LAMEDUCK");
         long began = System.nanoTime();
         await(() -> !ready());
-        say.accept(String.format(Locale.ROOT, "LAMEDUCK: ready says no after %.0f ms",
-                (System.nanoTime() - began) / 1e6));
+        say.accept(
+                String.format(Locale.ROOT, "LAMEDUCK: ready says no after %.0f ms", (System.nanoTime() - began) / 1e6));
         pause(2500);
         began = System.nanoTime();
         call("REJOIN");
         await(this::ready);
-        say.accept(String.format(Locale.ROOT, "REJOIN: ready says yes after %.0f ms",
-                (System.nanoTime() - began) / 1e6));
+        say.accept(
+                String.format(Locale.ROOT, "REJOIN: ready says yes after %.0f ms", (System.nanoTime() - began) / 1e6));
         pause(1000);
     }
 
@@ -333,8 +359,14 @@
         hangup(node);
         await(() -> figure("proxy.config_rejected") == 1);
         JsonObject more = Json.parse(good).asObject();
-        JsonObject fresh = Json.parse(more.get("settings").asObject().get("classes").asArray().get(0).toString())
-                .asObject().set("name", "fresh");
+        JsonObject fresh = Json.parse(more.get("settings")
+                        .asObject()
+                        .get("classes")
+                        .asArray()
+                        .get(0)
+                        .toString())
+                .asObject()
+                .set("name", "fresh");
         more.get("settings").asObject().get("classes").asArray().add(fresh);
         Files.writeString(file, more.toString());
         hangup(node);
@@ -375,9 +407,17 @@
     private boolean accounted(long servedByOld) throws InterruptedException {
         pause(300);
         long told = servedByOld + figure("proxy.ok.call");
-        say.accept(String.format(Locale.ROOT, "%d requests: %d served (figures say %d), %d refused while draining, "
-                + "%d failed, %d sent again on a new connection, %d lost", sent.get(), served.get(), told,
-                refused.get(), failed.get(), sentAgain.get(), lost.get()));
+        say.accept(String.format(
+                Locale.ROOT,
+                "%d requests: %d served (figures say %d), %d refused while draining, "
+                        + "%d failed, %d sent again on a new connection, %d lost",
+                sent.get(),
+                served.get(),
+                told,
+                refused.get(),
+                failed.get(),
+                sentAgain.get(),
+                lost.get()));
         return Math.abs(told - served.get()) <= Math.max(3, served.get() / 100)
                 && sent.get() == served.get() + refused.get() + failed.get() + lost.get();
     }
@@ -448,9 +488,16 @@
         long rate = (served.get() - before) / 5;
         clientsEnd(clients);
         Collections.sort(took);
-        say.accept(String.format(Locale.ROOT, "%d calls of INFO beside %d clients (%d requests a second): p50 "
-                + "%.1f ms, p99 %.1f ms, maximum %.1f ms", took.size(), MANY_CLIENTS, rate,
-                took.get(took.size() / 2), took.get(took.size() * 99 / 100), took.get(took.size() - 1)));
+        say.accept(String.format(
+                Locale.ROOT,
+                "%d calls of INFO beside %d clients (%d requests a second): p50 "
+                        + "%.1f ms, p99 %.1f ms, maximum %.1f ms",
+                took.size(),
+                MANY_CLIENTS,
+                rate,
+                took.get(took.size() / 2),
+                took.get(took.size() * 99 / 100),
+                took.get(took.size() - 1)));
     }
 
     @Override
--- a/lab/src/main/java/brackenbridge/lab/live/Servers.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Servers.java
@@ -30,8 +30,11 @@
         live = new LiveWorld(world, seed, loop, clock, new Scoreboard(world), Links.DIRECT);
         live.registry().open(id -> {
             // What another process sends is known by its id alone: whether it may run twice is not, so it may.
-            double deadline = clock.nowMs() + world.classes().stream().mapToDouble(World.ClassSpec::deadlineMs).max()
-                    .orElse(1000);
+            double deadline = clock.nowMs()
+                    + world.classes().stream()
+                            .mapToDouble(World.ClassSpec::deadlineMs)
+                            .max()
+                            .orElse(1000);
             Ledger.Entry entry = live.ledger().taken(clock.nowMs(), id, "-", "any", false, deadline);
             return live.registry().add(id, entry, clock.nowMs(), deadline);
         });
@@ -40,12 +43,19 @@
             String name = "n0-" + i;
             InetSocketAddress at = LiveRunner.freePort();
             Path file = folder.resolve(name + ".json");
-            Files.writeString(file, live.nodeConfig(name, i, at.getHostString() + ":" + at.getPort()).toString());
+            Files.writeString(
+                    file,
+                    live.nodeConfig(name, i, at.getHostString() + ":" + at.getPort())
+                            .toString());
             configs.add(file);
             addresses.add(at);
         }
-        loop.execute(() -> new Troubles(live).schedule(world.troubles().stream()
-                .filter(t -> !t.kind().ofNodes()).toList(), clock.nowMs()));
+        loop.execute(() -> new Troubles(live)
+                .schedule(
+                        world.troubles().stream()
+                                .filter(t -> !t.kind().ofNodes())
+                                .toList(),
+                        clock.nowMs()));
     }
 
     /** The nodes' configurations. */
@@ -60,7 +70,9 @@
 
     /** The addresses of the first tier's servers. */
     public List<String> dials() {
-        return live.servers(0).stream().map(s -> s.target(brackenbridge.BalancerApi.EndpointState.UP).dial()).toList();
+        return live.servers(0).stream()
+                .map(s -> s.target(brackenbridge.BalancerApi.EndpointState.UP).dial())
+                .toList();
     }
 
     @Override
--- a/lab/src/main/java/brackenbridge/lab/live/SpinClient.java
+++ b/lab/src/main/java/brackenbridge/lab/live/SpinClient.java
@@ -34,7 +34,8 @@
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         channel.configureBlocking(false);
         head = ("GET /" + className + " HTTP/1.1\r\nHost: node\r\nX-Service-Class: " + className
-                + "\r\nX-Time-Left-Ms: 4000\r\nX-Correlation-Id: ").getBytes(StandardCharsets.US_ASCII);
+                        + "\r\nX-Time-Left-Ms: 4000\r\nX-Correlation-Id: ")
+                .getBytes(StandardCharsets.US_ASCII);
     }
 
     static Histogram histogram() {
@@ -113,8 +114,9 @@
         String lower = text.substring(0, end).toLowerCase(java.util.Locale.ROOT);
         int length = lower.indexOf("content-length:");
         int until = lower.indexOf('\r', length);
-        int bytes = Integer.parseInt(lower.substring(length + "content-length:".length(),
-                until < 0 ? lower.length() : until).trim());
+        int bytes = Integer.parseInt(
+                lower.substring(length + "content-length:".length(), until < 0 ? lower.length() : until)
+                        .trim());
         return size >= end + 4 + bytes;
     }
 
--- a/lab/src/main/java/brackenbridge/lab/live/SpinEcho.java
+++ b/lab/src/main/java/brackenbridge/lab/live/SpinEcho.java
@@ -17,7 +17,8 @@
  */
 final class SpinEcho implements AutoCloseable {
     private static final byte[] ANSWER = ("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n"
-            + "echo").getBytes(StandardCharsets.US_ASCII);
+                    + "echo")
+            .getBytes(StandardCharsets.US_ASCII);
     private static final int LONGEST_REQUEST = 8192;
     private static final int END_OF_HEAD = 0x0d0a0d0a;
 
@@ -44,7 +45,7 @@
         try {
             while (!closed) {
                 selector.selectNow();
-                for (Iterator<SelectionKey> keys = selector.selectedKeys().iterator(); keys.hasNext();) {
+                for (Iterator<SelectionKey> keys = selector.selectedKeys().iterator(); keys.hasNext(); ) {
                     SelectionKey key = keys.next();
                     keys.remove();
                     if (key.isAcceptable()) {
--- a/lab/src/main/java/brackenbridge/lab/live/StandInDiscovery.java
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInDiscovery.java
@@ -66,9 +66,13 @@
                 return;
             }
             int after = r.target().indexOf("after=");
-            long version = after < 0 ? -1 : Long.parseLong(r.target().substring(after + 6).replaceAll("[^-0-9].*", ""));
-            write(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-                    StandardCharsets.ISO_8859_1), false);
+            long version = after < 0
+                    ? -1
+                    : Long.parseLong(r.target().substring(after + 6).replaceAll("[^-0-9].*", ""));
+            write(
+                    Unpooled.copiedBuffer(
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", StandardCharsets.ISO_8859_1),
+                    false);
             watching = true;
             watches.add(this);
             TargetGroup since = list.since(version);
@@ -91,8 +95,10 @@
                     return;
                 }
                 TargetGroup whole = list.whole();
-                answer(200, new Headers(), SettingsJson.group(seen.apply(node, whole)).toString()
-                        .getBytes(StandardCharsets.UTF_8));
+                answer(
+                        200,
+                        new Headers(),
+                        SettingsJson.group(seen.apply(node, whole)).toString().getBytes(StandardCharsets.UTF_8));
                 tell(whole);
             });
         }
@@ -110,9 +116,13 @@
 
         private void chunk(String text) {
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-            write(Unpooled.copiedBuffer(Unpooled.copiedBuffer(Integer.toHexString(bytes.length) + "\r\n",
-                    StandardCharsets.ISO_8859_1), Unpooled.wrappedBuffer(bytes), Unpooled.copiedBuffer("\r\n",
-                    StandardCharsets.ISO_8859_1)), false);
+            write(
+                    Unpooled.copiedBuffer(
+                            Unpooled.copiedBuffer(
+                                    Integer.toHexString(bytes.length) + "\r\n", StandardCharsets.ISO_8859_1),
+                            Unpooled.wrappedBuffer(bytes),
+                            Unpooled.copiedBuffer("\r\n", StandardCharsets.ISO_8859_1)),
+                    false);
         }
 
         private void beat() {
@@ -165,8 +175,13 @@
      * @param nodeMoves tells a node, by its name, that discovery has this address for it from now on
      * @param seen a list as a node, by its name, sees it: where servers are for it
      */
-    StandInDiscovery(EventLoop loop, LoopScheduler scheduler, World.DiscoverySpec spec, Ledger ledger,
-            BiConsumer<String, String> nodeMoves, BiFunction<String, TargetGroup, TargetGroup> seen) {
+    StandInDiscovery(
+            EventLoop loop,
+            LoopScheduler scheduler,
+            World.DiscoverySpec spec,
+            Ledger ledger,
+            BiConsumer<String, String> nodeMoves,
+            BiFunction<String, TargetGroup, TargetGroup> seen) {
         this.loop = loop;
         this.scheduler = scheduler;
         this.spec = spec;
@@ -204,8 +219,7 @@
         list.change(t);
         if (spec.pushed()) {
             // Guards the rule on drains against a node that does not listen to its agent.
-            listening.keySet().forEach(n -> ledger.told(scheduler.nowMs(), n, t.host(),
-                    t.state() == EndpointState.UP));
+            listening.keySet().forEach(n -> ledger.told(scheduler.nowMs(), n, t.host(), t.state() == EndpointState.UP));
         }
         List.copyOf(watches).forEach(Call::changed);
     }
@@ -240,13 +254,14 @@
         List<Call> open = List.copyOf(watches);
         listening.clear();
         for (String node : old.keySet()) {
-            Wire.listenLater(loop, new InetSocketAddress("127.0.0.1", 0), () -> new Call(node)).addListener(f -> {
-                if (f.isSuccess()) {
-                    Channel moved = ((ChannelFuture) f).channel();
-                    listening.put(node, moved);
-                    nodeMoves.accept(node, Wire.dial(moved));
-                }
-            });
+            Wire.listenLater(loop, new InetSocketAddress("127.0.0.1", 0), () -> new Call(node))
+                    .addListener(f -> {
+                        if (f.isSuccess()) {
+                            Channel moved = ((ChannelFuture) f).channel();
+                            listening.put(node, moved);
+                            nodeMoves.accept(node, Wire.dial(moved));
+                        }
+                    });
         }
         old.values().forEach(Channel::close);
         scheduler.at(scheduler.nowMs() + MOVED_MS, () -> open.forEach(c -> c.channel.close()));
--- a/lab/src/main/java/brackenbridge/lab/live/StandInServer.java
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInServer.java
@@ -29,9 +29,13 @@
     /** Word of a closed connection may come so much after that of the next attempt. */
     private static final double CROSSING_MS = 50;
     /** Noise, a head without end, a length that does not fit, an answer that is too large to hold. */
-    private static final String[] SPOILT = {"HTTP/1.1 2x0 \u0001noise\r\nContent-Length: -7\r\n\r\n?",
-        "HTTP/1.1 200 OK\r\nX-Pad: " + "a".repeat(40_000), "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\nshort",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nendless"};
+    private static final String[] SPOILT = {
+        "HTTP/1.1 2x0 \u0001noise\r\nContent-Length: -7\r\n\r\n?",
+        "HTTP/1.1 200 OK\r\nX-Pad: " + "a".repeat(40_000),
+        "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nendless"
+    };
+
     private static final Pattern TIME = Pattern.compile("[0-9]{1,9}");
 
     /** Work and calls of a request that comes. */
@@ -40,8 +44,7 @@
         double[] parts(HttpRequest r);
 
         /** Makes a call to the next tier. */
-        void call(StandInServer from, HttpRequest r, double deadlineMs, int number,
-                Consumer<Boolean> done);
+        void call(StandInServer from, HttpRequest r, double deadlineMs, int number, Consumer<Boolean> done);
 
         /** Something goes between it and a node: how long on the way, in milliseconds; 0 within a zone. */
         double wayMs(StandInServer at, String node);
@@ -142,13 +145,17 @@
                 });
             }
             String left = r.headers().get("X-Time-Left-Ms");
-            double deadline = left == null || !TIME.matcher(left).matches() ? known.deadlineMs
-                    : now + Long.parseLong(left);
+            double deadline =
+                    left == null || !TIME.matcher(left).matches() ? known.deadlineMs : now + Long.parseLong(left);
             Ledger.Attempt mine = attempt;
             ServerModel.Job[] begun = new ServerModel.Job[1];
             boolean[] over = {false};
-            begun[0] = model.begin(r.firstPart(), behaviour.parts(r), deadline,
-                    (number, done) -> behaviour.call(StandInServer.this, r, deadline, number, done), v -> {
+            begun[0] = model.begin(
+                    r.firstPart(),
+                    behaviour.parts(r),
+                    deadline,
+                    (number, done) -> behaviour.call(StandInServer.this, r, deadline, number, done),
+                    v -> {
                         over[0] = true;
                         replied(v, id, mine);
                     });
@@ -181,8 +188,8 @@
                 case SERVED -> answer(200, fields, body(id, host));
                 case ERROR -> answer(500, fields, new byte[0]);
                 case TURNED_AWAY -> answer(503, fields.add("X-Unprocessed", "1"), new byte[0]);
-                case SPOILT -> write(Unpooled.copiedBuffer(SPOILT[spoilt++ % SPOILT.length],
-                        StandardCharsets.ISO_8859_1), false);
+                case SPOILT ->
+                    write(Unpooled.copiedBuffer(SPOILT[spoilt++ % SPOILT.length], StandardCharsets.ISO_8859_1), false);
                 default -> reset();
             }
         }
@@ -241,11 +248,21 @@
     private boolean cutOff;
     private double staleMs = Double.POSITIVE_INFINITY;
     /** What ends and starts with it: the node of its own. */
-    Runnable onDie = () -> { };
-    Runnable onStart = () -> { };
-
-    StandInServer(int tier, int index, EventLoop loop, LoopScheduler scheduler, ServerModel model, Ledger ledger,
-            Registry registry, Behaviour behaviour, StandInDiscovery discovery, String zone,
+    Runnable onDie = () -> {};
+
+    Runnable onStart = () -> {};
+
+    StandInServer(
+            int tier,
+            int index,
+            EventLoop loop,
+            LoopScheduler scheduler,
+            ServerModel model,
+            Ledger ledger,
+            Registry registry,
+            Behaviour behaviour,
+            StandInDiscovery discovery,
+            String zone,
             World.LimitSpec limits) {
         this.tier = tier;
         this.index = index;
@@ -274,8 +291,15 @@
     }
 
     static String text(Report r) {
-        return String.format(Locale.ROOT, "inflight=%.0f,queue=%.0f,util=%.3f,latency_ms=%.2f,qps=%.2f,eps=%.3f",
-                r.inHand(), r.queued(), r.utilization(), r.meanMillis(), r.perSecond(), r.errorsPerSecond());
+        return String.format(
+                Locale.ROOT,
+                "inflight=%.0f,queue=%.0f,util=%.3f,latency_ms=%.2f,qps=%.2f,eps=%.3f",
+                r.inHand(),
+                r.queued(),
+                r.utilization(),
+                r.meanMillis(),
+                r.perSecond(),
+                r.errorsPerSecond());
     }
 
     Target target(EndpointState state) {
--- a/lab/src/main/java/brackenbridge/lab/live/Wire.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Wire.java
@@ -22,8 +22,7 @@
 
 /** What stand-ins share: listening on loopback, and reading one request after another from a connection. */
 final class Wire {
-    private Wire() {
-    }
+    private Wire() {}
 
     /** A connection's server side: one request at a time. */
     abstract static class Serving extends ChannelInboundHandlerAdapter {
@@ -125,20 +124,27 @@
 
     /** The same without waiting for it. */
     static ChannelFuture listenLater(EventLoop loop, InetSocketAddress at, Supplier<Serving> handler) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 4096).option(ChannelOption.SO_REUSEADDR, true)
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 4096)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         ch.pipeline().addLast(handler.get());
                     }
-                }).bind(at);
+                })
+                .bind(at);
     }
 
     /** Connects from this loop. */
     static Bootstrap bootstrap(EventLoop loop) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2000);
     }
 
