--- a/lab/src/main/java/brackenbridge/lab/load/Arrivals.java
+++ b/lab/src/main/java/brackenbridge/lab/load/Arrivals.java
@@ -35,7 +35,9 @@
         this.random = random;
         this.ratePerMs = world.ratePerSecond() / 1000;
         this.lengthMs = world.seconds() * 1000;
-        this.bursts = world.troubles().stream().filter(t -> t.kind() == Trouble.Kind.BURST).toList();
+        this.bursts = world.troubles().stream()
+                .filter(t -> t.kind() == Trouble.Kind.BURST)
+                .toList();
         double factor = 1;
         for (Trouble t : bursts) {
             factor *= Math.max(1, t.amount());
@@ -66,12 +68,13 @@
 
     /** Requests a millisecond at this time. */
     double rate(double ms) {
-        double rate = ratePerMs * switch (load.shape()) {
-            case RAMP -> load.low() + (1 - load.low()) * ms / lengthMs;
-            case STEPS -> (long) (ms / load.periodMs()) % 2 == 0 ? load.low() : 1;
-            case BURSTS -> ms % load.periodMs() < load.burstMs() ? 1 : load.low();
-            default -> 1;
-        };
+        double rate = ratePerMs
+                * switch (load.shape()) {
+                    case RAMP -> load.low() + (1 - load.low()) * ms / lengthMs;
+                    case STEPS -> (long) (ms / load.periodMs()) % 2 == 0 ? load.low() : 1;
+                    case BURSTS -> ms % load.periodMs() < load.burstMs() ? 1 : load.low();
+                    default -> 1;
+                };
         if (ms < riseMs) {
             rate *= 0.1 + 0.9 * ms / riseMs;
         }
--- a/lab/src/main/java/brackenbridge/lab/load/Habits.java
+++ b/lab/src/main/java/brackenbridge/lab/load/Habits.java
@@ -9,6 +9,7 @@
 public final class Habits {
     /** Advice is followed so much later at the most, so that clients do not all come back at once. */
     private static final double SPREAD = 0.1;
+
     private static final int DOUBLINGS = 10;
 
     private final World.ClientSpec spec;
@@ -20,8 +21,7 @@
      * @param end the request has ended so; null if it is tried again
      * @param waitMs the pause before the next try
      */
-    public record Next(End end, double waitMs) {
-    }
+    public record Next(End end, double waitMs) {}
 
     /** Drawn from this stream. */
     public Habits(World.ClientSpec spec, UniformRandomProvider random) {
@@ -41,8 +41,8 @@
 
     /** How long the next try waits for its answer. */
     public double tryLasts(double deadlineMs) {
-        double part = spec.tryLeast() >= 1 ? 1
-                : spec.tryLeast() + (spec.tryMost() - spec.tryLeast()) * random.nextDouble();
+        double part =
+                spec.tryLeast() >= 1 ? 1 : spec.tryLeast() + (spec.tryMost() - spec.tryLeast()) * random.nextDouble();
         return part * deadlineMs;
     }
 
@@ -59,8 +59,15 @@
      * @param tries tries made so far
      * @param retryAfterMs the node's advice; 0 for none
      */
-    public Next afterFailure(Answer answer, boolean taken, boolean unsafe, int tries, boolean heeds,
-            double retryAfterMs, double nowMs, double deadlineMs) {
+    public Next afterFailure(
+            Answer answer,
+            boolean taken,
+            boolean unsafe,
+            int tries,
+            boolean heeds,
+            double retryAfterMs,
+            double nowMs,
+            double deadlineMs) {
         boolean mayRepeat = !unsafe || answer == Answer.REFUSED || answer == null && !taken;
         double wait = spec.backoffMs() * (1 << Math.min(DOUBLINGS, tries - 1)) * (0.5 + random.nextDouble());
         if (heeds && retryAfterMs > 0) {
--- a/lab/src/main/java/brackenbridge/lab/load/Mix.java
+++ b/lab/src/main/java/brackenbridge/lab/load/Mix.java
@@ -69,8 +69,8 @@
         if (tenant < 0) {
             return 1;
         }
-        tokens[tenant] = Math.min(perMs(tenant) * SAVED_MS,
-                tokens[tenant] + perMs(tenant) * (dueMs - filledMs[tenant]));
+        tokens[tenant] =
+                Math.min(perMs(tenant) * SAVED_MS, tokens[tenant] + perMs(tenant) * (dueMs - filledMs[tenant]));
         filledMs[tenant] = dueMs;
         if (tokens[tenant] < 1) {
             return BEYOND_SHARE;
--- a/lab/src/main/java/brackenbridge/lab/model/ServerModel.java
+++ b/lab/src/main/java/brackenbridge/lab/model/ServerModel.java
@@ -51,7 +51,12 @@
         void call(int number, Consumer<Boolean> done);
     }
 
-    private enum Stage { WAITING, RUNNING, CALLING, ENDED }
+    private enum Stage {
+        WAITING,
+        RUNNING,
+        CALLING,
+        ENDED
+    }
 
     /** A request in hand. */
     public final class Job {
@@ -66,12 +71,19 @@
         private final int loadBefore;
         /** The life of the process that has it; a later one knows nothing of it. */
         private final long ofLife;
+
         private Stage stage = Stage.WAITING;
         private int part;
         private double tag;
         private long order;
 
-        private Job(String className, double[] parts, double deadlineMs, Calls calls, Verdict verdict, boolean system,
+        private Job(
+                String className,
+                double[] parts,
+                double deadlineMs,
+                Calls calls,
+                Verdict verdict,
+                boolean system,
                 Consumer<Verdict> reply) {
             this.className = className;
             this.parts = parts;
@@ -100,8 +112,8 @@
     private final Scheduler scheduler;
     private final UniformRandomProvider random;
     private final ArrayDeque<Job> room = new ArrayDeque<>();
-    private final PriorityQueue<Job> running = new PriorityQueue<>((a, b) -> a.tag != b.tag
-            ? Double.compare(a.tag, b.tag) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Job> running = new PriorityQueue<>(
+            (a, b) -> a.tag != b.tag ? Double.compare(a.tag, b.tag) : Long.compare(a.order, b.order));
     private final Map<String, Double> failing = new HashMap<>();
     private int inSlots;
     private int runners;
@@ -120,19 +132,21 @@
     private long chokes;
     /** When it begins or ends to choke, if its load stays as it is; infinite if it does neither. */
     private double chokeTurnsMs = Double.POSITIVE_INFINITY;
+
     private double slow = 1;
     private double stolen;
     private double spoilRate;
     private double resetRate;
     private double bornMs = Double.NEGATIVE_INFINITY;
     private double workSinceBirth;
-    private Runnable pushedOver = () -> { };
+    private Runnable pushedOver = () -> {};
     private final ArrayDeque<double[]> offered = new ArrayDeque<>();
     private double offeredSum;
     private double offeredSquares;
     private double busyMs;
     /** Means of the service time by the requests that were in hand at the arrival; 0 where none is known. */
     private final double[] meanMs = new double[LOADS];
+
     private long served;
     private long errors;
     private double[] takenNow = new double[6];
@@ -354,8 +368,14 @@
     }
 
     private double speedNow() {
-        double crowding = 1 + profile.crowd().loss() * Math.max(0, inSlots - profile.crowd().above());
-        return profile.speed() * slow * (1 - stolen) * warmth() / crowding * (choked ? profile.choke().part() : 1);
+        double crowding = 1
+                + profile.crowd().loss() * Math.max(0, inSlots - profile.crowd().above());
+        return profile.speed()
+                * slow
+                * (1 - stolen)
+                * warmth()
+                / crowding
+                * (choked ? profile.choke().part() : 1);
     }
 
     /** The part of its speed that a cold start has left it. */
@@ -417,7 +437,8 @@
             return;
         }
         long of = life;
-        double next = scheduler.nowMs() + ZigguratSampler.Exponential.of(random, p.everyMs()).sample();
+        double next = scheduler.nowMs()
+                + ZigguratSampler.Exponential.of(random, p.everyMs()).sample();
         scheduler.at(next, () -> {
             if (of != life) {
                 return;
@@ -511,7 +532,7 @@
     private void warm(long of) {
         scheduler.at(scheduler.nowMs() + WARMING_STEP_MS, () -> {
             if (of == life) {
-                change(() -> { });
+                change(() -> {});
                 if (warmth() < 1) {
                     warm(of);
                 }
@@ -608,8 +629,8 @@
         double[] told = now - takenMs < r.delayMs() ? takenBefore : takenNow;
         double[] noisy = new double[told.length];
         for (int i = 0; i < told.length; i++) {
-            noisy[i] = r.noise() <= 0 ? told[i]
-                    : Math.max(0, told[i] * (1 + r.noise() * (2 * random.nextDouble() - 1)));
+            noisy[i] =
+                    r.noise() <= 0 ? told[i] : Math.max(0, told[i] * (1 + r.noise() * (2 * random.nextDouble() - 1)));
         }
         return new Report(noisy[0], noisy[1], noisy[2], noisy[3], noisy[4], noisy[5]);
     }
@@ -632,10 +653,14 @@
         advance();
         double span = Math.max(1, now - Math.max(takenMs, now - 60_000));
         takenBefore = takenNow;
-        takenNow = new double[] {inSlots + room.size(), room.size(),
-                Math.min(1, (busyMs - countsAtTaking[0]) / span), meanAt(load()),
-                (served - countsAtTaking[1]) / span * 1000,
-                (errors - countsAtTaking[2]) / span * 1000};
+        takenNow = new double[] {
+            inSlots + room.size(),
+            room.size(),
+            Math.min(1, (busyMs - countsAtTaking[0]) / span),
+            meanAt(load()),
+            (served - countsAtTaking[1]) / span * 1000,
+            (errors - countsAtTaking[2]) / span * 1000
+        };
         countsAtTaking = new double[] {busyMs, served, errors};
         takenMs = now;
         retime();
--- a/lab/src/main/java/brackenbridge/lab/model/ServerProfile.java
+++ b/lab/src/main/java/brackenbridge/lab/model/ServerProfile.java
@@ -18,9 +18,21 @@
  * @param reports how it tells its load
  * @param probes what a health check costs it
  */
-public record ServerProfile(int cores, double speed, int slots, int room, double errorRate, Cancel cancel,
-        boolean dropsExpired, Cold cold, Crowd crowd, Choke choke, Pauses pauses, Connections connections,
-        Reports reports, Probes probes) {
+public record ServerProfile(
+        int cores,
+        double speed,
+        int slots,
+        int room,
+        double errorRate,
+        Cancel cancel,
+        boolean dropsExpired,
+        Cold cold,
+        Crowd crowd,
+        Choke choke,
+        Pauses pauses,
+        Connections connections,
+        Reports reports,
+        Probes probes) {
 
     /** What a client that has gone away spares the server. */
     public enum Cancel {
@@ -146,32 +158,97 @@
 
     /** A server without troubles of its own: so many cores, one request for each, and this waiting room. */
     public static ServerProfile plain(int cores, double speed, int room) {
-        return new ServerProfile(cores, speed, cores, room, 0, Cancel.NONE, false, Cold.NONE, Crowd.NONE, Choke.NONE,
-                Pauses.NONE, Connections.FREE, Reports.EXACT, Probes.FREE);
+        return new ServerProfile(
+                cores,
+                speed,
+                cores,
+                room,
+                0,
+                Cancel.NONE,
+                false,
+                Cold.NONE,
+                Crowd.NONE,
+                Choke.NONE,
+                Pauses.NONE,
+                Connections.FREE,
+                Reports.EXACT,
+                Probes.FREE);
     }
 
     /** The same with another speed. */
     public ServerProfile withSpeed(double other) {
-        return new ServerProfile(cores, other, slots, room, errorRate, cancel, dropsExpired, cold, crowd, choke,
-                pauses, connections, reports, probes);
+        return new ServerProfile(
+                cores,
+                other,
+                slots,
+                room,
+                errorRate,
+                cancel,
+                dropsExpired,
+                cold,
+                crowd,
+                choke,
+                pauses,
+                connections,
+                reports,
+                probes);
     }
 
     /** The same with another cold start. */
     public ServerProfile withCold(Cold other) {
-        return new ServerProfile(cores, speed, slots, room, errorRate, cancel, dropsExpired, other, crowd, choke,
-                pauses, connections, reports, probes);
+        return new ServerProfile(
+                cores,
+                speed,
+                slots,
+                room,
+                errorRate,
+                cancel,
+                dropsExpired,
+                other,
+                crowd,
+                choke,
+                pauses,
+                connections,
+                reports,
+                probes);
     }
 
     /** The same with another choke. */
     public ServerProfile withChoke(Choke other) {
-        return new ServerProfile(cores, speed, slots, room, errorRate, cancel, dropsExpired, cold, crowd, other,
-                pauses, connections, reports, probes);
+        return new ServerProfile(
+                cores,
+                speed,
+                slots,
+                room,
+                errorRate,
+                cancel,
+                dropsExpired,
+                cold,
+                crowd,
+                other,
+                pauses,
+                connections,
+                reports,
+                probes);
     }
 
     /** The same with so many slots. */
     public ServerProfile withSlots(int other) {
-        return new ServerProfile(cores, speed, other, room, errorRate, cancel, dropsExpired, cold, crowd, choke,
-                pauses, connections, reports, probes);
+        return new ServerProfile(
+                cores,
+                speed,
+                other,
+                room,
+                errorRate,
+                cancel,
+                dropsExpired,
+                cold,
+                crowd,
+                choke,
+                pauses,
+                connections,
+                reports,
+                probes);
     }
 
     /** What it can do: milliseconds of work a millisecond, warm and alone. */
--- a/lab/src/main/java/brackenbridge/lab/policy/Chooser.java
+++ b/lab/src/main/java/brackenbridge/lab/policy/Chooser.java
@@ -8,10 +8,8 @@
     Peer choose(long now, List<Peer> peers);
 
     /** An attempt begins there. */
-    default void sent(long now, Peer peer) {
-    }
+    default void sent(long now, Peer peer) {}
 
     /** An attempt there has ended after so many microseconds; whether it was served. */
-    default void ended(long now, Peer peer, long latency, boolean served) {
-    }
+    default void ended(long now, Peer peer, long latency, boolean served) {}
 }
--- a/lab/src/main/java/brackenbridge/lab/policy/Choosers.java
+++ b/lab/src/main/java/brackenbridge/lab/policy/Choosers.java
@@ -9,8 +9,7 @@
 
 /** The choices that the compared policies make, each with its source. */
 final class Choosers {
-    private Choosers() {
-    }
+    private Choosers() {}
 
     /** Any server, all alike. */
     static Chooser random(SplittableRandom random) {
@@ -207,10 +206,10 @@
             }
             recent[seen++ % REMEMBERED] = report.inHand();
             int room = Math.min(POOL, Math.max(2, servers / 2));
-            double reuse = Math.max(1, (1 + DELTA) / Math.max(0.5, (1 - room / (double) Math.max(1, servers))
-                    * PROBES - 1));
-            pool.add(new Answer(peer, now, report.inHand(), Double.isNaN(report.meanMillis()) ? 0
-                    : report.meanMillis(), reuse));
+            double reuse =
+                    Math.max(1, (1 + DELTA) / Math.max(0.5, (1 - room / (double) Math.max(1, servers)) * PROBES - 1));
+            pool.add(new Answer(
+                    peer, now, report.inHand(), Double.isNaN(report.meanMillis()) ? 0 : report.meanMillis(), reuse));
             while (pool.size() > room) {
                 pool.remove(0);
             }
--- a/lab/src/main/java/brackenbridge/lab/policy/Peer.java
+++ b/lab/src/main/java/brackenbridge/lab/policy/Peer.java
@@ -11,6 +11,7 @@
     int out;
     /** Peak EWMA of the response time in microseconds. */
     double cost;
+
     long costAt;
 
     Peer(long id, double weight, EndpointState state) {
--- a/lab/src/main/java/brackenbridge/lab/policy/Policies.java
+++ b/lab/src/main/java/brackenbridge/lab/policy/Policies.java
@@ -14,6 +14,7 @@
 public final class Policies {
     /** The project's own module. */
     public static final String MODULE = "module";
+
     private static final Map<String, PolicyMaker> ALL = new LinkedHashMap<>();
 
     static {
@@ -23,14 +24,15 @@
         ALL.put("least_of_two", simple(Choosers::leastOfTwo));
         ALL.put("least_connections", simple(Choosers::leastConnections));
         ALL.put("peak_ewma", simple(Choosers.PeakEwma::new));
-        ALL.put("prequal", truth -> (settings, out) -> new Textbook(settings, out,
-                new Choosers.Prequal(random(settings), out)));
-        ALL.put("oracle", truth -> (settings, out) -> new Textbook(settings, out,
-                Choosers.oracle(truth, random(settings))));
+        ALL.put(
+                "prequal",
+                truth -> (settings, out) -> new Textbook(settings, out, new Choosers.Prequal(random(settings), out)));
+        ALL.put(
+                "oracle",
+                truth -> (settings, out) -> new Textbook(settings, out, Choosers.oracle(truth, random(settings))));
     }
 
-    private Policies() {
-    }
+    private Policies() {}
 
     private interface Simple {
         Chooser make(SplittableRandom random);
--- a/lab/src/main/java/brackenbridge/lab/policy/Textbook.java
+++ b/lab/src/main/java/brackenbridge/lab/policy/Textbook.java
@@ -110,8 +110,7 @@
     }
 
     @Override
-    public void onOutcome(long now, long id, int attempt, boolean ended, Outcome outcome, long latency,
-            Report report) {
+    public void onOutcome(long now, long id, int attempt, boolean ended, Outcome outcome, long latency, Report report) {
         Call c = calls.get(id);
         if (c == null) {
             return;
@@ -134,8 +133,7 @@
         filled = now;
         boolean mayRepeat = !c.mayHaveRun || c.kind.effect() == Effect.SAFE;
         boolean timeLasts = c.deadline - now > meanLatency;
-        if (mayRepeat && timeLasts && c.attempts < settings.maxAttempts() && budget >= 1
-                && outcome != Outcome.MOOT) {
+        if (mayRepeat && timeLasts && c.attempts < settings.maxAttempts() && budget >= 1 && outcome != Outcome.MOOT) {
             budget--;
             send(now, id, c);
         } else {
--- a/lab/src/main/java/brackenbridge/lab/random/Distribution.java
+++ b/lab/src/main/java/brackenbridge/lab/random/Distribution.java
@@ -63,8 +63,10 @@
             case EXPONENTIAL -> ZigguratSampler.Exponential.of(random, mean);
             case LOGNORMAL -> {
                 double variance = Math.log1p(cv * cv);
-                yield LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random),
-                        Math.log(mean) - variance / 2, Math.sqrt(variance));
+                yield LogNormalSampler.of(
+                        ZigguratSampler.NormalizedGaussian.of(random),
+                        Math.log(mean) - variance / 2,
+                        Math.sqrt(variance));
             }
             case PARETO -> {
                 // From mean = scale a / (a - 1) and cv^2 = 1 / (a (a - 2)), for the tail index a.
--- a/lab/src/main/java/brackenbridge/lab/replica/Explorer.java
+++ b/lab/src/main/java/brackenbridge/lab/replica/Explorer.java
@@ -18,17 +18,13 @@
      * @param history the steps that led to it
      * @param whole whether all histories were gone through
      */
-    public record Found(long states, long steps, int depth, String breach, List<String> history, boolean whole) {
-    }
+    public record Found(long states, long steps, int depth, String breach, List<String> history, boolean whole) {}
 
-    private record From(String key, String by) {
-    }
+    private record From(String key, String by) {}
 
-    private record Open(Model.State state, String key, int depth) {
-    }
+    private record Open(Model.State state, String key, int depth) {}
 
-    private Explorer() {
-    }
+    private Explorer() {}
 
     /** Goes through histories until so many moments were seen. */
     public static Found explore(Model model, long most) {
--- a/lab/src/main/java/brackenbridge/lab/replica/Fleet.java
+++ b/lab/src/main/java/brackenbridge/lab/replica/Fleet.java
@@ -31,9 +31,8 @@
      * @param terms how they exchange
      * @param seed the seed
      */
-    public record Plan(int nodes, int keys, double writesASecond, double lost, double changeMs, Terms terms,
-            long seed) {
-    }
+    public record Plan(
+            int nodes, int keys, double writesASecond, double lost, double changeMs, Terms terms, long seed) {}
 
     /**
      * What came of it.
@@ -45,9 +44,8 @@
      * @param underChange bytes a second that a member sends under change
      * @param oldestMs the greatest age of any record at any member at the end of the change
      */
-    public record Outcome(int level, Histogram all, Histogram each, double atRest, double underChange,
-            double oldestMs) {
-    }
+    public record Outcome(
+            int level, Histogram all, Histogram each, double atRest, double underChange, double oldestMs) {}
 
     /**
      * A member that was away.
@@ -58,8 +56,7 @@
      * @param bytes bytes that all others sent meanwhile
      * @param right whether its copy then was as the others'
      */
-    public record Returned(double awayMs, long behind, double levelMs, long bytes, boolean right) {
-    }
+    public record Returned(double awayMs, long behind, double levelMs, long bytes, boolean right) {}
 
     private final class Node {
         final int id;
@@ -169,7 +166,9 @@
     }
 
     private int level() {
-        return (int) nodes.stream().filter(n -> n.exchange.level(queue.nowMs()).level()).count();
+        return (int) nodes.stream()
+                .filter(n -> n.exchange.level(queue.nowMs()).level())
+                .count();
     }
 
     /** Warm-up, three seconds at rest, then writes. */
@@ -254,14 +253,18 @@
         Node other = nodes.get(nodes.size() - 1);
         boolean level = runUntil(600_000, () -> {
             behind[0] = Math.max(behind[0], one.exchange.level(queue.nowMs()).behind());
-            return nodes.stream().allMatch(o -> one.store.have(o.name, o.store.life()).orElse(0)
-                    >= o.store.have(o.name, o.store.life()).orElse(0));
+            return nodes.stream()
+                    .allMatch(o -> one.store.have(o.name, o.store.life()).orElse(0)
+                            >= o.store.have(o.name, o.store.life()).orElse(0));
         });
         boolean right = level && nodes.stream().allMatch(o -> text(one, o).equals(text(other, o)));
         return new Returned(awayMs, behind[0], queue.nowMs() - began, sent() - before, right);
     }
 
     private static String text(Node at, Node of) {
-        return at.store.all(of.name, of.store.life()).stream().filter(e -> !e.gone()).toList().toString();
+        return at.store.all(of.name, of.store.life()).stream()
+                .filter(e -> !e.gone())
+                .toList()
+                .toString();
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/replica/Model.java
+++ b/lab/src/main/java/brackenbridge/lab/replica/Model.java
@@ -29,15 +29,14 @@
     private static final String OWNER = "a";
     /** So small that each piece carries one record. */
     private static final int PIECE = 1;
+
     private static final String SUM = "s";
 
     /** What was written, by life; the whole of a log, for the replay. */
-    private record Written(Map<Long, List<Entry>> logs, long added) {
-    }
+    private record Written(Map<Long, List<Entry>> logs, long added) {}
 
     /** A message on its way, for ever. */
-    private record Sent(int to, Message message) {
-    }
+    private record Sent(int to, Message message) {}
 
     /** One moment. */
     static final class State {
@@ -76,8 +75,19 @@
         /** What tells this moment from others. */
         String key() {
             StringBuilder b = new StringBuilder();
-            b.append(writes).append(',').append(wants).append(',').append(pieces).append(',').append(ends).append(',')
-                    .append(saves).append(',').append(forgets).append(',').append(folds);
+            b.append(writes)
+                    .append(',')
+                    .append(wants)
+                    .append(',')
+                    .append(pieces)
+                    .append(',')
+                    .append(ends)
+                    .append(',')
+                    .append(saves)
+                    .append(',')
+                    .append(forgets)
+                    .append(',')
+                    .append(folds);
             for (int i = 0; i < NAMES.length; i++) {
                 b.append('|').append(stores[i]).append('/').append(disks[i] == null ? "" : disks[i]);
             }
@@ -123,7 +133,8 @@
             arrives(n, e.getValue());
             next.put("arrives " + e.getKey(), n);
         }
-        if (s.folds < bounds.folds() && !s.stores[0].endedOfMine().isEmpty()
+        if (s.folds < bounds.folds()
+                && !s.stores[0].endedOfMine().isEmpty()
                 && (mistake == Mistake.FOLD_TOO_SOON || allHoldAsMuch(s))) {
             State n = s.copy();
             n.folds++;
@@ -167,7 +178,9 @@
         Store a = n.stores[0];
         Map<Long, List<Entry>> logs = new TreeMap<>(n.written.logs());
         List<Entry> log = new ArrayList<>(logs.getOrDefault(a.life(), List.of()));
-        a.all(OWNER, a.life()).stream().filter(e -> e.version().sequence() > had).forEach(log::add);
+        a.all(OWNER, a.life()).stream()
+                .filter(e -> e.version().sequence() > had)
+                .forEach(log::add);
         logs.put(a.life(), log);
         n.written = new Written(logs, n.written.added());
         Message.Chunk c = a.after(OWNER, a.life(), had, 1 << 10);
@@ -258,7 +271,8 @@
 
     private static boolean lacks(State s, int i, int j, long life) {
         return !(i == 0 && life == s.stores[0].life())
-                && s.stores[j].have(OWNER, life).orElse(0) > s.stores[i].have(OWNER, life).orElse(0);
+                && s.stores[j].have(OWNER, life).orElse(0)
+                        > s.stores[i].have(OWNER, life).orElse(0);
     }
 
     private Message.Chunk piece(Store from, Message.Want w) {
@@ -268,21 +282,36 @@
         }
         long end = c.base() != 0 ? c.base() : from.have(c.owner(), c.life()).orElse(0);
         return switch (mistake) {
-            case PIECE_SAYS_ALL -> new Message.Chunk(c.owner(), c.life(), c.newest(), c.from(), end, c.base(),
-                    c.floor(), c.entries());
-            case SNAPSHOT_AS_TAIL -> c.base() == 0 ? c : from.copy().since(new Message.Want(w.owner(), w.life(),
-                    from.floor(w.owner(), w.life()), 0, 0), PIECE) == null
-                    ? new Message.Chunk(c.owner(), c.life(), c.newest(), w.have(), end, 0, 0, List.of())
-                    : tail(from, w, c, end);
-            case SNAPSHOT_DONE_EARLY -> c.base() == 0 ? c : new Message.Chunk(c.owner(), c.life(), c.newest(),
-                    c.from(), end, end, c.floor(), c.entries());
+            case PIECE_SAYS_ALL ->
+                new Message.Chunk(c.owner(), c.life(), c.newest(), c.from(), end, c.base(), c.floor(), c.entries());
+            case SNAPSHOT_AS_TAIL ->
+                c.base() == 0
+                        ? c
+                        : from.copy()
+                                                .since(
+                                                        new Message.Want(
+                                                                w.owner(),
+                                                                w.life(),
+                                                                from.floor(w.owner(), w.life()),
+                                                                0,
+                                                                0),
+                                                        PIECE)
+                                        == null
+                                ? new Message.Chunk(c.owner(), c.life(), c.newest(), w.have(), end, 0, 0, List.of())
+                                : tail(from, w, c, end);
+            case SNAPSHOT_DONE_EARLY ->
+                c.base() == 0
+                        ? c
+                        : new Message.Chunk(
+                                c.owner(), c.life(), c.newest(), c.from(), end, end, c.floor(), c.entries());
             default -> c;
         };
     }
 
     private static Message.Chunk tail(Store from, Message.Want w, Message.Chunk c, long end) {
         List<Entry> entries = from.all(w.owner(), w.life()).stream()
-                .filter(e -> e.version().sequence() > w.have()).toList();
+                .filter(e -> e.version().sequence() > w.have())
+                .toList();
         return new Message.Chunk(c.owner(), c.life(), c.newest(), w.have(), end, 0, 0, entries);
     }
 
@@ -297,18 +326,52 @@
         Message.Chunk taken = c;
         if (mistake == Mistake.GAP_FORGIVEN && c.from() > have && c.base() == 0) {
             taken = new Message.Chunk(c.owner(), c.life(), c.newest(), have, c.to(), 0, c.floor(), c.entries());
-        } else if (mistake == Mistake.OLD_LIFE_INTO_NEW && c.life() < to.newest(c.owner()) && !to.me().equals(OWNER)) {
+        } else if (mistake == Mistake.OLD_LIFE_INTO_NEW
+                && c.life() < to.newest(c.owner())
+                && !to.me().equals(OWNER)) {
             long life = to.newest(c.owner());
-            taken = new Message.Chunk(c.owner(), life, life, c.from(), c.to(), c.base(), c.floor(),
-                    c.entries().stream().map(e -> Entry.of(OWNER, e.space(), e.key(), new Version(life,
-                            e.version().sequence()), e.value(), e.count(), e.below())).toList());
+            taken = new Message.Chunk(
+                    c.owner(),
+                    life,
+                    life,
+                    c.from(),
+                    c.to(),
+                    c.base(),
+                    c.floor(),
+                    c.entries().stream()
+                            .map(e -> Entry.of(
+                                    OWNER,
+                                    e.space(),
+                                    e.key(),
+                                    new Version(life, e.version().sequence()),
+                                    e.value(),
+                                    e.count(),
+                                    e.below()))
+                            .toList());
         } else if (mistake == Mistake.COUNT_ADDED_ON_MERGE) {
-            taken = new Message.Chunk(c.owner(), c.life(), c.newest(), c.from(), c.to(), c.base(), c.floor(),
-                    c.entries().stream().map(e -> {
-                        Entry mine = to.entry(OWNER, c.life(), e.item());
-                        return mine == null || e.count() == 0 ? e : Entry.of(OWNER, e.space(), e.key(), e.version(),
-                                null, e.count() + mine.count(), e.below());
-                    }).toList());
+            taken = new Message.Chunk(
+                    c.owner(),
+                    c.life(),
+                    c.newest(),
+                    c.from(),
+                    c.to(),
+                    c.base(),
+                    c.floor(),
+                    c.entries().stream()
+                            .map(e -> {
+                                Entry mine = to.entry(OWNER, c.life(), e.item());
+                                return mine == null || e.count() == 0
+                                        ? e
+                                        : Entry.of(
+                                                OWNER,
+                                                e.space(),
+                                                e.key(),
+                                                e.version(),
+                                                null,
+                                                e.count() + mine.count(),
+                                                e.below());
+                            })
+                            .toList());
         }
         to.took(taken, 0);
         if (mistake == Mistake.LAST_COME_WINS && c.life() == to.newest(OWNER)) {
@@ -396,7 +459,9 @@
             Map<Item, Entry> has = new TreeMap<>();
             store.all(OWNER, life).stream().filter(e -> !e.gone()).forEach(e -> has.put(e.item(), e));
             if (!want.keySet().equals(has.keySet())
-                    || want.entrySet().stream().anyMatch(e -> has.get(e.getKey()).sum() != e.getValue().sum())) {
+                    || want.entrySet().stream()
+                            .anyMatch(e ->
+                                    has.get(e.getKey()).sum() != e.getValue().sum())) {
                 return store.me() + " has " + has.values() + " in the end, written were " + want.values();
             }
             long sum = store.sum(Space.USED, SUM);
--- a/lab/src/main/java/brackenbridge/lab/report/Compare.java
+++ b/lab/src/main/java/brackenbridge/lab/report/Compare.java
@@ -15,19 +15,31 @@
  * cancels out; a difference whose 95% interval leaves 0 out is beyond noise.
  */
 public final class Compare {
-    private static final String[][] FIGURES = {{"served", "worth served", "4"}, {"worst10s", "worst 10 s", "4"},
-        {"priced", "less crossings", "4"}, {"crossed", "crossed/first", "4"},
-        {"latency_ms.p50", "p50 ms", "1"}, {"latency_ms.p99", "p99 ms", "1"}, {"latency_ms.p99.9", "p99.9 ms", "1"}};
+    private static final String[][] FIGURES = {
+        {"served", "worth served", "4"},
+        {"worst10s", "worst 10 s", "4"},
+        {"priced", "less crossings", "4"},
+        {"crossed", "crossed/first", "4"},
+        {"latency_ms.p50", "p50 ms", "1"},
+        {"latency_ms.p99", "p99 ms", "1"},
+        {"latency_ms.p99.9", "p99.9 ms", "1"}
+    };
 
-    private Compare() {
-    }
+    private Compare() {}
 
     /** The comparison as text, a line for each figure of each group that both folders have. */
     public static String text(Path a, Path b) throws IOException {
         Map<String, Map<Long, JsonObject>> first = byKey(Results.read(a));
         Map<String, Map<Long, JsonObject>> second = byKey(Results.read(b));
-        StringBuilder s = new StringBuilder(String.format(Locale.ROOT, "%-34s %-14s %12s %12s  %-22s %s%n",
-                "mode, policy, servers, nodes, load", "figure", "first", "second", "difference", "verdict"));
+        StringBuilder s = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%-34s %-14s %12s %12s  %-22s %s%n",
+                "mode, policy, servers, nodes, load",
+                "figure",
+                "first",
+                "second",
+                "difference",
+                "verdict"));
         int compared = 0;
         for (Map.Entry<String, Map<Long, JsonObject>> e : first.entrySet()) {
             Map<Long, JsonObject> other = second.get(e.getKey());
@@ -78,11 +90,19 @@
         Interval d = Interval.of(differences);
         int decimals = Integer.parseInt(figure[2]);
         boolean better = figure[0].startsWith("latency") || figure[0].equals("crossed") ? d.mean() < 0 : d.mean() > 0;
-        String verdict = d.n() < 2 ? d.mean() == 0 ? "equal" : "one seed: no verdict"
+        String verdict = d.n() < 2
+                ? d.mean() == 0 ? "equal" : "one seed: no verdict"
                 : d.mean() == 0 ? "equal" : !d.beyondNoise() ? "within noise" : better ? "better" : "WORSE";
-        return String.format(Locale.ROOT, "%-34s %-14s %12s %12s  %-22s %s%n", key, figure[1],
-                String.format(Locale.ROOT, "%." + decimals + "f", Interval.of(first).mean()),
-                String.format(Locale.ROOT, "%." + decimals + "f", Interval.of(second).mean()), d.text(decimals),
+        return String.format(
+                Locale.ROOT,
+                "%-34s %-14s %12s %12s  %-22s %s%n",
+                key,
+                figure[1],
+                String.format(
+                        Locale.ROOT, "%." + decimals + "f", Interval.of(first).mean()),
+                String.format(
+                        Locale.ROOT, "%." + decimals + "f", Interval.of(second).mean()),
+                d.text(decimals),
                 verdict);
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/report/Group.java
+++ b/lab/src/main/java/brackenbridge/lab/report/Group.java
@@ -23,8 +23,13 @@
     static List<Group> of(List<JsonObject> lines) {
         Map<String, Group> groups = new LinkedHashMap<>();
         for (JsonObject l : lines) {
-            Group g = new Group(l.getString("mode", "sim"), l.getString("policy", ""), l.getInt("servers", 0),
-                    l.getInt("nodes", 0), l.getDouble("load", 0), new ArrayList<>());
+            Group g = new Group(
+                    l.getString("mode", "sim"),
+                    l.getString("policy", ""),
+                    l.getInt("servers", 0),
+                    l.getInt("nodes", 0),
+                    l.getDouble("load", 0),
+                    new ArrayList<>());
             groups.computeIfAbsent(g.key(), k -> g).lines.add(l);
         }
         return new ArrayList<>(groups.values());
@@ -77,7 +82,8 @@
     Interval part(String of, String name) {
         List<Double> all = new ArrayList<>();
         for (JsonObject l : lines) {
-            JsonObject o = l.get("figures").asObject().get(of).asObject().get(name).asObject();
+            JsonObject o =
+                    l.get("figures").asObject().get(of).asObject().get(name).asObject();
             double worth = o.getDouble("worth", 0);
             all.add(worth > 0 ? o.getDouble("served", 0) / worth : 1);
         }
@@ -88,7 +94,13 @@
     double[] seconds(String name) {
         double[] sum = new double[0];
         for (JsonObject l : lines) {
-            List<JsonValue> values = l.get("figures").asObject().get("seconds").asObject().get(name).asArray().values();
+            List<JsonValue> values = l.get("figures")
+                    .asObject()
+                    .get("seconds")
+                    .asObject()
+                    .get(name)
+                    .asArray()
+                    .values();
             if (sum.length == 0) {
                 sum = new double[values.size()];
             }
--- a/lab/src/main/java/brackenbridge/lab/report/HtmlReport.java
+++ b/lab/src/main/java/brackenbridge/lab/report/HtmlReport.java
@@ -52,14 +52,20 @@
 
     private String page(Path folder) throws IOException {
         String name = lines.get(0).getString("experiment", "");
-        page.append("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>").append(escape(name))
-                .append("</title><style>").append(STYLE).append("</style></head><body><h1>").append(escape(name))
+        page.append("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
+                .append(escape(name))
+                .append("</title><style>")
+                .append(STYLE)
+                .append("</style></head><body><h1>")
+                .append(escape(name))
                 .append("</h1>");
         Path file = folder.resolve("experiment.toml");
         String toml = Files.exists(file) ? Files.readString(file) : "";
         for (String l : toml.lines().toList()) {
             if (l.startsWith("about = ")) {
-                page.append("<p>").append(escape(l.substring(8).replaceAll("^\"|\"$", ""))).append("</p>");
+                page.append("<p>")
+                        .append(escape(l.substring(8).replaceAll("^\"|\"$", "")))
+                        .append("</p>");
             }
         }
         summary();
@@ -80,9 +86,12 @@
     private void summary() {
         long broken = groups.stream().mapToLong(Group::broken).sum();
         long checked = lines.stream().mapToLong(l -> l.getLong("checked", 0)).sum();
-        page.append(String.format(Locale.ROOT, "<p>%d runs, %,d requests held against the rules, %s.</p>",
-                lines.size(), checked, broken == 0 ? "no rule broken"
-                        : "<span class=\"bad\">rules broken " + broken + " times</span>"));
+        page.append(String.format(
+                Locale.ROOT,
+                "<p>%d runs, %,d requests held against the rules, %s.</p>",
+                lines.size(),
+                checked,
+                broken == 0 ? "no rule broken" : "<span class=\"bad\">rules broken " + broken + " times</span>"));
         if (lines.stream().anyMatch(l -> l.getBoolean("overrun", false))) {
             page.append("<p class=\"bad\">In some runs more requests were due than the load tool could send; their "
                     + "figures describe the tool as much as the node.</p>");
@@ -114,19 +123,41 @@
         for (int i = 0; i < groups.size(); i++) {
             Group g = groups.get(i);
             Interval served = g.interval("served");
-            rows.add(List.of(label(g), Integer.toString(g.servers()), Integer.toString(g.nodes()),
-                    String.format(Locale.ROOT, "%.2f", g.load()), Integer.toString(g.lines().size()), served.text(4),
-                    g.interval("worst10s").text(3), g.interval("crossed").text(3),
-                    g.interval("latency_ms.p50").text(1), g.interval("latency_ms.p99").text(1),
+            rows.add(List.of(
+                    label(g),
+                    Integer.toString(g.servers()),
+                    Integer.toString(g.nodes()),
+                    String.format(Locale.ROOT, "%.2f", g.load()),
+                    Integer.toString(g.lines().size()),
+                    served.text(4),
+                    g.interval("worst10s").text(3),
+                    g.interval("crossed").text(3),
+                    g.interval("latency_ms.p50").text(1),
+                    g.interval("latency_ms.p99").text(1),
                     g.interval("latency_ms.p99.9").text(1),
-                    g.ends("refused").text(4), g.ends("failed", "unanswered").text(4)));
+                    g.ends("refused").text(4),
+                    g.ends("failed", "unanswered").text(4)));
             if (!g.policy().equals("oracle") && served.mean() > most.getOrDefault(g.place(), -1.0)) {
                 most.put(g.place(), served.mean());
                 bestAt.put(g.place(), i);
             }
         }
-        table(List.of("decided by", "servers", "nodes", "load", "runs", "worth served", "worst 10 s",
-                "zones changed a first try", "p50 ms", "p99 ms", "p99.9 ms", "refused", "failed"), rows,
+        table(
+                List.of(
+                        "decided by",
+                        "servers",
+                        "nodes",
+                        "load",
+                        "runs",
+                        "worth served",
+                        "worst 10 s",
+                        "zones changed a first try",
+                        "p50 ms",
+                        "p99 ms",
+                        "p99.9 ms",
+                        "refused",
+                        "failed"),
+                rows,
                 Set.copyOf(bestAt.values()));
     }
 
@@ -143,8 +174,8 @@
         head.addAll(names);
         List<List<String>> rows = new ArrayList<>();
         for (Group g : groups) {
-            List<String> row = new ArrayList<>(List.of(label(g), Integer.toString(g.servers()),
-                    String.format(Locale.ROOT, "%.2f", g.load())));
+            List<String> row = new ArrayList<>(
+                    List.of(label(g), Integer.toString(g.servers()), String.format(Locale.ROOT, "%.2f", g.load())));
             names.forEach(n -> row.add(g.part(of, n).text(3)));
             rows.add(row);
         }
@@ -153,7 +184,8 @@
 
     private void overTime() {
         Map<String, List<Group>> places = new LinkedHashMap<>();
-        groups.forEach(g -> places.computeIfAbsent(g.place(), k -> new ArrayList<>()).add(g));
+        groups.forEach(
+                g -> places.computeIfAbsent(g.place(), k -> new ArrayList<>()).add(g));
         page.append("<h2>Over time</h2>");
         page.append("<div class=\"plots\">");
         int shown = 0;
@@ -163,13 +195,18 @@
                 continue;
             }
             Group first = at.get(0);
-            String where = places.size() == 1 ? "" : String.format(Locale.ROOT, ", %d servers, load %.2f",
-                    first.servers(), first.load());
+            String where = places.size() == 1
+                    ? ""
+                    : String.format(Locale.ROOT, ", %d servers, load %.2f", first.servers(), first.load());
             series("Worth served" + where, "part of what was due", at, Group::servedBySecond, false);
             series("Median latency" + where, "ms", at, g -> g.seconds("p50_ms"), true);
             series("99th percentile of latency" + where, "ms", at, g -> g.seconds("p99_ms"), true);
             series("Load of the fullest server" + where, "requests a core", at, g -> g.seconds("load_most"), false);
-            series("Spread of load over servers" + where, "standard deviation / mean", at, g -> g.seconds("load_cv"),
+            series(
+                    "Spread of load over servers" + where,
+                    "standard deviation / mean",
+                    at,
+                    g -> g.seconds("load_cv"),
                     false);
         }
         page.append("</div>");
@@ -201,25 +238,37 @@
         double of(Group g);
     }
 
-    private void over(String name, Place x, java.util.function.ToIntFunction<Group> fixed, String fixedName,
-            boolean log) {
+    private void over(
+            String name, Place x, java.util.function.ToIntFunction<Group> fixed, String fixedName, boolean log) {
         Map<Integer, Map<String, TreeMap<Double, Group>>> by = new TreeMap<>();
         for (Group g : groups) {
             by.computeIfAbsent(fixed.applyAsInt(g), k -> new LinkedHashMap<>())
-                    .computeIfAbsent(label(g), k -> new TreeMap<>()).put(x.of(g), g);
+                    .computeIfAbsent(label(g), k -> new TreeMap<>())
+                    .put(x.of(g), g);
         }
         by.forEach((at, policies) -> {
             if (policies.values().stream().mapToInt(TreeMap::size).max().orElse(0) < 2) {
                 return;
             }
-            page.append("<h2>Over ").append(name).append(by.size() == 1 ? "" : ", " + fixedName + " " + at)
+            page.append("<h2>Over ")
+                    .append(name)
+                    .append(by.size() == 1 ? "" : ", " + fixedName + " " + at)
                     .append("</h2><div class=\"plots\">");
-            for (String[] f : new String[][] {{"served", "Worth served", "part"},
-                {"latency_ms.p50", "Median latency", "ms"}, {"latency_ms.p99", "99th percentile of latency", "ms"}}) {
+            for (String[] f : new String[][] {
+                {"served", "Worth served", "part"},
+                {"latency_ms.p50", "Median latency", "ms"},
+                {"latency_ms.p99", "99th percentile of latency", "ms"}
+            }) {
                 Map<String, Line> plotted = new LinkedHashMap<>();
-                policies.forEach((policy, points) -> plotted.put(policy, new Line(
-                        points.keySet().stream().mapToDouble(Double::doubleValue).toArray(),
-                        points.values().stream().mapToDouble(g -> g.interval(f[0]).mean()).toArray())));
+                policies.forEach((policy, points) -> plotted.put(
+                        policy,
+                        new Line(
+                                points.keySet().stream()
+                                        .mapToDouble(Double::doubleValue)
+                                        .toArray(),
+                                points.values().stream()
+                                        .mapToDouble(g -> g.interval(f[0]).mean())
+                                        .toArray())));
                 page.append(Plots.lines(f[1] + " over " + name, name, f[2], plotted, log, f[2].equals("ms")));
             }
             page.append("</div>");
@@ -255,8 +304,12 @@
                     back = sunk + 1;
                 }
             }
-            rows.add(List.of(label(g), Integer.toString(g.servers()), String.format(Locale.ROOT, "%.2f", g.load()),
-                    String.format(Locale.ROOT, "%.3f", before), String.format(Locale.ROOT, "%.3f", worst),
+            rows.add(List.of(
+                    label(g),
+                    Integer.toString(g.servers()),
+                    String.format(Locale.ROOT, "%.2f", g.load()),
+                    String.format(Locale.ROOT, "%.3f", before),
+                    String.format(Locale.ROOT, "%.3f", worst),
                     sunk < 0 ? "never sank" : back < 0 ? "not in the run" : (back - from) + " s"));
         }
         table(List.of("decided by", "servers", "load", "before", "worst second", "back after"), rows, Set.of());
@@ -286,14 +339,18 @@
             return;
         }
         String text = Files.readString(breaches);
-        page.append("<pre>").append(escape(text.length() > 20_000 ? text.substring(0, 20_000) + "\n..." : text))
+        page.append("<pre>")
+                .append(escape(text.length() > 20_000 ? text.substring(0, 20_000) + "\n..." : text))
                 .append("</pre>");
     }
 
     private void commands(String name) {
         page.append("<h2>To repeat it</h2><pre>");
         String mode = lines.get(0).getString("mode", "sim");
-        page.append("bin/brackenbridge lab ").append(mode).append(" experiment.toml --out ").append(escape(name))
+        page.append("bin/brackenbridge lab ")
+                .append(mode)
+                .append(" experiment.toml --out ")
+                .append(escape(name))
                 .append("\n\n# one run alone, with the same figures\n");
         Set<String> each = new LinkedHashSet<>();
         lines.forEach(l -> each.add("bin/brackenbridge lab " + mode + " experiment.toml --out one"
--- a/lab/src/main/java/brackenbridge/lab/report/Interval.java
+++ b/lab/src/main/java/brackenbridge/lab/report/Interval.java
@@ -17,11 +17,13 @@
     /** Of these figures. */
     public static Interval of(List<Double> figures) {
         int n = figures.size();
-        double mean = figures.stream().mapToDouble(Double::doubleValue).average().orElse(Double.NaN);
+        double mean =
+                figures.stream().mapToDouble(Double::doubleValue).average().orElse(Double.NaN);
         if (n < 2) {
             return new Interval(mean, Double.NaN, n);
         }
-        double squares = figures.stream().mapToDouble(f -> (f - mean) * (f - mean)).sum();
+        double squares =
+                figures.stream().mapToDouble(f -> (f - mean) * (f - mean)).sum();
         double error = Math.sqrt(squares / (n - 1) / n);
         return new Interval(mean, TDistribution.of(n - 1).inverseCumulativeProbability(TAIL) * error, n);
     }
--- a/lab/src/main/java/brackenbridge/lab/report/Plots.java
+++ b/lab/src/main/java/brackenbridge/lab/report/Plots.java
@@ -20,8 +20,16 @@
     private static final int WIDTH = 760;
     private static final int HEIGHT = 340;
     /** Okabe and Ito's colours, which the colour-blind can tell apart. */
-    private static final Color[] COLOURS = {new Color(0xD55E00), new Color(0x0072B2), new Color(0x009E73),
-        new Color(0xCC79A7), new Color(0x56B4E9), new Color(0xE69F00), new Color(0x999999), Color.BLACK};
+    private static final Color[] COLOURS = {
+        new Color(0xD55E00),
+        new Color(0x0072B2),
+        new Color(0x009E73),
+        new Color(0xCC79A7),
+        new Color(0x56B4E9),
+        new Color(0xE69F00),
+        new Color(0x999999),
+        Color.BLACK
+    };
 
     /**
      * A line.
@@ -29,16 +37,19 @@
      * @param x places
      * @param y values
      */
-    record Line(double[] x, double[] y) {
-    }
+    record Line(double[] x, double[] y) {}
 
-    private Plots() {
-    }
+    private Plots() {}
 
     /** A plot of lines by name; SVG text, to stand inside a page. */
     static String lines(String title, String x, String y, Map<String, Line> lines, boolean logX, boolean mayLogY) {
         boolean logY = mayLogY && spansDecades(lines);
-        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle(x).yAxisTitle(y)
+        XYChart chart = new XYChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title(title)
+                .xAxisTitle(x)
+                .yAxisTitle(y)
                 .build();
         chart.getStyler().setLegendPosition(Styler.LegendPosition.OutsideE);
         chart.getStyler().setChartBackgroundColor(Color.WHITE);
@@ -53,7 +64,8 @@
         chart.getStyler().setMarkerSize(5);
         int colour = 0;
         for (Map.Entry<String, Line> e : shown(lines, logX, logY).entrySet()) {
-            XYSeries s = chart.addSeries(e.getKey(), e.getValue().x(), e.getValue().y());
+            XYSeries s =
+                    chart.addSeries(e.getKey(), e.getValue().x(), e.getValue().y());
             s.setLineColor(COLOURS[colour % COLOURS.length]);
             s.setMarkerColor(COLOURS[colour % COLOURS.length]);
             s.setLineStyle(new BasicStroke(colour == 0 ? 2.4f : 1.3f));
@@ -65,8 +77,7 @@
         }
         try {
             ByteArrayOutputStream out = new ByteArrayOutputStream();
-            VectorGraphicsEncoder.saveVectorGraphic(chart, out,
-                    VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
+            VectorGraphicsEncoder.saveVectorGraphic(chart, out, VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
             String svg = out.toString(StandardCharsets.UTF_8);
             return svg.substring(Math.max(0, svg.indexOf("<svg")));
         } catch (IOException e) {
--- a/lab/src/main/java/brackenbridge/lab/rules/Ledger.java
+++ b/lab/src/main/java/brackenbridge/lab/rules/Ledger.java
@@ -66,8 +66,8 @@
     public record Breach(Rule rule, double atMs, String what, List<String> history) {
         /** Many lines: the breach and the request's whole history. */
         public String text() {
-            StringBuilder s = new StringBuilder(String.format(Locale.ROOT, "broken rule: %s: %s, at %.3f ms",
-                    rule.words(), what, atMs));
+            StringBuilder s = new StringBuilder(
+                    String.format(Locale.ROOT, "broken rule: %s: %s, at %.3f ms", rule.words(), what, atMs));
             history.forEach(h -> s.append("\n    ").append(h));
             return s.toString();
         }
@@ -254,6 +254,7 @@
     private final List<Breach> breaches = new ArrayList<>();
     /** By node and host: when the node learned that it must send nothing there any more. */
     private final Map<String, Map<String, Double>> told = new HashMap<>();
+
     private long checked;
     private long attempts;
 
@@ -297,8 +298,11 @@
         Map<String, Double> of = told.get(node);
         Double since = of == null ? null : of.get(host);
         if (since != null && atMs > since + graceMs) {
-            broken(Rule.DRAIN, atMs, String.format(Locale.ROOT, "%s sends to %s, told %.1f ms ago to stop", node, host,
-                    atMs - since), request);
+            broken(
+                    Rule.DRAIN,
+                    atMs,
+                    String.format(Locale.ROOT, "%s sends to %s, told %.1f ms ago to stop", node, host, atMs - since),
+                    request);
         }
     }
 
@@ -310,7 +314,10 @@
     private void broken(Rule rule, double atMs, String what, Entry request) {
         counts.merge(rule, 1L, Long::sum);
         if (breaches.size() < KEPT) {
-            breaches.add(new Breach(rule, atMs, request == null ? what : request.id + ": " + what,
+            breaches.add(new Breach(
+                    rule,
+                    atMs,
+                    request == null ? what : request.id + ": " + what,
                     request == null ? List.of() : request.history()));
         }
     }
--- a/lab/src/main/java/brackenbridge/lab/scale/ChildProcess.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ChildProcess.java
@@ -37,7 +37,8 @@
         command.addAll(flags);
         StringBuilder classes = new StringBuilder();
         for (String part : System.getProperty("java.class.path").split(File.pathSeparator)) {
-            classes.append(classes.length() == 0 ? "" : File.pathSeparator).append(Path.of(part).toAbsolutePath());
+            classes.append(classes.length() == 0 ? "" : File.pathSeparator)
+                    .append(Path.of(part).toAbsolutePath());
         }
         command.add("-cp");
         command.add(classes.toString());
@@ -51,7 +52,9 @@
     }
 
     synchronized void start() throws IOException {
-        process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile())).start();
+        process = new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()))
+                .start();
         input = process.outputWriter(StandardCharsets.UTF_8);
         Process started = process;
         Thread reader = new Thread(() -> read(started), "read " + name);
--- a/lab/src/main/java/brackenbridge/lab/scale/HollowNodes.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/HollowNodes.java
@@ -36,36 +36,48 @@
     private static final class Options {
         @Parameter(names = "--fleet", description = "The fleet's name", required = true)
         private String fleet;
-        @Parameter(names = "--machine", description = "NAME=REGION@ADDRESS:PORT of each control machine",
+
+        @Parameter(
+                names = "--machine",
+                description = "NAME=REGION@ADDRESS:PORT of each control machine",
                 required = true)
         private List<String> machines = new ArrayList<>();
+
         @Parameter(names = "--region", description = "The nodes' region", required = true)
         private String region;
+
         @Parameter(names = "--first", description = "The first node's number", required = true)
         private int first;
+
         @Parameter(names = "--count", description = "How many nodes", required = true)
         private int count;
+
         @Parameter(names = "--services", description = "How many lists there are", required = true)
         private int services;
+
         @Parameter(names = "--calls", description = "To how many lists a node subscribes", required = true)
         private int calls;
+
         @Parameter(names = "--tiers", description = "How many settings there are", required = true)
         private int tiers;
+
         @Parameter(names = "--seed", description = "The seed", required = true)
         private long seed;
 
         private List<ControlMachine> controlMachines() {
-            return machines.stream().map(text -> {
-                int is = text.indexOf('=');
-                int at = text.indexOf('@');
-                return new ControlMachine(text.substring(0, is), text.substring(is + 1, at), text.substring(at + 1));
-            }).toList();
+            return machines.stream()
+                    .map(text -> {
+                        int is = text.indexOf('=');
+                        int at = text.indexOf('@');
+                        return new ControlMachine(
+                                text.substring(0, is), text.substring(is + 1, at), text.substring(at + 1));
+                    })
+                    .toList();
         }
     }
 
     /** A version that a node began to act by. */
-    private record Applied(int node, String resource, long change, double atMs) {
-    }
+    private record Applied(int node, String resource, long change, double atMs) {}
 
     private final Options options;
     private final List<ControlMachine> machines;
@@ -113,8 +125,9 @@
             case "start" -> startAll(Double.parseDouble(words[1]));
             case "status" -> loop.execute(this::status);
             case "dump" -> loop.execute(this::dump);
-            case "pause", "resume" -> loop.execute(() -> range(words).forEach(
-                    node -> nodes.get(node).pauseReading(words[0].equals("pause"))));
+            case "pause", "resume" ->
+                loop.execute(() ->
+                        range(words).forEach(node -> nodes.get(node).pauseReading(words[0].equals("pause"))));
             case "restart" -> restart(range(words), Double.parseDouble(words[3]));
             default -> say(Json.object().add("what", "unknown").add("command", words[0]));
         }
@@ -138,11 +151,14 @@
     }
 
     private void start(int node) {
-        List<String> resources = ScalePlan.resourcesOf(node, options.services, options.calls, options.tiers,
-                options.seed);
+        List<String> resources =
+                ScalePlan.resourcesOf(node, options.services, options.calls, options.tiers, options.seed);
         ControlClient[] self = new ControlClient[1];
-        ControlClient client = new ControlClient(new ControlClient.Settings(options.fleet, "n" + node, options.region,
-                machines, resources, ControlLimits.STANDARD), loop, clock,
+        ControlClient client = new ControlClient(
+                new ControlClient.Settings(
+                        options.fleet, "n" + node, options.region, machines, resources, ControlLimits.STANDARD),
+                loop,
+                clock,
                 new SplittableRandom(options.seed * 7919 + node * 31L + ++starts),
                 resource -> take(node, self, resource));
         self[0] = client;
@@ -163,17 +179,23 @@
 
     private void restart(List<Integer> which, double withinMs) {
         for (int node : which) {
-            loop.schedule(() -> {
-                ControlClient before = nodes.get(node);
-                if (before != null) {
-                    ControlClient.Status last = before.status();
-                    bytesOfEnded += last.bytesIn() + last.bytesOut();
-                    connectionsOfEnded += last.connections();
-                    before.close();
-                }
-                say(Json.object().add("what", "restarted").add("node", node).add("at", monotonicMs()));
-                start(node);
-            }, (long) (random.nextDouble() * withinMs * 1000), TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        ControlClient before = nodes.get(node);
+                        if (before != null) {
+                            ControlClient.Status last = before.status();
+                            bytesOfEnded += last.bytesIn() + last.bytesOut();
+                            connectionsOfEnded += last.connections();
+                            before.close();
+                        }
+                        say(Json.object()
+                                .add("what", "restarted")
+                                .add("node", node)
+                                .add("at", monotonicMs()));
+                        start(node);
+                    },
+                    (long) (random.nextDouble() * withinMs * 1000),
+                    TimeUnit.MICROSECONDS);
         }
     }
 
@@ -200,18 +222,24 @@
         TreeMap<String, Integer> counts = new TreeMap<>();
         nodes.values().forEach(node -> counts.merge(node.status().machine(), 1, Integer::sum));
         counts.forEach(byMachine::add);
-        say(Json.object().add("what", "status").add("process", "nodes-" + options.first)
-                .add("nodes", nodes.size()).add("connected", connected)
+        say(Json.object()
+                .add("what", "status")
+                .add("process", "nodes-" + options.first)
+                .add("nodes", nodes.size())
+                .add("connected", connected)
                 .add("complete", complete)
-                .add("bytes", bytes).add("most_bytes", mostBytes).add("connections", connections)
-                .add("rejected", rejected).add("accepted", accepted).add("machines", byMachine)
+                .add("bytes", bytes)
+                .add("most_bytes", mostBytes)
+                .add("connections", connections)
+                .add("rejected", rejected)
+                .add("accepted", accepted)
+                .add("machines", byMachine)
                 .add("at", monotonicMs()));
     }
 
     private void dump() {
         for (Applied one : applied) {
-            System.out.println("applied " + one.node() + " " + one.resource() + " " + one.change() + " "
-                    + one.atMs());
+            System.out.println("applied " + one.node() + " " + one.resource() + " " + one.change() + " " + one.atMs());
         }
         applied = new ArrayList<>();
         say(Json.object().add("what", "dumped"));
--- a/lab/src/main/java/brackenbridge/lab/scale/ProcessUsage.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ProcessUsage.java
@@ -20,16 +20,25 @@
     /** Reads it of this project's own process; what can't be read is 0. */
     static ProcessUsage of(ProcessHandle process) {
         Path folder = Path.of("/proc", Long.toString(process.pid()));
-        double cpuMs = process.info().totalCpuDuration().map(spent -> spent.toNanos() / 1e6).orElse(0.0);
-        return new ProcessUsage(process.pid(), cpuMs, statusValue(folder, "VmRSS:") / KB_PER_MB,
-                (int) statusValue(folder, "Threads:"), descriptors(folder));
+        double cpuMs = process.info()
+                .totalCpuDuration()
+                .map(spent -> spent.toNanos() / 1e6)
+                .orElse(0.0);
+        return new ProcessUsage(
+                process.pid(),
+                cpuMs,
+                statusValue(folder, "VmRSS:") / KB_PER_MB,
+                (int) statusValue(folder, "Threads:"),
+                descriptors(folder));
     }
 
     private static double statusValue(Path folder, String key) {
         try (Stream<String> lines = Files.lines(folder.resolve("status"))) {
             return lines.filter(line -> line.startsWith(key))
-                    .mapToDouble(line -> Double.parseDouble(line.substring(key.length()).replace("kB", "").trim()))
-                    .findFirst().orElse(0);
+                    .mapToDouble(line -> Double.parseDouble(
+                            line.substring(key.length()).replace("kB", "").trim()))
+                    .findFirst()
+                    .orElse(0);
         } catch (IOException | java.io.UncheckedIOException e) {
             // The process has just ended.
             return 0;
--- a/lab/src/main/java/brackenbridge/lab/scale/ScaleFault.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ScaleFault.java
@@ -28,8 +28,13 @@
 
     /** In words. */
     public String text() {
-        return String.format(Locale.ROOT, "%s %s%s at %.0f s for %.0f s", kind.name().toLowerCase(Locale.ROOT),
+        return String.format(
+                Locale.ROOT,
+                "%s %s%s at %.0f s for %.0f s",
+                kind.name().toLowerCase(Locale.ROOT),
                 amount == Math.rint(amount) ? Integer.toString((int) amount) : Double.toString(amount),
-                region.isEmpty() ? "" : " " + region, atMs / 1000, forMs / 1000);
+                region.isEmpty() ? "" : " " + region,
+                atMs / 1000,
+                forMs / 1000);
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/scale/ScaleFigures.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ScaleFigures.java
@@ -12,16 +12,13 @@
  */
 final class ScaleFigures {
     /** A change of a resource: when it was first proposed, and when the proposer was told that it is in force. */
-    record Change(long number, String resource, double proposedMs, double inForceMs) {
-    }
+    record Change(long number, String resource, double proposedMs, double inForceMs) {}
 
     /** A node could not be reached, or was not there, from one moment until another. */
-    record Unreachable(int node, double fromMs, double untilMs) {
-    }
+    record Unreachable(int node, double fromMs, double untilMs) {}
 
     /** A node began to act by a change, or by a later one of the same resource. */
-    private record Applied(long change, double atMs) {
-    }
+    private record Applied(long change, double atMs) {}
 
     /**
      * What came of the changes.
@@ -36,8 +33,7 @@
     record Result(int changes, int pairs, int missing, double[] node, double[] last, double[] agreed) {
         /** A quantile of sorted values; 0 if there are none. */
         static double quantile(double[] sorted, double part) {
-            return sorted.length == 0 ? 0
-                    : sorted[(int) Math.min(sorted.length - 1, Math.floor(part * sorted.length))];
+            return sorted.length == 0 ? 0 : sorted[(int) Math.min(sorted.length - 1, Math.floor(part * sorted.length))];
         }
     }
 
@@ -81,14 +77,23 @@
             }
             last.add(slowest);
         }
-        return new Result(changes.size(), pairs, missing, sorted(node), sorted(last),
-                sorted(changes.stream().map(change -> change.inForceMs() - change.proposedMs()).toList()));
+        return new Result(
+                changes.size(),
+                pairs,
+                missing,
+                sorted(node),
+                sorted(last),
+                sorted(changes.stream()
+                        .map(change -> change.inForceMs() - change.proposedMs())
+                        .toList()));
     }
 
     /** Infinite if it never came about; NaN if the node can't be reached at the end either. */
     private double tookMs(Change change, int node, double endMs) {
         double at = applied.getOrDefault(node + " " + change.resource(), List.of()).stream()
-                .filter(one -> one.change() >= change.number()).mapToDouble(Applied::atMs).min()
+                .filter(one -> one.change() >= change.number())
+                .mapToDouble(Applied::atMs)
+                .min()
                 .orElse(Double.POSITIVE_INFINITY);
         double from = change.proposedMs();
         for (Unreachable span : unreachable.getOrDefault(node, List.of())) {
--- a/lab/src/main/java/brackenbridge/lab/scale/ScaleFile.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ScaleFile.java
@@ -21,8 +21,7 @@
     private static final int MAX_SERVICES = 1000;
     private static final int MAX_BYTES = 64 * 1024;
 
-    private ScaleFile() {
-    }
+    private ScaleFile() {}
 
     /** Reads it. */
     public static ScalePlan read(Path path) throws FileFault {
@@ -37,7 +36,10 @@
     public static ScalePlan parse(String file, String text) throws FileFault {
         TomlParseResult toml = Toml.parse(text);
         for (TomlParseError error : toml.errors()) {
-            throw new FileFault(file, error.position().line(), error.position().column(),
+            throw new FileFault(
+                    file,
+                    error.position().line(),
+                    error.position().column(),
                     error.getMessage().replaceAll("\\s+", " "));
         }
         Section root = new Section(file, toml, "", TomlPosition.positionAt(1, 1));
@@ -56,8 +58,8 @@
         ScalePlan.Bounds bounds = bounds(root.section("bounds"));
         List<ScaleFault> faults = faults(root, regions, changes);
         root.end();
-        ScalePlan plan = new ScalePlan(name, nodes, services, calls, tiers, regions, perProcess, startMs, restMs,
-                changes, bounds, faults);
+        ScalePlan plan = new ScalePlan(
+                name, nodes, services, calls, tiers, regions, perProcess, startMs, restMs, changes, bounds, faults);
         if (plan.machines() > MAX_MACHINES) {
             throw root.fault("region", "name " + plan.machines() + " control machines, at most " + MAX_MACHINES);
         }
@@ -78,8 +80,10 @@
     private static List<ScalePlan.Region> regions(Section root) throws FileFault {
         List<ScalePlan.Region> regions = new ArrayList<>();
         for (Section section : root.sections("region")) {
-            ScalePlan.Region region = new ScalePlan.Region(section.text("name", null),
-                    section.whole("zones", 1, 1, 100), section.whole("machines", 1, 0, MAX_MACHINES));
+            ScalePlan.Region region = new ScalePlan.Region(
+                    section.text("name", null),
+                    section.whole("zones", 1, 1, 100),
+                    section.whole("machines", 1, 0, MAX_MACHINES));
             if (!region.name().matches("[A-Za-z0-9][A-Za-z0-9._-]{0,30}")
                     || regions.stream().anyMatch(other -> other.name().equals(region.name()))) {
                 throw section.fault("name", "'" + region.name() + "' is no name, or is there twice");
@@ -96,15 +100,18 @@
     private static ScalePlan.Changes changes(Section section) throws FileFault {
         ScalePlan.Changes changes = new ScalePlan.Changes(
                 within(section, "length", section.time("length", 20_000), 1000, 3_600_000),
-                section.number("per_second", 1, 0.01, 50), section.whole("bytes", 1000, 64, MAX_BYTES),
+                section.number("per_second", 1, 0.01, 50),
+                section.whole("bytes", 1000, 64, MAX_BYTES),
                 section.number("settings", 0.1, 0, 1));
         section.end();
         return changes;
     }
 
     private static ScalePlan.Bounds bounds(Section section) throws FileFault {
-        ScalePlan.Bounds bounds = new ScalePlan.Bounds(section.time("in_force", 13_000),
-                section.number("node_core_percent", 1.4, 0, 100), section.number("node_memory_mb", 256, 1, 100_000),
+        ScalePlan.Bounds bounds = new ScalePlan.Bounds(
+                section.time("in_force", 13_000),
+                section.number("node_core_percent", 1.4, 0, 100),
+                section.number("node_memory_mb", 256, 1, 100_000),
                 section.number("node_kb_per_second", 29, 0, 1e6),
                 section.number("machine_core_percent", 100, 0, 10_000));
         section.end();
@@ -117,14 +124,20 @@
         for (Section section : root.sections("fault")) {
             ScaleFault.Kind kind = section.choice("kind", ScaleFault.Kind.class, null);
             boolean part = kind == ScaleFault.Kind.SLOW || kind == ScaleFault.Kind.RESTART;
-            double amount = part ? section.number("part", 0.1, 0.001, 1)
+            double amount = part
+                    ? section.number("part", 0.1, 0.001, 1)
                     : kind == ScaleFault.Kind.KILL ? section.whole("machines", 1, 1, MAX_MACHINES) : 1;
             String region = section.text("region", "-");
-            if (!region.equals("-") && regions.stream().noneMatch(known -> known.name().equals(region))) {
+            if (!region.equals("-")
+                    && regions.stream().noneMatch(known -> known.name().equals(region))) {
                 throw section.fault("region", "'" + region + "' is no region");
             }
-            ScaleFault fault = new ScaleFault(kind, amount, region.equals("-") ? "" : region,
-                    section.time("at", Double.NaN), within(section, "for", section.time("for", 5000), 100, 3_600_000));
+            ScaleFault fault = new ScaleFault(
+                    kind,
+                    amount,
+                    region.equals("-") ? "" : region,
+                    section.time("at", Double.NaN),
+                    within(section, "for", section.time("for", 5000), 100, 3_600_000));
             if (fault.atMs() + fault.forMs() > changes.lengthMs()) {
                 throw section.fault("at", "the fault would outlast the changes");
             }
--- a/lab/src/main/java/brackenbridge/lab/scale/ScaleOutcome.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ScaleOutcome.java
@@ -17,8 +17,17 @@
  * @param proposals proposals that had to be made again
  * @param faults the faults, in words
  */
-public record ScaleOutcome(ScalePlan plan, long seed, double startedMs, ScaleFigures.Result result, Cost rest,
-        Cost busy, long connections, long rejected, int proposals, List<String> faults) {
+public record ScaleOutcome(
+        ScalePlan plan,
+        long seed,
+        double startedMs,
+        ScaleFigures.Result result,
+        Cost rest,
+        Cost busy,
+        long connections,
+        long rejected,
+        int proposals,
+        List<String> faults) {
 
     /**
      * What was used over a time, in hundredths of a core, MB of 2^20 bytes and KB of 1,000 bytes a second.
@@ -31,12 +40,21 @@
      * @param mostKbPerSecond that of the node with the most
      * @param machines each control machine
      */
-    public record Cost(double nodeCorePercent, double aloneCorePercent, double aloneMemoryMb, int aloneThreads,
-            double nodeKbPerSecond, double mostKbPerSecond, List<MachineCost> machines) {
+    public record Cost(
+            double nodeCorePercent,
+            double aloneCorePercent,
+            double aloneMemoryMb,
+            int aloneThreads,
+            double nodeKbPerSecond,
+            double mostKbPerSecond,
+            List<MachineCost> machines) {
         /** The highest processor time of a control machine. */
         double mostMachineCorePercent() {
-            return machines.stream().mapToDouble(MachineCost::corePercent).filter(percent -> !Double.isNaN(percent))
-                    .max().orElse(0);
+            return machines.stream()
+                    .mapToDouble(MachineCost::corePercent)
+                    .filter(percent -> !Double.isNaN(percent))
+                    .max()
+                    .orElse(0);
         }
     }
 
@@ -53,15 +71,25 @@
      * @param toNodesKbPerSecond bytes written to nodes
      * @param meshKbPerSecond bytes written to other control machines
      */
-    public record MachineCost(String name, String region, int nodes, double corePercent, double memoryMb, int threads,
-            int descriptors, double toNodesKbPerSecond, double meshKbPerSecond) {
-    }
+    public record MachineCost(
+            String name,
+            String region,
+            int nodes,
+            double corePercent,
+            double memoryMb,
+            int threads,
+            int descriptors,
+            double toNodesKbPerSecond,
+            double meshKbPerSecond) {}
 
     /** Whether every bound was kept. */
     public boolean passed() {
         ScalePlan.Bounds bounds = plan.bounds();
-        return result.missing() == 0 && rejected == 0 && slowestMs() <= bounds.inForceMs()
-                && nodeCorePercent() <= bounds.nodeCorePercent() && rest.aloneMemoryMb() <= bounds.nodeMemoryMb()
+        return result.missing() == 0
+                && rejected == 0
+                && slowestMs() <= bounds.inForceMs()
+                && nodeCorePercent() <= bounds.nodeCorePercent()
+                && rest.aloneMemoryMb() <= bounds.nodeMemoryMb()
                 && mostKbPerSecond() <= bounds.nodeKbPerSecond()
                 && machineCorePercent() <= bounds.machineCorePercent();
     }
@@ -85,12 +113,27 @@
     /** The tables, for people. */
     public String text() {
         StringBuilder text = new StringBuilder();
-        line(text, "seed %d, %d nodes, %d control machines, %d services; faults: %s", seed, plan.nodes(),
-                plan.machines(), plan.services(), faults.isEmpty() ? "none" : String.join("; ", faults));
-        line(text, "all started within %.1f s, all had everything after %.1f s", plan.startMs() / 1000,
+        line(
+                text,
+                "seed %d, %d nodes, %d control machines, %d services; faults: %s",
+                seed,
+                plan.nodes(),
+                plan.machines(),
+                plan.services(),
+                faults.isEmpty() ? "none" : String.join("; ", faults));
+        line(
+                text,
+                "all started within %.1f s, all had everything after %.1f s",
+                plan.startMs() / 1000,
                 startedMs / 1000);
-        line(text, "%d changes, %d changes by node, %d missing, %d proposals made again, %d connections of nodes",
-                result.changes(), result.pairs(), result.missing(), proposals, connections);
+        line(
+                text,
+                "%d changes, %d changes by node, %d missing, %d proposals made again, %d connections of nodes",
+                result.changes(),
+                result.pairs(),
+                result.missing(),
+                proposals,
+                connections);
         quantiles(text, "decided", result.agreed());
         quantiles(text, "at a node", result.node());
         quantiles(text, "at the last", result.last());
@@ -100,20 +143,41 @@
     }
 
     private static void quantiles(StringBuilder text, String name, double[] sorted) {
-        line(text, "%-14s p50 %7.0f ms, p99 %7.0f ms, max %7.0f ms", name,
-                ScaleFigures.Result.quantile(sorted, 0.5), ScaleFigures.Result.quantile(sorted, 0.99),
+        line(
+                text,
+                "%-14s p50 %7.0f ms, p99 %7.0f ms, max %7.0f ms",
+                name,
+                ScaleFigures.Result.quantile(sorted, 0.5),
+                ScaleFigures.Result.quantile(sorted, 0.99),
                 ScaleFigures.Result.quantile(sorted, 1));
     }
 
     private static void cost(StringBuilder text, String name, Cost cost) {
-        line(text, "%s: a node %.3f%% of a core, %.2f KB/s (most %.2f); alone in a process %.2f%%, %.0f MB, %d threads",
-                name, cost.nodeCorePercent(), cost.nodeKbPerSecond(), cost.mostKbPerSecond(), cost.aloneCorePercent(),
-                cost.aloneMemoryMb(), cost.aloneThreads());
-        cost.machines().forEach(machine -> line(text,
-                "  %-4s %-10s %4d nodes, %6.2f%% of a core, %4.0f MB, %3d threads, %4d descriptors, %7.2f KB/s to "
-                        + "nodes, %6.2f KB/s to machines", machine.name(), machine.region(), machine.nodes(),
-                machine.corePercent(), machine.memoryMb(), machine.threads(), machine.descriptors(),
-                machine.toNodesKbPerSecond(), machine.meshKbPerSecond()));
+        line(
+                text,
+                "%s: a node %.3f%% of a core, %.2f KB/s (most %.2f); alone in a process %.2f%%, %.0f MB, %d threads",
+                name,
+                cost.nodeCorePercent(),
+                cost.nodeKbPerSecond(),
+                cost.mostKbPerSecond(),
+                cost.aloneCorePercent(),
+                cost.aloneMemoryMb(),
+                cost.aloneThreads());
+        cost.machines()
+                .forEach(machine -> line(
+                        text,
+                        "  %-4s %-10s %4d nodes, %6.2f%% of a core, %4.0f MB, %3d threads, "
+                                + "%4d descriptors, %7.2f KB/s to "
+                                + "nodes, %6.2f KB/s to machines",
+                        machine.name(),
+                        machine.region(),
+                        machine.nodes(),
+                        machine.corePercent(),
+                        machine.memoryMb(),
+                        machine.threads(),
+                        machine.descriptors(),
+                        machine.toNodesKbPerSecond(),
+                        machine.meshKbPerSecond()));
     }
 
     private static void line(StringBuilder text, String format, Object... values) {
@@ -122,10 +186,19 @@
 
     /** The last line that the command prints. */
     public String summary() {
-        return String.format(Locale.ROOT, "scale: %d nodes, in force everywhere after %.1f s of %.0f, a node %.2f%% of "
-                + "%.1f of a core, %.0f MB of %.0f, %.2f KB/s of %.0f, control %.1f%% of a core at most", plan.nodes(),
-                slowestMs() / 1000, plan.bounds().inForceMs() / 1000, nodeCorePercent(),
-                plan.bounds().nodeCorePercent(), rest.aloneMemoryMb(), plan.bounds().nodeMemoryMb(),
-                mostKbPerSecond(), plan.bounds().nodeKbPerSecond(), machineCorePercent());
+        return String.format(
+                Locale.ROOT,
+                "scale: %d nodes, in force everywhere after %.1f s of %.0f, a node %.2f%% of "
+                        + "%.1f of a core, %.0f MB of %.0f, %.2f KB/s of %.0f, control %.1f%% of a core at most",
+                plan.nodes(),
+                slowestMs() / 1000,
+                plan.bounds().inForceMs() / 1000,
+                nodeCorePercent(),
+                plan.bounds().nodeCorePercent(),
+                rest.aloneMemoryMb(),
+                plan.bounds().nodeMemoryMb(),
+                mostKbPerSecond(),
+                plan.bounds().nodeKbPerSecond(),
+                machineCorePercent());
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/scale/ScalePlan.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ScalePlan.java
@@ -20,8 +20,19 @@
  * @param bounds what must hold
  * @param faults faults, in order of time
  */
-public record ScalePlan(String name, int nodes, int services, int calls, int tiers, List<Region> regions,
-        int nodesPerProcess, double startMs, double restMs, Changes changes, Bounds bounds, List<ScaleFault> faults) {
+public record ScalePlan(
+        String name,
+        int nodes,
+        int services,
+        int calls,
+        int tiers,
+        List<Region> regions,
+        int nodesPerProcess,
+        double startMs,
+        double restMs,
+        Changes changes,
+        Bounds bounds,
+        List<ScaleFault> faults) {
 
     /**
      * A region.
@@ -30,8 +41,7 @@
      * @param zones its zones: its part of the nodes goes by their number
      * @param machines its control machines
      */
-    public record Region(String name, int zones, int machines) {
-    }
+    public record Region(String name, int zones, int machines) {}
 
     /**
      * Changes of resources.
@@ -41,8 +51,7 @@
      * @param bytes the size of a list and of settings
      * @param settingsPart the part of changes that go to settings, which many nodes follow
      */
-    public record Changes(double lengthMs, double perSecond, int bytes, double settingsPart) {
-    }
+    public record Changes(double lengthMs, double perSecond, int bytes, double settingsPart) {}
 
     /**
      * What must hold.
@@ -53,9 +62,12 @@
      * @param nodeKbPerSecond bytes in and out of a node's control connection, in KB a second
      * @param machineCorePercent processor time of a control machine, in hundredths of a core
      */
-    public record Bounds(double inForceMs, double nodeCorePercent, double nodeMemoryMb, double nodeKbPerSecond,
-            double machineCorePercent) {
-    }
+    public record Bounds(
+            double inForceMs,
+            double nodeCorePercent,
+            double nodeMemoryMb,
+            double nodeKbPerSecond,
+            double machineCorePercent) {}
 
     /** Keeps its own copies. */
     public ScalePlan {
@@ -65,8 +77,19 @@
 
     /** The same with another number of nodes. */
     public ScalePlan withNodes(int other) {
-        return new ScalePlan(name, other, services, calls, tiers, regions, nodesPerProcess, startMs, restMs, changes,
-                bounds, faults);
+        return new ScalePlan(
+                name,
+                other,
+                services,
+                calls,
+                tiers,
+                regions,
+                nodesPerProcess,
+                startMs,
+                restMs,
+                changes,
+                bounds,
+                faults);
     }
 
     /** How many control machines there are. */
--- a/lab/src/main/java/brackenbridge/lab/scale/ScaleRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ScaleRunner.java
@@ -89,8 +89,16 @@
         if (!undecided.isEmpty()) {
             throw new IOException("never decided: " + undecided);
         }
-        return new ScaleOutcome(plan, seed, startedMs, figures.result(List.copyOf(changes), nowMs()),
-                cost(before, rested), cost(rested, after), end.connections(), end.rejected(), again.get(),
+        return new ScaleOutcome(
+                plan,
+                seed,
+                startedMs,
+                figures.result(List.copyOf(changes), nowMs()),
+                cost(before, rested),
+                cost(rested, after),
+                end.connections(),
+                end.rejected(),
+                again.get(),
                 plan.faults().stream().map(ScaleFault::text).toList());
     }
 
@@ -105,7 +113,9 @@
 
     private boolean leads(Machine machine) {
         try {
-            return admin.status(machine.page()).filter(status -> status.contains(" left")).isPresent();
+            return admin.status(machine.page())
+                    .filter(status -> status.contains(" left"))
+                    .isPresent();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return false;
@@ -139,9 +149,11 @@
 
     /** Proposes until it is in force; returns when. */
     private double propose(String resource, long number) throws InterruptedException, IOException {
-        String content = HollowNodes.CHANGE + number + " " + "x".repeat(Math.max(0, plan.changes().bytes() - 20));
+        String content = HollowNodes.CHANGE + number + " "
+                + "x".repeat(Math.max(0, plan.changes().bytes() - 20));
         double giveUp = nowMs() + GIVE_UP_MS;
-        int at = Math.floorMod(resource.hashCode() + (int) number, world.machines().size());
+        int at = Math.floorMod(
+                resource.hashCode() + (int) number, world.machines().size());
         while (nowMs() < giveUp) {
             Machine machine = world.machines().get(at % world.machines().size());
             if (admin.propose(machine.page(), resource, content)) {
@@ -159,7 +171,10 @@
         for (Hollow hollow : world.hollows()) {
             hollow.process().start();
         }
-        await(READY_MS, "not every process of nodes is ready", () -> ready.get() == world.hollows().size());
+        await(
+                READY_MS,
+                "not every process of nodes is ready",
+                () -> ready.get() == world.hollows().size());
         double began = nowMs();
         tellAll("start " + plan.startMs());
         int nodes = plan.nodes() + 1;
@@ -188,7 +203,9 @@
             Thread.currentThread().interrupt();
             return -1;
         }
-        return statuses.values().stream().mapToLong(status -> status.getLong(figure, 0)).sum();
+        return statuses.values().stream()
+                .mapToLong(status -> status.getLong(figure, 0))
+                .sum();
     }
 
     /** A line of a process with nodes. */
@@ -196,8 +213,8 @@
         if (line.startsWith("applied ")) {
             String[] words = line.split(" ");
             synchronized (figures) {
-                figures.applied(Integer.parseInt(words[1]), words[2], Long.parseLong(words[3]),
-                        Double.parseDouble(words[4]));
+                figures.applied(
+                        Integer.parseInt(words[1]), words[2], Long.parseLong(words[3]), Double.parseDouble(words[4]));
             }
             return;
         }
@@ -226,7 +243,8 @@
         List<String> resources = plan.resources();
         while (nowMs() < end) {
             boolean ofSettings = random.nextDouble() < plan.changes().settingsPart();
-            String resource = ofSettings ? resources.get(random.nextInt(plan.tiers()))
+            String resource = ofSettings
+                    ? resources.get(random.nextInt(plan.tiers()))
                     : resources.get(plan.tiers() + random.nextInt(plan.services()));
             if (changing.add(resource)) {
                 change(resource, ++numbers);
@@ -277,7 +295,8 @@
 
     private void killMachines(ScaleFault fault) throws InterruptedException {
         List<Machine> left = new ArrayList<>(world.machines().stream()
-                .filter(machine -> fault.region().isEmpty() || machine.region().equals(fault.region())).toList());
+                .filter(machine -> fault.region().isEmpty() || machine.region().equals(fault.region()))
+                .toList());
         SplittableRandom draw = drawn(fault);
         for (int i = 0; i < fault.amount() && !left.isEmpty(); i++) {
             Machine machine = left.remove(draw.nextInt(left.size()));
@@ -308,11 +327,13 @@
                 world.deafen(region, false);
             }
             double untilMs = nowMs();
-            world.hollows().stream().filter(hollow -> hollow.region().equals(region)).forEach(hollow -> {
-                for (int node = hollow.first(); node < hollow.first() + hollow.count(); node++) {
-                    unreachable(node, fromMs, untilMs);
-                }
-            });
+            world.hollows().stream()
+                    .filter(hollow -> hollow.region().equals(region))
+                    .forEach(hollow -> {
+                        for (int node = hollow.first(); node < hollow.first() + hollow.count(); node++) {
+                            unreachable(node, fromMs, untilMs);
+                        }
+                    });
         });
     }
 
@@ -348,22 +369,36 @@
 
     private void collect() throws IOException, InterruptedException {
         tellAll("dump");
-        await(DUMP_MS, "not every process of nodes has told", () -> dumped.get() == world.hollows().size());
+        await(
+                DUMP_MS,
+                "not every process of nodes has told",
+                () -> dumped.get() == world.hollows().size());
     }
 
     /** Costs by now. */
-    private record Sample(double atMs, Map<String, ProcessUsage> usage, Map<String, JsonObject> statuses,
-            Map<String, Double> toNodes, Map<String, Double> mesh, Map<String, Integer> nodes) {
+    private record Sample(
+            double atMs,
+            Map<String, ProcessUsage> usage,
+            Map<String, JsonObject> statuses,
+            Map<String, Double> toNodes,
+            Map<String, Double> mesh,
+            Map<String, Integer> nodes) {
         long connections() {
-            return statuses.values().stream().mapToLong(status -> status.getLong("connections", 0)).sum();
+            return statuses.values().stream()
+                    .mapToLong(status -> status.getLong("connections", 0))
+                    .sum();
         }
 
         long rejected() {
-            return statuses.values().stream().mapToLong(status -> status.getLong("rejected", 0)).sum();
+            return statuses.values().stream()
+                    .mapToLong(status -> status.getLong("rejected", 0))
+                    .sum();
         }
 
         double bytes() {
-            return statuses.values().stream().mapToLong(status -> status.getLong("bytes", 0)).sum();
+            return statuses.values().stream()
+                    .mapToLong(status -> status.getLong("bytes", 0))
+                    .sum();
         }
     }
 
@@ -374,7 +409,9 @@
         Map<String, Double> mesh = new HashMap<>();
         Map<String, Integer> nodes = new HashMap<>();
         double at = nowMs();
-        world.hollows().forEach(hollow -> usage.put(hollow.process().name(), hollow.process().usage()));
+        world.hollows()
+                .forEach(hollow ->
+                        usage.put(hollow.process().name(), hollow.process().usage()));
         for (Machine machine : world.machines()) {
             usage.put(machine.name(), machine.process().usage());
             toNodes.put(machine.name(), admin.metric(machine.page(), "control_bytes_out_total"));
@@ -401,18 +438,31 @@
             }
         }
         ProcessUsage single = to.usage().get(alone.process().name());
-        List<ScaleOutcome.MachineCost> machines = world.machines().stream().map(machine -> {
-            String name = machine.name();
-            ProcessUsage usage = to.usage().get(name);
-            boolean restarted = usage.pid() != from.usage().get(name).pid();
-            return new ScaleOutcome.MachineCost(name, machine.region(), to.nodes().get(name),
-                    restarted ? Double.NaN : corePercent(from, to, name, seconds), usage.memoryMb(), usage.threads(),
-                    usage.descriptors(), (to.toNodes().get(name) - from.toNodes().get(name)) / seconds / 1000,
-                    (to.mesh().get(name) - from.mesh().get(name)) / seconds / 1000);
-        }).toList();
-        return new ScaleOutcome.Cost(shared / plan.nodes(), corePercent(from, to, alone.process().name(), seconds),
-                single.memoryMb(), single.threads(), (to.bytes() - from.bytes()) / seconds / (plan.nodes() + 1) / 1000,
-                most / 1000, machines);
+        List<ScaleOutcome.MachineCost> machines = world.machines().stream()
+                .map(machine -> {
+                    String name = machine.name();
+                    ProcessUsage usage = to.usage().get(name);
+                    boolean restarted = usage.pid() != from.usage().get(name).pid();
+                    return new ScaleOutcome.MachineCost(
+                            name,
+                            machine.region(),
+                            to.nodes().get(name),
+                            restarted ? Double.NaN : corePercent(from, to, name, seconds),
+                            usage.memoryMb(),
+                            usage.threads(),
+                            usage.descriptors(),
+                            (to.toNodes().get(name) - from.toNodes().get(name)) / seconds / 1000,
+                            (to.mesh().get(name) - from.mesh().get(name)) / seconds / 1000);
+                })
+                .toList();
+        return new ScaleOutcome.Cost(
+                shared / plan.nodes(),
+                corePercent(from, to, alone.process().name(), seconds),
+                single.memoryMb(),
+                single.threads(),
+                (to.bytes() - from.bytes()) / seconds / (plan.nodes() + 1) / 1000,
+                most / 1000,
+                machines);
     }
 
     private static double corePercent(Sample from, Sample to, String process, double seconds) {
--- a/lab/src/main/java/brackenbridge/lab/scale/ScaleWorld.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ScaleWorld.java
@@ -27,6 +27,7 @@
     private static final int PORT_TRIES = 300;
     /** Nobody listens there: members are reached by the addresses of the relays alone. */
     private static final String NOWHERE = "127.0.0.1:1";
+
     private static final int VOTERS = 5;
     private static final String FLEET = "scale";
     private static final List<String> MACHINE_FLAGS = List.of("-Xmx256m", "-XX:+UseSerialGC", "-Xshare:auto");
@@ -67,12 +68,10 @@
     }
 
     /** A process with hollow nodes of one region. */
-    record Hollow(String region, int first, int count, ChildProcess process) {
-    }
+    record Hollow(String region, int first, int count, ChildProcess process) {}
 
     /** A relay from one region, or one region's machine, to a machine. */
-    private record Link(String fromRegion, String toRegion, boolean ofNodes, Relay relay) {
-    }
+    private record Link(String fromRegion, String toRegion, boolean ofNodes, Relay relay) {}
 
     private final ScalePlan plan;
     private final long seed;
@@ -97,9 +96,14 @@
         for (Machine machine : machines) {
             Path file = folder.resolve(machine.name + ".toml");
             Files.writeString(file, fleetFile(machine));
-            machine.process = new ChildProcess(machine.name, ChildProcess.java(MACHINE_FLAGS, "brackenbridge.cli.Main",
-                    List.of("control", "--fleet", file.toString(), "--name", machine.name)),
-                    folder.resolve(machine.name + ".log"), line -> { });
+            machine.process = new ChildProcess(
+                    machine.name,
+                    ChildProcess.java(
+                            MACHINE_FLAGS,
+                            "brackenbridge.cli.Main",
+                            List.of("control", "--fleet", file.toString(), "--name", machine.name)),
+                    folder.resolve(machine.name + ".log"),
+                    line -> {});
         }
         int first = 0;
         int[] counts = plan.nodesByRegion();
@@ -116,12 +120,15 @@
 
     /** The machines in the order of the file: one of each region first, so that voters stand in different regions. */
     private void makeMachines() throws IOException {
-        int most = plan.regions().stream().mapToInt(ScalePlan.Region::machines).max().orElse(0);
+        int most = plan.regions().stream()
+                .mapToInt(ScalePlan.Region::machines)
+                .max()
+                .orElse(0);
         for (int turn = 0; turn < most; turn++) {
             for (ScalePlan.Region region : plan.regions()) {
                 if (turn < region.machines()) {
-                    machines.add(new Machine("m" + (machines.size() + 1), region.name(), freeAddress(), freeAddress(),
-                            freeAddress()));
+                    machines.add(new Machine(
+                            "m" + (machines.size() + 1), region.name(), freeAddress(), freeAddress(), freeAddress()));
                 }
             }
         }
@@ -145,49 +152,95 @@
     private String relayed(String name, String fromRegion, Machine to, String address, boolean ofNodes) {
         EventLoop loop = group.next();
         int colon = address.lastIndexOf(':');
-        Relay relay = new Relay(name, loop, clock, new InetSocketAddress(address.substring(0, colon),
-                Integer.parseInt(address.substring(colon + 1))), seed * 31 + links.size());
+        Relay relay = new Relay(
+                name,
+                loop,
+                clock,
+                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
+                seed * 31 + links.size());
         links.add(new Link(fromRegion, to.region, ofNodes, relay));
         return "127.0.0.1:" + relay.address().getPort();
     }
 
     private String fleetFile(Machine self) {
         StringBuilder text = new StringBuilder();
-        text.append("fleet = \"").append(FLEET).append("\"\ndirectory = \"")
-                .append(folder.resolve("disks").toAbsolutePath()).append("\"\n");
+        text.append("fleet = \"")
+                .append(FLEET)
+                .append("\"\ndirectory = \"")
+                .append(folder.resolve("disks").toAbsolutePath())
+                .append("\"\n");
         for (Machine machine : machines) {
             boolean own = machine == self;
-            text.append("[[member]]\nname = \"").append(machine.name).append("\"\naddress = \"")
-                    .append(own ? NOWHERE : relayed(self.name + ">" + machine.name, self.region, machine,
-                            machine.peerAddress, false))
-                    .append("\"\nzone = \"").append(machine.region).append("\"\n");
+            text.append("[[member]]\nname = \"")
+                    .append(machine.name)
+                    .append("\"\naddress = \"")
+                    .append(
+                            own
+                                    ? NOWHERE
+                                    : relayed(
+                                            self.name + ">" + machine.name,
+                                            self.region,
+                                            machine,
+                                            machine.peerAddress,
+                                            false))
+                    .append("\"\nzone = \"")
+                    .append(machine.region)
+                    .append("\"\n");
             if (own) {
-                text.append("listen = \"").append(machine.peerAddress).append("\"\npage = \"").append(machine.page)
+                text.append("listen = \"")
+                        .append(machine.peerAddress)
+                        .append("\"\npage = \"")
+                        .append(machine.page)
                         .append("\"\n");
             }
         }
         int voters = Math.min(VOTERS, machines.size() % 2 == 0 ? machines.size() - 1 : machines.size());
         text.append("[agreed]\nvoters = ").append(voters).append("\n[control]\nnodes = [\"n*\"]\n");
         for (Machine machine : machines) {
-            text.append("[[control.machine]]\nname = \"").append(machine.name).append("\"\nregion = \"")
-                    .append(machine.region).append("\"\naddress = \"").append(machine.nodeAddress).append("\"\n");
+            text.append("[[control.machine]]\nname = \"")
+                    .append(machine.name)
+                    .append("\"\nregion = \"")
+                    .append(machine.region)
+                    .append("\"\naddress = \"")
+                    .append(machine.nodeAddress)
+                    .append("\"\n");
         }
         return text.toString();
     }
 
     private void makeHollow(String region, int first, int count) {
-        List<String> words = new ArrayList<>(List.of("--fleet", FLEET, "--region", region, "--first",
-                Integer.toString(first), "--count", Integer.toString(count), "--services",
-                Integer.toString(plan.services()), "--calls", Integer.toString(plan.calls()), "--tiers",
-                Integer.toString(plan.tiers()), "--seed", Long.toString(seed)));
+        List<String> words = new ArrayList<>(List.of(
+                "--fleet",
+                FLEET,
+                "--region",
+                region,
+                "--first",
+                Integer.toString(first),
+                "--count",
+                Integer.toString(count),
+                "--services",
+                Integer.toString(plan.services()),
+                "--calls",
+                Integer.toString(plan.calls()),
+                "--tiers",
+                Integer.toString(plan.tiers()),
+                "--seed",
+                Long.toString(seed)));
         String name = "nodes-" + first;
         for (Machine machine : machines) {
             words.add("--machine");
-            words.add(machine.name + "=" + machine.region + "@" + relayed(name + ">" + machine.name, region, machine,
-                    machine.nodeAddress, true));
+            words.add(machine.name + "=" + machine.region + "@"
+                    + relayed(name + ">" + machine.name, region, machine, machine.nodeAddress, true));
         }
-        hollows.add(new Hollow(region, first, count, new ChildProcess(name, ChildProcess.java(NODE_FLAGS,
-                HollowNodes.class.getName(), words), folder.resolve(name + ".log"), lines)));
+        hollows.add(new Hollow(
+                region,
+                first,
+                count,
+                new ChildProcess(
+                        name,
+                        ChildProcess.java(NODE_FLAGS, HollowNodes.class.getName(), words),
+                        folder.resolve(name + ".log"),
+                        lines)));
     }
 
     List<Machine> machines() {
@@ -201,13 +254,17 @@
 
     /** Nothing comes through between this region and the others, or does again. */
     void cut(String region, boolean on) {
-        strike(new LinkFault(LinkFault.Kind.BLACK_HOLE, 0, 0), on,
+        strike(
+                new LinkFault(LinkFault.Kind.BLACK_HOLE, 0, 0),
+                on,
                 link -> link.fromRegion().equals(region) != link.toRegion().equals(region));
     }
 
     /** Nothing that control machines send to this region's nodes comes through, or does again. */
     void deafen(String region, boolean on) {
-        strike(new LinkFault(LinkFault.Kind.NO_WAY_BACK, 0, 0), on,
+        strike(
+                new LinkFault(LinkFault.Kind.NO_WAY_BACK, 0, 0),
+                on,
                 link -> link.ofNodes() && link.fromRegion().equals(region));
     }
 
--- a/lab/src/main/java/brackenbridge/lab/sim/SimDiscovery.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimDiscovery.java
@@ -49,8 +49,8 @@
     private final List<Target> held = new ArrayList<>();
 
     /** Discovery whose list is still empty, for these nodes. */
-    SimDiscovery(EventQueue queue, World.DiscoverySpec spec, UniformRandomProvider random,
-            Supplier<List<SimNode>> nodes) {
+    SimDiscovery(
+            EventQueue queue, World.DiscoverySpec spec, UniformRandomProvider random, Supplier<List<SimNode>> nodes) {
         this.nodes = nodes;
         this.queue = queue;
         this.spec = spec;
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -41,6 +41,7 @@
         double idleSinceMs;
         /** What was sent on it last arrives at this time; nothing overtakes it. */
         double lastArrivalMs;
+
         Out out;
 
         Connection(SimNode node, SimServer server, String host) {
@@ -92,9 +93,10 @@
     private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
     /** Flows whose deadline is still to fire. */
     private final Set<Long> deadlines = new HashSet<>();
+
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     private Reducer reducer;
-    private Runnable onExit = () -> { };
+    private Runnable onExit = () -> {};
     private boolean reducing;
     private boolean up;
     private boolean accepts;
@@ -103,7 +105,11 @@
     private long events;
     private long flowNumbers;
 
-    SimNode(Simulation world, int tier, int index, UniformRandomProvider random,
+    SimNode(
+            Simulation world,
+            int tier,
+            int index,
+            UniformRandomProvider random,
             BiFunction<Settings, Actions, BalancerApi> decisions) {
         this.world = world;
         this.queue = world.queue();
@@ -125,8 +131,7 @@
         serves = true;
         ledger.forget(name);
         settings = world.spec().settings(tier, index, world.nodeSeed(tier, index, life));
-        reducer = new Reducer(settings, counters,
-                decisions);
+        reducer = new Reducer(settings, counters, decisions);
         TargetGroup known = world.discovery(tier).whole();
         raise(new Event.Started(known));
     }
@@ -221,12 +226,17 @@
             return false;
         }
         long flow = flowNumbers++;
-        request.entry = ledger.taken(queue.nowMs(), name + "/" + life + "/" + flow, request.plan.className(), name,
-                request.unsafe, request.deadlineMs);
+        request.entry = ledger.taken(
+                queue.nowMs(),
+                name + "/" + life + "/" + flow,
+                request.plan.className(),
+                name,
+                request.unsafe,
+                request.deadlineMs);
         request.flow = flow;
         flows.put(flow, request);
-        raise(new Event.FlowOpened(flow,
-                new Flow(request.plan.className(), tenant, timeLeftMs, repeat, true, request)));
+        raise(new Event.FlowOpened(
+                flow, new Flow(request.plan.className(), tenant, timeLeftMs, repeat, true, request)));
         return true;
     }
 
@@ -418,9 +428,12 @@
         out.connection = c;
         c.out = out;
         double now = queue.nowMs();
-        boolean stale = now - c.idleSinceMs > Math.min(c.server.staleMs,
-                c.server.model.profile().connections().idleCloseMs() > 0
-                        ? c.server.model.profile().connections().idleCloseMs() : Double.POSITIVE_INFINITY)
+        boolean stale = now - c.idleSinceMs
+                        > Math.min(
+                                c.server.staleMs,
+                                c.server.model.profile().connections().idleCloseMs() > 0
+                                        ? c.server.model.profile().connections().idleCloseMs()
+                                        : Double.POSITIVE_INFINITY)
                 && c.idleSinceMs > 0;
         ledger.sent(now, name, out.host, out.request.entry);
         raise(new Event.ForwardWritten(out.flow, out.number));
@@ -445,7 +458,10 @@
         Ledger.Attempt attempt = request.entry.arrived(queue.nowMs(), server.host, !out.over);
         world.board().sent(crosses(server));
         out.attempt = attempt;
-        out.job = server.model.begin(request.plan.className(), request.plan.parts(), request.deadlineMs,
+        out.job = server.model.begin(
+                request.plan.className(),
+                request.plan.parts(),
+                request.deadlineMs,
                 (number, done) -> world.call(server, request, number, done),
                 verdict -> replied(out, c, verdict));
         if (out.over) {
@@ -479,12 +495,18 @@
             end(out);
             c.out = null;
             c.idleSinceMs = queue.nowMs();
-            idle.computeIfAbsent(key(out.host, out.dial), k -> new ArrayDeque<>()).add(c);
-            raise(new Event.ForwardAnswered(out.flow, out.number, switch (verdict) {
-                case SERVED -> Event.Reply.SERVED;
-                case ERROR -> Event.Reply.ERROR;
-                default -> Event.Reply.TURNED_AWAY;
-            }, out.request, report));
+            idle.computeIfAbsent(key(out.host, out.dial), k -> new ArrayDeque<>())
+                    .add(c);
+            raise(new Event.ForwardAnswered(
+                    out.flow,
+                    out.number,
+                    switch (verdict) {
+                        case SERVED -> Event.Reply.SERVED;
+                        case ERROR -> Event.Reply.ERROR;
+                        default -> Event.Reply.TURNED_AWAY;
+                    },
+                    out.request,
+                    report));
         });
     }
 
@@ -562,8 +584,10 @@
             }
             boolean lives = server.model.alive();
             server.model.probe(passed -> {
-                Report report = lives && passed && !world.spec().limits().reportFields().isEmpty()
-                        ? server.model.report() : null;
+                Report report =
+                        lives && passed && !world.spec().limits().reportFields().isEmpty()
+                                ? server.model.report()
+                                : null;
                 queue.at(queue.nowMs() + delay, () -> {
                     if (of == life && !server.cutOff) {
                         raise(new Event.ProbeEnded(e.probe(), lives, passed, report));
--- a/lab/src/main/java/brackenbridge/lab/sim/SimRequest.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimRequest.java
@@ -17,8 +17,7 @@
     }
 
     /** The work of a request at one tier, with its calls to the next. */
-    record Plan(double[] parts, Plan[] calls, String className) {
-    }
+    record Plan(double[] parts, Plan[] calls, String className) {}
 
     final long number;
     final Plan plan;
--- a/lab/src/main/java/brackenbridge/lab/sim/SimServer.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimServer.java
@@ -18,6 +18,7 @@
     double bornMs;
     /** Which process of this machine lives; connections of an older one are dead. */
     int process;
+
     boolean cutOff;
     boolean struck;
     /** Idle connections end without a word after this time. */
--- a/lab/src/main/java/brackenbridge/lab/sim/Simulation.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/Simulation.java
@@ -44,6 +44,7 @@
     private static final double END_MS = 2000;
     /** The front notices so long after it that a node is gone, or that it says that it stops. */
     private static final double FRONT_NOTICES_MS = 2000;
+
     private static final double STOP_NOTICED_MS = 300;
 
     /** Makes what decides, for a run; it may look at the truth, which only the oracle does. */
@@ -66,8 +67,7 @@
      * @param events events that reducers took in
      * @param tasks steps of the simulation
      */
-    public record Result(Scoreboard board, Ledger ledger, long events, long tasks) {
-    }
+    public record Result(Scoreboard board, Ledger ledger, long events, long tasks) {}
 
     private final World spec;
     private final long seed;
@@ -128,8 +128,7 @@
     private void servers(int tier, Streams streams) {
         TierSpec t = spec.tiers().get(tier);
         UniformRandomProvider speeds = streams.take();
-        SimDiscovery discovery = new SimDiscovery(queue, spec.discovery(), streams.take(),
-                () -> nodes.get(tier));
+        SimDiscovery discovery = new SimDiscovery(queue, spec.discovery(), streams.take(), () -> nodes.get(tier));
         discoveries.add(discovery);
         // Speeds lie evenly between the bounds, so that each seed has the same sum; who has which is drawn.
         List<Double> spread = new ArrayList<>();
@@ -144,8 +143,13 @@
         for (int i = 0; i < t.servers(); i++) {
             ServerProfile p = t.profile().withSpeed(t.profile().speed() * spread.get(i));
             ServerModel model = new ServerModel(p, queue, streams.take());
-            SimServer s = new SimServer(this, tier, i, "s-" + tier + "-" + i, "10." + tier + "." + i / 250 + "."
-                    + (i % 250 + 1) + ":9000", model);
+            SimServer s = new SimServer(
+                    this,
+                    tier,
+                    i,
+                    "s-" + tier + "-" + i,
+                    "10." + tier + "." + i / 250 + "." + (i % 250 + 1) + ":9000",
+                    model);
             model.onPushedOver(() -> pushedOver(s));
             of.add(s);
             byDial.put(s.dial, s);
@@ -221,7 +225,11 @@
         SimNode node = server.own != null ? server.own : next.get(callRandom.nextInt(next.size()));
         World.ClassSpec c = classOf(plan.className());
         double now = queue.nowMs();
-        SimRequest sub = new SimRequest(requests++, plan, request.deadlineMs, c.unsafe(),
+        SimRequest sub = new SimRequest(
+                requests++,
+                plan,
+                request.deadlineMs,
+                c.unsafe(),
                 (answer, taken, retryAfter) -> done.accept(answer == Answer.SERVED));
         double left = request.deadlineMs - now;
         if (left <= 0 || !node.open(sub, true, left, null, false)) {
@@ -247,7 +255,8 @@
 
     private Plan plan(int tier, String className) {
         TierSpec t = spec.tiers().get(tier);
-        int calls = t.callsMost() == t.callsLeast() ? t.callsLeast()
+        int calls = t.callsMost() == t.callsLeast()
+                ? t.callsLeast()
                 : t.callsLeast() + planRandom.nextInt(t.callsMost() - t.callsLeast() + 1);
         double all = work.get(tier).sample();
         double[] parts = new double[calls + 1];
@@ -302,11 +311,13 @@
             }
             tries++;
             node = pick();
-            boolean kept = clientRandom.nextDouble() < Simulation.this.spec.clients().keepAlive();
+            boolean kept =
+                    clientRandom.nextDouble() < Simulation.this.spec.clients().keepAlive();
             double left = Math.min(deadline() - queue.nowMs(), habits.tryLasts(spec.deadlineMs()));
-            String named = tenant < 0 ? null : Simulation.this.spec.tenants().get(tenant).name();
-            SimRequest r = new SimRequest(requests++, plan, queue.nowMs() + left, spec.unsafe(),
-                    this::answered);
+            String named = tenant < 0
+                    ? null
+                    : Simulation.this.spec.tenants().get(tenant).name();
+            SimRequest r = new SimRequest(requests++, plan, queue.nowMs() + left, spec.unsafe(), this::answered);
             request = r;
             double trip = clientDelay() * (kept ? 1 : 3);
             queue.at(queue.nowMs() + trip, () -> {
@@ -339,8 +350,8 @@
                 end(now <= dueMs + spec.aimMs() ? End.IN_AIM : now <= deadline() ? End.LATE : End.UNANSWERED);
                 return;
             }
-            Habits.Next next = habits.afterFailure(answer, taken, spec.unsafe(), tries, heeds, retryAfterMs, now,
-                    deadline());
+            Habits.Next next =
+                    habits.afterFailure(answer, taken, spec.unsafe(), tries, heeds, retryAfterMs, now, deadline());
             if (next.end() != null) {
                 end(next.end());
             } else {
@@ -433,7 +444,10 @@
         for (int i = 1; i <= Math.ceil(spec.seconds()); i++) {
             queue.at(START_MS + i * 1000.0, this::sample);
         }
-        double longest = spec.classes().stream().mapToDouble(World.ClassSpec::deadlineMs).max().orElse(0);
+        double longest = spec.classes().stream()
+                .mapToDouble(World.ClassSpec::deadlineMs)
+                .max()
+                .orElse(0);
         queue.runUntil(START_MS + spec.seconds() * 1000 + longest + END_MS);
         long events = 0;
         for (List<SimNode> of : nodes) {
--- a/lab/src/main/java/brackenbridge/lab/stats/Scoreboard.java
+++ b/lab/src/main/java/brackenbridge/lab/stats/Scoreboard.java
@@ -181,12 +181,18 @@
 
     /** All figures. */
     public JsonObject json() {
-        JsonObject o = Json.object().add("served", round(servedPart())).add("worst10s", round(worstTenSeconds()))
-                .add("first", first).add("tries", tries).add("crossed", round(crossedPerFirst()))
-                .add("priced", round(pricedPart())).add("all", all.json());
+        JsonObject o = Json.object()
+                .add("served", round(servedPart()))
+                .add("worst10s", round(worstTenSeconds()))
+                .add("first", first)
+                .add("tries", tries)
+                .add("crossed", round(crossedPerFirst()))
+                .add("priced", round(pricedPart()))
+                .add("all", all.json());
         JsonObject ms = Json.object();
         for (double p : new double[] {50, 90, 99, 99.9}) {
-            ms.add("p" + (p == Math.rint(p) ? Long.toString((long) p) : Double.toString(p)),
+            ms.add(
+                    "p" + (p == Math.rint(p) ? Long.toString((long) p) : Double.toString(p)),
                     round(latency.getTotalCount() == 0 ? 0 : latency.getValueAtPercentile(p) / 1000.0));
         }
         ms.add("max", round(latency.getTotalCount() == 0 ? 0 : latency.getMaxValue() / 1000.0))
@@ -219,8 +225,16 @@
             most.add(round(s[1]));
             variation.add(round(s[2]));
         }
-        return o.add("seconds", Json.object().add("worth", worth).add("served", served).add("p50_ms", p50)
-                .add("p99_ms", p99).add("load_mean", mean).add("load_most", most).add("load_cv", variation));
+        return o.add(
+                "seconds",
+                Json.object()
+                        .add("worth", worth)
+                        .add("served", served)
+                        .add("p50_ms", p50)
+                        .add("p99_ms", p99)
+                        .add("load_mean", mean)
+                        .add("load_most", most)
+                        .add("load_cv", variation));
     }
 
     private static double percentile(Histogram h, double p) {
--- a/lab/src/main/java/brackenbridge/lab/trouble/Troubles.java
+++ b/lab/src/main/java/brackenbridge/lab/trouble/Troubles.java
@@ -33,7 +33,9 @@
             if (t.kind().ofNodes()) {
                 for (int i = 0; i < Math.min(t.count(), world.nodes().size()); i++) {
                     int which = i;
-                    queue.at(startMs + t.atMs() + i * t.everyMs(), () -> node(t, world.nodes().get(which)));
+                    queue.at(
+                            startMs + t.atMs() + i * t.everyMs(),
+                            () -> node(t, world.nodes().get(which)));
                 }
             } else if (t.kind().ofServers()) {
                 for (int i = 0; i < t.count(); i++) {
--- a/lab/src/main/java/brackenbridge/lab/world/Experiment.java
+++ b/lab/src/main/java/brackenbridge/lab/world/Experiment.java
@@ -20,8 +20,16 @@
  * @param jars node jars that live runs compare; empty for the one that was built
  * @param variants other limits to compare, by name; empty for the world's own
  */
-public record Experiment(String name, String about, World world, List<String> policies, List<Integer> sizes,
-        double serversPerNode, List<Double> loads, List<Long> seeds, List<String> jars,
+public record Experiment(
+        String name,
+        String about,
+        World world,
+        List<String> policies,
+        List<Integer> sizes,
+        double serversPerNode,
+        List<Double> loads,
+        List<Long> seeds,
+        List<String> jars,
         Map<String, World.LimitSpec> variants) {
 
     /**
@@ -35,8 +43,7 @@
      * @param seed its seed
      * @param world the world that it runs in
      */
-    public record Run(int number, String policy, String label, int servers, double load, long seed, World world) {
-    }
+    public record Run(int number, String policy, String label, int servers, double load, long seed, World world) {}
 
     /** Keeps its own copies. */
     public Experiment {
@@ -58,12 +65,20 @@
             World sized = size == 0 ? world : sized(size);
             for (double load : allLoads) {
                 World loaded = load == 0 ? sized : sized.at(sized.load().at(load));
-                double told = loaded.load().perSecond() > 0 ? loaded.load().perSecond() : loaded.load().ofCapacity();
+                double told = loaded.load().perSecond() > 0
+                        ? loaded.load().perSecond()
+                        : loaded.load().ofCapacity();
                 for (String policy : policies) {
                     for (Map.Entry<String, World.LimitSpec> v : allVariants.entrySet()) {
                         String label = v.getKey().isEmpty() ? policy : policy + "/" + v.getKey();
                         for (long seed : seeds) {
-                            runs.add(new Run(runs.size(), policy, label, loaded.tiers().get(0).servers(), told, seed,
+                            runs.add(new Run(
+                                    runs.size(),
+                                    policy,
+                                    label,
+                                    loaded.tiers().get(0).servers(),
+                                    told,
+                                    seed,
                                     loaded.under(v.getValue())));
                         }
                     }
@@ -87,8 +102,8 @@
 
     /** The same with one seed. */
     public Experiment withSeed(long seed) {
-        return new Experiment(name, about, world, policies, sizes, serversPerNode, loads,
-                List.of(seed), jars, variants);
+        return new Experiment(
+                name, about, world, policies, sizes, serversPerNode, loads, List.of(seed), jars, variants);
     }
 
     /** The same with other policies. */
@@ -99,9 +114,18 @@
     /** The same load at this rate, for this time after a warm-up, whatever the file says of them. */
     public Experiment withLoad(double perSecond, double seconds, double warmup) {
         World.LoadSpec l = world.load();
-        World.LoadSpec told = new World.LoadSpec(0, perSecond, l.shape(), l.low(), l.periodMs(), l.burstMs(),
-                l.traceMs());
-        return new Experiment(name, about, world.at(told).lasting(warmup, seconds), policies, List.of(), serversPerNode,
-                List.of(), seeds, jars, variants);
+        World.LoadSpec told =
+                new World.LoadSpec(0, perSecond, l.shape(), l.low(), l.periodMs(), l.burstMs(), l.traceMs());
+        return new Experiment(
+                name,
+                about,
+                world.at(told).lasting(warmup, seconds),
+                policies,
+                List.of(),
+                serversPerNode,
+                List.of(),
+                seeds,
+                jars,
+                variants);
     }
 }
--- a/lab/src/main/java/brackenbridge/lab/world/ExperimentFile.java
+++ b/lab/src/main/java/brackenbridge/lab/world/ExperimentFile.java
@@ -32,6 +32,7 @@
     private static final int REQUIRED = Integer.MIN_VALUE;
     /** Policies by the names that a file may use. */
     private final Set<String> policies;
+
     private final String file;
 
     private ExperimentFile(String file, Set<String> policies) {
@@ -42,7 +43,11 @@
     /** Reads a file whose policies must be among these. */
     public static Experiment read(Path path, Set<String> policies) throws FileFault {
         try {
-            return parse(path.toString(), Files.readString(path), path.toAbsolutePath().getParent(), policies);
+            return parse(
+                    path.toString(),
+                    Files.readString(path),
+                    path.toAbsolutePath().getParent(),
+                    policies);
         } catch (NoSuchFileException e) {
             throw new FileFault(path.toString(), "no such file");
         } catch (CharacterCodingException e) {
@@ -56,7 +61,10 @@
     public static Experiment parse(String file, String text, Path folder, Set<String> policies) throws FileFault {
         TomlParseResult toml = Toml.parse(text);
         for (TomlParseError e : toml.errors()) {
-            throw new FileFault(file, e.position().line(), e.position().column(),
+            throw new FileFault(
+                    file,
+                    e.position().line(),
+                    e.position().column(),
                     e.getMessage().replaceAll("\\s+", " "));
         }
         Section root = new Section(file, toml, "", TomlPosition.positionAt(1, 1));
@@ -81,15 +89,25 @@
         List<TierSpec> tiers = tiers(root, classes);
         LimitSpec limits = limits(root.section("limits"), LimitSpec.USUAL);
         Map<String, LimitSpec> variants = variants(root, limits);
-        World world = new World(seconds, warmup, tiers, classes, tenants(root), load(root, folder),
-                clients(root.section("clients")), net(root.section("net")), discovery(root.section("discovery")),
-                troubles(root, tiers, classes), limits);
+        World world = new World(
+                seconds,
+                warmup,
+                tiers,
+                classes,
+                tenants(root),
+                load(root, folder),
+                clients(root.section("clients")),
+                net(root.section("net")),
+                discovery(root.section("discovery")),
+                troubles(root, tiers, classes),
+                limits);
         Section compare = root.section("compare");
         List<String> chosen = compare.list("policies", String.class, "a text");
         for (String p : chosen) {
             if (!policies.contains(p)) {
-                throw compare.fault("policies", "'" + p + "' is unknown; known are " + String.join(", ",
-                        new java.util.TreeSet<>(policies)));
+                throw compare.fault(
+                        "policies",
+                        "'" + p + "' is unknown; known are " + String.join(", ", new java.util.TreeSet<>(policies)));
             }
         }
         List<Integer> sizes = new ArrayList<>();
@@ -106,13 +124,25 @@
             }
         }
         List<Long> seeds = compare.list("seeds", Long.class, "a whole number");
-        double perNode = compare.number("servers_per_node", tiers.get(0).servers() / (double) tiers.get(0).nodes(),
-                0.01, 1e6);
+        double perNode = compare.number(
+                "servers_per_node",
+                tiers.get(0).servers() / (double) tiers.get(0).nodes(),
+                0.01,
+                1e6);
         List<String> jars = compare.list("jars", String.class, "a text");
         compare.end();
         root.end();
-        return new Experiment(name, about, world, chosen.isEmpty() ? List.of("module") : chosen, sizes, perNode, loads,
-                seeds.isEmpty() ? List.of(1L) : seeds, jars, variants);
+        return new Experiment(
+                name,
+                about,
+                world,
+                chosen.isEmpty() ? List.of("module") : chosen,
+                sizes,
+                perNode,
+                loads,
+                seeds.isEmpty() ? List.of(1L) : seeds,
+                jars,
+                variants);
     }
 
     private List<ClassSpec> classes(Section root) throws FileFault {
@@ -128,8 +158,14 @@
             if (deadline < aim || aim <= 0) {
                 throw s.fault("deadline", "is before the aim, or the aim is 0");
             }
-            classes.add(new ClassSpec(name, aim, deadline, s.flag("unsafe", false), s.number("worth", 1, 0, 1e6),
-                    s.number("late_share", 0, 0, 1), s.number("share", 1, 0, 1e6)));
+            classes.add(new ClassSpec(
+                    name,
+                    aim,
+                    deadline,
+                    s.flag("unsafe", false),
+                    s.number("worth", 1, 0, 1e6),
+                    s.number("late_share", 0, 0, 1),
+                    s.number("share", 1, 0, 1e6)));
             s.end();
         }
         if (classes.isEmpty()) {
@@ -148,7 +184,8 @@
             tenants.add(new TenantSpec(s.text("name", null), share, s.number("arrivals", share, 0, 1e6)));
             s.end();
         }
-        if (!tenants.isEmpty() && tenants.stream().mapToDouble(TenantSpec::arrivals).sum() <= 0) {
+        if (!tenants.isEmpty()
+                && tenants.stream().mapToDouble(TenantSpec::arrivals).sum() <= 0) {
             throw root.fault("tenant", "no tenant has a share of the arrivals");
         }
         return tenants;
@@ -173,8 +210,16 @@
             if (callClass != null && classes.stream().noneMatch(c -> c.name().equals(callClass))) {
                 throw s.fault("call_class", "no class '" + callClass + "'");
             }
-            tiers.add(new TierSpec(s.text("name", "tier-" + tiers.size()), servers, nodes, profile(s),
-                    s.number("speed_spread", 0, 0, 0.95), work(s), least, most, callClass));
+            tiers.add(new TierSpec(
+                    s.text("name", "tier-" + tiers.size()),
+                    servers,
+                    nodes,
+                    profile(s),
+                    s.number("speed_spread", 0, 0, 0.95),
+                    work(s),
+                    least,
+                    most,
+                    callClass));
             s.end();
         }
         return tiers;
@@ -192,28 +237,47 @@
     private static ServerProfile profile(Section s) throws FileFault {
         int cores = s.whole("cores", 1, 1, 1024);
         double fallMs = s.time("fall", 0);
-        ServerProfile.Cold cold = new ServerProfile.Cold(s.number("cold_from", 1, 0.001, 1), s.time("cold", 0),
-                s.time("cold_work", 0), s.number("fall_multiple", 3, 0.1, 1000), fallMs);
+        ServerProfile.Cold cold = new ServerProfile.Cold(
+                s.number("cold_from", 1, 0.001, 1),
+                s.time("cold", 0),
+                s.time("cold_work", 0),
+                s.number("fall_multiple", 3, 0.1, 1000),
+                fallMs);
         int chokeAt = s.whole("choke_at", Integer.MAX_VALUE, 1, Integer.MAX_VALUE);
         int chokeUntil = s.whole("choke_until", chokeAt / 2, 0, Integer.MAX_VALUE - 1);
         if (chokeUntil >= chokeAt) {
             throw s.fault("choke_until", "is not below choke_at");
         }
-        return new ServerProfile(cores, s.number("speed", 1, 0.001, 1000), s.whole("slots", cores, 1, 1_000_000),
-                s.whole("room", 100, 0, 100_000_000), s.number("error_rate", 0, 0, 1),
+        return new ServerProfile(
+                cores,
+                s.number("speed", 1, 0.001, 1000),
+                s.whole("slots", cores, 1, 1_000_000),
+                s.whole("room", 100, 0, 100_000_000),
+                s.number("error_rate", 0, 0, 1),
                 s.choice("cancel", ServerProfile.Cancel.class, ServerProfile.Cancel.QUEUED),
-                s.flag("drops_expired", false), cold,
-                new ServerProfile.Crowd(s.number("crowd_loss", 0, 0, 100),
+                s.flag("drops_expired", false),
+                cold,
+                new ServerProfile.Crowd(
+                        s.number("crowd_loss", 0, 0, 100),
                         s.whole("crowd_above", Integer.MAX_VALUE, 0, Integer.MAX_VALUE)),
-                new ServerProfile.Choke(chokeAt, chokeUntil, s.number("choke_part", 0.5, 0.01, 1),
-                        s.time("choke_over", 0), s.time("choke_rest", 0), s.time("choke_most", 1e9)),
+                new ServerProfile.Choke(
+                        chokeAt,
+                        chokeUntil,
+                        s.number("choke_part", 0.5, 0.01, 1),
+                        s.time("choke_over", 0),
+                        s.time("choke_rest", 0),
+                        s.time("choke_most", 1e9)),
                 new ServerProfile.Pauses(s.time("pause_every", 0), s.time("pause", 0)),
-                new ServerProfile.Connections(s.whole("connections", Integer.MAX_VALUE, 1, Integer.MAX_VALUE),
-                        s.time("handshake", 0), s.time("idle_close", 0)),
-                new ServerProfile.Reports(s.time("report_period", 0), s.time("report_delay", 0),
-                        s.number("report_noise", 0, 0, 1)),
-                new ServerProfile.Probes(s.time("probe_work", 0),
-                        s.whole("probes", Integer.MAX_VALUE, 1, Integer.MAX_VALUE), s.flag("probes_deep", true)));
+                new ServerProfile.Connections(
+                        s.whole("connections", Integer.MAX_VALUE, 1, Integer.MAX_VALUE),
+                        s.time("handshake", 0),
+                        s.time("idle_close", 0)),
+                new ServerProfile.Reports(
+                        s.time("report_period", 0), s.time("report_delay", 0), s.number("report_noise", 0, 0, 1)),
+                new ServerProfile.Probes(
+                        s.time("probe_work", 0),
+                        s.whole("probes", Integer.MAX_VALUE, 1, Integer.MAX_VALUE),
+                        s.flag("probes_deep", true)));
     }
 
     private LoadSpec load(Section root, Path folder) throws FileFault {
@@ -228,8 +292,14 @@
         } else if (ofCapacity > 0 == perSecond > 0) {
             throw s.fault(perSecond > 0 ? "per_second" : null, "give one of of_capacity and per_second");
         }
-        LoadSpec load = new LoadSpec(ofCapacity, perSecond, shape, s.number("low", 0.5, 0, 1),
-                s.time("period", 10_000), s.time("burst", 1000), trace);
+        LoadSpec load = new LoadSpec(
+                ofCapacity,
+                perSecond,
+                shape,
+                s.number("low", 0.5, 0, 1),
+                s.time("period", 10_000),
+                s.time("burst", 1000),
+                trace);
         if (load.periodMs() <= 0) {
             throw s.fault("period", "must be above 0");
         }
@@ -262,9 +332,13 @@
     }
 
     private static ClientSpec clients(Section s) throws FileFault {
-        ClientSpec c = new ClientSpec(s.whole("retries", 1, 0, 20), s.time("backoff", 50),
-                s.number("heed_retry_after", 1, 0, 1), s.number("impatient", 0, 0, 1),
-                s.number("keep_alive", 0.95, 0, 1), s.number("try_least", 1, 0.01, 1),
+        ClientSpec c = new ClientSpec(
+                s.whole("retries", 1, 0, 20),
+                s.time("backoff", 50),
+                s.number("heed_retry_after", 1, 0, 1),
+                s.number("impatient", 0, 0, 1),
+                s.number("keep_alive", 0.95, 0, 1),
+                s.number("try_least", 1, 0.01, 1),
                 s.number("try_most", 1, 0.01, 1));
         if (c.tryMost() < c.tryLeast()) {
             throw s.fault("try_most", "is below try_least");
@@ -274,16 +348,21 @@
     }
 
     private static NetSpec net(Section s) throws FileFault {
-        NetSpec n = new NetSpec(s.time("server", 0.2), s.time("client", 0.5), s.number("jitter", 0.1, 0, 1),
-                s.number("handshake_trips", 2, 0, 10), s.whole("zones", 1, 1, 26), s.time("cross", 3),
+        NetSpec n = new NetSpec(
+                s.time("server", 0.2),
+                s.time("client", 0.5),
+                s.number("jitter", 0.1, 0, 1),
+                s.number("handshake_trips", 2, 0, 10),
+                s.whole("zones", 1, 1, 26),
+                s.time("cross", 3),
                 s.number("cross_price", 0, 0, 100));
         s.end();
         return n;
     }
 
     private static DiscoverySpec discovery(Section s) throws FileFault {
-        DiscoverySpec d = new DiscoverySpec(s.time("notice", 1500), s.time("silent_notice", 6000),
-                s.time("spread", 300), s.flag("pushed", false));
+        DiscoverySpec d = new DiscoverySpec(
+                s.time("notice", 1500), s.time("silent_notice", 6000), s.time("spread", 300), s.flag("pushed", false));
         s.end();
         return d;
     }
@@ -291,11 +370,15 @@
     /** Limits, those that are not given taken from others. */
     private static LimitSpec limits(Section s, LimitSpec others) throws FileFault {
         List<String> fields = s.list("report_fields", String.class, "a text");
-        LimitSpec l = new LimitSpec(s.whole("max_attempts", others.maxAttempts(), 1, 100),
+        LimitSpec l = new LimitSpec(
+                s.whole("max_attempts", others.maxAttempts(), 1, 100),
                 s.whole("max_open", others.maxOpen(), 1, 10_000_000),
-                s.time("max_retry_after", others.maxRetryAfterMs()), s.flag("cancel", others.mayCancel()),
-                s.flag("probes", others.mayProbe()), s.time("connect_timeout", others.connectTimeoutMs()),
-                s.time("drain_grace", others.drainGraceMs()), s.time("idle_close", others.idleCloseMs()),
+                s.time("max_retry_after", others.maxRetryAfterMs()),
+                s.flag("cancel", others.mayCancel()),
+                s.flag("probes", others.mayProbe()),
+                s.time("connect_timeout", others.connectTimeoutMs()),
+                s.time("drain_grace", others.drainGraceMs()),
+                s.time("idle_close", others.idleCloseMs()),
                 s.flag("reports_in_answers", others.reportsInAnswers()),
                 s.has("report_fields") ? fields : others.reportFields(),
                 s.number("quota_of_capacity", others.quotaOfCapacity(), 0.01, 100));
@@ -339,8 +422,14 @@
             if (className != null && classes.stream().noneMatch(c -> c.name().equals(className))) {
                 throw s.fault("class", "no class '" + className + "'");
             }
-            troubles.add(new Trouble(kind, s.time("at", Double.NaN), s.time("for", Double.POSITIVE_INFINITY), tier,
-                    s.whole("count", 1, 1, 100_000), s.number("amount", kind.usual(), 0, 1e9), className,
+            troubles.add(new Trouble(
+                    kind,
+                    s.time("at", Double.NaN),
+                    s.time("for", Double.POSITIVE_INFINITY),
+                    tier,
+                    s.whole("count", 1, 1, 100_000),
+                    s.number("amount", kind.usual(), 0, 1e9),
+                    className,
                     s.time("every", 0)));
             s.end();
         }
--- a/lab/src/main/java/brackenbridge/lab/world/Section.java
+++ b/lab/src/main/java/brackenbridge/lab/world/Section.java
@@ -92,8 +92,8 @@
 
     private double within(String key, double n, double least, double most) throws FileFault {
         if (!(n >= least && n <= most)) {
-            throw fault(key, String.format(Locale.ROOT, "%s is not within %s to %s", plain(n), plain(least),
-                    plain(most)));
+            throw fault(
+                    key, String.format(Locale.ROOT, "%s is not within %s to %s", plain(n), plain(least), plain(most)));
         }
         return n;
     }
--- a/lab/src/main/java/brackenbridge/lab/world/ServiceList.java
+++ b/lab/src/main/java/brackenbridge/lab/world/ServiceList.java
@@ -34,8 +34,12 @@
 
     /** All that is not gone. */
     public TargetGroup whole() {
-        return new TargetGroup(seq, true, listed.values().stream()
-                .filter(t -> t.state() != EndpointState.REMOVED).toList());
+        return new TargetGroup(
+                seq,
+                true,
+                listed.values().stream()
+                        .filter(t -> t.state() != EndpointState.REMOVED)
+                        .toList());
     }
 
     /** What has changed since a version; all if the version is of before the first. */
--- a/lab/src/main/java/brackenbridge/lab/world/Trouble.java
+++ b/lab/src/main/java/brackenbridge/lab/world/Trouble.java
@@ -12,8 +12,8 @@
  * @param className the class that it strikes, where only one is; null otherwise
  * @param everyMs the time between one server or node and the next, where it goes from one to the next
  */
-public record Trouble(Kind kind, double atMs, double forMs, int tier, int count, double amount, String className,
-        double everyMs) {
+public record Trouble(
+        Kind kind, double atMs, double forMs, int tier, int count, double amount, String className, double everyMs) {
     /** Kinds of trouble; each says what its amount means, and the amount where the file gives none. */
     public enum Kind {
         /** Servers run slower; amount: by what factor. */
--- a/lab/src/main/java/brackenbridge/lab/world/World.java
+++ b/lab/src/main/java/brackenbridge/lab/world/World.java
@@ -27,9 +27,18 @@
  * @param troubles what goes wrong
  * @param limits what nodes may do
  */
-public record World(double seconds, double warmupS, List<TierSpec> tiers, List<ClassSpec> classes,
-        List<TenantSpec> tenants, LoadSpec load, ClientSpec clients, NetSpec net, DiscoverySpec discovery,
-        List<Trouble> troubles, LimitSpec limits) {
+public record World(
+        double seconds,
+        double warmupS,
+        List<TierSpec> tiers,
+        List<ClassSpec> classes,
+        List<TenantSpec> tenants,
+        LoadSpec load,
+        ClientSpec clients,
+        NetSpec net,
+        DiscoverySpec discovery,
+        List<Trouble> troubles,
+        LimitSpec limits) {
 
     /**
      * A tier.
@@ -44,8 +53,16 @@
      * @param callsMost the most
      * @param callClass the class that calls come under; null for the request's own
      */
-    public record TierSpec(String name, int servers, int nodes, ServerProfile profile, double speedSpread,
-            Distribution work, int callsLeast, int callsMost, String callClass) {
+    public record TierSpec(
+            String name,
+            int servers,
+            int nodes,
+            ServerProfile profile,
+            double speedSpread,
+            Distribution work,
+            int callsLeast,
+            int callsMost,
+            String callClass) {
         /** Calls to the next tier that a request makes in the mean. */
         public double meanCalls() {
             return (callsLeast + callsMost) / 2.0;
@@ -53,8 +70,8 @@
 
         /** The same with so many servers and nodes. */
         public TierSpec sized(int otherServers, int otherNodes) {
-            return new TierSpec(name, otherServers, otherNodes, profile, speedSpread, work, callsLeast, callsMost,
-                    callClass);
+            return new TierSpec(
+                    name, otherServers, otherNodes, profile, speedSpread, work, callsLeast, callsMost, callClass);
         }
     }
 
@@ -69,9 +86,14 @@
      * @param lateShare the part of it that a later answer earns
      * @param share its part of the arrivals
      */
-    public record ClassSpec(String name, double aimMs, double deadlineMs, boolean unsafe, double worth,
-            double lateShare, double share) {
-    }
+    public record ClassSpec(
+            String name,
+            double aimMs,
+            double deadlineMs,
+            boolean unsafe,
+            double worth,
+            double lateShare,
+            double share) {}
 
     /**
      * A tenant.
@@ -80,8 +102,7 @@
      * @param share its part of the service that it is owed
      * @param arrivals its part of the arrivals
      */
-    public record TenantSpec(String name, double share, double arrivals) {
-    }
+    public record TenantSpec(String name, double share, double arrivals) {}
 
     /** How the rate of arrivals goes over time. */
     public enum Shape {
@@ -108,8 +129,14 @@
      * @param burstMs the length of a burst
      * @param traceMs the recorded times
      */
-    public record LoadSpec(double ofCapacity, double perSecond, Shape shape, double low, double periodMs,
-            double burstMs, List<Double> traceMs) {
+    public record LoadSpec(
+            double ofCapacity,
+            double perSecond,
+            Shape shape,
+            double low,
+            double periodMs,
+            double burstMs,
+            List<Double> traceMs) {
         /** The same at another part of capacity. */
         public LoadSpec at(double otherOfCapacity) {
             return new LoadSpec(otherOfCapacity, 0, shape, low, periodMs, burstMs, traceMs);
@@ -127,9 +154,14 @@
      * @param tryLeast a try is given up after this part of its class's deadline at the least ...
      * @param tryMost ... and this one at the most; both 1 where each try waits the deadline out
      */
-    public record ClientSpec(int retries, double backoffMs, double heed, double impatient, double keepAlive,
-            double tryLeast, double tryMost) {
-    }
+    public record ClientSpec(
+            int retries,
+            double backoffMs,
+            double heed,
+            double impatient,
+            double keepAlive,
+            double tryLeast,
+            double tryMost) {}
 
     /**
      * The network.
@@ -142,9 +174,14 @@
      * @param crossMs one way between a node and a server of different zones, in place of {@code serverMs}
      * @param crossPrice the part of the worth that is lost if, for each first try, one request changes zones
      */
-    public record NetSpec(double serverMs, double clientMs, double jitter, double handshakeTrips, int zones,
-            double crossMs, double crossPrice) {
-    }
+    public record NetSpec(
+            double serverMs,
+            double clientMs,
+            double jitter,
+            double handshakeTrips,
+            int zones,
+            double crossMs,
+            double crossPrice) {}
 
     /**
      * The service list.
@@ -155,8 +192,7 @@
      * @param pushed each node has an agent that is sent every change, whether or not the node listens; while
      *     discovery is down it says nothing and learns nothing
      */
-    public record DiscoverySpec(double noticeMs, double silentNoticeMs, double spreadMs, boolean pushed) {
-    }
+    public record DiscoverySpec(double noticeMs, double silentNoticeMs, double spreadMs, boolean pushed) {}
 
     /**
      * What nodes may do, as the module's settings tell it.
@@ -173,12 +209,31 @@
      * @param reportFields names of a report's values
      * @param quotaOfCapacity the tenants' quotas together, as a part of capacity
      */
-    public record LimitSpec(int maxAttempts, int maxOpen, double maxRetryAfterMs, boolean mayCancel, boolean mayProbe,
-            double connectTimeoutMs, double drainGraceMs, double idleCloseMs, boolean reportsInAnswers,
-            List<String> reportFields, double quotaOfCapacity) {
+    public record LimitSpec(
+            int maxAttempts,
+            int maxOpen,
+            double maxRetryAfterMs,
+            boolean mayCancel,
+            boolean mayProbe,
+            double connectTimeoutMs,
+            double drainGraceMs,
+            double idleCloseMs,
+            boolean reportsInAnswers,
+            List<String> reportFields,
+            double quotaOfCapacity) {
         /** Those of a file that gives none. */
-        static final LimitSpec USUAL = new LimitSpec(5, 40_000, 3000, true, true, 120, 500, 30_000, false,
-                List.of("concurrent", "depth", "load_share", "mean_ms"), 1);
+        static final LimitSpec USUAL = new LimitSpec(
+                5,
+                40_000,
+                3000,
+                true,
+                true,
+                120,
+                500,
+                30_000,
+                false,
+                List.of("concurrent", "depth", "load_share", "mean_ms"),
+                1);
     }
 
     /** Keeps its own copies. */
@@ -191,7 +246,9 @@
 
     /** The nodes before a tier. */
     public int nodes(int tier) {
-        return tiers.get(tier).nodes() > 0 ? tiers.get(tier).nodes() : tiers.get(tier - 1).servers();
+        return tiers.get(tier).nodes() > 0
+                ? tiers.get(tier).nodes()
+                : tiers.get(tier - 1).servers();
     }
 
     /** First tries a second that all servers, warm and well, could just serve: the narrowest tier counts. */
@@ -199,7 +256,12 @@
         double least = Double.POSITIVE_INFINITY;
         double visits = 1;
         for (TierSpec t : tiers) {
-            least = Math.min(least, t.servers() * t.profile().capacity() * 1000 / (visits * t.work().mean()));
+            least = Math.min(
+                    least,
+                    t.servers()
+                            * t.profile().capacity()
+                            * 1000
+                            / (visits * t.work().mean()));
             visits *= t.meanCalls();
         }
         return least;
@@ -237,29 +299,67 @@
 
     /** The same world for another time, after a warm-up. */
     public World lasting(double otherWarmupS, double otherSeconds) {
-        return new World(otherWarmupS + otherSeconds, otherWarmupS, tiers, classes, tenants, load, clients,
-                net, discovery, troubles, limits);
+        return new World(
+                otherWarmupS + otherSeconds,
+                otherWarmupS,
+                tiers,
+                classes,
+                tenants,
+                load,
+                clients,
+                net,
+                discovery,
+                troubles,
+                limits);
     }
 
     /** The settings of a node before a tier. */
     public Settings settings(int tier, int me, long seed) {
         List<RequestClass> requestClasses = new ArrayList<>();
         for (ClassSpec c : classes) {
-            requestClasses.add(new RequestClass(c.name(), micros(c.aimMs()), micros(c.deadlineMs()),
-                    c.unsafe() ? Effect.UNSAFE : Effect.SAFE, DedupScope.ALL, 0, false, c.worth(), c.lateShare()));
+            requestClasses.add(new RequestClass(
+                    c.name(),
+                    micros(c.aimMs()),
+                    micros(c.deadlineMs()),
+                    c.unsafe() ? Effect.UNSAFE : Effect.SAFE,
+                    DedupScope.ALL,
+                    0,
+                    false,
+                    c.worth(),
+                    c.lateShare()));
         }
         List<Tenant> owed = new ArrayList<>();
         for (TenantSpec t : tenants) {
             owed.add(new Tenant(t.name(), t.share(), quotaPerSecond(t)));
         }
         ServerProfile.Cold cold = tiers.get(tier).profile().cold();
-        return new Settings(seed, me, nodes(tier), tier, zone(me), requestClasses, owed, 0.05, !discovery.pushed(),
+        return new Settings(
+                seed,
+                me,
+                nodes(tier),
+                tier,
+                zone(me),
+                requestClasses,
+                owed,
+                0.05,
+                !discovery.pushed(),
                 10_000_000,
-                limits.maxAttempts(), limits.maxOpen(), micros(limits.maxRetryAfterMs()), limits.mayCancel(),
-                limits.mayProbe(), false, micros(limits.idleCloseMs()), cold.from(), micros(cold.ms()),
-                cold.fallMultiple(), micros(cold.fallMs()),
-                new Network(micros(limits.connectTimeoutMs()), micros(limits.drainGraceMs()),
-                        limits.reportsInAnswers(), limits.reportFields()));
+                limits.maxAttempts(),
+                limits.maxOpen(),
+                micros(limits.maxRetryAfterMs()),
+                limits.mayCancel(),
+                limits.mayProbe(),
+                false,
+                micros(limits.idleCloseMs()),
+                cold.from(),
+                micros(cold.ms()),
+                cold.fallMultiple(),
+                micros(cold.fallMs()),
+                new Network(
+                        micros(limits.connectTimeoutMs()),
+                        micros(limits.drainGraceMs()),
+                        limits.reportsInAnswers(),
+                        limits.reportFields()));
     }
 
     private static long micros(double ms) {
--- a/lab/src/test/java/brackenbridge/lab/agree/AgreeTest.java
+++ b/lab/src/test/java/brackenbridge/lab/agree/AgreeTest.java
@@ -18,8 +18,8 @@
     @ParameterizedTest
     @CsvSource({"1, 4, 2, 0, 1, 0", "1, 4, 1, 1, 1, 1", "2, 3, 1, 0, 1, 0"})
     void noHistoryLeadsToContradiction(int holders, int ticks, int asks, int starts, int proposals, int takeovers) {
-        Explorer.Found f = Explorer.explore(new Model(new Bounds(holders, ticks, asks, starts, proposals, takeovers),
-                Mistake.NONE), 1_000_000);
+        Explorer.Found f = Explorer.explore(
+                new Model(new Bounds(holders, ticks, asks, starts, proposals, takeovers), Mistake.NONE), 1_000_000);
         assertNull(f.breach(), f::toString);
         assertTrue(f.whole(), f.states() + " moments and more");
         assertTrue(f.reached() > 0, "no history brought the proposal into force at all");
--- a/lab/src/test/java/brackenbridge/lab/cli/DeploymentTest.java
+++ b/lab/src/test/java/brackenbridge/lab/cli/DeploymentTest.java
@@ -19,9 +19,14 @@
 
     private String classesOf(String run) throws Exception {
         Path log = folder.resolve("classes.log");
-        Process p = new ProcessBuilder("sh", "-c", run.replace(" serve", " version")
-                .replace(" -jar", " -Xlog:class+load=info:file=" + log + " -jar")).directory(HOME.toFile())
-                .redirectErrorStream(true).start();
+        Process p = new ProcessBuilder(
+                        "sh",
+                        "-c",
+                        run.replace(" serve", " version")
+                                .replace(" -jar", " -Xlog:class+load=info:file=" + log + " -jar"))
+                .directory(HOME.toFile())
+                .redirectErrorStream(true)
+                .start();
         String said = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, p.waitFor(), said);
         assertTrue(said.matches("brackenbridge \\S+\\R"), said);
@@ -30,7 +35,8 @@
 
     @Test
     void nodeLoadsItsClassesFromTheBuildsArchiveAndDoesWithoutIt() throws Exception {
-        String run = Toml.parse(Files.readString(HOME.resolve("deploy/balancer.toml"))).getString("run");
+        String run = Toml.parse(Files.readString(HOME.resolve("deploy/balancer.toml")))
+                .getString("run");
         String main = "brackenbridge.cli.Main source: ";
         assertTrue(classesOf(run).contains(main + "shared objects file (top)"));
         assertTrue(classesOf(run.replace(".jsa", ".none")).contains(main + "file:"));
--- a/lab/src/test/java/brackenbridge/lab/cli/LabCommandTest.java
+++ b/lab/src/test/java/brackenbridge/lab/cli/LabCommandTest.java
@@ -44,8 +44,10 @@
             policies = ["module", "round_robin"]
             seeds = [1, 2, 3]
             """;
+
     @TempDir
     private Path folder;
+
     private String out;
     private String err;
 
@@ -81,22 +83,44 @@
         assertTrue(page.contains("<svg") && page.contains("Recovery") && page.contains("round_robin"));
         assertFalse(page.contains("http://") && page.contains("src="), "a page that stands alone");
         assertEquals(0, lab("sim", file.toString(), "--out", folder.resolve("b").toString(), "--seed", "2"));
-        assertEquals(0, lab("compare", folder.resolve("a").toString(), folder.resolve("a").toString()));
+        assertEquals(
+                0,
+                lab(
+                        "compare",
+                        folder.resolve("a").toString(),
+                        folder.resolve("a").toString()));
         assertTrue(out.contains("equal") && !out.contains("WORSE"), out);
-        assertEquals(0, lab("compare", folder.resolve("a").toString(), folder.resolve("b").toString()));
+        assertEquals(
+                0,
+                lab(
+                        "compare",
+                        folder.resolve("a").toString(),
+                        folder.resolve("b").toString()));
         assertTrue(out.contains("2 groups compared"), out);
     }
 
     @Test
     void whatCannotBeUsedIsOneLineAndTwo() throws IOException {
-        assertEquals(2, lab("sim", file(EXPERIMENT.replace("servers = 3", "servers = \"three\"")).toString(), "--out",
-                folder.toString()));
-        assertTrue(err.matches("brackenbridge: .*tiny\\.toml:10:1: tier\\[0\\]\\.servers: is not a whole number\\n"),
-                err);
-        for (String[] words : List.of(new String[] {"sim"}, new String[] {"simm"}, new String[] {"report",
-            folder.resolve("none").toString()}, new String[] {"load", "--target", "example.org:80", "--rate", "1",
-                "--seconds", "1", "--out", folder.toString()}, new String[] {"load", "--target", "10.0.0.1:80",
-                    "--rate", "1", "--seconds", "1", "--out", folder.toString()})) {
+        assertEquals(
+                2,
+                lab(
+                        "sim",
+                        file(EXPERIMENT.replace("servers = 3", "servers = \"three\""))
+                                .toString(),
+                        "--out",
+                        folder.toString()));
+        assertTrue(
+                err.matches("brackenbridge: .*tiny\\.toml:10:1: tier\\[0\\]\\.servers: is not a whole number\\n"), err);
+        for (String[] words : List.of(
+                new String[] {"sim"},
+                new String[] {"simm"},
+                new String[] {"report", folder.resolve("none").toString()},
+                new String[] {
+                    "load", "--target", "example.org:80", "--rate", "1", "--seconds", "1", "--out", folder.toString()
+                },
+                new String[] {
+                    "load", "--target", "10.0.0.1:80", "--rate", "1", "--seconds", "1", "--out", folder.toString()
+                })) {
             assertEquals(2, lab(words), String.join(" ", words));
             assertTrue(err.startsWith("brackenbridge: ") && err.indexOf('\n') == err.length() - 1, err);
         }
@@ -105,17 +129,35 @@
     @Test
     void anInterruptionLeavesAReadablePart() throws IOException, InterruptedException {
         try (ServerSocket target = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
-            Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                    System.getProperty("java.class.path"), "brackenbridge.cli.Main", "lab", "load", "--target",
-                    "127.0.0.1:" + target.getLocalPort(), "--rate", "50", "--seconds", "100", "--warmup", "0", "--out",
-                    folder.toString(), "--any-body").redirectErrorStream(true)
-                    .redirectOutput(folder.resolve("said").toFile()).start();
+            Process p = new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            "brackenbridge.cli.Main",
+                            "lab",
+                            "load",
+                            "--target",
+                            "127.0.0.1:" + target.getLocalPort(),
+                            "--rate",
+                            "50",
+                            "--seconds",
+                            "100",
+                            "--warmup",
+                            "0",
+                            "--out",
+                            folder.toString(),
+                            "--any-body")
+                    .redirectErrorStream(true)
+                    .redirectOutput(folder.resolve("said").toFile())
+                    .start();
             for (int i = 0; i < 3; i++) {
                 try (Socket s = target.accept()) {
                     InputStream in = s.getInputStream();
                     assertTrue(in.read() > 0);
-                    s.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-                            .getBytes(StandardCharsets.ISO_8859_1));
+                    s.getOutputStream()
+                            .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                                    .getBytes(StandardCharsets.ISO_8859_1));
                 }
             }
             new ProcessBuilder("kill", "-INT", Long.toString(p.pid())).start();
--- a/lab/src/test/java/brackenbridge/lab/fleet/FleetFileTest.java
+++ b/lab/src/test/java/brackenbridge/lab/fleet/FleetFileTest.java
@@ -42,8 +42,10 @@
             kind = "reset"\\nat = 3   | f.toml:
             """)
     void aWrongFileIsOneLineWithItsPlaceAndReason(String line, String reason) {
-        FileFault f = assertThrows(FileFault.class, () -> parse("[[fault]]\n" + line.replace("\\n", "\n")
-                + "\nlinks = \"*\"\nat = \"1s\"\nfor = \"1s\"\n"));
+        FileFault f = assertThrows(
+                FileFault.class,
+                () -> parse(
+                        "[[fault]]\n" + line.replace("\\n", "\n") + "\nlinks = \"*\"\nat = \"1s\"\nfor = \"1s\"\n"));
         assertTrue(f.getMessage().contains(reason), f.getMessage());
     }
 
@@ -57,12 +59,20 @@
         assertEquals(state.faults(3), state.faults(3));
         assertTrue(MembersFile.is(FLEETS.resolve("state.toml")));
         assertFalse(MembersFile.is(FLEETS.resolve("links.toml")));
-        FileFault f = assertThrows(FileFault.class, () -> MembersFile.parse("f.toml",
-                "name = \"f\"\n[members]\ncount = 3\n[[promise]]\nkind = \"converge\"\n"));
-        assertTrue(f.getMessage().contains("f.toml:5:1: promise[0].kind: 'converge' is unknown (did you mean "
-                + "'converges'?)"), f.getMessage());
-        assertTrue(assertThrows(FileFault.class, () -> parse("[[fault]]\nprocess = \"n0-0\"\nkind = \"wipe\"\n"
-                + "at = \"1s\"\nfor = \"1s\"\n")).getMessage().contains("is for members"));
+        FileFault f = assertThrows(
+                FileFault.class,
+                () -> MembersFile.parse(
+                        "f.toml", "name = \"f\"\n[members]\ncount = 3\n[[promise]]\nkind = \"converge\"\n"));
+        assertTrue(
+                f.getMessage()
+                        .contains(
+                                "f.toml:5:1: promise[0].kind: 'converge' is unknown (did you mean " + "'converges'?)"),
+                f.getMessage());
+        assertTrue(assertThrows(
+                        FileFault.class,
+                        () -> parse("[[fault]]\nprocess = \"n0-0\"\nkind = \"wipe\"\n" + "at = \"1s\"\nfor = \"1s\"\n"))
+                .getMessage()
+                .contains("is for members"));
     }
 
     @Test
@@ -78,6 +88,7 @@
         List<Integer> whole = IntStream.range(0, 40).boxed().toList();
         List<Integer> least = Shrinking.shrink(whole, l -> l.contains(7) && l.contains(31), 1000);
         assertEquals(List.of(7, 31), least);
-        assertTrue(Shrinking.shrink(whole, l -> l.contains(7) && l.contains(31), 5).size() < 40, "the trials ran out");
+        assertTrue(
+                Shrinking.shrink(whole, l -> l.contains(7) && l.contains(31), 5).size() < 40, "the trials ran out");
     }
 }
--- a/lab/src/test/java/brackenbridge/lab/fleet/RelayTest.java
+++ b/lab/src/test/java/brackenbridge/lab/fleet/RelayTest.java
@@ -82,7 +82,7 @@
 
     /** What was told to the relay before this has been done. */
     private void settled() {
-        loop.submit(() -> { }).syncUninterruptibly();
+        loop.submit(() -> {}).syncUninterruptibly();
     }
 
     private void begin(LinkFault f) {
@@ -136,7 +136,10 @@
                 try (Socket other = open()) {
                     other.getOutputStream().write(1);
                     other.setSoTimeout(SILENT_MS);
-                    assertThrows(SocketTimeoutException.class, () -> other.getInputStream().read(), "a new one too");
+                    assertThrows(
+                            SocketTimeoutException.class,
+                            () -> other.getInputStream().read(),
+                            "a new one too");
                 }
             }
             end(f);
--- a/lab/src/test/java/brackenbridge/lab/fleet/check/PromisesTest.java
+++ b/lab/src/test/java/brackenbridge/lab/fleet/check/PromisesTest.java
@@ -16,17 +16,20 @@
 
     /** Lines {@code t who what key=value ...}. */
     private static List<Entry> log(String text) {
-        return text.lines().filter(l -> !l.isBlank()).map(l -> {
-            String[] w = l.trim().split(" ");
-            StringBuilder json = new StringBuilder("{\"t\":" + w[0] + ",\"who\":\"" + w[1] + "\",\"what\":\"" + w[2]
-                    + "\"");
-            for (int i = 3; i < w.length; i++) {
-                String[] kv = w[i].split("=", 2);
-                boolean plain = kv[1].matches("-?[0-9.]+|true|false|[\\[{].*");
-                json.append(",\"").append(kv[0]).append("\":").append(plain ? kv[1] : "\"" + kv[1] + "\"");
-            }
-            return Entry.parse(json.append('}').toString());
-        }).toList();
+        return text.lines()
+                .filter(l -> !l.isBlank())
+                .map(l -> {
+                    String[] w = l.trim().split(" ");
+                    StringBuilder json =
+                            new StringBuilder("{\"t\":" + w[0] + ",\"who\":\"" + w[1] + "\",\"what\":\"" + w[2] + "\"");
+                    for (int i = 3; i < w.length; i++) {
+                        String[] kv = w[i].split("=", 2);
+                        boolean plain = kv[1].matches("-?[0-9.]+|true|false|[\\[{].*");
+                        json.append(",\"").append(kv[0]).append("\":").append(plain ? kv[1] : "\"" + kv[1] + "\"");
+                    }
+                    return Entry.parse(json.append('}').toString());
+                })
+                .toList();
     }
 
     private static Map<String, Double> kept(Promise p, String text) {
@@ -145,14 +148,22 @@
         broken(p, did + "900 m0 final sums={\"u\":4}" + have + known, "sum 4 of u");
         broken(p, did + "900 m0 final sums={\"u\":9}" + have + known, "sum 9 of u");
         broken(p, did + "900 m0 final" + have + sums, "nobody ever held s 'a'");
-        broken(p, did + "40 m0 acts name=s generations=[4] contents=[\"a\"]\n900 m0 final" + have + sums
-                + " known={\"s\":{\"generation\":3,\"content\":\"z\"}}", "knows generation 3 of s");
+        broken(
+                p,
+                did + "40 m0 acts name=s generations=[4] contents=[\"a\"]\n900 m0 final" + have + sums
+                        + " known={\"s\":{\"generation\":3,\"content\":\"z\"}}",
+                "knows generation 3 of s");
         broken(p, did + "900 lab end", "nobody ever held", "did not say");
         kept(p, did + "90 lab fault id=1 kind=kill member=m0\n95 lab over id=1\n900 m0 final" + known);
-        broken(p, did + "300 lab fault id=1 kind=wipe member=m0\n305 lab over id=1\n900 m0 final" + known,
+        broken(
+                p,
+                did + "300 lab fault id=1 kind=wipe member=m0\n305 lab over id=1\n900 m0 final" + known,
                 "sum 0 of u");
-        broken(p, did + "0 m1 ready\n3 lab tries member=m1 key=k n=2\n900 m0 final" + have + sums + known
-                + "\n901 m1 final have={\"m0\":{\"k\":1},\"m1\":{\"k\":2}}" + sums + known, "m0 and m1 differ");
+        broken(
+                p,
+                did + "0 m1 ready\n3 lab tries member=m1 key=k n=2\n900 m0 final" + have + sums + known
+                        + "\n901 m1 final have={\"m0\":{\"k\":1},\"m1\":{\"k\":2}}" + sums + known,
+                "m0 and m1 differ");
     }
 
     @Test
--- a/lab/src/test/java/brackenbridge/lab/live/LoadClientTest.java
+++ b/lab/src/test/java/brackenbridge/lab/live/LoadClientTest.java
@@ -75,8 +75,10 @@
             kind = "leave"
             at = "400ms"
             """;
+
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
+
     @TempDir
     private Path folder;
 
@@ -105,8 +107,8 @@
 
     private LiveRunner.Outcome load(InetSocketAddress at, String classMore, int rate, int connections)
             throws Exception {
-        Experiment e = ExperimentFile.parse("load.toml", WORLD.formatted(classMore, rate), Path.of("."),
-                Policies.names());
+        Experiment e =
+                ExperimentFile.parse("load.toml", WORLD.formatted(classMore, rate), Path.of("."), Policies.names());
         try (Results results = new Results(folder)) {
             return LoadRunner.play(e, e.runs().get(0), at, connections, true, results);
         }
@@ -153,7 +155,7 @@
         LiveRunner.Outcome forged = load(forger, "", 20, 100);
         assertTrue(forged.ledger().broken(Ledger.Rule.FORGED) > 10);
         assertTrue(forged.ledger().breaches().get(0).text().contains("taken by"));
-        InetSocketAddress mute = server((to, r) -> { });
+        InetSocketAddress mute = server((to, r) -> {});
         LiveRunner.Outcome lost = load(mute, "", 20, 100);
         assertTrue(lost.ledger().broken(Ledger.Rule.LOST) > 10);
         assertEquals(0, lost.board().count(End.IN_AIM));
@@ -183,16 +185,21 @@
     @ParameterizedTest
     @ValueSource(strings = {"[[trouble]]\nkind = \"crash\"\nat = \"1s\"\nfor = \"500ms\"\n", PUSHED})
     void aNodeAmongStandInsServesAndKeepsTheRules(String more) throws Exception {
-        Experiment e = ExperimentFile.parse("load.toml", WORLD.formatted("", 100) + more, Path.of("."),
-                Policies.names());
+        Experiment e =
+                ExperimentFile.parse("load.toml", WORLD.formatted("", 100) + more, Path.of("."), Policies.names());
         Clock clock = Clock.system();
         try (Servers servers = new Servers(e.world(), 1, folder.resolve("servers"))) {
-            Node node = new Node(Config.read(servers.configs().get(0)), clock, new Log(clock,
-                    new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8)));
+            Node node = new Node(
+                    Config.read(servers.configs().get(0)),
+                    clock,
+                    new Log(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8)));
             node.start();
             try {
                 LiveRunner.Outcome r = load(node.address(), "", 100, 200);
-                assertEquals(0, r.ledger().broken(), () -> r.ledger().breaches().get(0).text());
+                assertEquals(
+                        0,
+                        r.ledger().broken(),
+                        () -> r.ledger().breaches().get(0).text());
                 assertTrue(r.board().servedPart() > 0.9, "served " + r.board().servedPart());
                 assertFalse(r.board().first() < 100);
             } finally {
--- a/lab/src/test/java/brackenbridge/lab/model/QueueTheoryTest.java
+++ b/lab/src/test/java/brackenbridge/lab/model/QueueTheoryTest.java
@@ -25,8 +25,8 @@
 
     @Test
     void unevenWorkWaitsAsPollaczekAndKhinchineSay() {
-        Theory.Row row = Theory.wait("M/G/1", 1, new Distribution(Distribution.Shape.LOGNORMAL, 10, 1.5), 0.5,
-                400_000, 7);
+        Theory.Row row =
+                Theory.wait("M/G/1", 1, new Distribution(Distribution.Shape.LOGNORMAL, 10, 1.5), 0.5, 400_000, 7);
         assertEquals(10 * (1 + 1.5 * 1.5) / 2, row.expectedMs(), 1e-9);
         assertTrue(Math.abs(row.relativeError()) < 0.03, row.toString());
     }
--- a/lab/src/test/java/brackenbridge/lab/model/ServerModelTest.java
+++ b/lab/src/test/java/brackenbridge/lab/model/ServerModelTest.java
@@ -19,8 +19,12 @@
     }
 
     private ServerModel.Job begin(ServerModel s, String name, double... work) {
-        return s.begin(name, work, Double.POSITIVE_INFINITY, (number, done) -> queue.at(queue.nowMs() + 5,
-                () -> done.accept(number < 1)), v -> ends.add(name + " " + v + " " + Math.round(queue.nowMs() - 1000)));
+        return s.begin(
+                name,
+                work,
+                Double.POSITIVE_INFINITY,
+                (number, done) -> queue.at(queue.nowMs() + 5, () -> done.accept(number < 1)),
+                v -> ends.add(name + " " + v + " " + Math.round(queue.nowMs() - 1000)));
     }
 
     private void run(double ms) {
@@ -75,8 +79,8 @@
 
     @Test
     void aColdServerIsSlowAndTooMuchPushesItOver() {
-        ServerModel s = server(ServerProfile.plain(1, 1, 1000).withCold(new ServerProfile.Cold(0.5, 10_000, 0, 3,
-                1000)));
+        ServerModel s =
+                server(ServerProfile.plain(1, 1, 1000).withCold(new ServerProfile.Cold(0.5, 10_000, 0, 3, 1000)));
         boolean[] over = {false};
         s.onPushedOver(() -> over[0] = true);
         s.start();
@@ -140,8 +144,8 @@
 
     @Test
     void aChokeEndsAfterItsLongestTimeWhateverItHas() {
-        ServerModel s = server(ServerProfile.plain(1, 1, 100)
-                .withChoke(new ServerProfile.Choke(3, 0, 0.5, 100, 1e6, 200)));
+        ServerModel s =
+                server(ServerProfile.plain(1, 1, 100).withChoke(new ServerProfile.Choke(3, 0, 0.5, 100, 1e6, 200)));
         for (int i = 0; i < 3; i++) {
             begin(s, "x", 150);
         }
@@ -158,9 +162,21 @@
         run(20);
         assertEquals(List.of("a SERVED 10"), ends, "this server cancels nothing");
         ServerProfile p = ServerProfile.plain(1, 1, 5);
-        ServerModel all = server(new ServerProfile(p.cores(), p.speed(), p.slots(), p.room(), 0,
-                ServerProfile.Cancel.ALL, false, p.cold(), p.crowd(), p.choke(), p.pauses(), p.connections(),
-                p.reports(), p.probes()));
+        ServerModel all = server(new ServerProfile(
+                p.cores(),
+                p.speed(),
+                p.slots(),
+                p.room(),
+                0,
+                ServerProfile.Cancel.ALL,
+                false,
+                p.cold(),
+                p.crowd(),
+                p.choke(),
+                p.pauses(),
+                p.connections(),
+                p.reports(),
+                p.probes()));
         ServerModel.Job b = begin(all, "b", 10);
         begin(all, "c", 10);
         run(5);
--- a/lab/src/test/java/brackenbridge/lab/replica/ReplicateTest.java
+++ b/lab/src/test/java/brackenbridge/lab/replica/ReplicateTest.java
@@ -15,10 +15,10 @@
     /** Writes, wants, pieces, ends, saves, forgets, folds. */
     @ParameterizedTest
     @CsvSource({"3, 1, 1, 0, 0, 1, 0", "2, 1, 1, 1, 1, 0, 0", "2, 0, 0, 1, 1, 0, 1"})
-    void everyHistoryEndsWithMembersThatAreOne(int writes, int wants, int pieces, int ends, int saves, int forgets,
-            int folds) {
-        Explorer.Found f = Explorer.explore(new Model(new Bounds(writes, wants, pieces, ends, saves, forgets, folds),
-                Mistake.NONE), 100_000);
+    void everyHistoryEndsWithMembersThatAreOne(
+            int writes, int wants, int pieces, int ends, int saves, int forgets, int folds) {
+        Explorer.Found f = Explorer.explore(
+                new Model(new Bounds(writes, wants, pieces, ends, saves, forgets, folds), Mistake.NONE), 100_000);
         assertNull(f.breach(), f::toString);
         assertTrue(f.whole() && f.states() > 100, f.states() + " moments");
     }
--- a/lab/src/test/java/brackenbridge/lab/scale/ScaleTest.java
+++ b/lab/src/test/java/brackenbridge/lab/scale/ScaleTest.java
@@ -25,11 +25,13 @@
         assertEquals(1600, target.nodes());
         assertEquals(9, target.machines());
         assertEquals(280, target.services());
-        assertEquals(16, target.regions().stream().mapToInt(ScalePlan.Region::zones).sum());
+        assertEquals(
+                16, target.regions().stream().mapToInt(ScalePlan.Region::zones).sum());
         assertEquals(1600, Arrays.stream(target.nodesByRegion()).sum());
         assertEquals(284, new HashSet<>(target.resources()).size());
         assertEquals(200, ScaleFile.read(FILES.resolve("smoke.toml")).nodes());
-        assertEquals(100, ScaleFile.read(FILES.resolve("rest.toml")).withNodes(100).nodes());
+        assertEquals(
+                100, ScaleFile.read(FILES.resolve("rest.toml")).withNodes(100).nodes());
     }
 
     private static String fault(String text) {
@@ -45,21 +47,25 @@
         assertTrue(fault(fleet + region + "[[region]]\nname = \"a\"\n").startsWith("f:8:1"));
         assertTrue(fault(fleet + region + "[[fault]]\nkind = \"kil\"\nat = 0\n").contains("did you mean 'kill'"));
         assertTrue(fault(fleet + region + "[changes]\nlength = \"5s\"\n[[fault]]\nkind = \"kill\"\nat = \"4s\"\n"
-                + "for = \"2s\"\n").contains("outlast"));
-        assertTrue(fault(fleet + region + "[[fault]]\nkind = \"cut\"\nregion = \"b\"\nat = 1\n").contains("no region"));
+                        + "for = \"2s\"\n")
+                .contains("outlast"));
+        assertTrue(fault(fleet + region + "[[fault]]\nkind = \"cut\"\nregion = \"b\"\nat = 1\n")
+                .contains("no region"));
         assertTrue(fault(fleet + "extra = 1\n" + region).contains("extra"));
     }
 
     private static ScalePlan tiny() throws FileFault {
-        return ScaleFile.parse("tiny", "name = \"tiny\"\n[fleet]\nnodes = 2\nservices = 1\ncalls = 1\ntiers = 1\n"
-                + "[[region]]\nname = \"a\"\n");
+        return ScaleFile.parse(
+                "tiny",
+                "name = \"tiny\"\n[fleet]\nnodes = 2\nservices = 1\ncalls = 1\ntiers = 1\n"
+                        + "[[region]]\nname = \"a\"\n");
     }
 
     @Test
     void aChangeCountsFromItsProposalOrFromTheNodesReturnAndALaterChangeStandsForIt() throws FileFault {
         ScaleFigures figures = new ScaleFigures(tiny(), 2, 1);
-        List<Change> changes = List.of(new Change(1, "settings/tier-0", 1000, 1300),
-                new Change(2, "settings/tier-0", 2000, 2400));
+        List<Change> changes =
+                List.of(new Change(1, "settings/tier-0", 1000, 1300), new Change(2, "settings/tier-0", 2000, 2400));
         figures.applied(0, "settings/tier-0", 1, 1500);
         figures.applied(0, "settings/tier-0", 2, 2700);
         figures.applied(1, "settings/tier-0", 2, 9000);
@@ -91,9 +97,29 @@
         assertTrue(outcome.connections() > 200, "the nodes of the killed machine went elsewhere");
         ScalePlan.Bounds unkept = new ScalePlan.Bounds(1, 0, 1, 0, 0);
         ScalePlan plan = outcome.plan();
-        assertFalse(new ScaleOutcome(new ScalePlan(plan.name(), plan.nodes(), plan.services(), plan.calls(),
-                plan.tiers(), plan.regions(), plan.nodesPerProcess(), plan.startMs(), plan.restMs(), plan.changes(),
-                unkept, plan.faults()), 1, outcome.startedMs(), outcome.result(), outcome.rest(), outcome.busy(),
-                outcome.connections(), 0, 0, List.of()).passed());
+        assertFalse(new ScaleOutcome(
+                        new ScalePlan(
+                                plan.name(),
+                                plan.nodes(),
+                                plan.services(),
+                                plan.calls(),
+                                plan.tiers(),
+                                plan.regions(),
+                                plan.nodesPerProcess(),
+                                plan.startMs(),
+                                plan.restMs(),
+                                plan.changes(),
+                                unkept,
+                                plan.faults()),
+                        1,
+                        outcome.startedMs(),
+                        outcome.result(),
+                        outcome.rest(),
+                        outcome.busy(),
+                        outcome.connections(),
+                        0,
+                        0,
+                        List.of())
+                .passed());
     }
 }
--- a/lab/src/test/java/brackenbridge/lab/sim/SimulationTest.java
+++ b/lab/src/test/java/brackenbridge/lab/sim/SimulationTest.java
@@ -73,22 +73,51 @@
 
     private static void rulesHold(Simulation.Result r) {
         assertEquals(0, r.ledger().broken(), () -> r.ledger().breaches().get(0).text());
-        assertTrue(r.ledger().checked() > 2000, "requests checked: " + r.ledger().checked());
+        assertTrue(
+                r.ledger().checked() > 2000, "requests checked: " + r.ledger().checked());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"module", "random", "round_robin", "least_of_two", "least_connections", "peak_ewma",
-        "prequal", "oracle"})
+    @ValueSource(
+            strings = {
+                "module",
+                "random",
+                "round_robin",
+                "least_of_two",
+                "least_connections",
+                "peak_ewma",
+                "prequal",
+                "oracle"
+            })
     void calmDaysServeNearlyAllUnderEveryPolicy(String policy) throws FileFault {
         Simulation.Result r = play("", policy);
         rulesHold(r);
-        assertTrue(r.board().servedPart() > 0.97, policy + " served " + r.board().servedPart());
+        assertTrue(
+                r.board().servedPart() > 0.97, policy + " served " + r.board().servedPart());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"slow", "hang", "neighbour", "drain", "leave", "crash", "replace", "cut_off", "reset",
-        "stale", "spoilt", "discovery_late", "discovery_silent", "discovery_moved", "discovery_overloaded",
-        "node_killed", "node_restarted", "burst"})
+    @ValueSource(
+            strings = {
+                "slow",
+                "hang",
+                "neighbour",
+                "drain",
+                "leave",
+                "crash",
+                "replace",
+                "cut_off",
+                "reset",
+                "stale",
+                "spoilt",
+                "discovery_late",
+                "discovery_silent",
+                "discovery_moved",
+                "discovery_overloaded",
+                "node_killed",
+                "node_restarted",
+                "burst"
+            })
     void theRulesHoldInEachTrouble(String kind) throws FileFault {
         Simulation.Result r = play(trouble(kind, ""), "module");
         rulesHold(r);
@@ -98,8 +127,10 @@
     @ParameterizedTest
     @ValueSource(strings = {"drain", "leave", "replace", "crash"})
     void theRulesHoldWhereAgentsFallSilentWhileServersGo(String kind) throws FileFault {
-        Simulation.Result r = play("[discovery]\npushed = true\n" + trouble("discovery_silent", "")
-                + trouble(kind, "count = 2\nevery = \"500ms\""), "module");
+        Simulation.Result r = play(
+                "[discovery]\npushed = true\n" + trouble("discovery_silent", "")
+                        + trouble(kind, "count = 2\nevery = \"500ms\""),
+                "module");
         rulesHold(r);
         assertTrue(r.board().servedPart() > 0.8, kind + " served " + r.board().servedPart());
     }
@@ -108,7 +139,10 @@
     void aTryIsGivenUpBeforeTheDeadlineWhereClientsAreInAHurry() throws FileFault {
         String load = trouble("slow", "count = 6\namount = 40") + "[clients]\nretries = 0\n";
         double patient = play(load, "random").board().latency().getMaxValue() / 1000.0;
-        double hurried = play(load + "try_least = 0.4\ntry_most = 0.5\n", "random").board().latency().getMaxValue()
+        double hurried = play(load + "try_least = 0.4\ntry_most = 0.5\n", "random")
+                        .board()
+                        .latency()
+                        .getMaxValue()
                 / 1000.0;
         assertTrue(patient > 2000, "the longest took " + patient + " ms");
         assertTrue(hurried < 1600, "the longest took " + hurried + " ms");
@@ -117,14 +151,24 @@
     @Test
     void theModuleStaysInItsZoneWhileThatHasServersAndRoom() throws FileFault {
         String zones = "[net]\nzones = 2\ncross = \"4ms\"\ncross_price = 0.1\n";
-        Experiment.Run run = ExperimentFile.parse("zones.toml", WORLD.replace("servers = 6", "servers = 40")
-                .replace("servers = 3", "servers = 20").replace("0.4\n", "0.2\n") + zones, Path.of("."),
-                Policies.names()).runs().get(0);
+        Experiment.Run run = ExperimentFile.parse(
+                        "zones.toml",
+                        WORLD.replace("servers = 6", "servers = 40")
+                                        .replace("servers = 3", "servers = 20")
+                                        .replace("0.4\n", "0.2\n")
+                                + zones,
+                        Path.of("."),
+                        Policies.names())
+                .runs()
+                .get(0);
         Simulation.Result module = new Simulation(run.world(), 1, Policies.of("module")).run();
         Simulation.Result random = new Simulation(run.world(), 1, Policies.of("random")).run();
         rulesHold(module);
-        assertTrue(random.board().crossedPerFirst() > 1, "random crosses " + random.board().crossedPerFirst());
-        assertTrue(module.board().crossedPerFirst() < random.board().crossedPerFirst() / 2,
+        assertTrue(
+                random.board().crossedPerFirst() > 1,
+                "random crosses " + random.board().crossedPerFirst());
+        assertTrue(
+                module.board().crossedPerFirst() < random.board().crossedPerFirst() / 2,
                 "the module crosses " + module.board().crossedPerFirst());
         assertTrue(module.board().pricedPart() > random.board().pricedPart() + 0.05, "crossings are priced");
     }
@@ -132,8 +176,18 @@
     @Test
     void quotasAreAPartOfCapacityAndWhatIsBeyondThemEarnsLittle() throws FileFault {
         String tenants = "[[tenant]]\nname = \"one\"\nshare = 1\n[limits]\nquota_of_capacity = ";
-        double whole = play(tenants + "1\n", "module").board().json().get("all").asObject().getDouble("worth", 0);
-        double half = play(tenants + "0.2\n", "module").board().json().get("all").asObject().getDouble("worth", 0);
+        double whole = play(tenants + "1\n", "module")
+                .board()
+                .json()
+                .get("all")
+                .asObject()
+                .getDouble("worth", 0);
+        double half = play(tenants + "0.2\n", "module")
+                .board()
+                .json()
+                .get("all")
+                .asObject()
+                .getDouble("worth", 0);
         // 0.4 of capacity is asked for: with 0.2 owed, half of it keeps its worth, with a twentieth of the rest and
         // what a quota that is saved for a second adds in 12 s.
         assertEquals(0.565, half / whole, 0.03);
@@ -144,19 +198,26 @@
         Simulation.Result none = play("", "random");
         Simulation.Result r = play(trouble("class_fails", "class = \"sign\"\ncount = 3"), "random");
         rulesHold(r);
-        assertTrue(r.board().count(End.FAILED) > none.board().count(End.FAILED) + 20, "failed "
-                + r.board().count(End.FAILED));
+        assertTrue(
+                r.board().count(End.FAILED) > none.board().count(End.FAILED) + 20,
+                "failed " + r.board().count(End.FAILED));
     }
 
     @Test
     void aWorldWithoutServersRefusesAllAtOnce() throws FileFault {
         Simulation.Result r = play(trouble("leave", "count = 6").replace("3s", "0s"), "module");
         assertEquals(0, r.ledger().broken(), () -> r.ledger().breaches().get(0).text());
-        Experiment none = ExperimentFile.parse("none.toml", WORLD.replace("servers = 6", "servers = 0")
-                .replace("of_capacity = 0.4", "per_second = 50"), Path.of("."), Policies.names());
+        Experiment none = ExperimentFile.parse(
+                "none.toml",
+                WORLD.replace("servers = 6", "servers = 0").replace("of_capacity = 0.4", "per_second = 50"),
+                Path.of("."),
+                Policies.names());
         Experiment.Run run = none.runs().get(0);
         Simulation.Result empty = new Simulation(run.world(), 1, Policies.of("module")).run();
-        assertEquals(0, empty.ledger().broken(), () -> empty.ledger().breaches().get(0).text());
+        assertEquals(
+                0,
+                empty.ledger().broken(),
+                () -> empty.ledger().breaches().get(0).text());
         assertEquals(0, empty.board().count(End.IN_AIM));
         assertEquals(0, empty.board().count(End.UNANSWERED));
         assertTrue(empty.board().count(End.REFUSED) > 300);
@@ -167,9 +228,13 @@
     void retriesAcrossTwoTiersAreBoundedWhateverTheLowerTierDoes(String kind, String name) throws FileFault {
         String what = kind.equals("class_fails") ? "class = \"" + name + "\"\n" : "";
         String fault = trouble(kind, "tier = \"core\"\ncount = 3\n" + what).replace("5s", "10s");
-        Experiment.Run run = ExperimentFile.parse("test.toml", WORLD.replace("\"12s\"", "\"25s\"") + fault,
-                Path.of("."), Policies.names()).runs().get(0);
-        Ledger ledger = new Simulation(run.world(), run.seed(), Policies.of("module")).run().ledger();
+        Experiment.Run run = ExperimentFile.parse(
+                        "test.toml", WORLD.replace("\"12s\"", "\"25s\"") + fault, Path.of("."), Policies.names())
+                .runs()
+                .get(0);
+        Ledger ledger = new Simulation(run.world(), run.seed(), Policies.of("module"))
+                .run()
+                .ledger();
         assertEquals(0, ledger.broken(), () -> ledger.breaches().get(0).text());
         // Of both tiers together: a request may be sent five times, a tenth more than once are in the budget.
         double each = ledger.attempts() / (double) ledger.checked();
@@ -178,7 +243,8 @@
 
     @Test
     void whatArrivesIsTheSameWhateverDecides() throws FileFault {
-        assertEquals(play("", "module").board().first(), play("", "random").board().first());
+        assertEquals(
+                play("", "module").board().first(), play("", "random").board().first());
     }
 
     @Test
@@ -188,8 +254,10 @@
         SimRunner.play(e, folder.resolve("one"), 1, false);
         SimRunner.play(e, folder.resolve("many"), 5, false);
         for (String file : List.of(Results.LINES, "latency.hlog")) {
-            assertArrayEquals(Files.readAllBytes(folder.resolve("one").resolve(file)),
-                    Files.readAllBytes(folder.resolve("many").resolve(file)), file);
+            assertArrayEquals(
+                    Files.readAllBytes(folder.resolve("one").resolve(file)),
+                    Files.readAllBytes(folder.resolve("many").resolve(file)),
+                    file);
         }
         assertEquals(8, Results.read(folder.resolve("one")).size());
         // What was cut off in the middle of a line is readable up to there.
@@ -222,6 +290,8 @@
         assertEquals(1, ledger.broken(Ledger.Rule.DRAIN));
         f.close(2000);
         assertEquals(2, ledger.broken(Ledger.Rule.LOST));
-        assertTrue(ledger.breaches().get(0).text().contains("s1: error"), ledger.breaches().get(0).text());
+        assertTrue(
+                ledger.breaches().get(0).text().contains("s1: error"),
+                ledger.breaches().get(0).text());
     }
 }
--- a/lab/src/test/java/brackenbridge/lab/world/ExperimentFileTest.java
+++ b/lab/src/test/java/brackenbridge/lab/world/ExperimentFileTest.java
@@ -61,13 +61,17 @@
     @Test
     void troublesAndComparisonsAreChecked() {
         assertTrue(assertThrows(FileFault.class, () -> parse(RIGHT + "[[trouble]]\nkind = \"hnag\"\nat = 1"))
-                .getMessage().contains("did you mean 'hang'?"));
+                .getMessage()
+                .contains("did you mean 'hang'?"));
         assertTrue(assertThrows(FileFault.class, () -> parse(RIGHT + "[[trouble]]\nkind = \"class_fails\"\nat = 1"))
-                .getMessage().contains("which class fails"));
+                .getMessage()
+                .contains("which class fails"));
         assertTrue(assertThrows(FileFault.class, () -> parse(RIGHT + "[compare]\npolicies = [\"best\"]"))
-                .getMessage().contains("'best' is unknown"));
+                .getMessage()
+                .contains("'best' is unknown"));
         assertTrue(assertThrows(FileFault.class, () -> ExperimentFile.read(Path.of("absent.toml"), Policies.names()))
-                .getMessage().contains("no such file"));
+                .getMessage()
+                .contains("no such file"));
     }
 
     @Test
