--- a/node/src/main/java/brackenbridge/cli/Hangup.java
+++ b/node/src/main/java/brackenbridge/cli/Hangup.java
@@ -4,8 +4,7 @@
 
 /** The signal SIGHUP. The platform's own class for it is reached by name, since it is no part of the API. */
 final class Hangup {
-    private Hangup() {
-    }
+    private Hangup() {}
 
     /**
      * Runs this at each SIGHUP from now on, on a thread of its own. Guards against the default, which ends the
@@ -16,7 +15,9 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object handling = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
+            Object handling = Proxy.newProxyInstance(
+                    handler.getClassLoader(),
+                    new Class<?>[] {handler},
                     (proxy, method, args) -> switch (method.getName()) {
                         case "handle" -> {
                             work.run();
@@ -26,8 +27,8 @@
                         case "equals" -> proxy == args[0];
                         default -> "SIGHUP";
                     });
-            Object before = signal.getMethod("handle", signal, handler).invoke(null,
-                    signal.getConstructor(String.class).newInstance("HUP"), handling);
+            Object before = signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handling);
             return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             return false;
--- a/node/src/main/java/brackenbridge/cli/Main.java
+++ b/node/src/main/java/brackenbridge/cli/Main.java
@@ -22,8 +22,7 @@
 public final class Main {
     private static final int USAGE = 2;
 
-    private Main() {
-    }
+    private Main() {}
 
     @Parameters(commandDescription = "Serve as a node")
     private static final class Serve {
@@ -38,20 +37,19 @@
     }
 
     @Parameters(commandDescription = "Speak the simulator's wire on standard input and output")
-    private static final class Wire {
-    }
+    private static final class Wire {}
 
     @Parameters(commandDescription = "Make a management call to a running node: PING, INFO, LAMEDUCK or REJOIN")
     private static final class Manage {
         @Parameter(names = "--at", description = "Its second address; by default $PROXY_MGMT")
         private String at = System.getenv("PROXY_MGMT");
+
         @Parameter(description = "CALL", required = true)
         private String call;
     }
 
     @Parameters(commandDescription = "Print the version")
-    private static final class Version {
-    }
+    private static final class Version {}
 
     /** Runs one of the commands. */
     public static void main(String[] args) throws IOException {
@@ -74,10 +72,14 @@
         Serve serve = new Serve();
         Check check = new Check();
         Manage manage = new Manage();
-        JCommander line = JCommander.newBuilder().programName("brackenbridge").addCommand("serve", serve)
+        JCommander line = JCommander.newBuilder()
+                .programName("brackenbridge")
+                .addCommand("serve", serve)
                 .addCommand("wirehost", new Wire())
-                .addCommand("check-config", check).addCommand("manage", manage)
-                .addCommand("version", new Version()).build();
+                .addCommand("check-config", check)
+                .addCommand("manage", manage)
+                .addCommand("version", new Version())
+                .build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -91,8 +93,9 @@
             case "serve" -> serve(serve.config);
             case "check-config" -> {
                 Config c = config(check.config);
-                System.out.println(c.name() + ": tier " + c.settings().tier() + ", " + c.settings().classes().size()
-                        + " classes, " + c.known().targets().size() + " targets known, " + c.sockets() + " sockets");
+                System.out.println(c.name() + ": tier " + c.settings().tier() + ", "
+                        + c.settings().classes().size() + " classes, "
+                        + c.known().targets().size() + " targets known, " + c.sockets() + " sockets");
             }
             case "manage" -> manage(manage);
             case "version" -> {
@@ -168,27 +171,34 @@
         Clock clock = Clock.system();
         Log log = new Log(clock, System.err);
         String directory = System.getenv("TMPDIR");
-        Node node = new Node(config, clock, log,
+        Node node = new Node(
+                config,
+                clock,
+                log,
                 directory == null ? null : Handover.path(directory, config.name(), config.listen()));
         if (!Hangup.handle(() -> node.reconfigure(() -> Config.read(Path.of(file))))) {
             log.warn("no SIGHUP will be heard, it is ignored here (as under nohup) or unknown: the configuration is"
                     + " read at the start only");
         }
         // SIGTERM runs the hooks and would exit with 143; a stop that ends well ends with 0.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                node.stop().get(1, TimeUnit.MINUTES);
-                if (other != null) {
-                    other.end();
-                }
-                log.flush();
-                Runtime.getRuntime().halt(0);
-            } catch (InterruptedException | java.util.concurrent.ExecutionException
-                    | java.util.concurrent.TimeoutException e) {
-                System.err.println("brackenbridge: stop failed: " + e);
-                Runtime.getRuntime().halt(1);
-            }
-        }, "stop"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                node.stop().get(1, TimeUnit.MINUTES);
+                                if (other != null) {
+                                    other.end();
+                                }
+                                log.flush();
+                                Runtime.getRuntime().halt(0);
+                            } catch (InterruptedException
+                                    | java.util.concurrent.ExecutionException
+                                    | java.util.concurrent.TimeoutException e) {
+                                System.err.println("brackenbridge: stop failed: " + e);
+                                Runtime.getRuntime().halt(1);
+                            }
+                        },
+                        "stop"));
         try {
             if (other != null) {
                 other.begin(node);
--- a/node/src/main/java/brackenbridge/cli/Training.java
+++ b/node/src/main/java/brackenbridge/cli/Training.java
@@ -32,8 +32,7 @@
     private static final String LIST = "{\"seq\":2,\"whole\":true,\"hosts\":[{\"host\":\"s\",\"dial\":\"%s\","
             + "\"site\":\"a\",\"health\":\"active\",\"share\":1.0,\"born_ms\":0}]}\n";
 
-    private Training() {
-    }
+    private Training() {}
 
     /** Starts a node as {@code serve} does, has it serve, and ends the process. */
     static void run() {
@@ -56,8 +55,9 @@
         ServerSocket server = new ServerSocket(0, 50, loopback);
         ServerSocket agent = new ServerSocket(0, 50, loopback);
         daemon(() -> answer(server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
-        daemon(() -> answer(agent, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
-                + LIST.formatted("127.0.0.1:" + server.getLocalPort())));
+        daemon(() -> answer(
+                agent,
+                "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + LIST.formatted("127.0.0.1:" + server.getLocalPort())));
         Path file = Files.createTempFile("training", ".json");
         Files.writeString(file, CONFIG.formatted("127.0.0.1:" + port, "127.0.0.1:" + agent.getLocalPort()));
         Main.serve(file.toString());
--- a/node/src/main/java/brackenbridge/config/Config.java
+++ b/node/src/main/java/brackenbridge/config/Config.java
@@ -32,8 +32,15 @@
  * @param known the target group as it last held it
  * @param shape its keys and the types of their values
  */
-public record Config(String name, String listen, String discovery, String management, int sockets, Settings settings,
-        TargetGroup known, Shape shape) {
+public record Config(
+        String name,
+        String listen,
+        String discovery,
+        String management,
+        int sockets,
+        Settings settings,
+        TargetGroup known,
+        Shape shape) {
 
     /** The longest file: guards the heap against one that was named by mistake. */
     private static final int LONGEST = 4 << 20;
@@ -51,7 +58,10 @@
             if (bytes.length > LONGEST) {
                 throw new IllegalArgumentException("over " + LONGEST + " bytes: " + file);
             }
-            return parse(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString());
+            return parse(StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString());
         } catch (NoSuchFileException e) {
             throw new IllegalArgumentException("no such file: " + file, e);
         } catch (CharacterCodingException e) {
@@ -67,9 +77,15 @@
             JsonObject json = StrictJson.parse(text).asObject();
             Map<String, String> pairs = new LinkedHashMap<>();
             flatten("", object(json, "settings"), pairs);
-            return new Config(string(json, "name", "node"), address(json, "listen"), address(json, "discovery"),
-                    json.get("mgmt") == null ? null : address(json, "mgmt"), sockets(json),
-                    new SettingsParser(pairs).parse(seed(json)), known(json), Shape.of(json));
+            return new Config(
+                    string(json, "name", "node"),
+                    address(json, "listen"),
+                    address(json, "discovery"),
+                    json.get("mgmt") == null ? null : address(json, "mgmt"),
+                    sockets(json),
+                    new SettingsParser(pairs).parse(seed(json)),
+                    known(json),
+                    Shape.of(json));
         } catch (RuntimeException e) {
             String why = String.valueOf(e.getMessage()).replaceAll("[\\s\\p{Cntrl}]+", " ");
             throw new IllegalArgumentException(why.substring(0, Math.min(why.length(), LONGEST_REASON)), e);
@@ -78,8 +94,9 @@
 
     /** The same with staff's calls at this address; a null changes nothing. */
     public Config withManagement(String at) {
-        return at == null ? this : new Config(name, listen, discovery, checked("mgmt", at), sockets, settings, known,
-                shape);
+        return at == null
+                ? this
+                : new Config(name, listen, discovery, checked("mgmt", at), sockets, settings, known, shape);
     }
 
     private static int sockets(JsonObject json) {
@@ -135,7 +152,8 @@
 
     private static String checked(String name, String v) {
         // Names are not looked up: one that was taken here would be a listener or a discovery that never is.
-        if (!v.matches("[^\\s:]+:[0-9]{1,5}") || !NetUtil.isValidIpV4Address(v.substring(0, v.indexOf(':')))
+        if (!v.matches("[^\\s:]+:[0-9]{1,5}")
+                || !NetUtil.isValidIpV4Address(v.substring(0, v.indexOf(':')))
                 || Integer.parseInt(v.substring(v.indexOf(':') + 1)) > 65535) {
             throw new IllegalArgumentException(name + " is not an address and port: '" + v + "'");
         }
--- a/node/src/main/java/brackenbridge/config/SettingsParser.java
+++ b/node/src/main/java/brackenbridge/config/SettingsParser.java
@@ -29,37 +29,59 @@
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0, n = whole("classes.count", null); i < n; i++) {
             String at = "classes." + i + ".";
-            classes.add(new RequestClass(value(at + "name", null), number(at + "aim", null),
-                    number(at + "giveUp", null), choice(Effect.class, at + "effect", null),
-                    choice(DedupScope.class, at + "dedupScope", "all"), number(at + "keyTtl", "0"),
-                    flag(at + "stream", "false"), decimal(at + "worth", "1"),
+            classes.add(new RequestClass(
+                    value(at + "name", null),
+                    number(at + "aim", null),
+                    number(at + "giveUp", null),
+                    choice(Effect.class, at + "effect", null),
+                    choice(DedupScope.class, at + "dedupScope", "all"),
+                    number(at + "keyTtl", "0"),
+                    flag(at + "stream", "false"),
+                    decimal(at + "worth", "1"),
                     decimal(at + "lateShare", "0")));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0, n = whole("tenants.count", "0"); i < n; i++) {
             String at = "tenants." + i + ".";
-            tenants.add(new Tenant(value(at + "name", null), decimal(at + "share", "0"),
-                    decimal(at + "quotaPerS", "0")));
+            tenants.add(
+                    new Tenant(value(at + "name", null), decimal(at + "share", "0"), decimal(at + "quotaPerS", "0")));
         }
         // policyLimits.retryAfter only says whether the simulator's clients are told; on sockets any refusal may
         // carry advice. Guards against a module that gives none, whatever the site's clients would heed.
         long retryAfter = number("policyLimits.maxRetryAfter", "0");
-        return new Settings(seed, whole("me", null), whole("replicasOfMe", null),
-                whole("tier", "0"), value("zone", "-"), classes, tenants,
-                decimal("overShareWorth", "1"), value("discovery", "pushed").equals("on_request"),
-                number("rules.mustAskIn", "10000000"), whole("policyLimits.maxAttempts", "1"),
-                whole("policyLimits.openCap", "20000"), retryAfter,
-                flag("policyLimits.mayCancel", "false"), flag("policyLimits.mayProbe", "false"),
-                flag("policyLimits.secondCopies", "false"), number("policyLimits.idleClose", "15000000"),
-                decimal("rules.coldFrom", "1"), number("rules.warmAfter", "0"), decimal("rules.fallMultiple", "1"),
-                number("rules.fall", "0"), network());
+        return new Settings(
+                seed,
+                whole("me", null),
+                whole("replicasOfMe", null),
+                whole("tier", "0"),
+                value("zone", "-"),
+                classes,
+                tenants,
+                decimal("overShareWorth", "1"),
+                value("discovery", "pushed").equals("on_request"),
+                number("rules.mustAskIn", "10000000"),
+                whole("policyLimits.maxAttempts", "1"),
+                whole("policyLimits.openCap", "20000"),
+                retryAfter,
+                flag("policyLimits.mayCancel", "false"),
+                flag("policyLimits.mayProbe", "false"),
+                flag("policyLimits.secondCopies", "false"),
+                number("policyLimits.idleClose", "15000000"),
+                decimal("rules.coldFrom", "1"),
+                number("rules.warmAfter", "0"),
+                decimal("rules.fallMultiple", "1"),
+                number("rules.fall", "0"),
+                network());
     }
 
     private Network network() {
         String how = value("report.how", "none");
         String columns = how.equals("none") ? "" : value("report.columns", "");
-        return new Network(number("policyLimits.connectTimeout", "1000000"), number("rules.drainGrace", "0"),
-                how.equals("answers"), columns.isEmpty() ? List.of() : List.of(columns.split(",")));
+        return new Network(
+                number("policyLimits.connectTimeout", "1000000"),
+                number("rules.drainGrace", "0"),
+                how.equals("answers"),
+                columns.isEmpty() ? List.of() : List.of(columns.split(",")));
     }
 
     private String value(String key, String absent) {
--- a/node/src/main/java/brackenbridge/config/Shape.java
+++ b/node/src/main/java/brackenbridge/config/Shape.java
@@ -72,7 +72,10 @@
     }
 
     private static String type(JsonValue v) {
-        return v.isObject() ? "object" : v.isArray() ? v.asArray().isEmpty() ? "empty array" : "array"
-                : v.isNumber() ? "number" : v.isString() ? "string" : "boolean";
+        return v.isObject()
+                ? "object"
+                : v.isArray()
+                        ? v.asArray().isEmpty() ? "empty array" : "array"
+                        : v.isNumber() ? "number" : v.isString() ? "string" : "boolean";
     }
 }
--- a/node/src/main/java/brackenbridge/discovery/StrictJson.java
+++ b/node/src/main/java/brackenbridge/discovery/StrictJson.java
@@ -16,8 +16,7 @@
     /** A list of 15,000 servers has fewer. */
     private static final int MOST_VALUES = 150_000;
 
-    private StrictJson() {
-    }
+    private StrictJson() {}
 
     /** Reads the text; what can't be used is an IllegalArgumentException. */
     public static JsonValue parse(String text) {
--- a/node/src/main/java/brackenbridge/discovery/TargetGroupParser.java
+++ b/node/src/main/java/brackenbridge/discovery/TargetGroupParser.java
@@ -15,8 +15,7 @@
     /** Beyond it a number on the wire is no longer exact. */
     private static final double MOST_VERSIONS = 0x1p53 - 1;
 
-    private TargetGroupParser() {
-    }
+    private TargetGroupParser() {}
 
     /** Reads a list; what is not one is an IllegalArgumentException. */
     public static TargetGroup parse(String text) {
@@ -66,8 +65,13 @@
                 case DRAINING -> "leaving";
                 case REMOVED -> "left";
             };
-            hosts.add(Json.object().add("host", t.host()).add("dial", t.dial()).add("site", t.zone())
-                    .add("block", t.cell()).add("share", t.weight()).add("born_ms", t.bornMs())
+            hosts.add(Json.object()
+                    .add("host", t.host())
+                    .add("dial", t.dial())
+                    .add("site", t.zone())
+                    .add("block", t.cell())
+                    .add("share", t.weight())
+                    .add("born_ms", t.bornMs())
                     .add("health", health));
         }
         return Json.object().add("seq", group.seq()).add("whole", group.whole()).add("hosts", hosts);
@@ -79,8 +83,14 @@
         if (port < 1 || port > 65535) {
             throw new IllegalArgumentException("dial '" + dial + "'");
         }
-        return new Target(host, dial, o.getString("site", "-"), (long) number(o, "block", -1),
-                number(o, "share", 1), number(o, "born_ms", 0), state(required(o, "health").asString()));
+        return new Target(
+                host,
+                dial,
+                o.getString("site", "-"),
+                (long) number(o, "block", -1),
+                number(o, "share", 1),
+                number(o, "born_ms", 0),
+                state(required(o, "health").asString()));
     }
 
     private static double number(JsonObject o, String name, double absent) {
--- a/node/src/main/java/brackenbridge/handover/Handover.java
+++ b/node/src/main/java/brackenbridge/handover/Handover.java
@@ -79,7 +79,9 @@
             asked.complete(null);
             return asked;
         }
-        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioDomainSocketChannel.class)
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioDomainSocketChannel.class)
                 .handler(new ToPredecessor());
         bootstrap.connect(UnixDomainSocketAddress.of(path)).addListener(f -> {
             if (!f.isSuccess()) {
@@ -87,12 +89,15 @@
                 asked.complete(null);
             }
         });
-        loop.schedule(() -> {
-            if (asked.complete(null) && predecessor != null) {
-                refuse("predecessor", Refusal.SLOW);
-                predecessor.close();
-            }
-        }, STEP_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    if (asked.complete(null) && predecessor != null) {
+                        refuse("predecessor", Refusal.SLOW);
+                        predecessor.close();
+                    }
+                },
+                STEP_MS,
+                TimeUnit.MILLISECONDS);
         return asked;
     }
 
@@ -126,13 +131,17 @@
             log.warn("no successor can announce itself: " + e);
             return;
         }
-        new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
+        new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerDomainSocketChannel.class)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         ch.pipeline().addLast(new ToSuccessor());
                     }
-                }).bind(UnixDomainSocketAddress.of(path)).addListener((ChannelFutureListener) f -> {
+                })
+                .bind(UnixDomainSocketAddress.of(path))
+                .addListener((ChannelFutureListener) f -> {
                     if (f.isSuccess()) {
                         listening = f.channel();
                     } else {
@@ -203,12 +212,15 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            loop.schedule(() -> {
-                if (successor != ctx.channel() && ctx.channel().isActive()) {
-                    refused(Refusal.SLOW);
-                    ctx.close();
-                }
-            }, STEP_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (successor != ctx.channel() && ctx.channel().isActive()) {
+                            refused(Refusal.SLOW);
+                            ctx.close();
+                        }
+                    },
+                    STEP_MS,
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -218,12 +230,15 @@
 
         /** Guards half of the descriptors, and the place of a good successor, against one that says no more. */
         private void awaitReady(Channel channel) {
-            loop.schedule(() -> {
-                if (!ready && channel.isActive()) {
-                    refused(Refusal.SLOW);
-                    channel.close();
-                }
-            }, STARTS_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (!ready && channel.isActive()) {
+                            refused(Refusal.SLOW);
+                            channel.close();
+                        }
+                    },
+                    STARTS_MS,
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
--- a/node/src/main/java/brackenbridge/handover/Offer.java
+++ b/node/src/main/java/brackenbridge/handover/Offer.java
@@ -15,14 +15,19 @@
 public record Offer(int sockets, TargetGroup list) {
 
     String json() {
-        return Json.object().add("sockets", sockets).add("list", TargetGroupParser.json(list)).toString();
+        return Json.object()
+                .add("sockets", sockets)
+                .add("list", TargetGroupParser.json(list))
+                .toString();
     }
 
     /** Reads an offer; what can't be read is an IllegalArgumentException. */
     static Offer parse(String text) {
         try {
             JsonObject json = StrictJson.parse(text).asObject();
-            return new Offer(json.get("sockets").asInt(), TargetGroupParser.group(json.get("list").asObject()));
+            return new Offer(
+                    json.get("sockets").asInt(),
+                    TargetGroupParser.group(json.get("list").asObject()));
         } catch (RuntimeException e) {
             throw new IllegalArgumentException("not an offer: " + e.getMessage(), e);
         }
--- a/node/src/main/java/brackenbridge/http/HttpEncoder.java
+++ b/node/src/main/java/brackenbridge/http/HttpEncoder.java
@@ -15,18 +15,35 @@
     public static final long CHUNKED = -1;
     /** In place of a length: nothing is said; there is no body, or it ends with the connection. */
     public static final long NO_BODY = -2;
-    private static final Set<String> ONE_HOP = Set.of("connection", "keep-alive", "proxy-connection", "te", "trailer",
-            "transfer-encoding", "upgrade", "expect", "content-length", "x-time-left-ms");
-    private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
-            Map.entry(400, "Bad Request"), Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"),
-            Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"),
-            Map.entry(413, "Content Too Large"), Map.entry(414, "URI Too Long"),
-            Map.entry(417, "Expectation Failed"), Map.entry(431, "Request Header Fields Too Large"),
-            Map.entry(502, "Bad Gateway"), Map.entry(503, "Service Unavailable"),
-            Map.entry(504, "Gateway Timeout"), Map.entry(505, "HTTP Version Not Supported"));
-
-    private HttpEncoder() {
-    }
+
+    private static final Set<String> ONE_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "content-length",
+            "x-time-left-ms");
+    private static final Map<Integer, String> REASONS = Map.ofEntries(
+            Map.entry(200, "OK"),
+            Map.entry(400, "Bad Request"),
+            Map.entry(404, "Not Found"),
+            Map.entry(405, "Method Not Allowed"),
+            Map.entry(408, "Request Timeout"),
+            Map.entry(409, "Conflict"),
+            Map.entry(413, "Content Too Large"),
+            Map.entry(414, "URI Too Long"),
+            Map.entry(417, "Expectation Failed"),
+            Map.entry(431, "Request Header Fields Too Large"),
+            Map.entry(502, "Bad Gateway"),
+            Map.entry(503, "Service Unavailable"),
+            Map.entry(504, "Gateway Timeout"),
+            Map.entry(505, "HTTP Version Not Supported"));
+
+    private HttpEncoder() {}
 
     /** The word that lets a client send its body. */
     public static ByteBuf goOn(ByteBufAllocator alloc) {
@@ -35,7 +52,9 @@
 
     /** The request to a server: as it came, but for what concerns one connection only. */
     public static ByteBuf forward(ByteBufAllocator alloc, HttpRequest r, double timeLeftMs) {
-        boolean says = r.body().length > 0 || r.headers().get("Content-Length") != null || !r.method().equals("GET");
+        boolean says = r.body().length > 0
+                || r.headers().get("Content-Length") != null
+                || !r.method().equals("GET");
         return bytes(alloc, forwardHead(r, timeLeftMs, says ? r.body().length : NO_BODY), r.body());
     }
 
@@ -98,7 +117,10 @@
 
     private static String head(int status, Headers fields, long length, boolean close) {
         StringBuilder head = new StringBuilder(128);
-        head.append("HTTP/1.1 ").append(status).append(' ').append(REASONS.getOrDefault(status, "Status"))
+        head.append("HTTP/1.1 ")
+                .append(status)
+                .append(' ')
+                .append(REASONS.getOrDefault(status, "Status"))
                 .append("\r\n");
         fields.each((name, value) -> field(head, name, value));
         framing(head, length);
--- a/node/src/main/java/brackenbridge/http/HttpRequest.java
+++ b/node/src/main/java/brackenbridge/http/HttpRequest.java
@@ -10,8 +10,8 @@
  * @param headers its header fields
  * @param body its body, without framing
  */
-public record HttpRequest(String method, String target, boolean http11, boolean keepAlive, Headers headers,
-        byte[] body) {
+public record HttpRequest(
+        String method, String target, boolean http11, boolean keepAlive, Headers headers, byte[] body) {
 
     /** The first part of the path. */
     public String firstPart() {
--- a/node/src/main/java/brackenbridge/http/HttpResponse.java
+++ b/node/src/main/java/brackenbridge/http/HttpResponse.java
@@ -8,5 +8,4 @@
  * @param headers its header fields
  * @param body its body, without framing
  */
-public record HttpResponse(int status, boolean keepAlive, Headers headers, byte[] body) {
-}
+public record HttpResponse(int status, boolean keepAlive, Headers headers, byte[] body) {}
--- a/node/src/main/java/brackenbridge/http/LoadReport.java
+++ b/node/src/main/java/brackenbridge/http/LoadReport.java
@@ -4,8 +4,7 @@
 
 /** Reads the load report of a server: {@code name=value} pairs set apart by commas. */
 public final class LoadReport {
-    private LoadReport() {
-    }
+    private LoadReport() {}
 
     /** The report with the fields that came and were numbers, NaN for the others; null if none did. */
     public static Report parse(String text) {
--- a/node/src/main/java/brackenbridge/http/MessageDecoder.java
+++ b/node/src/main/java/brackenbridge/http/MessageDecoder.java
@@ -14,16 +14,32 @@
     public static final int WHOLE_LIMIT = 64 * 1024;
     /** Longest body at all. */
     public static final long BODY_LIMIT = 32L * 1024 * 1024;
+
     static final int START_LIMIT = 8 * 1024;
     static final int HEAD_LIMIT = 16 * 1024;
     static final int FIELD_LIMIT = 100;
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
     private static final Pattern CHUNK_SIZE = Pattern.compile("0{0,16}[0-9a-fA-F]{1,7}");
 
-    private enum Step { START, FIELDS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_END, DONE }
+    private enum Step {
+        START,
+        FIELDS,
+        FIXED,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILERS,
+        TO_END,
+        DONE
+    }
 
     /** How a body is framed. */
-    enum Framing { NONE, FIXED, CHUNKED, TO_END }
+    enum Framing {
+        NONE,
+        FIXED,
+        CHUNKED,
+        TO_END
+    }
 
     /** Where a body goes, piece by piece. */
     public interface Sink {
@@ -42,6 +58,7 @@
     private int headBytes;
     /** Bytes of the fields that are kept. */
     private int headHeld;
+
     private long left;
     private Headers headers = new Headers();
 
@@ -186,7 +203,9 @@
     static boolean token(String s) {
         for (int i = 0; i < s.length(); i++) {
             char c = s.charAt(i);
-            boolean ok = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+            boolean ok = c >= 'a' && c <= 'z'
+                    || c >= 'A' && c <= 'Z'
+                    || c >= '0' && c <= '9'
                     || "!#$%&'*+-.^_`|~".indexOf(c) >= 0;
             if (!ok) {
                 return false;
@@ -322,5 +341,4 @@
         step = Step.START;
         return whole;
     }
-
 }
--- a/node/src/main/java/brackenbridge/http/RequestDecoder.java
+++ b/node/src/main/java/brackenbridge/http/RequestDecoder.java
@@ -10,6 +10,7 @@
     private String target;
     /** Of a target in absolute form; null else. */
     private String authority;
+
     private boolean http11;
     private int blankLines;
 
@@ -30,7 +31,9 @@
             authority = parts[1].substring(SCHEME.length(), path < 0 ? parts[1].length() : path);
             parts[1] = path < 0 ? "/" : parts[1].substring(path);
         }
-        if (parts.length != 3 || !token(parts[0]) || !parts[1].startsWith("/")
+        if (parts.length != 3
+                || !token(parts[0])
+                || !parts[1].startsWith("/")
                 || !VERSION.matcher(parts[2]).matches()) {
             throw new HttpException(400, "not a request line");
         }
--- a/node/src/main/java/brackenbridge/http/ResponseDecoder.java
+++ b/node/src/main/java/brackenbridge/http/ResponseDecoder.java
@@ -6,6 +6,7 @@
 public final class ResponseDecoder extends MessageDecoder {
     /** Interim answers (1xx) that may come in front of one answer. */
     private static final int INTERIM_LIMIT = 16;
+
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9][0-9]( .*)?");
     private final boolean toEnd;
     private int status;
@@ -87,8 +88,8 @@
     /** The answer whose head is whole, with this part of its body. */
     public HttpResponse part(byte[] part) {
         Headers fields = headers();
-        boolean keepAlive = framed
-                && (http11 ? !fields.lists("Connection", "close") : fields.lists("Connection", "keep-alive"));
+        boolean keepAlive =
+                framed && (http11 ? !fields.lists("Connection", "close") : fields.lists("Connection", "keep-alive"));
         return new HttpResponse(status, keepAlive, fields, part);
     }
 }
--- a/node/src/main/java/brackenbridge/log/Log.java
+++ b/node/src/main/java/brackenbridge/log/Log.java
@@ -18,6 +18,7 @@
     private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(256);
     /** Entries that are not yet on the stream, the one that is being written included. */
     private final AtomicInteger unwritten = new AtomicInteger();
+
     private double second;
     private int written;
     private int dropped;
@@ -84,7 +85,11 @@
 
     private static String line(double now, String level, String text) {
         String clean = text.replaceAll("\\p{Cntrl}", " ");
-        return String.format(Locale.ROOT, "%.3f %s %s", now / 1000, level,
+        return String.format(
+                Locale.ROOT,
+                "%.3f %s %s",
+                now / 1000,
+                level,
                 clean.length() > LONGEST ? clean.substring(0, LONGEST) + "..." : clean);
     }
 
--- a/node/src/main/java/brackenbridge/mgmt/ManagementCall.java
+++ b/node/src/main/java/brackenbridge/mgmt/ManagementCall.java
@@ -11,8 +11,7 @@
     /** No node answers more than this; guards the command line against whatever else listens there. */
     private static final int LONGEST_ANSWER = 1 << 20;
 
-    private ManagementCall() {
-    }
+    private ManagementCall() {}
 
     /** Makes the call and gives the whole answer back; an address that is none is an IllegalArgumentException. */
     public static String make(String at, String call) throws IOException {
--- a/node/src/main/java/brackenbridge/mgmt/ManagementListener.java
+++ b/node/src/main/java/brackenbridge/mgmt/ManagementListener.java
@@ -29,6 +29,7 @@
     private static final int CONNECTIONS = 16;
     /** Descriptors set aside for it: its connections, one that has just come, the listening socket and its loop's. */
     public static final int DESCRIPTORS = CONNECTIONS + 6;
+
     private static final int LONGEST_CALL = 256;
     /** A call must be whole within so long. */
     private static final long SILENCE_MS = 2000;
@@ -37,8 +38,8 @@
 
     private final Staff staff;
     private final Log log;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            new DefaultThreadFactory("management", true), NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("management", true), NioIoHandler.newFactory());
     private final Set<Channel> callers = new LinkedHashSet<>();
     private Channel server;
 
@@ -53,8 +54,11 @@
         if (address == null) {
             throw new IllegalArgumentException("mgmt: not a literal address");
         }
-        server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
+        server = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 256)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST_CALL))
                 .childHandler(new ChannelInitializer<>() {
@@ -62,7 +66,10 @@
                     protected void initChannel(Channel ch) {
                         ch.pipeline().addLast(new Caller());
                     }
-                }).bind(address).syncUninterruptibly().channel();
+                })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
         log.info("staff call at " + server.localAddress());
     }
 
@@ -91,12 +98,16 @@
                 longest.close();
                 staff.refused(Refusal.SHED);
             }
-            ctx.executor().schedule(() -> {
-                if (!called && callers.remove(ctx.channel())) {
-                    ctx.close();
-                    staff.refused(Refusal.SLOW);
-                }
-            }, SILENCE_MS, TimeUnit.MILLISECONDS);
+            ctx.executor()
+                    .schedule(
+                            () -> {
+                                if (!called && callers.remove(ctx.channel())) {
+                                    ctx.close();
+                                    staff.refused(Refusal.SLOW);
+                                }
+                            },
+                            SILENCE_MS,
+                            TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -135,8 +146,10 @@
             switch (name) {
                 case "PING" -> answer(ctx, staff.takesClients() ? "+OK\n" : "-ERR takes no clients\n");
                 case "INFO" -> answer(ctx, "+OK\n" + staff.figures() + ".\n");
-                case "LAMEDUCK", "REJOIN" -> staff.drain(name.equals("LAMEDUCK")).thenAccept(taken ->
-                        ctx.executor().execute(() -> answer(ctx, taken ? "+OK\n" : "-ERR the node is stopping\n")));
+                case "LAMEDUCK", "REJOIN" ->
+                    staff.drain(name.equals("LAMEDUCK"))
+                            .thenAccept(taken -> ctx.executor()
+                                    .execute(() -> answer(ctx, taken ? "+OK\n" : "-ERR the node is stopping\n")));
                 default -> refuse(ctx, Refusal.UNKNOWN, "unknown call");
             }
         }
--- a/node/src/main/java/brackenbridge/net/Addresses.java
+++ b/node/src/main/java/brackenbridge/net/Addresses.java
@@ -7,8 +7,7 @@
 
 /** Reads {@code address:port}; only literal addresses, since a look-up of a name would block. */
 final class Addresses {
-    private Addresses() {
-    }
+    private Addresses() {}
 
     /** The address, or null if it is none. */
     static InetSocketAddress of(String dial) {
--- a/node/src/main/java/brackenbridge/net/DiscoveryClient.java
+++ b/node/src/main/java/brackenbridge/net/DiscoveryClient.java
@@ -23,6 +23,7 @@
 final class DiscoveryClient {
     /** A list of 15,000 servers is shorter, indented as well. Guards the heap. */
     private static final int LIST_LIMIT = 4 << 20;
+
     private static final String LIST = "/registry/instances";
 
     private final Bootstrap bootstrap;
@@ -99,7 +100,9 @@
                     // A list that comes in pieces speaks with its first byte only: guards against one that never ends.
                     case EMPTY_LINE, BEGUN -> events.raise(new Event.DiscoveryBeat(id));
                     case TOO_LONG -> over("list too long");
-                    default -> { }
+                    default -> {
+                        // Nothing else matters here.
+                    }
                 }
             }
         }
--- a/node/src/main/java/brackenbridge/net/Door.java
+++ b/node/src/main/java/brackenbridge/net/Door.java
@@ -21,6 +21,7 @@
 final class Door {
     /** The selector needs a turn to let go of the channel; until then closing it would only mark it. */
     private static final long OFF_SELECTOR_MS = 2;
+
     private static final AttributeKey<Double> WAITED = AttributeKey.valueOf(Door.class, "waited");
     private final ServerSocketChannel socket;
     private final Channel channel;
@@ -39,8 +40,11 @@
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         }
-        channel = bootstrap.channelFactory(() -> new Backlog(socket)).bind(address)
-                .syncUninterruptibly().channel();
+        channel = bootstrap
+                .channelFactory(() -> new Backlog(socket))
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
     }
 
     /** How long a client may have stood in the backlog before it was taken, at the most; in milliseconds. */
@@ -94,8 +98,9 @@
             return;
         }
         closing = true;
-        channel.deregister().addListener(f ->
-                channel.eventLoop().schedule(this::emptyAndClose, OFF_SELECTOR_MS, TimeUnit.MILLISECONDS));
+        channel.deregister()
+                .addListener(
+                        f -> channel.eventLoop().schedule(this::emptyAndClose, OFF_SELECTOR_MS, TimeUnit.MILLISECONDS));
     }
 
     private void emptyAndClose() {
--- a/node/src/main/java/brackenbridge/net/Forwards.java
+++ b/node/src/main/java/brackenbridge/net/Forwards.java
@@ -68,9 +68,11 @@
     private final Connections pool;
     /** Connections by their number in the pool. */
     private final Map<Long, Connection> connections = new HashMap<>();
+
     private final Map<Long, Running> running = new HashMap<>();
     /** Forwards that wait for a connection, by the number of their wait. */
     private final Map<Long, Running> waits = new HashMap<>();
+
     private long waited;
     /** Connections whose answer is long and on its way to a client. */
     private final Set<Connection> streaming = new HashSet<>();
@@ -92,8 +94,16 @@
         }
     }
 
-    Forwards(Bootstrap bootstrap, EventLoop loop, Settings settings, Clock clock, Events events, Sockets sockets,
-            Counters counters, Log log, Runnable makeRoom) {
+    Forwards(
+            Bootstrap bootstrap,
+            EventLoop loop,
+            Settings settings,
+            Clock clock,
+            Events events,
+            Sockets sockets,
+            Counters counters,
+            Log log,
+            Runnable makeRoom) {
         this.loop = loop;
         this.log = log;
         this.clock = clock;
@@ -173,9 +183,11 @@
             return;
         }
         Connection c = new Connection(s.connection(), s.peer());
-        ChannelFuture opened = bootstrap.clone()
+        ChannelFuture opened = bootstrap
+                .clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(Integer.MAX_VALUE, s.withinMs()))
-                .handler(c).connect(address);
+                .handler(c)
+                .connect(address);
         c.channel = opened.channel();
         connections.put(c.id, c);
         if (s.further()) {
@@ -222,13 +234,16 @@
 
     private void wake(Step.Wake s) {
         double wait = s.atMs() - clock.nowMs();
-        loop.schedule(() -> {
-            if (clock.nowMs() < s.atMs()) {
-                wake(s);
-            } else {
-                follow(pool.due(clock.nowMs(), s.ticket()));
-            }
-        }, (long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
+        loop.schedule(
+                () -> {
+                    if (clock.nowMs() < s.atMs()) {
+                        wake(s);
+                    } else {
+                        follow(pool.due(clock.nowMs(), s.ticket()));
+                    }
+                },
+                (long) (Math.max(0, wait) * 1e6),
+                TimeUnit.NANOSECONDS);
     }
 
     private void broken(Running r) {
@@ -293,6 +308,7 @@
         Upload upload;
         /** The long answer that comes in on it. */
         Body answer;
+
         boolean broken;
         /** When the latest bytes of the answer came; 0 before them. */
         double answerSince;
@@ -312,8 +328,8 @@
                 sendLong(r, u);
                 return;
             }
-            ByteBuf bytes = HttpEncoder.forward(channel.alloc(), (HttpRequest) r.forward.message(),
-                    r.forward.giveUpMs() - clock.nowMs());
+            ByteBuf bytes = HttpEncoder.forward(
+                    channel.alloc(), (HttpRequest) r.forward.message(), r.forward.giveUpMs() - clock.nowMs());
             // The promise of the last byte, not its place in a queue, tells whether the request may run.
             channel.writeAndFlush(bytes).addListener(f -> written(r, f.isSuccess()));
         }
@@ -334,7 +350,10 @@
         private void sendLong(Running r, Upload u) {
             boolean chunked = u.length() < 0;
             upload = u;
-            channel.write(HttpEncoder.forwardHead(channel.alloc(), u.head(), r.forward.giveUpMs() - clock.nowMs(),
+            channel.write(HttpEncoder.forwardHead(
+                    channel.alloc(),
+                    u.head(),
+                    r.forward.giveUpMs() - clock.nowMs(),
                     chunked ? HttpEncoder.CHUNKED : u.length()));
             writePiece(Unpooled.wrappedBuffer(u.head().body()), chunked);
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
@@ -450,8 +469,12 @@
             counters.count(Counters.Kind.ANSWERS_STREAMED);
             answer.piece(Unpooled.wrappedBuffer(decoder.stream((from, n) -> answer.piece(from.readRetainedSlice(n)))));
             HttpResponse head = decoder.part(null);
-            events.raise(new Event.ForwardAnswered(r.forward.flow(), r.forward.forward(), Reply.SERVED,
-                    new Download(head, length(), answer), report(head)));
+            events.raise(new Event.ForwardAnswered(
+                    r.forward.flow(),
+                    r.forward.forward(),
+                    Reply.SERVED,
+                    new Download(head, length(), answer),
+                    report(head)));
         }
 
         private long length() {
@@ -588,8 +611,8 @@
             hold(0);
             Forwards.this.running.remove(r.forward.flow(), r);
             keepOrClose(response, more || early);
-            events.raise(new Event.ForwardAnswered(r.forward.flow(), r.forward.forward(), reply(response), response,
-                    report(response)));
+            events.raise(new Event.ForwardAnswered(
+                    r.forward.flow(), r.forward.forward(), reply(response), response, report(response)));
         }
 
         private void keepOrClose(HttpResponse response, boolean more) {
@@ -602,7 +625,8 @@
 
         private Report report(HttpResponse response) {
             return settings.network().reportsInAnswers()
-                    ? LoadReport.parse(response.headers().get("X-Backend-Load")) : null;
+                    ? LoadReport.parse(response.headers().get("X-Backend-Load"))
+                    : null;
         }
 
         private void hold(int bytes) {
@@ -616,7 +640,9 @@
             if (response.status() == 200) {
                 return Reply.SERVED;
             }
-            boolean rejected = response.status() >= 400 && response.status() < 500 && response.status() != 408
+            boolean rejected = response.status() >= 400
+                    && response.status() < 500
+                    && response.status() != 408
                     && response.status() != 429;
             return away ? Reply.TURNED_AWAY : rejected ? Reply.REJECTED : Reply.ERROR;
         }
--- a/node/src/main/java/brackenbridge/net/Listener.java
+++ b/node/src/main/java/brackenbridge/net/Listener.java
@@ -93,14 +93,21 @@
     private final Map<Long, Client> flows = new HashMap<>();
     /** The ids of the requests that are open. */
     private final Set<String> open = new HashSet<>();
+
     private int held;
     private Door door;
     private long flowCount;
     private boolean sayClose;
     private boolean keepNone;
 
-    Listener(Settings settings, Clock clock, Events events, Sockets sockets, Counters counters,
-            BooleanSupplier ready, Runnable makeRoom) {
+    Listener(
+            Settings settings,
+            Clock clock,
+            Events events,
+            Sockets sockets,
+            Counters counters,
+            BooleanSupplier ready,
+            Runnable makeRoom) {
         goBy(settings);
         this.clock = clock;
         this.events = events;
@@ -246,7 +253,8 @@
         double now = clock.nowMs();
         Client oldest = null;
         for (Client c : clients) {
-            if ((c.isIdle() && c.asked == asked || c.lingers() && !asked) && now - c.since > YOUNG_MS
+            if ((c.isIdle() && c.asked == asked || c.lingers() && !asked)
+                    && now - c.since > YOUNG_MS
                     && (oldest == null || c.since < oldest.since)) {
                 oldest = c;
             }
@@ -281,21 +289,25 @@
         ByteBuf pending;
         /** When it became what it is now: idle, reading, writing or closing. */
         double since;
+
         long flow = -1;
         /** The flow whose answer is being written. */
         long answered = -1;
+
         boolean writing;
         boolean closing;
         boolean keepAlive;
         boolean toldToGoOn;
         /** How far a body is behind its least pace. */
         double behindMs;
+
         double sweptAt;
         int arrived;
         /** The rest of a long request, until its last byte has come. */
         Body upload;
         /** The long answer that is being written. */
         Body download;
+
         boolean http11;
         /** A whole request has come on it. */
         boolean asked;
@@ -303,6 +315,7 @@
         String id;
         /** Its part of what all hold. */
         int holds;
+
         int drained;
         /** Bytes of a long request that are kept so that it can be sent again. */
         int kept;
@@ -344,8 +357,11 @@
             clients.add(this);
             if (unseen > 0) {
                 // What is not there at the first look was sent later than the connection was taken.
-                channel.eventLoop().schedule(() -> unseen = pending != null || decoder.begun() ? unseen : 0,
-                        FIRST_LOOK_MS, TimeUnit.MILLISECONDS);
+                channel.eventLoop()
+                        .schedule(
+                                () -> unseen = pending != null || decoder.begun() ? unseen : 0,
+                                FIRST_LOOK_MS,
+                                TimeUnit.MILLISECONDS);
             }
             // At once, not as the channel's last event: what is still to begin for this client comes before that.
             channel.closeFuture().addListener(f -> gone());
@@ -631,8 +647,7 @@
             String left = r.headers().get(HttpEncoder.TIME_LEFT);
             String correlation = r.headers().get("X-Correlation-Id");
             boolean nameless = correlation == null || correlation.isEmpty();
-            if (nameless || r.headers().count("X-Correlation-Id") > 1
-                    || left != null && !left.matches("[0-9]{1,9}")) {
+            if (nameless || r.headers().count("X-Correlation-Id") > 1 || left != null && !left.matches("[0-9]{1,9}")) {
                 reject(400, nameless ? "no X-Correlation-Id" : "X-Time-Left-Ms or X-Correlation-Id amiss");
                 return;
             }
@@ -645,9 +660,16 @@
             flow = flowCount++;
             since = clock.nowMs();
             flows.put(flow, this);
-            events.raise(new Event.FlowOpened(flow, new Flow(c.name(), r.headers().get("X-Account"),
-                    left == null ? -1 : Integer.parseInt(left), "1".equals(r.headers().get("X-Repeat")),
-                    whole, unseen, message)));
+            events.raise(new Event.FlowOpened(
+                    flow,
+                    new Flow(
+                            c.name(),
+                            r.headers().get("X-Account"),
+                            left == null ? -1 : Integer.parseInt(left),
+                            "1".equals(r.headers().get("X-Repeat")),
+                            whole,
+                            unseen,
+                            message)));
             unseen = 0;
         }
 
@@ -706,8 +728,12 @@
             keepAlive &= d.length() >= 0 || chunked;
             boolean close = beginAnswer();
             download = d.body();
-            channel.write(HttpEncoder.answerHead(channel.alloc(), 200, fields,
-                    chunked ? HttpEncoder.CHUNKED : d.length() >= 0 ? d.length() : HttpEncoder.NO_BODY, close));
+            channel.write(HttpEncoder.answerHead(
+                    channel.alloc(),
+                    200,
+                    fields,
+                    chunked ? HttpEncoder.CHUNKED : d.length() >= 0 ? d.length() : HttpEncoder.NO_BODY,
+                    close));
             d.body().to(new ToClient(chunked, d.length() < 0, close));
         }
 
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -58,9 +58,11 @@
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     /** The timers that may be unset. */
     private final Map<TimerKey, ScheduledFuture<?>> deadlines = new HashMap<>();
+
     private boolean reducing;
     /** What the management listener tells: published by the event loop, read by the other. */
     private volatile String figures = "";
+
     private volatile boolean takesClients;
     private volatile boolean observes;
     private volatile Observer.Snapshot observed = Observer.Snapshot.NONE;
@@ -84,13 +86,16 @@
         handover = meeting == null ? null : new Handover(loop, meeting, this, counters, log);
         management = config.management() == null ? null : new ManagementListener(this, log);
         sockets = new Sockets(config.sockets() - (management == null ? 0 : ManagementListener.DESCRIPTORS));
-        Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true)
+        Bootstrap bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, buffers)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, received())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000);
         listener = new Listener(config.settings(), clock, this, sockets, counters, reducer::ready, this::makeRoom);
-        forwards = new Forwards(bootstrap, loop, config.settings(), clock, this, sockets, counters, log,
-                this::makeRoom);
+        forwards =
+                new Forwards(bootstrap, loop, config.settings(), clock, this, sockets, counters, log, this::makeRoom);
         discovery = new DiscoveryClient(bootstrap, config.discovery(), this, log);
     }
 
@@ -102,12 +107,13 @@
         }
         Offer offer = inherit();
         loop.submit(() -> {
-            raise(new Event.Started(config.known()));
-            if (offer != null) {
-                sockets.share(true);
-                raise(new Event.Inherited(offer.list()));
-            }
-        }).syncUninterruptibly();
+                    raise(new Event.Started(config.known()));
+                    if (offer != null) {
+                        sockets.share(true);
+                        raise(new Event.Inherited(offer.list()));
+                    }
+                })
+                .syncUninterruptibly();
         // Before any client can come: guards those who would lose their connection to a process that ends at once.
         if (management != null) {
             try {
@@ -117,19 +123,27 @@
                 throw new IllegalArgumentException("mgmt " + config.management() + ": " + e.getMessage(), e);
             }
         }
-        door = new Door(new ServerBootstrap().group(group).option(ChannelOption.SO_BACKLOG, 1024)
-                .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
-                // Guards servers against the request of a client whose end is there as well, read a turn too late.
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, received().respectMaybeMoreData(false))
-                .childHandler(listener.initializer()), address, clock);
+        door = new Door(
+                new ServerBootstrap()
+                        .group(group)
+                        .option(ChannelOption.SO_BACKLOG, 1024)
+                        .childOption(ChannelOption.ALLOCATOR, buffers)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        // Guards servers against the request of a client whose end is there as well, read a turn too
+                        // late.
+                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, received().respectMaybeMoreData(false))
+                        .childHandler(listener.initializer()),
+                address,
+                clock);
         loop.submit(() -> {
-            listener.opened(door);
-            if (handover == null) {
-                serves();
-            } else {
-                handover.ready(this::serves);
-            }
-        }).syncUninterruptibly();
+                    listener.opened(door);
+                    if (handover == null) {
+                        serves();
+                    } else {
+                        handover.ready(this::serves);
+                    }
+                })
+                .syncUninterruptibly();
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         log.info("node " + config.name() + " listens on " + door.address() + ", tier "
                 + config.settings().tier());
@@ -144,7 +158,8 @@
         loop.execute(() -> handover.ask().thenAccept(answered::complete));
         Offer offer = answered.join();
         if (offer != null) {
-            log.info("takes the place of another process; its list has version " + offer.list().seq());
+            log.info("takes the place of another process; its list has version "
+                    + offer.list().seq());
         }
         return offer;
     }
@@ -225,7 +240,8 @@
         forwards.goBy(read.settings());
         sockets.limit(read.sockets() - (management == null ? 0 : ManagementListener.DESCRIPTORS));
         config = read;
-        log.info("reconfigured, " + read.settings().classes().size() + " classes, " + read.settings().maxAttempts()
+        log.info("reconfigured, " + read.settings().classes().size() + " classes, "
+                + read.settings().maxAttempts()
                 + " attempts, discovery at " + read.discovery()
                 + (fixed ? "; name and listen address change at the next start only" : ""));
         raise(new Event.Reconfigured(read.settings(), read.known(), moved));
@@ -341,14 +357,17 @@
 
     private void timer(Effect.SetTimer e) {
         double wait = e.atMs() - clock.nowMs();
-        ScheduledFuture<?> set = loop.schedule(() -> {
-            if (clock.nowMs() < e.atMs()) {
-                timer(e);
-            } else {
-                deadlines.remove(e.key());
-                raise(new Event.TimerFired(e.key()));
-            }
-        }, (long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
+        ScheduledFuture<?> set = loop.schedule(
+                () -> {
+                    if (clock.nowMs() < e.atMs()) {
+                        timer(e);
+                    } else {
+                        deadlines.remove(e.key());
+                        raise(new Event.TimerFired(e.key()));
+                    }
+                },
+                (long) (Math.max(0, wait) * 1e6),
+                TimeUnit.NANOSECONDS);
         if (e.key() instanceof TimerKey.Deadline) {
             ScheduledFuture<?> before = deadlines.put(e.key(), set);
             if (before != null) {
--- a/node/src/main/java/brackenbridge/net/Sockets.java
+++ b/node/src/main/java/brackenbridge/net/Sockets.java
@@ -6,6 +6,7 @@
 final class Sockets {
     /** Descriptors kept back for discovery and what the runtime opens by itself. */
     private static final int RESERVE = 24;
+
     private final int held;
     private int limit;
     private boolean shared;
--- a/node/src/main/java/brackenbridge/wire/WireHost.java
+++ b/node/src/main/java/brackenbridge/wire/WireHost.java
@@ -29,6 +29,7 @@
     private static final int LISTS = 16;
     /** What the token of a timer begins with that is the membership's and not the module's. */
     private static final String TURN = "discovery ";
+
     private static final Outcome[] OUTCOMES = Outcome.values();
 
     /** An instance; where lists are pushed, the simulator sends them by itself and there is nothing to follow. */
@@ -59,8 +60,7 @@
     /** Serves the simulator on standard input and output; the process's exit code. */
     public static int serve() throws IOException {
         try {
-            new WireHost(new FileInputStream(FileDescriptor.in),
-                    new FileOutputStream(FileDescriptor.out)).run();
+            new WireHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
             return 0;
         } catch (WireException e) {
             System.err.println("brackenbridge: " + e.getMessage());
@@ -179,8 +179,9 @@
     private Hosted hosted() {
         Hosted h = addressed ? instances.get(instance) : null;
         if (h == null) {
-            throw reader.error(null, addressed ? "instance " + instance + " has not been started"
-                    : "no CONTEXT before this event");
+            throw reader.error(
+                    null,
+                    addressed ? "instance " + instance + " has not been started" : "no CONTEXT before this event");
         }
         return h;
     }
@@ -202,11 +203,13 @@
         long seed = reader.number("prng");
         Settings settings = settings(seed);
         // The end of each call is told here, so silence says nothing.
-        Membership membership = !settings.askDiscovery() ? null
-                : new Membership(new Source(true, settings.mustAskWithin() / 1000.0), Double.POSITIVE_INFINITY,
+        Membership membership = !settings.askDiscovery()
+                ? null
+                : new Membership(
+                        new Source(true, settings.mustAskWithin() / 1000.0),
+                        Double.POSITIVE_INFINITY,
                         new SplittableRandom(~seed));
-        guarded(() -> instances.put(instance,
-                new Hosted(new Balancer(settings, writer.of(instance)), membership)));
+        guarded(() -> instances.put(instance, new Hosted(new Balancer(settings, writer.of(instance)), membership)));
     }
 
     private Settings settings(long seed) {
@@ -321,8 +324,14 @@
         long hint = reader.optionalNumber("effort", -1);
         long flags = reader.optionalNumber("opts", 0);
         reader.endOfMessage();
-        Request r = new Request(id, className, "0".equals(tenant) ? null : tenant, key, left,
-                (flags & 1) != 0 ? hint : -1, (flags & 2) != 0);
+        Request r = new Request(
+                id,
+                className,
+                "0".equals(tenant) ? null : tenant,
+                key,
+                left,
+                (flags & 1) != 0 ? hint : -1,
+                (flags & 2) != 0);
         Balancer b = balancer();
         guarded(() -> b.onRequest(now, r));
     }
@@ -354,7 +363,7 @@
             return null;
         }
         double[] values = {Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN};
-        for (int from = 0; from < pairs.length();) {
+        for (int from = 0; from < pairs.length(); ) {
             int comma = pairs.indexOf(',', from);
             int end = comma < 0 ? pairs.length() : comma;
             int colon = pairs.indexOf(':', from);
--- a/node/src/main/java/brackenbridge/wire/WireWriter.java
+++ b/node/src/main/java/brackenbridge/wire/WireWriter.java
@@ -21,7 +21,12 @@
         return new Actions() {
             @Override
             public void send(long request, long endpoint, long timeout) {
-                from(instance).text("SUBMIT_TO").number(request).number(timeout).number(endpoint).end();
+                from(instance)
+                        .text("SUBMIT_TO")
+                        .number(request)
+                        .number(timeout)
+                        .number(endpoint)
+                        .end();
             }
 
             @Override
--- a/node/src/test/java/brackenbridge/cli/HangupTest.java
+++ b/node/src/test/java/brackenbridge/cli/HangupTest.java
@@ -15,7 +15,12 @@
         Semaphore heard = new Semaphore(0);
         assertTrue(Hangup.handle(heard::release));
         for (int i = 0; i < 2; i++) {
-            new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start().waitFor();
+            new ProcessBuilder(
+                            "kill",
+                            "-HUP",
+                            Long.toString(ProcessHandle.current().pid()))
+                    .start()
+                    .waitFor();
             assertTrue(heard.tryAcquire(10, TimeUnit.SECONDS));
         }
     }
@@ -23,14 +28,21 @@
     /** Says whether the signal will be heard. */
     static final class Asked {
         public static void main(String[] args) {
-            System.out.println("heard: " + Hangup.handle(() -> { }));
+            System.out.println("heard: " + Hangup.handle(() -> {}));
         }
     }
 
     private static String asked(String before) throws Exception {
         String java = ProcessHandle.current().info().command().orElse("java");
-        Process p = new ProcessBuilder("sh", "-c", before + "exec \"$0\" \"$@\"", java, "-cp",
-                System.getProperty("java.class.path"), Asked.class.getName()).start();
+        Process p = new ProcessBuilder(
+                        "sh",
+                        "-c",
+                        before + "exec \"$0\" \"$@\"",
+                        java,
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Asked.class.getName())
+                .start();
         String said = new String(p.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
         assertEquals(0, p.waitFor());
         return said.strip();
--- a/node/src/test/java/brackenbridge/cli/ProcessReplacementTest.java
+++ b/node/src/test/java/brackenbridge/cli/ProcessReplacementTest.java
@@ -25,6 +25,7 @@
 class ProcessReplacementTest {
     @TempDir
     private Path directory;
+
     private final List<Process> processes = new ArrayList<>();
     private final List<Exception> failed = Collections.synchronizedList(new ArrayList<>());
     private int port;
@@ -44,9 +45,15 @@
 
     private Running start() throws Exception {
         String management = "127.0.0.1:" + freePort();
-        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                "brackenbridge.cli.Main", "serve").redirectErrorStream(true)
+        ProcessBuilder b = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "brackenbridge.cli.Main",
+                        "serve")
+                .redirectErrorStream(true)
                 .redirectOutput(directory.resolve("log" + processes.size()).toFile());
         b.environment().put("PROXY_CONFIG", directory.resolve("config.json").toString());
         b.environment().put("PROXY_MGMT", management);
@@ -75,8 +82,9 @@
     private String ask(String path) throws IOException {
         try (Socket s = new Socket("127.0.0.1", port)) {
             s.setSoTimeout(10_000);
-            s.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nConnection: close\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            s.getOutputStream()
+                    .write(("GET " + path + " HTTP/1.1\r\nConnection: close\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
             return new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
         }
     }
@@ -96,8 +104,11 @@
     void successorsComeAtAwkwardMomentsAndNoConnectionIsLost() throws Exception {
         port = freePort();
         String host = "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:1\",\"health\":\"active\"}";
-        Files.writeString(directory.resolve("config.json"), ConfigTest.TEXT.replace("127.0.0.1:0", "127.0.0.1:" + port)
-                .replace("\"hosts\":[]", "\"hosts\":[" + host + "]"));
+        Files.writeString(
+                directory.resolve("config.json"),
+                ConfigTest.TEXT
+                        .replace("127.0.0.1:0", "127.0.0.1:" + port)
+                        .replace("\"hosts\":[]", "\"hosts\":[" + host + "]"));
         Running first = start();
         Running dies = start();
         dies.process().destroyForcibly().waitFor();
@@ -118,7 +129,9 @@
         assertEquals("+OK\n", first.call("PING"), "a drained process still takes who comes");
         stops(first);
         assertTrue(ask("/health/ready").startsWith("HTTP/1.1 200 "), "the new process serves");
-        new ProcessBuilder("kill", "-HUP", Long.toString(second.process().pid())).start().waitFor();
+        new ProcessBuilder("kill", "-HUP", Long.toString(second.process().pid()))
+                .start()
+                .waitFor();
         Running third = start();
         await(() -> second.call("INFO").contains("proxy.config_applied:1|c\n"));
         stops(second);
--- a/node/src/test/java/brackenbridge/cli/StartTest.java
+++ b/node/src/test/java/brackenbridge/cli/StartTest.java
@@ -24,9 +24,16 @@
 
     private void refused(Path file, String named) throws Exception {
         Path errors = directory.resolve("errors");
-        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-cp", System.getProperty("java.class.path"),
-                "brackenbridge.cli.Main", "serve").redirectError(errors.toFile())
+        ProcessBuilder b = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Xmx96m",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "brackenbridge.cli.Main",
+                        "serve")
+                .redirectError(errors.toFile())
                 .redirectOutput(directory.resolve("output").toFile());
         b.environment().put("PROXY_CONFIG", file.toString());
         b.environment().remove("PROXY_MGMT");
@@ -62,14 +69,16 @@
     @ValueSource(strings = {"long", "cut", "twice", "number", "absurd", "no address", "name for an address", "known"})
     void badFileIsRefused(String what) throws Exception {
         String[] textAndName = Map.of(
-                "long", new String[] {" ".repeat(5 << 20), "over"},
-                "cut", new String[] {ConfigTest.TEXT.substring(0, 300), "not JSON"},
-                "twice", new String[] {with("\"tier\":1", "\"tier\":1,\"tier\":2"), "tier"},
-                "number", new String[] {with("\"name\":\"n3\"", "\"name\":3"), "name"},
-                "absurd", new String[] {with("\"maxAttempts\":5", "\"maxAttempts\":9e99"), "maxAttempts"},
-                "no address", new String[] {with("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1\""), "listen"},
-                "name for an address", new String[] {with("127.0.0.1:1\"", "nowhere:1\""), "discovery"},
-                "known", new String[] {with("\"hosts\":[]", "\"hosts\":[{\"host\":\"a\"}]"), "known"}).get(what);
+                        "long", new String[] {" ".repeat(5 << 20), "over"},
+                        "cut", new String[] {ConfigTest.TEXT.substring(0, 300), "not JSON"},
+                        "twice", new String[] {with("\"tier\":1", "\"tier\":1,\"tier\":2"), "tier"},
+                        "number", new String[] {with("\"name\":\"n3\"", "\"name\":3"), "name"},
+                        "absurd", new String[] {with("\"maxAttempts\":5", "\"maxAttempts\":9e99"), "maxAttempts"},
+                        "no address",
+                                new String[] {with("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1\""), "listen"},
+                        "name for an address", new String[] {with("127.0.0.1:1\"", "nowhere:1\""), "discovery"},
+                        "known", new String[] {with("\"hosts\":[]", "\"hosts\":[{\"host\":\"a\"}]"), "known"})
+                .get(what);
         refused(write(textAndName[0]), textAndName[1]);
     }
 
@@ -78,8 +87,11 @@
     void takenAddressIsRefusedByName(String key) throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             String at = "127.0.0.1:" + taken.getLocalPort();
-            refused(write(key.equals("listen") ? with("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"" + at + "\"")
-                    : with("\"listen\":", "\"mgmt\":\"" + at + "\",\"listen\":")),
+            refused(
+                    write(
+                            key.equals("listen")
+                                    ? with("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"" + at + "\"")
+                                    : with("\"listen\":", "\"mgmt\":\"" + at + "\",\"listen\":")),
                     key.equals("mgmt") ? "mgmt " + at : at);
         }
     }
--- a/node/src/test/java/brackenbridge/config/ConfigFileTest.java
+++ b/node/src/test/java/brackenbridge/config/ConfigFileTest.java
@@ -28,7 +28,8 @@
 
     private static String turnedDown(Path file) {
         return assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
-            String why = assertThrows(IllegalArgumentException.class, () -> Config.read(file)).getMessage();
+            String why = assertThrows(IllegalArgumentException.class, () -> Config.read(file))
+                    .getMessage();
             assertFalse(why.contains("\n"), why);
             return why;
         });
@@ -77,41 +78,47 @@
     void fleetOfThousandsOfServersFits() throws IOException {
         StringBuilder hosts = new StringBuilder();
         for (int i = 0; i < 10_000; i++) {
-            hosts.append(i == 0 ? "" : ",").append("{\"host\":\"s-").append(i).append("\",\"dial\":\"127.0.0.1:9\","
-                    + "\"site\":\"a\",\"class\":\"m2\",\"block\":3,\"health\":\"active\",\"share\":1.0,\"born_ms\":0}");
+            hosts.append(i == 0 ? "" : ",")
+                    .append("{\"host\":\"s-")
+                    .append(i)
+                    .append("\",\"dial\":\"127.0.0.1:9\","
+                            + "\"site\":\"a\",\"class\":\"m2\",\"block\":3,"
+                            + "\"health\":\"active\",\"share\":1.0,\"born_ms\":0}");
         }
         Config c = Config.read(write(ConfigTest.TEXT.replace("\"hosts\":[", "\"hosts\":[" + hosts)));
         assertEquals(10_000, c.known().targets().size());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = ';', value = {
-        "me; 0; 4294967296",
-        "replicasOfMe; 1; 4294967297",
-        "tier; 1; 4294967297",
-        "maxAttempts; 5; 4294967301",
-        "maxAttempts; 5; 1e999",
-        "sockets; 1024; 1e10",
-        "sockets; 1024; 9999999999",
-        "sockets; 1024; true",
-        "sockets; 1024; 3",
-        "seq; 41; 1e300",
-        "seq; 41; 41.5",
-        "seq; 41; -9",
-        "seq; 41; \"41\"",
-        "worth; 2.0; 1e999",
-        "connectTimeout; 120000; 99999999999999",
-        "connectTimeout; 120000; 0",
-        "idleClose; 30000000; -1",
-        "drainGrace; 500000; -1",
-        "maxRetryAfter; 3000000; -1",
-        "name; \"n3\"; 3",
-        "name; \"view\"; \"a b\"",
-        "seed; \"fc1f30d27a5be964\"; \"xyz\"",
-        "seed; \"fc1f30d27a5be964\"; 7",
-        "listen; \"127.0.0.1:0\"; \"127.0.0.1:65536\"",
-        "listen; \"127.0.0.1:0\"; 5",
-    })
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "me; 0; 4294967296",
+                "replicasOfMe; 1; 4294967297",
+                "tier; 1; 4294967297",
+                "maxAttempts; 5; 4294967301",
+                "maxAttempts; 5; 1e999",
+                "sockets; 1024; 1e10",
+                "sockets; 1024; 9999999999",
+                "sockets; 1024; true",
+                "sockets; 1024; 3",
+                "seq; 41; 1e300",
+                "seq; 41; 41.5",
+                "seq; 41; -9",
+                "seq; 41; \"41\"",
+                "worth; 2.0; 1e999",
+                "connectTimeout; 120000; 99999999999999",
+                "connectTimeout; 120000; 0",
+                "idleClose; 30000000; -1",
+                "drainGrace; 500000; -1",
+                "maxRetryAfter; 3000000; -1",
+                "name; \"n3\"; 3",
+                "name; \"view\"; \"a b\"",
+                "seed; \"fc1f30d27a5be964\"; \"xyz\"",
+                "seed; \"fc1f30d27a5be964\"; 7",
+                "listen; \"127.0.0.1:0\"; \"127.0.0.1:65536\"",
+                "listen; \"127.0.0.1:0\"; 5",
+            })
     void valueThatCanNotHoldIsTurnedDownByKey(String key, String before, String value) throws IOException {
         String text = ConfigTest.TEXT.replace("\"" + key + "\":" + before, "\"" + key + "\":" + value);
         assertNotEquals(ConfigTest.TEXT, text);
@@ -131,8 +138,11 @@
 
     @Test
     void unreadableEntryOfTheKnownListIsTurnedDown() throws IOException {
-        for (String entry : new String[] {"{\"host\":\"a\",\"dial\":\"127.0.0.1:70000\",\"health\":\"active\"}", "7",
-            "{\"dial\":\"127.0.0.1:7\",\"health\":\"active\"}"}) {
+        for (String entry : new String[] {
+            "{\"host\":\"a\",\"dial\":\"127.0.0.1:70000\",\"health\":\"active\"}",
+            "7",
+            "{\"dial\":\"127.0.0.1:7\",\"health\":\"active\"}"
+        }) {
             String why = turnedDown(write(ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + entry + "]")));
             assertTrue(why.contains("known"), why);
         }
--- a/node/src/test/java/brackenbridge/config/ConfigTest.java
+++ b/node/src/test/java/brackenbridge/config/ConfigTest.java
@@ -31,7 +31,9 @@
     void nestedJsonIsTheWiresSettings() {
         Config c = Config.parse(TEXT);
         assertEquals("n3", c.name());
-        assertEquals(List.of("view", "file"), c.settings().classes().stream().map(k -> k.name()).toList());
+        assertEquals(
+                List.of("view", "file"),
+                c.settings().classes().stream().map(k -> k.name()).toList());
         assertEquals(8_000_000, c.settings().classes().get(0).deadline());
         assertEquals(1, c.settings().tier());
         assertEquals(List.of("depth", "tps"), c.settings().network().reportFields());
@@ -45,7 +47,8 @@
     @Property(seed = "31", tries = 1000)
     void garbageIsReadOrToldOnOneLine(@ForAll long seed) {
         try {
-            assertFalse(Config.parse(Bytes.garbage(TEXT, seed)).settings().classes().isEmpty());
+            assertFalse(
+                    Config.parse(Bytes.garbage(TEXT, seed)).settings().classes().isEmpty());
         } catch (IllegalArgumentException e) {
             assertFalse(e.getMessage().isEmpty() || e.getMessage().contains("\n"));
         }
@@ -69,7 +72,8 @@
 
     @Test
     void everyKeyThatIsLostIsMissed() {
-        java.util.regex.Matcher key = java.util.regex.Pattern.compile("\"([A-Za-z_]+)\":").matcher(TEXT);
+        java.util.regex.Matcher key =
+                java.util.regex.Pattern.compile("\"([A-Za-z_]+)\":").matcher(TEXT);
         int keys = 0;
         while (key.find()) {
             String without = TEXT.substring(0, key.start(1)) + "x" + TEXT.substring(key.start(1));
@@ -81,11 +85,21 @@
 
     @Test
     void valuesThatCanNotHoldAreTurnedDown() {
-        for (String[] change : new String[][] {{"8000000", "0"}, {"8000000", "-5"}, {"8000000", "\"8000000\""},
-            {"8000000", "null"}, {"8000000", "NaN"}, {"\"maxAttempts\":5", "\"maxAttempts\":0"},
-            {"\"maxAttempts\":5", "\"maxAttempts\":-1"}, {"\"maxAttempts\":5", "\"maxAttempts\":\"5\""},
-            {"\"maxAttempts\":5", "\"maxAttempts\":2.5"}, {"\"name\":\"file\"", "\"name\":\"view\""},
-            {"\"unsafe\"", "\"sometimes\""}, {"\"aim\":4000000", "\"aim\":false"}, {"2.0", "-2.0"}}) {
+        for (String[] change : new String[][] {
+            {"8000000", "0"},
+            {"8000000", "-5"},
+            {"8000000", "\"8000000\""},
+            {"8000000", "null"},
+            {"8000000", "NaN"},
+            {"\"maxAttempts\":5", "\"maxAttempts\":0"},
+            {"\"maxAttempts\":5", "\"maxAttempts\":-1"},
+            {"\"maxAttempts\":5", "\"maxAttempts\":\"5\""},
+            {"\"maxAttempts\":5", "\"maxAttempts\":2.5"},
+            {"\"name\":\"file\"", "\"name\":\"view\""},
+            {"\"unsafe\"", "\"sometimes\""},
+            {"\"aim\":4000000", "\"aim\":false"},
+            {"2.0", "-2.0"}
+        }) {
             String text = TEXT.replace(change[0], change[1]);
             assertNotEquals(TEXT, text);
             assertNotNull(turnedDown(text), change[1] + " for " + change[0]);
@@ -95,9 +109,13 @@
 
     @Test
     void whatIsMissingIsNamed() {
-        assertEquals("no object known", assertThrows(IllegalArgumentException.class,
-                () -> Config.parse(TEXT.replace("\"known\"", "\"old\""))).getMessage());
-        assertEquals("no me", assertThrows(IllegalArgumentException.class,
-                () -> Config.parse(TEXT.replace("\"me\"", "\"you\""))).getMessage());
+        assertEquals(
+                "no object known",
+                assertThrows(IllegalArgumentException.class, () -> Config.parse(TEXT.replace("\"known\"", "\"old\"")))
+                        .getMessage());
+        assertEquals(
+                "no me",
+                assertThrows(IllegalArgumentException.class, () -> Config.parse(TEXT.replace("\"me\"", "\"you\"")))
+                        .getMessage());
     }
 }
--- a/node/src/test/java/brackenbridge/discovery/ObjectCutterTest.java
+++ b/node/src/test/java/brackenbridge/discovery/ObjectCutterTest.java
@@ -28,7 +28,8 @@
     @Test
     void indentedObjectsAreWholeWithTheirLastBrace() {
         String indented = "{\r\n  \"seq\": 4,\r\n\r\n  \"hosts\": [\r\n    {\r\n    }\r\n  ]\r\n}";
-        assertEquals(List.of("-", indented, "-", "{}", "{\"a\":{}}"),
+        assertEquals(
+                List.of("-", indented, "-", "{}", "{\"a\":{}}"),
                 cut(100, "\n" + indented + "\r\n  \r\n{} {\"a\":{}}\n"));
     }
 
@@ -57,7 +58,8 @@
             text.append(part);
             lines.add(part.isBlank() ? "-" : part.strip());
         }
-        assertEquals(lines, cut(100, text.toString()).stream().map(String::strip).toList());
+        assertEquals(
+                lines, cut(100, text.toString()).stream().map(String::strip).toList());
     }
 
     @Test
--- a/node/src/test/java/brackenbridge/discovery/TargetGroupParserTest.java
+++ b/node/src/test/java/brackenbridge/discovery/TargetGroupParserTest.java
@@ -22,15 +22,21 @@
 
     @Test
     void readsALine() {
-        assertEquals(new TargetGroup(43, false, List.of(new Target("s-5b", "127.1.0.18:9000", "a", 3, 1.5, 7,
-                EndpointState.DRAINING))), TargetGroupParser.parse(LINE));
+        assertEquals(
+                new TargetGroup(
+                        43,
+                        false,
+                        List.of(new Target("s-5b", "127.1.0.18:9000", "a", 3, 1.5, 7, EndpointState.DRAINING))),
+                TargetGroupParser.parse(LINE));
         assertThrows(IllegalArgumentException.class, () -> TargetGroupParser.parse("[".repeat(100_000)));
     }
 
     @Property(seed = "21", tries = 1000)
     void garbageIsAListOrAnIllegalArgument(@ForAll long seed) {
         try {
-            TargetGroupParser.parse(Bytes.garbage(LINE, seed)).targets().forEach(t -> assertFalse(t.host().isEmpty()));
+            TargetGroupParser.parse(Bytes.garbage(LINE, seed))
+                    .targets()
+                    .forEach(t -> assertFalse(t.host().isEmpty()));
         } catch (IllegalArgumentException e) {
             assertFalse(e.getMessage().isEmpty());
         }
@@ -46,18 +52,36 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {":9000->:65536", ":9000->:99999", ":9000->:0", ":9000->", "\"active\"->\"well\"",
-        "\"active\"->7", "\"dial\":\"127.1.0.18:9000\",->", "\"active\"->\"active\",\"share\":\"much\"",
-        "\"active\"->\"active\",\"born_ms\":true", "\"active\"->\"active\",\"site\":5"})
+    @ValueSource(
+            strings = {
+                ":9000->:65536",
+                ":9000->:99999",
+                ":9000->:0",
+                ":9000->",
+                "\"active\"->\"well\"",
+                "\"active\"->7",
+                "\"dial\":\"127.1.0.18:9000\",->",
+                "\"active\"->\"active\",\"share\":\"much\"",
+                "\"active\"->\"active\",\"born_ms\":true",
+                "\"active\"->\"active\",\"site\":5"
+            })
     void unreadableEntryCostsOnlyItself(String change) {
         TargetGroup read = list(entry("a", "a->a"), entry("b", change), entry("c", "c->c"));
-        assertEquals(List.of("a", "c"), read.targets().stream().map(Target::host).toList());
+        assertEquals(
+                List.of("a", "c"), read.targets().stream().map(Target::host).toList());
         assertEquals(List.of("b"), read.unread());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"7", "[]", "null", "{}", "{\"host\":\"\",\"dial\":\"1.1.1.1:1\",\"health\":\"active\"}",
-        "{\"host\":7,\"dial\":\"1.1.1.1:1\",\"health\":\"active\"}"})
+    @ValueSource(
+            strings = {
+                "7",
+                "[]",
+                "null",
+                "{}",
+                "{\"host\":\"\",\"dial\":\"1.1.1.1:1\",\"health\":\"active\"}",
+                "{\"host\":7,\"dial\":\"1.1.1.1:1\",\"health\":\"active\"}"
+            })
     void entryOfNobodyCostsTheLine(String entry) {
         // Whom it speaks of can't be known, so what the rest leaves out can't be known to be gone either.
         assertThrows(IllegalArgumentException.class, () -> list(entry("a", "a->a"), entry));
@@ -73,7 +97,8 @@
     @Test
     void veryManyValuesOnOneLineCostTheLine() {
         String many = "{},".repeat(300_000);
-        assertThrows(IllegalArgumentException.class,
+        assertThrows(
+                IllegalArgumentException.class,
                 () -> TargetGroupParser.parse(LINE.replace("\"hosts\"", "\"more\":[" + many + "{}],\"hosts\"")));
     }
 }
--- a/node/src/test/java/brackenbridge/http/DecoderTest.java
+++ b/node/src/test/java/brackenbridge/http/DecoderTest.java
@@ -17,8 +17,8 @@
 import org.junit.jupiter.api.Test;
 
 class DecoderTest {
-    private static final String POST = "POST /file/x?y=1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: 9b\r\n"
-            + "Content-Length: 5\r\n\r\nhello";
+    private static final String POST =
+            "POST /file/x?y=1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: 9b\r\n" + "Content-Length: 5\r\n\r\nhello";
     private static final String CHUNKED = "POST /file HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
             + "3;a=b\r\nhel\r\n2\r\nlo\r\n0\r\nTrailer: t\r\n\r\n";
     private static final String GET = "GET /view HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
@@ -40,17 +40,24 @@
     }
 
     private static int status(String text) {
-        return assertThrows(HttpException.class, () -> requests(Bytes.cuts(text, 1)), text).status();
+        return assertThrows(HttpException.class, () -> requests(Bytes.cuts(text, 1)), text)
+                .status();
     }
 
     @Property(seed = "11", tries = 300)
     void requestsCutAnywhereAreTheSame(@ForAll long seed) throws HttpException {
         List<HttpRequest> r = requests(Bytes.cuts(POST + CHUNKED + GET + POST, seed));
-        assertEquals(List.of("/file/x?y=1", "/file", "/view", "/file/x?y=1"),
+        assertEquals(
+                List.of("/file/x?y=1", "/file", "/view", "/file/x?y=1"),
                 r.stream().map(HttpRequest::target).toList());
-        assertEquals(List.of("hello", "hello", "", "hello"),
-                r.stream().map(q -> new String(q.body(), StandardCharsets.UTF_8)).toList());
-        assertEquals(List.of(true, true, false, true), r.stream().map(HttpRequest::keepAlive).toList());
+        assertEquals(
+                List.of("hello", "hello", "", "hello"),
+                r.stream()
+                        .map(q -> new String(q.body(), StandardCharsets.UTF_8))
+                        .toList());
+        assertEquals(
+                List.of(true, true, false, true),
+                r.stream().map(HttpRequest::keepAlive).toList());
     }
 
     @Property(seed = "12", tries = 300)
@@ -73,7 +80,9 @@
     void garbageIsRefusedOrReadAndNeverTakenForMore(@ForAll long seed) {
         String text = Bytes.garbage(POST + CHUNKED + GET, seed);
         try {
-            int bodies = requests(Bytes.cuts(text, seed)).stream().mapToInt(r -> r.body().length).sum();
+            int bodies = requests(Bytes.cuts(text, seed)).stream()
+                    .mapToInt(r -> r.body().length)
+                    .sum();
             assertTrue(bodies < text.length());
         } catch (HttpException e) {
             assertTrue(Set.of(400, 413, 414, 431, 505).contains(e.status()), text);
@@ -123,8 +132,9 @@
                     bodies.add(got.toString());
                     got.setLength(0);
                 } else if (d.isLong()) {
-                    got.append(new String(d.stream((from, n) -> got.append(from.readCharSequence(n,
-                            StandardCharsets.ISO_8859_1))), StandardCharsets.ISO_8859_1));
+                    got.append(new String(
+                            d.stream((from, n) -> got.append(from.readCharSequence(n, StandardCharsets.ISO_8859_1))),
+                            StandardCharsets.ISO_8859_1));
                 } else {
                     break;
                 }
@@ -137,19 +147,23 @@
     @Test
     void bodyThatIsCountedOverTheLimitIsTooLong() throws HttpException {
         RequestDecoder d = new RequestDecoder();
-        d.decode(Unpooled.copiedBuffer("POST /file HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2000001\r\n",
-                StandardCharsets.US_ASCII));
+        d.decode(Unpooled.copiedBuffer(
+                "POST /file HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2000001\r\n", StandardCharsets.US_ASCII));
         d.stream((from, n) -> from.skipBytes(n));
         ByteBuf piece = Unpooled.wrappedBuffer(new byte[1 << 20]);
         for (int i = 0; i < 32; i++) {
             assertFalse(d.decode(piece.duplicate()));
         }
-        assertEquals(413, assertThrows(HttpException.class, () -> d.decode(piece.duplicate())).status());
+        assertEquals(
+                413,
+                assertThrows(HttpException.class, () -> d.decode(piece.duplicate()))
+                        .status());
     }
 
     @Test
     void targetInAbsoluteFormNamesTheHost() throws HttpException {
-        HttpRequest r = requests(Bytes.cuts("GET HTTP://b:80/view?x=1 HTTP/1.1\r\nHost: a\r\n\r\n", 3)).get(0);
+        HttpRequest r = requests(Bytes.cuts("GET HTTP://b:80/view?x=1 HTTP/1.1\r\nHost: a\r\n\r\n", 3))
+                .get(0);
         assertEquals("/view?x=1", r.target());
         assertEquals("b:80", r.headers().get("host"));
     }
@@ -175,8 +189,8 @@
     @Test
     void listWithoutFramingEndsWithItsConnection() throws HttpException {
         StringBuilder body = new StringBuilder();
-        ResponseDecoder d = new ResponseDecoder((from, n) -> body.append(from.readCharSequence(n,
-                StandardCharsets.US_ASCII)));
+        ResponseDecoder d =
+                new ResponseDecoder((from, n) -> body.append(from.readCharSequence(n, StandardCharsets.US_ASCII)));
         assertFalse(answered(d, "HTTP/1.1 200 OK\r\n\r\nhel"));
         assertTrue(d.ended());
         assertEquals("hel", body.toString());
--- a/node/src/test/java/brackenbridge/mgmt/ManagementListenerTest.java
+++ b/node/src/test/java/brackenbridge/mgmt/ManagementListenerTest.java
@@ -26,28 +26,30 @@
     private final List<Boolean> drains = new ArrayList<>();
     private final List<Refusal> refused = Collections.synchronizedList(new ArrayList<>());
     private boolean stopping;
-    private final ManagementListener listener = new ManagementListener(new Staff() {
-        @Override
-        public boolean takesClients() {
-            return !stopping;
-        }
+    private final ManagementListener listener = new ManagementListener(
+            new Staff() {
+                @Override
+                public boolean takesClients() {
+                    return !stopping;
+                }
 
-        @Override
-        public String figures() {
-            return "proxy.tries:3|c\n";
-        }
+                @Override
+                public String figures() {
+                    return "proxy.tries:3|c\n";
+                }
 
-        @Override
-        public CompletableFuture<Boolean> drain(boolean on) {
-            drains.add(on);
-            return CompletableFuture.completedFuture(!stopping);
-        }
+                @Override
+                public CompletableFuture<Boolean> drain(boolean on) {
+                    drains.add(on);
+                    return CompletableFuture.completedFuture(!stopping);
+                }
 
-        @Override
-        public void refused(Refusal why) {
-            refused.add(why);
-        }
-    }, new Log(Clock.system(), new PrintStream(OutputStream.nullOutputStream())));
+                @Override
+                public void refused(Refusal why) {
+                    refused.add(why);
+                }
+            },
+            new Log(Clock.system(), new PrintStream(OutputStream.nullOutputStream())));
     private String at;
 
     @BeforeEach
@@ -120,7 +122,11 @@
         assertEquals(true, open <= 16, open + " are open");
         silent.get(299).setSoTimeout(10_000);
         assertEquals(-1, silent.get(299).getInputStream().read(), "silence ends");
-        assertEquals(List.of(), refused.stream().filter(r -> r != Refusal.SHED && r != Refusal.SLOW).toList());
+        assertEquals(
+                List.of(),
+                refused.stream()
+                        .filter(r -> r != Refusal.SHED && r != Refusal.SLOW)
+                        .toList());
         assertTrue(refused.contains(Refusal.SLOW) && refused.contains(Refusal.SHED), refused.toString());
         assertTrue(refused.size() <= 300, "each is counted once: " + refused.size());
         for (Socket s : silent) {
--- a/node/src/test/java/brackenbridge/net/BadInputTest.java
+++ b/node/src/test/java/brackenbridge/net/BadInputTest.java
@@ -41,8 +41,10 @@
 @Timeout(60)
 class BadInputTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+
     @TempDir
     private Path directory;
+
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
     private FakeServer server;
     private FakeServer agent;
@@ -56,8 +58,11 @@
         agent = new FakeServer();
         meeting = Handover.path(directory.toString(), "n3", "127.0.0.1:0");
         Clock clock = Clock.system();
-        node = new Node(Config.parse(text()), clock, new Log(clock, new PrintStream(log, true,
-                StandardCharsets.UTF_8)), meeting);
+        node = new Node(
+                Config.parse(text()),
+                clock,
+                new Log(clock, new PrintStream(log, true, StandardCharsets.UTF_8)),
+                meeting);
         node.start();
         other = send(node.address(), request("POST", "/file", "other", ""));
         assertNotNull(server.next());
@@ -74,10 +79,12 @@
     /** The text of a configuration whose lists the agent pushes, with one server, and an address for staff. */
     private String text() {
         String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
-        return ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
+        return ConfigTest.TEXT
+                .replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
                 .replace("\"discovery\":\"on_request\"", "\"discovery\":\"pushed\"")
-                .replace("\"discovery\":\"127.0.0.1:1\"", "\"mgmt\":\"127.0.0.1:0\",\"discovery\":\""
-                        + agent.dial() + "\"");
+                .replace(
+                        "\"discovery\":\"127.0.0.1:1\"",
+                        "\"mgmt\":\"127.0.0.1:0\",\"discovery\":\"" + agent.dial() + "\"");
     }
 
     private static String request(String method, String path, String id, String more) {
@@ -135,21 +142,23 @@
     })
     void badRequestHasOneAnswerAndOneReason(String reason, String what) throws IOException {
         String text = Map.ofEntries(
-                Map.entry("bytes", "\u0016\u0003\u0001\u0002\u0000\u0001\r\n\r\n"),
-                Map.entry("binary", request("GET", "/view", "1", "A: \u0000\r\n")),
-                Map.entry("name", request("GET", "/view", "1", "A : b\r\n")),
-                Map.entry("framing", request("POST", "/file", "1", "Content-Length: 1\r\nContent-Length: 2\r\n")),
-                Map.entry("chunk", request("POST", "/file", "1", "Transfer-Encoding: chunked\r\n") + "zz\r\n"),
-                Map.entry("version", "GET /view HTTP/2.0\r\n\r\n"),
-                Map.entry("time", request("GET", "/view", "1", "X-Time-Left-Ms: -1\r\n")),
-                Map.entry("target", "GET /" + "x".repeat(10_000) + " HTTP/1.1\r\n\r\n"),
-                Map.entry("head", request("GET", "/view", "1", "A: " + "x".repeat(20_000) + "\r\n")),
-                Map.entry("fields", request("GET", "/view", "1", "A: b\r\n".repeat(101))),
-                Map.entry("body", request("POST", "/file", "1", "Content-Length: 33554433\r\n")),
-                Map.entry("class", request("GET", "/nothing", "1", "")),
-                Map.entry("method", request("GET", "/file", "1", "")),
-                Map.entry("expectation", request("GET", "/view", "1", "Expect: miracles\r\n")),
-                Map.entry("id", request("POST", "/file", "other", ""))).get(what);
+                        Map.entry("bytes", "\u0016\u0003\u0001\u0002\u0000\u0001\r\n\r\n"),
+                        Map.entry("binary", request("GET", "/view", "1", "A: \u0000\r\n")),
+                        Map.entry("name", request("GET", "/view", "1", "A : b\r\n")),
+                        Map.entry(
+                                "framing", request("POST", "/file", "1", "Content-Length: 1\r\nContent-Length: 2\r\n")),
+                        Map.entry("chunk", request("POST", "/file", "1", "Transfer-Encoding: chunked\r\n") + "zz\r\n"),
+                        Map.entry("version", "GET /view HTTP/2.0\r\n\r\n"),
+                        Map.entry("time", request("GET", "/view", "1", "X-Time-Left-Ms: -1\r\n")),
+                        Map.entry("target", "GET /" + "x".repeat(10_000) + " HTTP/1.1\r\n\r\n"),
+                        Map.entry("head", request("GET", "/view", "1", "A: " + "x".repeat(20_000) + "\r\n")),
+                        Map.entry("fields", request("GET", "/view", "1", "A: b\r\n".repeat(101))),
+                        Map.entry("body", request("POST", "/file", "1", "Content-Length: 33554433\r\n")),
+                        Map.entry("class", request("GET", "/nothing", "1", "")),
+                        Map.entry("method", request("GET", "/file", "1", "")),
+                        Map.entry("expectation", request("GET", "/view", "1", "Expect: miracles\r\n")),
+                        Map.entry("id", request("POST", "/file", "other", "")))
+                .get(what);
         String back = answers(node.address(), text);
         assertTrue(back.matches("(?s)HTTP/1.1 [45][0-9][0-9] .*"), back);
         assertEquals(1, back.split("HTTP/1.1 ", -1).length - 1, back);
@@ -159,8 +168,12 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"malformed, HTTP/1.1 200 OK", "malformed, zzz", "oversized, HTTP/1.1 200 OK",
-        "malformed, HTTP/1.1 101 Now something else"})
+    @CsvSource({
+        "malformed, HTTP/1.1 200 OK",
+        "malformed, zzz",
+        "oversized, HTTP/1.1 200 OK",
+        "malformed, HTTP/1.1 101 Now something else"
+    })
     void badAnswerFailsItsOwnRequestUnderItsReason(String reason, String status) throws Exception {
         String head = reason.equals("oversized") ? "\r\nContent-Length: 99999999999\r\n\r\n" : "\r\n\r\nx";
         try (Socket mine = send(node.address(), request("POST", "/file", "mine", ""))) {
@@ -171,8 +184,10 @@
             server.answers.add(OK);
             String a = FakeServer.message(mine.getInputStream());
             String b = FakeServer.message(other.getInputStream());
-            assertTrue(a.startsWith("HTTP/1.1 502 ") && b.endsWith("done")
-                    || b.startsWith("HTTP/1.1 502 ") && a.endsWith("done"), a + b);
+            assertTrue(
+                    a.startsWith("HTTP/1.1 502 ") && b.endsWith("done")
+                            || b.startsWith("HTTP/1.1 502 ") && a.endsWith("done"),
+                    a + b);
         }
     }
 
@@ -182,19 +197,22 @@
         assertNotNull(agent.next());
         String head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
         agent.answers.add(Map.of(
-                "list", head + "{\"seq\":43,\"whole\":true}\n",
-                "nobody", head + "{\"seq\":43,\"whole\":true,\"hosts\":[{\"dial\":\"127.0.0.1:7\"}]}\n",
-                "cut", head + "{\"seq\":43,\"whole\":true,\"hosts\":[",
-                "long", head + " ".repeat((1 << 20) + 1),
-                "status", "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
-                "head", "{\"seq\":43,\"whole\":true,\"hosts\":[]}\n\n").get(what));
+                        "list", head + "{\"seq\":43,\"whole\":true}\n",
+                        "nobody", head + "{\"seq\":43,\"whole\":true,\"hosts\":[{\"dial\":\"127.0.0.1:7\"}]}\n",
+                        "cut", head + "{\"seq\":43,\"whole\":true,\"hosts\":[",
+                        "long", head + " ".repeat((1 << 20) + 1),
+                        "status", "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
+                        "head", "{\"seq\":43,\"whole\":true,\"hosts\":[]}\n\n")
+                .get(what));
         agent.connections.poll().shutdownInput();
         await(() -> logged("discovery call ") > 0, "the call ends");
         awaitCounter("discovery_failed 1");
         assertEquals(1, logged("discovery call "), log.toString(StandardCharsets.UTF_8));
         nobodyElseIsDisturbed();
         server.answers.add(OK);
-        assertTrue(answers(node.address(), request("POST", "/file", "next", "Connection: close\r\n")).endsWith("done"),
+        assertTrue(
+                answers(node.address(), request("POST", "/file", "next", "Connection: close\r\n"))
+                        .endsWith("done"),
                 "the list stays");
     }
 
@@ -219,14 +237,19 @@
 
     @ParameterizedTest
     @CsvSource({
-        "malformed, GET / HTTP/1.1\\n", "oversized, long", "cut, brackenbridge-handover 1 succ", "slow, silent",
-        "out_of_turn, ready\\n", "slow, brackenbridge-handover 1 successor\\n",
+        "malformed, GET / HTTP/1.1\\n",
+        "oversized, long",
+        "cut, brackenbridge-handover 1 succ",
+        "slow, silent",
+        "out_of_turn, ready\\n",
+        "slow, brackenbridge-handover 1 successor\\n",
         "malformed, brackenbridge-handover 1 successor\\njunk\\n",
     })
     void badWordOfASuccessorIsClosedUnderItsReason(String reason, String what) throws Exception {
         await(() -> Files.exists(meeting), "it listens for a successor");
-        String text = what.equals("long") ? "x".repeat((1 << 20) + 1) : what.equals("silent") ? ""
-                : what.replace("\\n", "\n");
+        String text = what.equals("long")
+                ? "x".repeat((1 << 20) + 1)
+                : what.equals("silent") ? "" : what.replace("\\n", "\n");
         try (SocketChannel c = SocketChannel.open(UnixDomainSocketAddress.of(meeting))) {
             ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII));
             while (bytes.hasRemaining()) {
@@ -252,9 +275,15 @@
         await(() -> Files.exists(meeting), "it listens for a successor");
         Clock clock = Clock.system();
         String taken = "127.0.0.1:" + node.managementAddress().getPort();
-        Node next = new Node(Config.parse(text().replace("\"listen\":\"127.0.0.1:0", "\"listen\":\"127.0.0.1:"
-                + node.address().getPort())).withManagement(taken), clock,
-                new Log(clock, new PrintStream(OutputStream.nullOutputStream())), meeting);
+        Node next = new Node(
+                Config.parse(text().replace(
+                                        "\"listen\":\"127.0.0.1:0",
+                                        "\"listen\":\"127.0.0.1:"
+                                                + node.address().getPort()))
+                        .withManagement(taken),
+                clock,
+                new Log(clock, new PrintStream(OutputStream.nullOutputStream())),
+                meeting);
         String why = assertThrows(IllegalArgumentException.class, next::start).getMessage();
         assertTrue(why.startsWith("mgmt " + taken), why);
         next.kill();
@@ -266,11 +295,19 @@
     @Test
     void eachBadFileAtAHangupIsOneCountAndOneLineAndOpenRequestsKeepTheirRules() throws Exception {
         String good = text();
-        String[] texts = {"", good.substring(0, 200), "{}", "[]", "x".repeat(5 << 20),
-            good.replace("\"tier\":1", "\"tier\":\"x\""), good.replace("\"tier\":1", "\"tier\":1,\"tier\":2"),
+        String[] texts = {
+            "",
+            good.substring(0, 200),
+            "{}",
+            "[]",
+            "x".repeat(5 << 20),
+            good.replace("\"tier\":1", "\"tier\":\"x\""),
+            good.replace("\"tier\":1", "\"tier\":1,\"tier\":2"),
             good.replace("\"name\":\"n3\"", "\"name\":3"),
             good.replace("\"giveUp\":8000000", "\"giveUp\":1e30"),
-            good.replace(agent.dial(), "nowhere:80"), good.replace("\"health\":\"active\"", "\"health\":7")};
+            good.replace(agent.dial(), "nowhere:80"),
+            good.replace("\"health\":\"active\"", "\"health\":7")
+        };
         for (int i = 0; i < texts.length; i++) {
             Path file = Files.writeString(directory.resolve("config" + i), texts[i]);
             node.reconfigure(() -> Config.read(file));
--- a/node/src/test/java/brackenbridge/net/ClassRulesTest.java
+++ b/node/src/test/java/brackenbridge/net/ClassRulesTest.java
@@ -30,12 +30,12 @@
     void start() throws IOException {
         server = new FakeServer();
         Clock clock = Clock.system();
-        node = new Node(config(ConfigTest.TEXT), clock,
-                new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
+        node = new Node(
+                config(ConfigTest.TEXT), clock, new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
         node.start();
         // One connection in all: the next flow waits for its tenant's turn.
-        node.tell(new Event.SharesTold(new Allowances(1, Map.of("a", 1.0), 0, Map.of(), clock.nowMs() + 60_000,
-                Map.of("a", 1.0))));
+        node.tell(new Event.SharesTold(
+                new Allowances(1, Map.of("a", 1.0), 0, Map.of(), clock.nowMs() + 60_000, Map.of("a", 1.0))));
     }
 
     @AfterEach
@@ -52,15 +52,18 @@
     private Socket send(String method, String path, int id) throws IOException {
         Socket s = new Socket(node.address().getAddress(), node.address().getPort());
         s.setSoTimeout(3000);
-        s.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: a\r\nX-Account: a\r\nX-Correlation-Id: "
-                + id + "\r\nX-Time-Left-Ms: 60000\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        s.getOutputStream()
+                .write((method + " " + path + " HTTP/1.1\r\nHost: a\r\nX-Account: a\r\nX-Correlation-Id: " + id
+                                + "\r\nX-Time-Left-Ms: 60000\r\nContent-Length: 0\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
         return s;
     }
 
     private void awaitCounter(String line) throws IOException {
         String counted = "";
         for (int i = 0; i < 2000 && !counted.contains(line); i++) {
-            try (Socket s = new Socket(node.address().getAddress(), node.address().getPort())) {
+            try (Socket s =
+                    new Socket(node.address().getAddress(), node.address().getPort())) {
                 s.getOutputStream().write("GET /health/counters HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                 counted = FakeServer.message(s.getInputStream());
             }
@@ -69,10 +72,12 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"name\":\"file\" | \"name\":\"sign\"",
-        "\"effect\":\"unsafe\" | \"effect\":\"safe\"",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"name\":\"file\" | \"name\":\"sign\"",
+                "\"effect\":\"unsafe\" | \"effect\":\"safe\"",
+            })
     void flowThatWaitsItsTurnWhileItsClassChangesIsRefusedAtOnce(String before, String after) throws Exception {
         try (Socket first = send("GET", "/view", 1)) {
             assertNotNull(server.next());
--- a/node/src/test/java/brackenbridge/net/DescriptorsTest.java
+++ b/node/src/test/java/brackenbridge/net/DescriptorsTest.java
@@ -22,8 +22,10 @@
 /** A real process with few descriptors, while discovery is down and idle clients come in crowds. */
 class DescriptorsTest {
     private static final int LIMIT = 200;
+
     @TempDir
     private Path directory;
+
     private final List<Socket> crowd = new ArrayList<>();
     private Process process;
     private int port;
@@ -38,15 +40,26 @@
         port = freePort();
         String management = "127.0.0.1:" + freePort();
         String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
-        Files.writeString(directory.resolve("config.json"), ConfigTest.TEXT
-                .replace("127.0.0.1:0", "127.0.0.1:" + port)
-                .replace("127.0.0.1:1\"", "127.0.0.1:" + discovery + "\"")
-                .replace("\"sockets\":1024", "\"sockets\":" + LIMIT)
-                .replace("\"hosts\":[]", "\"hosts\":[" + host + "]"));
-        ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + LIMIT + "; exec \"$0\" \"$@\"",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "brackenbridge.cli.Main",
-                "serve").redirectErrorStream(true).redirectOutput(directory.resolve("log").toFile());
+        Files.writeString(
+                directory.resolve("config.json"),
+                ConfigTest.TEXT
+                        .replace("127.0.0.1:0", "127.0.0.1:" + port)
+                        .replace("127.0.0.1:1\"", "127.0.0.1:" + discovery + "\"")
+                        .replace("\"sockets\":1024", "\"sockets\":" + LIMIT)
+                        .replace("\"hosts\":[]", "\"hosts\":[" + host + "]"));
+        ProcessBuilder b = new ProcessBuilder(
+                        "sh",
+                        "-c",
+                        "ulimit -n " + LIMIT + "; exec \"$0\" \"$@\"",
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "brackenbridge.cli.Main",
+                        "serve")
+                .redirectErrorStream(true)
+                .redirectOutput(directory.resolve("log").toFile());
         b.environment().put("PROXY_CONFIG", directory.resolve("config.json").toString());
         b.environment().put("PROXY_MGMT", management);
         b.environment().put("TMPDIR", directory.toString());
--- a/node/src/test/java/brackenbridge/net/DiscoveryTest.java
+++ b/node/src/test/java/brackenbridge/net/DiscoveryTest.java
@@ -45,8 +45,10 @@
             hosts.append(i == 0 ? "" : ",").append(host(i, "active"));
         }
         Clock clock = Clock.system();
-        node = new Node(Config.parse(text.replace("\"hosts\":[]", "\"hosts\":[" + hosts + "]")
-                .replace("127.0.0.1:1\"", dial + "\"")), clock,
+        node = new Node(
+                Config.parse(text.replace("\"hosts\":[]", "\"hosts\":[" + hosts + "]")
+                        .replace("127.0.0.1:1\"", dial + "\"")),
+                clock,
                 new Log(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8)));
         node.start();
     }
@@ -108,7 +110,8 @@
     private void awaitCounter(String text) throws Exception {
         String counted = "";
         for (int i = 0; i < 10_000 && !counted.contains(text); i++) {
-            try (Socket s = new Socket(node.address().getAddress(), node.address().getPort())) {
+            try (Socket s =
+                    new Socket(node.address().getAddress(), node.address().getPort())) {
                 say(s, "GET /health/counters HTTP/1.1\r\n\r\n");
                 counted = FakeServer.message(s.getInputStream());
             }
--- a/node/src/test/java/brackenbridge/net/FakeServer.java
+++ b/node/src/test/java/brackenbridge/net/FakeServer.java
@@ -109,7 +109,8 @@
             s.append((char) b);
             if (end < 0 && b == '\n' && s.toString().endsWith("\r\n\r\n")) {
                 end = s.length();
-                var m = java.util.regex.Pattern.compile("(?i)content-length: *([0-9]+)").matcher(s);
+                var m = java.util.regex.Pattern.compile("(?i)content-length: *([0-9]+)")
+                        .matcher(s);
                 length = m.find() ? Integer.parseInt(m.group(1)) : 0;
             }
         }
--- a/node/src/test/java/brackenbridge/net/GoneClientTest.java
+++ b/node/src/test/java/brackenbridge/net/GoneClientTest.java
@@ -26,7 +26,9 @@
 
     /** How a client can go. */
     private enum End {
-        CLOSE, RESET, END_OF_SENDING;
+        CLOSE,
+        RESET,
+        END_OF_SENDING;
 
         void of(Socket s) throws IOException {
             if (this == END_OF_SENDING) {
@@ -52,7 +54,9 @@
 
     private Node node(String text) {
         String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
-        Node n = new Node(Config.parse(text.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")), clock,
+        Node n = new Node(
+                Config.parse(text.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")),
+                clock,
                 new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
         n.start();
         return n;
@@ -195,8 +199,8 @@
     @Test
     void requestThatTheModuleHoldsIsNotSentOnceAServerComes() throws Exception {
         node.kill();
-        Node none = new Node(Config.parse(ConfigTest.TEXT), clock,
-                new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
+        Node none = new Node(
+                Config.parse(ConfigTest.TEXT), clock, new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
         none.start();
         node = none;
         client = connect();
@@ -205,7 +209,8 @@
         client.shutdownOutput();
         await("flows_gone 1");
         String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
-        node.reconfigure(() -> Config.parse(ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
+        node.reconfigure(() -> Config.parse(ConfigTest.TEXT
+                .replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
                 .replace("\"seq\":41", "\"seq\":42")));
         onlyTheNextIsServed();
     }
--- a/node/src/test/java/brackenbridge/net/LastConnectionsTest.java
+++ b/node/src/test/java/brackenbridge/net/LastConnectionsTest.java
@@ -47,7 +47,9 @@
             hosts += (hosts.isEmpty() ? "" : ",") + "{\"host\":\"s" + hosts.length() + "\",\"dial\":\"" + dial
                     + "\",\"health\":\"active\"}";
         }
-        Node n = new Node(Config.parse(BRIEF.replace("\"hosts\":[]", "\"hosts\":[" + hosts + "]")), clock,
+        Node n = new Node(
+                Config.parse(BRIEF.replace("\"hosts\":[]", "\"hosts\":[" + hosts + "]")),
+                clock,
                 new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
         n.start();
         return n;
@@ -190,8 +192,9 @@
         Socket[] many = new Socket[150];
         for (int i = 0; i < many.length; i++) {
             many[i] = connect();
-            send(many[i], "POST /file HTTP/1.1\r\nX-Correlation-Id: m\r\nContent-Length: 65000\r\n\r\n"
-                    + "x".repeat(60_000));
+            send(
+                    many[i],
+                    "POST /file HTTP/1.1\r\nX-Correlation-Id: m\r\nContent-Length: 65000\r\n\r\n" + "x".repeat(60_000));
         }
         String counted = "";
         for (int i = 0; i < 10_000 && !counted.matches("(?s).*clients_shed_for_memory [1-9].*"); i++) {
--- a/node/src/test/java/brackenbridge/net/LateBytesTest.java
+++ b/node/src/test/java/brackenbridge/net/LateBytesTest.java
@@ -30,7 +30,9 @@
     void start() throws IOException {
         server = new FakeServer();
         String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
-        node = new Node(Config.parse(ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")), clock,
+        node = new Node(
+                Config.parse(ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")),
+                clock,
                 new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
         node.start();
         client = new Socket(node.address().getAddress(), node.address().getPort());
@@ -45,8 +47,10 @@
     }
 
     private void ask(String id, int left) throws IOException {
-        write(client, "POST /file HTTP/1.1\r\nX-Correlation-Id: " + id + "\r\nX-Time-Left-Ms: " + left
-                + "\r\nContent-Length: 1\r\n\r\na");
+        write(
+                client,
+                "POST /file HTTP/1.1\r\nX-Correlation-Id: " + id + "\r\nX-Time-Left-Ms: " + left
+                        + "\r\nContent-Length: 1\r\n\r\na");
     }
 
     private static void write(Socket s, String text) throws IOException {
--- a/node/src/test/java/brackenbridge/net/LongBodyTest.java
+++ b/node/src/test/java/brackenbridge/net/LongBodyTest.java
@@ -56,25 +56,31 @@
 
     @BeforeEach
     void start() throws IOException {
-        CompletableFuture.runAsync(() -> {
-            while (true) {
-                try {
-                    Socket s = server.accept();
-                    CompletableFuture.runAsync(() -> {
-                        try (s) {
-                            scripts.take().play(s);
-                        } catch (Exception e) {
-                            seen.add(e);
+        CompletableFuture.runAsync(
+                () -> {
+                    while (true) {
+                        try {
+                            Socket s = server.accept();
+                            CompletableFuture.runAsync(
+                                    () -> {
+                                        try (s) {
+                                            scripts.take().play(s);
+                                        } catch (Exception e) {
+                                            seen.add(e);
+                                        }
+                                    },
+                                    LongBodyTest::daemon);
+                        } catch (IOException e) {
+                            return;
                         }
-                    }, LongBodyTest::daemon);
-                } catch (IOException e) {
-                    return;
-                }
-            }
-        }, LongBodyTest::daemon);
+                    }
+                },
+                LongBodyTest::daemon);
         String host = "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:" + server.getLocalPort() + "\",\"health\":\"active\"}";
         Clock clock = Clock.system();
-        node = new Node(Config.parse(ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")), clock,
+        node = new Node(
+                Config.parse(ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")),
+                clock,
                 new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
         node.start();
         client = connect();
--- a/node/src/test/java/brackenbridge/net/NodeTest.java
+++ b/node/src/test/java/brackenbridge/net/NodeTest.java
@@ -64,9 +64,11 @@
 
     private Node node(int sockets, int peers, String text) {
         String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
-        Node n = new Node(Config.parse(text.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
-                .replace("\"sockets\":1024", "\"sockets\":" + sockets)
-                .replace("\"replicasOfMe\":1", "\"replicasOfMe\":" + peers)), clock,
+        Node n = new Node(
+                Config.parse(text.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
+                        .replace("\"sockets\":1024", "\"sockets\":" + sockets)
+                        .replace("\"replicasOfMe\":1", "\"replicasOfMe\":" + peers)),
+                clock,
                 new Log(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8)));
         n.start();
         return n;
@@ -251,14 +253,16 @@
         Socket[] busy = new Socket[40];
         for (int i = 0; i < busy.length; i++) {
             busy[i] = connect();
-            busy[i].getOutputStream().write("POST /file HTTP/1.1\r\nContent-Length: 9\r\n".getBytes(
-                    StandardCharsets.US_ASCII));
+            busy[i].getOutputStream()
+                    .write("POST /file HTTP/1.1\r\nContent-Length: 9\r\n".getBytes(StandardCharsets.US_ASCII));
         }
         client = connect();
         send("GET /health/live HTTP/1.1\r\n\r\n");
         // It waits in the backlog: neither an answer nor an end comes while nothing can be shed.
         client.setSoTimeout(300);
-        assertThrows(java.net.SocketTimeoutException.class, () -> client.getInputStream().read());
+        assertThrows(
+                java.net.SocketTimeoutException.class,
+                () -> client.getInputStream().read());
         client.setSoTimeout(10_000);
         for (Socket s : busy) {
             s.close();
@@ -275,13 +279,15 @@
         Socket[] busy = new Socket[40];
         for (int i = 0; i < busy.length; i++) {
             busy[i] = connect();
-            busy[i].getOutputStream().write("POST /file HTTP/1.1\r\nContent-Length: 9\r\n".getBytes(
-                    StandardCharsets.US_ASCII));
+            busy[i].getOutputStream()
+                    .write("POST /file HTTP/1.1\r\nContent-Length: 9\r\n".getBytes(StandardCharsets.US_ASCII));
         }
         client = connect();
         send(request("GET", "/view", "", ""));
         client.setSoTimeout(300);
-        assertThrows(java.net.SocketTimeoutException.class, () -> client.getInputStream().read());
+        assertThrows(
+                java.net.SocketTimeoutException.class,
+                () -> client.getInputStream().read());
         client.setSoTimeout(10_000);
         clock.pass(1200);
         server.answers.add(FakeServer.HANG_UP);
@@ -355,16 +361,26 @@
     @Test
     void coldServerGetsNoMoreThanItBearsWhenAllClientsComeAtOnce() throws Exception {
         node.kill();
-        node = node(1024, 1, ConfigTest.TEXT.replace("\"fallMultiple\":2.5,\"fall\":1500000",
-                "\"fallMultiple\":0.5,\"fall\":5000000,\"coldFrom\":0.19,\"warmAfter\":1000000000000")
-                .replace("\"hosts\":[]", "\"hosts\":[{\"host\":\"s-1\",\"dial\":\"" + server.dial()
-                        + "\",\"health\":\"active\",\"born_ms\":" + Math.round(clock.nowMs()) + "}]"));
+        node = node(
+                1024,
+                1,
+                ConfigTest.TEXT
+                        .replace(
+                                "\"fallMultiple\":2.5,\"fall\":1500000",
+                                "\"fallMultiple\":0.5,\"fall\":5000000,\"coldFrom\":0.19,\"warmAfter\":1000000000000")
+                        .replace(
+                                "\"hosts\":[]",
+                                "\"hosts\":[{\"host\":\"s-1\",\"dial\":\"" + server.dial()
+                                        + "\",\"health\":\"active\",\"born_ms\":" + Math.round(clock.nowMs()) + "}]"));
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             Socket s = connect();
             clients.add(s);
-            s.getOutputStream().write(file("hello").replace("9b", "c" + i).replace("5000", "700")
-                    .getBytes(StandardCharsets.ISO_8859_1));
+            s.getOutputStream()
+                    .write(file("hello")
+                            .replace("9b", "c" + i)
+                            .replace("5000", "700")
+                            .getBytes(StandardCharsets.ISO_8859_1));
         }
         int sent = 0;
         for (Socket s : clients) {
@@ -453,8 +469,10 @@
     void answerThatStopsHalfWayFailsSoon() throws Exception {
         send(file("a"));
         assertNotNull(server.next());
-        server.connections.take().getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
-                .getBytes(StandardCharsets.US_ASCII));
+        server.connections
+                .take()
+                .getOutputStream()
+                .write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".getBytes(StandardCharsets.US_ASCII));
         settle();
         clock.pass(1100);
         assertTrue(answer().startsWith("HTTP/1.1 502 "));
@@ -490,8 +508,12 @@
             agent.answers.add("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"seq\":42,\"whole\":false,\"hosts\":"
                     + "[{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"leaving\"}]}\n");
             node.kill();
-            node = node(1024, 1, ConfigTest.TEXT.replace("\"discovery\":\"on_request\"", "\"discovery\":\"pushed\"")
-                    .replace("127.0.0.1:1\"", agent.dial() + "\""));
+            node = node(
+                    1024,
+                    1,
+                    ConfigTest.TEXT
+                            .replace("\"discovery\":\"on_request\"", "\"discovery\":\"pushed\"")
+                            .replace("127.0.0.1:1\"", agent.dial() + "\""));
             assertTrue(agent.next().startsWith("GET /registry/instances?watch=1&after=41 "));
             while (!node.figures().contains("proxy.pool_size:1|g")) {
                 Thread.onSpinWait();
@@ -522,13 +544,18 @@
         server.answers.add(OK);
         expect(200, file("new").replace("/file", "/sign"));
         String told = node.figures();
-        for (int i = 0; i < 500 && !(told.contains("proxy.errors.file:1|c\n")
-                && told.contains("proxy.ok.sign:1|c\n")); i++) {
+        for (int i = 0;
+                i < 500 && !(told.contains("proxy.errors.file:1|c\n") && told.contains("proxy.ok.sign:1|c\n"));
+                i++) {
             settle();
             told = node.figures();
         }
-        assertTrue(told.contains("proxy.ok.file:2|c\n") && told.contains("proxy.errors.file:1|c\n")
-                && told.contains("proxy.ok.sign:1|c\n") && told.contains("proxy.config_applied:1|c\n"), told);
+        assertTrue(
+                told.contains("proxy.ok.file:2|c\n")
+                        && told.contains("proxy.errors.file:1|c\n")
+                        && told.contains("proxy.ok.sign:1|c\n")
+                        && told.contains("proxy.config_applied:1|c\n"),
+                told);
     }
 
     @Test
@@ -577,16 +604,23 @@
             settle();
             told = node.figures();
         }
-        assertTrue(told.contains("proxy.ok.file:3|c\nproxy.shed.file:0|c\n") && told.contains("proxy.tries:3|c\n")
-                && told.contains("proxy.active:0|g\nproxy.pool_size:1|g\n"), told);
+        assertTrue(
+                told.contains("proxy.ok.file:3|c\nproxy.shed.file:0|c\n")
+                        && told.contains("proxy.tries:3|c\n")
+                        && told.contains("proxy.active:0|g\nproxy.pool_size:1|g\n"),
+                told);
     }
 
     @Test
     void stoppingNodeAnswersWhatItHasAndSaysClose() throws Exception {
         node.kill();
         String brief = "\"aim\":9000,\"giveUp\":9000";
-        node = node(1024, 2, ConfigTest.TEXT.replace("\"aim\":4000000,\"giveUp\":8000000", brief)
-                .replace("\"aim\":3000000,\"giveUp\":6000000", brief));
+        node = node(
+                1024,
+                2,
+                ConfigTest.TEXT
+                        .replace("\"aim\":4000000,\"giveUp\":8000000", brief)
+                        .replace("\"aim\":3000000,\"giveUp\":6000000", brief));
         expect(200, "GET /health/live HTTP/1.1\r\n\r\n");
         Socket idle = client;
         client = connect();
--- a/node/src/test/java/brackenbridge/net/ReplacementTest.java
+++ b/node/src/test/java/brackenbridge/net/ReplacementTest.java
@@ -32,8 +32,10 @@
 /** One process's place taken by another, under connects from all sides; and whatever may lie where they meet. */
 class ReplacementTest {
     private static final String LIVE = "GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n";
+
     @TempDir
     private Path directory;
+
     private Path meeting;
     private FakeServer server;
     private int port;
@@ -54,7 +56,8 @@
     /** A node that knows version 41 of the list, or none. */
     private Node node(boolean knows) {
         String host = "{\"host\":\"s-1\",\"dial\":\"" + server.dial() + "\",\"health\":\"active\"}";
-        Config config = Config.parse(ConfigTest.TEXT.replace("127.0.0.1:0", "127.0.0.1:" + port)
+        Config config = Config.parse(ConfigTest.TEXT
+                .replace("127.0.0.1:0", "127.0.0.1:" + port)
                 .replace("\"seq\":41", knows ? "\"seq\":41" : "\"seq\":3")
                 .replace("\"hosts\":[]", knows ? "\"hosts\":[" + host + "]" : "\"hosts\":[]"));
         Clock clock = Clock.system();
@@ -122,10 +125,11 @@
     @Test
     void requestThatTheOldProcessHasIsAnsweredAndItsConnectionEnds() throws Exception {
         Node old = node(true);
-        try (Socket client = new Socket("127.0.0.1", port); Socket idle = new Socket("127.0.0.1", port)) {
+        try (Socket client = new Socket("127.0.0.1", port);
+                Socket idle = new Socket("127.0.0.1", port)) {
             client.setSoTimeout(10_000);
-            client.getOutputStream().write("GET /view HTTP/1.1\r\nX-Correlation-Id: 1\r\n\r\n".getBytes(
-                    StandardCharsets.US_ASCII));
+            client.getOutputStream()
+                    .write("GET /view HTTP/1.1\r\nX-Correlation-Id: 1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             server.next();
             await(node(false)::takesClients);
             var ended = old.stop();
@@ -146,7 +150,9 @@
         assertTrue(ask(LIVE).startsWith("HTTP/1.1 200 "));
         nodes.forEach(Node::kill);
         Files.deleteIfExists(meeting);
-        ServerSocketChannel.open(StandardProtocolFamily.UNIX).bind(UnixDomainSocketAddress.of(meeting)).close();
+        ServerSocketChannel.open(StandardProtocolFamily.UNIX)
+                .bind(UnixDomainSocketAddress.of(meeting))
+                .close();
         await(node(true)::takesClients);
         // A killed process's file makes way.
         await(() -> Files.exists(meeting));
@@ -180,8 +186,8 @@
         for (String more : List.of("", "ready\n")) {
             await(() -> Files.exists(meeting));
             try (SocketChannel dying = SocketChannel.open(UnixDomainSocketAddress.of(meeting))) {
-                dying.write(ByteBuffer.wrap(("brackenbridge-handover 1 successor\n" + more)
-                        .getBytes(StandardCharsets.US_ASCII)));
+                dying.write(ByteBuffer.wrap(
+                        ("brackenbridge-handover 1 successor\n" + more).getBytes(StandardCharsets.US_ASCII)));
                 ByteBuffer offer = ByteBuffer.allocate(4096);
                 while (!new String(offer.array(), StandardCharsets.US_ASCII).contains(more.isEmpty() ? "\n" : "go\n")) {
                     assertTrue(dying.read(offer) > 0);
--- a/node/src/test/java/brackenbridge/testing/Bytes.java
+++ b/node/src/test/java/brackenbridge/testing/Bytes.java
@@ -7,15 +7,14 @@
 
 /** The one helper of the parser tests: cuts valid messages anywhere, and makes garbage that looks like them. */
 public final class Bytes {
-    private Bytes() {
-    }
+    private Bytes() {}
 
     /** The text in pieces, cut at random. */
     public static List<byte[]> cuts(String text, long seed) {
         Random random = new Random(seed);
         byte[] all = text.getBytes(StandardCharsets.ISO_8859_1);
         List<byte[]> pieces = new ArrayList<>();
-        for (int from = 0; from < all.length;) {
+        for (int from = 0; from < all.length; ) {
             int to = Math.min(all.length, from + 1 + random.nextInt(random.nextBoolean() ? 3 : 60));
             pieces.add(java.util.Arrays.copyOfRange(all, from, to));
             from = to;
--- a/node/src/test/java/brackenbridge/wire/WireHostTest.java
+++ b/node/src/test/java/brackenbridge/wire/WireHostTest.java
@@ -43,8 +43,10 @@
         String reply = run(START + "SYNC\t2000\t2\nCONTEXT\t3\nORDER\t7\tread\t-\t-\t900000\t-\t0\nEOF_BATCH\n"
                 + "SYNC\t9000\t3\nCONTEXT\t3\nFINISHED\t7\t1\t0\t7000\t1\t101\tload_share:0.4,unheard_of:3\n"
                 + "TIMEOUT_FIRED\tany old\nVANISHED\t7\nEOF_BATCH\n");
-        assertTrue(reply.matches("(?s)FROM\t3\nSET_ALARM\t\\d+\ttick\nFINISHED\t1\n"
-                + "FROM\t3\nSUBMIT_TO\t7\t900000\t10[12]\nFINISHED\t2\nFINISHED\t3\n"), reply);
+        assertTrue(
+                reply.matches("(?s)FROM\t3\nSET_ALARM\t\\d+\ttick\nFINISHED\t1\n"
+                        + "FROM\t3\nSUBMIT_TO\t7\t900000\t10[12]\nFINISHED\t2\nFINISHED\t3\n"),
+                reply);
     }
 
     @Test
@@ -62,7 +64,8 @@
         assertTrue(run(stopped).endsWith("FINISHED\t2\n"));
         assertTrue(complaint(stopped + "SYNC\t3000\t3\nCONTEXT\t3\nTIMEOUT_FIRED\ttick\nEOF_BATCH\n")
                 .contains("instance 3 has not been started"));
-        assertTrue(run(stopped + START.replace("SYNC\t1000\t1", "SYNC\t3000\t3")).endsWith("FINISHED\t3\n"));
+        assertTrue(
+                run(stopped + START.replace("SYNC\t1000\t1", "SYNC\t3000\t3")).endsWith("FINISHED\t3\n"));
     }
 
     @Test
@@ -76,8 +79,10 @@
         String failed = run(asks + fired + "SYNC\t5100000\t3\nCONTEXT\t3\nENDPOINTS\tFAILED\t-\t-\n"
                 + "TIMEOUT_FIRED\tdiscovery 1\nTIMEOUT_FIRED\tdiscovery x\nEOF_BATCH\n"
                 + "SYNC\t7000000\t4\nCONTEXT\t3\nTIMEOUT_FIRED\tdiscovery 2\nEOF_BATCH\n");
-        assertTrue(failed.matches("(?s).*FINISHED\t2\nFROM\t3\nSET_ALARM\t\\d+\tdiscovery 2\nFINISHED\t3\n"
-                + "FROM\t3\nOBSERVE\t1\nFINISHED\t4\n"), failed);
+        assertTrue(
+                failed.matches("(?s).*FINISHED\t2\nFROM\t3\nSET_ALARM\t\\d+\tdiscovery 2\nFINISHED\t3\n"
+                        + "FROM\t3\nOBSERVE\t1\nFINISHED\t4\n"),
+                failed);
     }
 
     @Test
@@ -94,15 +99,19 @@
         assertEquals("line 2, field message: unknown: 'WHAT'", complaint("SYNC\t5\t1\nWHAT\nEOF_BATCH\n"));
         assertEquals("line 1: input ends inside a batch", complaint("SYNC\t5\t1\n"));
         assertEquals("line 2: input ends inside a line", complaint("SYNC\t5\t1\nEOF"));
-        assertEquals("line 3, field message: list of 2 entries has only 0",
+        assertEquals(
+                "line 3, field message: list of 2 entries has only 0",
                 complaint("SYNC\t5\t1\nCENSUS\t0\t2\nEOF_BATCH\n"));
-        assertEquals("line 10, field setId: list 4 was never given",
+        assertEquals(
+                "line 10, field setId: list 4 was never given",
                 complaint(START + "SYNC\t5\t2\nENDPOINTS\tFULL\t4\t1\nEOF_BATCH\n"));
-        assertEquals("line 11, field expiresIn: not a whole number: 'x'",
+        assertEquals(
+                "line 11, field expiresIn: not a whole number: 'x'",
                 complaint(START + "SYNC\t5\t2\nCONTEXT\t3\nORDER\t7\tread\t-\t-\tx\t-\t0\nEOF_BATCH\n"));
-        assertEquals("line 3, field setup: no classes.count",
-                complaint("SYNC\t5\t1\nCONTEXT\t1\nUP\t4\tme=0\nEOF_BATCH\n"));
-        assertEquals("line 11, field result: unknown: 9",
+        assertEquals(
+                "line 3, field setup: no classes.count", complaint("SYNC\t5\t1\nCONTEXT\t1\nUP\t4\tme=0\nEOF_BATCH\n"));
+        assertEquals(
+                "line 11, field result: unknown: 9",
                 complaint(START + "SYNC\t5\t2\nCONTEXT\t3\nFINISHED\t7\t1\t0\t7000\t9\t101\t-\nEOF_BATCH\n"));
         assertEquals("line 1: longer than 16777216 bytes", complaint("SYNC\t".repeat(1 << 22)));
         assertEquals("line 2: more fields than the message has: '9'", complaint("SYNC\t5\t1\nEOF_BATCH\t9\n"));
