--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # What the operators gave; its kit holds what has to lie beside a site's file for the bench.
 GIVEN ?= ../given
 
-.PHONY: build test lint run check-config demo bench sites clean
+.PHONY: build test lint format run check-config demo bench sites clean
 
 build:
 	mvn -q -B -DskipTests package
@@ -14,6 +14,10 @@
 lint:
 	mvn -q -B -DskipTests verify
 
+# Formats all sources as 'verify' wants them.
+format:
+	mvn -q -B spotless:apply
+
 run: build
 	PROXY_CONFIG="$(CONFIG)" sh -c "$$(sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
 
