--- a/core/src/main/java/brackenbridge/core/Reducer.java
+++ b/core/src/main/java/brackenbridge/core/Reducer.java
@@ -45,8 +45,8 @@
     /** And earlier by as much as the node is late with its own deadlines of late, up to this part of the time. */
     static final double LATE_PART = 0.25;
     /**
-     * And up to this: a node with half a core notices 97 of 100 deadlines within 19 ms. What is later is a cold start, which
-     * no margin covers and which would only cost calls their time.
+     * And up to this: a node with half a core notices 97 of 100 deadlines within 19 ms. What is later is a cold start,
+     * which no margin covers and which would only cost calls their time.
      */
     static final double MOST_LATE_MS = 20;
     /** Discovery says something every 2 s: a call without a word for so long has failed. */
