--- a/fleet/src/main/java/brackenbridge/fleet/control/Refusal.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/Refusal.java
@@ -14,8 +14,8 @@
     UNKNOWN_NODE(false),
     /** More resources than one node may subscribe to. */
     TOO_MANY_RESOURCES(false),
-    /** No subscription within the time allowed for it. */
-    NO_SUBSCRIPTION(false),
+    /** No subscription within the time allowed for it: a node or a machine that is short of processor time. */
+    NO_SUBSCRIPTION(true),
     /** More subscriptions begin at the moment than this machine admits; it says when to come back. */
     BUSY(true),
     /** This machine serves as many nodes as it may. */
--- a/fleet/src/test/java/brackenbridge/fleet/control/ControlServerTest.java
+++ b/fleet/src/test/java/brackenbridge/fleet/control/ControlServerTest.java
@@ -362,4 +362,15 @@
         ControlClient node = node("n1", "north", FAST, machine);
         await(() -> node.status().machine().equals("c1"));
     }
+
+    /** A machine or a node that is short of processor time is late with its first message, not wrong. */
+    @Test
+    void whatTimeAloneCausedIsTriedAgainSoon() {
+        for (Refusal refusal : List.of(Refusal.NO_SUBSCRIPTION, Refusal.SILENT, Refusal.SLOW_READER, Refusal.BUSY)) {
+            assertTrue(refusal.isTransient(), refusal + " would keep a node away for 30 to 90 s");
+        }
+        for (Refusal refusal : List.of(Refusal.OTHER_FLEET, Refusal.UNKNOWN_NODE, Refusal.TOO_MANY_RESOURCES)) {
+            assertTrue(!refusal.isTransient(), refusal + " needs another configuration");
+        }
+    }
 }
