Remove what nothing reads: a list of odd lines in lab scale, a method of ResourceTable

Cause (last read of the change): ScaleRunner kept unexpected lines of its processes in a list that nothing read and nothing bounded; ResourceTable.all had no caller. Change: such a line fails the play with its text; the list of what went wrong is called failures; the method is gone. Result: formatter, checkstyle, ScaleTest (200 nodes) and ControlServerTest pass.

--- a/fleet/src/main/java/brackenbridge/fleet/control/ResourceTable.java
+++ b/fleet/src/main/java/brackenbridge/fleet/control/ResourceTable.java
@@ -1,7 +1,5 @@
 package brackenbridge.fleet.control;
 
-import java.util.Collection;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -28,8 +26,4 @@
     long version(String name) {
         return get(name).map(Resource::version).orElse(0L);
     }
-
-    Collection<Resource> all() {
-        return List.copyOf(resources.values());
-    }
 }
--- a/lab/src/main/java/brackenbridge/lab/scale/ScaleRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/scale/ScaleRunner.java
@@ -46,8 +46,7 @@
     private final Map<String, JsonObject> statuses = new ConcurrentHashMap<>();
     private final Set<String> changing = ConcurrentHashMap.newKeySet();
     private final List<Change> changes = Collections.synchronizedList(new ArrayList<>());
-    private final List<String> undecided = Collections.synchronizedList(new ArrayList<>());
-    private final List<String> told = Collections.synchronizedList(new ArrayList<>());
+    private final List<String> failures = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger again = new AtomicInteger();
     private final AtomicInteger dumped = new AtomicInteger();
     private final AtomicInteger ready = new AtomicInteger();
@@ -86,8 +85,8 @@
         settle();
         Sample end = sample();
         collect();
-        if (!undecided.isEmpty()) {
-            throw new IOException("never decided: " + undecided);
+        if (!failures.isEmpty()) {
+            throw new IOException("the play failed: " + failures);
         }
         return new ScaleOutcome(
                 plan,
@@ -163,7 +162,7 @@
             at++;
             Thread.sleep(AGAIN_MS);
         }
-        undecided.add(resource + " change " + number);
+        failures.add(resource + " change " + number);
         throw new IOException(resource + ": change " + number + " was never decided");
     }
 
@@ -227,7 +226,7 @@
                 double at = said.getDouble("at", 0);
                 unreachable(said.getInt("node", -1), at, at);
             }
-            default -> told.add(line);
+            default -> failures.add("unexpected line of a process with nodes: " + line);
         }
     }
 
@@ -279,7 +278,7 @@
                 default -> restart(fault);
             }
         } catch (IOException e) {
-            undecided.add(fault.text() + ": " + e.getMessage());
+            failures.add(fault.text() + ": " + e.getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -305,7 +304,7 @@
                 try {
                     machine.process().start();
                 } catch (IOException e) {
-                    undecided.add(machine.name() + " did not start again: " + e.getMessage());
+                    failures.add(machine.name() + " did not start again: " + e.getMessage());
                 }
             });
         }
@@ -346,7 +345,7 @@
             try {
                 tellAll("resume " + first + " " + count);
             } catch (IOException e) {
-                undecided.add(fault.text() + ": " + e.getMessage());
+                failures.add(fault.text() + ": " + e.getMessage());
             }
             double untilMs = nowMs();
             for (int node = first; node < first + count; node++) {
@@ -363,7 +362,7 @@
 
     /** Lets the last change come into force, within its bound; what is missing then is missing. */
     private void settle() throws InterruptedException, IOException {
-        await(GIVE_UP_MS + READY_MS, "changes are under way still", () -> changing.isEmpty() || !undecided.isEmpty());
+        await(GIVE_UP_MS + READY_MS, "changes are under way still", () -> changing.isEmpty() || !failures.isEmpty());
         Thread.sleep((long) plan.bounds().inForceMs());
     }
 
