A replaced process leaves new connections to its successor before it closes its socket

Callers saw: a connection that is made while the old process of a replacement closes its listening socket is reset (ReplacementTest#twoReplacementsUnderAStormOfConnects..., once).

Cause: the kernel spreads connections over both listening sockets to the end, and resets what is queued at one that closes. What completes its handshake between the old process's last accept and its close is lost. Ruled out: the emptying of the queue, which ConnectionAcceptorTest holds against failing accepts.

Change: at SIGTERM with a successor the reducer leaves new connections to it (Effect.LeaveNewConnections); the kernel directs them to the newer socket of the group (SO_ATTACH_REUSEPORT_CBPF, one instruction), the old process accepts the handshakes that had begun for 1.4 s and closes then. Why it works: nothing new is queued at the old socket for more than a second before it closes. The order of the group is known only while no third process listens, so a successor gets its state once the process before its predecessor has gone, 0.8 s later at the most; else, and where the system call fails, the old way with a warning.

--- a/core/src/main/java/brackenbridge/core/DrainAndShutdown.java
+++ b/core/src/main/java/brackenbridge/core/DrainAndShutdown.java
@@ -73,7 +73,7 @@
                 : drained ? ShutdownSchedule.Situation.EMPTIED : ShutdownSchedule.Situation.RESTARTED;
         if (hasSuccessor) {
             // Another process serves: new connections go to it, and those of this one end as gently as they can.
-            context.addEffect(new Effect.StopAccepting());
+            context.addEffect(new Effect.LeaveNewConnections());
             context.addEffect(new Effect.AnnounceClose(true));
         }
         scheduleStop(context);
@@ -94,9 +94,8 @@
         ShutdownSchedule schedule = ShutdownSchedule.of(situation, longestDeadlineMs);
         if (situation == ShutdownSchedule.Situation.REPLACED) {
             context.setTimer(stopRequestedMs + schedule.endIdleMs(), new TimerKey.CloseIdleClients());
-        } else {
-            context.setTimer(stopRequestedMs + schedule.acceptMs(), new TimerKey.StopAccepting());
         }
+        context.setTimer(stopRequestedMs + schedule.acceptMs(), new TimerKey.StopAccepting());
         context.setTimer(stopRequestedMs + schedule.serveMs(), new TimerKey.StopServing());
         context.setTimer(stopRequestedMs + schedule.answerMs(), new TimerKey.AnswerAll());
         context.setTimer(stopRequestedMs + schedule.exitMs(), new TimerKey.ExitNow());
--- a/core/src/main/java/brackenbridge/core/Effect.java
+++ b/core/src/main/java/brackenbridge/core/Effect.java
@@ -51,6 +51,9 @@
     /** Announce to each client with its next response that its connection closes, or stop doing so. */
     record AnnounceClose(boolean on) implements Effect {}
 
+    /** Another process of the node serves: leave new connections to it, and accept those whose handshake has begun. */
+    record LeaveNewConnections() implements Effect {}
+
     /** Accept no more connections. */
     record StopAccepting() implements Effect {}
 
--- a/core/src/main/java/brackenbridge/core/ShutdownSchedule.java
+++ b/core/src/main/java/brackenbridge/core/ShutdownSchedule.java
@@ -28,6 +28,8 @@
     static final double LAST_RESPONSES_MS = 30;
     /** The front end takes time to notice: new connections keep coming for up to 0.4 s. */
     static final double ACCEPT_MS = 500;
+    /** A replaced node accepts handshakes that had begun; a lost SYN-ACK is sent again after one second. */
+    static final double REPLACED_ACCEPT_MS = 1400;
     /** The clients that were accepted last have this long to send a request. */
     static final double LAST_ACCEPTED_MS = 100;
     /** And at least this long where deadlines are short. */
@@ -64,20 +66,21 @@
             // Requests that come late have little time left: some of them fail, but not all.
             case RESTARTED -> {
                 double serveMs = Math.max(acceptEndMs, countedDeadlineMs * SERVE_MS / MAX_COUNTED_DEADLINE_MS);
-                yield bounded(countedDeadlineMs, serveMs, serveMs + LAST_REQUESTS_MS);
+                yield bounded(countedDeadlineMs, ACCEPT_MS, serveMs, serveMs + LAST_REQUESTS_MS);
             }
-            case EMPTIED -> bounded(countedDeadlineMs, acceptEndMs, afterDeadlineMs);
-            case REPLACED -> bounded(countedDeadlineMs, REPLACED_SERVE_MS, afterDeadlineMs);
+            case EMPTIED -> bounded(countedDeadlineMs, ACCEPT_MS, acceptEndMs, afterDeadlineMs);
+            case REPLACED -> bounded(countedDeadlineMs, REPLACED_ACCEPT_MS, REPLACED_SERVE_MS, afterDeadlineMs);
         };
     }
 
     /** These times, shortened so that the exit comes before the kill. */
-    private static ShutdownSchedule bounded(double countedDeadlineMs, double wantedServeMs, double wantedAnswerMs) {
+    private static ShutdownSchedule bounded(
+            double countedDeadlineMs, double wantedAcceptMs, double wantedServeMs, double wantedAnswerMs) {
         double latestAnswerMs =
                 countedDeadlineMs + KILL_AFTER_DEADLINE_MS - EXIT_SLACK_MS - LAST_LINGER_MS - LAST_RESPONSES_MS;
         double answerMs = Math.min(wantedAnswerMs, latestAnswerMs);
         double serveMs = Math.min(wantedServeMs, answerMs - Math.min(LAST_REQUESTS_MS, countedDeadlineMs / 2));
-        double acceptMs = Math.min(ACCEPT_MS, serveMs - MIN_LAST_ACCEPTED_MS);
+        double acceptMs = Math.min(wantedAcceptMs, serveMs - MIN_LAST_ACCEPTED_MS);
         double endIdleMs = Math.min(REPLACED_IDLE_MS, serveMs * REPLACED_IDLE_MS / REPLACED_SERVE_MS);
         return new ShutdownSchedule(acceptMs, endIdleMs, serveMs, answerMs, answerMs + LAST_RESPONSES_MS);
     }
--- a/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
+++ b/lab/src/main/java/brackenbridge/lab/sim/SimNode.java
@@ -326,7 +326,7 @@
             if (pool != null) {
                 pool.forEach(c -> close(c, null));
             }
-        } else if (effect instanceof Effect.StopAccepting) {
+        } else if (effect instanceof Effect.StopAccepting || effect instanceof Effect.LeaveNewConnections) {
             accepts = false;
         } else if (effect instanceof Effect.CloseIdleClients) {
             serves = false;
--- a/node/src/main/java/brackenbridge/handover/Handover.java
+++ b/node/src/main/java/brackenbridge/handover/Handover.java
@@ -16,8 +16,11 @@
 
     /** The process that hands over or takes over. */
     public interface Participant {
-        /** A successor has connected: the state that it gets. The process gives up that part of its descriptors. */
-        HandoverState offer();
+        /**
+         * A successor has connected: completes, on the event loop, with the state that it gets. The process gives up
+         * that part of its descriptors.
+         */
+        CompletableFuture<HandoverState> offer();
 
         /** The successor serves clients, or there is none any more. */
         void successorServes(boolean on);
--- a/node/src/main/java/brackenbridge/handover/SuccessorListener.java
+++ b/node/src/main/java/brackenbridge/handover/SuccessorListener.java
@@ -123,8 +123,10 @@
         private void sendState(Channel channel) {
             successor = channel;
             log.info("a new process has connected");
-            writeLine(channel, HandoverProtocol.GREETING + process.offer().json());
-            loop.schedule(() -> requireReady(channel), HandoverProtocol.START_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            process.offer().thenAccept(state -> {
+                writeLine(channel, HandoverProtocol.GREETING + state.json());
+                loop.schedule(() -> requireReady(channel), HandoverProtocol.START_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            });
         }
 
         private void handOver(Channel channel) {
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -159,7 +159,13 @@
         // Before any client can come: guards those who would lose their connection to a process that ends at once.
         listenForOperators(config);
         acceptor = new ConnectionAcceptor(
-                acceptingBootstrap(), address, clock, socketCalls.accept(), this::makeRoom, log::warn);
+                acceptingBootstrap(),
+                address,
+                clock,
+                new ConnectionAcceptor.Calls(
+                        socketCalls.accept(), at -> replacement.steerToSuccessor(at, socketCalls.steer())),
+                this::makeRoom,
+                log::warn);
         loop.submit(() -> {
                     listener.setAcceptor(acceptor);
                     replacement.announceReady(status::startServing);
--- a/node/src/main/java/brackenbridge/net/Replacement.java
+++ b/node/src/main/java/brackenbridge/net/Replacement.java
@@ -7,13 +7,21 @@
 import brackenbridge.log.Log;
 import brackenbridge.net.channel.DescriptorBudget;
 import brackenbridge.net.channel.EventSink;
+import brackenbridge.net.channel.SocketCalls;
+import brackenbridge.transport.ReusePortSteering;
 import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /** The node's side of a replacement: as successor of the process that serves, and as predecessor of the next one. */
 final class Replacement implements Handover.Participant {
+    /** A successor waits so long at most for the end of this process's own predecessor; it waits a second itself. */
+    private static final long MAX_PREDECESSOR_WAIT_MS = 800;
+
     private final EventLoop loop;
     private final DescriptorBudget descriptors;
     private final Supplier<HandoverState> state;
@@ -22,6 +30,11 @@
     /** Null if this node can't be replaced while it serves. */
     private final Handover handover;
 
+    /** Completes once no process from before this one is left. */
+    private CompletableFuture<Void> predecessorGone = CompletableFuture.completedFuture(null);
+    /** A successor came while this process's own predecessor was still there, so the kernel's order is not known. */
+    private boolean joinedBesidePredecessor;
+
     /**
      * Makes the part of a node that meets other processes at this path.
      *
@@ -50,7 +63,10 @@
             return null;
         }
         CompletableFuture<HandoverState> answered = new CompletableFuture<>();
-        loop.execute(() -> handover.requestState().thenAccept(answered::complete));
+        loop.execute(() -> handover.requestState().thenAccept(offered -> {
+            predecessorGone = offered == null ? predecessorGone : new CompletableFuture<>();
+            answered.complete(offered);
+        }));
         HandoverState inherited = answered.join();
         if (inherited != null) {
             log.info("replacing another process: inherited endpoint list version "
@@ -68,6 +84,14 @@
         }
     }
 
+    /** Directs new connections to the successor; fails if it can't be told which of the sockets is the successor's. */
+    CompletableFuture<Void> steerToSuccessor(InetSocketAddress address, SocketCalls.SteerCall steer) {
+        if (joinedBesidePredecessor) {
+            return CompletableFuture.failedFuture(new IOException("the process before this one was still there"));
+        }
+        return steer.steerToNewer(address);
+    }
+
     /** Meets no other process any more. */
     void close() {
         if (handover != null) {
@@ -76,9 +100,20 @@
     }
 
     @Override
-    public HandoverState offer() {
+    public CompletableFuture<HandoverState> offer() {
+        ReusePortSteering.prepare();
         descriptors.shareWithOtherProcess(true);
-        return state.get();
+        CompletableFuture<HandoverState> offered = new CompletableFuture<>();
+        predecessorGone.thenRun(() -> completeOffer(offered));
+        loop.schedule(() -> completeOffer(offered), MAX_PREDECESSOR_WAIT_MS, TimeUnit.MILLISECONDS);
+        return offered;
+    }
+
+    private void completeOffer(CompletableFuture<HandoverState> offered) {
+        if (!offered.isDone()) {
+            joinedBesidePredecessor = !predecessorGone.isDone();
+            offered.complete(state.get());
+        }
     }
 
     @Override
@@ -90,6 +125,7 @@
     @Override
     public void predecessorEnded() {
         log.info("the old process has exited: its descriptors are available");
+        predecessorGone.complete(null);
         descriptors.shareWithOtherProcess(false);
     }
 }
--- a/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
@@ -29,6 +29,14 @@
     /** Pauses while the backlog is emptied, so a node that can't accept closes after a quarter of a second. */
     private static final int MAX_EMPTYING_PAUSES = 50;
 
+    /**
+     * What the acceptor does at its socket.
+     *
+     * @param accept takes the next connection
+     * @param steer directs new connections to the process that listens beside this one
+     */
+    public record Calls(SocketCalls.AcceptCall accept, SocketCalls.SteerCall steer) {}
+
     private static final AttributeKey<Double> BACKLOG_WAIT_MS =
             AttributeKey.valueOf(ConnectionAcceptor.class, "waited");
 
@@ -36,8 +44,11 @@
     private final Channel channel;
     private final Clock clock;
     private final SocketCalls.AcceptCall accept;
+    private final SocketCalls.SteerCall steer;
     private final Runnable makeRoom;
+    private final Consumer<String> warn;
     private final AcceptRecovery recovery;
+    private boolean leaving;
     private boolean closing;
     /** Since when clients may wait in the backlog; not a number if it was empty at the last accept. */
     private double waitingSinceMs = Double.NaN;
@@ -50,12 +61,14 @@
             ServerBootstrap bootstrap,
             InetSocketAddress address,
             Clock clock,
-            SocketCalls.AcceptCall accept,
+            Calls calls,
             Runnable makeRoom,
             Consumer<String> warn) {
         this.clock = clock;
-        this.accept = accept;
+        accept = calls.accept();
+        steer = calls.steer();
         this.makeRoom = makeRoom;
+        this.warn = warn;
         recovery = new AcceptRecovery(makeRoom, warn);
         try {
             socket = ServerSocketChannel.open();
@@ -111,9 +124,9 @@
         return (InetSocketAddress) channel.localAddress();
     }
 
-    /** Whether it has not been told to close. */
+    /** Whether new connections are to come here. */
     public boolean isOpen() {
-        return !closing;
+        return !leaving && !closing;
     }
 
     /** Whether it has been told to close, and clients may still wait in its backlog. */
@@ -129,6 +142,25 @@
         }
     }
 
+    /**
+     * Leaves new connections to the process that listens beside this one, and still accepts those whose handshake has
+     * begun. Where the system can't do that, accepts no more clients.
+     */
+    public void leaveToSuccessor() {
+        if (leaving || closing) {
+            return;
+        }
+        leaving = true;
+        steer.steerToNewer(address()).whenCompleteAsync(this::onSteered, channel.eventLoop());
+    }
+
+    private void onSteered(Void done, Throwable failure) {
+        if (failure != null) {
+            warn.accept("new connections can't be left to the new process alone: " + failure);
+            close();
+        }
+    }
+
     /**
      * Accepts no more clients, for good. Closing a listening socket resets all that the kernel has queued there, so the
      * queue is emptied first, with nothing between the last accept and the close.
--- a/node/src/main/java/brackenbridge/net/client/ConnectionRegistry.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionRegistry.java
@@ -70,6 +70,13 @@
         return false;
     }
 
+    /** Leaves new connections to the process that listens beside this one. */
+    void leaveNewConnections() {
+        if (acceptor != null) {
+            acceptor.leaveToSuccessor();
+        }
+    }
+
     /** Accepts no more clients, for good. */
     void stopAccepting() {
         if (acceptor != null) {
--- a/node/src/main/java/brackenbridge/net/client/Listener.java
+++ b/node/src/main/java/brackenbridge/net/client/Listener.java
@@ -145,6 +145,11 @@
         }
     }
 
+    /** Leaves new connections to the process that listens beside this one. */
+    public void leaveNewConnections() {
+        registry.leaveNewConnections();
+    }
+
     /** Accepts no more clients, for good. */
     public void stopAccepting() {
         registry.stopAccepting();
--- a/node/src/test/java/brackenbridge/handover/GoldenFormsTest.java
+++ b/node/src/test/java/brackenbridge/handover/GoldenFormsTest.java
@@ -43,8 +43,8 @@
                             new ServerEndpoint("s-3", "127.0.0.1:7003", "b", -1, 1, 0, EndpointState.REMOVED))));
     private static final Handover.Participant PROCESS = new Handover.Participant() {
         @Override
-        public HandoverState offer() {
-            return OFFER;
+        public CompletableFuture<HandoverState> offer() {
+            return CompletableFuture.completedFuture(OFFER);
         }
 
         @Override
--- a/node/src/test/java/brackenbridge/net/ConnectionAcceptorTest.java
+++ b/node/src/test/java/brackenbridge/net/ConnectionAcceptorTest.java
@@ -61,7 +61,8 @@
                 bootstrap,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 Clock.system(),
-                sockets.calls().accept(),
+                new ConnectionAcceptor.Calls(
+                        sockets.calls().accept(), sockets.calls().steer()),
                 roomMade::incrementAndGet,
                 text -> {});
         group.submit(() -> acceptor.admit(false)).sync();
--- a/node/src/test/java/brackenbridge/net/FaultySockets.java
+++ b/node/src/test/java/brackenbridge/net/FaultySockets.java
@@ -68,7 +68,8 @@
     }
 
     SocketCalls calls() {
-        return new SocketCalls(this::outgoing, this::accept);
+        return new SocketCalls(
+                this::outgoing, this::accept, SocketCalls.system().steer());
     }
 
     /** How many sockets to the server are open. */
