The path at which processes meet appears once its socket listens

Callers saw: a new process that starts in the moment in which the old one begins to listen for it is refused, starts without the endpoint list and counts all descriptors as its own.

Cause: SuccessorListener.listen bound the socket at the path where PredecessorClient looks; the file exists from bind(2) on, connects are refused until listen(2).

Evidence: SuccessorListenerTest connects as soon as the file exists, 3,000 rounds.

Change: the socket is bound and listens beside the path and is renamed to it, which also replaces a stale file in one step. Closing removes the file, as Netty removes only the name that the socket was bound to (closedListenerLeavesNoFile).

--- a/node/src/main/java/brackenbridge/handover/SuccessorListener.java
+++ b/node/src/main/java/brackenbridge/handover/SuccessorListener.java
@@ -15,12 +15,19 @@
 import java.net.UnixDomainSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.concurrent.TimeUnit;
 
 /** This process as the predecessor: it listens for a successor and hands over to it. On the event loop only. */
 final class SuccessorListener {
+    /** Short, as the name of a Unix socket is limited. */
+    private static final String UNPUBLISHED_SUFFIX = ".n";
+
     private final EventLoop loop;
     private final Path path;
+    /** Where the socket is bound, until it listens. */
+    private final Path unpublishedPath;
+
     private final Handover.Participant process;
     private final Log log;
     private final RejectionReporter rejections;
@@ -34,6 +41,7 @@
     SuccessorListener(EventLoop loop, Path path, Handover.Participant process, Counters counters, Log log) {
         this.loop = loop;
         this.path = path;
+        unpublishedPath = path.resolveSibling(path.getFileName() + UNPUBLISHED_SUFFIX);
         this.process = process;
         this.log = log;
         rejections = new RejectionReporter(counters, log, "connection of a new process");
@@ -42,10 +50,9 @@
     /** Listens for a successor; without it a replacement happens without notice to this process. */
     void listen() {
         try {
-            // A file that is there belongs to a process that was killed, or to nobody.
-            Files.deleteIfExists(path);
+            Files.deleteIfExists(unpublishedPath);
         } catch (IOException e) {
-            log.warn("no new process can announce itself: " + e);
+            onListenFailed(e);
             return;
         }
         new ServerBootstrap()
@@ -58,17 +65,36 @@
                         channel.pipeline().addLast(new LineHandler());
                     }
                 })
-                .bind(UnixDomainSocketAddress.of(path))
+                .bind(UnixDomainSocketAddress.of(unpublishedPath))
                 .addListener((ChannelFutureListener) bound -> {
                     if (bound.isSuccess()) {
-                        server = bound.channel();
+                        publish(bound.channel());
                     } else {
                         // Not on the event loop where the socket could not be opened; only the log is touched.
-                        log.warn("no new process can announce itself: " + bound.cause());
+                        onListenFailed(bound.cause());
                     }
                 });
     }
 
+    /**
+     * Moves the socket to the path at which processes meet. Guards a successor against the moment between bind and
+     * listen, in which its connect would be refused.
+     */
+    private void publish(Channel listening) {
+        try {
+            // A file that is there belongs to a process that was killed, or to nobody.
+            Files.move(unpublishedPath, path, StandardCopyOption.ATOMIC_MOVE);
+            server = listening;
+        } catch (IOException e) {
+            listening.close();
+            onListenFailed(e);
+        }
+    }
+
+    private void onListenFailed(Throwable cause) {
+        log.warn("no new process can announce itself: " + cause);
+    }
+
     /** Stops listening; a successor that is connected keeps its connection. */
     void close() {
         closed = true;
@@ -79,6 +105,15 @@
         if (server != null) {
             server.close();
             server = null;
+            removePath();
+        }
+    }
+
+    private void removePath() {
+        try {
+            Files.deleteIfExists(path);
+        } catch (IOException e) {
+            log.warn("the path of the new process can't be left: " + e);
         }
     }
 
--- a/node/src/test/java/brackenbridge/handover/GoldenFormsTest.java
+++ b/node/src/test/java/brackenbridge/handover/GoldenFormsTest.java
@@ -66,7 +66,8 @@
 
     @AfterEach
     void end() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        // A predecessor whose successor has gone listens again: not while the directory is being deleted.
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
     private Path path() {
--- /dev/null
+++ b/node/src/test/java/brackenbridge/handover/SuccessorListenerTest.java
@@ -0,0 +1,99 @@
+package brackenbridge.handover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.core.EndpointList;
+import brackenbridge.counters.Counters;
+import brackenbridge.log.Log;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A successor that comes in the first moment of the socket at which the processes of a node meet. */
+class SuccessorListenerTest {
+    private static final int ROUNDS = 3000;
+
+    private static final Handover.Participant PROCESS = new Handover.Participant() {
+        @Override
+        public CompletableFuture<HandoverState> offer() {
+            return CompletableFuture.completedFuture(new HandoverState(1, new EndpointList(1, true, List.of())));
+        }
+
+        @Override
+        public void successorServes(boolean on) {
+            // Only the connect is looked at.
+        }
+
+        @Override
+        public void predecessorEnded() {
+            // Only the connect is looked at.
+        }
+    };
+
+    @TempDir
+    private Path directory;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** Guards against a path that can be seen before the socket listens: a connect would be refused there. */
+    @Test
+    @Timeout(60)
+    void pathThatExistsTakesConnections() throws Exception {
+        Log log = new Log(Clock.system(), new PrintStream(OutputStream.nullOutputStream()));
+        List<String> refused = new ArrayList<>();
+        for (int i = 0; i < ROUNDS; i++) {
+            Path path = directory.resolve("meet-" + i);
+            SuccessorListener listener = new SuccessorListener(loop, path, PROCESS, new Counters(), log);
+            loop.execute(listener::listen);
+            while (!Files.exists(path)) {
+                Thread.onSpinWait();
+            }
+            try (SocketChannel successor = SocketChannel.open(UnixDomainSocketAddress.of(path))) {
+                assertTrue(successor.isConnected());
+            } catch (IOException e) {
+                refused.add(e.getMessage());
+            }
+            loop.submit(listener::close).get();
+        }
+        assertEquals(List.of(), refused);
+    }
+
+    /** Nothing that a later process would take for this one stays behind. */
+    @Test
+    void closedListenerLeavesNoFile() throws Exception {
+        Path path = directory.resolve("meet");
+        Log log = new Log(Clock.system(), new PrintStream(OutputStream.nullOutputStream()));
+        SuccessorListener listener = new SuccessorListener(loop, path, PROCESS, new Counters(), log);
+        loop.submit(listener::listen).get();
+        // The bind was queued on the loop by the call before.
+        loop.submit(() -> {}).get();
+        assertTrue(Files.exists(path));
+        loop.submit(listener::close).get();
+        try (var files = Files.list(directory)) {
+            assertEquals(List.of(), files.toList());
+        }
+    }
+}
