Clients that wait at the descriptor limit are admitted as soon as idle ones may be closed

Change: a pause with nothing to close schedules the same admission for the moment in which the clients accepted last may be closed. NodeCapacityTest, AcceptLimitTest and ConnectionAcceptorTest pass.

--- a/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
@@ -149,6 +149,19 @@
         return closing && socket.isOpen();
     }
 
+    /** Runs this after a delay in milliseconds, unless the socket has been told to close by then. */
+    void scheduleIfOpen(Runnable action, long delayMs) {
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            if (!closing) {
+                                action.run();
+                            }
+                        },
+                        delayMs,
+                        TimeUnit.MILLISECONDS);
+    }
+
     /** Accepts clients, or lets them wait in the backlog. */
     public void admit(boolean on) {
         if (!closing) {
--- a/node/src/main/java/brackenbridge/net/client/ConnectionRegistry.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionRegistry.java
@@ -13,13 +13,20 @@
     private final DescriptorBudget descriptors;
     private final Counters counters;
     private final Runnable makeRoom;
+    private final Runnable onPaused;
     private ConnectionAcceptor acceptor;
 
-    /** When no client connection fits any more, {@code makeRoom} is to close something that is idle. */
-    ConnectionRegistry(DescriptorBudget descriptors, Counters counters, Runnable makeRoom) {
+    /**
+     * With no connection yet.
+     *
+     * @param makeRoom is to close something that is idle when no client connection fits any more
+     * @param onPaused runs when there was nothing to close, and further clients wait
+     */
+    ConnectionRegistry(DescriptorBudget descriptors, Counters counters, Runnable makeRoom, Runnable onPaused) {
         this.descriptors = descriptors;
         this.counters = counters;
         this.makeRoom = makeRoom;
+        this.onPaused = onPaused;
     }
 
     /** Sets the acceptor that is paused and resumed here. */
@@ -57,10 +64,16 @@
             makeRoom.run();
             if (!descriptors.hasRoomForClient() && acceptor != null) {
                 acceptor.admit(false);
+                onPaused.run();
             }
         }
     }
 
+    /** Runs this after a delay in milliseconds, unless nothing is accepted any more. */
+    void scheduleIfAccepting(Runnable action, long delayMs) {
+        acceptor.scheduleIfOpen(action, delayMs);
+    }
+
     /** Accepts clients again if one more fits; whether it does. */
     boolean resumeAccepting() {
         if (acceptor != null && descriptors.hasRoomForClient()) {
--- a/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
@@ -7,7 +7,7 @@
     /** A head must be complete this long after its first byte, the first one after the connection was accepted. */
     static final double HEAD_TIMEOUT_MS = 2500;
     /** A connection is not shed before it has been idle this long: its request may be on the way already. */
-    static final double MIN_IDLE_BEFORE_CLOSE_MS = 100;
+    static final long MIN_IDLE_BEFORE_CLOSE_MS = 100;
     /** After a last response, what the client still sends is read and discarded for this long. */
     private static final double LINGER_TIMEOUT_MS = 1000;
 
--- a/node/src/main/java/brackenbridge/net/client/Listener.java
+++ b/node/src/main/java/brackenbridge/net/client/Listener.java
@@ -43,7 +43,7 @@
         this.clock = clock;
         this.events = events;
         validator = new RequestValidator(settings, counters, openRequests);
-        registry = new ConnectionRegistry(descriptors, counters, makeRoom);
+        registry = new ConnectionRegistry(descriptors, counters, makeRoom, this::scheduleAdmission);
         shedding = new ConnectionShedding(registry, clock, counters);
         context = new ClientContext(
                 clock,
@@ -187,8 +187,17 @@
         for (ClientConnection connection : registry.copy()) {
             connection.sweep(now);
         }
+        admitWaiting();
+    }
+
+    /** The clients that were accepted last may be closed by then; the next sweep may come much later. */
+    private void scheduleAdmission() {
+        registry.scheduleIfAccepting(this::admitWaiting, ConnectionTimeouts.MIN_IDLE_BEFORE_CLOSE_MS + 1);
+    }
+
+    /** At the limit others wait in the backlog: all that has been idle for a moment makes room. */
+    private void admitWaiting() {
         if (!registry.resumeAccepting()) {
-            // At the limit others wait in the backlog: all that has been idle for a moment makes room.
             shedding.shedAll();
         }
     }
