A long body that was read before its turn is passed on at once

Callers saw: a request with a chunked body of 64 to 256 KiB, sent behind another request and read while that one was served, gets no answer, by its deadline or later, while its client keeps the connection.

Cause: UploadReader holds the last byte until the client has been seen; that is raised by a completed read (ClientPresence.markPresent). With the whole body in RequestReader.unread no read follows. The deadline of a streamed request counts from its last byte, so none was set.

Evidence: LongBodyTest.longBodyThatWasReadBeforeItsTurnIsPassedOn got no answer within 10 s in 3 of 3 runs on the program before ("Read timed out"). A trace showed "held, present=true" and nothing until the client's end 140 ms later.

Change: when the last byte is held and the client is known to be present, it is passed on in the loop's next task, as after a read. Why it works: present means that all that had come is read and no end was found, which is what the last byte waits for. All of LongBodyTest passes.

--- a/node/src/main/java/brackenbridge/net/client/RequestReader.java
+++ b/node/src/main/java/brackenbridge/net/client/RequestReader.java
@@ -105,11 +105,22 @@
     @Override
     public void onPresent() {
         if (upload.isLastByteHeld()) {
-            // Not at once: if this read has found the client's end, the connection is closed in the same turn.
-            channel.eventLoop().execute(() -> connection.guarded(() -> upload.passLastByte(presence.isPresentNow())));
+            passLastByteSoon();
         }
     }
 
+    /** The last byte of a long body is held. If all of it was read before its turn, no further read shows the client. */
+    void onLastByteHeld() {
+        if (presence.isPresentNow()) {
+            passLastByteSoon();
+        }
+    }
+
+    private void passLastByteSoon() {
+        // Not at once: if this read has found the client's end, the connection is closed in the same turn.
+        channel.eventLoop().execute(() -> connection.guarded(() -> upload.passLastByte(presence.isPresentNow())));
+    }
+
     /** The connection is open: only bytes that its first read finds may have waited in the backlog. */
     void onConnected() {
         if (opener.mayHaveWaitedUnseen()) {
--- a/node/src/main/java/brackenbridge/net/client/UploadReader.java
+++ b/node/src/main/java/brackenbridge/net/client/UploadReader.java
@@ -99,6 +99,7 @@
             if (decoder.decode(unread)) {
                 decoder.take();
                 lastByteHeld = true;
+                reader.onLastByteHeld();
             } else {
                 body.flush();
             }
--- a/node/src/test/java/brackenbridge/net/LongBodyTest.java
+++ b/node/src/test/java/brackenbridge/net/LongBodyTest.java
@@ -20,6 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -29,6 +30,12 @@
 /** Long bodies streamed through a node, and the failures on the way. */
 class LongBodyTest {
     private static final int BODY_BYTES = 3_000_000;
+    /** Long enough to be streamed, and within what may wait behind a request. */
+    private static final int BODY_BEHIND_REQUEST_BYTES = 150_000;
+    /** Each takes a turn of the node's event loop, which reads 128 KB of a connection at most. */
+    private static final int ROUNDS_UNTIL_ALL_READ = 20;
+
+    private static final int LIVE_BODY_BYTES = "live\n".length();
 
     /** What a server does with one connection. */
     private interface ServerScript {
@@ -208,6 +215,47 @@
         assertArrayEquals(body, client.getInputStream().readAllBytes());
     }
 
+    /** Reads requests on another connection until all that has come to the node before them has been read. */
+    private void awaitAllRead() throws IOException {
+        try (Socket other = connect()) {
+            for (int i = 0; i < ROUNDS_UNTIL_ALL_READ; i++) {
+                write(other, "GET /health/live HTTP/1.1\r\n\r\n");
+                assertTrue(readHead(other.getInputStream()).startsWith("HTTP/1.1 200 "));
+                other.getInputStream().readNBytes(LIVE_BODY_BYTES);
+            }
+        }
+    }
+
+    /** Guards against a last byte that waits for a sign of a client that has nothing more to say. */
+    @Test
+    void longBodyThatWasReadBeforeItsTurnIsPassedOn() throws Exception {
+        CountDownLatch bodyRead = new CountDownLatch(1);
+        byte[] body = patternBytes(BODY_BEHIND_REQUEST_BYTES);
+        scripts.add(s -> {
+            readHead(s.getInputStream());
+            bodyRead.await();
+            write(s, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        });
+        scripts.add(s -> {
+            readHead(s.getInputStream());
+            observed.add(readChunks(s.getInputStream()).length);
+            write(s, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        });
+        sendGet("1.1", "");
+        write(
+                client,
+                "POST /file HTTP/1.1\r\nX-Correlation-Id: 8\r\nX-Time-Left-Ms: 4000\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length) + "\r\n");
+        client.getOutputStream().write(body);
+        write(client, "\r\n0\r\n\r\n");
+        awaitAllRead();
+        bodyRead.countDown();
+        assertTrue(readHead(client.getInputStream()).startsWith("HTTP/1.1 200 "));
+        String head = readHead(client.getInputStream());
+        assertTrue(head.startsWith("HTTP/1.1 200 "), head);
+        assertEquals(body.length, observed.poll(10, TimeUnit.SECONDS));
+    }
+
     @Test
     void responseThatBreaksIsTruncatedForTheClient() throws Exception {
         byte[] body = patternBytes(BODY_BYTES);
