A node that is held up twice sends nothing to a draining server after the grace

Callers saw: nothing yet; a server that drains could get a request up to 550 ms after the node was told (500 ms are promised), if the node is held up for 0.15 s before it reads of the drain and again between reading its clock and writing.

Evidence: RecklessBalancerTest.nodeHeldUpTwiceSendsNothingAfterTheDrainGrace failed before (an attempt started 351 ms after the drain) and passes now.

Change: the cut-off comes two hold-ups before the end of the grace, 200 ms after reading. Three tests stated the old moment as a pin; they state the new one, which is earlier: nothingIsSentToADrainingHostAfterTheCutoff (was ...AfterHalfOfItsGrace), noTimeIsLeft... and attemptWithoutAConnection...; repeatedReconfigurationExtendsNoGrace... puts its three reloads into the shorter grace. All tests of core pass; TimeToldTest, DiscoveryTest and others of node that touch drains pass.

--- a/core/src/main/java/brackenbridge/core/EndpointTable.java
+++ b/core/src/main/java/brackenbridge/core/EndpointTable.java
@@ -126,12 +126,12 @@
     }
 
     /**
-     * The cut-off comes after half of the drain grace: the change was on its way before it was received, and a write
-     * takes time to leave the node. Where the grace is short, {@link Attempt#MAX_STALL_MS} is more than the other half.
+     * The cut-off leaves room in the drain grace for two stalls of the node: before it has read the change, which was
+     * received earlier, and before a write that was allowed.
      */
     private void setCutoff(ReducerContext context, String host) {
         double graceMs = Microseconds.toMs(settings.get().network().drainGrace());
-        double cutoffMs = context.nowMs() + Math.max(0, Math.min(graceMs / 2, graceMs - Attempt.MAX_STALL_MS));
+        double cutoffMs = context.nowMs() + Math.max(0, graceMs - 2 * Attempt.MAX_STALL_MS);
         cutoffsMs.put(host, cutoffMs);
         context.setTimer(cutoffMs, new TimerKey.DrainCutoff(host));
     }
--- a/core/src/test/java/brackenbridge/core/EndpointDiscoveryTest.java
+++ b/core/src/test/java/brackenbridge/core/EndpointDiscoveryTest.java
@@ -128,12 +128,12 @@
                     List.of(
                             ReducerHarness.endpoint("s-0", EndpointState.DRAINING),
                             ReducerHarness.endpoint("s-new-" + i, EndpointState.UP)));
-            harness.send(new Event.Reconfigured(harness.settings, known, true)).advance(100);
+            harness.send(new Event.Reconfigured(harness.settings, known, true)).advance(90);
         }
         assertEquals(
                 List.of(new Effect.CancelAttempt(requestId, 0)),
                 harness.effects(Effect.CancelAttempt.class),
-                "250 ms after the first");
+                "200 ms after the first");
         assertEquals("s-new-2", harness.attempts(requestId).get(1).host());
         List<Effect.WatchDiscovery> watches = harness.effects(Effect.WatchDiscovery.class);
         assertEquals(4, watches.size());
--- a/core/src/test/java/brackenbridge/core/RecklessBalancerTest.java
+++ b/core/src/test/java/brackenbridge/core/RecklessBalancerTest.java
@@ -27,6 +27,9 @@
 /** The node's own promises hold whatever its decisions are: each test's module does what no module should. */
 class RecklessBalancerTest {
     private static final double NOW = 1_796_000_000_000.0;
+    private static final double DRAIN_GRACE_MS = 500;
+    /** A node may be held up so long before it reads, and between reading its clock and writing. */
+    private static final double HOLD_UP_MS = 150;
 
     /** Does this with each request, and records each outcome that it receives. */
     private static final class RecklessBalancer implements BalancerApi {
@@ -304,7 +307,7 @@
     }
 
     @Test
-    void nothingIsSentToADrainingHostAfterHalfOfItsGrace() {
+    void nothingIsSentToADrainingHostAfterTheCutoff() {
         start((out, requestId) -> {});
         send(
                 NOW,
@@ -316,9 +319,9 @@
                 new Event.EndpointListReceived(
                         watch,
                         new EndpointList(3, true, List.of(ReducerHarness.endpoint("s-1", EndpointState.DRAINING)))));
-        send(NOW + 240, new Event.RequestReceived(8, new ClientRequest("file", null, 1000, false, true, "message")));
-        onNextTimer(NOW + 240, out -> out.startAttempt(8, id("s-1"), 900_000));
-        onNextTimer(NOW + 255, out -> out.startAttempt(7, id("s-1"), 900_000));
+        send(NOW + 190, new Event.RequestReceived(8, new ClientRequest("file", null, 1000, false, true, "message")));
+        onNextTimer(NOW + 190, out -> out.startAttempt(8, id("s-1"), 900_000));
+        onNextTimer(NOW + 205, out -> out.startAttempt(7, id("s-1"), 900_000));
         assertEquals(
                 List.of(8L),
                 effects(Effect.StartAttempt.class).stream()
@@ -327,6 +330,25 @@
         assertEquals(List.of(AttemptOutcome.NEVER_STARTED), balancer.outcomes);
     }
 
+    /** Guards a host that drains against a node that is held up before it reads of the drain, and before it writes. */
+    @Test
+    void nodeHeldUpTwiceSendsNothingAfterTheDrainGrace() {
+        start((out, requestId) -> {});
+        send(
+                NOW,
+                new Event.EndpointListInherited(
+                        new EndpointList(2, true, List.of(ReducerHarness.endpoint("s-1", EndpointState.UP)))));
+        long watch = effects(Effect.WatchDiscovery.class).get(0).call();
+        send(
+                NOW + HOLD_UP_MS,
+                new Event.EndpointListReceived(
+                        watch,
+                        new EndpointList(3, true, List.of(ReducerHarness.endpoint("s-1", EndpointState.DRAINING)))));
+        double lastStartInTimeMs = NOW + DRAIN_GRACE_MS - HOLD_UP_MS;
+        onNextTimer(lastStartInTimeMs + 1, out -> out.startAttempt(7, id("s-1"), 900_000));
+        assertEquals(List.of(), effects(Effect.StartAttempt.class));
+    }
+
     @Test
     void attemptWithoutAConnectionIsCancelledAtTheCutoff() {
         start((out, requestId) -> out.startAttempt(requestId, id("s-1"), 900_000));
@@ -334,7 +356,7 @@
                 NOW,
                 new Event.EndpointListInherited(
                         new EndpointList(2, true, List.of(ReducerHarness.endpoint("s-1", EndpointState.DRAINING)))));
-        send(NOW + 250, new Event.TimerFired(new TimerKey.DrainCutoff("s-1")));
+        send(NOW + 200, new Event.TimerFired(new TimerKey.DrainCutoff("s-1")));
         assertEquals(List.of(new Effect.CancelAttempt(7, 0)), effects(Effect.CancelAttempt.class));
         assertEquals(List.of(AttemptOutcome.CONNECT_FAILED), balancer.outcomes);
     }
@@ -366,9 +388,9 @@
     void noTimeIsLeftForAnAttemptAfterTheCutoff() {
         start((out, requestId) -> out.startAttempt(requestId, id("s-1"), 0));
         startDraining("s-1");
-        assertEquals(995 - 249, reducer.timeLeftMs(NOW + 249, 7, 0), 1e-6);
-        assertEquals(0, reducer.timeLeftMs(NOW + 250, 7, 0), "though its timer has not fired");
-        send(NOW + 251, new Event.AttemptNotStarted(7, 0));
+        assertEquals(995 - 199, reducer.timeLeftMs(NOW + 199, 7, 0), 1e-6);
+        assertEquals(0, reducer.timeLeftMs(NOW + 200, 7, 0), "though its timer has not fired");
+        send(NOW + 201, new Event.AttemptNotStarted(7, 0));
         assertEquals(List.of(AttemptOutcome.CONNECT_FAILED), balancer.outcomes, "it may go elsewhere");
     }
 
