TimeToldTest holds the node behind the very last reading before a request is written

The test nodeThatIsHeldUpBehindItsLastReadingStaysWithinTheSlack rested the node in UpstreamConnection.send, whose first reading of the clock comes before the one that decides the time told: 150 ms that pass there are seen by the later reading, so the test could not fail. It rests behind the reading of ReducerStartCheck.timeLeftMs now, with the same check. It passes: the time told is reckoned from that reading and stays within the slack.

For its name in the test the check whether an attempt may start is a class of its own (ReducerStartCheck), out of Node's constructor.

--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -20,7 +20,6 @@
 import brackenbridge.net.channel.SocketCalls;
 import brackenbridge.net.client.ConnectionAcceptor;
 import brackenbridge.net.client.Listener;
-import brackenbridge.net.upstream.AttemptStartCheck;
 import brackenbridge.net.upstream.UpstreamConnections;
 import brackenbridge.net.upstream.UpstreamContext;
 import io.netty.bootstrap.Bootstrap;
@@ -97,7 +96,7 @@
         upstream = new UpstreamConnections(
                 new UpstreamContext(outgoing, loop, clock, this, descriptors, counters, log),
                 config.settings(),
-                attemptStartCheck(),
+                new ReducerStartCheck(clock, reducer, listener),
                 this::makeRoom);
         discovery = new DiscoveryClient(outgoing, loop, config.discovery(), this, log);
         status = new StatusPublisher(reducer, () -> acceptor.isOpen());
@@ -122,20 +121,6 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
     }
 
-    private AttemptStartCheck attemptStartCheck() {
-        return new AttemptStartCheck() {
-            @Override
-            public double timeLeftMs(long requestId, int attempt) {
-                return reducer.timeLeftMs(clock.nowMs(), requestId, attempt);
-            }
-
-            @Override
-            public boolean isClientPresent(long requestId) {
-                return listener.isClientPresent(requestId);
-            }
-        };
-    }
-
     private void applySettings(Config config) {
         discovery.setAddress(config.discovery());
         listener.applySettings(config.settings());
--- a/node/src/test/java/brackenbridge/net/TimeToldTest.java
+++ b/node/src/test/java/brackenbridge/net/TimeToldTest.java
@@ -173,7 +173,7 @@
 
     @Test
     void nodeThatIsHeldUpBehindItsLastReadingStaysWithinTheSlack() throws Exception {
-        clock.holdBehindReadingIn("UpstreamConnection.send");
+        clock.holdBehindReadingIn("ReducerStartCheck.timeLeftMs");
         double asked = clock.nowMs();
         ask("POST", "/file", 5000, 1);
         clock.awaitHeld();
