A server that is withdrawn and named again keeps its slow-start budget

Callers saw: nothing yet; a warming-up server that a list leaves out and a later one names again gets its share anew each time and may fail under it.

Cause: ServerRegistry and EndpointTable forgot a removed server as soon as no attempt was in flight to it, and its budget with it.

Change: both keep a removed server for rules.fall and the drain grace (BalancerSettings.removedRetention); 0 where no rules.fall is set. Why it works: that is as long as anything that it was sent counts in a window. Memory is bounded by the servers that leave within that time.

--- a/core/src/main/java/brackenbridge/core/EndpointTable.java
+++ b/core/src/main/java/brackenbridge/core/EndpointTable.java
@@ -1,11 +1,12 @@
 package brackenbridge.core;
 
+import brackenbridge.core.balancing.BalancerSettings;
 import brackenbridge.core.balancing.EndpointState;
 import brackenbridge.core.observe.TrafficObserver;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,8 +18,8 @@
 final class EndpointTable {
     private final HostIds ids = new HostIds();
     private final Map<Long, ServerEndpoint> endpoints = new HashMap<>();
-    /** Hosts in the table that are removed from the list and not forgotten yet. */
-    private final Set<String> removedHosts = new LinkedHashSet<>();
+    /** Hosts in the table that are removed from the list and not forgotten yet, with the time of their removal. */
+    private final Map<String, Double> removedHosts = new LinkedHashMap<>();
 
     private final Map<String, Double> cutoffsMs = new HashMap<>();
     private final CurrentSettings settings;
@@ -114,7 +115,7 @@
             context.addEffect(new Effect.CloseIdleConnections(before.host(), before.address()));
         }
         if (removed) {
-            removedHosts.add(host);
+            removedHosts.putIfAbsent(host, context.nowMs());
         } else {
             removedHosts.remove(host);
         }
@@ -152,12 +153,15 @@
     }
 
     /**
-     * Forgets removed hosts to which no attempt is in flight. Guards memory: servers come and go under ever new names.
-     * The balancer forgets a host by the same rule and at the same time.
+     * Forgets hosts that were removed longer ago than {@link BalancerSettings#removedRetention} and to which no attempt
+     * is in flight. Guards memory: servers come and go under ever new names. The balancer forgets a host by the same
+     * rule and at the same time.
      */
     void forgetRemoved(ReducerContext context, Set<String> hostsInUse) {
-        for (String host : List.copyOf(removedHosts)) {
-            if (!hostsInUse.contains(host)) {
+        double retentionMs = Microseconds.toMs(settings.get().removedRetention());
+        for (Map.Entry<String, Double> removal : List.copyOf(removedHosts.entrySet())) {
+            String host = removal.getKey();
+            if (!hostsInUse.contains(host) && context.nowMs() - removal.getValue() >= retentionMs) {
                 ServerEndpoint forgotten = endpoints.remove(ids.of(host));
                 ids.forget(host);
                 cutoffsMs.remove(host);
--- a/core/src/main/java/brackenbridge/core/balancing/Balancer.java
+++ b/core/src/main/java/brackenbridge/core/balancing/Balancer.java
@@ -87,7 +87,7 @@
         slowStart.recordCapacity(now, subset.order(), subset.size());
         servers.applyList(now, kind, entries);
         rebuildSubset(now);
-        servers.forgetRemoved();
+        servers.forgetRemoved(now, settings.removedRetention());
     }
 
     private void rebuildSubset(long now) {
--- a/core/src/main/java/brackenbridge/core/balancing/BalancerSettings.java
+++ b/core/src/main/java/brackenbridge/core/balancing/BalancerSettings.java
@@ -102,6 +102,14 @@
         tenants = List.copyOf(tenants);
     }
 
+    /**
+     * How long an endpoint that no list names is still known, in microseconds: for as long as what it was sent counts in
+     * its slow start.
+     */
+    public long removedRetention() {
+        return overloadWindow == 0 ? 0 : overloadWindow + network.drainGrace();
+    }
+
     /** The settings of a deployment that tells of no endpoint that falls over. */
     public BalancerSettings(
             long seed,
--- a/core/src/main/java/brackenbridge/core/balancing/ServerRegistry.java
+++ b/core/src/main/java/brackenbridge/core/balancing/ServerRegistry.java
@@ -39,7 +39,7 @@
     /** Takes over an endpoint list; the subset of the servers in use is to be rebuilt afterwards. */
     void applyList(long now, EndpointListKind kind, List<Endpoint> entries) {
         if (kind != EndpointListKind.CHANGES) {
-            removeUnlisted(entries);
+            removeUnlisted(now, entries);
         }
         for (Endpoint entry : entries) {
             ServerState server = servers.computeIfAbsent(
@@ -47,16 +47,16 @@
             if (entry.startedAt() != 0 && entry.startedAt() != server.endpoint.startedAt()) {
                 onRestarted(now, server, entry.startedAt());
             }
-            applyEndpoint(server, entry);
+            applyEndpoint(now, server, entry);
         }
     }
 
-    private void removeUnlisted(List<Endpoint> entries) {
+    private void removeUnlisted(long now, List<Endpoint> entries) {
         Set<Long> listed = new HashSet<>();
         entries.forEach(entry -> listed.add(entry.id()));
         for (ServerState server : servers.values()) {
             if (!listed.contains(server.id)) {
-                applyEndpoint(server, withdrawn(server.endpoint));
+                applyEndpoint(now, server, withdrawn(server.endpoint));
             }
         }
     }
@@ -79,24 +79,27 @@
     }
 
     /** Takes over what the list says of a server; only its position in the order follows. */
-    private void applyEndpoint(ServerState server, Endpoint endpoint) {
+    private void applyEndpoint(long now, ServerState server, Endpoint endpoint) {
         order.remove(server, server.endpoint.zone());
-        removed.remove(server);
+        boolean wasRemoved = removed.remove(server);
         server.endpoint = endpoint;
         if (endpoint.state() == EndpointState.UP) {
             order.add(server);
         } else if (endpoint.state() == EndpointState.REMOVED) {
             removed.add(server);
+            server.removedAt = wasRemoved ? server.removedAt : now;
         }
     }
 
-    /** Forgets the servers that have left the list and have no request in flight. */
-    void forgetRemoved() {
+    /**
+     * Forgets the servers that have left the list for longer than the retention and have no request in flight. Guards a
+     * server that is named again while it warms up: what it was sent before still counts.
+     */
+    void forgetRemoved(long now, long retention) {
         for (ServerState server : List.copyOf(removed)) {
-            if (server.inFlight == 0) {
+            if (server.inFlight == 0 && now - server.removedAt >= retention) {
                 // A server that left while ejected would stay in the count of the ejected for good, and after a few
-                // such
-                // no failing server would ever be ejected again.
+                // such no failing server would ever be ejected again.
                 outliers.readmit(server);
                 idleServers.remove(server);
                 servers.remove(server.id);
--- a/core/src/main/java/brackenbridge/core/balancing/ServerState.java
+++ b/core/src/main/java/brackenbridge/core/balancing/ServerState.java
@@ -22,6 +22,8 @@
     int queuedCount;
 
     int inFlight;
+    /** Since when no list names it; meaningful only while none does. */
+    long removedAt;
     /** Among the servers that this instance uses. */
     boolean inSubset;
     /** In the subset and not ejected: takes part in the weighted round robin. */
--- a/core/src/test/java/brackenbridge/core/balancing/SlowStartPathsTest.java
+++ b/core/src/test/java/brackenbridge/core/balancing/SlowStartPathsTest.java
@@ -67,6 +67,27 @@
         assertTrue(sent >= 1 && sent <= MAX_REQUESTS_IN_WINDOW, "sent in 3.2 s: " + sent);
     }
 
+    /** A list that leaves the cold server out, and one that names it again, give it no second share. */
+    @Test
+    void withdrawalAndReturn() {
+        Script script = beside(1);
+        Endpoint cold = Script.at(COLD_SERVER, "here", script.now, EndpointState.UP);
+        int answered = 0;
+        for (int i = 0; i < 320; i++) {
+            script.ask(i, "read");
+            answered = answerFrom(script, answered, AttemptOutcome.ERROR, AttemptOutcome.CANCELLED);
+            script.balancer.onClientDisconnected(script.now, i);
+            script.pass(10 * MILLISECOND_US);
+            if (i % 80 == 79) {
+                script.list(EndpointListKind.FULL, Script.up(WARM_SERVER, 1));
+                script.pass(10 * MILLISECOND_US);
+                script.list(EndpointListKind.FULL, Script.up(WARM_SERVER, 1), cold);
+            }
+        }
+        long sent = sentTo(script, COLD_SERVER);
+        assertTrue(sent >= 1 && sent <= MAX_REQUESTS_IN_WINDOW, "sent in 3.3 s: " + sent);
+    }
+
     /** What waits at a busy warm server is taken over by the cold one only within the share. */
     @Test
     void takeOvers() {
