--- a/core/src/main/java/brackenbridge/core/balancing/BalancerSettings.java
+++ b/core/src/main/java/brackenbridge/core/balancing/BalancerSettings.java
@@ -103,8 +103,8 @@
     }
 
     /**
-     * How long an endpoint that no list names is still known, in microseconds: for as long as what it was sent counts in
-     * its slow start.
+     * How long an endpoint that no list names is still known, in microseconds: for as long as what it was sent counts
+     * in its slow start.
      */
     public long removedRetention() {
         return overloadWindow == 0 ? 0 : overloadWindow + network.drainGrace();
--- a/node/src/main/java/brackenbridge/net/client/RequestReader.java
+++ b/node/src/main/java/brackenbridge/net/client/RequestReader.java
@@ -109,7 +109,7 @@
         }
     }
 
-    /** The last byte of a long body is held. If all of it was read before its turn, no further read shows the client. */
+    /** The last byte of a long body is held. If all of it was read before its turn, no read shows the client. */
     void onLastByteHeld() {
         if (presence.isPresentNow()) {
             passLastByteSoon();
--- a/node/src/main/java/brackenbridge/transport/ReusePortSteering.java
+++ b/node/src/main/java/brackenbridge/transport/ReusePortSteering.java
@@ -14,13 +14,13 @@
 import java.util.concurrent.CompletionException;
 
 /**
- * Directs the new connections to an address at which two sockets listen with SO_REUSEPORT to the newer one, so that the
- * older one can be emptied and closed. The kernel resets what is queued at a listening socket when it closes, and without
- * this a connection may be queued there at any time.
+ * Directs the new connections to an address at which two sockets listen with SO_REUSEPORT to the newer one, so that
+ * the older one can be emptied and closed. The kernel resets what is queued at a listening socket when it closes, and
+ * without this a connection may be queued there at any time.
  *
  * <p>It attaches a program of one instruction to the group of sockets (SO_ATTACH_REUSEPORT_CBPF, Linux 4.5; see
- * socket(7)): return the index of the newer socket. Handshakes that have begun complete where they began. The program
- * stays with the group; an index without a socket means the kernel's own choice, by a hash of the addresses.
+ * socket(7)): return the index of the newer socket. Handshakes that have begun complete where they began. The
+ * program stays with the group; an index without a socket means the kernel's own choice, by a hash of the addresses.
  */
 public final class ReusePortSteering {
     /** Values of the architectures that {@link #isSupported} names. */
--- a/node/src/test/java/brackenbridge/net/AcceptLimitTest.java
+++ b/node/src/test/java/brackenbridge/net/AcceptLimitTest.java
@@ -20,7 +20,7 @@
 
 /** More clients wait in the backlog than the node has descriptors for. */
 class AcceptLimitTest {
-    /** The least that a configuration may say: with what a test process has open, 16 are left, of which clients get 8. */
+    /** The least that a configuration may say: beside what a test process has open, 16 are left, 8 for clients. */
     private static final int SOCKETS = 64;
 
     private static final int IDLE_CLIENTS = 15;
