The socket of a replaced process is found without reading all connections of the machine

Cause: ListeningSockets read the whole of /proc/net/tcp6 and split each line. The storms of all processes had left 76,039 lines, nearly all TIME_WAIT, so that the new connections were directed only after the 1.4 s in which the old process still accepts; it closed in the old way. A machine with many short connections has such a table too. Ruled out: a failed call (no warning but two of another kind), a third listener at the port (it would be said).

Change: reading ends with the first line that is no listening socket; the kernel lists those first. Why it works: the work grows with listeners, not with connections.

--- a/node/src/main/java/brackenbridge/transport/ListeningSockets.java
+++ b/node/src/main/java/brackenbridge/transport/ListeningSockets.java
@@ -1,5 +1,6 @@
 package brackenbridge.transport;
 
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.Inet4Address;
 import java.net.InetAddress;
@@ -8,6 +9,7 @@
 import java.nio.ByteOrder;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -39,21 +41,36 @@
         Set<String> inodes = new HashSet<>();
         for (Path table : SOCKET_TABLES) {
             if (Files.isReadable(table)) {
-                inodes.addAll(inodesAt(address, Files.readAllLines(table)));
+                inodes.addAll(inodesAt(address, readListening(table)));
             }
         }
         return inodes;
     }
 
+    /** The table's first lines: listening sockets come first, and tens of thousands of others may follow. */
+    private static List<String> readListening(Path table) throws IOException {
+        List<String> listening = new ArrayList<>();
+        try (BufferedReader reader = Files.newBufferedReader(table)) {
+            // The headings.
+            String line = reader.readLine();
+            while ((line = reader.readLine()) != null && isListening(COLUMN_SEPARATOR.split(line.strip()))) {
+                listening.add(line);
+            }
+        }
+        return listening;
+    }
+
+    private static boolean isListening(String[] columns) {
+        return columns.length > INODE_COLUMN && columns[STATE_COLUMN].equals(LISTEN_STATE);
+    }
+
     /** The inodes of the sockets that listen at the address, by the lines of one table. */
     static Set<String> inodesAt(InetSocketAddress address, List<String> tableLines) {
         Set<String> written = writtenForms(address);
         Set<String> inodes = new HashSet<>();
         for (String line : tableLines) {
             String[] columns = COLUMN_SEPARATOR.split(line.strip());
-            if (columns.length > INODE_COLUMN
-                    && columns[STATE_COLUMN].equals(LISTEN_STATE)
-                    && written.contains(columns[LOCAL_ADDRESS_COLUMN])) {
+            if (isListening(columns) && written.contains(columns[LOCAL_ADDRESS_COLUMN])) {
                 inodes.add(columns[INODE_COLUMN]);
             }
         }
