A role that is won back is used with the token of its new lease from the first moment

On the orders of an evacuation driver the same fault means some with an earlier token, which nodes pass over until the next ones.

Cause: AgreedValues.holds told whether a role is held, the answer to a claim told the token. RequestClient remembers the lease first and completes the claim's future after it; in between, StateMember (and DriverTask) saw holds() true and still had the token of the lease before. Ruled out: two leases at once. m4 died at 12 s, its lease was over before m0's report at 13.8 s, and m0 could only hold the role by a third token.

Change: heldLease(role) gives the lease with its token as one value; holds() stands on it. StateMember, DriverTask and the tests' MemberMain keep no token of their own.

Test: StateMemberTest holds the moment open with an answer that is not told yet. Before: "expected: <3> but was: <1>".

--- a/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedValues.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/AgreedValues.java
@@ -83,8 +83,16 @@
      */
     record Lease(String holder, long token, double untilMs) {}
 
+    /**
+     * This member's lease of the role, if it holds it now by its own clock: to be asked before each act. Its token is
+     * the one to act by; a token that was kept from an earlier answer may be of a lease that another held after.
+     */
+    Optional<Lease> heldLease(String role);
+
     /** Whether this member holds the role now, by its own clock: to be asked before each act. */
-    boolean holds(String role);
+    default boolean holds(String role) {
+        return heldLease(role).isPresent();
+    }
 
     /** Whether a majority answers, and who leads; for staff. */
     String status();
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/AgreementMember.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/AgreementMember.java
@@ -23,7 +23,7 @@
 /**
  * A member's part of the agreement ({@code docs/design/agreed.md}): composes the consensus, the leader's services, the
  * member's own lease and requests, and a voter's recovery, and hands each message and tick to them. All of it runs on
- * one thread of this member's; what others read ({@link #acting}, {@link #holds}) are immutable values.
+ * one thread of this member's; what others read ({@link #acting}, {@link #heldLease}) are immutable values.
  */
 public final class AgreementMember implements AgreedValues, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(AgreementMember.class);
@@ -238,8 +238,8 @@
     }
 
     @Override
-    public boolean holds(String role) {
-        return requests.holds(role);
+    public Optional<Lease> heldLease(String role) {
+        return requests.heldLease(role);
     }
 
     /** The generations of a name that are kept, oldest first; empty if no voter answers within the time. */
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/RequestClient.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/RequestClient.java
@@ -154,10 +154,11 @@
         roleLeases = Map.copyOf(next);
     }
 
-    /** Whether this member holds the role now, by its own clock; any thread. */
-    boolean holds(String role) {
-        Lease lease = roleLeases.get(role);
-        return lease != null && lease.holder().equals(context.name()) && context.nowMs() < lease.untilMs();
+    /** This member's lease of the role, if it holds it now by its own clock; any thread. */
+    Optional<Lease> heldLease(String role) {
+        return Optional.ofNullable(roleLeases.get(role))
+                .filter(lease -> lease.holder().equals(context.name()))
+                .filter(lease -> context.nowMs() < lease.untilMs());
     }
 
     /** The generations of a name that are kept, oldest first; empty if no voter answers within the time. */
--- a/fleet/src/main/java/brackenbridge/fleet/agreed/StatusReport.java
+++ b/fleet/src/main/java/brackenbridge/fleet/agreed/StatusReport.java
@@ -53,7 +53,9 @@
                         report,
                         "role " + role,
                         lease.holder() + ", token " + lease.token()
-                                + (requests.holds(role) ? ", " + formatMs(lease.untilMs() - nowMs) + " left" : "")));
+                                + (requests.heldLease(role).isPresent()
+                                        ? ", " + formatMs(lease.untilMs() - nowMs) + " left"
+                                        : "")));
         appendLine(report, "alarm", context.alarm().isRaised() ? context.alarm().text() : "none");
         return report.toString();
     }
--- a/fleet/src/main/java/brackenbridge/fleet/evacuation/DriverTask.java
+++ b/fleet/src/main/java/brackenbridge/fleet/evacuation/DriverTask.java
@@ -55,12 +55,11 @@
     private final Supplier<List<Seen>> seen;
     private final Consumer<Correction> learns;
     private final Consumer<WeightCommand> local;
-    private CompletableFuture<Lease> asked;
+    private CompletableFuture<Lease> claim;
     private CompletableFuture<Verdict> proposed;
-    private double askedMs = Double.NEGATIVE_INFINITY;
+    private double claimedMs = Double.NEGATIVE_INFINITY;
     private double orderedMs = Double.NEGATIVE_INFINITY;
     private long orderedEpoch = -1;
-    private long token;
 
     /**
      * A member's part.
@@ -102,17 +101,18 @@
                 one.status().driven() || other != null && other.status().driven();
         if (!wanted) {
             // Orders of a plan that is over end by themselves; the last one says that all is as usual.
-            if (token > 0
-                    && agreed.holds(ROLE)
-                    && orderedEpoch != acting.get().one().generation()) {
-                order(nowMs, one.parts(), acting.get().one().generation());
+            long generation = acting.get().one().generation();
+            if (orderedEpoch != generation) {
+                agreed.heldLease(ROLE).ifPresent(lease -> order(nowMs, lease.token(), one.parts(), generation));
             }
             return;
         }
-        hold(nowMs);
-        if (token == 0 || !agreed.holds(ROLE) || one.token() > token) {
+        claimRole(nowMs);
+        Optional<Lease> lease = agreed.heldLease(ROLE);
+        if (lease.isEmpty() || one.token() > lease.get().token()) {
             return;
         }
+        long token = lease.get().token();
         long epoch = acting.get().one().generation();
         if (other == null && (proposed == null || proposed.isDone())) {
             Turn turn = driver.turn(nowMs, one, epoch, token, seen.get());
@@ -133,7 +133,7 @@
             }
         }
         if (nowMs - orderedMs >= times.orderMs() || epoch != orderedEpoch) {
-            order(nowMs, both(one, other), epoch);
+            order(nowMs, token, both(one, other), epoch);
         }
     }
 
@@ -147,22 +147,16 @@
         return parts;
     }
 
-    private void hold(double nowMs) {
-        if (asked != null && asked.isDone()) {
-            if (!asked.isCompletedExceptionally()) {
-                Lease h = asked.getNow(null);
-                // A token is this member's only while it holds the role; another's is nothing to act by.
-                token = h != null && links.me().name().equals(h.holder()) ? h.token() : 0;
-            }
-            asked = null;
-        }
-        if (asked == null && nowMs - askedMs >= times.holdMs() / 3) {
-            askedMs = nowMs;
-            asked = agreed.acquire(ROLE, times.holdMs());
+    /** Claims the role, or extends its lease, unless a claim is still unanswered. */
+    private void claimRole(double nowMs) {
+        boolean answered = claim == null || claim.isDone();
+        if (answered && nowMs - claimedMs >= times.holdMs() / 3) {
+            claimedMs = nowMs;
+            claim = agreed.acquire(ROLE, times.holdMs());
         }
     }
 
-    private void order(double nowMs, Map<String, Double> parts, long epoch) {
+    private void order(double nowMs, long token, Map<String, Double> parts, long epoch) {
         WeightCommand o = new WeightCommand(token, epoch, parts, times.forMs());
         byte[] body = o.bytes();
         for (Member m : links.peers()) {
--- a/fleet/src/main/java/brackenbridge/fleet/node/StateMember.java
+++ b/fleet/src/main/java/brackenbridge/fleet/node/StateMember.java
@@ -59,6 +59,8 @@
     private static final double SAY_EACH_MS = 200;
     private static final int MOST_WAITING = 20_000;
     private static final int MOST_NAMES = 64;
+    /** The state of a role that this member does not hold, in place of a token. */
+    private static final String NOT_HELD = "none";
 
     /** What it is started with. */
     static final class Options {
@@ -120,7 +122,6 @@
     private final Map<String, Span> watched = new ConcurrentHashMap<>();
     private final Map<String, Span> roles = new ConcurrentHashMap<>();
     private final Map<String, List<String>> contents = new ConcurrentHashMap<>();
-    private final Map<String, Long> tokens = new ConcurrentHashMap<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Thread sampler;
     private final Thread teller;
@@ -287,8 +288,8 @@
 
     private void sampleHolds(String role, Span s) {
         double before = now();
-        Long token = tokens.get(role);
-        Object state = agreed.holds(role) && token != null ? token : "none";
+        Object state =
+                agreed.heldLease(role).<Object>map(AgreedValues.Lease::token).orElse(NOT_HELD);
         Runnable tell = () -> {
             if (s.state instanceof Long held) {
                 say(now(), "holds", Map.of("role", role, "token", held, "from", s.from, "until", s.until));
@@ -434,11 +435,7 @@
 
     private void hold(String role, double forMs) {
         put(roles, role);
-        agreed.acquire(role, forMs).whenComplete((h, fault) -> {
-            if (fault == null && h.holder().equals(links.me().name())) {
-                tokens.merge(role, h.token(), Math::max);
-            }
-        });
+        agreed.acquire(role, forMs);
     }
 
     private void sayAll(String[] w) {
--- a/fleet/src/test/java/brackenbridge/fleet/agreed/MemberMain.java
+++ b/fleet/src/test/java/brackenbridge/fleet/agreed/MemberMain.java
@@ -3,7 +3,6 @@
 import brackenbridge.clock.Clock;
 import brackenbridge.core.generation.EffectiveVersions;
 import brackenbridge.core.generation.LeaseTerms;
-import brackenbridge.fleet.agreed.AgreedValues.Lease;
 import brackenbridge.fleet.peer.Member;
 import brackenbridge.fleet.peer.PeerLimits;
 import brackenbridge.fleet.peer.TcpPeerLinks;
@@ -89,13 +88,11 @@
     private static void talk(AgreementMember node) {
         while (true) {
             long before = System.nanoTime();
-            boolean holds = node.holds("driver");
-            Lease h = node.roleLeases().get("driver");
-            long token = h == null ? 0 : h.token();
+            long token = node.heldLease("driver").map(AgreedValues.Lease::token).orElse(0L);
             EffectiveVersions a = node.leaseView()
                     .effectiveVersions(AgreedValues.SETTINGS, node.clock().nowMs());
             long after = System.nanoTime();
-            say("sees " + before + " " + after + " " + (holds ? token : 0) + " " + Math.min(a.one(), a.other()) + " "
+            say("sees " + before + " " + after + " " + token + " " + Math.min(a.one(), a.other()) + " "
                     + Math.max(a.one(), a.other()));
             LockSupport.parkNanos(2_000_000);
         }
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/node/StateMemberTest.java
@@ -0,0 +1,190 @@
+package brackenbridge.fleet.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import brackenbridge.fleet.agreed.AgreedValues;
+import brackenbridge.fleet.peer.Member;
+import brackenbridge.fleet.peer.MemberStatus;
+import brackenbridge.fleet.peer.MessageStream;
+import brackenbridge.fleet.peer.PeerLinks;
+import brackenbridge.fleet.replica.RecordSpace;
+import brackenbridge.fleet.replica.Replica;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PipedInputStream;
+import java.io.PipedOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(20)
+class StateMemberTest {
+    private static final String ROLE = "driver";
+    private static final AgreedValues.Lease FIRST_LEASE = new AgreedValues.Lease("m0", 1, Double.POSITIVE_INFINITY);
+    private static final AgreedValues.Lease LATER_LEASE = new AgreedValues.Lease("m0", 3, Double.POSITIVE_INFINITY);
+
+    // Guards against a lease that is reported with the token of an earlier one, as when a role is won back.
+    @Test
+    void aRoleThatIsWonBackIsReportedWithItsNewToken() throws IOException {
+        StubAgreement agreement = new StubAgreement();
+        PipedOutputStream lines = new PipedOutputStream();
+        try (BufferedReader reported =
+                        new BufferedReader(new InputStreamReader(new PipedInputStream(lines), StandardCharsets.UTF_8));
+                StateMember member = new StateMember(
+                        new StubLinks(),
+                        new EmptyReplica(),
+                        agreement,
+                        new PrintStream(lines, true, StandardCharsets.UTF_8))) {
+            member.start();
+            agreement.lease = FIRST_LEASE;
+            agreement.claim.complete(FIRST_LEASE);
+            member.take("hold " + ROLE + " 1000");
+            assertEquals(FIRST_LEASE.token(), nextToken(reported));
+
+            agreement.lease = null;
+            agreement.claim = new CompletableFuture<>();
+            member.take("hold " + ROLE + " 1000");
+            // The lease counts as soon as the member knows of it, before whoever asked hears the answer.
+            agreement.lease = LATER_LEASE;
+            assertEquals(LATER_LEASE.token(), nextTokenAfter(FIRST_LEASE, reported));
+        }
+    }
+
+    private static long nextToken(BufferedReader reported) throws IOException {
+        return nextLine(reported, "holds").get("token").asLong();
+    }
+
+    /** Reads past lines about the earlier lease from before the later one. */
+    private static long nextTokenAfter(AgreedValues.Lease earlier, BufferedReader reported) throws IOException {
+        double laterLeaseMs = System.nanoTime() / 1e6;
+        while (true) {
+            JsonNode line = nextLine(reported, "holds");
+            if (line.get("token").asLong() != earlier.token()
+                    || line.get("until").asDouble() > laterLeaseMs) {
+                return line.get("token").asLong();
+            }
+        }
+    }
+
+    private static JsonNode nextLine(BufferedReader reported, String what) throws IOException {
+        while (true) {
+            JsonNode line = new ObjectMapper().readTree(reported.readLine());
+            if (line.get("what").asText().equals(what)) {
+                return line;
+            }
+        }
+    }
+
+    /** An agreement in which the test decides what is held and when a claim is answered. */
+    private static final class StubAgreement implements AgreedValues {
+        private volatile Lease lease;
+        private volatile CompletableFuture<Lease> claim = new CompletableFuture<>();
+
+        @Override
+        public CompletableFuture<Verdict> propose(String name, long expected, byte[] content, double withinMs) {
+            return CompletableFuture.completedFuture(Verdict.UNKNOWN);
+        }
+
+        @Override
+        public Optional<Acting> acting(String name) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<Value> known(String name) {
+            return Optional.empty();
+        }
+
+        @Override
+        public CompletableFuture<Lease> acquire(String role, double forMs) {
+            return claim;
+        }
+
+        @Override
+        public Optional<Lease> heldLease(String role) {
+            return Optional.ofNullable(lease);
+        }
+
+        @Override
+        public String status() {
+            return "";
+        }
+    }
+
+    /** A member without peers. */
+    private static final class StubLinks implements PeerLinks {
+        @Override
+        public Member me() {
+            return new Member("m0", "127.0.0.1:0", "a");
+        }
+
+        @Override
+        public long life() {
+            return 1;
+        }
+
+        @Override
+        public List<Member> peers() {
+            return List.of();
+        }
+
+        @Override
+        public MemberStatus standing(String peer) {
+            throw new IllegalArgumentException(peer);
+        }
+
+        @Override
+        public boolean send(String peer, MessageStream stream, byte[] body) {
+            return false;
+        }
+
+        @Override
+        public void receive(MessageStream stream, Receiver receiver) {}
+
+        @Override
+        public void watch(Watcher watcher) {}
+
+        @Override
+        public void start() {}
+
+        @Override
+        public void close() {}
+    }
+
+    /** A replica without records. */
+    private static final class EmptyReplica implements Replica {
+        @Override
+        public void put(RecordSpace space, String key, byte[] value) {}
+
+        @Override
+        public void remove(RecordSpace space, String key) {}
+
+        @Override
+        public void add(RecordSpace space, String key, long increment) {}
+
+        @Override
+        public long sum(RecordSpace space, String key) {
+            return 0;
+        }
+
+        @Override
+        public List<Seen> seen(RecordSpace space) {
+            return List.of();
+        }
+
+        @Override
+        public Level level() {
+            return new Level(true, 0, 0, false);
+        }
+
+        @Override
+        public void listen(Listener listener) {}
+    }
+}
