A stopped process ends its threads first, so that its exit does not wait 300 ms for them

What callers saw: nothing was lost, but a process that used the whole of its time (a request open to the end, or short deadlines) was killed by the platform instead of ending with status 0.

Cause: Runtime.halt takes 320 ms. At its end the virtual machine waits up to 300 ms for threads in native code; the event loops of the node and of management are always there, in epoll_wait, and so is a log writer whose pipe nobody reads. The schedule leaves 140 ms. Seen in three processes: 319, 320, 322 ms from "stopped:" to the end; a thread dump names the two loops. Ruled out: the log's flush (50 ms at most; its lines were out).

Change: Node.endThreads ends both loops, 50 ms at most; the log writes to a channel, whose close ends a write in progress. Then the process halts.

ExitTest, on the code before: both cases "still running 1100 ms after SIGTERM", now they pass. StartTest, ProcessReplacementTest, LogTest, ManagementListenerTest pass.

--- a/node/src/main/java/brackenbridge/cli/ServeCommand.java
+++ b/node/src/main/java/brackenbridge/cli/ServeCommand.java
@@ -5,6 +5,13 @@
 import brackenbridge.handover.Handover;
 import brackenbridge.log.Log;
 import brackenbridge.net.Node;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.channels.Channels;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -24,13 +31,14 @@
         // Netty's flight recorder events are not used here; to look for them costs a start more than the listener.
         System.setProperty("io.netty.jfr.enabled", "false");
         Clock clock = Clock.system();
-        Log log = new Log(clock, System.err);
+        FileChannel errors = new FileOutputStream(FileDescriptor.err).getChannel();
+        Log log = new Log(clock, new PrintStream(Channels.newOutputStream(errors), true, StandardCharsets.UTF_8));
         Node node = new Node(config, clock, log, handoverPath(config));
         if (!HangupSignal.handle(() -> node.reconfigure(() -> Config.read(Path.of(file))))) {
             log.warn("no SIGHUP will be heard, it is ignored here (as under nohup) or unknown: the configuration is"
                     + " read at the start only");
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, extension, log), "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, extension, log, errors), "stop"));
         start(node, extension, config);
     }
 
@@ -66,15 +74,18 @@
     }
 
     /** Runs at SIGTERM, which would end the process with 143 after its hooks; a stop that succeeds ends it with 0. */
-    private static void stop(Node node, Main.NodeExtension extension, Log log) {
+    private static void stop(Node node, Main.NodeExtension extension, Log log, FileChannel errors) {
         try {
             node.stop().get(MAX_STOP_MINUTES, TimeUnit.MINUTES);
             if (extension != null) {
                 extension.end();
             }
+            node.endThreads();
             log.flush();
+            // Ends a write that nobody reads: the exit would wait for it.
+            errors.close();
             Runtime.getRuntime().halt(0);
-        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+        } catch (IOException | InterruptedException | ExecutionException | TimeoutException e) {
             System.err.println("brackenbridge: stop failed: " + e);
             Runtime.getRuntime().halt(1);
         }
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -29,9 +29,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +43,9 @@
 public final class Node implements EventSink, AdminOperations {
     private static final long SWEEP_INTERVAL_MS = 100;
     private static final int CONNECT_TIMEOUT_MS = 1000;
+    /** A part of what a stopping process has left before it is killed. */
+    private static final long MAX_THREADS_END_MS = 50;
+
     private static final int ACCEPT_BACKLOG = 1024;
     private static final int BUFFER_PAGE_BYTES = 8192;
     /** A chunk of pooled memory has 2 to this power pages. */
@@ -279,6 +284,19 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
+    /**
+     * Ends the threads of a stopped node; waits a short time at most. The virtual machine waits 300 ms at its exit for
+     * threads that are inside a system call.
+     */
+    public void endThreads() {
+        List<Future<?>> ends = new ArrayList<>();
+        if (management != null) {
+            ends.add(management.close());
+        }
+        ends.add(group.shutdownGracefully(0, MAX_THREADS_END_MS, TimeUnit.MILLISECONDS));
+        ends.forEach(end -> end.awaitUninterruptibly(MAX_THREADS_END_MS));
+    }
+
     @Override
     public void raise(Event event) {
         inbox.add(event);
--- /dev/null
+++ b/node/src/test/java/brackenbridge/cli/ExitTest.java
@@ -0,0 +1,98 @@
+package brackenbridge.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brackenbridge.config.ConfigTest;
+import brackenbridge.mgmt.ManagementCall;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The exit of a real process: it comes before the platform would kill the process, 0.7 s after the longest deadline. */
+@Timeout(20)
+class ExitTest {
+    private static final int LONGEST_DEADLINE_MS = 400;
+    private static final int KILL_AFTER_DEADLINE_MS = 700;
+    /** What a pipe holds on Linux: the next write waits for a reader. */
+    private static final String FILL_PIPE = "head -c 65536 /dev/zero >&2; ";
+
+    @TempDir
+    private Path directory;
+
+    // Guards against an exit that waits for threads which are inside system calls.
+    @Test
+    void aProcessWithAnIncompleteRequestExitsBeforeItsKill() throws Exception {
+        assertExitsBeforeKill("2>" + directory.resolve("log"));
+    }
+
+    // Guards against an exit that waits for the thread which writes a log that nobody reads.
+    @Test
+    void aProcessWhoseLogNobodyReadsExitsBeforeItsKill() throws Exception {
+        assertExitsBeforeKill("");
+    }
+
+    private void assertExitsBeforeKill(String redirection) throws Exception {
+        int port = freePort();
+        String management = "127.0.0.1:" + freePort();
+        Path config = Files.writeString(
+                directory.resolve("config.json"),
+                ConfigTest.TEXT
+                        .replace("127.0.0.1:0", "127.0.0.1:" + port)
+                        .replaceAll("\"aim\":[0-9]+", "\"aim\":" + LONGEST_DEADLINE_MS * 500)
+                        .replaceAll("\"giveUp\":[0-9]+", "\"giveUp\":" + LONGEST_DEADLINE_MS * 1000));
+        ProcessBuilder builder = new ProcessBuilder(
+                "/bin/sh",
+                "-c",
+                (redirection.isEmpty() ? FILL_PIPE : "") + "exec '"
+                        + Path.of(System.getProperty("java.home"), "bin/java")
+                        + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path")
+                        + "' brackenbridge.cli.Main serve " + redirection);
+        builder.environment().put("PROXY_CONFIG", config.toString());
+        builder.environment().put("PROXY_MGMT", management);
+        builder.environment().put("TMPDIR", directory.toString());
+        Process process = builder.start();
+        try (Socket client = new Socket()) {
+            awaitReady(management, process);
+            // Its request stays incomplete: the process waits for the rest for as long as it may.
+            client.connect(new InetSocketAddress("127.0.0.1", port));
+            client.getOutputStream().write("GET /view HTTP/1.1\r\n".getBytes(StandardCharsets.US_ASCII));
+            long stopNs = System.nanoTime();
+            process.destroy();
+            assertTrue(
+                    process.waitFor(LONGEST_DEADLINE_MS + KILL_AFTER_DEADLINE_MS, TimeUnit.MILLISECONDS),
+                    () -> "still running " + (System.nanoTime() - stopNs) / 1_000_000 + " ms after SIGTERM");
+            assertEquals(0, process.exitValue());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static void awaitReady(String management, Process process) throws InterruptedException {
+        while (process.isAlive()) {
+            try {
+                if (ManagementCall.make(management, "PING").startsWith("+OK")) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Nobody listens there yet.
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+        }
+    }
+}
