An exiting process holds its event loops still instead of closing all connections first

Change: each loop gets a task that parks for ever; a parked thread is not in native code. No connection is closed first: the exit of the process does it.

--- a/node/src/main/java/brackenbridge/cli/ServeCommand.java
+++ b/node/src/main/java/brackenbridge/cli/ServeCommand.java
@@ -80,8 +80,8 @@
             if (extension != null) {
                 extension.end();
             }
-            node.endThreads();
             log.flush();
+            node.holdEventLoops();
             // Ends a write that nobody reads: the exit would wait for it.
             errors.close();
             Runtime.getRuntime().halt(0);
--- a/node/src/main/java/brackenbridge/mgmt/ManagementListener.java
+++ b/node/src/main/java/brackenbridge/mgmt/ManagementListener.java
@@ -18,7 +18,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
@@ -90,9 +89,14 @@
         return (InetSocketAddress) server.localAddress();
     }
 
-    /** Stops listening and closes all connections; the future completes once its thread has ended. */
-    public Future<?> close() {
-        return group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    /** Stops listening and closes all connections. */
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Runs a task on the thread that serves operators. */
+    public void execute(Runnable task) {
+        group.execute(task);
     }
 
     /** A connection, which carries one call. */
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -29,14 +29,16 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 
 /** A running node: hands events to the reducer and runs the effects, all on one event loop. */
@@ -44,7 +46,7 @@
     private static final long SWEEP_INTERVAL_MS = 100;
     private static final int CONNECT_TIMEOUT_MS = 1000;
     /** A part of what a stopping process has left before it is killed. */
-    private static final long MAX_THREADS_END_MS = 50;
+    private static final long MAX_HOLD_MS = 50;
 
     private static final int ACCEPT_BACKLOG = 1024;
     private static final int BUFFER_PAGE_BYTES = 8192;
@@ -285,16 +287,24 @@
     }
 
     /**
-     * Ends the threads of a stopped node; waits a short time at most. The virtual machine waits 300 ms at its exit for
-     * threads that are inside a system call.
+     * Holds the event loops of a stopped node still, until the process exits; waits a short time at most. The virtual
+     * machine waits 300 ms at its exit for threads that are inside a system call, as a waiting event loop is.
      */
-    public void endThreads() {
-        List<Future<?>> ends = new ArrayList<>();
+    public void holdEventLoops() throws InterruptedException {
+        List<Executor> loops = new ArrayList<>(List.of(loop));
         if (management != null) {
-            ends.add(management.close());
+            loops.add(management::execute);
+        }
+        CountDownLatch held = new CountDownLatch(loops.size());
+        loops.forEach(each -> each.execute(() -> holdThread(held)));
+        held.await(MAX_HOLD_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void holdThread(CountDownLatch held) {
+        held.countDown();
+        while (true) {
+            LockSupport.park();
         }
-        ends.add(group.shutdownGracefully(0, MAX_THREADS_END_MS, TimeUnit.MILLISECONDS));
-        ends.forEach(end -> end.awaitUninterruptibly(MAX_THREADS_END_MS));
     }
 
     @Override
--- a/node/src/test/java/brackenbridge/cli/ExitTest.java
+++ b/node/src/test/java/brackenbridge/cli/ExitTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The exit of a real process: it comes before the platform would kill the process, 0.7 s after the longest deadline. */
+/** The exit of a real process: it comes before the platform would kill it, 0.7 s after the longest deadline. */
 @Timeout(20)
 class ExitTest {
     private static final int LONGEST_DEADLINE_MS = 400;
