lab soak: a real node under signals in series, replacements and failures, drawn from a seed

Built from the live world: lab.soak draws a play from its seed (seven kinds), does it to real processes under the run line, and RuleChecker judges every request at both ends; new rules TIME_TOLD, CLIENT_GONE, CONNECT, STALLED_CLIENT, EXIT, LIMITS, COUNTS, of which the first two hold in lab live too. A trouble no_length; ProcessTable in place of two readers of /proc.

--- a/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
+++ b/lab/src/main/java/brackenbridge/lab/cli/LabCommand.java
@@ -245,6 +245,7 @@
         Evacuate evacuate = new Evacuate();
         Scale scale = new Scale();
         Grow grow = new Grow();
+        Soak soak = new Soak();
         JCommander line = JCommander.newBuilder()
                 .programName("brackenbridge lab")
                 .addCommand("demo", demo)
@@ -267,6 +268,7 @@
                 .addCommand("evacuate", evacuate)
                 .addCommand("scale", scale)
                 .addCommand("grow", grow)
+                .addCommand("soak", soak)
                 .build();
         try {
             line.parse(args);
@@ -304,6 +306,7 @@
                 case "evacuate" -> evacuate.run();
                 case "scale" -> scale.run();
                 case "grow" -> grow.run();
+                case "soak" -> soak.run();
                 case "capacity" -> capacity(capacity);
                 case "hop" -> hop(hop);
                 case "bench" -> bench(bench);
--- a/lab/src/main/java/brackenbridge/lab/grow/ProcessMeter.java
+++ b/lab/src/main/java/brackenbridge/lab/grow/ProcessMeter.java
@@ -2,14 +2,11 @@
 
 import brackenbridge.lab.live.Control;
 import brackenbridge.lab.live.LiveRunner;
+import brackenbridge.lab.live.ProcessTable;
 import brackenbridge.lab.model.Scheduler;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.stream.Stream;
 
 /** Reads what a run's one node process needs from {@code /proc}, while the run lasts and once at its end. */
 final class ProcessMeter implements LiveRunner.Begun {
@@ -31,7 +28,8 @@
         if (over) {
             return;
         }
-        mostDescriptors = Math.max(mostDescriptors, descriptors(pid));
+        mostDescriptors =
+                Math.max(mostDescriptors, ProcessTable.descriptors(pid).orElseThrow());
         scheduler.at(scheduler.nowMs() + SAMPLE_EVERY_MS, () -> sample(scheduler, pid));
     }
 
@@ -39,7 +37,9 @@
     public void ended(List<? extends Control> nodes) throws IOException {
         over = true;
         long pid = nodes.get(0).pid();
-        memoryMb = peakMemoryMb(pid);
+        memoryMb =
+                ProcessTable.peakResidentKib(pid).orElseThrow(() -> new IOException("no peak memory of process " + pid))
+                        / KB_PER_MB;
         cpuSeconds = ProcessHandle.of(pid)
                         .flatMap(process -> process.info().totalCpuDuration())
                         .map(Duration::toNanos)
@@ -47,23 +47,6 @@
                 / NS_PER_S;
     }
 
-    private static long descriptors(long pid) {
-        try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(pid), "fd"))) {
-            return open.count();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
-    private static double peakMemoryMb(long pid) throws IOException {
-        for (String line : Files.readAllLines(Path.of("/proc", Long.toString(pid), "status"))) {
-            if (line.startsWith("VmHWM:")) {
-                return Long.parseLong(line.replaceAll("[^0-9]", "")) / KB_PER_MB;
-            }
-        }
-        throw new IOException("no peak memory of process " + pid);
-    }
-
     double cpuSeconds() {
         return cpuSeconds;
     }
--- a/lab/src/main/java/brackenbridge/lab/live/LiveRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LiveRunner.java
@@ -227,7 +227,7 @@
     }
 
     /** A port of loopback that is free now. */
-    static InetSocketAddress freePort() throws IOException {
+    public static InetSocketAddress freePort() throws IOException {
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return new InetSocketAddress("127.0.0.1", s.getLocalPort());
         }
--- a/lab/src/main/java/brackenbridge/lab/live/LiveWorld.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LiveWorld.java
@@ -47,8 +47,9 @@
  * A world on loopback: a stand-in for each server, one discovery for each tier, and for each server that calls the next
  * tier a node of its own, or the tier's shared nodes. All stand-ins live on one event loop, so nothing here is locked.
  */
-final class LiveWorld implements Stage {
+public final class LiveWorld implements Stage {
     private static final double SLACK_MS = 58;
+    private static final Observation PLAIN = new Observation(SLACK_MS, CallerLookup.BY_NODE, StandInFaults.NONE);
     /** Sends are told late by the time that word is under way on a busy machine. */
     private static final double GRACE_SLACK_MS = 50;
 
@@ -281,6 +282,7 @@
     private final Clock clock;
     private final LoopScheduler scheduler;
     private final RuleChecker ledger;
+    private final Observation observation;
     private final Registry registry = new Registry();
     private final List<List<StandInServer>> tiers = new ArrayList<>();
     private final List<StandInDiscovery> discoveries = new ArrayList<>();
@@ -289,6 +291,22 @@
 
     /** Servers, lists and inner nodes of a world, all running; not on the loop. */
     LiveWorld(World spec, long seed, EventLoop loop, Clock clock, Scoreboard board, ProcessLinks links) {
+        this(spec, seed, loop, clock, board, links, PLAIN);
+    }
+
+    /** The same on direct links, watched in another way. */
+    public LiveWorld(World spec, long seed, EventLoop loop, Clock clock, Observation observation) {
+        this(spec, seed, loop, clock, new Scoreboard(spec), ProcessLinks.DIRECT, observation);
+    }
+
+    private LiveWorld(
+            World spec,
+            long seed,
+            EventLoop loop,
+            Clock clock,
+            Scoreboard board,
+            ProcessLinks links,
+            Observation observation) {
         this.spec = spec;
         this.links = links;
         this.board = board;
@@ -296,11 +314,12 @@
         this.loop = loop;
         this.clock = clock;
         this.scheduler = new LoopScheduler(loop, clock);
-        this.ledger = new RuleChecker(SLACK_MS, spec.limits().drainGraceMs() + GRACE_SLACK_MS);
+        this.observation = observation;
+        this.ledger = new RuleChecker(observation.answerSlackMs(), spec.limits().drainGraceMs() + GRACE_SLACK_MS);
         Streams streams = new Streams(seed);
         for (int t = 0; t < spec.tiers().size(); t++) {
-            StandInDiscovery d =
-                    new StandInDiscovery(loop, scheduler, spec.discovery(), ledger, this::moveNode, this::seenFrom);
+            StandInDiscovery d = new StandInDiscovery(
+                    loop, scheduler, spec.discovery(), ledger, this::moveNode, this::seenFrom, observation);
             discoveries.add(d);
             tiers.add(servers(t, d, streams));
         }
@@ -336,7 +355,18 @@
             ServerModel model = new ServerModel(
                     t.profile().withSpeed(t.profile().speed() * spread.get(i)), scheduler, streams.take());
             StandInServer s = new StandInServer(
-                    tier, i, loop, scheduler, model, ledger, registry, behave, d, spec.zone(i), spec.limits());
+                    tier,
+                    i,
+                    loop,
+                    scheduler,
+                    model,
+                    ledger,
+                    registry,
+                    behave,
+                    d,
+                    spec.zone(i),
+                    spec.limits(),
+                    observation);
             of.add(s);
             places.put(s.dial(), s.place());
             d.list().begin(s.target(EndpointState.UP));
@@ -396,7 +426,7 @@
     }
 
     /** The configuration of a node before the first tier. */
-    JsonObject nodeConfig(String name, int index, String listen) {
+    public JsonObject nodeConfig(String name, int index, String listen) {
         return SettingsJson.config(
                 name,
                 listen,
@@ -416,11 +446,13 @@
         return tiers.get(0).stream().mapToLong(StandInServer::accepted).sum();
     }
 
-    RuleChecker ledger() {
+    /** The rules. */
+    public RuleChecker ledger() {
         return ledger;
     }
 
-    Registry registry() {
+    /** The requests that servers may be sent. */
+    public Registry registry() {
         return registry;
     }
 
@@ -445,7 +477,7 @@
     }
 
     /** Ends all. */
-    void close() throws IOException {
+    public void close() throws IOException {
         tiers.forEach(of -> of.forEach(StandInServer::close));
         discoveries.forEach(StandInDiscovery::close);
         inner.values()
--- a/lab/src/main/java/brackenbridge/lab/live/LoopScheduler.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LoopScheduler.java
@@ -6,11 +6,12 @@
 import java.util.concurrent.TimeUnit;
 
 /** Real time on one event loop. */
-final class LoopScheduler implements Scheduler {
+public final class LoopScheduler implements Scheduler {
     private final EventLoop loop;
     private final Clock clock;
 
-    LoopScheduler(EventLoop loop, Clock clock) {
+    /** Tasks on this loop, at times of this clock. */
+    public LoopScheduler(EventLoop loop, Clock clock) {
         this.loop = loop;
         this.clock = clock;
     }
--- a/lab/src/main/java/brackenbridge/lab/live/Registry.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Registry.java
@@ -7,12 +7,12 @@
 import java.util.function.Function;
 
 /** The requests that are under way or were of late, by their ids; servers find here what they are sent. */
-final class Registry {
+public final class Registry {
     /** An id is forgotten so long after its deadline. */
     private static final double KEPT_MS = 5000;
 
     /** A request and its last attempt. */
-    static final class Known {
+    public static final class Known {
         final RuleChecker.Entry entry;
         final double deadlineMs;
         RuleChecker.Attempt last;
@@ -21,6 +21,11 @@
             this.entry = entry;
             this.deadlineMs = deadlineMs;
         }
+
+        /** Whether an attempt of it has come to a server. */
+        public boolean hasReachedServer() {
+            return last != null;
+        }
     }
 
     private record Old(String id, double untilMs) {}
@@ -29,7 +34,8 @@
     private final ArrayDeque<Old> old = new ArrayDeque<>();
     private Function<String, Known> unknown;
 
-    Known add(String id, RuleChecker.Entry entry, double nowMs, double deadlineMs) {
+    /** A request that servers may be sent from now on. */
+    public Known add(String id, RuleChecker.Entry entry, double nowMs, double deadlineMs) {
         while (!old.isEmpty() && old.peek().untilMs() < nowMs) {
             known.remove(old.poll().id());
         }
@@ -44,7 +50,8 @@
         this.unknown = unknown;
     }
 
-    Known of(String id) {
+    /** The request with this id; null if there is none. */
+    public Known of(String id) {
         if (id == null) {
             return null;
         }
--- a/lab/src/main/java/brackenbridge/lab/live/Rehearsal.java
+++ b/lab/src/main/java/brackenbridge/lab/live/Rehearsal.java
@@ -61,7 +61,7 @@
     private volatile boolean over;
     private volatile String management;
     private volatile long peakKb;
-    private volatile int peakDescriptors;
+    private volatile long peakDescriptors;
 
     /** Prepares it: stand-ins listen from now on. */
     public Rehearsal(Path home, Path out, String run, World world, Consumer<String> say) throws IOException {
@@ -257,20 +257,10 @@
     private void watch() {
         while (!over) {
             long kb = 0;
-            int descriptors = 0;
+            long descriptors = 0;
             for (Process p : List.copyOf(processes)) {
-                Path proc = Path.of("/proc", Long.toString(p.pid()));
-                String[] open = proc.resolve("fd").toFile().list();
-                descriptors += open == null ? 0 : open.length;
-                try {
-                    String status = Files.readString(proc.resolve("status"));
-                    kb += status.contains("VmRSS")
-                            ? Long.parseLong(status.replaceAll("(?s).*VmRSS:\\s*([0-9]+).*", "$1"))
-                            : 0;
-                } catch (IOException e) {
-                    // It has just ended: it holds nothing.
-                    continue;
-                }
+                descriptors += ProcessTable.descriptors(p.pid()).orElse(0);
+                kb += ProcessTable.residentKib(p.pid()).orElse(0);
             }
             peakKb = Math.max(peakKb, kb);
             peakDescriptors = Math.max(peakDescriptors, descriptors);
--- a/lab/src/main/java/brackenbridge/lab/live/StandInDiscovery.java
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInDiscovery.java
@@ -104,13 +104,19 @@
         }
 
         private void tell(EndpointList g) {
+            String caller = observation.callers().caller(node, channel);
+            if (caller == null) {
+                return;
+            }
             for (ServerEndpoint t : g.endpoints()) {
-                ledger.told(scheduler.nowMs(), node, t.host(), t.state() == EndpointState.UP);
+                ledger.told(scheduler.nowMs(), caller, t.host(), t.state() == EndpointState.UP);
             }
         }
 
         private void line(EndpointList g) {
-            chunk(SettingsJson.group(seen.apply(node, g)) + "\n");
+            if (g.endpoints().stream().noneMatch(observation.faults()::withholds)) {
+                chunk(SettingsJson.group(seen.apply(node, g)) + "\n");
+            }
             tell(g);
         }
 
@@ -163,6 +169,7 @@
     private final List<Call> watches = new ArrayList<>();
     private final BiConsumer<String, String> nodeMoves;
     private final BiFunction<String, EndpointList, EndpointList> seen;
+    private final Observation observation;
     private double extraMs;
     private double callMs;
     private double busyUntilMs;
@@ -185,13 +192,15 @@
             World.DiscoverySpec spec,
             RuleChecker ledger,
             BiConsumer<String, String> nodeMoves,
-            BiFunction<String, EndpointList, EndpointList> seen) {
+            BiFunction<String, EndpointList, EndpointList> seen,
+            Observation observation) {
         this.loop = loop;
         this.scheduler = scheduler;
         this.spec = spec;
         this.ledger = ledger;
         this.nodeMoves = nodeMoves;
         this.seen = seen;
+        this.observation = observation;
     }
 
     /** Bytes of lists, changes and empty lines that it has written so far. */
--- a/lab/src/main/java/brackenbridge/lab/live/StandInHttp.java
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInHttp.java
@@ -21,7 +21,7 @@
 import java.util.function.Supplier;
 
 /** What stand-ins share: listening on loopback, and reading one request after another from a connection. */
-final class StandInHttp {
+public final class StandInHttp {
     private StandInHttp() {}
 
     /** A connection's server side: one request at a time. */
@@ -105,7 +105,7 @@
     }
 
     /** Ends a connection with a reset. */
-    static void reset(Channel channel) {
+    public static void reset(Channel channel) {
         if (channel.isActive()) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
@@ -140,7 +140,7 @@
     }
 
     /** Connects from this loop. */
-    static Bootstrap bootstrap(EventLoop loop) {
+    public static Bootstrap bootstrap(EventLoop loop) {
         return new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -154,7 +154,7 @@
     }
 
     /** The same of an address. */
-    static String dial(InetSocketAddress a) {
+    public static String dial(InetSocketAddress a) {
         return a.getAddress().getHostAddress() + ":" + a.getPort();
     }
 
--- a/lab/src/main/java/brackenbridge/lab/live/StandInServer.java
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInServer.java
@@ -28,6 +28,8 @@
 final class StandInServer implements Stage.Server {
     /** Word of a closed connection may come so much after that of the next attempt. */
     private static final double CROSSING_MS = 50;
+    /** From a handshake that took longer than this on, the first request's time of arrival is unknown. */
+    private static final double HELD_BACK_MS = 20;
     /** Noise, a head without end, a length that does not fit, an answer that is too large to hold. */
     private static final String[] SPOILT = {
         "HTTP/1.1 2x0 \u0001noise\r\nContent-Length: -7\r\n\r\n?",
@@ -57,6 +59,8 @@
         private int uses;
         private boolean taken;
         private double way;
+        /** Bytes may have come long before they were read: the handshake's work held them. */
+        private boolean heldBack;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -70,6 +74,7 @@
                 if (!ok) {
                     reset();
                 } else if (!cutOff) {
+                    heldBack = scheduler.nowMs() - idleSinceMs > HELD_BACK_MS;
                     channel.config().setAutoRead(true);
                 }
             });
@@ -115,7 +120,7 @@
                 answer(id == null ? 404 : 400, new Headers(), new byte[0]);
                 return;
             }
-            ledger.sent(now, known.entry.node(), host, known.entry);
+            checkDrain(now, known.entry);
             way = behaviour.wayMs(StandInServer.this, known.entry.node());
             afterWay(() -> {
                 begin(r, id, known, scheduler.nowMs());
@@ -125,6 +130,19 @@
             });
         }
 
+        /** Which process sends is looked up only where one of them must not: the look-up takes milliseconds. */
+        private void checkDrain(double now, RuleChecker.Entry entry) {
+            CallerLookup callers = observation.callers();
+            boolean suspect =
+                    callers.candidates(entry.node()).stream().anyMatch(process -> ledger.isTooLate(now, process, host));
+            if (suspect) {
+                String caller = callers.caller(entry.node(), channel);
+                if (caller != null) {
+                    ledger.sent(now, caller, host, entry);
+                }
+            }
+        }
+
         private void afterWay(Runnable then) {
             if (way > 0) {
                 scheduler.at(scheduler.nowMs() + way, then);
@@ -137,6 +155,9 @@
             boolean crossing = known.entry.out() > 0;
             RuleChecker.Attempt before = known.last;
             attempt = known.entry.arrived(now, host, !crossing);
+            if (!heldBack) {
+                known.entry.begunFor(now, host);
+            }
             known.last = attempt;
             if (crossing) {
                 scheduler.at(now + CROSSING_MS, () -> {
@@ -145,9 +166,23 @@
                     }
                 });
             }
+            if (observation.faults().repeatsRequest(known.entry.isUnsafe())) {
+                known.entry.arrived(now, host, false);
+            }
+            double deadline = known.deadlineMs;
             String left = r.headers().get("X-Time-Left-Ms");
-            double deadline =
-                    left == null || !TIME.matcher(left).matches() ? known.deadlineMs : now + Long.parseLong(left);
+            if (left != null && TIME.matcher(left).matches()) {
+                long toldMs = observation.faults().timeRead(Long.parseLong(left));
+                if (!heldBack) {
+                    known.entry.timeTold(now, host, toldMs);
+                }
+                deadline = now + toldMs;
+            }
+            heldBack = false;
+            serve(r, id, deadline);
+        }
+
+        private void serve(HttpRequest r, String id, double deadline) {
             RuleChecker.Attempt mine = attempt;
             ServerModel.Job[] begun = new ServerModel.Job[1];
             boolean[] over = {false};
@@ -186,7 +221,7 @@
                 fields.add("X-Backend-Load", text(report));
             }
             switch (v) {
-                case SERVED -> answer(200, fields, body(id, host));
+                case SERVED -> served(fields, body(observation.faults().answeredId(id), host));
                 case ERROR -> answer(500, fields, new byte[0]);
                 case TURNED_AWAY -> answer(503, fields.add("X-Unprocessed", "1"), new byte[0]);
                 case SPOILT ->
@@ -195,6 +230,17 @@
             }
         }
 
+        private void served(Headers fields, byte[] body) {
+            if (!answersWithoutLength()) {
+                answer(200, fields, body);
+                return;
+            }
+            write(
+                    Unpooled.wrappedBuffer(
+                            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1), body),
+                    true);
+        }
+
         private void probe() {
             model.probe(passed -> {
                 LoadReport report = passed && !limits.reportFields().isEmpty() ? model.report() : null;
@@ -237,6 +283,7 @@
     private final StandInDiscovery discovery;
     private final String zone;
     private final World.LimitSpec limits;
+    private final Observation observation;
     private final ServerModel model;
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final String dial;
@@ -251,6 +298,8 @@
     private boolean struck;
     private boolean cutOff;
     private double staleMs = Double.POSITIVE_INFINITY;
+    private double partWithoutLength;
+    private double dueWithoutLength;
     /** What ends and starts with it: the node of its own. */
     Runnable onDie = () -> {};
 
@@ -267,7 +316,8 @@
             Behaviour behaviour,
             StandInDiscovery discovery,
             String zone,
-            World.LimitSpec limits) {
+            World.LimitSpec limits,
+            Observation observation) {
         this.tier = tier;
         this.index = index;
         this.loop = loop;
@@ -279,6 +329,7 @@
         this.discovery = discovery;
         this.zone = zone;
         this.limits = limits;
+        this.observation = observation;
         this.host = "s-" + tier + "-" + index;
         listening = StandInHttp.listen(loop, new InetSocketAddress("127.0.0.1", 0), Connection::new);
         dial = StandInHttp.dial(listening);
@@ -370,6 +421,21 @@
         staleMs = afterMs;
     }
 
+    @Override
+    public void withoutLength(double part) {
+        partWithoutLength = part;
+    }
+
+    /** Evenly spread: as many answers as the part says. */
+    private boolean answersWithoutLength() {
+        dueWithoutLength += partWithoutLength;
+        if (dueWithoutLength < 1) {
+            return false;
+        }
+        dueWithoutLength--;
+        return true;
+    }
+
     @Override
     public void die() {
         model.die();
--- a/lab/src/main/java/brackenbridge/lab/rules/RuleChecker.java
+++ b/lab/src/main/java/brackenbridge/lab/rules/RuleChecker.java
@@ -13,10 +13,16 @@
  * they were delivered. One thread at a time.
  */
 public final class RuleChecker {
-    /** Histories that are printed whole; later ones are only counted. */
+    /** Histories of each rule that are printed whole; later ones are only counted. */
     private static final int KEPT = 20;
     /** Entries that a history keeps. */
     private static final int LONGEST = 40;
+    /** Every limit is so much longer on real sockets. */
+    private static final double SOCKET_SLACK_MS = 50;
+    /** An attempt that comes to a server so long after its client has gone was begun too late. */
+    private static final double CLIENT_GONE_GRACE_MS = 100 + SOCKET_SLACK_MS;
+    /** By how much the time that a server is told may pass what is left. */
+    private static final double TIME_TOLD_SLACK_MS = 150 + SOCKET_SLACK_MS;
 
     /** The rules. */
     public enum Rule {
@@ -31,7 +37,21 @@
         /** Never two attempts of one request at once. */
         TWO_AT_ONCE("never two attempts at once"),
         /** A success carries the body that a server made for this very request. */
-        FORGED("success only with the server's own body");
+        FORGED("success only with the server's own body"),
+        /** A server is told at most the time that is left to the client. */
+        TIME_TOLD("a server told no more time than is left"),
+        /** No attempt begins for a client that has gone away. */
+        CLIENT_GONE("nothing begun for a client that has gone"),
+        /** A connection to a node that serves is accepted. */
+        CONNECT("each connection to a serving node accepted"),
+        /** A client that stops in the middle of a request gets an error, or its connection ends. */
+        STALLED_CLIENT("an error or an end for a client that stops in the middle"),
+        /** A process starts in time, ends by itself before it is killed, and says that all went well. */
+        EXIT("a process starts in time, and exits with 0 before its kill"),
+        /** A node stays within its limits on memory and descriptors. */
+        LIMITS("memory and descriptors within their limits"),
+        /** A node's own counts agree with what its clients and servers saw. */
+        COUNTS("counts as clients and servers saw them");
 
         private final String words;
 
@@ -85,12 +105,13 @@
         private final String id;
         private final String node;
         private final boolean unsafe;
-        private final double deadlineMs;
+        private double deadlineMs;
         private final List<Note> history = new ArrayList<>(6);
         private int out;
         private boolean mayHaveRun;
         private boolean answered;
         private boolean gone;
+        private double clientGoneMs = Double.POSITIVE_INFINITY;
 
         private Entry(String id, String node, boolean unsafe, double deadlineMs) {
             this.id = id;
@@ -134,6 +155,13 @@
             return a;
         }
 
+        /** Its time begins only now: until now it waited behind another one on its connection. */
+        public void turnCame(double atMs, double newDeadlineMs) {
+            note(atMs, "is the next on its connection");
+            note(newDeadlineMs, "is its deadline");
+            deadlineMs = newDeadlineMs;
+        }
+
         /** The client has its answer. */
         public void answered(double atMs, Answer how) {
             note(atMs, "answered: ", how.name(), "");
@@ -159,6 +187,43 @@
         public void gone(double atMs) {
             note(atMs, "its client has gone away");
             gone = true;
+            clientGoneMs = atMs;
+        }
+
+        /** An attempt of it has begun, as it comes to a server. */
+        public void begunFor(double atMs, String host) {
+            if (atMs > clientGoneMs + CLIENT_GONE_GRACE_MS) {
+                broken(
+                        Rule.CLIENT_GONE,
+                        atMs,
+                        String.format(
+                                Locale.ROOT,
+                                "an attempt arrives at %s, %.1f ms after its client has gone",
+                                host,
+                                atMs - clientGoneMs),
+                        this);
+            }
+        }
+
+        /** A server was told that the client waits this long. */
+        public void timeTold(double atMs, String host, double toldMs) {
+            double leftMs = deadlineMs - atMs;
+            if (toldMs > leftMs + TIME_TOLD_SLACK_MS) {
+                broken(
+                        Rule.TIME_TOLD,
+                        atMs,
+                        String.format(Locale.ROOT, "%s is told %.0f ms while %.1f ms are left", host, toldMs, leftMs),
+                        this);
+            }
+        }
+
+        /** Its connection ended without an answer. */
+        public void connectionEnded(double atMs, String what) {
+            note(atMs, what);
+            if (!answered && !gone) {
+                broken(Rule.LOST, atMs, what, this);
+                gone = true;
+            }
         }
 
         /** Its node was killed: nothing is owed any more. */
@@ -181,6 +246,11 @@
             return node;
         }
 
+        /** Whether it must not run twice. */
+        public boolean isUnsafe() {
+            return unsafe;
+        }
+
         /** Attempts that are out. */
         public int out() {
             return out;
@@ -274,7 +344,9 @@
         checked++;
         Entry e = new Entry(id, node, unsafe, deadlineMs);
         e.note(atMs, className, unsafe ? ", unsafe, taken by " : ", safe, taken by ", node);
-        e.note(deadlineMs, "is its deadline");
+        if (Double.isFinite(deadlineMs)) {
+            e.note(deadlineMs, "is its deadline");
+        }
         return e;
     }
 
@@ -288,16 +360,36 @@
         }
     }
 
+    /** One process takes over what another was told. */
+    public void inherit(String from, String to) {
+        Map<String, Double> earlier = told.getOrDefault(from, Map.of());
+        earlier.forEach((host, atMs) -> told(atMs, to, host, false));
+    }
+
+    /** A rule that is not about one request was broken. */
+    public void report(Rule rule, double atMs, String what) {
+        broken(rule, atMs, what, null);
+    }
+
     /** A node was started anew and knows nothing of what it was told before. */
     public void forget(String node) {
         told.remove(node);
     }
 
+    /** Whether a node was told so long ago to send nothing to a host that a request which it sends now is too late. */
+    public boolean isTooLate(double atMs, String node, String host) {
+        return atMs > toldMs(node, host) + graceMs;
+    }
+
+    /** When a node was told to send nothing more to a host; infinity if it was not. */
+    private double toldMs(String node, String host) {
+        return told.getOrDefault(node, Map.of()).getOrDefault(host, Double.POSITIVE_INFINITY);
+    }
+
     /** A node sends a request's last byte to a host. */
     public void sent(double atMs, String node, String host, Entry request) {
-        Map<String, Double> of = told.get(node);
-        Double since = of == null ? null : of.get(host);
-        if (since != null && atMs > since + graceMs) {
+        double since = toldMs(node, host);
+        if (isTooLate(atMs, node, host)) {
             broken(
                     Rule.DRAIN,
                     atMs,
@@ -312,8 +404,7 @@
     }
 
     private void broken(Rule rule, double atMs, String what, Entry request) {
-        counts.merge(rule, 1L, Long::sum);
-        if (breaches.size() < KEPT) {
+        if (counts.merge(rule, 1L, Long::sum) <= KEPT) {
             breaches.add(new Breach(
                     rule,
                     atMs,
--- a/lab/src/main/java/brackenbridge/lab/trouble/Faults.java
+++ b/lab/src/main/java/brackenbridge/lab/trouble/Faults.java
@@ -82,6 +82,10 @@
                 it.model().spoil(t.amount());
                 after(t, () -> it.model().spoil(0));
             }
+            case NO_LENGTH -> {
+                it.withoutLength(t.amount());
+                after(t, () -> it.withoutLength(0));
+            }
             case CLASS_FAILS -> {
                 it.model().failClass(t.className(), t.amount());
                 after(t, () -> it.model().failClass(t.className(), 0));
@@ -90,14 +94,7 @@
                 it.stale(t.amount());
                 after(t, () -> it.stale(Double.POSITIVE_INFINITY));
             }
-            case CUT_OFF -> {
-                it.cutOff(true);
-                it.list(EndpointState.REMOVED, true);
-                after(t, () -> {
-                    it.cutOff(false);
-                    it.list(EndpointState.UP, false);
-                });
-            }
+            case CUT_OFF -> cutOff(t, it);
             case DRAIN -> drain(it, t);
             case LEAVE -> {
                 it.list(EndpointState.REMOVED, false);
@@ -121,6 +118,15 @@
         }
     }
 
+    private void cutOff(Trouble t, Stage.Server it) {
+        it.cutOff(true);
+        it.list(EndpointState.REMOVED, true);
+        after(t, () -> {
+            it.cutOff(false);
+            it.list(EndpointState.UP, false);
+        });
+    }
+
     private void drain(Stage.Server s, Trouble t) {
         s.list(EndpointState.DRAINING, false);
         // It turns work away only once all may know.
--- a/lab/src/main/java/brackenbridge/lab/trouble/Stage.java
+++ b/lab/src/main/java/brackenbridge/lab/trouble/Stage.java
@@ -24,6 +24,9 @@
         /** Idle connections end without a word after this time. */
         void stale(double afterMs);
 
+        /** This part of its answers comes without a length, and ends with the connection; where there are messages. */
+        default void withoutLength(double part) {}
+
         /** Its process ends, with all its connections. */
         void die();
 
--- a/lab/src/main/java/brackenbridge/lab/world/Trouble.java
+++ b/lab/src/main/java/brackenbridge/lab/world/Trouble.java
@@ -42,6 +42,8 @@
         CLASS_FAILS(1),
         /** Answers can't be read; amount: the part of them. */
         SPOILT(0.2),
+        /** Answers have no length and end with their connections; amount: the part of them. Real sockets alone. */
+        NO_LENGTH(0.2),
         /** Discovery tells later; amount: by how many milliseconds. */
         DISCOVERY_LATE(4000),
         /** Discovery is down: calls fail and watches end. */
--- a/lab/src/main/java/brackenbridge/lab/world/World.java
+++ b/lab/src/main/java/brackenbridge/lab/world/World.java
@@ -297,6 +297,11 @@
         return new World(seconds, warmupS, tiers, classes, tenants, load, clients, net, discovery, troubles, others);
     }
 
+    /** The same world with other troubles. */
+    public World troubledBy(List<Trouble> others) {
+        return new World(seconds, warmupS, tiers, classes, tenants, load, clients, net, discovery, others, limits);
+    }
+
     /** The same world for another time, after a warm-up. */
     public World lasting(double otherWarmupS, double otherSeconds) {
         return new World(
--- a/lab/src/test/java/brackenbridge/lab/grow/GrowTest.java
+++ b/lab/src/test/java/brackenbridge/lab/grow/GrowTest.java
@@ -2,9 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brackenbridge.lab.TestedNode;
 import brackenbridge.lab.grow.GrowWorld.Ends;
 import brackenbridge.lab.world.FileFault;
 import brackenbridge.lab.world.World;
@@ -14,11 +14,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import org.tomlj.Toml;
 
 /** What a node needs as its fleet grows: the bounds, the worlds, and a small play with a real node process. */
 class GrowTest {
-    private static final Path HOME = Path.of("..").toAbsolutePath().normalize();
     private static final Needs USUAL = new Needs(2, 100, 60, 50, 100, 0.8);
     private static final int USUAL_SERVERS = 200;
     private static final int MANY_SERVERS = 800;
@@ -70,7 +68,7 @@
     @Timeout(100)
     void fourTimesTheServersKeepToTheBoundsThatDoNotDependOnTheMachine(@TempDir Path folder)
             throws FileFault, IOException, InterruptedException {
-        GrowRunner runner = new GrowRunner(HOME, command(), folder);
+        GrowRunner runner = new GrowRunner(TestedNode.HOME, TestedNode.command(), folder);
         GrowRunner.Outcome usual = runner.play(USUAL_SERVERS, SECONDS, SEED, Ends.QUIET);
         GrowRunner.Outcome many = runner.play(MANY_SERVERS, SECONDS, SEED, Ends.QUIET);
         assertTrue(usual.needs().servedShare() > 0, "something was served");
@@ -83,14 +81,4 @@
             }
         }
     }
-
-    /** The deployment's command with the classes under test in place of the jar, which is not built yet. */
-    private static String command() throws IOException {
-        String run = Toml.parse(HOME.resolve("deploy/balancer.toml")).getString("run");
-        String tested = run.replace(
-                "-jar node/target/brackenbridge.jar",
-                "-cp '" + System.getProperty("java.class.path") + "' brackenbridge.cli.Main");
-        assertNotEquals(run, tested);
-        return tested;
-    }
 }
