What has come is read before a client counts as seen, also in a slow turn of the event loop

Cause: that a client waited unseen, and that it is present, were decided by a task scheduled 1 ms ahead, "longer than the turn of the event loop". The loop fetches due tasks after it has handled its sockets: in a turn that takes longer than 1 ms (16 accepts, 50 idle connections closed) the task runs before the loop has polled again.

Change: SocketPolls.runAfterNext schedules from a task, which is fetched a turn later at the earliest; RequestReader and ClientPresence use it. ClientPresenceTest lets the loop go through a turn in place of 1 ms; its checks are the same.

--- /dev/null
+++ b/node/src/main/java/brackenbridge/net/channel/SocketPolls.java
@@ -0,0 +1,20 @@
+package brackenbridge.net.channel;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+
+/** Waits for the next time that an event loop polls its sockets. */
+public final class SocketPolls {
+    private SocketPolls() {}
+
+    /**
+     * Runs a task once the loop has polled all sockets again, and has read what was there. To be called on the loop.
+     *
+     * <p>In each turn the loop polls its sockets, handles what they have, fetches the tasks that are due and runs them.
+     * A task that is scheduled while sockets are handled may be due before the turn's tasks are fetched; one that is
+     * scheduled by a task of this turn can't be.
+     */
+    public static void runAfterNext(EventLoop loop, Runnable task) {
+        loop.execute(() -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
+    }
+}
--- a/node/src/main/java/brackenbridge/net/client/ClientPresence.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientPresence.java
@@ -2,6 +2,7 @@
 
 import brackenbridge.clock.Clock;
 import brackenbridge.net.channel.ReceiveBuffers;
+import brackenbridge.net.channel.SocketPolls;
 import io.netty.channel.Channel;
 import java.util.concurrent.TimeUnit;
 
@@ -28,8 +29,6 @@
  * </pre>
  */
 final class ClientPresence {
-    /** Longer than the turn of the event loop in which a connection is first read. */
-    static final long NEXT_TURN_MS = 1;
     /** The interval of the bounded reads of a connection whose reading is paused. */
     static final long PRESENCE_CHECK_INTERVAL_MS = 50;
     /** Bytes that bounded reads may add to what a client may have sent ahead. */
@@ -158,8 +157,7 @@
         if (!nextTurnScheduled) {
             nextTurnScheduled = true;
             int readCountBefore = readCount;
-            // A scheduled task surely runs after another select over all sockets.
-            channel.eventLoop().schedule(() -> onNextTurn(readCountBefore), NEXT_TURN_MS, TimeUnit.MILLISECONDS);
+            SocketPolls.runAfterNext(channel.eventLoop(), () -> onNextTurn(readCountBefore));
         }
     }
 
--- a/node/src/main/java/brackenbridge/net/client/RequestReader.java
+++ b/node/src/main/java/brackenbridge/net/client/RequestReader.java
@@ -4,9 +4,9 @@
 import brackenbridge.http.HttpException;
 import brackenbridge.http.HttpRequest;
 import brackenbridge.http.RequestDecoder;
+import brackenbridge.net.channel.SocketPolls;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Makes requests of the bytes that a client sends, one at a time and in order. What the client sends while a request is
@@ -124,7 +124,7 @@
     /** The connection is open: only bytes that its first read finds may have waited in the backlog. */
     void onConnected() {
         if (opener.mayHaveWaitedUnseen()) {
-            channel.eventLoop().schedule(this::endUnseenWait, ClientPresence.NEXT_TURN_MS, TimeUnit.MILLISECONDS);
+            SocketPolls.runAfterNext(channel.eventLoop(), this::endUnseenWait);
         }
     }
 
--- a/node/src/test/java/brackenbridge/net/client/ClientPresenceTest.java
+++ b/node/src/test/java/brackenbridge/net/client/ClientPresenceTest.java
@@ -63,7 +63,12 @@
     private void pass(long ms) {
         clock.pass(ms);
         channel.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
-        channel.runScheduledPendingTasks();
+        channel.runPendingTasks();
+    }
+
+    /** Lets the event loop go through one turn. */
+    private void passTurn() {
+        channel.runPendingTasks();
     }
 
     private void read(int reads) {
@@ -91,9 +96,9 @@
         read(ReceiveBuffers.MAX_READS_PER_TURN);
         assertFalse(presence.isPresentNow(), "more may be at the socket");
         presence.onBytesRead();
-        pass(ClientPresence.NEXT_TURN_MS);
+        passTurn();
         assertFalse(presence.isPresentNow(), "a read since then");
-        pass(ClientPresence.NEXT_TURN_MS);
+        passTurn();
         assertTrue(presence.isPresentNow());
     }
 
@@ -165,7 +170,7 @@
         presence.setReading(false);
         presence.startChecking();
         presence.setReading(true);
-        pass(ClientPresence.NEXT_TURN_MS);
+        passTurn();
         assertTrue(presence.isPresentNow(), "nothing came in a whole turn");
         int presentCount = input.presentCount;
         pass(10 * ClientPresence.PRESENCE_CHECK_INTERVAL_MS);
