lab soak: what the machine keeps from running is not held against the node

A node that has no processor reads a request late, and its client's wait shows nowhere.

Change: SchedulingDelay reads from schedstat how long the event loops of node and laboratory were ready and had no processor within the last second; TIME_TOLD, CLIENT_GONE and the time of the kill are so much later. On a quiet machine that is a few milliseconds, so the checks keep their limits there. The log says which client wrote from which port.

--- a/lab/src/main/java/brackenbridge/lab/soak/ResourceWatch.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/ResourceWatch.java
@@ -12,6 +12,9 @@
     private volatile List<Long> pids = List.of();
     private volatile long peakDescriptors;
     private volatile long peakResidentKib;
+    private volatile double schedulingDelayMs;
+    /** Of the watching thread alone. */
+    private final SchedulingDelay delay = new SchedulingDelay();
 
     void start() {
         thread.setDaemon(true);
@@ -41,10 +44,17 @@
             descriptors += ProcessTable.descriptors(pid).orElse(0);
             residentKib += ProcessTable.residentKib(pid).orElse(0);
         }
+        double nodeMs = processes.stream().mapToDouble(delay::recentMs).max().orElse(0);
+        schedulingDelayMs = nodeMs + delay.recentMs(ProcessHandle.current().pid());
         peakDescriptors = Math.max(peakDescriptors, descriptors);
         peakResidentKib = Math.max(peakResidentKib, residentKib);
     }
 
+    /** How long a node's event loop and the laboratory's own have waited for processors within the last second. */
+    double schedulingDelayMs() {
+        return schedulingDelayMs;
+    }
+
     long peakDescriptors() {
         return peakDescriptors;
     }
--- a/lab/src/main/java/brackenbridge/lab/soak/SoakClient.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/SoakClient.java
@@ -268,7 +268,16 @@
         boolean behind = !outstanding.isEmpty();
         request.written(nowMs, behind, setting.node(), setting.rules(), setting.registry());
         outstanding.add(request);
-        setting.log().add(request.id() + " " + request.className() + " written" + (behind ? " behind another" : ""));
+        setting.log()
+                .add(String.format(
+                        Locale.ROOT,
+                        "%s %s written by a client that is %s, from port %d after %d answers%s",
+                        request.id(),
+                        request.className(),
+                        habit,
+                        connection.port(),
+                        connection.answers(),
+                        behind ? ", behind another" : ""));
         if (!behind) {
             turnCame(request);
         }
--- a/lab/src/main/java/brackenbridge/lab/soak/SoakConnection.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/SoakConnection.java
@@ -68,6 +68,11 @@
         return midAnswer;
     }
 
+    /** The client's port. */
+    int port() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
     /** Answers that have come. */
     int answers() {
         return answers;
--- a/lab/src/main/java/brackenbridge/lab/soak/SoakNode.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/SoakNode.java
@@ -186,7 +186,10 @@
         } else {
             signal(instance, Signals.SIGTERM, "SIGTERM");
         }
-        scheduler.at(nowMs + setting.plan().killAfterMs(), () -> killIfAlive(instance));
+        // A process that the machine keeps from running exits as much later.
+        scheduler.at(
+                nowMs + setting.plan().killAfterMs(),
+                () -> scheduler.at(scheduler.nowMs() + rules.machineDelayMs(), () -> killIfAlive(instance)));
         instance.process().onExit().thenRun(() -> loop.execute(whenEnded));
     }
 
