Clients that are accepted at the close of the listening socket count as having waited

Cause: ConnectionAcceptor notes with each client how long the backlog had not been empty, but not in emptyAndClose, which accepts by another way.

Change: both ways mark the wait by one method.

Test: ConnectionAcceptorTest, four clients behind a paused accept, then the close. Before: "no wait is known: [0.0, 0.0, 0.0, 0.0]". It passes now, with AcceptLimitTest, TimeToldTest 8, NodeCapacityTest 4, LastConnectionsTest 7, ListenerHandoverTest 2.

--- a/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
@@ -95,11 +95,22 @@
     }
 
     /** How long a client may have waited in the backlog before it was accepted, at the most; in milliseconds. */
-    static double maxBacklogWaitMs(Channel client) {
+    public static double maxBacklogWaitMs(Channel client) {
         Double waitMs = client.attr(BACKLOG_WAIT_MS).get();
         return waitMs == null ? 0 : waitMs;
     }
 
+    /** Clients may wait in the backlog from now on, if they don't already. */
+    private void onBacklogNotEmpty() {
+        waitingSinceMs = Double.isNaN(waitingSinceMs) ? clock.nowMs() : waitingSinceMs;
+    }
+
+    /** A client has been accepted; it has waited no longer than the backlog was not empty. */
+    private void markWait(Channel client) {
+        onBacklogNotEmpty();
+        client.attr(BACKLOG_WAIT_MS).set(clock.nowMs() - waitingSinceMs);
+    }
+
     /** Notes with each client how long the backlog had not been empty when it was accepted. */
     private final class BacklogChannel extends NioServerSocketChannel {
         BacklogChannel(ServerSocketChannel socket) {
@@ -111,7 +122,7 @@
             if (!accepted.isEmpty() && accepted.size() >= room.free()) {
                 // Those accepted in this turn are counted only after it: more would take the descriptors that their
                 // own requests need towards servers.
-                waitingSinceMs = Double.isNaN(waitingSinceMs) ? clock.nowMs() : waitingSinceMs;
+                onBacklogNotEmpty();
                 return 0;
             }
             NioSocketChannel client;
@@ -119,16 +130,14 @@
                 client = accept.next(this, socket);
             } catch (IOException e) {
                 // Clients that the failed accept leaves in the backlog wait from now on.
-                waitingSinceMs = Double.isNaN(waitingSinceMs) ? clock.nowMs() : waitingSinceMs;
+                onBacklogNotEmpty();
                 throw e;
             }
             if (client == null) {
                 waitingSinceMs = Double.NaN;
                 return 0;
             }
-            double now = clock.nowMs();
-            waitingSinceMs = Double.isNaN(waitingSinceMs) ? now : waitingSinceMs;
-            client.attr(BACKLOG_WAIT_MS).set(now - waitingSinceMs);
+            markWait(client);
             accepted.add(client);
             return 1;
         }
@@ -164,10 +173,13 @@
 
     /** Accepts clients, or lets them wait in the backlog. */
     public void admit(boolean on) {
-        if (!closing) {
-            waitingSinceMs = on || !Double.isNaN(waitingSinceMs) ? waitingSinceMs : clock.nowMs();
-            recovery.admit(channel, on);
+        if (closing) {
+            return;
+        }
+        if (!on) {
+            onBacklogNotEmpty();
         }
+        recovery.admit(channel, on);
     }
 
     /**
@@ -215,6 +227,7 @@
                     break;
                 }
                 backoff.accepted();
+                markWait(client);
                 channel.pipeline().fireChannelRead(client);
             } catch (IOException e) {
                 long pauseMs = backoff.pauseMs(e);
--- a/node/src/test/java/brackenbridge/net/ConnectionAcceptorTest.java
+++ b/node/src/test/java/brackenbridge/net/ConnectionAcceptorTest.java
@@ -18,6 +18,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -35,6 +36,7 @@
     private final FaultySockets sockets = new FaultySockets("127.0.0.1:1");
     private final Semaphore accepted = new Semaphore(0);
     private final AtomicInteger roomMade = new AtomicInteger();
+    private final List<Double> backlogWaitsMs = new CopyOnWriteArrayList<>();
     private final List<Socket> clients = new ArrayList<>();
     private ConnectionAcceptor acceptor;
 
@@ -43,6 +45,7 @@
         ServerBootstrap bootstrap = new ServerBootstrap().group(group).childHandler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel client) {
+                backlogWaitsMs.add(ConnectionAcceptor.maxBacklogWaitMs(client));
                 client.pipeline().addLast(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelActive(ChannelHandlerContext context) {
@@ -112,6 +115,15 @@
         assertEquals(shortage ? 20 : 0, roomMade.get());
     }
 
+    // Guards against a client that waited in the backlog until the close and is told to servers as one that did not.
+    @Test
+    void clientsThatAreAcceptedAtTheCloseAreKnownToHaveWaited() throws Exception {
+        close();
+        assertTrue(accepted.tryAcquire(CLIENTS, 10, TimeUnit.SECONDS), "accepted " + accepted.availablePermits());
+        assertEquals(CLIENTS, backlogWaitsMs.size());
+        backlogWaitsMs.forEach(waitMs -> assertTrue(waitMs > 0, "no wait is known: " + backlogWaitsMs));
+    }
+
     @Test
     void acceptsThatAlwaysFailEndInTheClose() throws Exception {
         sockets.fail(FaultySockets.Call.ACCEPT, FaultySockets.ALWAYS, () -> new IOException("Too many open files"));
