--- a/lab/src/main/java/brackenbridge/lab/soak/SoakRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/SoakRunner.java
@@ -46,6 +46,9 @@
     private static final long COUNTS_AGE_MS = 700;
 
     private static final long POLL_MS = 10;
+    /** A delay by the machine that the log mentions. */
+    private static final double NOTED_DELAY_MS = 100;
+
     private static final long LOAD_BEFORE_LAST_STOP_MS = 1000;
     /** For a process that a rule found alive after its kill. */
     private static final long AFTER_KILL_MS = 2500;
@@ -186,7 +189,11 @@
         resources.watch(node.running().stream()
                 .map(instance -> instance.process().pid())
                 .toList());
-        rules.machineDelay(resources.schedulingDelayMs());
+        double delayMs = resources.schedulingDelayMs();
+        if (delayMs > NOTED_DELAY_MS && rules.machineDelayMs() <= NOTED_DELAY_MS) {
+            log.add(String.format(Locale.ROOT, "the machine is crowded: processes waited %.0f ms for it", delayMs));
+        }
+        rules.machineDelay(delayMs);
         scheduler.at(scheduler.nowMs() + POLL_MS, this::watchProcesses);
     }
 
