A member that joins while its hello is being rejected raises no alarm

Operators would be told "not a member" of a member in their list.

Cause: the hello is validated without the lock, its rejection reported under it; c's list gained a in between, and RejectionHandler.onRejected then raised the alarm for a configured peer at once. Ruled out: the rejection that the other side reports, which is tolerated six times.

Change: an unknown member is reported as a stranger, whether or not it is configured by then.

Test: RejectionHandlerTest, before: "expected: <[]> but was: <[UNKNOWN_MEMBER]>"; another reason still raises one.

--- a/fleet/src/main/java/brackenbridge/fleet/peer/RejectionHandler.java
+++ b/fleet/src/main/java/brackenbridge/fleet/peer/RejectionHandler.java
@@ -51,7 +51,8 @@
         context.metrics.count(reason.rejectedCounter());
         boolean logged;
         synchronized (context.lock) {
-            Peer peer = registry.peer(connection.peerName);
+            // An unknown member may be configured by now: of two lists one is always the first to change.
+            Peer peer = reason == HandshakeRejection.UNKNOWN_MEMBER ? null : registry.peer(connection.peerName);
             logged = reason.lasting()
                     && (peer != null
                             ? reportPeer(peer, reason, description)
--- /dev/null
+++ b/fleet/src/test/java/brackenbridge/fleet/peer/RejectionHandlerTest.java
@@ -0,0 +1,74 @@
+package brackenbridge.fleet.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import brackenbridge.clock.Clock;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(20)
+class RejectionHandlerTest {
+    private static final HandshakeRejection LAST = HandshakeRejection.DUPLICATE_NAME;
+
+    private final LinkContext context =
+            new LinkContext(new Member("c", "127.0.0.1:1", "z"), 1, "fleet", Clock.system(), PeerLimits.standard());
+    private final ConnectionRegistry registry = new ConnectionRegistry(context);
+    private final Membership membership = new Membership(context, registry);
+    private final RejectionHandler handler = new RejectionHandler(context, registry, membership);
+    private final BlockingQueue<HandshakeRejection> alarms = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void end() {
+        synchronized (context.lock) {
+            membership.close();
+        }
+    }
+
+    // Guards against an alarm about a member that joined while its hello was being rejected.
+    @Test
+    void aPeerThatWasUnknownWhenItsHelloWasReadIsNoFault() throws Exception {
+        assertEquals(List.of(), alarmsAfter(HandshakeRejection.UNKNOWN_MEMBER));
+    }
+
+    @Test
+    void aPeerOfAnotherFleetIsAFault() throws Exception {
+        assertEquals(List.of(HandshakeRejection.FLEET_MISMATCH), alarmsAfter(HandshakeRejection.FLEET_MISMATCH));
+    }
+
+    /** What is raised when a hello of the known peer "a" is rejected for this reason. */
+    private List<HandshakeRejection> alarmsAfter(HandshakeRejection reason) throws Exception {
+        membership.alarm((name, why, text) -> alarms.add(why));
+        synchronized (context.lock) {
+            membership.start();
+            registry.add(new Peer(new Member("a", "127.0.0.1:1", "z")));
+        }
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket socket = new Socket(server.getInetAddress(), server.getLocalPort())) {
+            PeerConnection connection =
+                    new PeerConnection(socket, false, context.limits, context.clock, context.metrics);
+            connection.peerName = "a";
+            handler.onRejected(connection, reason, "a hello");
+        }
+        synchronized (context.lock) {
+            membership.raise("last", LAST, "behind all others");
+        }
+        List<HandshakeRejection> raised = new ArrayList<>();
+        for (HandshakeRejection next = nextAlarm(); next != LAST; next = nextAlarm()) {
+            raised.add(next);
+        }
+        return raised;
+    }
+
+    private HandshakeRejection nextAlarm() throws InterruptedException {
+        return alarms.poll(10, TimeUnit.SECONDS);
+    }
+}
