Hold back the last byte of a long body also while its connection comes up

Callers saw a 503, which says that nothing has run and that another try is harmless, for a request whose server had all of it. Cause: BodyStream.connect flushed a body that had been read whole, last byte and all, when a late connection to its server came up, while the client was not yet known to be present; the attempt counted as unwritten until then, so a reset, a cancellation or a client that stayed unknown ended in a rejection. Ruled out as further ways, by reading and by a property over random histories of the reducer (RejectionSafetyTest, 400 tries; it fails with a mutant that reports each lost connection as never made): a rejection decided between the write and its event, a timeout, a cut-off by a drain, a stop, new settings.

From the last byte on, a body is now flushed to its sink only with its end (BodyStream.holdEnd), so that "written" and "the server has it" change together. DisconnectedClientTest.waitingLongBodyIsNotCompletedWhileUnreadBytesHideItsClient failed on (the server had all of the rejected request) and passes.

--- a/node/src/main/java/brackenbridge/net/channel/BodyStream.java
+++ b/node/src/main/java/brackenbridge/net/channel/BodyStream.java
@@ -32,6 +32,9 @@
     private final Source source;
     private final ArrayDeque<ByteBuf> unsent = new ArrayDeque<>();
     private Sink sink;
+    /** Whether the sink may flush nothing more before the end. */
+    private boolean endHeld;
+
     private boolean ended;
     private boolean complete;
     private boolean cancelled;
@@ -60,11 +63,19 @@
 
     /** Flushes the sink when the source has read all available bytes. */
     public void flush() {
-        if (sink != null && !cancelled) {
+        if (sink != null && !cancelled && !endHeld) {
             sink.flush();
         }
     }
 
+    /**
+     * Holds back the pieces that have not been flushed, up to the end of the body: the recipient may act on the body
+     * once it has the last byte.
+     */
+    public void holdEnd() {
+        endHeld = true;
+    }
+
     /** Ends the body, complete or truncated; later calls have no effect. */
     public void end(boolean isComplete) {
         if (ended) {
@@ -88,7 +99,9 @@
         while (!unsent.isEmpty()) {
             sink.write(unsent.poll());
         }
-        sink.flush();
+        if (!endHeld) {
+            sink.flush();
+        }
         if (ended) {
             sink.onEnd(complete);
         } else {
--- a/node/src/main/java/brackenbridge/net/client/UploadReader.java
+++ b/node/src/main/java/brackenbridge/net/client/UploadReader.java
@@ -102,6 +102,7 @@
             if (decoder.decode(unread)) {
                 decoder.takeRequest();
                 lastByteHeld = true;
+                body.holdEnd();
                 reader.onLastByteHeld();
             } else {
                 body.flush();
--- a/node/src/test/java/brackenbridge/net/DisconnectedClientTest.java
+++ b/node/src/test/java/brackenbridge/net/DisconnectedClientTest.java
@@ -26,6 +26,8 @@
     private static final String COUNTERS_REQUEST = "GET /health/counters HTTP/1.1\r\n\r\n";
     /** More than the node buffers for one client; the rest stays in the socket buffers of both sides. */
     private static final int MORE_THAN_READ_AHEAD_BYTES = 700_000;
+    /** Long enough to be streamed, and within the read-ahead limit. */
+    private static final int READ_COMPLETELY_BODY_BYTES = 150_000;
     /** What a new connection's reads return in one turn: the end of stream after it is read in a later turn. */
     private static final int BYTES_READ_IN_ONE_TURN = 24_000;
     /** A configuration with a connect timeout that no test reaches. */
@@ -327,6 +329,29 @@
         assertOnlyNextRequestIsServed();
     }
 
+    /** Guards against rejecting a request as not run although its server has received all of it. */
+    @Test
+    void waitingLongBodyIsNotCompletedWhileUnreadBytesHideItsClient() throws Exception {
+        restartWithFullBacklog(LONG_CONNECT_TIMEOUT);
+        clock.freeze();
+        String body = "x".repeat(READ_COMPLETELY_BODY_BYTES);
+        send(client, fileRequest("a", body) + pipelinedRequests(MORE_THAN_READ_AHEAD_BYTES));
+        awaitCounter("requests_streamed 1");
+        server.startAccepting();
+        awaitCounter("connections_opened 1");
+        // By these responses, the node has run all tasks of the turn in which the connection opened.
+        countersText();
+        countersText();
+        clock.advanceFrozen(200);
+        String answer = FakeServer.readMessage(client.getInputStream());
+        assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+        Socket connection = server.connections.poll(10, TimeUnit.SECONDS);
+        for (long start = System.nanoTime(); !connection.isClosed() && server.requests.isEmpty(); ) {
+            assertTrue(System.nanoTime() - start < 10_000_000_000L, "the node did not close the connection");
+        }
+        assertEquals(0, server.requests.size(), "the server has all of a rejected request");
+    }
+
     @Test
     void noRetryOnceUnreadBytesHideTheClient() throws Exception {
         node.kill();
