Log each new version of the endpoint list and how long a discovery call lasted

An operator who sees requests at a drained server could not tell from the log whether the node had asked late, had not read the answer, or had sent in spite of it: it had only the end of a call, without its start, and nothing of lists. A new version now has a line with its call, its size and up to ten hosts that drain or are removed, once for each version, since an agent may repeat its list ten times a second. The line of a call's end says how long after its start.

--- a/node/src/main/java/brackenbridge/net/DiscoveryClient.java
+++ b/node/src/main/java/brackenbridge/net/DiscoveryClient.java
@@ -1,7 +1,10 @@
 package brackenbridge.net;
 
+import brackenbridge.clock.Clock;
 import brackenbridge.core.EndpointList;
 import brackenbridge.core.Event;
+import brackenbridge.core.ServerEndpoint;
+import brackenbridge.core.balancing.EndpointState;
 import brackenbridge.discovery.EndpointListParser;
 import brackenbridge.discovery.JsonObjectSplitter;
 import brackenbridge.http.HttpEncoder;
@@ -20,6 +23,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** Makes the discovery calls that the reducer requests, each on its own connection. */
@@ -29,20 +33,25 @@
 
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final int OK = 200;
+    private static final long NO_VERSION = -1;
+    private static final int MAX_LOGGED_HOSTS = 10;
     private static final String LIST_PATH = "/registry/instances";
 
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final EventSink events;
+    private final Clock clock;
     private final Log log;
     private final Map<Long, Call> calls = new HashMap<>();
     private String address;
+    private long latestLoggedVersion = NO_VERSION;
 
-    DiscoveryClient(Bootstrap bootstrap, EventLoop loop, String address, EventSink events, Log log) {
+    DiscoveryClient(Bootstrap bootstrap, EventLoop loop, String address, EventSink events, Clock clock, Log log) {
         this.bootstrap = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
         this.loop = loop;
         this.address = address;
         this.events = events;
+        this.clock = clock;
         this.log = log;
     }
 
@@ -74,9 +83,27 @@
         call.channel = ConnectAttempt.start(bootstrap.clone().handler(call), loop, socketAddress, call);
     }
 
+    /** Logs each new version once: an agent may repeat its list ten times a second. */
+    private void logList(long callId, EndpointList list) {
+        if (list.version() == latestLoggedVersion) {
+            return;
+        }
+        latestLoggedVersion = list.version();
+        List<String> unavailable = list.endpoints().stream()
+                .filter(endpoint -> endpoint.state() != EndpointState.UP)
+                .map(ServerEndpoint::host)
+                .limit(MAX_LOGGED_HOSTS)
+                .toList();
+        log.info("endpoint list version " + list.version() + " on call " + callId
+                + (list.complete() ? ", complete, " : ", changes, ")
+                + list.endpoints().size()
+                + " hosts; draining or removed: " + unavailable);
+    }
+
     /** One call to discovery, from its connection to its end. */
     private final class Call extends ChannelInboundHandlerAdapter implements ConnectAttempt.Listener {
         private final long id;
+        private final double openedAtMs = clock.nowMs();
         private final String address;
         private final String path;
         private final JsonObjectSplitter splitter = new JsonObjectSplitter(MAX_LIST_BYTES);
@@ -145,6 +172,7 @@
                     log.warn("unreadable entries in the endpoint list; these hosts keep their previous state: "
                             + endpoints.malformedHosts());
                 }
+                logList(id, endpoints);
                 events.raise(new Event.EndpointListReceived(id, endpoints));
             } catch (IllegalArgumentException e) {
                 end(e.getMessage());
@@ -155,7 +183,8 @@
         private void end(String reason) {
             ended = true;
             if (calls.remove(id, this)) {
-                log.warn("discovery call " + id + " ended: " + reason);
+                log.warn("discovery call " + id + " ended " + (long) (clock.nowMs() - openedAtMs)
+                        + " ms after its start: " + reason);
                 events.raise(new Event.DiscoveryCallEnded(id));
             }
             closeChannel();
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -107,7 +107,7 @@
                 config.settings(),
                 new ReducerStartCheck(clock, reducer, listener),
                 this::makeRoom);
-        discovery = new DiscoveryClient(outgoing, loop, config.discovery(), this, log);
+        discovery = new DiscoveryClient(outgoing, loop, config.discovery(), this, clock, log);
         status = new StatusPublisher(reducer, () -> acceptor.isOpen());
         reconfiguration = new Reconfiguration(config, loop, this::applySettings, this, counters, log, status::publish);
         replacement = new Replacement(loop, replacementPath, descriptors, this::stateForSuccessor, this, counters, log);
