Call discovery again soon when a watch ends early after an outage

Cause, from a trace of calls, lists and sends: two calls had been rejected during the outage, the third got its first message and was ended 0.5 s later in place of telling of the drain. Ruled out by the same trace: an answer that was not read, an attempt decided before the list, a silent watch.

DiscoveryWatch now counts calls without a message and short watches apart; a message ends the back-off of the calls before, since a service that sends takes calls again. Short watches still back off among themselves, and rejected calls in between don't reset that.

--- a/core/src/main/java/brackenbridge/core/membership/DiscoveryWatch.java
+++ b/core/src/main/java/brackenbridge/core/membership/DiscoveryWatch.java
@@ -18,10 +18,7 @@
  * silent watch misses 6 s after its last message.
  */
 public final class DiscoveryWatch {
-    /**
-     * A watch that ended sooner counts as failed, whatever it sent. Guards against a discovery that ends each watch
-     * right after its list.
-     */
+    /** A watch that ended sooner is a short one, whatever it sent. */
     private static final double MIN_STABLE_WATCH_MS = 1000;
 
     private DiscoverySource source;
@@ -34,7 +31,13 @@
     private double openedAtMs;
     private double lastMessageMs = Double.NEGATIVE_INFINITY;
     private boolean discoveryMoved;
+    /** Consecutive calls that ended without a message: discovery is down or overloaded. */
+    private int failedCalls;
+    /** Watches that sent a message and ended soon, since the last stable one. */
+    private int shortWatches;
+    /** The failures by which the next delay is chosen. */
     private int failures;
+
     private double nextOpenMs = Double.POSITIVE_INFINITY;
     /** The only valid timer. Guards against superseded timers, each of which would schedule another one. */
     private long currentTimer;
@@ -90,8 +93,10 @@
      */
     public List<DiscoveryCommand> reopen(double nowMs, boolean moved) {
         discoveryMoved |= moved;
-        // Guards against applying the back-off of the old address to the new one, which has rejected no call.
-        failures = moved ? 0 : failures;
+        if (moved) {
+            // Guards against applying the back-off of the old address to the new one, which has rejected no call.
+            resetFailures();
+        }
         nextOpenMs = nowMs;
         List<DiscoveryCommand> commands = new ArrayList<>();
         if (currentCall >= 0) {
@@ -137,11 +142,33 @@
             return List.of();
         }
         currentCall = -1;
-        failures = messageReceivedOnCall() && nowMs - openedAtMs >= MIN_STABLE_WATCH_MS ? 1 : failures + 1;
+        failures = countFailure(nowMs);
         nextOpenMs = nowMs + source.retryDelayMs(failures, random);
         return advance(nowMs);
     }
 
+    /** Counts the end of the current call; returns the failures by which the next delay is chosen, at least one. */
+    private int countFailure(double nowMs) {
+        if (!messageReceivedOnCall()) {
+            return ++failedCalls;
+        }
+        // Guards the drain grace against the back-off of an earlier outage: a service that sends messages accepts calls
+        // again, and a watch may end in place of telling a change.
+        failedCalls = 0;
+        if (nowMs - openedAtMs >= MIN_STABLE_WATCH_MS) {
+            shortWatches = 0;
+            return 1;
+        }
+        // Guards against a busy loop at a discovery that ends each watch right after its list.
+        return ++shortWatches;
+    }
+
+    private void resetFailures() {
+        failedCalls = 0;
+        shortWatches = 0;
+        failures = 0;
+    }
+
     /** Whether any message has been received on the current or the last call. */
     private boolean messageReceivedOnCall() {
         return listReceivedOnCall || lastMessageMs >= openedAtMs;
@@ -168,7 +195,7 @@
             commands.add(new DiscoveryCommand.EndCall(currentCall, true));
             currentCall = -1;
             // Silence does not mean that discovery rejects calls.
-            failures = 0;
+            resetFailures();
             nextOpenMs = nowMs + source.delayAfterSilenceMs(random);
         }
         if (currentCall < 0 && nowMs >= nextOpenMs) {
--- a/core/src/test/java/brackenbridge/core/membership/DiscoveryWatchExplorationTest.java
+++ b/core/src/test/java/brackenbridge/core/membership/DiscoveryWatchExplorationTest.java
@@ -68,7 +68,8 @@
         /** The time before which no call may be opened. */
         double noCallBeforeMs;
 
-        int failures;
+        int failedCalls;
+        int shortWatches;
         double openedAtMs;
         boolean down;
         boolean callRejected;
@@ -130,7 +131,8 @@
                         // The call got no message although discovery was up all the time, so discovery was unreachable.
                         reachableSinceMs =
                                 !messageReceived && openedAtMs >= reachableSinceMs ? nowMs : reachableSinceMs;
-                        failures = 0;
+                        failedCalls = 0;
+                        shortWatches = 0;
                         callDueMs = nowMs + (source.shared() ? 250 : 0);
                     }
                 } else if (command instanceof DiscoveryCommand.Wake wake) {
@@ -147,7 +149,10 @@
                 reachableSinceMs = messageReceived || rejections++ > 0 ? nowMs : reachableSinceMs + nowMs - openedAtMs;
             }
             openCall = -1;
-            failures = messageReceived && nowMs - openedAtMs >= 1000 ? 1 : failures + 1;
+            boolean stable = messageReceived && nowMs - openedAtMs >= 1000;
+            failedCalls = messageReceived ? 0 : failedCalls + 1;
+            shortWatches = stable ? 0 : messageReceived ? shortWatches + 1 : shortWatches;
+            int failures = stable ? 1 : messageReceived ? shortWatches : failedCalls;
             double delayMs =
                     source.shared() ? Math.min(400 * Math.pow(2, failures - 1), 1600) : failures > 1 ? 100 : 50;
             callDueMs = nowMs + 1.5 * delayMs;
@@ -256,7 +261,8 @@
                     }
                 }
                 case MOVED -> {
-                    failures = 0;
+                    failedCalls = 0;
+                    shortWatches = 0;
                     reachableSinceMs = nowMs;
                     rejections = 0;
                     noCallBeforeMs = nowMs;
--- a/core/src/test/java/brackenbridge/core/membership/DiscoveryWatchTest.java
+++ b/core/src/test/java/brackenbridge/core/membership/DiscoveryWatchTest.java
@@ -134,6 +134,8 @@
 
     private static final double MAX_QUEUE_TIME_MS = 2000;
     private static final double MAX_RETRY_DELAY_MS = 1600;
+    private static final double MIN_LONG_DELAY_MS = MAX_RETRY_DELAY_MS / 2;
+    private static final double MIN_FIRST_DELAY_MS = 200;
 
     /**
      * Holds whatever the length of the outage and the number of rejected calls, and even if a call hangs when the
@@ -210,6 +212,50 @@
         }
     }
 
+    /** Guards against requests to a drained server while the node backs off from a service that has recovered. */
+    @Test
+    void watchThatEndsSoonAfterAnOutageIsReopenedWithoutTheBackoffOfTheOutage() {
+        for (long seed = 1; seed <= 40; seed++) {
+            start(SERVICE, seed);
+            advance(4000);
+            for (int rejected = 0; rejected < 5; rejected++) {
+                execute(watch.onCallEnded(nowMs, currentCall()));
+                for (int calls = openCommands.size(); openCommands.size() == calls; ) {
+                    advance(10);
+                }
+            }
+            assertTrue(watch.onEndpointList(nowMs, currentCall(), 41, false));
+            advance(500);
+            int before = openCommands.size();
+            execute(watch.onCallEnded(nowMs, currentCall()));
+            advance(600);
+            assertEquals(before + 1, openCommands.size(), "seed " + seed);
+        }
+    }
+
+    /** A service that ends each watch soon is called less and less often, whatever calls it rejects in between. */
+    @Test
+    void serviceThatEndsEachWatchSoonIsCalledLessOften() {
+        for (boolean rejects : List.of(false, true)) {
+            start(SERVICE, 9);
+            advance(4000);
+            int callsBefore = openCommands.size();
+            for (double from = nowMs; nowMs < from + 60_000; ) {
+                long call = currentCall();
+                if (!rejects || call % 2 == 0) {
+                    watch.onEndpointList(nowMs, call, 41, true);
+                }
+                execute(watch.onCallEnded(nowMs, call));
+                while (currentCall() == call) {
+                    advance(1);
+                }
+            }
+            int calls = openCommands.size() - callsBefore;
+            double shortestMs = rejects ? (MIN_LONG_DELAY_MS + MIN_FIRST_DELAY_MS) / 2 : MIN_LONG_DELAY_MS;
+            assertTrue(calls < 60_000 / shortestMs + 4, calls + " calls in 60 s");
+        }
+    }
+
     @Test
     void watchWithHeartbeatsOnlyHasNotFailed() {
         start(SERVICE, 5);
