End connections of a stopping node only after they have been idle for a while

A client that uses one connection without a pause got the end of the connection in place of an answer when a stopping node went over from serving to its exit (ShortDeadlinesTest, request 35, 41 or 42). Cause: at the end of serving the node announced the close with further answers and at the same moment ended all connections without a request, also those whose answer had gone out a moment ago without the announcement.

A stop now ends a connection only once it has been idle for 0.1 s, the time that shedding and drains leave a request on its way already; the next answer within it announces the close. Just before the exit all idle connections are ended, so the process ends as early as before.

Ruled out: the linger of the immediate exit and rejectIncomplete, which act after the lost requests.

--- a/core/src/main/java/brackenbridge/core/DrainAndShutdown.java
+++ b/core/src/main/java/brackenbridge/core/DrainAndShutdown.java
@@ -103,7 +103,7 @@
         context.setTimer(stopRequestedMs + schedule.exitMs(), new TimerKey.ExitNow());
     }
 
-    /** Closes idle client connections; the node exits once no request is open. */
+    /** Announces the close and closes idle client connections; the node exits once no request is open. */
     void stopServing(ReducerContext context) {
         servingEnded = true;
         context.addEffect(new Effect.AnnounceClose(true));
--- a/core/src/main/java/brackenbridge/core/Effect.java
+++ b/core/src/main/java/brackenbridge/core/Effect.java
@@ -57,7 +57,7 @@
     /** Stop accepting connections. */
     record StopAccepting() implements Effect {}
 
-    /** Close the idle client connections. */
+    /** Close the client connections on which no further request is likely to be on its way. */
     record CloseIdleClients() implements Effect {}
 
     /** From now on, close each client connection as soon as it is idle; or stop doing so. */
--- a/node/src/main/java/brackenbridge/net/Shutdown.java
+++ b/node/src/main/java/brackenbridge/net/Shutdown.java
@@ -19,6 +19,8 @@
     private final Counters counters;
     private final Log log;
     private final CompletableFuture<Void> completed = new CompletableFuture<>();
+    /** The process exits within {@link ShutdownSchedule#EXIT_LINGER_MS}, whatever its clients do. */
+    private boolean exitsImmediately;
 
     Shutdown(EventLoop loop, Listener listener, Replacement replacement, Counters counters, Log log) {
         this.loop = loop;
@@ -38,6 +40,7 @@
      */
     void exit(boolean immediately) {
         if (immediately) {
+            exitsImmediately = true;
             // Incomplete requests are rejected now: the process will have exited before the rest of them arrives.
             listener.rejectIncomplete(SERVICE_UNAVAILABLE_STATUS);
             loop.schedule(this::complete, ShutdownSchedule.EXIT_LINGER_MS, TimeUnit.MILLISECONDS);
@@ -46,7 +49,11 @@
     }
 
     private void awaitConnectionsFinished() {
-        listener.closeIdleConnections();
+        if (exitsImmediately) {
+            listener.closeAllIdleConnections();
+        } else {
+            listener.closeIdleConnections();
+        }
         if (listener.allConnectionsFinished()) {
             complete();
         } else if (!completed.isDone()) {
--- a/node/src/main/java/brackenbridge/net/client/ClientConnection.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientConnection.java
@@ -68,6 +68,11 @@
         return state == ConnectionState.READING && reader.isEmpty();
     }
 
+    /** Whether it has been idle for so long that its client's next request is not likely to be on its way. */
+    boolean hasBeenIdle(double nowMs) {
+        return isIdle() && nowMs - stateSinceMs > ConnectionTimeouts.MIN_IDLE_BEFORE_CLOSE_MS;
+    }
+
     /** Whether the connection is closed, or being closed by the node. */
     boolean isEnding() {
         return state == ConnectionState.LINGERING || state == ConnectionState.CLOSED;
--- a/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
@@ -6,7 +6,7 @@
 final class ConnectionTimeouts {
     /** Maximum time for a request head from its first byte, or for the first head from the accept of the connection. */
     static final double HEAD_TIMEOUT_MS = 2500;
-    /** Minimum idle time before a connection is shed: its request may already be on the way. */
+    /** Minimum idle time before a connection is shed, or closed by a stop: its request may already be on the way. */
     static final long MIN_IDLE_BEFORE_CLOSE_MS = 100;
     /** Time for which input is read and discarded after the last response. */
     private static final double LINGER_TIMEOUT_MS = 1000;
--- a/node/src/main/java/brackenbridge/net/client/Listener.java
+++ b/node/src/main/java/brackenbridge/net/client/Listener.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 
 /** The client side of a node: raises requests as events and runs the reducer's effects on client connections. */
 public final class Listener {
@@ -156,10 +157,20 @@
         registry.stopAccepting();
     }
 
-    /** Closes idle connections. */
+    /** Closes connections that have been idle for so long that no request is likely to be on its way. */
     public void closeIdleConnections() {
+        double now = clock.nowMs();
+        closeConnections(connection -> connection.hasBeenIdle(now));
+    }
+
+    /** Closes all idle connections, because the process exits. */
+    public void closeAllIdleConnections() {
+        closeConnections(ClientConnection::isIdle);
+    }
+
+    private void closeConnections(Predicate<ClientConnection> idle) {
         for (ClientConnection connection : registry.copy()) {
-            if (connection.isIdle()) {
+            if (idle.test(connection)) {
                 connection.endIfIdle();
             }
         }
--- a/node/src/test/java/brackenbridge/net/ConnectionCloseRaceTest.java
+++ b/node/src/test/java/brackenbridge/net/ConnectionCloseRaceTest.java
@@ -116,6 +116,28 @@
         assertEquals(-1, first.getInputStream().read());
     }
 
+    /** Guards against ending the connection of a client whose next request is on its way. */
+    @Test
+    void requestThatFollowsAResponseIsServedAfterAStoppingNodeHasEndedIdleConnections() throws Exception {
+        harness = new ClientNode(ClientNode.withDeadlines(500));
+        Socket idle = harness.connect();
+        requestLive(idle);
+        Socket client = harness.connect();
+        harness.clock.freeze();
+        harness.node.stop();
+        // By this snapshot, the node has begun to stop at the frozen time.
+        harness.node.snapshot().get();
+        harness.clock.advanceFrozen(590);
+        requestLive(client);
+        harness.clock.advanceFrozen(15);
+        assertEquals(-1, idle.getInputStream().read(), "the idle connection was not closed");
+        send(client, fileRequest("late", 9000, "a"));
+        harness.server.responses.add(OK);
+        String response = readResponse(client);
+        assertTrue(response != null && response.endsWith("done"), response);
+        assertTrue(response.contains("Connection: close\r\n"), response);
+    }
+
     @Test
     void requestThatIsThereWhenADrainedNodeEndsIdleConnectionsIsServed() throws Exception {
         harness = new ClientNode();
