Relay: begin and end of a fault return when it is in force

RelayTest.refusedAndResetLinksSaySoAtOnceAndComeBack failed: a connect after REFUSE was accepted. Cause: begin closed the listening channel on the event loop, and a socket that is registered with a selector accepts until the selector has released it, in the loop's next poll.

begin waits until the selector has released the socket, end until the address is bound again; on the relay's own loop they take effect in its next turn. A bind that completes under another REFUSE is closed again.

--- a/lab/src/main/java/brackenbridge/lab/fleet/Relay.java
+++ b/lab/src/main/java/brackenbridge/lab/fleet/Relay.java
@@ -4,7 +4,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -15,6 +14,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * One link: listens on loopback in the place of a process, passes bytes on to it and back, and fails as it is told.
@@ -35,6 +36,10 @@
 
     private static final int CONNECT_MS = 2000;
     private static final int BIND_AGAIN_MS = 20;
+    /** Pause between two checks of whether a closed listening socket has been released. */
+    private static final int RELEASE_CHECK_INTERVAL_MS = 1;
+    /** A fault that takes longer to begin or end is reported as an error. */
+    private static final long APPLY_LIMIT_MS = 10_000;
 
     /**
      * What has gone through it.
@@ -48,6 +53,16 @@
 
     private record Piece(ByteBuf bytes, double dueMs) {}
 
+    /**
+     * The listening channel. A closed one still accepts connections until the selector has released its socket, in the
+     * next turn of the event loop.
+     */
+    private static final class ListeningChannel extends NioServerSocketChannel {
+        boolean isReleased() {
+            return !javaChannel().isOpen() && !javaChannel().isRegistered();
+        }
+    }
+
     /** A connection to the relay and the one that it makes in turn. */
     private final class Pair {
         final SocketChannel near;
@@ -285,7 +300,7 @@
     private final List<LinkFault> faults = new ArrayList<>();
     private final Set<Pair> pairs = new LinkedHashSet<>();
     private final InetSocketAddress address;
-    private Channel listening;
+    private ListeningChannel listening;
     private boolean closed;
     private long connections;
     private long resets;
@@ -299,16 +314,16 @@
         this.clock = clock;
         this.to = to;
         this.random = new SplittableRandom(seed);
-        listening = listen(new InetSocketAddress("127.0.0.1", 0))
+        listening = (ListeningChannel) listen(new InetSocketAddress("127.0.0.1", 0))
                 .syncUninterruptibly()
                 .channel();
-        address = (InetSocketAddress) listening.localAddress();
+        address = listening.localAddress();
     }
 
     private ChannelFuture listen(InetSocketAddress at) {
         return new ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(ListeningChannel::new)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -346,35 +361,67 @@
         return address;
     }
 
-    /** From now on it fails so, until {@link #end} is told the same. */
+    /**
+     * Makes the link fail in this way until {@link #end} is called with the same fault. The fault is in force when the
+     * call returns; if called on the relay's event loop, it is so after the loop's next turn.
+     */
     public void begin(LinkFault f) {
-        loop.execute(() -> {
+        applyAndWait(applied -> {
             faults.add(f);
             switch (f.kind()) {
-                case REFUSE -> listening.close();
+                case REFUSE -> stopListening(applied);
                 case RESET -> List.copyOf(pairs).forEach(Pair::reset);
                 case HALF_OPEN -> List.copyOf(pairs).forEach(Pair::lose);
                 default -> resumeAll();
             }
+            if (f.kind() != LinkFault.Kind.REFUSE) {
+                applied.setSuccess(null);
+            }
         });
     }
 
-    /** It no longer fails so. */
+    /** Ends this fault; when the call returns is as for {@link #begin}. */
     public void end(LinkFault f) {
-        loop.execute(() -> {
+        applyAndWait(applied -> {
             if (!faults.remove(f)) {
+                applied.setSuccess(null);
                 return;
             }
-            if (f.kind() == LinkFault.Kind.REFUSE && !has(LinkFault.Kind.REFUSE)) {
-                listenAgain();
-            }
             if (f.kind().endsInResets()) {
                 List.copyOf(pairs).forEach(Pair::reset);
             }
             resumeAll();
+            if (f.kind() == LinkFault.Kind.REFUSE && !has(LinkFault.Kind.REFUSE)) {
+                listenAgain(applied);
+            } else {
+                applied.setSuccess(null);
+            }
         });
     }
 
+    /** Runs the change on the event loop; waits until it is complete, unless called on that loop. */
+    private void applyAndWait(Consumer<Promise<Void>> change) {
+        Promise<Void> applied = loop.newPromise();
+        loop.execute(() -> change.accept(applied));
+        if (!loop.inEventLoop() && !applied.awaitUninterruptibly(APPLY_LIMIT_MS)) {
+            throw new IllegalStateException(name + ": a link fault was not applied in " + APPLY_LIMIT_MS + " ms");
+        }
+    }
+
+    private void stopListening(Promise<Void> stopped) {
+        listening.close();
+        completeWhenReleased(listening, stopped);
+    }
+
+    private void completeWhenReleased(ListeningChannel closing, Promise<Void> released) {
+        if (closing.isReleased()) {
+            released.setSuccess(null);
+        } else {
+            loop.schedule(
+                    () -> completeWhenReleased(closing, released), RELEASE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void resumeAll() {
         for (Pair p : List.copyOf(pairs)) {
             p.there.resume();
@@ -384,16 +431,21 @@
         }
     }
 
-    private void listenAgain() {
+    private void listenAgain(Promise<Void> listens) {
+        if (closed || has(LinkFault.Kind.REFUSE)) {
+            listens.setSuccess(null);
+            return;
+        }
         listen(address).addListener(f -> {
-            if (f.isSuccess()) {
-                listening = ((ChannelFuture) f).channel();
-                if (closed) {
-                    listening.close();
-                }
-            } else if (!closed) {
-                loop.schedule(this::listenAgain, BIND_AGAIN_MS, TimeUnit.MILLISECONDS);
+            if (!f.isSuccess()) {
+                loop.schedule(() -> listenAgain(listens), BIND_AGAIN_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            listening = (ListeningChannel) ((ChannelFuture) f).channel();
+            if (closed || has(LinkFault.Kind.REFUSE)) {
+                listening.close();
             }
+            listens.setSuccess(null);
         });
     }
 
