Reserve descriptors once for the two processes of a replacement

Cause: each process kept the whole reserve of 24 descriptors back from its half of the limit, so the new one had 9 places for clients, and both together used 86 to 92 of 128 at the most.

The reserve is now taken off before the limit is halved.

--- a/node/src/main/java/brackenbridge/net/channel/DescriptorBudget.java
+++ b/node/src/main/java/brackenbridge/net/channel/DescriptorBudget.java
@@ -35,7 +35,8 @@
     }
 
     private void computeLimits() {
-        connectionLimit = Math.max(16, (shared ? limit / 2 : limit) - RESERVED_DESCRIPTORS - openAtStart);
+        int available = limit - RESERVED_DESCRIPTORS;
+        connectionLimit = Math.max(16, (shared ? available / 2 : available) - openAtStart);
         // Typically, clients need a third of all descriptors, and their requests as many for connections to servers.
         clientLimit = (int) (connectionLimit * 11L / 20);
     }
--- a/node/src/test/java/brackenbridge/net/channel/DescriptorBudgetTest.java
+++ b/node/src/test/java/brackenbridge/net/channel/DescriptorBudgetTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.File;
 import org.junit.jupiter.api.Test;
 
 /** Limits at both ends of their range leave descriptors for clients and for servers. */
@@ -17,4 +18,28 @@
             assertTrue(budget.hasRoomForClient() && budget.hasRoomForServer(), "half of limit " + limit);
         }
     }
+
+    private static int connectionsThatFit(DescriptorBudget budget) {
+        int count = 0;
+        for (; budget.hasRoomForServer(); count++) {
+            budget.addServers(1);
+        }
+        budget.addServers(-count);
+        return count;
+    }
+
+    /** Guards clients against a replacement that leaves them fewer connections than the limit allows. */
+    @Test
+    void processesThatShareALimitReserveDescriptorsOnce() {
+        int open = new File("/proc/self/fd").list().length;
+        // Other tests of this process may open or close files meanwhile.
+        int tolerance = 10;
+        int limit = 2000;
+        DescriptorBudget budget = new DescriptorBudget(limit);
+        int alone = connectionsThatFit(budget);
+        budget.shareWithOtherProcess(true);
+        int together = 2 * connectionsThatFit(budget);
+        assertTrue(together + open <= alone + tolerance, alone + " alone, " + together + " together, open " + open);
+        assertTrue(together + open >= alone - tolerance, alone + " alone, " + together + " together, open " + open);
+    }
 }
