Send no request whose time may have ended in the backlog by more than the slack

The promise is that a server is told at most what is left, with 0.15 s of slack.

Weighed against reading from the kernel how long the bytes have lain (TCP_INFO): that needs a native call on each accepted socket.

--- a/core/src/main/java/brackenbridge/core/AttemptLifecycle.java
+++ b/core/src/main/java/brackenbridge/core/AttemptLifecycle.java
@@ -11,6 +11,8 @@
 final class AttemptLifecycle implements Event.AttemptEvent.Handler<ReducerContext> {
     /** The minimum time left that is sent to a server. */
     private static final double MIN_TIME_LEFT_MS = 1;
+    /** A server may be told of this much more time than its client has left. */
+    private static final double MAX_TIME_TOLD_EXCESS_MS = 150;
 
     private final OpenRequests requests;
     private final EndpointTable endpoints;
@@ -208,6 +210,9 @@
         // If the request was incomplete when the attempt started, its last byte may have waited long before it was
         // read, so that its deadline may be too late: the announced deadline bounds the time left as well.
         double certainDeadlineMs = request.deadlineMs - request.maxBacklogWaitMs;
+        if (nowMs - certainDeadlineMs > MAX_TIME_TOLD_EXCESS_MS) {
+            return 0;
+        }
         return Math.max(MIN_TIME_LEFT_MS, Math.min(certainDeadlineMs, attempt.announcedDeadlineMs) - nowMs);
     }
 
--- a/core/src/test/java/brackenbridge/core/FaultyBalancerTest.java
+++ b/core/src/test/java/brackenbridge/core/FaultyBalancerTest.java
@@ -422,6 +422,16 @@
         assertEquals(0, reducer.timeLeftMs(START_MS + 395, 8, 1), "no retry beyond the certain deadline");
     }
 
+    /** Guards servers against working for a client that has given up while its request waited in the backlog. */
+    @Test
+    void requestWhoseTimeMayHaveEndedInTheBacklogIsNotSent() {
+        start((actions, requestId) -> actions.startAttempt(requestId, idOf("s-1"), 0));
+        send(START_MS, new Event.RequestReceived(8, new ClientRequest("file", null, 400, false, true, 540, "message")));
+        assertEquals(1, reducer.timeLeftMs(START_MS, 8, 0), 1e-6, "145 ms late: within the slack");
+        send(START_MS, new Event.RequestReceived(9, new ClientRequest("file", null, 400, false, true, 550, "message")));
+        assertEquals(0, reducer.timeLeftMs(START_MS, 9, 0), "155 ms late");
+    }
+
     @Test
     void timeLeftOfAStreamedRequestCountsFromItsSending() {
         start((actions, requestId) -> actions.startAttempt(requestId, idOf("s-1"), 0));
