Shed unused connections sooner while other clients wait to be accepted

Beside 160 idle clients that come again, requests waited in the backlog of a node at 128 descriptors for over a second.

A connection that has never sent a request is now closed after 25 ms, in place of 100, once clients have been waiting to be accepted for over 0.1 s: a client sends its first request with the end of its handshake. Without such a wait, and for connections that were used, nothing changes.

What remains: active clients hold all places of the new process until the old one has ended.

--- a/node/src/main/java/brackenbridge/net/client/ClientConnection.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientConnection.java
@@ -108,13 +108,17 @@
      * Whether it may be closed to free its descriptor: it is idle, or its last response was written a while ago.
      *
      * @param havingSentRequest true to select connections that have sent a request, false for those that never have
+     * @param minIdleMs how long an idle one must have been so
      */
-    boolean canBeShed(boolean havingSentRequest, double nowMs) {
-        boolean idle = isIdle() && hasSentRequest == havingSentRequest;
+    boolean canBeShed(boolean havingSentRequest, double minIdleMs, double nowMs) {
+        double ageMs = nowMs - stateSinceMs;
+        boolean idle = isIdle() && hasSentRequest == havingSentRequest && ageMs > minIdleMs;
         // Closing a socket with unread bytes would reset the connection before the client has read its last response.
-        boolean over = state == ConnectionState.LINGERING && !havingSentRequest && !reader.hasDiscardedTooMuch();
-        boolean longEnough = nowMs - stateSinceMs > ConnectionTimeouts.MIN_IDLE_BEFORE_CLOSE_MS;
-        return (idle || over) && longEnough && channel.isActive();
+        boolean over = state == ConnectionState.LINGERING
+                && !havingSentRequest
+                && !reader.hasDiscardedTooMuch()
+                && ageMs > ConnectionTimeouts.MIN_IDLE_BEFORE_CLOSE_MS;
+        return (idle || over) && channel.isActive();
     }
 
     /**
--- a/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
@@ -100,6 +100,11 @@
         return waitMs == null ? 0 : waitMs;
     }
 
+    /** Upper bound on the time for which clients have been waiting in the backlog, in milliseconds; 0 if none waits. */
+    double backlogWaitMs() {
+        return Double.isNaN(waitingSinceMs) ? 0 : clock.nowMs() - waitingSinceMs;
+    }
+
     /** Records that clients may wait in the backlog from now on. */
     private void onBacklogNotEmpty() {
         waitingSinceMs = Double.isNaN(waitingSinceMs) ? clock.nowMs() : waitingSinceMs;
--- a/node/src/main/java/brackenbridge/net/client/ConnectionRegistry.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionRegistry.java
@@ -69,6 +69,11 @@
         }
     }
 
+    /** Upper bound on the time for which clients have been waiting to be accepted, in milliseconds. */
+    double backlogWaitMs() {
+        return acceptor == null ? 0 : acceptor.backlogWaitMs();
+    }
+
     /** Runs the action after a delay in milliseconds, unless the acceptor is being closed by then. */
     void scheduleIfAccepting(Runnable action, long delayMs) {
         acceptor.scheduleIfOpen(action, delayMs);
--- a/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
@@ -8,6 +8,13 @@
     static final double HEAD_TIMEOUT_MS = 2500;
     /** Minimum idle time before a connection is shed, or closed by a stop: its request may already be on the way. */
     static final long MIN_IDLE_BEFORE_CLOSE_MS = 100;
+    /**
+     * The same for a connection that has never sent a request while other clients wait to be accepted: a client sends
+     * its first request as soon as it is connected.
+     */
+    static final long MIN_UNUSED_BEFORE_CLOSE_MS = 25;
+    /** Clients that have waited this long to be accepted shorten the time that unused connections are kept. */
+    static final double LONG_BACKLOG_WAIT_MS = 100;
     /** Time for which input is read and discarded after the last response. */
     private static final double LINGER_TIMEOUT_MS = 1000;
 
--- a/node/src/main/java/brackenbridge/net/client/Listener.java
+++ b/node/src/main/java/brackenbridge/net/client/Listener.java
@@ -207,7 +207,7 @@
      * may run much later.
      */
     private void scheduleResumeAccepting() {
-        registry.scheduleIfAccepting(this::resumeAcceptingOrShed, ConnectionTimeouts.MIN_IDLE_BEFORE_CLOSE_MS + 1);
+        registry.scheduleIfAccepting(this::resumeAcceptingOrShed, shedding.minUnusedMs() + 1);
     }
 
     /** Resumes accepting; at the descriptor limit, sheds all idle connections, as clients wait in the backlog. */
--- a/node/src/test/java/brackenbridge/net/ConnectionCloseRaceTest.java
+++ b/node/src/test/java/brackenbridge/net/ConnectionCloseRaceTest.java
@@ -11,6 +11,8 @@
 import brackenbridge.config.ConfigTest;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -65,6 +67,45 @@
         assertEquals(-1, client.getInputStream().read());
     }
 
+    /** Guards requests against waiting in the backlog behind clients that connect and send nothing. */
+    @Test
+    void unusedConnectionsAreShedSoonerWhileClientsWaitToBeAccepted() throws Exception {
+        harness = new ClientNode(ConfigTest.TEXT.replace("\"sockets\":1024", "\"sockets\":64"));
+        Socket probe = harness.connect();
+        requestLive(probe);
+        probe.close();
+        harness.clock.freeze();
+        List<Socket> first = connectIdle(MAX_CLIENTS);
+        awaitClients(MAX_CLIENTS);
+        List<Socket> second = connectIdle(MAX_CLIENTS);
+        Socket client = harness.connect();
+        send(client, fileRequest("late", 9000, "a"));
+        harness.server.responses.add(OK);
+        harness.clock.advanceFrozen(110);
+        for (Socket idle : first) {
+            assertEquals(-1, idle.getInputStream().read());
+        }
+        awaitClients(MAX_CLIENTS);
+        harness.clock.advanceFrozen(30);
+        assertServed(client, "late");
+        assertEquals(-1, second.get(0).getInputStream().read());
+    }
+
+    private List<Socket> connectIdle(int count) throws IOException {
+        List<Socket> idle = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            idle.add(harness.connect());
+        }
+        return idle;
+    }
+
+    private void awaitClients(int count) throws Exception {
+        long start = System.nanoTime();
+        while (harness.node.snapshot().get().clients() != count) {
+            assertTrue(System.nanoTime() - start < 10_000_000_000L, "the node has not accepted " + count + " clients");
+        }
+    }
+
     @Test
     void clientInTheMiddleOfARequestIsNotShedForItsDescriptor() throws Exception {
         harness = new ClientNode(ConfigTest.TEXT.replace("\"sockets\":1024", "\"sockets\":64"));
