Count the wait in the backlog towards the time for a client's first head

The longest possible wait now shortens that time, to 2.1 s at the least, as a slow client may take 2 s for a head.

--- a/node/src/main/java/brackenbridge/net/client/ClientConnection.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientConnection.java
@@ -20,6 +20,9 @@
     /** When the state was entered, or when the client last read or sent something that counts as progress. */
     private double stateSinceMs;
 
+    /** Timeout of the head that is being read. */
+    private double headTimeoutMs;
+
     private boolean hasSentRequest;
     private int reservedBytes;
 
@@ -27,6 +30,7 @@
         this.channel = channel;
         this.context = context;
         stateSinceMs = context.clock().nowMs();
+        headTimeoutMs = ConnectionTimeouts.firstHeadTimeoutMs(ConnectionAcceptor.maxBacklogWaitMs(channel));
         reader = new RequestReader(this, context, channel, stateSinceMs);
         writer = new ResponseWriter(this, context, channel);
         request = new CurrentRequest(this, context);
@@ -199,6 +203,7 @@
     /** Handles the complete head of a request. */
     void onRequestHead(boolean isHttp11, boolean isKeptAlive) {
         hasSentRequest = true;
+        headTimeoutMs = ConnectionTimeouts.HEAD_TIMEOUT_MS;
         request.onHead(isHttp11, isKeptAlive);
     }
 
@@ -302,7 +307,7 @@
             channel.close();
         } else if (isIdle() && ageMs > context.timeouts().idleTimeoutMs(hasSentRequest)) {
             endIfIdle();
-        } else if (reader.isReadingHead() && ageMs > ConnectionTimeouts.HEAD_TIMEOUT_MS) {
+        } else if (reader.isReadingHead() && ageMs > headTimeoutMs) {
             writer.rejectMalformed(408, "request too slow");
         } else {
             reader.checkBodyRate(nowMs);
--- a/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
@@ -6,6 +6,8 @@
 final class ConnectionTimeouts {
     /** Maximum time for a request head from its first byte, or for the first head from the accept of the connection. */
     static final double HEAD_TIMEOUT_MS = 2500;
+    /** Lower bound of that timeout for a client that may have waited in the backlog: a slow client takes up to 2 s. */
+    private static final double MIN_HEAD_TIMEOUT_MS = 2100;
     /** Minimum idle time before a connection is shed, or closed by a stop: its request may already be on the way. */
     static final long MIN_IDLE_BEFORE_CLOSE_MS = 100;
     /**
@@ -35,6 +37,11 @@
         this.descriptors = descriptors;
     }
 
+    /** Timeout of the first head of a client that may have waited this long in the backlog before it was accepted. */
+    static double firstHeadTimeoutMs(double maxBacklogWaitMs) {
+        return Math.max(MIN_HEAD_TIMEOUT_MS, HEAD_TIMEOUT_MS - maxBacklogWaitMs);
+    }
+
     /** Whether a client takes too long to read a response, or to close its side of a lingering connection. */
     static boolean isStalled(ConnectionState state, boolean streaming, double ageMs) {
         return switch (state) {
--- a/node/src/test/java/brackenbridge/net/ConnectionCloseRaceTest.java
+++ b/node/src/test/java/brackenbridge/net/ConnectionCloseRaceTest.java
@@ -91,6 +91,24 @@
         assertEquals(-1, second.get(0).getInputStream().read());
     }
 
+    /** Guards clients that stop in the middle of a request against waiting for longer than the page allows. */
+    @Test
+    void timeoutOfAnIncompleteRequestIncludesItsWaitInTheBacklog() throws Exception {
+        harness = new ClientNode(ConfigTest.TEXT.replace("\"sockets\":1024", "\"sockets\":64"));
+        harness.clock.freeze();
+        List<Socket> idle = connectIdle(MAX_CLIENTS);
+        awaitClients(MAX_CLIENTS);
+        Socket client = harness.connect();
+        send(client, fileRequest("half", 9000, "a").substring(0, 30));
+        harness.clock.advanceFrozen(110);
+        for (Socket each : idle) {
+            assertEquals(-1, each.getInputStream().read());
+        }
+        awaitClients(1);
+        harness.clock.advanceFrozen(2400);
+        assertTrue(readResponse(client).startsWith("HTTP/1.1 408 "));
+    }
+
     private List<Socket> connectIdle(int count) throws IOException {
         List<Socket> idle = new ArrayList<>();
         for (int i = 0; i < count; i++) {
