Soak: watches that end untold, short graces, crowds at outages, brief deadlines

A watch may also end in place of telling (trouble DISCOVERY_ENDS_WATCH): the first one after the outage now does, half a second after its first message, and what it left out counts as told 0.75 s later (the node asks again within 0.6 s and may be held up for 0.15 s).

Hand-made fault REFUSED_AFTER_RUN, a request that ran and counts as refused, is found by DUPLICATE (SoakFaultTest). The long body that was sent whole needs a connection to a server that comes up late, which stand-ins on loopback don't have: no kind meets it.

--- a/lab/src/main/java/brackenbridge/lab/live/StandInDiscovery.java
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInDiscovery.java
@@ -32,6 +32,14 @@
     private static final double MOVED_MS = 1500;
     /** A call that would wait longer than this in the queue fails. */
     private static final double LONGEST_WAIT_MS = 1000;
+    /**
+     * A node whose watch ends after a message asks again within 0.6 s, and may be held up for 0.15 s: a change that the
+     * watch did not tell counts as told then.
+     */
+    private static final double ASKS_AGAIN_WITHIN_MS = 750;
+
+    /** How long a watch stays open that ends in place of telling. */
+    private static final double UNTOLD_WATCH_MS = 500;
 
     private final class Call extends StandInHttp.Serving {
         private final String node;
@@ -73,6 +81,11 @@
                     Unpooled.copiedBuffer(
                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", StandardCharsets.ISO_8859_1),
                     false);
+            if (endsNextWatchUntold) {
+                endsNextWatchUntold = false;
+                endUntold(version);
+                return;
+            }
             watching = true;
             watches.add(this);
             EndpointList since = list.since(version);
@@ -151,6 +164,28 @@
             }
         }
 
+        /** Tells nothing but that the watch is open, and ends it soon, whatever has changed since this version. */
+        private void endUntold(long version) {
+            chunk("\n");
+            // Looked up now: by the end of the watch its process may have ended, and another one have taken its place.
+            String caller = observation.callers().caller(node, channel);
+            scheduler.at(scheduler.nowMs() + UNTOLD_WATCH_MS, () -> {
+                channel.close();
+                double asksAgainMs = scheduler.nowMs() + ASKS_AGAIN_WITHIN_MS;
+                if (caller != null) {
+                    scheduler.at(asksAgainMs, () -> toldUnasked(asksAgainMs, caller, version));
+                }
+            });
+        }
+
+        private void toldUnasked(double atMs, String caller, long version) {
+            for (ServerEndpoint change : list.since(version).endpoints()) {
+                if (change.state() != EndpointState.UP) {
+                    ledger.told(atMs, caller, change.host(), false);
+                }
+            }
+        }
+
         @Override
         void ended() {
             over = true;
@@ -174,6 +209,7 @@
     private double callMs;
     private double busyUntilMs;
     private boolean down;
+    private boolean endsNextWatchUntold;
     /** Bytes of lists and changes so far; read by other threads once the load is over. */
     private volatile long listBytes;
 
@@ -242,6 +278,11 @@
         List.copyOf(watches).forEach(Call::changed);
     }
 
+    @Override
+    public void endNextWatchUntold() {
+        endsNextWatchUntold = true;
+    }
+
     @Override
     public void late(double ms) {
         extraMs = ms;
--- a/lab/src/main/java/brackenbridge/lab/soak/InjectedFaults.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/InjectedFaults.java
@@ -3,6 +3,7 @@
 import brackenbridge.core.ServerEndpoint;
 import brackenbridge.core.balancing.EndpointState;
 import brackenbridge.lab.live.StandInFaults;
+import brackenbridge.lab.rules.RuleChecker.Answer;
 import java.util.EnumSet;
 import java.util.Set;
 
@@ -28,6 +29,12 @@
         return pending.remove(fault);
     }
 
+    /** What an answer counts as: one that was served to a request that must not be repeated counts once as refused. */
+    Answer answer(Answer answer, boolean unsafe) {
+        boolean refused = answer == Answer.SERVED && unsafe && take(SoakFault.REFUSED_AFTER_RUN);
+        return refused ? Answer.REFUSED : answer;
+    }
+
     @Override
     public boolean repeatsRequest(boolean unsafe) {
         return unsafe && take(SoakFault.REPEATED_REQUEST);
--- a/lab/src/main/java/brackenbridge/lab/soak/SoakClient.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/SoakClient.java
@@ -408,6 +408,8 @@
         String body = new String(response.body(), StandardCharsets.ISO_8859_1);
         if (how == Answer.SERVED && !body.startsWith("served " + request.id() + " by ")) {
             request.entry().forged(nowMs, "answered with a body of its own");
+        } else {
+            how = setting.faults().answer(how, request.entry().isUnsafe());
         }
         request.entry().answered(nowMs, how);
         if (setting.faults().take(SoakFault.SECOND_ANSWER)) {
--- a/lab/src/main/java/brackenbridge/lab/soak/SoakFault.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/SoakFault.java
@@ -12,6 +12,8 @@
     CLOSED_UNDER_REQUEST(Rule.LOST, "its connection ended after it had gone to a server"),
     /** A request that must not be repeated comes to a server twice. */
     REPEATED_REQUEST(Rule.DUPLICATE, "though it may have run"),
+    /** A request that must not be repeated is refused after it ran. */
+    REFUSED_AFTER_RUN(Rule.DUPLICATE, "refused though it may have run"),
     /** The node does not hear of a drain that counts as told. */
     UNHEARD_DRAIN(Rule.DRAIN, "ago to stop"),
     /** A server's answer is of another request. */
--- a/lab/src/main/java/brackenbridge/lab/soak/SoakPlanner.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/SoakPlanner.java
@@ -15,14 +15,21 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** Draws a play from its seed. */
 public final class SoakPlanner {
     private static final String FILE = "soak.toml";
     private static final double[] LONGEST_DEADLINES_MS = {1000, 2000, 4000};
+    private static final double USUAL_DRAIN_GRACE_MS = 500;
+    private static final double[] DRAIN_GRACES_MS = {0, 100, 300, 500};
     private static final double[] IDLE_CLOSES_MS = {400, 3000, 30_000};
     private static final double MS_PER_S = 1000;
+    private static final Pattern BRIEF_DEADLINES = Pattern.compile("\\b(aim|deadline) = \"[^\"]*\"");
+    private static final double BRIEF_AIM_MS = 50;
+    private static final double BRIEF_DEADLINE_MS = 100;
 
     private static final int USUAL_DESCRIPTORS = 256;
     private static final int CROWDED_DESCRIPTORS = 128;
@@ -70,7 +77,7 @@
                 kind,
                 world.troubledBy(troubles),
                 kind == SoakKind.CROWD ? CROWDED_DESCRIPTORS : USUAL_DESCRIPTORS,
-                kind == SoakKind.CROWD ? CROWD : 0,
+                crowdSize(),
                 steps,
                 clients());
     }
@@ -78,10 +85,28 @@
     private World world() throws FileFault, IOException {
         String text = text().replace("${length}", time(seconds * MS_PER_S))
                 .replace("${longest}", time(oneOf(LONGEST_DEADLINES_MS)))
-                .replace("${idle_close}", time(oneOf(IDLE_CLOSES_MS)));
+                .replace("${idle_close}", time(oneOf(IDLE_CLOSES_MS)))
+                .replace("${drain_grace}", time(drainGraceMs()));
+        boolean brief = kind == SoakKind.RESTARTS && random.nextInt(2) == 0;
+        text = brief ? BRIEF_DEADLINES.matcher(text).replaceAll(SoakPlanner::briefDeadline) : text;
         return ExperimentFile.parse(FILE, text, Path.of("."), Policies.names()).world();
     }
 
+    /** No deadline is over 0.1 s, so that a stop may end in a kill after 0.8 s. */
+    private static String briefDeadline(MatchResult deadline) {
+        return deadline.group(1) + " = " + time("aim".equals(deadline.group(1)) ? BRIEF_AIM_MS : BRIEF_DEADLINE_MS);
+    }
+
+    private double drainGraceMs() {
+        return kind == SoakKind.DISCOVERY ? oneOf(DRAIN_GRACES_MS) : USUAL_DRAIN_GRACE_MS;
+    }
+
+    /** Idle clients; they come beside half of the outages of discovery, too. */
+    private int crowdSize() {
+        boolean crowded = kind == SoakKind.CROWD || kind == SoakKind.DISCOVERY && random.nextInt(2) == 0;
+        return crowded ? CROWD : 0;
+    }
+
     private static String text() throws IOException {
         try (InputStream in = SoakPlanner.class.getResourceAsStream("/brackenbridge/lab/" + FILE)) {
             return new String(in.readAllBytes(), StandardCharsets.UTF_8);
@@ -170,6 +195,7 @@
         trouble(Trouble.Kind.DISCOVERY_SILENT, silentMs, forMs, 1, 0);
         trouble(Trouble.Kind.DRAIN, silentMs + forMs - between(0, 300), Double.POSITIVE_INFINITY, 1, 0);
         trouble(Trouble.Kind.DRAIN, silentMs + forMs + between(0, 500), Double.POSITIVE_INFINITY, 1, 0);
+        trouble(Trouble.Kind.DISCOVERY_ENDS_WATCH, silentMs + forMs, Double.POSITIVE_INFINITY, 1, 0);
         trouble(Trouble.Kind.DISCOVERY_OVERLOADED, silentMs + forMs, between(500, 2000), 1, 150);
         trouble(Trouble.Kind.REPLACE, silentMs + between(0, forMs), Double.POSITIVE_INFINITY, 1, 0);
         reloads(silentMs, 3);
--- a/lab/src/main/java/brackenbridge/lab/trouble/Faults.java
+++ b/lab/src/main/java/brackenbridge/lab/trouble/Faults.java
@@ -185,6 +185,7 @@
                 d.overloaded(t.amount());
                 after(t, () -> d.overloaded(0));
             }
+            case DISCOVERY_ENDS_WATCH -> d.endNextWatchUntold();
             case DISCOVERY_MOVED -> d.moved();
             default -> throw new IllegalStateException("not of discovery: " + t.kind());
         }
--- a/lab/src/main/java/brackenbridge/lab/trouble/Stage.java
+++ b/lab/src/main/java/brackenbridge/lab/trouble/Stage.java
@@ -63,6 +63,9 @@
         /** Each call takes it so long, in turn. */
         void overloaded(double msForEach);
 
+        /** The next watch that is opened ends soon, in place of telling what has changed; where there are messages. */
+        default void endNextWatchUntold() {}
+
         /** It has another address, and nodes are told. */
         void moved();
     }
--- a/lab/src/main/java/brackenbridge/lab/world/Trouble.java
+++ b/lab/src/main/java/brackenbridge/lab/world/Trouble.java
@@ -52,6 +52,8 @@
         DISCOVERY_MOVED(0),
         /** Discovery answers calls only in turn; amount: the milliseconds that each takes. */
         DISCOVERY_OVERLOADED(800),
+        /** The next watch that is opened ends soon, in place of telling what has changed. Real sockets alone. */
+        DISCOVERY_ENDS_WATCH(0),
         /** Nodes are killed, and start again after the time. */
         NODE_KILLED(0),
         /** Nodes are told to stop, and start again after the time. */
