End a stopped process on its event loop, which needs no sleeping thread for it

No request was lost: all were answered, and the platform found a process that it had to kill.

After "stopped:" the thread "stop", asleep for two seconds, ran 160 ms later; it then slept in steps of 2 ms for the log's writer and once woke 177 ms later; it waited 50 ms for management's event loop; the virtual machine's own periodic thread took 239 ms. In two stops these came to 667 and 273 ms.

The event loop, which runs all the time, now ends the process itself as it completes the stop; it does not wait for management's loop to be parked, which the virtual machine checks every 10 ms anyway, and is woken by the log's writer in place of looking every 2 ms. An extension, which may block, is still closed on a thread of its own first.

NodeProcessTest.processEndsOnTheThreadThatStoppedTheNode failed on the commit before ("expected multiThreadIoEventLoopGroup-2-1 but was signal"). ExitTest, StartTest, LogTest, ProcessReplacementTest, ManagementListenerTest, NodeShutdownTest, ReplacementTest pass.

--- a/node/src/main/java/brackenbridge/cli/NodeProcess.java
+++ b/node/src/main/java/brackenbridge/cli/NodeProcess.java
@@ -4,6 +4,8 @@
 import brackenbridge.net.Node;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -37,21 +39,41 @@
         this.halt = halt;
     }
 
-    /** Stops the node and ends the process: with status 0, or 1 if the node did not stop. */
+    /**
+     * Stops the node and ends the process: with status 0, or 1 if the node did not stop. Blocks meanwhile.
+     *
+     * <p>The process ends on the thread that completes the stop, which is the node's event loop unless there is an
+     * extension. Guards a process against a platform that kills it while the calling thread, which has slept since the
+     * stop began, waits for a processor.
+     */
     void stop() {
         try {
-            node.stop().get(MAX_STOP_MINUTES, TimeUnit.MINUTES);
-            if (extension != null) {
-                extension.onStopped();
-            }
-            log.flush();
+            closeExtension(node.stop()).thenRun(this::end).get(MAX_STOP_MINUTES, TimeUnit.MINUTES);
+        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+            System.err.println("brackenbridge: stop failed: " + e);
+            halt.accept(EXIT_STOP_FAILED);
+        }
+    }
+
+    /** Closes the extension, if there is one, on a thread of its own, since that may block. */
+    private CompletableFuture<Void> closeExtension(CompletableFuture<Void> stopped) {
+        return extension == null
+                ? stopped
+                : stopped.thenRunAsync(extension::onStopped, close -> new Thread(close, "extension").start());
+    }
+
+    private void end() {
+        try {
             node.parkEventLoops();
+            log.flush();
             // Unblocks a write to a pipe that nobody reads, for which the exit would wait.
             logOutput.close();
-            halt.accept(0);
-        } catch (IOException | InterruptedException | ExecutionException | TimeoutException e) {
-            System.err.println("brackenbridge: stop failed: " + e);
-            halt.accept(EXIT_STOP_FAILED);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            // The process ends without the rest of its log.
+            Thread.currentThread().interrupt();
         }
+        halt.accept(0);
     }
 }
--- a/node/src/main/java/brackenbridge/log/Log.java
+++ b/node/src/main/java/brackenbridge/log/Log.java
@@ -20,8 +20,6 @@
     /** Only a part of the time that a stopping process has left before it is killed. */
     private static final double MAX_FLUSH_MS = 50;
 
-    private static final long FLUSH_CHECK_INTERVAL_MS = 2;
-
     private final Clock clock;
     private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     /** The entries that are not yet written, including the one that is being written. */
@@ -43,13 +41,21 @@
         try {
             while (true) {
                 out.println(lines.take());
-                unwritten.decrementAndGet();
+                removeUnwritten();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void removeUnwritten() {
+        if (unwritten.decrementAndGet() == 0) {
+            synchronized (unwritten) {
+                unwritten.notifyAll();
+            }
+        }
+    }
+
     /** Logs an event for operators. */
     public void info(String text) {
         log("info", text);
@@ -87,7 +93,7 @@
         if (lines.offer(line)) {
             return true;
         }
-        unwritten.decrementAndGet();
+        removeUnwritten();
         return false;
     }
 
@@ -104,8 +110,10 @@
     /** Waits until all entries so far are written, for a short time at most; called before the process exits. */
     public void flush() throws InterruptedException {
         double endMs = clock.nowMs() + MAX_FLUSH_MS;
-        while (unwritten.get() > 0 && clock.nowMs() < endMs) {
-            Thread.sleep(FLUSH_CHECK_INTERVAL_MS);
+        synchronized (unwritten) {
+            for (double leftMs = MAX_FLUSH_MS; unwritten.get() > 0 && leftMs > 0; leftMs = endMs - clock.nowMs()) {
+                unwritten.wait((long) Math.ceil(leftMs));
+            }
         }
     }
 }
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -32,11 +32,8 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
@@ -45,8 +42,6 @@
 public final class Node implements EventSink, AdminOperations {
     private static final long SWEEP_INTERVAL_MS = 100;
     private static final int CONNECT_TIMEOUT_MS = 1000;
-    /** Short compared with the time that a stopping process has left before it is killed. */
-    private static final long MAX_PARK_WAIT_MS = 50;
 
     private static final int ACCEPT_BACKLOG = 1024;
     private static final int BUFFER_PAGE_BYTES = 8192;
@@ -291,22 +286,20 @@
     }
 
     /**
-     * Parks the event loop threads of a stopped node until the process exits; waits for that for a short time only. At
-     * its exit, the virtual machine waits 300 ms for threads inside a system call, which includes an event loop that
-     * polls.
+     * Parks the event loop threads of a stopped node until the process exits, apart from the calling one, and does not
+     * wait for it. At its exit, the virtual machine waits 300 ms for threads inside a system call, which includes an
+     * event loop that polls.
      */
-    public void parkEventLoops() throws InterruptedException {
-        List<Executor> loops = new ArrayList<>(List.of(loop));
+    public void parkEventLoops() {
+        if (!loop.inEventLoop()) {
+            loop.execute(Node::parkThread);
+        }
         if (management != null) {
-            loops.add(management::execute);
+            management.execute(Node::parkThread);
         }
-        CountDownLatch parked = new CountDownLatch(loops.size());
-        loops.forEach(each -> each.execute(() -> parkThread(parked)));
-        parked.await(MAX_PARK_WAIT_MS, TimeUnit.MILLISECONDS);
     }
 
-    private static void parkThread(CountDownLatch parked) {
-        parked.countDown();
+    private static void parkThread() {
         while (true) {
             LockSupport.park();
         }
--- /dev/null
+++ b/node/src/test/java/brackenbridge/cli/NodeProcessTest.java
@@ -0,0 +1,108 @@
+package brackenbridge.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import brackenbridge.clock.Clock;
+import brackenbridge.config.Config;
+import brackenbridge.config.ConfigTest;
+import brackenbridge.log.Log;
+import brackenbridge.net.Node;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** How the process of a node ends; in place of a real end, the status and the thread are recorded. */
+@Timeout(20)
+class NodeProcessTest {
+    private static final String BRIEF = "\"aim\":9000,\"giveUp\":100000";
+
+    private final Clock clock = Clock.system();
+    private final Log log = new Log(clock, new PrintStream(OutputStream.nullOutputStream()));
+    private final Node node = new Node(
+            Config.parse(ConfigTest.TEXT
+                    .replace("\"aim\":4000000,\"giveUp\":8000000", BRIEF)
+                    .replace("\"aim\":3000000,\"giveUp\":6000000", BRIEF)),
+            clock,
+            log);
+
+    private record End(int status, Thread thread) {}
+
+    private final CompletableFuture<End> end = new CompletableFuture<>();
+    private final List<String> steps = new CopyOnWriteArrayList<>();
+
+    private void halt(int status) {
+        steps.add("halt");
+        end.complete(new End(status, Thread.currentThread()));
+    }
+
+    private NodeProcess process(Main.NodeExtension extension) {
+        return new NodeProcess(node, extension, log, () -> steps.add("close log"), this::halt);
+    }
+
+    /** The thread on which the node completes its stop. */
+    private CompletableFuture<Thread> stopThread() {
+        return node.stop().thenApply(nothing -> Thread.currentThread());
+    }
+
+    // Guards against an exit that waits until a sleeping thread gets a processor, which takes long on a crowded
+    // machine.
+    @Test
+    void processEndsOnTheThreadThatStoppedTheNode() throws Exception {
+        node.start();
+        CompletableFuture<Thread> stopThread = stopThread();
+        new Thread(process(null)::stop, "signal").start();
+        End reached = end.get(10, TimeUnit.SECONDS);
+        assertEquals(0, reached.status());
+        assertSame(stopThread.get(10, TimeUnit.SECONDS), reached.thread());
+        assertEquals(List.of("close log", "halt"), steps);
+    }
+
+    // Guards the event loop, which still serves what the extension asks of it, against an extension that waits.
+    @Test
+    void extensionIsClosedOnAThreadOfItsOwnBeforeTheEnd() throws Exception {
+        node.start();
+        CompletableFuture<Thread> stopThread = stopThread();
+        CompletableFuture<Thread> closeThread = new CompletableFuture<>();
+        new Thread(process(new ClosingExtension(closeThread))::stop, "signal").start();
+        assertEquals(0, end.get(10, TimeUnit.SECONDS).status());
+        assertNotSame(stopThread.get(10, TimeUnit.SECONDS), closeThread.get(10, TimeUnit.SECONDS));
+        assertEquals(List.of("close extension", "close log", "halt"), steps);
+    }
+
+    @Test
+    void failureOfTheExtensionEndsTheProcessWithAnErrorStatus() throws Exception {
+        node.start();
+        CompletableFuture<Thread> closeThread = new CompletableFuture<>();
+        closeThread.completeExceptionally(new IllegalStateException("can't close"));
+        new Thread(process(new ClosingExtension(closeThread))::stop, "signal").start();
+        assertEquals(NodeProcess.EXIT_STOP_FAILED, end.get(10, TimeUnit.SECONDS).status());
+    }
+
+    /** Records the thread that closes it; fails if that is already known to fail. */
+    private final class ClosingExtension implements Main.NodeExtension {
+        private final CompletableFuture<Thread> closed;
+
+        ClosingExtension(CompletableFuture<Thread> closed) {
+            this.closed = closed;
+        }
+
+        @Override
+        public void onStarting(Node starting) {
+            steps.add("start extension");
+        }
+
+        @Override
+        public void onStopped() {
+            steps.add("close extension");
+            closed.complete(Thread.currentThread());
+            closed.join();
+        }
+    }
+}
