NodeProcessTest: an extension that waits for the event loop, not the names of threads

The extension now asks the event loop for something while it closes and waits for the answer, which is what the thread of its own is for: closed on the event loop it would never get one.

--- a/node/src/test/java/brackenbridge/cli/NodeProcessTest.java
+++ b/node/src/test/java/brackenbridge/cli/NodeProcessTest.java
@@ -1,7 +1,6 @@
 package brackenbridge.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertSame;
 
 import brackenbridge.clock.Clock;
@@ -64,33 +63,37 @@
         assertEquals(List.of("close log", "halt"), steps);
     }
 
-    // Guards the event loop, which still serves what the extension asks of it, against an extension that waits.
+    // Guards an extension that waits for the event loop while it closes.
     @Test
-    void extensionIsClosedOnAThreadOfItsOwnBeforeTheEnd() throws Exception {
+    void extensionIsClosedBesideTheEventLoopBeforeTheEnd() throws Exception {
         node.start();
-        CompletableFuture<Thread> stopThread = stopThread();
-        CompletableFuture<Thread> closeThread = new CompletableFuture<>();
-        new Thread(process(new ClosingExtension(closeThread))::stop, "signal").start();
+        Main.NodeExtension extension = new ClosingExtension(
+                () -> assertEquals(0, node.tenantUse().get(10, TimeUnit.SECONDS).size()));
+        new Thread(process(extension)::stop, "signal").start();
         assertEquals(0, end.get(10, TimeUnit.SECONDS).status());
-        assertNotSame(stopThread.get(10, TimeUnit.SECONDS), closeThread.get(10, TimeUnit.SECONDS));
         assertEquals(List.of("close extension", "close log", "halt"), steps);
     }
 
     @Test
     void failureOfTheExtensionEndsTheProcessWithAnErrorStatus() throws Exception {
         node.start();
-        CompletableFuture<Thread> closeThread = new CompletableFuture<>();
-        closeThread.completeExceptionally(new IllegalStateException("can't close"));
-        new Thread(process(new ClosingExtension(closeThread))::stop, "signal").start();
+        Main.NodeExtension extension = new ClosingExtension(() -> {
+            throw new IllegalStateException("can't close");
+        });
+        new Thread(process(extension)::stop, "signal").start();
         assertEquals(NodeProcess.EXIT_STOP_FAILED, end.get(10, TimeUnit.SECONDS).status());
     }
 
-    /** Records the thread that closes it; fails if that is already known to fail. */
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    /** Does some work when it is closed. */
     private final class ClosingExtension implements Main.NodeExtension {
-        private final CompletableFuture<Thread> closed;
+        private final Work work;
 
-        ClosingExtension(CompletableFuture<Thread> closed) {
-            this.closed = closed;
+        ClosingExtension(Work work) {
+            this.work = work;
         }
 
         @Override
@@ -101,8 +104,11 @@
         @Override
         public void onStopped() {
             steps.add("close extension");
-            closed.complete(Thread.currentThread());
-            closed.join();
+            try {
+                work.run();
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
         }
     }
 }
