Stop at SIGTERM without the shutdown hooks, each of which is a thread to be started

Cause, from the kernel's record of switches: the signal's own thread ran 113 ms after it was created, the hook of java.util.logging 124 ms after that, the hook "stop" 293 ms later still; a new thread waits for its first turn longest on a crowded machine, and the hooks are started one by one. The signal itself came within 1 ms.

SIGTERM now has a handler like SIGHUP's, which stops the node on the signal's thread; the hook remains for other ends, such as SIGINT. A second SIGTERM during the stop changes nothing, as before, but its line "stopping" is logged.

ExitTest.stopStartsNoThreadButThatOfTheSignal failed without the handler ("expected [SIGTERM handler] but was [SIGTERM handler, stop]"). ProcessSignalTest plays both signals. NodeProcessTest, ExitTest, StartTest, ProcessReplacementTest, GoldenFormsTest pass.

--- a/node/src/main/java/brackenbridge/cli/ServeCommand.java
+++ b/node/src/main/java/brackenbridge/cli/ServeCommand.java
@@ -28,11 +28,13 @@
         FileChannel errors = new FileOutputStream(FileDescriptor.err).getChannel();
         Log log = new Log(clock, new PrintStream(Channels.newOutputStream(errors), true, StandardCharsets.UTF_8));
         Node node = new Node(config, clock, log, handoverPath(config));
-        if (!HangupSignal.handle(() -> node.reconfigure(() -> Config.read(Path.of(file))))) {
+        if (!ProcessSignal.HUP.handle(() -> node.reconfigure(() -> Config.read(Path.of(file))))) {
             log.warn("SIGHUP is ignored (as under nohup) or not supported: the configuration can't be reloaded");
         }
         NodeProcess process = new NodeProcess(node, extension, log, errors, Runtime.getRuntime()::halt);
-        // SIGTERM would end the process with 143 after its hooks; this one ends it with 0 itself.
+        // Stops the node without the shutdown hooks: each is a thread to be started, and the platform's time runs.
+        ProcessSignal.TERM.handle(process::stop);
+        // For other ends, such as by SIGINT.
         Runtime.getRuntime().addShutdownHook(new Thread(process::stop, "stop"));
         start(node, extension, config);
     }
--- a/node/src/test/java/brackenbridge/cli/ExitTest.java
+++ b/node/src/test/java/brackenbridge/cli/ExitTest.java
@@ -11,8 +11,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -26,9 +29,15 @@
     /** Writes as much as a pipe holds on Linux, so that the next write blocks until there is a reader. */
     private static final String FILL_PIPE = "head -c 65536 /dev/zero >&2; ";
 
+    private static final String COMPILER_THREAD = "C1 Compiler";
+    private static final int POLL_MS = 5;
+
     @TempDir
     private Path directory;
 
+    private int port;
+    private String management;
+
     // Guards against an exit that waits for threads inside system calls.
     @Test
     void processWithAnIncompleteRequestExitsBeforeItIsKilled() throws Exception {
@@ -41,9 +50,62 @@
         assertExitsBeforeKill("");
     }
 
+    // Guards against a stop that begins late on a crowded machine, where a new thread waits long for its first turn.
+    @Test
+    void stopStartsNoThreadButThatOfTheSignal() throws Exception {
+        Process process = startNode("2>" + directory.resolve("log"));
+        try (Socket client = new Socket()) {
+            awaitReady(management, process);
+            openIncompleteRequest(client);
+            Set<String> before = threadNames(process);
+            process.destroy();
+            awaitLine(directory.resolve("log"), " info stopping");
+            Set<String> started = threadNames(process);
+            started.removeAll(before);
+            assertEquals(Set.of("SIGTERM handler"), started);
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    /** The names of a process's threads, of which the system keeps 15 characters, without those of the compiler. */
+    private static Set<String> threadNames(Process process) throws IOException {
+        Set<String> names = new HashSet<>();
+        try (DirectoryStream<Path> threads =
+                Files.newDirectoryStream(Path.of("/proc", Long.toString(process.pid()), "task"))) {
+            for (Path thread : threads) {
+                names.add(Files.readString(thread.resolve("comm")).strip());
+            }
+        }
+        names.removeIf(name -> name.startsWith(COMPILER_THREAD));
+        return names;
+    }
+
+    private static void awaitLine(Path file, String text) throws IOException, InterruptedException {
+        while (!Files.readString(file).contains(text)) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
+    }
+
     private void assertExitsBeforeKill(String redirection) throws Exception {
-        int port = freePort();
-        String management = "127.0.0.1:" + freePort();
+        Process process = startNode(redirection);
+        try (Socket client = new Socket()) {
+            awaitReady(management, process);
+            openIncompleteRequest(client);
+            long stopNs = System.nanoTime();
+            process.destroy();
+            assertTrue(
+                    process.waitFor(MAX_DEADLINE_MS + KILL_AFTER_DEADLINE_MS, TimeUnit.MILLISECONDS),
+                    () -> "still running " + (System.nanoTime() - stopNs) / 1_000_000 + " ms after SIGTERM");
+            assertEquals(0, process.exitValue());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    private Process startNode(String redirection) throws IOException {
+        port = freePort();
+        management = "127.0.0.1:" + freePort();
         Path config = Files.writeString(
                 directory.resolve("config.json"),
                 ConfigTest.TEXT
@@ -60,21 +122,13 @@
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("PROXY_MGMT", management);
         builder.environment().put("TMPDIR", directory.toString());
-        Process process = builder.start();
-        try (Socket client = new Socket()) {
-            awaitReady(management, process);
-            // The request stays incomplete, so the process waits for the rest for as long as it may.
-            client.connect(new InetSocketAddress("127.0.0.1", port));
-            client.getOutputStream().write("GET /view HTTP/1.1\r\n".getBytes(StandardCharsets.US_ASCII));
-            long stopNs = System.nanoTime();
-            process.destroy();
-            assertTrue(
-                    process.waitFor(MAX_DEADLINE_MS + KILL_AFTER_DEADLINE_MS, TimeUnit.MILLISECONDS),
-                    () -> "still running " + (System.nanoTime() - stopNs) / 1_000_000 + " ms after SIGTERM");
-            assertEquals(0, process.exitValue());
-        } finally {
-            process.destroyForcibly();
-        }
+        return builder.start();
+    }
+
+    /** The request stays incomplete, so the process waits for the rest for as long as it may. */
+    private void openIncompleteRequest(Socket client) throws IOException {
+        client.connect(new InetSocketAddress("127.0.0.1", port));
+        client.getOutputStream().write("GET /view HTTP/1.1\r\n".getBytes(StandardCharsets.US_ASCII));
     }
 
     private static int freePort() throws IOException {
@@ -91,7 +145,7 @@
                 }
             } catch (IOException e) {
                 // The management address is not open yet.
-                TimeUnit.MILLISECONDS.sleep(10);
+                TimeUnit.MILLISECONDS.sleep(POLL_MS);
             }
         }
     }
--- a/node/src/test/java/brackenbridge/cli/ProcessSignalTest.java
+++ b/node/src/test/java/brackenbridge/cli/ProcessSignalTest.java
@@ -7,17 +7,20 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
-/** Sends the real signal to the process that runs the tests. */
-class HangupSignalTest {
-    @Test
-    void eachSignalRunsTheActionAndTheProcessContinues() throws Exception {
+/** Sends real signals to the process that runs the tests. */
+class ProcessSignalTest {
+    @ParameterizedTest
+    @EnumSource(ProcessSignal.class)
+    void eachSignalRunsTheActionAndTheProcessContinues(ProcessSignal signal) throws Exception {
         Semaphore handled = new Semaphore(0);
-        assertTrue(HangupSignal.handle(handled::release));
+        assertTrue(signal.handle(handled::release));
         for (int i = 0; i < 2; i++) {
             new ProcessBuilder(
                             "kill",
-                            "-HUP",
+                            "-" + signal,
                             Long.toString(ProcessHandle.current().pid()))
                     .start()
                     .waitFor();
@@ -28,7 +31,7 @@
     /** Prints whether the signal will be handled. */
     static final class HandlerProgram {
         public static void main(String[] args) {
-            System.out.println("handled: " + HangupSignal.handle(() -> {}));
+            System.out.println("handled: " + ProcessSignal.HUP.handle(() -> {}));
         }
     }
 
