Soak: load the C library's binding before the play, not at the first signal

The binding is loaded by the thread that plays, before anything is measured. No rule, bound or time of the check changes.

--- a/lab/src/main/java/brackenbridge/lab/soak/Signals.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/Signals.java
@@ -15,6 +15,9 @@
     /** Stand still. */
     static final int SIGSTOP = 19;
 
+    /** Checks whether the process is there, and sends nothing. */
+    private static final int NO_SIGNAL = 0;
+
     private static final int NO_SUCH_PROCESS = 3;
 
     /** The call of the C library. */
@@ -27,6 +30,11 @@
 
     private Signals() {}
 
+    /** Loads the library, for which the first signal would otherwise wait after its time was taken. */
+    static void load() {
+        LIBRARY.kill(Math.toIntExact(ProcessHandle.current().pid()), NO_SIGNAL);
+    }
+
     /** Sends a signal; false if the process has ended. */
     static boolean send(Process process, int signal) {
         if (!process.isAlive()) {
--- a/lab/src/main/java/brackenbridge/lab/soak/SoakRunner.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/SoakRunner.java
@@ -145,6 +145,7 @@
     }
 
     private SoakOutcome play() throws IOException, InterruptedException {
+        Signals.load();
         resources.start();
         onLoop(() -> {
             node.start();
