End the process by _exit(2), which waits for no thread of the virtual machine

Cause, from the kernel's record of switches: Runtime.halt waits for the virtual machine's periodic thread (up to 239 ms until it ran), then for the VM thread, and that looks every 10 ms, for up to 300 ms, whether any thread is inside a system call: 30 such turns were seen, as management's loop had been woken and had no processor yet. For a compiler's thread in a like place it would wait up to 10 s.

The process now calls _exit(2) by JNA, which the node has for replacements; it is loaded on the signal's own thread while the stop goes on. Where it can't be loaded, or not in time, the virtual machine exits as before. CLibrary is bound without a search on disk, for which JNA ran ldconfig as a child process: two threads fewer in a replaced process.

ExitTest.processEndsWithoutTheVirtualMachinesOwnExit failed without the call. ExitTest, NodeProcessTest, StartTest, ProcessSignalTest, ProcessReplacementTest, ReplacementTest, ListeningSocketsTest, LogTest pass.

--- a/node/src/main/java/brackenbridge/cli/NodeProcess.java
+++ b/node/src/main/java/brackenbridge/cli/NodeProcess.java
@@ -2,9 +2,6 @@
 
 import brackenbridge.log.Log;
 import brackenbridge.net.Node;
-import java.io.Closeable;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -21,37 +18,43 @@
     private final Node node;
     private final Main.NodeExtension extension;
     private final Log log;
-    private final Closeable logOutput;
-    private final IntConsumer halt;
+    private final IntConsumer exit;
+    /** Completes at the end of the process; null until a stop. */
+    private volatile CompletableFuture<Void> ended;
 
     /**
      * Creates the process of a node.
      *
      * @param extension null for a node without one
-     * @param logOutput what the log is written to
-     * @param halt ends the process with a status, without running shutdown hooks
+     * @param exit ends the process with a status, without running shutdown hooks
      */
-    NodeProcess(Node node, Main.NodeExtension extension, Log log, Closeable logOutput, IntConsumer halt) {
+    NodeProcess(Node node, Main.NodeExtension extension, Log log, IntConsumer exit) {
         this.node = node;
         this.extension = extension;
         this.log = log;
-        this.logOutput = logOutput;
-        this.halt = halt;
+        this.exit = exit;
     }
 
     /**
-     * Stops the node and ends the process: with status 0, or 1 if the node did not stop. Blocks meanwhile.
+     * Starts to stop the node, after which the process ends with status 0; repeated calls have no further effect.
      *
      * <p>The process ends on the thread that completes the stop, which is the node's event loop unless there is an
-     * extension. Guards a process against a platform that kills it while the calling thread, which has slept since the
+     * extension. Guards a process against a platform that kills it while another thread, which has slept since the
      * stop began, waits for a processor.
      */
-    void stop() {
+    synchronized void stop() {
+        if (ended == null) {
+            ended = closeExtension(node.stop()).thenRun(this::end);
+        }
+    }
+
+    /** Waits for the end after {@link #stop}; ends the process with status 1 if the node does not stop. */
+    void awaitEnd() {
         try {
-            closeExtension(node.stop()).thenRun(this::end).get(MAX_STOP_MINUTES, TimeUnit.MINUTES);
+            ended.get(MAX_STOP_MINUTES, TimeUnit.MINUTES);
         } catch (InterruptedException | ExecutionException | TimeoutException e) {
             System.err.println("brackenbridge: stop failed: " + e);
-            halt.accept(EXIT_STOP_FAILED);
+            exit.accept(EXIT_STOP_FAILED);
         }
     }
 
@@ -64,16 +67,11 @@
 
     private void end() {
         try {
-            node.parkEventLoops();
             log.flush();
-            // Unblocks a write to a pipe that nobody reads, for which the exit would wait.
-            logOutput.close();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
             // The process ends without the rest of its log.
             Thread.currentThread().interrupt();
         }
-        halt.accept(0);
+        exit.accept(0);
     }
 }
--- a/node/src/main/java/brackenbridge/cli/ServeCommand.java
+++ b/node/src/main/java/brackenbridge/cli/ServeCommand.java
@@ -5,8 +5,10 @@
 import brackenbridge.handover.Handover;
 import brackenbridge.log.Log;
 import brackenbridge.net.Node;
+import brackenbridge.transport.ImmediateExit;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.channels.Channels;
 import java.nio.channels.FileChannel;
@@ -31,14 +33,38 @@
         if (!ProcessSignal.HUP.handle(() -> node.reconfigure(() -> Config.read(Path.of(file))))) {
             log.warn("SIGHUP is ignored (as under nohup) or not supported: the configuration can't be reloaded");
         }
-        NodeProcess process = new NodeProcess(node, extension, log, errors, Runtime.getRuntime()::halt);
+        NodeProcess process = new NodeProcess(node, extension, log, status -> exit(status, node, errors));
         // Stops the node without the shutdown hooks: each is a thread to be started, and the platform's time runs.
-        ProcessSignal.TERM.handle(process::stop);
+        ProcessSignal.TERM.handle(() -> onTerminate(process));
         // For other ends, such as by SIGINT.
-        Runtime.getRuntime().addShutdownHook(new Thread(process::stop, "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> onShutdown(process), "stop"));
         start(node, extension, config);
     }
 
+    private static void exit(int status, Node node, FileChannel errors) {
+        ImmediateExit.exit(status);
+        // Not prepared: the virtual machine's own exit waits for threads inside system calls.
+        node.parkEventLoops();
+        try {
+            // Unblocks a write to a pipe that nobody reads.
+            errors.close();
+        } catch (IOException e) {
+            System.err.println("brackenbridge: can't close the log: " + e);
+        }
+        Runtime.getRuntime().halt(status);
+    }
+
+    private static void onTerminate(NodeProcess process) {
+        process.stop();
+        ImmediateExit.prepare();
+        process.awaitEnd();
+    }
+
+    private static void onShutdown(NodeProcess process) {
+        process.stop();
+        process.awaitEnd();
+    }
+
     /** Reads the configuration file; ends the process if it can't be used. */
     static Config readConfig(String file) {
         if (file == null) {
--- a/node/src/main/java/brackenbridge/transport/ReusePortSteering.java
+++ b/node/src/main/java/brackenbridge/transport/ReusePortSteering.java
@@ -3,7 +3,6 @@
 import com.sun.jna.LastErrorException;
 import com.sun.jna.Library;
 import com.sun.jna.Memory;
-import com.sun.jna.Native;
 import com.sun.jna.Platform;
 import com.sun.jna.Pointer;
 import java.io.IOException;
@@ -51,15 +50,7 @@
 
     /** Loads the native library when it is first used. */
     private static final class LibraryHolder {
-        private static final SocketLibrary LIBRARY = load();
-
-        private static SocketLibrary load() {
-            String directory = System.getenv("TMPDIR");
-            if (directory != null) {
-                System.setProperty("jna.tmpdir", directory);
-            }
-            return Native.load("c", SocketLibrary.class);
-        }
+        private static final SocketLibrary LIBRARY = CLibrary.bind(SocketLibrary.class);
     }
 
     /** Loads the library for {@link #steerToNewer} on a separate thread; a failure is reported by that method. */
--- a/node/src/test/java/brackenbridge/cli/ExitTest.java
+++ b/node/src/test/java/brackenbridge/cli/ExitTest.java
@@ -1,6 +1,7 @@
 package brackenbridge.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brackenbridge.config.ConfigTest;
@@ -14,7 +15,9 @@
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -25,6 +28,9 @@
 @Timeout(20)
 class ExitTest {
     private static final int MAX_DEADLINE_MS = 400;
+    /** For a stop that takes its time. */
+    private static final int LONG_DEADLINE_MS = 3000;
+
     private static final int KILL_AFTER_DEADLINE_MS = 700;
     /** Writes as much as a pipe holds on Linux, so that the next write blocks until there is a reader. */
     private static final String FILL_PIPE = "head -c 65536 /dev/zero >&2; ";
@@ -35,6 +41,8 @@
     @TempDir
     private Path directory;
 
+    private final Map<String, String> environment = new HashMap<>();
+    private int maxDeadlineMs = MAX_DEADLINE_MS;
     private int port;
     private String management;
 
@@ -50,6 +58,24 @@
         assertExitsBeforeKill("");
     }
 
+    // Guards against an exit that waits for several threads of the virtual machine in turn.
+    @Test
+    void processEndsWithoutTheVirtualMachinesOwnExit() throws Exception {
+        maxDeadlineMs = LONG_DEADLINE_MS;
+        Path operations = directory.resolve("operations");
+        environment.put("JAVA_TOOL_OPTIONS", "-Xlog:vmthread=debug:file=" + operations);
+        Process process = startNode("2>" + directory.resolve("log"));
+        try (Socket client = new Socket()) {
+            awaitReady(management, process);
+            openIncompleteRequest(client);
+            process.destroy();
+            assertEquals(0, process.waitFor());
+            assertFalse(Files.readString(operations).contains("VM operation: Exit"));
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     // Guards against a stop that begins late on a crowded machine, where a new thread waits long for its first turn.
     @Test
     void stopStartsNoThreadButThatOfTheSignal() throws Exception {
@@ -110,8 +136,8 @@
                 directory.resolve("config.json"),
                 ConfigTest.TEXT
                         .replace("127.0.0.1:0", "127.0.0.1:" + port)
-                        .replaceAll("\"aim\":[0-9]+", "\"aim\":" + MAX_DEADLINE_MS * 500)
-                        .replaceAll("\"giveUp\":[0-9]+", "\"giveUp\":" + MAX_DEADLINE_MS * 1000));
+                        .replaceAll("\"aim\":[0-9]+", "\"aim\":" + maxDeadlineMs * 500)
+                        .replaceAll("\"giveUp\":[0-9]+", "\"giveUp\":" + maxDeadlineMs * 1000));
         ProcessBuilder builder = new ProcessBuilder(
                 "/bin/sh",
                 "-c",
@@ -122,6 +148,7 @@
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("PROXY_MGMT", management);
         builder.environment().put("TMPDIR", directory.toString());
+        builder.environment().putAll(environment);
         return builder.start();
     }
 
--- a/node/src/test/java/brackenbridge/cli/NodeProcessTest.java
+++ b/node/src/test/java/brackenbridge/cli/NodeProcessTest.java
@@ -36,13 +36,18 @@
     private final CompletableFuture<End> end = new CompletableFuture<>();
     private final List<String> steps = new CopyOnWriteArrayList<>();
 
-    private void halt(int status) {
-        steps.add("halt");
+    private void exit(int status) {
+        steps.add("exit");
         end.complete(new End(status, Thread.currentThread()));
     }
 
     private NodeProcess process(Main.NodeExtension extension) {
-        return new NodeProcess(node, extension, log, () -> steps.add("close log"), this::halt);
+        return new NodeProcess(node, extension, log, this::exit);
+    }
+
+    private static void stopInBackground(NodeProcess process) {
+        process.stop();
+        new Thread(process::awaitEnd, "signal").start();
     }
 
     /** The thread on which the node completes its stop. */
@@ -56,11 +61,11 @@
     void processEndsOnTheThreadThatStoppedTheNode() throws Exception {
         node.start();
         CompletableFuture<Thread> stopThread = stopThread();
-        new Thread(process(null)::stop, "signal").start();
+        stopInBackground(process(null));
         End reached = end.get(10, TimeUnit.SECONDS);
         assertEquals(0, reached.status());
         assertSame(stopThread.get(10, TimeUnit.SECONDS), reached.thread());
-        assertEquals(List.of("close log", "halt"), steps);
+        assertEquals(List.of("exit"), steps);
     }
 
     // Guards an extension that waits for the event loop while it closes.
@@ -69,9 +74,9 @@
         node.start();
         Main.NodeExtension extension = new ClosingExtension(
                 () -> assertEquals(0, node.tenantUse().get(10, TimeUnit.SECONDS).size()));
-        new Thread(process(extension)::stop, "signal").start();
+        stopInBackground(process(extension));
         assertEquals(0, end.get(10, TimeUnit.SECONDS).status());
-        assertEquals(List.of("close extension", "close log", "halt"), steps);
+        assertEquals(List.of("close extension", "exit"), steps);
     }
 
     @Test
@@ -80,7 +85,7 @@
         Main.NodeExtension extension = new ClosingExtension(() -> {
             throw new IllegalStateException("can't close");
         });
-        new Thread(process(extension)::stop, "signal").start();
+        stopInBackground(process(extension));
         assertEquals(NodeProcess.EXIT_STOP_FAILED, end.get(10, TimeUnit.SECONDS).status());
     }
 
