Count the steps of a stop from the signal, not from when the event loop gets to it

The event says how long the request for the stop has waited, and the schedule counts from the request. Steps whose time has passed follow at once, in their order, as they do after a reload with shorter deadlines.

ShutdownTest.everyRequestIsAnsweredBeforeTheKillThoughTheStopHadToWait failed before in all three kinds ("still running 575.0 ms after SIGTERM, killed after 800.0 ms"). ShutdownTest, StoppingNodeTest, LifeCycleTest, NodeShutdownTest, ShortDeadlinesTest, ExitTest, NodeProcessTest, RejectionSafetyTest, FaultyBalancerTest, LastConnectionsTest pass.

--- a/core/src/main/java/brackenbridge/core/DrainAndShutdown.java
+++ b/core/src/main/java/brackenbridge/core/DrainAndShutdown.java
@@ -61,13 +61,17 @@
         }
     }
 
-    /** Starts the shutdown; further requests are ignored. */
-    void stop(ReducerContext context) {
+    /**
+     * Starts the shutdown; further requests are ignored.
+     *
+     * @param waitedMs how long ago the shutdown was requested: the platform's time until the kill has begun then
+     */
+    void stop(ReducerContext context, double waitedMs) {
         boolean drained = lifeCycle.phase() == LifeCycle.LifeCyclePhase.DRAINING;
         if (!lifeCycle.stop()) {
             return;
         }
-        stopRequestedMs = context.nowMs();
+        stopRequestedMs = context.nowMs() - waitedMs;
         kind = hasSuccessor
                 ? ShutdownSchedule.ShutdownKind.REPLACED
                 : drained ? ShutdownSchedule.ShutdownKind.DRAINED : ShutdownSchedule.ShutdownKind.RESTARTED;
--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -416,8 +416,17 @@
         }
     }
 
-    /** Stop the node. */
-    record StopRequested() implements LifeCycleEvent {
+    /**
+     * Stop the node.
+     *
+     * @param waitedMs how long the request has waited for this event
+     */
+    record StopRequested(double waitedMs) implements LifeCycleEvent {
+        /** A request that has not waited. */
+        public StopRequested() {
+            this(0);
+        }
+
         @Override
         public <C> void accept(C context, Handler<C> handler) {
             handler.onStopRequested(context, this);
--- a/core/src/main/java/brackenbridge/core/LifeCycleEvents.java
+++ b/core/src/main/java/brackenbridge/core/LifeCycleEvents.java
@@ -61,6 +61,6 @@
 
     @Override
     public void onStopRequested(ReducerContext context, Event.StopRequested event) {
-        shutdown.stop(context);
+        shutdown.stop(context, event.waitedMs());
     }
 }
--- a/core/src/test/java/brackenbridge/core/ShutdownTest.java
+++ b/core/src/test/java/brackenbridge/core/ShutdownTest.java
@@ -85,6 +85,20 @@
         }
     }
 
+    // Guards a node whose event loop gets no processor for a while just after the signal.
+    @ParameterizedTest
+    @EnumSource(ShutdownKind.class)
+    void everyRequestIsAnsweredBeforeTheKillThoughTheStopHadToWait(ShutdownKind kind) {
+        for (double deadlineMs : new double[] {100, 500, 1000, 3000, 8000}) {
+            for (double waitedMs : new double[] {50, 200, 500}) {
+                ReducerHarness harness = harness(deadlineMs, kind);
+                double stopRequestedMs = harness.clock.nowMs() - waitedMs;
+                assertAllAnsweredBefore(
+                        killMs(deadlineMs), harness.send(new Event.StopRequested(waitedMs)), stopRequestedMs);
+            }
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(ShutdownKind.class)
     void shorterDeadlinesBeforeOrDuringTheStopAdvanceTheExit(ShutdownKind kind) {
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -270,9 +270,10 @@
 
     /** Starts a graceful shutdown; the returned future completes when all requests are answered. */
     public CompletableFuture<Void> stop() {
+        double requestedMs = clock.nowMs();
         loop.execute(() -> {
             log.info("stopping");
-            raise(new Event.StopRequested());
+            raise(new Event.StopRequested(clock.nowMs() - requestedMs));
         });
         return shutdown.completed();
     }
