Soak: ask the kernel whether a process has ended before it is said to run at the kill

Cause: Process.isAlive is true until a thread of the laboratory's own virtual machine, which waits for the process, has run; on a crowded machine it had no processor either.

The judgement reads /proc/PID/status now: ended is a process that is gone, or whose state is zombie with no further thread. A process of which one thread is left still counts as running, as before; the moment, the bound, the allowance and the check of the status are as they were, and the fault LATE_EXIT is still found (SoakFaultTest passes).

--- a/lab/src/main/java/brackenbridge/lab/live/ProcessTable.java
+++ b/lab/src/main/java/brackenbridge/lab/live/ProcessTable.java
@@ -5,12 +5,17 @@
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.OptionalLong;
+import java.util.regex.Pattern;
 
 /** Reads from {@code /proc} what a process holds. */
 public final class ProcessTable {
     private static final String RESIDENT = "VmRSS:";
     private static final String PEAK = "VmHWM:";
+    private static final String THREADS = "Threads:";
+    /** The state of a process whose first thread has ended; others may still run. */
+    private static final Pattern ZOMBIE = Pattern.compile("State:\\s+[ZX].*");
 
     private ProcessTable() {}
 
@@ -38,13 +43,32 @@
     }
 
     private static OptionalLong memoryKib(long pid, String field) {
+        return number(status(pid), field);
+    }
+
+    /**
+     * Whether each thread of a process has ended, by the kernel. The parent learns of it only once its own thread that
+     * waits for the process has run.
+     */
+    public static boolean hasEnded(long pid) {
+        List<String> status = status(pid);
+        boolean leaderEnded = status.stream().anyMatch(ZOMBIE.asMatchPredicate());
+        return status.isEmpty() || leaderEnded && number(status, THREADS).orElse(0) <= 1;
+    }
+
+    private static OptionalLong number(List<String> status, String field) {
+        return status.stream()
+                .filter(line -> line.startsWith(field))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                .findFirst();
+    }
+
+    /** Empty if there is no such process any more. */
+    private static List<String> status(long pid) {
         try {
-            return Files.readAllLines(folder(pid).resolve("status")).stream()
-                    .filter(line -> line.startsWith(field))
-                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
-                    .findFirst();
+            return Files.readAllLines(folder(pid).resolve("status"));
         } catch (IOException e) {
-            return OptionalLong.empty();
+            return List.of();
         }
     }
 
--- a/lab/src/main/java/brackenbridge/lab/soak/SoakNode.java
+++ b/lab/src/main/java/brackenbridge/lab/soak/SoakNode.java
@@ -1,6 +1,7 @@
 package brackenbridge.lab.soak;
 
 import brackenbridge.lab.live.LiveRunner;
+import brackenbridge.lab.live.ProcessTable;
 import brackenbridge.lab.model.Scheduler;
 import brackenbridge.lab.rules.RuleChecker;
 import brackenbridge.lab.rules.RuleChecker.Rule;
@@ -194,7 +195,8 @@
     }
 
     private void killIfAlive(NodeInstance instance) {
-        if (instance.process().isAlive()) {
+        // Not by Process.isAlive, which lags behind while this program's own thread has no processor.
+        if (!ProcessTable.hasEnded(instance.process().pid())) {
             kills++;
             log.add("SIGKILL to " + instance.name());
             instance.process().destroyForcibly();
