--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -132,6 +132,16 @@
         return process;
     }
 
+    /** Starts a further program of the project. */
+    static Process start(Path root, String name, Map<String, String> more, String... command) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile()).redirectErrorStream(true);
+        builder.environment().putAll(more);
+        builder.redirectOutput(Path.of(System.getProperty("java.io.tmpdir")).resolve(name + ".log").toFile());
+        Process process = builder.start();
+        PROCESSES.add(process);
+        return process;
+    }
+
     static void log(String name) throws IOException {
         Path file = Path.of(System.getProperty("java.io.tmpdir")).resolve(name + ".log");
         for (String line : Files.readString(file).split("\n")) {
@@ -410,6 +420,11 @@
         void handle(Message request, InputStream in, java.io.OutputStream out) throws Exception;
     }
 
+    /** Thrown by a handler: the server resets its connection. */
+    static final class Reset extends Exception {
+        private static final long serialVersionUID = 1;
+    }
+
     /** A server: a thread for each connection, one request at a time. */
     static ServerSocket startServer(Handler handler) throws IOException {
         ServerSocket listener = new ServerSocket(0, 1024, LOOPBACK);
@@ -422,7 +437,12 @@
                         try (socket) {
                             InputStream in = new BufferedInputStream(socket.getInputStream());
                             for (Message next = readMessage(in); next != null; next = readMessage(in)) {
-                                handler.handle(next, in, socket.getOutputStream());
+                                try {
+                                    handler.handle(next, in, socket.getOutputStream());
+                                } catch (Reset e) {
+                                    socket.setSoLinger(true, 0);
+                                    return;
+                                }
                             }
                         } catch (Exception e) {
                             return;
