Review cases: records say what is sent; ports outside the range of clients

Cause: the records lacked what clients send. Beside the other cases case 2 could not run once: no majority agreed; supposed, not traced: a port that was free had been given to a client meanwhile. run-case.sh took the project's root from the case's folder, so that it ran no class elsewhere. Done: a line for each request sent; ports drawn from 12000 to 29999 and tried; the root is taken from the script's own place.

--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -80,10 +81,17 @@
         System.exit(status);
     }
 
+    /** A free port outside the range from which systems give clients theirs, so that no client takes it meanwhile. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 1000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, LOOPBACK)) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // In use: the next one.
+            }
         }
+        throw new IOException("no free port");
     }
 
     static String at(int port) {
@@ -291,6 +299,7 @@
     }
 
     static String request(String method, String className, String id, int timeLeftMs, String body) {
+        record("client " + id + " sends " + method + " " + className);
         return method + " /" + className + "?n=1 HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: " + id
                 + "\r\nX-Service-Class: " + className + "\r\nX-Account: member\r\nX-Time-Left-Ms: " + timeLeftMs
                 + (method.equals("GET") ? "" : "\r\nContent-Length: " + body.length()) + "\r\n\r\n" + body;
--- a/review/lib/StaleSettings.java
+++ b/review/lib/StaleSettings.java
@@ -158,7 +158,7 @@
     }
 
     private static boolean propose(Path root, Path settings, int page) throws Exception {
-        for (int i = 0; i < 10; i++) {
+        for (int i = 0; i < 15; i++) {
             String answer = run(
                     root, "settings", "propose", "settings/tier-0", "--file", settings.toString(), "--at", Kit.at(page));
             Kit.record("propose: " + answer);
--- a/review/lib/run-case.sh
+++ b/review/lib/run-case.sh
@@ -3,7 +3,7 @@
 # could not run. A case itself ends with 10 if the rule was broken, so that no failure of its own is taken for one.
 case=$1
 folder=$(cd "$2" && pwd)
-root=$(cd "$folder/../.." && pwd)
+root=$(cd "$(dirname "$0")/../.." && pwd)
 if [ ! -f "$root/review/target/$case.class" ] || [ ! -f "$root/node/target/brackenbridge.jar" ]; then
   echo "not built: the build line of deploy/balancer.toml, then review/build.sh" >&2
   exit 2
