Tests for slow peers: late answers to uploads, long answers cut off (listed as known)

Uploads are answered 10.1 s (server stops) and 2.3 s (server reads slowly, 1 s wait) after their last byte, in both framings. Answers of 116,179 bytes at 84 kB a second are refused after 683 ms, by length, in chunks and up to the end of the connection. One of nine clients that read 100 kB a second is cut off. The tests that hold guard what a mend must not break: large uploads that take longer than the wait, answers that never end, short answers that are too slow.

--- a/node/src/test/java/brackenbridge/net/LongBodyTest.java
+++ b/node/src/test/java/brackenbridge/net/LongBodyTest.java
@@ -1,25 +1,19 @@
 package brackenbridge.net;
 
+import static brackenbridge.net.HttpIo.patternBytes;
+import static brackenbridge.net.HttpIo.readChunks;
+import static brackenbridge.net.HttpIo.readHead;
+import static brackenbridge.net.HttpIo.write;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brackenbridge.clock.Clock;
-import brackenbridge.config.Config;
-import brackenbridge.config.ConfigTest;
-import brackenbridge.log.Log;
-import java.io.ByteArrayOutputStream;
+import brackenbridge.net.ScriptedServer.Script;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -37,60 +31,15 @@
 
     private static final int LIVE_BODY_BYTES = "live\n".length();
 
-    /** What a server does with one connection. */
-    private interface ServerScript {
-        void play(Socket connection) throws Exception;
-    }
-
-    private final ServerSocket server = listen();
-    private final LinkedBlockingQueue<ServerScript> scripts = new LinkedBlockingQueue<>();
-    private final LinkedBlockingQueue<Object> observed = new LinkedBlockingQueue<>();
+    private final ScriptedServer server = new ScriptedServer();
+    private final LinkedBlockingQueue<Script> scripts = server.scripts;
+    private final LinkedBlockingQueue<Object> observed = server.observed;
     private Node node;
     private Socket client;
 
-    private static ServerSocket listen() {
-        try {
-            return new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
-        }
-    }
-
-    private static void daemon(Runnable work) {
-        Thread thread = new Thread(work);
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     @BeforeEach
     void start() throws IOException {
-        CompletableFuture.runAsync(
-                () -> {
-                    while (true) {
-                        try {
-                            Socket connection = server.accept();
-                            CompletableFuture.runAsync(
-                                    () -> {
-                                        try (connection) {
-                                            scripts.take().play(connection);
-                                        } catch (Exception e) {
-                                            observed.add(e);
-                                        }
-                                    },
-                                    LongBodyTest::daemon);
-                        } catch (IOException e) {
-                            return;
-                        }
-                    }
-                },
-                LongBodyTest::daemon);
-        String host = "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:" + server.getLocalPort() + "\",\"health\":\"active\"}";
-        Clock clock = Clock.system();
-        node = new Node(
-                Config.parse(ConfigTest.TEXT.replace("\"hosts\":[]", "\"hosts\":[" + host + "]")),
-                clock,
-                new Log(clock, new PrintStream(OutputStream.nullOutputStream())));
-        node.start();
+        node = server.startNode();
         client = connect();
     }
 
@@ -107,62 +56,12 @@
         node.kill();
     }
 
-    private static byte[] patternBytes(int size) {
-        byte[] bytes = new byte[size];
-        for (int i = 0; i < size; i++) {
-            bytes[i] = (byte) (i * 31 >> 3);
-        }
-        return bytes;
-    }
-
-    private static String readHead(InputStream in) throws IOException {
-        StringBuilder text = new StringBuilder();
-        while (text.length() < 4 || !text.substring(text.length() - 4).equals("\r\n\r\n")) {
-            int b = in.read();
-            if (b < 0) {
-                return text.toString();
-            }
-            text.append((char) b);
-        }
-        return text.toString();
-    }
-
-    /** Reads a chunked body; if the last chunk is missing, returns what was received and one extra byte. */
-    private static byte[] readChunks(InputStream in) throws IOException {
-        ByteArrayOutputStream all = new ByteArrayOutputStream();
-        while (true) {
-            String line = readLine(in);
-            if (line.isEmpty()) {
-                all.write(0);
-                return all.toByteArray();
-            }
-            int size = Integer.parseInt(line, 16);
-            all.write(in.readNBytes(size));
-            readLine(in);
-            if (size == 0) {
-                return all.toByteArray();
-            }
-        }
-    }
-
-    private static String readLine(InputStream in) throws IOException {
-        StringBuilder text = new StringBuilder();
-        for (int b = in.read(); b >= 0 && b != '\n'; b = in.read()) {
-            text.append((char) b);
-        }
-        return text.toString().trim();
-    }
-
-    private static void write(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-    }
-
     private void sendGet(String version, String fields) throws IOException {
         write(client, "GET /view HTTP/" + version + "\r\nX-Correlation-Id: 7\r\n" + fields + "\r\n");
     }
 
     /** Returns a script that reads one head and then sends these headers and this much of a body. */
-    private static ServerScript sendsResponse(String fields, byte[] body, int bytesSent) {
+    private static Script sendsResponse(String fields, byte[] body, int bytesSent) {
         return s -> {
             readHead(s.getInputStream());
             write(s, "HTTP/1.1 200 OK\r\n" + fields + "\r\n");
