The time of an upload counts from when its last byte can have been sent

Cause: a request with a long body got its deadline with Event.RequestCompleted, which the node raises when it reads the last byte. It reads no further while the server takes nothing (BodyStream demand), so its own backpressure put the deadline off: without end, but for the 10 s stall limit, or by as long as the server was slow. Ruled out: a lost timer (the deadline was never set), the presence check (both framings, and the body was not read to its end).

Change: LastByteEstimator gives the earliest time at which the last byte can have been sent: not before the node had last read all that had arrived, not while more is to come than buffers on the way can hold (measured here with a receive buffer of 128 KB: 4,453,056 bytes; 4.5 MB allowed). The client side reports it as Event.LastByteBound while it reads more slowly than the client sends; the reducer sets the deadline by it, attempts start and tell their time by it, and the last byte that is read late no longer starts the time again. Client connections have a receive buffer of 128 KB so that the bound is one. Cost: a chunked upload that its server takes at under 4.5 MB per wait can be refused although its client was still sending; it can't be told from one that has been sent whole.

--- a/core/src/main/java/brackenbridge/core/AttemptStarter.java
+++ b/core/src/main/java/brackenbridge/core/AttemptStarter.java
@@ -48,10 +48,9 @@
     private void send(ReducerContext context, OpenRequest request, ServerEndpoint endpoint, double timeoutMs) {
         Attempt attempt = request.attempt;
         double nowMs = context.nowMs();
-        boolean complete = request.isComplete();
-        double requestDeadlineMs = complete ? request.attemptDeadlineMs(attempt.number) : nowMs + request.timeoutMs;
-        double attemptDeadlineMs =
-                timeoutMs > 0 && complete ? Math.min(requestDeadlineMs, nowMs + timeoutMs) : requestDeadlineMs;
+        double requestDeadlineMs = Math.min(request.attemptDeadlineMs(attempt.number), nowMs + request.timeoutMs);
+        boolean limited = timeoutMs > 0 && request.isComplete();
+        double attemptDeadlineMs = limited ? Math.min(requestDeadlineMs, nowMs + timeoutMs) : requestDeadlineMs;
         context.addEffect(new Effect.StartAttempt(
                 request.id, attempt.number, endpoint.host(), endpoint.address(), attemptDeadlineMs, request.message));
         attempt.announcedDeadlineMs = attemptDeadlineMs;
--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -49,6 +49,9 @@
             /** A request's last byte was received. */
             void onRequestCompleted(C context, RequestCompleted event);
 
+            /** It is known when a request's last byte may have been sent at the earliest. */
+            void onLastByteBound(C context, LastByteBound event);
+
             /** A request can't be replayed any more. */
             void onRequestBodyReleased(C context, RequestBodyReleased event);
 
@@ -79,6 +82,17 @@
         }
     }
 
+    /**
+     * The last byte of an incomplete request may have been sent at this time, and is not read yet, or not forwarded;
+     * infinite if all that has arrived was read, without the last byte.
+     */
+    record LastByteBound(long requestId, double earliestMs) implements RequestEvent {
+        @Override
+        public <C> void accept(C context, Handler<C> handler) {
+            handler.onLastByteBound(context, this);
+        }
+    }
+
     /**
      * Part of the request's body was sent to a server and is not buffered any more, so the request can't be replayed.
      */
--- a/core/src/main/java/brackenbridge/core/OpenRequest.java
+++ b/core/src/main/java/brackenbridge/core/OpenRequest.java
@@ -23,8 +23,12 @@
     final double maxBacklogWaitMs;
     /** It was passed to the balancer; until then it waits for its tenant's quota. */
     boolean dispatched;
-    /** Infinite until its last byte has been received. */
+    /** Until then it waits for an attempt at the longest, even while its body is incomplete. */
+    final double waitDeadlineMs;
+    /** Infinite while its last byte can't have been sent. */
     double deadlineMs;
+    /** Its last byte has been received. */
+    private boolean complete;
     /** Part of its body is not buffered any more, so it can't be replayed. */
     boolean bodyReleased;
 
@@ -46,7 +50,7 @@
             RequestClass requestClass,
             int maxAttempts,
             double timeoutMs,
-            double deadlineMs) {
+            double receivedMs) {
         this.id = id;
         this.className = request.className();
         this.requestClass = requestClass;
@@ -56,17 +60,36 @@
         this.clientRetry = request.clientRetry();
         this.timeoutMs = timeoutMs;
         this.maxBacklogWaitMs = request.maxBacklogWaitMs();
-        this.deadlineMs = deadlineMs;
+        this.complete = request.complete();
+        this.waitDeadlineMs = receivedMs + timeoutMs;
+        this.deadlineMs = complete ? waitDeadlineMs : Double.POSITIVE_INFINITY;
     }
 
     /** Whether its last byte has been received. */
     boolean isComplete() {
-        return deadlineMs < Double.POSITIVE_INFINITY;
+        return complete;
     }
 
-    /** Its deadline; for an incomplete request, the deadline that it would have if its last byte arrived now. */
+    /** Sets the earliest time at which the last byte may have been sent; infinite if it can't have been sent yet. */
+    void setLastByteBound(double earliestMs) {
+        deadlineMs = earliestMs + timeoutMs;
+    }
+
+    /** Its last byte is received now; it may have been sent earlier. */
+    void complete(double nowMs) {
+        deadlineMs = expectedDeadlineMs(nowMs);
+        complete = true;
+    }
+
+    /** Its deadline; without one, the deadline that it would have if its last byte arrived now. */
     double expectedDeadlineMs(double nowMs) {
-        return isComplete() ? deadlineMs : nowMs + timeoutMs;
+        return Math.min(deadlineMs, nowMs + timeoutMs);
+    }
+
+    /** When it has to be answered, whatever happens; infinite if that is not known yet. */
+    double dueMs() {
+        boolean waiting = !complete && attempt == null;
+        return waiting ? Math.min(deadlineMs, waitDeadlineMs) : deadlineMs;
     }
 
     /**
--- a/core/src/main/java/brackenbridge/core/RequestDispatch.java
+++ b/core/src/main/java/brackenbridge/core/RequestDispatch.java
@@ -16,8 +16,7 @@
 
     void dispatch(ReducerContext context, OpenRequest request) {
         request.dispatched = true;
-        boolean complete = request.isComplete();
-        double timeLeftMs = complete ? request.deadlineMs - context.nowMs() : request.timeoutMs;
+        double timeLeftMs = request.expectedDeadlineMs(context.nowMs()) - context.nowMs();
         BalancerRequest balancerRequest = new BalancerRequest(
                 request.id,
                 request.className,
@@ -26,7 +25,7 @@
                 Microseconds.ofMs(timeLeftMs),
                 UNKNOWN_KEY_OR_COST,
                 request.clientRetry);
-        if (complete) {
+        if (request.isComplete()) {
             balancer.onRequest(context.nowMicros(), balancerRequest);
         } else {
             balancer.onStreamedRequest(context.nowMicros(), balancerRequest);
--- a/core/src/main/java/brackenbridge/core/RequestLifecycle.java
+++ b/core/src/main/java/brackenbridge/core/RequestLifecycle.java
@@ -74,9 +74,8 @@
         double clientTimeoutMs =
                 received.timeLeftMs() >= 0 ? received.timeLeftMs() : Microseconds.toMs(requestClass.deadline());
         double timeoutMs = Math.max(0, clientTimeoutMs - DEADLINE_MARGIN_MS - latenessMarginMs(nowMs, clientTimeoutMs));
-        double deadlineMs = received.complete() ? nowMs + timeoutMs : Double.POSITIVE_INFINITY;
         int maxAttempts = settings.get().maxAttempts();
-        OpenRequest request = new OpenRequest(requestId, received, requestClass, maxAttempts, timeoutMs, deadlineMs);
+        OpenRequest request = new OpenRequest(requestId, received, requestClass, maxAttempts, timeoutMs, nowMs);
         requests.add(request);
         return request;
     }
@@ -86,15 +85,32 @@
         return Math.min(lateness.expectedMs(nowMs), maxMarginMs);
     }
 
-    /** The client's timeout starts with the last byte of its request. */
+    /** The client's timeout starts when it sends its last byte, which the node may read much later. */
+    @Override
+    public void onLastByteBound(ReducerContext context, Event.LastByteBound event) {
+        OpenRequest request = requests.find(event.requestId());
+        if (request == null || request.isComplete()) {
+            return;
+        }
+        request.setLastByteBound(event.earliestMs());
+        setDeadlineTimer(context, request);
+    }
+
+    private static void setDeadlineTimer(ReducerContext context, OpenRequest request) {
+        double dueMs = request.dueMs();
+        if (dueMs < Double.POSITIVE_INFINITY) {
+            context.setTimer(dueMs, new TimerKey.RequestDeadline(request.id));
+        }
+    }
+
     @Override
     public void onRequestCompleted(ReducerContext context, Event.RequestCompleted event) {
         OpenRequest request = requests.find(event.requestId());
         if (request == null || request.isComplete()) {
             return;
         }
-        request.deadlineMs = context.nowMs() + request.timeoutMs;
-        context.setTimer(request.deadlineMs, new TimerKey.RequestDeadline(request.id));
+        request.complete(context.nowMs());
+        setDeadlineTimer(context, request);
         if (request.dispatched) {
             balancer.onRequestCompleted(context.nowMicros(), request.id);
         }
@@ -152,7 +168,11 @@
     /** The client is about to time out: times out the attempt and answers the request in any case. */
     void onDeadline(ReducerContext context, TimerKey.RequestDeadline timer) {
         OpenRequest request = requests.find(timer.requestId());
-        if (request == null || !isDue(request, context.nowMs())) {
+        if (request == null) {
+            return;
+        }
+        if (context.nowMs() < request.dueMs()) {
+            setDeadlineTimer(context, request);
             return;
         }
         if (request.isComplete() && request.attempt != null) {
@@ -161,11 +181,6 @@
         answerNow(context, request);
     }
 
-    /** A request whose body is still being sent to a server is not due: its timeout starts with its last byte. */
-    private static boolean isDue(OpenRequest request, double nowMs) {
-        return request.isComplete() ? nowMs >= request.deadlineMs : request.attempt == null;
-    }
-
     /** Answers every open request now, because the process exits before some deadlines. */
     void answerAll(ReducerContext context) {
         for (OpenRequest request : requests.copyOfAll()) {
--- a/core/src/test/java/brackenbridge/core/StreamedRequestTest.java
+++ b/core/src/test/java/brackenbridge/core/StreamedRequestTest.java
@@ -49,6 +49,55 @@
         assertEquals(List.of(LocalReply.TIMED_OUT), harness.advance(10).localReplies(requestId));
     }
 
+    /** Guards clients of a server that stops reading: the node reads their last byte late or never. */
+    @Test
+    void timeoutOfAStreamedRequestStartsWhenItsLastByteMayHaveBeenSent() {
+        ReducerHarness harness = new ReducerHarness(4);
+        long requestId = openStreamed(harness);
+        harness.send(new Event.RequestBodyReleased(requestId)).advance(500);
+        harness.send(new Event.LastByteBound(requestId, harness.clock.nowMs() - 400));
+        assertEquals(List.of(), harness.advance(590).localReplies(requestId));
+        assertEquals(List.of(LocalReply.REJECTED), harness.advance(10).localReplies(requestId));
+    }
+
+    @Test
+    void streamedRequestWhoseLastByteWasNotSentHasNoDeadline() {
+        ReducerHarness harness = new ReducerHarness(4);
+        long requestId = openStreamed(harness);
+        harness.send(new Event.RequestBodyReleased(requestId));
+        harness.send(new Event.LastByteBound(requestId, harness.clock.nowMs())).advance(500);
+        harness.send(new Event.LastByteBound(requestId, Double.POSITIVE_INFINITY));
+        assertEquals(List.of(), harness.advance(7000).localReplies(requestId));
+        harness.send(new Event.LastByteBound(requestId, harness.clock.nowMs()));
+        assertEquals(List.of(LocalReply.REJECTED), harness.advance(1000).localReplies(requestId));
+    }
+
+    @Test
+    void streamedRequestThatIsReadLateHasOnlyTheTimeThatItsClientStillWaits() {
+        ReducerHarness harness = new ReducerHarness(4);
+        long requestId = openStreamed(harness);
+        harness.send(new Event.RequestBodyReleased(requestId));
+        harness.send(new Event.LastByteBound(requestId, harness.clock.nowMs())).advance(700);
+        harness.send(new Event.RequestCompleted(requestId)).send(new Event.AttemptWritten(requestId, 0));
+        assertEquals(List.of(), harness.advance(290).localReplies(requestId));
+        assertEquals(List.of(LocalReply.TIMED_OUT), harness.advance(10).localReplies(requestId));
+    }
+
+    /** No further attempt starts for a client whose time is over, and none is told more time than is left. */
+    @Test
+    void attemptsOfAStreamedRequestKeepToWhenItsLastByteMayHaveBeenSent() {
+        ReducerHarness harness = new ReducerHarness(4);
+        long requestId = openStreamed(harness);
+        harness.advance(300).send(new Event.LastByteBound(requestId, harness.clock.nowMs() - 300));
+        double dueMs = harness.clock.nowMs() - 300 + 995;
+        harness.send(new Event.AttemptConnectionLost(requestId, 0));
+        assertEquals(2, harness.attempts(requestId).size());
+        assertEquals(dueMs, harness.attempts(requestId).get(1).deadlineMs(), 1e-6);
+        harness.advance(700).send(new Event.AttemptConnectionLost(requestId, 1));
+        assertEquals(2, harness.attempts(requestId).size());
+        assertEquals(List.of(LocalReply.REJECTED), harness.localReplies(requestId));
+    }
+
     @Test
     void stopAnswersAnIncompleteStreamedRequest() {
         ReducerHarness harness = new ReducerHarness(4);
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -4,6 +4,7 @@
 import brackenbridge.config.Config;
 import brackenbridge.core.Effect;
 import brackenbridge.core.Event;
+import brackenbridge.core.LastByteEstimator;
 import brackenbridge.core.Reducer;
 import brackenbridge.core.observe.TrafficObserver;
 import brackenbridge.core.share.TenantUsage;
@@ -206,6 +207,7 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.ALLOCATOR, buffers)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_RCVBUF, LastByteEstimator.MAX_RECEIVE_BUFFER_BYTES)
                 // Guards servers against the request of a client that has already disconnected: with the default, the
                 // end of the connection may be read one turn late.
                 .childOption(
--- a/node/src/main/java/brackenbridge/net/client/ClientConnection.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientConnection.java
@@ -302,6 +302,7 @@
         if (hasPresenceExpired(nowMs)) {
             context.events().raise(new Event.ClientPresenceUnknown(request.id()));
         }
+        reader.upload().reportLastByteBound();
         double ageMs = nowMs - stateSinceMs;
         if (ConnectionTimeouts.isStalled(state, writer.isStreaming(), ageMs)) {
             channel.close();
--- a/node/src/main/java/brackenbridge/net/client/ClientPresence.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientPresence.java
@@ -90,6 +90,11 @@
         return present;
     }
 
+    /** When the node had last read everything that had arrived, without the end of the connection. */
+    double drainedMs() {
+        return present ? clock.nowMs() : unknownSinceMs;
+    }
+
     /** Whether presence has been unknown for longer than the limit, counted from {@code fromMs} at the earliest. */
     boolean isUnknownTooLong(double nowMs, double fromMs) {
         return !present && nowMs - Math.max(unknownSinceMs, fromMs) > MAX_PRESENCE_AGE_MS;
--- a/node/src/main/java/brackenbridge/net/client/RequestReader.java
+++ b/node/src/main/java/brackenbridge/net/client/RequestReader.java
@@ -109,6 +109,8 @@
     public void onPresent() {
         if (upload.isLastByteHeld()) {
             scheduleLastByteForward();
+        } else {
+            upload.onDrained();
         }
     }
 
@@ -149,10 +151,11 @@
             return;
         }
         // Bytes that are appended to the unread buffer are counted as part of it.
-        int newBytes = unread == null ? bytes.readableBytes() : 0;
+        int received = bytes.readableBytes();
+        int newBytes = unread == null ? received : 0;
         append(bytes);
         if (upload.isActive()) {
-            upload.onBytes(unread, newBytes);
+            upload.onBytes(unread, received, newBytes);
         }
         readNext();
         context.memory().enforce(context.registry().connections());
--- a/node/src/main/java/brackenbridge/net/client/UploadReader.java
+++ b/node/src/main/java/brackenbridge/net/client/UploadReader.java
@@ -1,6 +1,7 @@
 package brackenbridge.net.client;
 
 import brackenbridge.core.Event;
+import brackenbridge.core.LastByteEstimator;
 import brackenbridge.counters.Counter;
 import brackenbridge.http.HttpException;
 import brackenbridge.http.HttpRequest;
@@ -29,6 +30,10 @@
     private boolean paused;
     /** Bytes of the body received since it was paused. */
     private int bytesWhilePaused;
+    /** When the last byte may have been sent, while it is not read. */
+    private LastByteEstimator lastByte;
+    /** The bound on the last byte's time that the reducer knows; infinite if it knows none. */
+    private double reportedBoundMs;
 
     UploadReader(ClientConnection connection, ClientContext context, RequestReader reader, RequestDecoder decoder) {
         this.connection = connection;
@@ -76,6 +81,9 @@
         HttpRequest head = decoder.withBody(decoder.streamBody((from, n) -> body.add(from.readRetainedSlice(n))));
         body = new BodyStream(this);
         lastByteHeld = false;
+        lastByte = new LastByteEstimator(length);
+        lastByte.onBytesRead(head.body().length, context.clock().nowMs());
+        reportedBoundMs = Double.POSITIVE_INFINITY;
         reader.opener().handleRequest(new StreamedRequest(head, length, body), head, false);
         if (!connection.request().isOpen()) {
             body = null;
@@ -86,14 +94,43 @@
         decode(reader.unread());
     }
 
-    /** Decodes received bytes of the body; {@code newBytes} of them are not yet counted as unread. */
-    void onBytes(ByteBuf unread, int newBytes) {
+    /**
+     * Decodes received bytes of the body.
+     *
+     * @param received how many bytes were received
+     * @param newBytes how many of them are not yet counted as unread
+     */
+    void onBytes(ByteBuf unread, int received, int newBytes) {
         if (paused) {
             bytesWhilePaused += newBytes;
         }
+        if (!lastByteHeld) {
+            lastByte.onBytesRead(received, context.clock().nowMs());
+        }
         decode(unread);
     }
 
+    /** Reports since when the last byte may have been sent, if the node reads the body more slowly than it comes. */
+    void reportLastByteBound() {
+        if (body != null && !lastByteHeld && !reader.presence().isPresentNow()) {
+            reportBound(lastByte.earliestMs(reader.presence().drainedMs()));
+        }
+    }
+
+    /** Handles that all bytes that had arrived were read: if the last one is not among them, it was not sent yet. */
+    void onDrained() {
+        if (body != null && !lastByteHeld) {
+            reportBound(Double.POSITIVE_INFINITY);
+        }
+    }
+
+    private void reportBound(double earliestMs) {
+        if (earliestMs != reportedBoundMs) {
+            reportedBoundMs = earliestMs;
+            context.events().raise(new Event.LastByteBound(connection.request().id(), earliestMs));
+        }
+    }
+
     private void decode(ByteBuf unread) {
         try {
             if (unread == null || lastByteHeld) {
@@ -101,6 +138,8 @@
             }
             if (decoder.decode(unread)) {
                 decoder.takeRequest();
+                // From now on it is the presence of the client that delays the request, not its last byte.
+                reportLastByteBound();
                 lastByteHeld = true;
                 body.holdEnd();
                 reader.onLastByteHeld();
