A long response that its server writes slowly is streamed, not cut off at the deadline

Cause: ResponseReader passed nothing on before 64 KiB had come, or 200 ms had gone by without a byte. A server that writes steadily at under 64 KiB per client's time met neither, and the request's deadline (or its attempt's) cancelled the attempt. Ruled out: the server's stall limits (no pause over 20 ms) and the framing (all three forms fail alike).

Change: Event.ResponseStarted tells the reducer of a successful response that may be long. The reducer asks for it to be streamed (Effect.StreamResponse) 200 ms after its head if its length or that of a chunk is over 64 KiB; with a tenth of the client's time left if its length is unknown; at the latest where the attempt or the request would time out. The module without I/O that decides is ResponseStreamingPolicy. What is not long still fails at the deadline: a response of unknown length has to come at 16 kB a second, and is truncated if it pauses from the deadline on for 350 ms. The rule of a 200 ms pause goes.

--- a/core/src/main/java/brackenbridge/core/Attempt.java
+++ b/core/src/main/java/brackenbridge/core/Attempt.java
@@ -18,6 +18,8 @@
     double latencyStartMs;
     /** Its last byte has been written, so the server may run it. */
     boolean written;
+    /** The head of a response that may be long has been received, so that the response can be streamed. */
+    boolean responseStarted;
     /** The pool that its traffic is counted for; null unless traffic is observed. */
     TrafficObserver.PoolKey pool;
 
--- a/core/src/main/java/brackenbridge/core/AttemptLifecycle.java
+++ b/core/src/main/java/brackenbridge/core/AttemptLifecycle.java
@@ -56,6 +56,55 @@
         balancer.onAttemptWritten(context.nowMicros(), event.requestId(), event.attempt());
     }
 
+    /** The response is streamed at the latest when its attempt would time out or its request be answered without it. */
+    @Override
+    public void onResponseStarted(ReducerContext context, Event.ResponseStarted event) {
+        OpenRequest request = requests.findByCurrentAttempt(event.requestId(), event.attempt());
+        if (request == null || request.ended) {
+            return;
+        }
+        Attempt attempt = request.attempt;
+        attempt.responseStarted = true;
+        double deadlineMs = Math.min(attempt.timeoutAtMs, request.deadlineMs);
+        double streamingMs =
+                ResponseStreamingPolicy.streamingMs(event.knownLong(), context.nowMs(), deadlineMs, request.timeoutMs);
+        if (streamingMs < Double.POSITIVE_INFINITY) {
+            context.setTimer(streamingMs, new TimerKey.StreamingDue(request.id, attempt.number));
+        }
+    }
+
+    void onStreamingDue(ReducerContext context, TimerKey.StreamingDue timer) {
+        OpenRequest request = requests.findByCurrentAttempt(timer.requestId(), timer.attempt());
+        if (request != null && !request.ended) {
+            streamResponse(context, request);
+        }
+    }
+
+    /** Streams the response that is being received for the attempt in flight; returns false if there is none. */
+    boolean streamResponse(ReducerContext context, OpenRequest request) {
+        Attempt attempt = request.attempt;
+        if (attempt == null || !attempt.responseStarted || request.ended) {
+            return false;
+        }
+        context.addEffect(new Effect.StreamResponse(request.id, attempt.number));
+        return true;
+    }
+
+    /** Before the deadline the response may still become long; at the deadline it is too late for it. */
+    @Override
+    public void onResponseNotStreamable(ReducerContext context, Event.ResponseNotStreamable event) {
+        OpenRequest request = requests.findByCurrentAttempt(event.requestId(), event.attempt());
+        if (request == null) {
+            return;
+        }
+        if (context.nowMs() >= request.dueMs()) {
+            request.attempt.responseStarted = false;
+            context.setTimer(context.nowMs(), new TimerKey.RequestDeadline(request.id));
+        } else if (context.nowMs() >= request.attempt.timeoutAtMs) {
+            cancel(context, request, AttemptOutcome.TIMEOUT);
+        }
+    }
+
     @Override
     public void onResponseReceived(ReducerContext context, Event.ResponseReceived event) {
         OpenRequest request = requests.findByCurrentAttempt(event.requestId(), event.attempt());
@@ -121,7 +170,7 @@
     /** The balancer's timeout for the attempt has expired. */
     void onTimeout(ReducerContext context, TimerKey.AttemptTimeout timer) {
         OpenRequest request = requests.findByCurrentAttempt(timer.requestId(), timer.attempt());
-        if (request != null) {
+        if (request != null && !streamResponse(context, request)) {
             cancel(context, request, AttemptOutcome.TIMEOUT);
         }
     }
--- a/core/src/main/java/brackenbridge/core/AttemptStarter.java
+++ b/core/src/main/java/brackenbridge/core/AttemptStarter.java
@@ -52,7 +52,13 @@
         boolean limited = timeoutMs > 0 && request.isComplete();
         double attemptDeadlineMs = limited ? Math.min(requestDeadlineMs, nowMs + timeoutMs) : requestDeadlineMs;
         context.addEffect(new Effect.StartAttempt(
-                request.id, attempt.number, endpoint.host(), endpoint.address(), attemptDeadlineMs, request.message));
+                request.id,
+                attempt.number,
+                endpoint.host(),
+                endpoint.address(),
+                attemptDeadlineMs,
+                request.expectedDeadlineMs(nowMs),
+                request.message));
         attempt.announcedDeadlineMs = attemptDeadlineMs;
         if (attemptDeadlineMs < requestDeadlineMs) {
             attempt.timeoutAtMs = attemptDeadlineMs;
--- a/core/src/main/java/brackenbridge/core/Effect.java
+++ b/core/src/main/java/brackenbridge/core/Effect.java
@@ -2,13 +2,28 @@
 
 /** A side effect that the reducer requests. Its results are reported back as events. */
 public sealed interface Effect {
-    /** Start an attempt; it is given up at {@code giveUpMs}. */
-    record StartAttempt(long requestId, int attempt, String host, String address, double deadlineMs, Object message)
+    /**
+     * Start an attempt.
+     *
+     * @param deadlineMs when it is given up
+     * @param clientDeadlineMs until when its client waits; for an incomplete request, as if it were complete now
+     */
+    record StartAttempt(
+            long requestId,
+            int attempt,
+            String host,
+            String address,
+            double deadlineMs,
+            double clientDeadlineMs,
+            Object message)
             implements Effect {}
 
     /** Cancel an attempt: close its connection, or discard it if it has none yet. */
     record CancelAttempt(long requestId, int attempt) implements Effect {}
 
+    /** Stream the response that is being received for an attempt; if that is impossible, an event says so. */
+    record StreamResponse(long requestId, int attempt) implements Effect {}
+
     /** Send a server's response to the request's client. */
     record SendResponse(long requestId, Object message) implements Effect {}
 
--- a/core/src/main/java/brackenbridge/core/Event.java
+++ b/core/src/main/java/brackenbridge/core/Event.java
@@ -156,6 +156,12 @@
             /** An attempt was written completely. */
             void onAttemptWritten(C context, AttemptWritten event);
 
+            /** A response that may be long is being received. */
+            void onResponseStarted(C context, ResponseStarted event);
+
+            /** A response can't be streamed. */
+            void onResponseNotStreamable(C context, ResponseNotStreamable event);
+
             /** A server has responded to an attempt. */
             void onResponseReceived(C context, ResponseReceived event);
 
@@ -190,6 +196,25 @@
         INVALID_REQUEST
     }
 
+    /**
+     * The head of a successful response has been received whose body is too long to be buffered, or of unknown length;
+     * raised again when a body of unknown length turns out to be too long.
+     */
+    record ResponseStarted(long requestId, int attempt, boolean knownLong) implements AttemptEvent {
+        @Override
+        public <C> void accept(C context, Handler<C> handler) {
+            handler.onResponseStarted(context, this);
+        }
+    }
+
+    /** The response that was to be streamed can't be: its server does not write it as one writes a long response. */
+    record ResponseNotStreamable(long requestId, int attempt) implements AttemptEvent {
+        @Override
+        public <C> void accept(C context, Handler<C> handler) {
+            handler.onResponseNotStreamable(context, this);
+        }
+    }
+
     /** The server has responded to the attempt; the report is null if the response has none. */
     record ResponseReceived(long requestId, int attempt, ResponseKind kind, Object message, LoadReport report)
             implements AttemptEvent {
--- a/core/src/main/java/brackenbridge/core/LastByteEstimator.java
+++ b/core/src/main/java/brackenbridge/core/LastByteEstimator.java
@@ -3,8 +3,8 @@
 import java.util.ArrayDeque;
 
 /**
- * Estimates the earliest time at which a client may have sent the last byte of a body. The client's timeout counts from
- * that byte, but a node that forwards a body more slowly than the client sends it reads the byte long after it was sent.
+ * Estimates the earliest time at which a client may have sent the last byte of a body. The client's timeout counts
+ * from that byte, but a node that forwards a body more slowly than the client sends it reads the byte long after that.
  *
  * <p>Two facts are certain: the last byte had not been sent when the node had read all that had arrived, nor when more
  * bytes were still to come than the systems of client and node can hold. Times are in milliseconds.
--- a/core/src/main/java/brackenbridge/core/RequestLifecycle.java
+++ b/core/src/main/java/brackenbridge/core/RequestLifecycle.java
@@ -165,7 +165,7 @@
         }
     }
 
-    /** The client is about to time out: times out the attempt and answers the request in any case. */
+    /** The client is about to time out: answers the request in any case, with the response that has begun if any. */
     void onDeadline(ReducerContext context, TimerKey.RequestDeadline timer) {
         OpenRequest request = requests.find(timer.requestId());
         if (request == null) {
@@ -178,7 +178,9 @@
         if (request.isComplete() && request.attempt != null) {
             lateness.recordDelay(context.nowMs(), request.deadlineMs);
         }
-        answerNow(context, request);
+        if (!attempts.streamResponse(context, request)) {
+            answerNow(context, request);
+        }
     }
 
     /** Answers every open request now, because the process exits before some deadlines. */
--- a/core/src/main/java/brackenbridge/core/TimerDispatch.java
+++ b/core/src/main/java/brackenbridge/core/TimerDispatch.java
@@ -50,6 +50,11 @@
         attempts.onTimeout(context, timer);
     }
 
+    @Override
+    public void onStreamingDue(ReducerContext context, TimerKey.StreamingDue timer) {
+        attempts.onStreamingDue(context, timer);
+    }
+
     @Override
     public void onDrainCutoff(ReducerContext context, TimerKey.DrainCutoff timer) {
         attempts.stopSendingTo(context, timer.host());
--- a/core/src/main/java/brackenbridge/core/TimerKey.java
+++ b/core/src/main/java/brackenbridge/core/TimerKey.java
@@ -22,6 +22,9 @@
         /** An attempt has timed out before its request's deadline. */
         void onAttemptTimeout(C context, AttemptTimeout timer);
 
+        /** A response that is being received is to be streamed. */
+        void onStreamingDue(C context, StreamingDue timer);
+
         /** A draining host has reached its cut-off: nothing may be sent to it any more. */
         void onDrainCutoff(C context, DrainCutoff timer);
 
@@ -80,6 +83,14 @@
         }
     }
 
+    /** A response that is being received is to be streamed. */
+    record StreamingDue(long requestId, int attempt) implements TimerKey {
+        @Override
+        public <C> void accept(C context, Handler<C> handler) {
+            handler.onStreamingDue(context, this);
+        }
+    }
+
     /** A draining host has reached its cut-off: nothing may be sent to it any more. */
     record DrainCutoff(String host) implements TimerKey {
         @Override
--- a/node/src/main/java/brackenbridge/http/MessageDecoder.java
+++ b/node/src/main/java/brackenbridge/http/MessageDecoder.java
@@ -324,9 +324,20 @@
         return sink == null && awaitsBody() && body.size() >= MAX_BUFFERED_BODY_BYTES;
     }
 
-    /** Whether the head declares a body that is too long to be buffered. */
+    /** Whether the body's length, or that of the current chunk, says that the body is too long to be buffered. */
     public boolean declaresLongBody() {
-        return sink == null && step == Step.FIXED_BODY && remainingBytes + body.size() > MAX_BUFFERED_BODY_BYTES;
+        boolean declared = step == Step.FIXED_BODY || step == Step.CHUNK;
+        return sink == null && declared && remainingBytes + body.size() > MAX_BUFFERED_BODY_BYTES;
+    }
+
+    /** Whether the length of the body is unknown until it ends. */
+    public boolean isLengthUnknown() {
+        return awaitsBody() && step != Step.FIXED_BODY;
+    }
+
+    /** How much of the body has been received. */
+    public long bodyBytes() {
+        return bodyBytes;
     }
 
     /** Returns the buffered part of the body and passes the rest of this body to the sink. */
--- a/node/src/main/java/brackenbridge/net/EffectRunner.java
+++ b/node/src/main/java/brackenbridge/net/EffectRunner.java
@@ -43,6 +43,7 @@
     private void registerUpstream() {
         on(Effect.StartAttempt.class, upstream::startAttempt);
         on(Effect.CancelAttempt.class, effect -> upstream.cancelAttempt(effect.requestId(), effect.attempt()));
+        on(Effect.StreamResponse.class, effect -> upstream.streamResponse(effect.requestId(), effect.attempt()));
         on(Effect.CloseIdleConnections.class, effect -> upstream.closeIdleConnections(effect.host(), effect.address()));
     }
 
@@ -63,7 +64,7 @@
         handlers.put(type, effect -> handler.accept(type.cast(effect)));
     }
 
-    /** Runs the effect; logs a failure, and reports an attempt that could not be started. */
+    /** Runs the effect; logs a failure, and reports what could not be started. */
     void run(Effect effect) {
         try {
             // Health check effects are used by the laboratory only and have no handler here.
@@ -77,6 +78,8 @@
                 // Guards the request against waiting for an attempt of which nothing has been sent.
                 upstream.cancelAttempt(start.requestId(), start.attempt());
                 events.raise(new Event.AttemptNotStarted(start.requestId(), start.attempt()));
+            } else if (effect instanceof Effect.StreamResponse stream) {
+                events.raise(new Event.ResponseNotStreamable(stream.requestId(), stream.attempt()));
             }
         }
     }
--- a/node/src/main/java/brackenbridge/net/upstream/ResponseReader.java
+++ b/node/src/main/java/brackenbridge/net/upstream/ResponseReader.java
@@ -3,6 +3,7 @@
 import brackenbridge.clock.Clock;
 import brackenbridge.core.Event;
 import brackenbridge.core.Event.ResponseKind;
+import brackenbridge.core.ResponseStreamingPolicy;
 import brackenbridge.core.balancing.LoadReport;
 import brackenbridge.counters.Counter;
 import brackenbridge.counters.RejectionReason;
@@ -15,15 +16,14 @@
 import brackenbridge.net.channel.StreamedResponse;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.util.concurrent.TimeUnit;
 
 /** Reads the responses on one connection, one after another, and streams long ones to the client. */
 final class ResponseReader implements BodyStream.Source {
-    /** Maximum pause in a buffered response, or in waiting for a client to start reading a streamed one. */
+    /** Maximum pause in a response that is not long, or in waiting for a client to start reading a streamed one. */
     private static final double RESPONSE_STALL_TIMEOUT_MS = 1000;
-    /** Maximum pause in a streamed response while its client is ready to read. */
+    /** Maximum pause in a long response while its client is ready to read. */
     private static final double STREAM_STALL_TIMEOUT_MS = 10_000;
-    /** A long response is streamed once its first part is complete, or this long after its latest bytes. */
-    private static final double FIRST_PART_TIMEOUT_MS = 200;
 
     private static final int OK = 200;
 
@@ -36,6 +36,14 @@
     private BodyStream streamedBody;
     /** When the latest bytes of the response were read, or its stream was resumed; 0 before the first byte. */
     private double lastProgressMs;
+    /** When the latest bytes of the response were read. */
+    private double lastReadMs;
+    /** When the reducer was told that a response that may be long is being received; 0 before. */
+    private double startedMs;
+    /** Whether the reducer was told that the response is long. */
+    private boolean knownLong;
+    /** Until when the client of the response that is being streamed waits for its first bytes. */
+    private double clientDeadlineMs;
     /** Bytes of this response that count against the shared buffer limit. */
     private int bufferedBytes;
 
@@ -62,13 +70,15 @@
 
     /** Decodes bytes of the response to the attempt in flight. */
     void read(ByteBuf in) throws HttpException {
+        lastReadMs = clock.nowMs();
         if (decoder.decode(in)) {
             completeResponse(in.isReadable());
         } else if (decoder.isBodyBufferFull()) {
             readLongResponse(in);
         } else {
-            lastProgressMs = decoder.isMessageStarted() ? clock.nowMs() : 0;
+            lastProgressMs = decoder.isMessageStarted() ? lastReadMs : 0;
             setBufferedBytes(decoder.bufferedBytes());
+            reportStart();
             if (upstream.responses().isOverBufferLimit()) {
                 // Guards memory against many long responses at the same time.
                 rejectResponse(RejectionReason.OVERSIZED, "incomplete responses together exceed the buffer limit");
@@ -76,6 +86,33 @@
         }
     }
 
+    /** Tells the reducer of a response that may be long, and once more if it turns out to be. */
+    private void reportStart() {
+        boolean isLong = decoder.declaresLongBody();
+        boolean maybeLong = isLong || decoder.isLengthUnknown();
+        if (!maybeLong || decoder.status() != OK || startedMs > 0 && knownLong == isLong) {
+            return;
+        }
+        startedMs = startedMs > 0 ? startedMs : lastProgressMs;
+        knownLong = knownLong || isLong;
+        RunningAttempt attempt = connection.attempt();
+        context.events().raise(new Event.ResponseStarted(attempt.requestId(), attempt.attempt(), knownLong));
+    }
+
+    /** Streams the response that is being received, if it is long or likely to be; returns whether it is streamed. */
+    boolean streamNow() {
+        boolean maybeLong = startedMs > 0 && streamedBody == null;
+        if (maybeLong && (knownLong || isLikelyLong(clock.nowMs()))) {
+            startStreaming();
+            return true;
+        }
+        return false;
+    }
+
+    private boolean isLikelyLong(double nowMs) {
+        return ResponseStreamingPolicy.isLikelyLong(decoder.bodyBytes(), nowMs - startedMs);
+    }
+
     private void readLongResponse(ByteBuf in) {
         if (decoder.status() == OK) {
             startStreaming();
@@ -90,7 +127,7 @@
     void completeResponse(boolean extraBytes) {
         HttpResponse response = decoder.takeResponse();
         RunningAttempt attempt = connection.detachAttempt();
-        lastProgressMs = 0;
+        resetProgress();
         // The server responded before it had the complete request: on a reused connection, it would read the rest of
         // that request as the next one.
         boolean early = !attempt.isWritten();
@@ -101,6 +138,12 @@
         raiseAnswered(attempt, ResponseClassifier.classify(response), response, response);
     }
 
+    private void resetProgress() {
+        lastProgressMs = 0;
+        startedMs = 0;
+        knownLong = false;
+    }
+
     private void raiseAnswered(RunningAttempt attempt, ResponseKind reply, Object message, HttpResponse head) {
         context.events()
                 .raise(new Event.ResponseReceived(
@@ -145,17 +188,14 @@
         if (lastProgressMs <= 0) {
             return false;
         }
-        double pauseMs = nowMs - lastProgressMs;
-        if (decoder.declaresLongBody() && decoder.status() == OK && pauseMs > FIRST_PART_TIMEOUT_MS) {
-            startStreaming();
-            return true;
+        if (nowMs - lastProgressMs <= RESPONSE_STALL_TIMEOUT_MS) {
+            return false;
         }
-        if (pauseMs > RESPONSE_STALL_TIMEOUT_MS) {
+        if (!streamNow()) {
             rejectResponse(
                     RejectionReason.TOO_SLOW, "no byte received for " + (long) RESPONSE_STALL_TIMEOUT_MS + " ms");
-            return true;
         }
-        return false;
+        return true;
     }
 
     /** Truncates the streamed response if its client does not start reading it, or its server stops sending. */
@@ -163,8 +203,12 @@
         double pauseMs = nowMs - lastProgressMs;
         if (!streamedBody.isConnected() && pauseMs > RESPONSE_STALL_TIMEOUT_MS) {
             truncate("not connected to its client after " + (long) RESPONSE_STALL_TIMEOUT_MS + " ms");
-        } else if (connection.channel().config().isAutoRead() && pauseMs > STREAM_STALL_TIMEOUT_MS) {
-            truncate("no byte received for " + (long) STREAM_STALL_TIMEOUT_MS + " ms");
+            return;
+        }
+        boolean mayBecomeLong = isLong() || nowMs < clientDeadlineMs;
+        double timeoutMs = mayBecomeLong ? STREAM_STALL_TIMEOUT_MS : RESPONSE_STALL_TIMEOUT_MS;
+        if (connection.channel().config().isAutoRead() && pauseMs > timeoutMs) {
+            truncate("no byte received for " + (long) timeoutMs + " ms");
         }
     }
 
@@ -174,8 +218,11 @@
         connection.endRequestStreaming();
         setBufferedBytes(0);
         upstream.attempts().remove(attempt);
-        lastProgressMs = clock.nowMs();
         streamedBody = new BodyStream(this);
+        if (decoder.isLengthUnknown()) {
+            clientDeadlineMs = attempt.clientDeadlineMs();
+            schedulePauseCheck();
+        }
         upstream.responses().addStreaming(this);
         context.counters().count(Counter.RESPONSES_STREAMED);
         streamedBody.add(Unpooled.wrappedBuffer(
@@ -184,6 +231,34 @@
         raiseAnswered(attempt, ResponseKind.SERVED, new StreamedResponse(head, contentLength(), streamedBody), head);
     }
 
+    /** Whether the response is known to be too long to be buffered. */
+    private boolean isLong() {
+        return !decoder.isLengthUnknown() || decoder.bodyBytes() > ResponseDecoder.MAX_BUFFERED_BODY_BYTES;
+    }
+
+    /** Guards clients against waiting for the rest of a short response that its server never ends. */
+    private void schedulePauseCheck() {
+        BodyStream checked = streamedBody;
+        double delayMs =
+                Math.max(0, clientDeadlineMs - clock.nowMs()) + ResponseStreamingPolicy.MAX_PAUSE_AT_DEADLINE_MS;
+        context.loop()
+                .schedule(
+                        () -> {
+                            if (streamedBody == checked) {
+                                checkPause();
+                            }
+                        },
+                        (long) delayMs,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void checkPause() {
+        double pauseMs = clock.nowMs() - lastReadMs;
+        if (!isLong() && pauseMs >= ResponseStreamingPolicy.MAX_PAUSE_AT_DEADLINE_MS) {
+            truncate("no byte received for " + (long) pauseMs + " ms, beyond the client's time");
+        }
+    }
+
     private long contentLength() {
         try {
             return decoder.declaredLength();
@@ -209,11 +284,12 @@
     /** Decodes bytes of the streamed response. */
     void readStreamed(ByteBuf in) {
         try {
-            lastProgressMs = clock.nowMs();
+            lastReadMs = clock.nowMs();
+            lastProgressMs = lastReadMs;
             if (decoder.decode(in)) {
                 endStreaming(true);
                 HttpResponse response = decoder.takeResponse();
-                lastProgressMs = 0;
+                resetProgress();
                 connection.reuseOrClose(response, in.isReadable());
             } else {
                 streamedBody.flush();
--- a/node/src/main/java/brackenbridge/net/upstream/RunningAttempt.java
+++ b/node/src/main/java/brackenbridge/net/upstream/RunningAttempt.java
@@ -25,6 +25,11 @@
         return effect.attempt();
     }
 
+    /** Until when its client waits, as far as was known at its start. */
+    double clientDeadlineMs() {
+        return effect.clientDeadlineMs();
+    }
+
     Object message() {
         return effect.message();
     }
--- a/node/src/main/java/brackenbridge/net/upstream/RunningAttempts.java
+++ b/node/src/main/java/brackenbridge/net/upstream/RunningAttempts.java
@@ -31,14 +31,19 @@
         return byRequest.remove(attempt.requestId(), attempt);
     }
 
+    /** The attempt of this request with this number; null if it is not running. */
+    RunningAttempt find(long requestId, int attempt) {
+        RunningAttempt running = byRequest.get(requestId);
+        return running == null || running.attempt() != attempt ? null : running;
+    }
+
     /** Removes and returns the attempt of this request with this number; null if it is not running. */
     RunningAttempt cancel(long requestId, int attempt) {
-        RunningAttempt running = byRequest.get(requestId);
-        if (running == null || running.attempt() != attempt) {
-            return null;
+        RunningAttempt running = find(requestId, attempt);
+        if (running != null) {
+            byRequest.remove(requestId);
+            byWaiter.remove(running.waiter());
         }
-        byRequest.remove(requestId);
-        byWaiter.remove(running.waiter());
         return running;
     }
 
--- a/node/src/main/java/brackenbridge/net/upstream/UpstreamConnection.java
+++ b/node/src/main/java/brackenbridge/net/upstream/UpstreamConnection.java
@@ -148,6 +148,16 @@
         }
     }
 
+    /** Streams the response that is being received; returns false if that is impossible. */
+    boolean streamResponse() {
+        return reader.streamNow();
+    }
+
+    /** The attempt in flight; null if there is none. */
+    RunningAttempt attempt() {
+        return attempt;
+    }
+
     /** Ends an attempt whose request or response makes no progress. */
     void sweep(double nowMs) {
         if (!reader.sweep(nowMs) && writer.isStalled(attempt, nowMs)) {
--- a/node/src/main/java/brackenbridge/net/upstream/UpstreamConnections.java
+++ b/node/src/main/java/brackenbridge/net/upstream/UpstreamConnections.java
@@ -1,6 +1,7 @@
 package brackenbridge.net.upstream;
 
 import brackenbridge.core.Effect;
+import brackenbridge.core.Event;
 import brackenbridge.core.balancing.BalancerSettings;
 import brackenbridge.core.connection.ConnectionCommand;
 import brackenbridge.core.connection.ConnectionPool;
@@ -112,6 +113,15 @@
         }
     }
 
+    /** Streams the response to an attempt that is being received, or raises that it can't be streamed. */
+    public void streamResponse(long requestId, int attempt) {
+        RunningAttempt running = attempts.find(requestId, attempt);
+        boolean receiving = running != null && running.connection() != null;
+        if (!receiving || !running.connection().streamResponse()) {
+            context.events().raise(new Event.ResponseNotStreamable(requestId, attempt));
+        }
+    }
+
     /** Closes the idle connections to this host at this address. */
     public void closeIdleConnections(String host, String address) {
         execute(pool.closeIdle(new EndpointIdentity(host, address)));
