A client that reads a long response slowly but steadily is not cut off

Cause: progress was what Netty had handed to the system. The system takes further bytes only once a third of its send buffer is free, and the buffer grows to 4 MB: the next step of 1.4 MB takes 22 s at 64 kB a second (limit 20 s) and 9 s at 150 kB a second. Once all of the response had come from the server, ResponseWriter no longer counted it as streamed, and the limit fell to 5 s. Ruled out: the server's side (it was paused, its stall limit does not run then).

Measured: SlowResponseTest.slowlyReadResponseIsNotCutOff failed (1 of 9 clients cut off after 5 s) and passes.

--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -42,6 +42,12 @@
 /** A running node: passes events to the reducer and runs the resulting effects, all on one event loop. */
 public final class Node implements EventSink, AdminOperations {
     private static final long SWEEP_INTERVAL_MS = 100;
+    /**
+     * The system takes further bytes of a response only once a third of its buffer is free: with a large buffer, a
+     * client that reads slowly seems not to read at all.
+     */
+    private static final int CLIENT_SEND_BUFFER_BYTES = 128 * 1024;
+
     private static final int CONNECT_TIMEOUT_MS = 1000;
 
     private static final int ACCEPT_BACKLOG = 1024;
@@ -208,6 +214,7 @@
                 .childOption(ChannelOption.ALLOCATOR, buffers)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_RCVBUF, LastByteEstimator.MAX_RECEIVE_BUFFER_BYTES)
+                .childOption(ChannelOption.SO_SNDBUF, CLIENT_SEND_BUFFER_BYTES)
                 // Guards servers against the request of a client that has already disconnected: with the default, the
                 // end of the connection may be read one turn late.
                 .childOption(
--- a/node/src/main/java/brackenbridge/net/client/ClientConnection.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientConnection.java
@@ -303,8 +303,11 @@
             context.events().raise(new Event.ClientPresenceUnknown(request.id()));
         }
         reader.upload().reportLastByteBound();
+        if (state == ConnectionState.RESPONDING && writer.hasProgressed()) {
+            markProgress();
+        }
         double ageMs = nowMs - stateSinceMs;
-        if (ConnectionTimeouts.isStalled(state, writer.isStreaming(), ageMs)) {
+        if (ConnectionTimeouts.isStalled(state, writer.isStreamed(), ageMs)) {
             channel.close();
         } else if (isIdle() && ageMs > context.timeouts().idleTimeoutMs(hasSentRequest)) {
             endIfIdle();
--- a/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionTimeouts.java
@@ -43,10 +43,10 @@
     }
 
     /** Whether a client takes too long to read a response, or to close its side of a lingering connection. */
-    static boolean isStalled(ConnectionState state, boolean streaming, double ageMs) {
+    static boolean isStalled(ConnectionState state, boolean streamed, double ageMs) {
         return switch (state) {
             case READING, AWAITING_RESPONSE -> false;
-            case RESPONDING -> ageMs > (streaming ? STALLED_STREAM_TIMEOUT_MS : STALLED_RESPONSE_TIMEOUT_MS);
+            case RESPONDING -> ageMs > (streamed ? STALLED_STREAM_TIMEOUT_MS : STALLED_RESPONSE_TIMEOUT_MS);
             case LINGERING, CLOSED -> ageMs > LINGER_TIMEOUT_MS;
         };
     }
--- a/node/src/main/java/brackenbridge/net/client/ResponseWriter.java
+++ b/node/src/main/java/brackenbridge/net/client/ResponseWriter.java
@@ -10,6 +10,7 @@
 import brackenbridge.net.channel.BodyStream;
 import brackenbridge.net.channel.StreamedResponse;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
@@ -23,8 +24,12 @@
     private final Channel channel;
     /** The request whose response is being written. */
     private long respondingTo = NO_REQUEST;
-    /** The body of the streamed response that is being written; null if there is none. */
+    /** The body of the streamed response that is being written; null if there is none, or all of it was received. */
     private BodyStream download;
+    /** Whether the response that is being written, or was written last, is streamed. */
+    private boolean streamed;
+    /** Bytes of responses that the system had not taken at the latest check. */
+    private long unwrittenBytes;
 
     ResponseWriter(ClientConnection connection, ClientContext context, Channel channel) {
         this.connection = connection;
@@ -32,9 +37,17 @@
         this.channel = channel;
     }
 
-    /** Whether a streamed response is being written. */
-    boolean isStreaming() {
-        return download != null;
+    /** Whether the response that is being written is streamed, even if all of it was received from its server. */
+    boolean isStreamed() {
+        return streamed;
+    }
+
+    /** Whether the system has taken bytes of a response since the last check. */
+    boolean hasProgressed() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        long unwrittenBefore = unwrittenBytes;
+        unwrittenBytes = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        return unwrittenBytes < unwrittenBefore;
     }
 
     /** Responds with a server's complete response. */
@@ -49,6 +62,7 @@
 
     /** Writes a response, and closes the connection after it if it is not kept alive. */
     void respond(int status, Headers fields, byte[] body) {
+        streamed = false;
         boolean close = beginResponse();
         channel.writeAndFlush(HttpEncoder.response(channel.alloc(), status, fields, body, close))
                 .addListener(f -> onWritten(f.isSuccess() ? ResponseEnd.COMPLETE : ResponseEnd.ABANDONED, close));
@@ -62,6 +76,7 @@
         if (!lengthKnown && !chunked) {
             connection.request().endConnectionAfterResponse();
         }
+        streamed = true;
         boolean close = beginResponse();
         download = response.body();
         long withoutLength = chunked ? HttpEncoder.CHUNKED : HttpEncoder.NO_BODY;
