--- a/node/src/test/java/brackenbridge/net/SlowUploadTest.java
+++ b/node/src/test/java/brackenbridge/net/SlowUploadTest.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -117,6 +118,19 @@
         expectAnswerAlthoughServerStops(Framing.CHUNKED, 0, 1000);
     }
 
+    /** Guards clients that write their whole request before they read: the end of the connection fails their write. */
+    @Test
+    void clientThatReadsOnlyAfterItsWriteGetsTheAnswer() throws Exception {
+        for (Framing framing : Framing.values()) {
+            server.scripts.add(connection -> testOver.await());
+            connect();
+            CompletableFuture<Long> writtenNs = startUpload(framing, LARGEST_BODY_BYTES, 500);
+            writtenNs.handle((written, failure) -> null).get(10, TimeUnit.SECONDS);
+            String head = readHead(client.getInputStream());
+            assertTrue(head.startsWith("HTTP/1.1 503 "), framing + " got " + head);
+        }
+    }
+
     private void expectAnswerAlthoughServerReadsSlowly(Framing framing, int waitMs) throws Exception {
         int bytesPerSecond = (int) (SLOWLY_READ_BODY_BYTES * 1000L / (3 * waitMs));
         server.scripts.add(connection -> {
