An upload that waited in the backlog tells its server only the time certainly left

The client had written all of its body into the connection about a second before the node accepted it.

Cause: timeLeftMs took the longest possible wait in the backlog off the request's deadline, which is infinite for a request whose body is incomplete; the whole time of the client was told.

Change: it is taken off the deadline that the request would have if its last byte came now. It counts as no wait once all that had arrived was read without the last byte.

Measured: StreamedRequestTest.streamedRequestThatMayHaveWaitedInTheBacklogTellsOnlyTheTimeThatIsCertainlyLeft failed (995 ms told, 595 left) and passes; LongBodyTest, SlowUploadTest, TimeLeftHeaderTest pass.

--- a/core/src/main/java/brackenbridge/core/AttemptLifecycle.java
+++ b/core/src/main/java/brackenbridge/core/AttemptLifecycle.java
@@ -258,7 +258,7 @@
         }
         // If the request was incomplete when the attempt started, its last byte may have waited long before it was
         // read, so that its deadline may be too late: the announced deadline bounds the time left as well.
-        double certainDeadlineMs = request.deadlineMs - request.maxBacklogWaitMs;
+        double certainDeadlineMs = request.expectedDeadlineMs(nowMs) - request.maxBacklogWaitMs;
         if (nowMs - certainDeadlineMs > MAX_TIME_TOLD_EXCESS_MS) {
             return 0;
         }
--- a/core/src/test/java/brackenbridge/core/StreamedRequestTest.java
+++ b/core/src/test/java/brackenbridge/core/StreamedRequestTest.java
@@ -98,6 +98,18 @@
         assertEquals(List.of(LocalReply.REJECTED), harness.localReplies(requestId));
     }
 
+    /** Guards the time told to servers: the whole body may have been sent before the connection was accepted. */
+    @Test
+    void streamedRequestThatMayHaveWaitedInTheBacklogTellsOnlyTheTimeThatIsCertainlyLeft() {
+        ReducerHarness harness = new ReducerHarness(4);
+        ClientRequest waited = new ClientRequest("file", null, 1000, false, false, 400, "part");
+        harness.send(new Event.RequestReceived(900, waited));
+        assertEquals(595, harness.reducer.timeLeftMs(harness.clock.nowMs(), 900, 0), 1e-6);
+        ClientRequest waitedTooLong = new ClientRequest("file", null, 1000, false, false, 1200, "part");
+        harness.send(new Event.RequestReceived(901, waitedTooLong));
+        assertEquals(0, harness.reducer.timeLeftMs(harness.clock.nowMs(), 901, 0));
+    }
+
     @Test
     void stopAnswersAnIncompleteStreamedRequest() {
         ReducerHarness harness = new ReducerHarness(4);
--- a/node/src/main/java/brackenbridge/net/client/ClientPresence.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientPresence.java
@@ -90,6 +90,11 @@
         return present;
     }
 
+    /** Whether the node has ever read everything that had arrived. */
+    boolean wasDrained() {
+        return lastPresentMs > Double.NEGATIVE_INFINITY;
+    }
+
     /** When the node had last read everything that had arrived, without the end of the connection. */
     double drainedMs() {
         return present ? clock.nowMs() : unknownSinceMs;
--- a/node/src/main/java/brackenbridge/net/client/UploadReader.java
+++ b/node/src/main/java/brackenbridge/net/client/UploadReader.java
@@ -84,6 +84,9 @@
         lastByte = new LastByteEstimator(length);
         lastByte.onBytesRead(head.body().length, context.clock().nowMs());
         reportedBoundMs = Double.POSITIVE_INFINITY;
+        if (reader.presence().wasDrained()) {
+            reader.opener().clearBacklogWait();
+        }
         reader.opener().handleRequest(new StreamedRequest(head, length, body), head, false);
         if (!connection.request().isOpen()) {
             body = null;
