The log names failed requests, cancelled and lost attempts, and clients that are closed

Change: Log.detail, 15 of the 40 lines a second so that entries on the node as a whole are not displaced. It takes the request's id, how long it was open, how much of an upload was read and whether its server holds it back, each cancelled or lost attempt with its host and how far request and response were, clients that are closed because they read nothing, and those given up for memory. Rejections without an upload are not logged: they are counted by reason. The name of the id's field stands once.

Measured: LogTest.detailsLeaveRoomForOtherEntries; NodeTest, InvalidInputTest pass, and on the same code SlowUploadTest, SlowResponseTest, LongBodyTest, NodeUpstreamTest.

--- a/node/src/main/java/brackenbridge/http/HttpEncoder.java
+++ b/node/src/main/java/brackenbridge/http/HttpEncoder.java
@@ -9,6 +9,8 @@
 
 /** Encodes HTTP requests and responses. */
 public final class HttpEncoder {
+    /** The field with the id that a client gives a request. */
+    public static final String CORRELATION_ID = "X-Correlation-Id";
     /** The field with the remaining time until the client's deadline, in integral milliseconds. */
     public static final String TIME_LEFT = "X-Time-Left-Ms";
     /** Used instead of a length: the body is sent in chunks. */
--- a/node/src/main/java/brackenbridge/log/Log.java
+++ b/node/src/main/java/brackenbridge/log/Log.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 /**
  * A logger that writes one line for each entry and limits the lines per second. Entries above the limit are dropped and
@@ -13,6 +14,9 @@
  */
 public final class Log {
     private static final int MAX_LINES_PER_SECOND = 40;
+    /** Details never take more than this of the limit, so that they do not displace other entries. */
+    private static final int MAX_DETAILS_PER_SECOND = 15;
+
     private static final int MAX_ENTRY_CHARACTERS = 500;
     private static final int QUEUE_CAPACITY = 256;
     private static final double WINDOW_MS = 1000;
@@ -27,6 +31,7 @@
 
     private double windowStartMs;
     private int linesInWindow;
+    private int detailsInWindow;
     private int droppedLines;
 
     /** Creates a log and starts the thread that writes to the stream. */
@@ -61,6 +66,17 @@
         log("info", text);
     }
 
+    /** Logs a detail of one request or connection; its text is only made if the limit on details allows the entry. */
+    public synchronized void detail(Supplier<String> text) {
+        startWindow(clock.nowMs());
+        if (detailsInWindow < MAX_DETAILS_PER_SECOND) {
+            detailsInWindow++;
+            log("info", text.get());
+        } else {
+            droppedLines++;
+        }
+    }
+
     /** Logs a fault outside the node. */
     public void warn(String text) {
         log("warn", text);
@@ -74,13 +90,7 @@
 
     private synchronized void log(String level, String text) {
         double nowMs = clock.nowMs();
-        if (nowMs - windowStartMs >= WINDOW_MS) {
-            windowStartMs = nowMs;
-            linesInWindow = 0;
-            if (droppedLines > 0 && enqueue(format(nowMs, "warn", droppedLines + " log lines dropped"))) {
-                droppedLines = 0;
-            }
-        }
+        startWindow(nowMs);
         if (linesInWindow >= MAX_LINES_PER_SECOND || !enqueue(format(nowMs, level, text))) {
             droppedLines++;
             return;
@@ -88,6 +98,18 @@
         linesInWindow++;
     }
 
+    private void startWindow(double nowMs) {
+        if (nowMs - windowStartMs < WINDOW_MS) {
+            return;
+        }
+        windowStartMs = nowMs;
+        linesInWindow = 0;
+        detailsInWindow = 0;
+        if (droppedLines > 0 && enqueue(format(nowMs, "warn", droppedLines + " log lines dropped"))) {
+            droppedLines = 0;
+        }
+    }
+
     private boolean enqueue(String line) {
         unwritten.incrementAndGet();
         if (lines.offer(line)) {
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -102,8 +102,8 @@
         management = config.management() == null ? null : new ManagementListener(this, log);
         descriptors = new DescriptorBudget(descriptorLimit(config));
         Bootstrap outgoing = outgoingBootstrap();
-        listener =
-                new Listener(config.settings(), clock, this, descriptors, counters, reducer::isReady, this::makeRoom);
+        listener = new Listener(
+                config.settings(), clock, this, descriptors, counters, reducer::isReady, this::makeRoom, log);
         upstream = new UpstreamConnections(
                 new UpstreamContext(outgoing, loop, clock, this, descriptors, counters, log),
                 config.settings(),
--- a/node/src/main/java/brackenbridge/net/client/ClientConnection.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientConnection.java
@@ -192,6 +192,17 @@
         }
     }
 
+    /** Whether the body of the open request is being received or forwarded. */
+    boolean isUploading() {
+        return reader.upload().isActive();
+    }
+
+    /** The open request and how far its body is, for the log. */
+    String describeRequest(double nowMs) {
+        return "request " + request.correlationId() + ", open for " + Math.round(nowMs - stateSinceMs) + " ms"
+                + reader.upload().describe() + ",";
+    }
+
     /** Handles the first bytes of a request. */
     void onFirstBytes() {
         // The timeout of the first head runs from the start of the connection.
@@ -268,6 +279,8 @@
 
     @Override
     public void giveUpReading(String reason) {
+        int reservedBefore = reservedBytes;
+        context.log().detail(() -> "client given up with " + reservedBefore + " bytes buffered: " + reason);
         request.endConnectionAfterResponse();
         if (reader.upload().isActive()) {
             reader.upload().fail(503, reason);
@@ -308,6 +321,9 @@
         }
         double ageMs = nowMs - stateSinceMs;
         if (ConnectionTimeouts.isStalled(state, writer.isStreamed(), ageMs)) {
+            if (state == ConnectionState.RESPONDING) {
+                context.log().detail(() -> "client closed that read nothing for " + Math.round(ageMs) + " ms");
+            }
             channel.close();
         } else if (isIdle() && ageMs > context.timeouts().idleTimeoutMs(hasSentRequest)) {
             endIfIdle();
--- a/node/src/main/java/brackenbridge/net/client/ClientContext.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientContext.java
@@ -2,6 +2,7 @@
 
 import brackenbridge.clock.Clock;
 import brackenbridge.counters.Counters;
+import brackenbridge.log.Log;
 import brackenbridge.net.channel.EventSink;
 
 /**
@@ -17,6 +18,7 @@
  * @param memory the limit on buffered bytes of requests
  * @param closePolicy when connections are closed because the node drains or stops
  * @param timeouts the timeouts of each connection state
+ * @param log the node's log
  */
 record ClientContext(
         Clock clock,
@@ -28,4 +30,5 @@
         HealthEndpoints health,
         RequestMemoryBudget memory,
         ClosePolicy closePolicy,
-        ConnectionTimeouts timeouts) {}
+        ConnectionTimeouts timeouts,
+        Log log) {}
--- a/node/src/main/java/brackenbridge/net/client/CurrentRequest.java
+++ b/node/src/main/java/brackenbridge/net/client/CurrentRequest.java
@@ -26,6 +26,11 @@
         return requestId;
     }
 
+    /** Correlation id of the open request; null if there is none. */
+    String correlationId() {
+        return correlationId;
+    }
+
     /** Whether a request is open. */
     boolean isOpen() {
         return requestId >= 0;
--- a/node/src/main/java/brackenbridge/net/client/Listener.java
+++ b/node/src/main/java/brackenbridge/net/client/Listener.java
@@ -8,6 +8,7 @@
 import brackenbridge.counters.Counters;
 import brackenbridge.http.Headers;
 import brackenbridge.http.HttpResponse;
+import brackenbridge.log.Log;
 import brackenbridge.net.channel.DescriptorBudget;
 import brackenbridge.net.channel.EventSink;
 import brackenbridge.net.channel.StreamedResponse;
@@ -40,7 +41,8 @@
             DescriptorBudget descriptors,
             Counters counters,
             BooleanSupplier ready,
-            Runnable makeRoom) {
+            Runnable makeRoom,
+            Log log) {
         this.clock = clock;
         this.events = events;
         validator = new RequestValidator(settings, counters, openRequests);
@@ -56,7 +58,8 @@
                 new HealthEndpoints(ready, counters),
                 new RequestMemoryBudget(counters),
                 closePolicy,
-                new ConnectionTimeouts(closePolicy, descriptors));
+                new ConnectionTimeouts(closePolicy, descriptors),
+                log);
     }
 
     /** Returns the initializer of accepted channels. */
@@ -109,6 +112,9 @@
             // withdrawn as well.
             connection.request().endConnectionAfterResponse();
         }
+        if (reply != LocalReply.REJECTED || connection.isUploading()) {
+            context.log().detail(() -> connection.describeRequest(clock.nowMs()) + " answered " + reply);
+        }
         Headers fields = new Headers();
         if (retryAfterMs > 0) {
             fields.add("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterMs / 1000));
--- a/node/src/main/java/brackenbridge/net/client/RequestOpener.java
+++ b/node/src/main/java/brackenbridge/net/client/RequestOpener.java
@@ -42,7 +42,7 @@
             return;
         }
         Headers headers = request.headers();
-        String correlationId = headers.get(RequestValidator.CORRELATION_ID_HEADER);
+        String correlationId = headers.get(HttpEncoder.CORRELATION_ID);
         String timeLeft = headers.get(HttpEncoder.TIME_LEFT);
         RequestClass requestClass = context.validator().classOf(request);
         RequestRejection rejection = context.validator().validate(request, requestClass, correlationId, timeLeft);
--- a/node/src/main/java/brackenbridge/net/client/RequestValidator.java
+++ b/node/src/main/java/brackenbridge/net/client/RequestValidator.java
@@ -4,6 +4,7 @@
 import brackenbridge.core.balancing.Idempotence;
 import brackenbridge.core.balancing.RequestClass;
 import brackenbridge.counters.Counters;
+import brackenbridge.http.HttpEncoder;
 import brackenbridge.http.HttpRequest;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,8 +12,6 @@
 /** Validates requests against the settings in force. */
 final class RequestValidator {
     /** Header that identifies a request at its client and at the servers. */
-    static final String CORRELATION_ID_HEADER = "X-Correlation-Id";
-
     private static final String SERVICE_CLASS_HEADER = "X-Service-Class";
 
     private final Map<String, RequestClass> classes = new HashMap<>();
@@ -56,7 +55,8 @@
         if (correlationId == null || correlationId.isEmpty()) {
             return RequestRejection.NO_CORRELATION_ID;
         }
-        if (request.headers().count(CORRELATION_ID_HEADER) > 1 || timeLeft != null && !timeLeft.matches("[0-9]{1,9}")) {
+        if (request.headers().count(HttpEncoder.CORRELATION_ID) > 1
+                || timeLeft != null && !timeLeft.matches("[0-9]{1,9}")) {
             return RequestRejection.MALFORMED_FIELD;
         }
         // Servers would take a second request with the same id for a duplicate of the open one.
--- a/node/src/main/java/brackenbridge/net/client/UploadReader.java
+++ b/node/src/main/java/brackenbridge/net/client/UploadReader.java
@@ -113,6 +113,15 @@
         decode(unread);
     }
 
+    /** How far the body is, for the log; empty if none is being received. */
+    String describe() {
+        if (body == null) {
+            return "";
+        }
+        return ", " + decoder.bodyBytes() + " bytes of its body read" + (lastByteHeld ? ", the last one held" : "")
+                + (paused ? ", reading paused by its server" : "");
+    }
+
     /** Reports since when the last byte may have been sent, if the node reads the body more slowly than it comes. */
     void reportLastByteBound() {
         if (body != null && !lastByteHeld && !reader.presence().isPresentNow()) {
--- a/node/src/main/java/brackenbridge/net/upstream/ResponseReader.java
+++ b/node/src/main/java/brackenbridge/net/upstream/ResponseReader.java
@@ -63,6 +63,11 @@
         return lastProgressMs != 0;
     }
 
+    /** How much of the response's body has been received. */
+    long bodyBytes() {
+        return decoder.bodyBytes();
+    }
+
     /** Whether the bytes read so far are a complete response if the server closes the connection in order now. */
     boolean isCompleteAtEnd() {
         return decoder.onConnectionEnd();
--- a/node/src/main/java/brackenbridge/net/upstream/RunningAttempt.java
+++ b/node/src/main/java/brackenbridge/net/upstream/RunningAttempt.java
@@ -2,6 +2,9 @@
 
 import brackenbridge.core.Effect;
 import brackenbridge.core.connection.EndpointIdentity;
+import brackenbridge.http.HttpEncoder;
+import brackenbridge.http.HttpRequest;
+import brackenbridge.net.channel.StreamedRequest;
 
 /** An attempt, from the effect that starts it until its outcome is reported. */
 final class RunningAttempt {
@@ -30,6 +33,12 @@
         return effect.clientDeadlineMs();
     }
 
+    /** The id that the client gave the request. */
+    String correlationId() {
+        HttpRequest head = message() instanceof StreamedRequest streamed ? streamed.head() : (HttpRequest) message();
+        return head.headers().get(HttpEncoder.CORRELATION_ID);
+    }
+
     Object message() {
         return effect.message();
     }
--- a/node/src/main/java/brackenbridge/net/upstream/UpstreamConnection.java
+++ b/node/src/main/java/brackenbridge/net/upstream/UpstreamConnection.java
@@ -131,6 +131,10 @@
 
     /** Closes the connection of an attempt that has been cancelled. */
     void cancelAttempt() {
+        RunningAttempt cancelled = attempt;
+        if (cancelled != null) {
+            context.log().detail(() -> describe(cancelled) + ", cancelled");
+        }
         attempt = null;
         writer.endStreaming();
         close();
@@ -174,6 +178,13 @@
         }
     }
 
+    /** An attempt and how far its request and response are, for the log. */
+    private String describe(RunningAttempt described) {
+        return "attempt " + described.attempt() + " of request " + described.correlationId() + " at " + host()
+                + (described.isWritten() ? ", written" : ", not written completely") + ", "
+                + (reader.hasBegun() ? reader.bodyBytes() + " bytes of its response's body" : "no response");
+    }
+
     private void returnToPool() {
         if (channel.isActive()) {
             upstream.release(id);
@@ -253,6 +264,9 @@
         if (staleSuspected && upstream.onBrokenAtOnce(id)) {
             context.counters().count(Counter.CONNECTIONS_STALE);
         }
+        context.log()
+                .detail(() -> describe(ended) + ", lost: "
+                        + (failure == null ? "the server ended the connection" : failure.getMessage()));
         upstream.onConnectionEnded(id);
         upstream.attempts().connectionLost(ended);
     }
--- a/node/src/test/java/brackenbridge/log/LogTest.java
+++ b/node/src/test/java/brackenbridge/log/LogTest.java
@@ -41,6 +41,19 @@
         assertTrue(text.contains("60 log lines dropped"), text);
     }
 
+    /** Guards entries about the node as a whole against being displaced by one for each failed request. */
+    @Test
+    void detailsLeaveRoomForOtherEntries() throws InterruptedException {
+        for (int i = 0; i < 100; i++) {
+            log.detail(() -> "request");
+        }
+        log.info("endpoint list");
+        log.flush();
+        String text = out.toString(StandardCharsets.UTF_8);
+        assertEquals(16, text.lines().count());
+        assertTrue(text.contains("endpoint list"), text);
+    }
+
     /** Guards the exit of a process, which has to happen before it is killed, against a log that nobody reads. */
     @Test
     void flushOfAnUnreadLogReturnsSoon() throws InterruptedException {
