Slow readers of long responses no longer use up the buffers of all connections

Cause: with heap arenas alone, ByteBufAllocator.ioBuffer still is direct and unpooled, limited to 8 MB by the deploy file. A piece of a streamed body stays in the buffer that it was received in until the peer reads it, up to 64 KiB a stream with no limit over all; 8 MB of requests that wait are counted for the same memory. Ruled out: descriptors (293 of 1,024), heap.

Change: HeapBufferAllocator has all buffers on the heap, which is sized for them. StreamBudget: streamed bodies that wait for a peer share 4 MB in each direction, at most 64 KiB a stream; a stream pauses at its share and resumes when it has been written. Connections to servers have a send buffer of 256 KB, so that the system does not hold megabytes of an upload for a server that does not read them.

Measured: SlowReaderMemoryTest failed (10,242,048 bytes of direct memory for 150 readers; 2 MB allowed) and passes. SlowUploadTest, SlowResponseTest, LongBodyTest, LateResponseBytesTest, StalledClientTest, DisconnectedClientTest pass.

--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -17,15 +17,16 @@
 import brackenbridge.net.channel.Addresses;
 import brackenbridge.net.channel.DescriptorBudget;
 import brackenbridge.net.channel.EventSink;
+import brackenbridge.net.channel.HeapBufferAllocator;
 import brackenbridge.net.channel.ReceiveBuffers;
 import brackenbridge.net.channel.SocketCalls;
+import brackenbridge.net.channel.StreamBudget;
 import brackenbridge.net.client.ConnectionAcceptor;
 import brackenbridge.net.client.Listener;
 import brackenbridge.net.upstream.UpstreamConnections;
 import brackenbridge.net.upstream.UpstreamContext;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -47,24 +48,19 @@
      * client that reads slowly seems not to read at all.
      */
     private static final int CLIENT_SEND_BUFFER_BYTES = 128 * 1024;
+    /** Bounds how much of a request seems to be sent to a server that does not read it. */
+    private static final int SERVER_SEND_BUFFER_BYTES = 256 * 1024;
 
     private static final int CONNECT_TIMEOUT_MS = 1000;
 
     private static final int ACCEPT_BACKLOG = 1024;
-    private static final int BUFFER_PAGE_BYTES = 8192;
-    /** Base-2 logarithm of the pages in a chunk of pooled memory. */
-    private static final int BUFFER_CHUNK_ORDER = 7;
-
-    private static final int CACHED_SMALL_BUFFERS = 64;
-    private static final int CACHED_NORMAL_BUFFERS = 32;
 
     private final Clock clock;
     private final Log log;
     private final Counters counters = new Counters();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final PooledByteBufAllocator buffers = new PooledByteBufAllocator(
-            false, 1, 0, BUFFER_PAGE_BYTES, BUFFER_CHUNK_ORDER, CACHED_SMALL_BUFFERS, CACHED_NORMAL_BUFFERS, false);
+    private final HeapBufferAllocator buffers = new HeapBufferAllocator();
     private final Reducer reducer;
     private final ManagementListener management;
     private final DescriptorBudget descriptors;
@@ -105,7 +101,7 @@
         listener = new Listener(
                 config.settings(), clock, this, descriptors, counters, reducer::isReady, this::makeRoom, log);
         upstream = new UpstreamConnections(
-                new UpstreamContext(outgoing, loop, clock, this, descriptors, counters, log),
+                new UpstreamContext(outgoing, loop, clock, this, descriptors, new StreamBudget(), counters, log),
                 config.settings(),
                 new ReducerStartCheck(clock, reducer, listener),
                 this::makeRoom);
@@ -128,6 +124,7 @@
                 .channelFactory(socketCalls.outgoing())
                 .option(ChannelOption.ALLOCATOR, buffers)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_SNDBUF, SERVER_SEND_BUFFER_BYTES)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, ReceiveBuffers.allocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
     }
--- a/node/src/main/java/brackenbridge/net/client/ClientBodySink.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientBodySink.java
@@ -6,11 +6,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 
 /** Writes the body of a streamed response at the rate at which its client reads it. */
 final class ClientBodySink implements BodyStream.Sink {
-    private final ClientConnection connection;
     private final ResponseWriter writer;
     private final Channel channel;
     private final boolean chunked;
@@ -18,14 +18,7 @@
     private final boolean close;
 
     /** Creates a sink that writes chunked or raw bytes; {@code close} closes the connection after the body. */
-    ClientBodySink(
-            ClientConnection connection,
-            ResponseWriter writer,
-            Channel channel,
-            boolean chunked,
-            boolean lengthUnknown,
-            boolean close) {
-        this.connection = connection;
+    ClientBodySink(ResponseWriter writer, Channel channel, boolean chunked, boolean lengthUnknown, boolean close) {
         this.writer = writer;
         this.channel = channel;
         this.chunked = chunked;
@@ -46,10 +39,9 @@
 
     @Override
     public void flush() {
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> connection.markProgress());
-        if (!channel.isWritable()) {
-            writer.pauseDownload();
-        }
+        ChannelFuture flushed = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+        writer.pauseDownloadIfUnread();
+        flushed.addListener(f -> writer.resumeDownload());
     }
 
     @Override
--- a/node/src/main/java/brackenbridge/net/client/ClientConnection.java
+++ b/node/src/main/java/brackenbridge/net/client/ClientConnection.java
@@ -179,7 +179,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        writer.onWritable();
+        writer.resumeDownload();
     }
 
     /** Runs a read step; if the node itself fails in it, the request that was being read still gets a response. */
--- a/node/src/main/java/brackenbridge/net/client/Listener.java
+++ b/node/src/main/java/brackenbridge/net/client/Listener.java
@@ -11,6 +11,7 @@
 import brackenbridge.log.Log;
 import brackenbridge.net.channel.DescriptorBudget;
 import brackenbridge.net.channel.EventSink;
+import brackenbridge.net.channel.StreamBudget;
 import brackenbridge.net.channel.StreamedResponse;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -57,6 +58,7 @@
                 validator,
                 new HealthEndpoints(ready, counters),
                 new RequestMemoryBudget(counters),
+                new StreamBudget(),
                 closePolicy,
                 new ConnectionTimeouts(closePolicy, descriptors),
                 log);
--- a/node/src/main/java/brackenbridge/net/client/ResponseWriter.java
+++ b/node/src/main/java/brackenbridge/net/client/ResponseWriter.java
@@ -79,10 +79,11 @@
         streamed = true;
         boolean close = beginResponse();
         download = response.body();
+        context.downloads().open();
         long withoutLength = chunked ? HttpEncoder.CHUNKED : HttpEncoder.NO_BODY;
         long length = lengthKnown ? response.length() : withoutLength;
         channel.write(HttpEncoder.responseHead(channel.alloc(), 200, fields, length, close));
-        response.body().connect(new ClientBodySink(connection, this, channel, chunked, !lengthKnown, close));
+        response.body().connect(new ClientBodySink(this, channel, chunked, !lengthKnown, close));
     }
 
     private static Headers forwardedHeaders(HttpResponse response) {
@@ -159,29 +160,40 @@
         return !connection.request().isKeptAlive() || context.closePolicy().announcesClose();
     }
 
-    /** Resumes a streamed response when the client reads again. */
-    void onWritable() {
-        if (download != null && channel.isWritable()) {
+    /** Resumes a streamed response if the client has read enough. */
+    void resumeDownload() {
+        if (download != null && !isBlocked()) {
             connection.markProgress();
             download.setDemand(true);
         }
     }
 
-    /** Pauses the streamed response while the client does not read. */
-    void pauseDownload() {
-        download.setDemand(false);
+    /** Pauses the streamed response if the client does not read what was written so far. */
+    void pauseDownloadIfUnread() {
+        if (download != null && isBlocked()) {
+            download.setDemand(false);
+        }
+    }
+
+    /** Whether so much waits to be read by the client that a streamed response has to pause. */
+    private boolean isBlocked() {
+        return !channel.isWritable() || context.downloads().isExceededBy(channel);
     }
 
     /** Handles the end of the streamed body, complete or not. */
     void onDownloadEnd() {
-        download = null;
+        if (download != null) {
+            download = null;
+            context.downloads().close();
+        }
     }
 
     /** Cancels the response when the connection has ended. */
     void onDisconnected() {
-        if (download != null) {
-            download.cancel();
-            download = null;
+        BodyStream cancelled = download;
+        onDownloadEnd();
+        if (cancelled != null) {
+            cancelled.cancel();
         }
         reportFinished(ResponseEnd.ABANDONED);
     }
--- a/node/src/main/java/brackenbridge/net/upstream/AttemptWriter.java
+++ b/node/src/main/java/brackenbridge/net/upstream/AttemptWriter.java
@@ -6,10 +6,12 @@
 import brackenbridge.http.HttpRequest;
 import brackenbridge.net.channel.BodyStream;
 import brackenbridge.net.channel.EventSink;
+import brackenbridge.net.channel.StreamBudget;
 import brackenbridge.net.channel.StreamedRequest;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 
 /** Writes attempts on one connection, one after another, and streams long request bodies with backpressure. */
 final class AttemptWriter {
@@ -19,6 +21,7 @@
     private final UpstreamConnection connection;
     private final Clock clock;
     private final EventSink events;
+    private final StreamBudget uploads;
     /** When the attempt started, or when its server last accepted a part of its streamed body. */
     private double lastProgressMs;
     /** The request whose body is being streamed; null if there is none. */
@@ -28,6 +31,7 @@
         this.connection = connection;
         this.clock = context.clock();
         this.events = context.events();
+        this.uploads = context.uploads();
     }
 
     double lastProgressMs() {
@@ -72,6 +76,7 @@
         Channel channel = connection.channel();
         boolean chunked = request.length() < 0;
         streamedRequest = request;
+        uploads.open();
         channel.write(HttpEncoder.requestHead(
                 channel.alloc(), request.head(), timeLeftMs, chunked ? HttpEncoder.CHUNKED : request.length()));
         writePiece(Unpooled.wrappedBuffer(request.head().body()), chunked);
@@ -95,19 +100,25 @@
         }
     }
 
-    /** Resumes a streamed body when the connection accepts bytes again. */
-    void onWritable() {
-        if (streamedRequest != null) {
+    /** Resumes a streamed body if the connection accepts bytes again. */
+    void resumeBody() {
+        if (streamedRequest != null && !isBlocked()) {
             markProgress();
             streamedRequest.body().setDemand(true);
         }
     }
 
+    /** Whether so much waits to be sent that the body has to pause. */
+    private boolean isBlocked() {
+        Channel channel = connection.channel();
+        return !channel.isWritable() || uploads.isExceededBy(channel);
+    }
+
     /** Whether the server has accepted nothing of a streamed body for too long. */
     boolean isStalled(RunningAttempt attempt, double nowMs) {
         return streamedRequest != null
                 && !attempt.isWritten()
-                && !connection.channel().isWritable()
+                && isBlocked()
                 && nowMs - lastProgressMs > STREAM_STALL_TIMEOUT_MS;
     }
 
@@ -116,6 +127,7 @@
         if (streamedRequest != null) {
             StreamedRequest request = streamedRequest;
             streamedRequest = null;
+            uploads.close();
             if (request.body().isConnected()) {
                 request.body().cancel();
             }
@@ -147,11 +159,16 @@
             Channel channel = connection.channel();
             // Guards the stall timeout: bytes that the client sends while the server accepts nothing don't count as
             // progress.
-            lastProgressMs = channel.isWritable() ? clock.nowMs() : lastProgressMs;
-            channel.flush();
-            if (!channel.isWritable()) {
+            lastProgressMs = isBlocked() ? lastProgressMs : clock.nowMs();
+            ChannelFuture flushed = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+            if (streamedRequest != null && isBlocked()) {
                 streamedRequest.body().setDemand(false);
             }
+            flushed.addListener(done -> {
+                if (done.isSuccess() && connection.carries(attempt)) {
+                    resumeBody();
+                }
+            });
         }
 
         @Override
--- a/node/src/main/java/brackenbridge/net/upstream/UpstreamConnection.java
+++ b/node/src/main/java/brackenbridge/net/upstream/UpstreamConnection.java
@@ -148,7 +148,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (attempt != null && channel.isWritable()) {
-            writer.onWritable();
+            writer.resumeBody();
         }
     }
 
--- a/node/src/main/java/brackenbridge/net/upstream/UpstreamContext.java
+++ b/node/src/main/java/brackenbridge/net/upstream/UpstreamContext.java
@@ -5,6 +5,7 @@
 import brackenbridge.log.Log;
 import brackenbridge.net.channel.DescriptorBudget;
 import brackenbridge.net.channel.EventSink;
+import brackenbridge.net.channel.StreamBudget;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 
@@ -16,6 +17,7 @@
  * @param clock the node's monotonic clock
  * @param events receives the outcomes of attempts
  * @param descriptors the budget that each connection is counted in
+ * @param uploads the limit on bytes of streamed requests that servers have not read
  * @param counters the node's counters
  * @param log the node's log
  */
@@ -25,5 +27,6 @@
         Clock clock,
         EventSink events,
         DescriptorBudget descriptors,
+        StreamBudget uploads,
         Counters counters,
         Log log) {}
