Connections rest longer once a server has sent bytes beyond its response

Cause: a connection goes back to the pool 5 ms after its response, whatever its server is known to do; what comes later is read as the next response. Ruled out: the decoder (the copy is a complete response of its own) and the choice of connection.

Change: ReuseDelay. Bytes behind a response, or on a connection that has no attempt, make connections rest 30 ms for a minute. On a resting connection such bytes only end it.

Left: the first late copy of a node's life can still come between 5 ms and the way to the server and back.

--- a/node/src/main/java/brackenbridge/net/upstream/ResponseReader.java
+++ b/node/src/main/java/brackenbridge/net/upstream/ResponseReader.java
@@ -77,7 +77,7 @@
     void read(ByteBuf in) throws HttpException {
         lastReadMs = clock.nowMs();
         if (decoder.decode(in)) {
-            completeResponse(in.isReadable());
+            completeResponse(hasLateBytes(in));
         } else if (decoder.isBodyBufferFull()) {
             readLongResponse(in);
         } else {
@@ -128,8 +128,8 @@
         }
     }
 
-    /** Completes the attempt; with {@code extraBytes} after the response, the connection can't be reused. */
-    void completeResponse(boolean extraBytes) {
+    /** Completes the attempt; the connection can't be reused if it is {@code unusable} for other responses. */
+    void completeResponse(boolean unusable) {
         HttpResponse response = decoder.takeResponse();
         RunningAttempt attempt = connection.detachAttempt();
         resetProgress();
@@ -139,10 +139,18 @@
         connection.endRequestStreaming();
         setBufferedBytes(0);
         upstream.attempts().remove(attempt);
-        connection.reuseOrClose(response, extraBytes || early);
+        connection.reuseOrClose(response, unusable || early);
         raiseAnswered(attempt, ResponseClassifier.classify(response), response, response);
     }
 
+    /** Whether more has come than the response. */
+    private boolean hasLateBytes(ByteBuf in) {
+        if (in.isReadable()) {
+            connection.onLateBytes();
+        }
+        return in.isReadable();
+    }
+
     private void resetProgress() {
         lastProgressMs = 0;
         startedMs = 0;
@@ -295,7 +303,7 @@
                 endStreaming(true);
                 HttpResponse response = decoder.takeResponse();
                 resetProgress();
-                connection.reuseOrClose(response, in.isReadable());
+                connection.reuseOrClose(response, hasLateBytes(in));
             } else {
                 streamedBody.flush();
             }
--- a/node/src/main/java/brackenbridge/net/upstream/UpstreamConnection.java
+++ b/node/src/main/java/brackenbridge/net/upstream/UpstreamConnection.java
@@ -19,11 +19,6 @@
 
 /** A connection to a server, which carries one attempt at a time. */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter implements ConnectAttempt.Listener {
-    /**
-     * Time after a response before the connection is reused. Guards the next attempt against extra bytes that a server
-     * sends after its response: they would be read as the next response.
-     */
-    private static final long REUSE_DELAY_MS = 5;
     /** A connection that breaks within this time after the start of an attempt may have been closed before it. */
     private static final double STALE_CONNECTION_WINDOW_MS = 50;
 
@@ -170,9 +165,10 @@
     }
 
     /** Returns the connection to the pool after a short delay, or closes it if it can't be reused. */
-    void reuseOrClose(HttpResponse response, boolean extraBytes) {
-        if (response.keepAlive() && !extraBytes) {
-            context.loop().schedule(this::returnToPool, REUSE_DELAY_MS, TimeUnit.MILLISECONDS);
+    void reuseOrClose(HttpResponse response, boolean unusable) {
+        if (response.keepAlive() && !unusable) {
+            long delayMs = (long) upstream.reuseDelay().delayMs(context.clock().nowMs());
+            context.loop().schedule(this::returnToPool, delayMs, TimeUnit.MILLISECONDS);
         } else {
             close();
         }
@@ -185,6 +181,11 @@
                 + (reader.hasBegun() ? reader.bodyBytes() + " bytes of its response's body" : "no response");
     }
 
+    /** Handles bytes that do not belong to a response. */
+    void onLateBytes() {
+        upstream.reuseDelay().onLateBytes(context.clock().nowMs());
+    }
+
     private void returnToPool() {
         if (channel.isActive()) {
             upstream.release(id);
@@ -205,6 +206,7 @@
                 reader.readStreamed(in);
             } else if (isReadUnexpected()) {
                 // Further input on this connection can't be trusted.
+                onLateBytes();
                 close();
             } else {
                 reader.read(in);
--- a/node/src/main/java/brackenbridge/net/upstream/UpstreamConnections.java
+++ b/node/src/main/java/brackenbridge/net/upstream/UpstreamConnections.java
@@ -6,6 +6,7 @@
 import brackenbridge.core.connection.ConnectionCommand;
 import brackenbridge.core.connection.ConnectionPool;
 import brackenbridge.core.connection.EndpointIdentity;
+import brackenbridge.core.connection.ReuseDelay;
 import brackenbridge.counters.Counter;
 import brackenbridge.net.channel.Addresses;
 import io.netty.bootstrap.Bootstrap;
@@ -41,6 +42,7 @@
     private final RunningAttempts attempts;
     private final ResponsesInProgress responses = new ResponsesInProgress();
     private final ConnectFailureLog connectFailures;
+    private final ReuseDelay reuseDelay = new ReuseDelay();
     private BalancerSettings settings;
 
     /**
@@ -281,6 +283,11 @@
         return responses;
     }
 
+    /** How long connections rest between two attempts. */
+    ReuseDelay reuseDelay() {
+        return reuseDelay;
+    }
+
     ConnectFailureLog connectFailures() {
         return connectFailures;
     }
--- a/node/src/test/java/brackenbridge/net/LateResponseBytesTest.java
+++ b/node/src/test/java/brackenbridge/net/LateResponseBytesTest.java
@@ -97,6 +97,36 @@
         }
     }
 
+    /** Serves a request, then the next one while a second copy of the first response comes; returns the response. */
+    private String responseBesideALateCopy() throws Exception {
+        Socket connection = serveAndKeepConnection();
+        sendRequest("next", 5000);
+        assertNotNull(server.nextRequest());
+        write(connection, OK);
+        node.tenantUse().get(10, TimeUnit.SECONDS);
+        server.responses.add(OK.replace("done", "mine"));
+        String response = readResponse();
+        server.connections.clear();
+        return response;
+    }
+
+    /** Guards clients against another request's response: after late bytes of a server, connections rest longer. */
+    @Test
+    void lateCopyOfAResponseIsNotTakenForTheNextOne() throws Exception {
+        Socket connection = serveAndKeepConnection();
+        write(connection, OK);
+        node.tenantUse().get(10, TimeUnit.SECONDS);
+        // A round is void if the machine delayed it beyond the time for which a connection rests.
+        boolean inTime = false;
+        for (int i = 0; i < 20 && !inTime; i++) {
+            long startNs = System.nanoTime();
+            String response = responseBesideALateCopy();
+            inTime = HttpIo.millisecondsSince(startNs) < 25;
+            assertTrue(response.endsWith("mine") || !inTime, response);
+        }
+        assertTrue(inTime, "no round was quick enough");
+    }
+
     /** Heads of responses that are delimited by the end of the connection. */
     private static final String[] HEADS_WITHOUT_LENGTH = {
         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
