lab: what stand-in servers answer stands in StandInAnswers

Change: spoilt answers, bodies, load reports and the answer without a length move to StandInAnswers. No behaviour changes.

--- a/lab/src/main/java/brackenbridge/lab/live/BareRelay.java
+++ b/lab/src/main/java/brackenbridge/lab/live/BareRelay.java
@@ -39,7 +39,7 @@
     private static final class Echo extends StandInHttp.Serving {
         @Override
         void request(HttpRequest r) {
-            answer(200, new Headers(), StandInServer.body(r.headers().get("X-Correlation-Id"), "echo"));
+            answer(200, new Headers(), StandInAnswers.body(r.headers().get("X-Correlation-Id"), "echo"));
         }
 
         @Override
--- a/lab/src/main/java/brackenbridge/lab/live/StandInServer.java
+++ b/lab/src/main/java/brackenbridge/lab/live/StandInServer.java
@@ -11,7 +11,6 @@
 import brackenbridge.lab.trouble.Stage;
 import brackenbridge.lab.world.World;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -20,7 +19,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
@@ -31,13 +29,6 @@
     private static final double CROSSING_MS = 50;
     /** From a handshake that took longer than this on, the first request's time of arrival is unknown. */
     private static final double HELD_BACK_MS = 20;
-    /** Noise, a head without end, a length that does not fit, an answer that is too large to hold. */
-    private static final String[] SPOILT = {
-        "HTTP/1.1 2x0 \u0001noise\r\nContent-Length: -7\r\n\r\n?",
-        "HTTP/1.1 200 OK\r\nX-Pad: " + "a".repeat(40_000),
-        "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\nshort",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nendless"
-    };
 
     private static final Pattern TIME = Pattern.compile("[0-9]{1,9}");
 
@@ -248,14 +239,14 @@
         private void reply(Verdict v, String id, LoadReport report) {
             Headers fields = new Headers();
             if (report != null) {
-                fields.add("X-Backend-Load", text(report));
+                fields.add("X-Backend-Load", StandInAnswers.loadReport(report));
             }
             switch (v) {
-                case SERVED -> served(fields, body(observation.faults().answeredId(id), host));
+                case SERVED ->
+                    served(fields, StandInAnswers.body(observation.faults().answeredId(id), host));
                 case ERROR -> answer(500, fields, new byte[0]);
                 case TURNED_AWAY -> answer(503, fields.add("X-Unprocessed", "1"), new byte[0]);
-                case SPOILT ->
-                    write(Unpooled.copiedBuffer(SPOILT[spoilt++ % SPOILT.length], StandardCharsets.ISO_8859_1), false);
+                case SPOILT -> write(StandInAnswers.spoilt(spoilt++), false);
                 default -> reset();
             }
         }
@@ -269,10 +260,7 @@
                 answer(200, fields, body);
                 return;
             }
-            write(
-                    Unpooled.wrappedBuffer(
-                            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1), body),
-                    true);
+            write(StandInAnswers.withoutLength(body), true);
         }
 
         private void endTransfer() {
@@ -296,8 +284,8 @@
                 Headers fields = new Headers();
                 byte[] body = new byte[0];
                 if (report != null) {
-                    body = text(report).getBytes(StandardCharsets.ISO_8859_1);
-                    fields.add("X-Backend-Load", text(report));
+                    body = StandInAnswers.loadReport(report).getBytes(StandardCharsets.ISO_8859_1);
+                    fields.add("X-Backend-Load", StandInAnswers.loadReport(report));
                 }
                 if (channel.isActive() && !cutOff) {
                     answer(passed ? 200 : 503, fields, body);
@@ -389,23 +377,6 @@
         });
     }
 
-    /** The answer of a server to a request: its own, and told apart from every other. */
-    static byte[] body(String id, String host) {
-        return ("served " + id + " by " + host + "\n").getBytes(StandardCharsets.ISO_8859_1);
-    }
-
-    static String text(LoadReport r) {
-        return String.format(
-                Locale.ROOT,
-                "inflight=%.0f,queue=%.0f,util=%.3f,latency_ms=%.2f,qps=%.2f,eps=%.3f",
-                r.inFlight(),
-                r.queued(),
-                r.utilization(),
-                r.meanServiceTimeMs(),
-                r.requestsPerSecond(),
-                r.errorsPerSecond());
-    }
-
     ServerEndpoint target(EndpointState state) {
         return new ServerEndpoint(host, dial, zone, -1, 1, bornMs, state);
     }
--- a/lab/src/test/java/brackenbridge/lab/live/LoadClientTest.java
+++ b/lab/src/test/java/brackenbridge/lab/live/LoadClientTest.java
@@ -103,7 +103,7 @@
     }
 
     private static void served(StandInHttp.Serving to, HttpRequest r) {
-        to.answer(200, new Headers(), StandInServer.body(r.headers().get("X-Correlation-Id"), "here"));
+        to.answer(200, new Headers(), StandInAnswers.body(r.headers().get("X-Correlation-Id"), "here"));
     }
 
     private LiveRunner.Outcome load(InetSocketAddress at, String classMore, int rate, int connections)
