A long response that pauses across the deadline is not cut off once 32 KiB have come

They had come at 65 to 178 kB a second.

Cause: the check for short responses that never end took every response under 64 KiB for one of them.

Change: from 32 KiB on, a response of unknown length may pause like a long one.

--- a/core/src/main/java/brackenbridge/core/ResponseStreamingPolicy.java
+++ b/core/src/main/java/brackenbridge/core/ResponseStreamingPolicy.java
@@ -12,6 +12,8 @@
     static final double LEAD_RATIO = 0.1;
     /** A response of unknown length that is slower is not taken for a long one: 64 KiB would take 4 s. */
     static final double MIN_BYTES_PER_MS = 16;
+    /** A response of unknown length of which so much has come may pause like a long one. */
+    static final int LIKELY_LONG_BYTES = 32 * 1024;
     /** After a pause that lasts from the deadline until so long after it, a response of unknown length is truncated. */
     public static final double MAX_PAUSE_AT_DEADLINE_MS = 350;
 
@@ -30,6 +32,11 @@
                 : Math.max(nowMs, deadlineMs - LEAD_RATIO * clientTimeoutMs);
     }
 
+    /** Whether a response of unknown length may pause like a long one, once its client's time is over. */
+    public static boolean mayPause(long bytes) {
+        return bytes >= LIKELY_LONG_BYTES;
+    }
+
     /** Whether a response of unknown length is likely to be long, by the bytes received in this time. */
     public static boolean isLikelyLong(long bytes, double elapsedMs) {
         return bytes > 0 && bytes >= MIN_BYTES_PER_MS * elapsedMs;
--- a/node/src/main/java/brackenbridge/net/upstream/ResponseReader.java
+++ b/node/src/main/java/brackenbridge/net/upstream/ResponseReader.java
@@ -218,8 +218,8 @@
             truncate("not connected to its client after " + (long) RESPONSE_STALL_TIMEOUT_MS + " ms");
             return;
         }
-        boolean mayBecomeLong = isLong() || nowMs < clientDeadlineMs;
-        double timeoutMs = mayBecomeLong ? STREAM_STALL_TIMEOUT_MS : RESPONSE_STALL_TIMEOUT_MS;
+        boolean mayPause = mayPause() || nowMs < clientDeadlineMs;
+        double timeoutMs = mayPause ? STREAM_STALL_TIMEOUT_MS : RESPONSE_STALL_TIMEOUT_MS;
         if (connection.channel().config().isAutoRead() && pauseMs > timeoutMs) {
             truncate("no byte received for " + (long) timeoutMs + " ms");
         }
@@ -244,9 +244,9 @@
         raiseAnswered(attempt, ResponseKind.SERVED, new StreamedResponse(head, contentLength(), streamedBody), head);
     }
 
-    /** Whether the response is known to be too long to be buffered. */
-    private boolean isLong() {
-        return !decoder.isLengthUnknown() || decoder.bodyBytes() > ResponseDecoder.MAX_BUFFERED_BODY_BYTES;
+    /** Whether the response may pause like a long one: it is long, or enough of it has come to expect that. */
+    private boolean mayPause() {
+        return !decoder.isLengthUnknown() || ResponseStreamingPolicy.mayPause(decoder.bodyBytes());
     }
 
     /** Guards clients against waiting for the rest of a short response that its server never ends. */
@@ -267,7 +267,7 @@
 
     private void checkPause() {
         double pauseMs = clock.nowMs() - lastReadMs;
-        if (!isLong() && pauseMs >= ResponseStreamingPolicy.MAX_PAUSE_AT_DEADLINE_MS) {
+        if (!mayPause() && pauseMs >= ResponseStreamingPolicy.MAX_PAUSE_AT_DEADLINE_MS) {
             truncate("no byte received for " + (long) pauseMs + " ms, beyond the client's time");
         }
     }
