--- a/lab/src/main/java/brackenbridge/lab/live/LongTransferServer.java
+++ b/lab/src/main/java/brackenbridge/lab/live/LongTransferServer.java
@@ -19,7 +19,7 @@
     private final LongTransfer.Plan plan;
     private final Scheduler scheduler;
     private final SteadyTransfer pace;
-    /** When the head of the request came: that is when the server was told the client's time. */
+    /** When the head came: a send counts from its first byte, and the client's time was told then. */
     private final double headMs;
 
     private int bytesRead;
