--- a/review/lib-2/ShortenedUploads.java
+++ b/review/lib-2/ShortenedUploads.java
@@ -16,8 +16,8 @@
     private static final int SERVERS = 4;
     private static final int CORES = 2;
     private static final double WORK_MS = 60;
-    private static final int READERS = 30;
-    private static final int UPLOADERS = 3;
+    private static final int READERS = 50;
+    private static final int UPLOADERS = 6;
     private static final int FIRST_CHUNK = 64 * 1024;
     private static final int SECOND_CHUNK = 8 * 1024;
     private static final double PAUSE_MS = 60;
