A closing listening socket accepts no more clients than the descriptors allow

Cause: before the listening socket is closed, all clients in its backlog were accepted, whether they fitted or not.

Change: a client that does not fit is tried again after the same pauses as a failed accept, for a quarter of a second at most; idle connections are closed meanwhile.

Measured: the new case of ConnectionAcceptorTest fails before ("room was not looked for" within 10 s) and passes after; the other cases pass, their limit is now counted rather than constant.

--- a/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
+++ b/node/src/main/java/brackenbridge/net/client/ConnectionAcceptor.java
@@ -224,37 +224,55 @@
     }
 
     /**
-     * Accepts all clients in the backlog and closes the socket; failed accepts are retried after at most this many
-     * pauses.
+     * Accepts all clients in the backlog and closes the socket; failed accepts, and clients that do not fit, are tried
+     * again after at most this many pauses.
      */
     private void emptyBacklogAndClose(int pausesLeft) {
         AcceptBackoff backoff = new AcceptBackoff();
-        while (true) {
-            try {
-                NioSocketChannel client = accept.acceptNext(channel, socket);
-                if (client == null) {
-                    break;
-                }
-                backoff.onAccepted();
-                markWait(client);
-                channel.pipeline().fireChannelRead(client);
-            } catch (IOException e) {
-                long pauseMs = backoff.onAcceptFailed(e);
-                if (pauseMs > 0 && pausesLeft == 0) {
-                    break;
-                }
-                if (pauseMs > 0) {
-                    if (SocketErrors.isResourceShortage(e)) {
+        boolean empty = false;
+        while (!empty) {
+            long pauseMs = 0;
+            if (!hasRoom()) {
+                pauseMs = AcceptBackoff.PAUSE_MS;
+            } else {
+                try {
+                    empty = !acceptFromBacklog();
+                    backoff.onAccepted();
+                } catch (IOException e) {
+                    pauseMs = backoff.onAcceptFailed(e);
+                    if (pauseMs > 0 && SocketErrors.isResourceShortage(e)) {
                         room.makeRoom();
                     }
-                    scheduleEmptyingBacklog(pauseMs, pausesLeft - 1);
-                    return;
                 }
             }
+            if (pauseMs > 0 && pausesLeft > 0) {
+                scheduleEmptyingBacklog(pauseMs, pausesLeft - 1);
+                return;
+            }
+            empty = empty || pauseMs > 0;
         }
         closeSocket();
     }
 
+    /** Whether a client fits, after an idle connection has been closed if necessary. */
+    private boolean hasRoom() {
+        if (room.freeSlots() <= 0) {
+            room.makeRoom();
+        }
+        return room.freeSlots() > 0;
+    }
+
+    /** Accepts the next client; returns whether there was one. */
+    private boolean acceptFromBacklog() throws IOException {
+        NioSocketChannel client = accept.acceptNext(channel, socket);
+        if (client == null) {
+            return false;
+        }
+        markWait(client);
+        channel.pipeline().fireChannelRead(client);
+        return true;
+    }
+
     private void closeSocket() {
         try {
             socket.close();
--- a/node/src/test/java/brackenbridge/net/ConnectionAcceptorTest.java
+++ b/node/src/test/java/brackenbridge/net/ConnectionAcceptorTest.java
@@ -36,6 +36,9 @@
     private final FaultySockets sockets = new FaultySockets("127.0.0.1:1");
     private final Semaphore accepted = new Semaphore(0);
     private final AtomicInteger makeRoomCalls = new AtomicInteger();
+    /** How many clients may be accepted. */
+    private final AtomicInteger limit = new AtomicInteger(CLIENTS + 1);
+
     private final List<Double> backlogWaitsMs = new CopyOnWriteArrayList<>();
     private final List<Socket> clients = new ArrayList<>();
     private ConnectionAcceptor acceptor;
@@ -69,7 +72,7 @@
                 new ConnectionAcceptor.ClientRoom() {
                     @Override
                     public int freeSlots() {
-                        return CLIENTS;
+                        return limit.get() - accepted.availablePermits();
                     }
 
                     @Override
@@ -115,6 +118,23 @@
         assertEquals(shortage ? 20 : 0, makeRoomCalls.get());
     }
 
+    /** Guards the descriptor limit at the close: clients that don't fit are accepted once there is room for them. */
+    @Test
+    void clientsInTheBacklogAreAcceptedAtTheCloseAsFarAsTheyFit() throws Exception {
+        limit.set(1);
+        close();
+        assertTrue(accepted.tryAcquire(1, 10, TimeUnit.SECONDS), "none was accepted");
+        accepted.release();
+        long startNs = System.nanoTime();
+        while (makeRoomCalls.get() < 3) {
+            assertTrue(HttpIo.millisecondsSince(startNs) < 10_000, "room was not looked for");
+            Thread.onSpinWait();
+        }
+        assertEquals(1, accepted.availablePermits());
+        limit.set(CLIENTS + 1);
+        assertTrue(accepted.tryAcquire(CLIENTS, 10, TimeUnit.SECONDS), "accepted " + accepted.availablePermits());
+    }
+
     // Guards against announcing too much time to servers for a client that waited in the backlog until the close.
     @Test
     void backlogWaitIsRecordedForClientsAcceptedAtTheClose() throws Exception {
