Two processes of a node pass descriptors on as clients move to the new one

Cause: each process had a fixed half. The counts of /proc/PID/fd: within 50 ms of SIGTERM the clients have left, but the old process keeps 113 descriptors, idle connections to servers, and the new one stops at its half. Ruled out: the old process still serves (no open request), connections lost between the sockets (all were read once the old process had ended).

Change: each process reserves a share for the other and grants it once it is not in use, over the handover's connection (descriptors join, grant, request). After SIGTERM the old one keeps what its clients need. A process that is full requests some. While the limit is shared a process lets in as many clients as alone, if a third is left for servers. With an earlier release each keeps half (field granted, line join).

--- a/node/src/main/java/brackenbridge/handover/Handover.java
+++ b/node/src/main/java/brackenbridge/handover/Handover.java
@@ -27,6 +27,9 @@
 
         /** Called when the predecessor has ended. */
         void onPredecessorEnded();
+
+        /** Called when another process has sent a message about descriptors. */
+        void onDescriptorMessage(Neighbour from, DescriptorMessage message);
     }
 
     private final PredecessorClient predecessorClient;
@@ -57,6 +60,15 @@
         });
     }
 
+    /** Sends a message about descriptors; it is dropped if there is no such process. */
+    public void send(Neighbour recipient, DescriptorMessage message) {
+        if (recipient == Neighbour.PREDECESSOR) {
+            predecessorClient.send(message);
+        } else {
+            successorListener.send(message);
+        }
+    }
+
     /** Stops listening and leaves the path to the successor, as this process ends. */
     public void close() {
         successorListener.close();
--- a/node/src/main/java/brackenbridge/handover/PredecessorClient.java
+++ b/node/src/main/java/brackenbridge/handover/PredecessorClient.java
@@ -71,6 +71,13 @@
         loop.schedule(this::takeOverOnce, HandoverProtocol.STEP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Sends a message about descriptors; it is dropped if there is no predecessor. */
+    void send(DescriptorMessage message) {
+        if (predecessor != null) {
+            LineProtocolHandler.writeLine(predecessor, message.toLine());
+        }
+    }
+
     private void takeOverOnce() {
         if (takeOver != null) {
             Runnable action = takeOver;
@@ -107,7 +114,10 @@
 
         @Override
         void onLine(Channel channel, String text) {
-            if (text.equals(HandoverProtocol.GO)) {
+            DescriptorMessage message = DescriptorMessage.parse(text);
+            if (message != null) {
+                process.onDescriptorMessage(Neighbour.PREDECESSOR, message);
+            } else if (text.equals(HandoverProtocol.GO)) {
                 takeOverOnce();
             } else if (text.startsWith(HandoverProtocol.GREETING)) {
                 readState(channel, text.substring(HandoverProtocol.GREETING.length()));
--- a/node/src/main/java/brackenbridge/handover/SuccessorListener.java
+++ b/node/src/main/java/brackenbridge/handover/SuccessorListener.java
@@ -95,6 +95,13 @@
         log.warn("can't listen for a new process: " + cause);
     }
 
+    /** Sends a message about descriptors; it is dropped if there is no successor. */
+    void send(DescriptorMessage message) {
+        if (successor != null) {
+            LineProtocolHandler.writeLine(successor, message.toLine());
+        }
+    }
+
     /** Stops listening; a connected successor keeps its connection. */
     void close() {
         closed = true;
@@ -145,12 +152,16 @@
         void onLine(Channel channel, String text) {
             boolean greets = text.equals(HandoverProtocol.SUCCESSOR_GREETING);
             boolean reportsReady = text.equals(HandoverProtocol.READY);
-            if (greets && successor == null) {
+            DescriptorMessage message = DescriptorMessage.parse(text);
+            if (message != null && successor == channel) {
+                process.onDescriptorMessage(Neighbour.SUCCESSOR, message);
+            } else if (greets && successor == null) {
                 sendState(channel);
             } else if (reportsReady && successor == channel) {
                 handOver(channel);
             } else {
-                onRejected(greets || reportsReady ? RejectionReason.OUT_OF_TURN : RejectionReason.MALFORMED);
+                boolean known = greets || reportsReady || message != null;
+                onRejected(known ? RejectionReason.OUT_OF_TURN : RejectionReason.MALFORMED);
                 channel.close();
             }
         }
--- a/node/src/main/java/brackenbridge/net/EffectRunner.java
+++ b/node/src/main/java/brackenbridge/net/EffectRunner.java
@@ -24,6 +24,7 @@
             Listener listener,
             UpstreamConnections upstream,
             DiscoveryClient discovery,
+            Replacement replacement,
             Shutdown shutdown,
             EventSink events,
             Log log) {
@@ -38,6 +39,10 @@
         on(Effect.Exit.class, effect -> shutdown.exit(effect.immediately()));
         registerUpstream();
         registerListener(listener);
+        on(Effect.LeaveNewConnectionsToSuccessor.class, effect -> {
+            listener.steerNewConnections();
+            replacement.leaveDescriptorsToSuccessor();
+        });
     }
 
     private void registerUpstream() {
@@ -54,7 +59,6 @@
                 effect -> listener.respondLocally(effect.requestId(), effect.reply(), effect.retryAfterMs()));
         on(Effect.RefuseRequestId.class, effect -> listener.refuseRequestId(effect.message()));
         on(Effect.AnnounceClose.class, effect -> listener.announceClose(effect.enabled()));
-        on(Effect.LeaveNewConnectionsToSuccessor.class, effect -> listener.steerNewConnections());
         on(Effect.StopAccepting.class, effect -> listener.stopAccepting());
         on(Effect.CloseIdleClients.class, effect -> listener.closeIdleConnections());
         on(Effect.CloseClientsWhenIdle.class, effect -> listener.closeWhenIdle(effect.enabled()));
--- a/node/src/main/java/brackenbridge/net/Node.java
+++ b/node/src/main/java/brackenbridge/net/Node.java
@@ -108,10 +108,18 @@
         discovery = new DiscoveryClient(outgoing, loop, config.discovery(), this, clock, log);
         status = new StatusPublisher(reducer, () -> acceptor.isOpen());
         reconfiguration = new Reconfiguration(config, loop, this::applySettings, this, counters, log, status::publish);
-        replacement = new Replacement(loop, replacementPath, descriptors, this::stateForSuccessor, this, counters, log);
+        replacement = new Replacement(
+                loop,
+                replacementPath,
+                descriptors,
+                exchangedConnections(),
+                this::stateForSuccessor,
+                this,
+                counters,
+                log);
         shutdown = new Shutdown(loop, listener, replacement, counters, log);
         Timers timers = new Timers(loop, clock, this);
-        effects = new EffectRunner(timers, listener, upstream, discovery, shutdown, this, log);
+        effects = new EffectRunner(timers, listener, upstream, discovery, replacement, shutdown, this, log);
     }
 
     private int descriptorLimit(Config config) {
@@ -136,8 +144,27 @@
         descriptors.setLimit(descriptorLimit(config));
     }
 
-    private HandoverState stateForSuccessor() {
-        return new HandoverState(reconfiguration.config().sockets() / 2, reducer.endpointList());
+    private HandoverState stateForSuccessor(int grantedDescriptors) {
+        return new HandoverState(reconfiguration.config().sockets() / 2, grantedDescriptors, reducer.endpointList());
+    }
+
+    private DescriptorExchange.Connections exchangedConnections() {
+        return new DescriptorExchange.Connections() {
+            @Override
+            public boolean closeIdleClient() {
+                return listener.shedOne(false) || listener.shedOne(true);
+            }
+
+            @Override
+            public boolean closeIdleServer() {
+                return upstream.closeOneIdleConnection();
+            }
+
+            @Override
+            public void onDescriptorsAvailable() {
+                listener.resumeAccepting();
+            }
+        };
     }
 
     /** Starts to serve; throws if the node can't listen on its address. */
@@ -187,7 +214,6 @@
     private void startReducer(Config config, HandoverState inherited) {
         raise(new Event.Started(config.configuredEndpoints()));
         if (inherited != null) {
-            descriptors.shareWithOtherProcess(true);
             raise(new Event.EndpointListInherited(inherited.endpoints()));
         }
     }
@@ -381,5 +407,8 @@
         if (!listener.shedOne(false) && !upstream.closeOneIdleConnection()) {
             listener.shedOne(true);
         }
+        if (!descriptors.hasRoomForClient() || !descriptors.hasRoomForServer()) {
+            replacement.requestDescriptors();
+        }
     }
 }
--- a/node/src/main/java/brackenbridge/net/Replacement.java
+++ b/node/src/main/java/brackenbridge/net/Replacement.java
@@ -2,8 +2,10 @@
 
 import brackenbridge.core.Event;
 import brackenbridge.counters.Counters;
+import brackenbridge.handover.DescriptorMessage;
 import brackenbridge.handover.Handover;
 import brackenbridge.handover.HandoverState;
+import brackenbridge.handover.Neighbour;
 import brackenbridge.log.Log;
 import brackenbridge.net.channel.DescriptorBudget;
 import brackenbridge.net.channel.EventSink;
@@ -15,7 +17,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
+import java.util.function.IntFunction;
 
 /** The node's part in a handover: as successor of the process that serves, and as predecessor of the next one. */
 final class Replacement implements Handover.Participant {
@@ -25,8 +27,8 @@
     private static final long MAX_PREDECESSOR_WAIT_MS = 800;
 
     private final EventLoop loop;
-    private final DescriptorBudget descriptors;
-    private final Supplier<HandoverState> state;
+    private final DescriptorExchange descriptors;
+    private final IntFunction<HandoverState> state;
     private final EventSink events;
     private final Log log;
     /** Null if this node can't be replaced while it serves. */
@@ -44,18 +46,19 @@
      * Creates the handover of a node at this path.
      *
      * @param path null if the node takes part in no handover
-     * @param state the state that a successor receives
+     * @param state the state that a successor receives, with this many descriptors
      */
     Replacement(
             EventLoop loop,
             Path path,
             DescriptorBudget descriptors,
-            Supplier<HandoverState> state,
+            DescriptorExchange.Connections connections,
+            IntFunction<HandoverState> state,
             EventSink events,
             Counters counters,
             Log log) {
         this.loop = loop;
-        this.descriptors = descriptors;
+        this.descriptors = new DescriptorExchange(loop, descriptors, connections, this::send);
         this.state = state;
         this.events = events;
         this.log = log;
@@ -72,7 +75,10 @@
         }
         CompletableFuture<HandoverState> answered = new CompletableFuture<>();
         loop.execute(() -> handover.requestState().thenAccept(offered -> {
-            predecessorExit = offered == null ? predecessorExit : new CompletableFuture<>();
+            if (offered != null) {
+                predecessorExit = new CompletableFuture<>();
+                descriptors.beginAsSuccessor(offered.granted());
+            }
             answered.complete(offered);
         }));
         HandoverState inherited = answered.join();
@@ -101,6 +107,20 @@
         return steer.steerToNewer(address);
     }
 
+    private void send(Neighbour recipient, DescriptorMessage message) {
+        handover.send(recipient, message);
+    }
+
+    /** Leaves the descriptors to the successor that the remaining clients of this process don't need. */
+    void leaveDescriptorsToSuccessor() {
+        descriptors.leaveToSuccessor();
+    }
+
+    /** Requests descriptors from the other processes of this node, as this one lacks some. */
+    void requestDescriptors() {
+        descriptors.request();
+    }
+
     /** Ends the part in any handover. */
     void close() {
         if (handover != null) {
@@ -111,7 +131,7 @@
     @Override
     public CompletableFuture<HandoverState> prepareState() {
         ReusePortSteering.prepare();
-        descriptors.shareWithOtherProcess(true);
+        descriptors.prepareForSuccessor();
         CompletableFuture<HandoverState> offered = new CompletableFuture<>();
         predecessorExit.thenRun(() -> completeOffer(offered));
         loop.schedule(() -> completeOffer(offered), MAX_PREDECESSOR_WAIT_MS, TimeUnit.MILLISECONDS);
@@ -121,13 +141,15 @@
     private void completeOffer(CompletableFuture<HandoverState> offered) {
         if (!offered.isDone()) {
             joinedBeforePredecessorExit = !predecessorExit.isDone();
-            offered.complete(state.get());
+            offered.complete(state.apply(descriptors.takeFirstGrant()));
         }
     }
 
     @Override
     public void onSuccessorChanged(boolean on) {
-        descriptors.shareWithOtherProcess(on);
+        if (!on) {
+            descriptors.onEnded(Neighbour.SUCCESSOR);
+        }
         events.raise(new Event.SuccessorChanged(on));
     }
 
@@ -135,6 +157,11 @@
     public void onPredecessorEnded() {
         log.info("the old process has exited: its descriptors are available");
         predecessorExit.complete(null);
-        descriptors.shareWithOtherProcess(false);
+        descriptors.onEnded(Neighbour.PREDECESSOR);
+    }
+
+    @Override
+    public void onDescriptorMessage(Neighbour from, DescriptorMessage message) {
+        descriptors.onMessage(from, message);
     }
 }
--- a/node/src/main/java/brackenbridge/net/client/Listener.java
+++ b/node/src/main/java/brackenbridge/net/client/Listener.java
@@ -224,6 +224,11 @@
         registry.scheduleIfAccepting(this::resumeAcceptingOrShed, shedding.minUnusedMs() + 1);
     }
 
+    /** Resumes accepting if further clients fit, because more descriptors are available. */
+    public void resumeAccepting() {
+        registry.resumeAccepting();
+    }
+
     /** Resumes accepting; at the descriptor limit, sheds all idle connections, as clients wait in the backlog. */
     private void resumeAcceptingOrShed() {
         if (!registry.resumeAccepting()) {
--- a/node/src/test/java/brackenbridge/handover/GoldenFormsTest.java
+++ b/node/src/test/java/brackenbridge/handover/GoldenFormsTest.java
@@ -33,6 +33,7 @@
 class GoldenFormsTest {
     private static final HandoverState STATE = new HandoverState(
             500,
+            300,
             new EndpointList(
                     41,
                     true,
@@ -56,6 +57,11 @@
         public void onPredecessorEnded() {
             // Only the lines are checked.
         }
+
+        @Override
+        public void onDescriptorMessage(Neighbour from, DescriptorMessage message) {
+            // Only the lines are checked.
+        }
     };
 
     @TempDir
@@ -97,6 +103,14 @@
         assertEquals(STATE, HandoverState.parse(GoldenText.read("handover-offer.txt")));
     }
 
+    /** Guards a successor whose predecessor is of a release before the exchange of descriptors. */
+    @Test
+    void stateWithoutGrantedDescriptorsIsParsed() throws IOException {
+        HandoverState state =
+                HandoverState.parse(GoldenText.read("handover-offer.txt").replace("\"granted\":300,", ""));
+        assertEquals(new HandoverState(500, HandoverState.NOT_GRANTED, STATE.endpoints()), state);
+    }
+
     @Test
     void linesOfThePredecessor() throws Exception {
         Handover handover = handover();
--- a/node/src/test/java/brackenbridge/handover/SuccessorListenerTest.java
+++ b/node/src/test/java/brackenbridge/handover/SuccessorListenerTest.java
@@ -33,7 +33,7 @@
     private static final Handover.Participant PARTICIPANT = new Handover.Participant() {
         @Override
         public CompletableFuture<HandoverState> prepareState() {
-            return CompletableFuture.completedFuture(new HandoverState(1, new EndpointList(1, true, List.of())));
+            return CompletableFuture.completedFuture(new HandoverState(1, 1, new EndpointList(1, true, List.of())));
         }
 
         @Override
@@ -45,6 +45,11 @@
         public void onPredecessorEnded() {
             // Only the connect is checked.
         }
+
+        @Override
+        public void onDescriptorMessage(Neighbour from, DescriptorMessage message) {
+            // Only the connect is checked.
+        }
     };
 
     @TempDir
--- a/node/src/test/java/brackenbridge/net/channel/DescriptorBudgetTest.java
+++ b/node/src/test/java/brackenbridge/net/channel/DescriptorBudgetTest.java
@@ -14,7 +14,7 @@
             DescriptorBudget budget = new DescriptorBudget(limit);
             assertTrue(budget.hasRoomForClient() && budget.hasRoomForServer(), "limit " + limit);
             assertFalse(budget.isCrowdedByClients(), "limit " + limit);
-            budget.shareWithOtherProcess(true);
+            budget.successor().reserve(budget.usable() / 2);
             assertTrue(budget.hasRoomForClient() && budget.hasRoomForServer(), "half of limit " + limit);
         }
     }
@@ -37,7 +37,7 @@
         int limit = 2000;
         DescriptorBudget budget = new DescriptorBudget(limit);
         int alone = connectionsThatFit(budget);
-        budget.shareWithOtherProcess(true);
+        budget.successor().reserve(budget.usable() / 2);
         int together = 2 * connectionsThatFit(budget);
         assertTrue(together + open <= alone + tolerance, alone + " alone, " + together + " together, open " + open);
         assertTrue(together + open >= alone - tolerance, alone + " alone, " + together + " together, open " + open);
