--- a/node/src/test/java/brackenbridge/cli/DescriptorHandoverTest.java
+++ b/node/src/test/java/brackenbridge/cli/DescriptorHandoverTest.java
@@ -6,7 +6,6 @@
 import brackenbridge.cli.NodeProcesses.Running;
 import brackenbridge.config.ConfigTest;
 import java.io.BufferedReader;
-import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
@@ -18,8 +17,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,6 +36,11 @@
 
     private static final String SERVER_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
+    @TempDir
+    private static Path unpacked;
+
+    private static String classPath;
+
     @TempDir
     private Path directory;
 
@@ -57,6 +61,11 @@
         IDLE
     }
 
+    @BeforeAll
+    static void unpackClassPath() throws IOException {
+        classPath = UnpackedClassPath.createIn(unpacked);
+    }
+
     @BeforeEach
     void startServer() throws IOException {
         server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
@@ -179,22 +188,15 @@
         }
     }
 
-    /** Descriptors of a process that belong to its class path, which has one archive outside of tests. */
-    private static int classPathDescriptors() {
-        return (int) Stream.of(System.getProperty("java.class.path").split(File.pathSeparator))
-                .filter(entry -> entry.endsWith(".jar"))
-                .count();
-    }
-
     /** Replaces the node's process several times while so many clients of this pace use it. */
     private void replaceUnderClients(int descriptors, int clients, Pace pace) throws Exception {
         String host = "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:" + server.getLocalPort() + "\",\"health\":\"active\"}";
-        int limit = descriptors + 2 * classPathDescriptors();
         node = new NodeProcesses(
                 directory,
                 ConfigTest.TEXT
                         .replace("\"hosts\":[]", "\"hosts\":[" + host + "]")
-                        .replace("\"sockets\":1024", "\"sockets\":" + limit));
+                        .replace("\"sockets\":1024", "\"sockets\":" + descriptors),
+                classPath);
         Running old = node.start();
         startThread(this::watchDescriptors);
         for (int i = 0; i < clients; i++) {
@@ -209,7 +211,7 @@
             old = next;
         }
         assertEquals(0, lost.get(), "requests without an answer, of " + answered);
-        assertTrue(mostDescriptors.get() <= limit, mostDescriptors + " descriptors of " + limit);
+        assertTrue(mostDescriptors.get() <= descriptors, mostDescriptors + " descriptors of " + descriptors);
     }
 
     /** Guards against requests that wait in the new process's backlog until the old one has ended. */
--- a/node/src/test/java/brackenbridge/cli/NodeProcesses.java
+++ b/node/src/test/java/brackenbridge/cli/NodeProcesses.java
@@ -17,6 +17,7 @@
 /** The processes of one node, which replace one another; all have their files in one directory. */
 final class NodeProcesses implements AutoCloseable {
     private final Path directory;
+    private final String classPath;
     private final int port;
     private final List<Process> processes = new CopyOnWriteArrayList<>();
 
@@ -29,7 +30,13 @@
 
     /** Creates a node without any process; its configuration is this text, but listening on a port of its own. */
     NodeProcesses(Path directory, String configuration) throws IOException {
+        this(directory, configuration, System.getProperty("java.class.path"));
+    }
+
+    /** Creates a node as the other constructor does, whose processes have this class path. */
+    NodeProcesses(Path directory, String configuration, String classPath) throws IOException {
         this.directory = directory;
+        this.classPath = classPath;
         port = freePort();
         Files.writeString(directory.resolve("config.json"), configuration.replace("127.0.0.1:0", "127.0.0.1:" + port));
     }
@@ -63,7 +70,7 @@
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
                         "-cp",
-                        System.getProperty("java.class.path"),
+                        classPath,
                         "brackenbridge.cli.Main",
                         "serve")
                 .redirectErrorStream(true)
